--- /dev/null
+++ b/bench/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the routing decision: real decision code before fake engines."""
--- a/irisshelf/routing/placement.py
+++ b/irisshelf/routing/placement.py
@@ -1,25 +1,33 @@
 """Chooses the engine for a request: cached context first, load bound always.
 
-The order of candidates is: the engine that is known to hold the chat although
-it is not the home; the chat's home among the homes of its shared history; the
-other homes; the ranking of the shared history; any engine, least loaded first.
-The first candidate that is available and whose load stays within the bound is
-taken. An idle engine may always take one request.
-
-What it promises: no send takes an engine above ``load_bound`` times the mean
-of the believed loads, unless the engine had none. What it cannot promise: that
-believed loads are the true ones; see ``load`` and docs/notes/placement.md.
+Each engine has one owner among the instances. The entry instance hands a
+request to the owner of the engine that it should go to; the owner knows all
+that runs on its engines and decides, or hands on to the owner of the next
+candidate. With ``owned`` left at None one instance decides for all engines.
+
+Candidates, in order: the engine that is known to hold the chat although it is
+not its home; the chat's home; the other homes of its shared history; then any
+engine of this instance, first in the ranking first, last the least loaded.
+The first that is available and below the bound is taken.
+
+What it promises: no request goes to an engine whose believed load is at or
+above ``load_bound`` times the mean, while any engine that this instance knows
+of is below it. As loads come in whole requests, an engine may end above the
+bound by part of one request. What it cannot promise: that believed loads are
+the true ones; see ``load`` and docs/notes/placement.md.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import enum
+import itertools
 import math
 import random
 from collections.abc import Iterator
 from collections.abc import Sequence
 
+from irisshelf.routing import cache_view
 from irisshelf.routing import context
 from irisshelf.routing import exceptions
 from irisshelf.routing import load
@@ -27,6 +35,13 @@
 from irisshelf.routing import ranking
 
 
+HOMES_PER_GROUP = 8
+_GROUP_SHIFT = 32  # Group and slot of a chat use different bits of its key.
+_GROUP_SALT = 0x9E3779B97F4A7C15
+_KEY_MASK = (1 << 64) - 1
+_ROOM_TRIES = 32
+
+
 class Reason(enum.StrEnum):
     """Why an engine was chosen."""
 
@@ -35,6 +50,7 @@
     OTHER_HOME = "other_home"
     SPILL = "spill"
     LEAST_LOADED = "least_loaded"
+    OVER_BOUND = "over_bound"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -48,17 +64,22 @@
         spread: Homes of a shared history, as a multiple of its share of all
             load times the number of engines.
         margin: Part of the room above the mean that is left unused, since
-            believed loads are late; 0 to 1.
+            believed loads are not exact; 0 to 1.
+        cache_tokens: Size of an engine's prefix cache.
         use_reports: Whether engines' reports are used.
         use_exceptions: Whether displaced chats are remembered.
+        use_cache_view: Whether an owner follows its engines' caches; without,
+            a chat is thought cached where it belongs.
     """
 
     load_bound: float = 1.25
     prefill_weight: float = 0.1
-    spread: float = 1.5
-    margin: float = 0.0
-    use_reports: bool = True
+    spread: float = 6.0
+    margin: float = 0.45
+    cache_tokens: int = 400_000
+    use_reports: bool = False
     use_exceptions: bool = True
+    use_cache_view: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,6 +91,26 @@
     reason: Reason
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Forward:
+    """The owner of this engine should place the request."""
+
+    engine: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Totals:
+    """Outstanding work on a group of engines.
+
+    Attributes:
+        work: Sum of the work, in tokens.
+        engines: Number of those engines that take work.
+    """
+
+    work: float
+    engines: int
+
+
 class Placer:
     """Places the requests of one service.
 
@@ -77,7 +118,8 @@
         cfg: Limits and switches.
         members: The engines that the bundle lists, with weights.
         rng: Breaks ties among least loaded engines.
-        instances: Number of instances that place on these engines.
+        instances: Number of instances that place on these engines, where
+            engines have no owners.
     """
 
     def __init__(
@@ -92,74 +134,131 @@
         self.ranking = ranking.Ranking(members=members)
         self.loads = load.LoadBook(size=len(members), instances=instances)
         self.exceptions = exceptions.Exceptions()
+        self._views = {
+            engine: self._new_view() for engine in range(len(members))
+        }
         self._popularity = popularity.Popularity()
         self._rng = rng
         self._available = [True] * len(members)
-        self._available_count = len(members)
+        self._owned: Sequence[int] = range(len(members))
+        self._is_owned = [True] * len(members)
+        self._full: frozenset[int] = frozenset()
+        self._others = Totals(work=0.0, engines=0)
         self._allowed = 1 + (cfg.load_bound - 1) * (1 - cfg.margin)
 
+    @property
+    def owned(self) -> Sequence[int]:
+        """The engines that this instance places on."""
+        return self._owned
+
     def set_available(self, engine: int, available: bool) -> None:
         """Marks an engine as able or unable to take new work."""
-        if self._available[engine] == available:
-            return
         self._available[engine] = available
-        self._available_count += 1 if available else -1
 
     def is_available(self, engine: int) -> bool:
         """Tells whether an engine may take new work."""
         return self._available[engine]
 
-    @property
-    def available_count(self) -> int:
-        """Engines that may take new work."""
-        return self._available_count
+    def set_owned(self, owned: Sequence[int]) -> None:
+        """Sets the engines that this instance places on."""
+        self._owned = tuple(owned)
+        self._views = {
+            engine: self._views.get(engine) or self._new_view()
+            for engine in owned
+        }
+        self._is_owned = [False] * len(self.ranking)
+        for engine in owned:
+            self._is_owned[engine] = True
+
+    def set_others(
+        self, totals: Totals, *, full: frozenset[int] = frozenset()
+    ) -> None:
+        """Takes what the other owners say.
+
+        Args:
+            totals: Work on all engines of others together.
+            full: Engines of others that are at their bound.
+        """
+        self._others = totals
+        self._full = full
+
+    def totals(self) -> Totals:
+        """Returns what this instance says of the engines that it owns."""
+        works = [
+            self.loads.estimate(engine)
+            for engine in self._owned
+            if self._available[engine]
+        ]
+        return Totals(work=sum(works), engines=len(works))
+
+    def full(self) -> frozenset[int]:
+        """Returns the engines owned here that are at their bound."""
+        limit = self._allowed * self._mean(0.0)
+        return frozenset(
+            engine
+            for engine in self._owned
+            if self.loads.estimate(engine) >= limit > 0
+        )
+
+    def arrived(self, ctx: context.Context, now: float) -> None:
+        """Counts a request that enters here, wherever it is placed."""
+        self._popularity.add(ctx.shared_key, ctx.decode_tokens, now)
+
+    def entry(
+        self, ctx: context.Context, *, avoid: frozenset[int] = frozenset()
+    ) -> int | None:
+        """Returns the engine whose owner should place a request."""
+        for engine in self._homes(ctx):
+            if self._available[engine] and engine not in avoid:
+                return engine
+        for key in (ctx.shared_key, ctx.chat_key):
+            for engine in self.ranking.order(key) if key else ():
+                if self._available[engine] and engine not in avoid:
+                    return engine
+        for engine in range(len(self.ranking)):
+            if self._available[engine] and engine not in avoid:
+                return engine
+        return None
 
     def place(
         self,
         ctx: context.Context,
-        now: float,
         *,
         avoid: frozenset[int] = frozenset(),
-        among: frozenset[int] | None = None,
-    ) -> Placement | None:
-        """Chooses an engine.
+        may_forward: bool = False,
+    ) -> Placement | Forward | None:
+        """Chooses an engine of this instance, or an owner to hand on to.
 
         Args:
             ctx: The request's context.
-            now: Time in seconds.
-            avoid: Engines that already failed this request.
-            among: If given, only these engines are considered, and only as
-                long as the bound holds: others may still have room.
+            avoid: Engines that already failed, or turned down, this request.
+            may_forward: Whether another instance may be asked.
 
         Returns:
-            The placement, or None if no engine is available. The caller says
-            ``sent`` once it acts on it.
+            The placement; or a forward; or None if no engine is available.
+            The caller says ``sent`` once it acts on a placement.
         """
-        home = self.home(ctx)
-        for engine, reason in self._candidates(ctx, home):
+        limit = self._allowed * self._mean(ctx.decode_tokens)
+        for engine, reason in self._candidates(ctx):
             if not self._available[engine] or engine in avoid:
                 continue
-            if among is not None and engine not in among:
-                continue
-            work = self.work(ctx, reason)
-            if self._fits(engine, work):
-                return Placement(engine=engine, work=work, reason=reason)
-        last = self._least_loaded(ctx, avoid, among)
-        if last is None or among is None or self._fits(last.engine, last.work):
-            return last
-        return None
-
-    def home(self, ctx: context.Context) -> int:
-        """Returns the chat's home: where it goes if loads allow."""
-        return self._homes(ctx)[0]
-
-    def work(self, ctx: context.Context, reason: Reason) -> float:
+            if not self._is_owned[engine]:
+                if may_forward and engine not in self._full:
+                    return Forward(engine=engine)
+            elif self._fits(engine, limit):
+                return self._placement(ctx, engine, reason)
+        return self._last_resort(ctx, avoid, may_forward, limit)
+
+    def work(self, ctx: context.Context, engine: int, reason: Reason) -> float:
         """Returns the work, in tokens, that a request is thought to be."""
-        cached = 0
-        if reason in (Reason.HOME, Reason.EXCEPTION):
+        if self.cfg.use_cache_view:
+            cached = self._views[engine].cached_tokens(ctx)
+        elif reason in (Reason.HOME, Reason.EXCEPTION):
             cached = ctx.shared_tokens + ctx.chat_tokens
         elif reason is Reason.OTHER_HOME:
             cached = ctx.shared_tokens
+        else:
+            cached = 0
         uncached = ctx.prompt_tokens - cached
         return ctx.decode_tokens + uncached * self.cfg.prefill_weight
 
@@ -168,21 +267,41 @@
     ) -> None:
         """Counts a request that goes to its engine."""
         self.loads.add(placement.engine, placement.work, now)
-        self._popularity.add(ctx.shared_key, placement.work, now)
+        if self.cfg.use_cache_view:
+            self._views[placement.engine].touch(ctx)
+        self.remember(ctx, placement.engine, placement.reason)
+
+    def remember(
+        self, ctx: context.Context, engine: int, reason: Reason
+    ) -> None:
+        """Notes where a chat's context now is, if that is not its home."""
         if not self.cfg.use_exceptions:
             return
-        if placement.reason is Reason.HOME:
+        if reason is Reason.HOME:
             self.exceptions.discard(ctx.chat_key)
-        elif placement.reason is not Reason.EXCEPTION:
-            self.exceptions.put(ctx.chat_key, placement.engine)
+        else:
+            self.exceptions.put(ctx.chat_key, engine)
+
+    def answered(
+        self, ctx: context.Context, engine: int, answer_tokens: int
+    ) -> None:
+        """Notes that an answer is whole, so that its text is cached too."""
+        if self.cfg.use_cache_view and engine in self._views:
+            self._views[engine].touch(ctx, answer_tokens=answer_tokens)
+
+    def lost_cache(self, engine: int) -> None:
+        """Notes that an engine has started anew."""
+        if engine in self._views:
+            self._views[engine].clear()
+        self.exceptions.discard_engine(engine)
 
-    def ended(self, placement: Placement, now: float) -> None:
-        """Counts a request that no longer runs."""
-        self.loads.add(placement.engine, -placement.work, now)
+    def ended(self, engine: int, work: float, now: float) -> None:
+        """Counts work that is done, or that no longer runs."""
+        self.loads.add(engine, -work, now)
 
     def report(self, engine: int, report: load.Report) -> None:
         """Takes an engine's report of its load."""
-        if self.cfg.use_reports:
+        if self.cfg.use_reports and self._is_owned[engine]:
             self.loads.report(engine, report)
 
     def home_count(self, ctx: context.Context) -> int:
@@ -197,50 +316,81 @@
         return min(count, len(self.ranking))
 
     def _homes(self, ctx: context.Context) -> Sequence[int]:
+        """Returns the homes that a chat may have, its own first.
+
+        Homes beyond a group of ``HOMES_PER_GROUP`` form further groups, each
+        ranked by a key of its own, and a chat keeps to one group: the cost
+        does not grow with the number of homes, and when groups double, half
+        of the chats stay where they are.
+        """
         if not ctx.shared_key:
             return self.ranking.order(ctx.chat_key)[:1]
         count = self.home_count(ctx)
-        if count <= ranking.DEPTH:
-            homes = self.ranking.order(ctx.shared_key)[:count]
-        else:
-            homes = self.ranking.whole_order(ctx.shared_key)[:count]
         if count == 1:
-            return homes
+            return self.ranking.order(ctx.shared_key)[:1]
+        groups = max(1, count // HOMES_PER_GROUP)
+        group = (ctx.chat_key >> _GROUP_SHIFT) & (groups - 1)
+        key = ctx.shared_key ^ (group * _GROUP_SALT & _KEY_MASK)
+        homes = self.ranking.order(key)[: min(count, HOMES_PER_GROUP)]
         return self.ranking.among(ctx.chat_key, homes)
 
-    def _candidates(
-        self, ctx: context.Context, home: int
-    ) -> Iterator[tuple[int, Reason]]:
-        if self.cfg.use_exceptions:
+    def _candidates(self, ctx: context.Context) -> Iterator[tuple[int, Reason]]:
+        if self.cfg.use_exceptions and ctx.returning:
             known = self.exceptions.get(ctx.chat_key)
-            if known is not None and ctx.returning:
+            if known is not None:
                 yield known, Reason.EXCEPTION
-        yield home, Reason.HOME
-        if ctx.shared_key:
-            for engine in self._homes(ctx)[1:]:
-                yield engine, Reason.OTHER_HOME
-            for engine in self.ranking.order(ctx.shared_key):
-                yield engine, Reason.SPILL
-        for engine in self.ranking.order(ctx.chat_key):
-            yield engine, Reason.SPILL
-
-    def _fits(self, engine: int, work: float) -> bool:
+        homes = self._homes(ctx)
+        yield homes[0], Reason.HOME
+        for engine in homes[1:]:
+            yield engine, Reason.OTHER_HOME
+        for key in (ctx.shared_key, ctx.chat_key):
+            for engine in self.ranking.order(key) if key else ():
+                if self._is_owned[engine]:
+                    yield engine, Reason.SPILL
+
+    def _mean(self, more: float) -> float:
+        """Returns the mean load of an engine, fleet-wide, with more work."""
+        own = self.totals()
+        engines = own.engines + self._others.engines
+        return (own.work + self._others.work + more) / max(1, engines)
+
+    def _fits(self, engine: int, limit: float) -> bool:
         before = self.loads.estimate(engine)
-        if before <= 0:
-            return True
-        mean = (self.loads.total() + work) / max(1, self._available_count)
-        return before + work <= self._allowed * mean
+        return before <= 0 or before < limit
+
+    def _placement(
+        self, ctx: context.Context, engine: int, reason: Reason
+    ) -> Placement:
+        return Placement(
+            engine=engine, work=self.work(ctx, engine, reason), reason=reason
+        )
+
+    def _new_view(self) -> cache_view.CacheView:
+        return cache_view.CacheView(capacity_tokens=self.cfg.cache_tokens)
 
-    def _least_loaded(
+    def _last_resort(
         self,
         ctx: context.Context,
         avoid: frozenset[int],
-        among: frozenset[int] | None,
-    ) -> Placement | None:
+        may_forward: bool,
+        limit: float,
+    ) -> Placement | Forward | None:
+        """Takes the least loaded engine, here or with another owner."""
+        engine = self._least_loaded(avoid)
+        if engine is not None and self._fits(engine, limit):
+            return self._placement(ctx, engine, Reason.LEAST_LOADED)
+        if may_forward:
+            other = self._other_with_room(ctx, avoid)
+            if other is not None:
+                return Forward(engine=other)
+        if engine is None:
+            return None
+        return self._placement(ctx, engine, Reason.OVER_BOUND)
+
+    def _least_loaded(self, avoid: frozenset[int]) -> int | None:
         best: list[int] = []
         least = math.inf
-        wanted = range(len(self.ranking)) if among is None else among
-        for engine in wanted:
+        for engine in self._owned:
             if not self._available[engine] or engine in avoid:
                 continue
             estimate = self.loads.estimate(engine)
@@ -249,10 +399,20 @@
                 best = []
             if estimate == least:
                 best.append(engine)
-        if not best:
-            return None
-        engine = self._rng.choice(sorted(best))
-        reason = Reason.LEAST_LOADED
-        return Placement(
-            engine=engine, work=self.work(ctx, reason), reason=reason
-        )
+        return self._rng.choice(best) if best else None
+
+    def _other_with_room(
+        self, ctx: context.Context, avoid: frozenset[int]
+    ) -> int | None:
+        count = len(self.ranking)
+        order = self.ranking.order(ctx.chat_key)
+        tries = (self._rng.randrange(count) for _ in range(_ROOM_TRIES))
+        for engine in itertools.chain(order, tries):
+            if (
+                not self._is_owned[engine]
+                and self._available[engine]
+                and engine not in self._full
+                and engine not in avoid
+            ):
+                return engine
+        return None
--- a/irisshelf/routing/service.py
+++ b/irisshelf/routing/service.py
@@ -117,11 +117,6 @@
             self._rebuild(cfg, targets, now)
         self.cfg = cfg
         self._instances = max(1, instances)
-        self._local = frozenset(
-            i
-            for i, target in enumerate(targets)
-            if bundle.data_centres[target.data_centre].region == local_region
-        )
         self.placer.loads.set_instances(self._instances)
         self._limit_admission(bundle)
 
@@ -132,18 +127,13 @@
         *,
         avoid: frozenset[str] = frozenset(),
     ) -> Send | None:
-        """Chooses a target, near ones first; None if there is none."""
+        """Chooses a target; None if there is none."""
+        self.placer.arrived(ctx, now)
         avoided = frozenset(
             self._index[name] for name in avoid if name in self._index
         )
-        chosen = None
-        if len(self._local) < len(self._targets):
-            chosen = self.placer.place(
-                ctx, now, avoid=avoided, among=self._local
-            )
-        if chosen is None:
-            chosen = self.placer.place(ctx, now, avoid=avoided)
-        if chosen is None:
+        chosen = self.placer.place(ctx, avoid=avoided)
+        if not isinstance(chosen, placement.Placement):
             return None
         target = self._targets[chosen.engine]
         return Send(target=target, placement=chosen, context=ctx)
@@ -156,7 +146,7 @@
         """Counts a request that no longer runs."""
         index = self._index.get(send.target.name)
         if index is not None:
-            self.placer.loads.add(index, -send.placement.work, now)
+            self.placer.ended(index, send.placement.work, now)
 
     def refresh(self, name: str) -> None:
         """Applies the health of a server or an engine to placement."""
@@ -200,7 +190,9 @@
             self._by_server.setdefault(target.server, []).append(i)
         self._placer = placement.Placer(
             cfg=placement.Config(
-                load_bound=cfg.load_bound, prefill_weight=cfg.prefill_weight
+                load_bound=cfg.load_bound,
+                prefill_weight=cfg.prefill_weight,
+                use_reports=True,
             ),
             members=[ranking.Member(name=t.name) for t in targets],
             rng=self._rng,
