--- a/irisshelf/backends/engine.py
+++ b/irisshelf/backends/engine.py
@@ -30,11 +30,18 @@
         response: The open HTTP response.
         checker: Follows offsets and attempt id.
         generation: Names the generation, for a resume.
+        head: The answer's headers that tell of the attempt.
     """
 
     def __init__(
-        self, *, response: Any, checker: stream.Checker, generation: str
+        self,
+        *,
+        response: Any,
+        checker: stream.Checker,
+        generation: str,
+        head: messages.StreamHead,
     ):
+        self.head = head
         self._response = response
         self._checker = checker
         self.generation = generation
@@ -164,10 +171,29 @@
             response=response,
             checker=checker,
             generation=response.get(messages.Header.GENERATION.value) or "",
+            head=stream_head(response),
         )
     )
 
 
+def stream_head(response: Any) -> messages.StreamHead:
+    """Reads what an answer's headers tell of the attempt."""
+
+    def text(header: messages.Header) -> str:
+        return response.get(header.value) or ""
+
+    try:
+        work = float(text(messages.Header.ENGINE_WORK))
+    except ValueError:
+        work = None
+    return messages.StreamHead(
+        attempt_id=text(messages.Header.ATTEMPT_ID),
+        target=text(messages.Header.TARGET),
+        reason=text(messages.Header.REASON),
+        engine_work=work,
+    )
+
+
 def cancel(
     clients: pool.Pool, call: messages.EngineCall
 ) -> result.Result[None, errors.CallError]:
--- a/irisshelf/backends/messages.py
+++ b/irisshelf/backends/messages.py
@@ -17,6 +17,9 @@
     NOT_RUN = "X-Not-Run"
     DRAINING = "X-Draining"
     ENGINE_WORK = "X-Engine-Work"
+    TARGET = "X-Target"
+    REASON = "X-Placement-Reason"
+    STAMP = "X-Stamp"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -57,6 +60,41 @@
     limits: Limits
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelayCall:
+    """A model call handed on to the owner of an engine.
+
+    Attributes:
+        address: The owner's relay address.
+        secret: What all instances of the fleet know.
+        body: The encoded ``relay_messages.Request``.
+        stamp: The sender's clock, for the time line.
+    """
+
+    address: str
+    secret: str
+    body: bytes
+    stamp: str
+    limits: Limits
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StreamHead:
+    """What an answer's headers tell of the attempt behind it.
+
+    Attributes:
+        attempt_id: The attempt's id.
+        target: The engine, ``SERVER/ENGINE``, where an owner chose it.
+        reason: Why the owner chose it.
+        engine_work: The engine's outstanding work before this request.
+    """
+
+    attempt_id: str
+    target: str
+    reason: str
+    engine_work: float | None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServiceCall:
     """A request to a plain service."""
--- /dev/null
+++ b/irisshelf/backends/relay.py
@@ -0,0 +1,69 @@
+"""Client of other instances: hands a model call on to an engine's owner."""
+
+from __future__ import annotations
+
+import functools
+
+import result
+
+from irisshelf.backends import dispatch
+from irisshelf.backends import engine
+from irisshelf.backends import errors
+from irisshelf.backends import messages
+from irisshelf.backends import pool
+from irisshelf.routing import outcome
+from irisshelf.routing import stream
+
+PATH = "/relay"
+_OK = 200
+
+
+@dispatch.start.register
+def _start_relay_call(
+    call: messages.RelayCall, *, clients: pool.Pool
+) -> result.Result[engine.EngineStream, errors.CallError]:
+    client = clients.client(
+        call.address,
+        connect_s=call.limits.connect_s,
+        idle_s=call.limits.idle_s,
+    )
+    send = functools.partial(
+        dispatch.request,
+        "POST",
+        PATH,
+        body=call.body,
+        headers={
+            "Authorization": f"Bearer {call.secret}",
+            "Content-Type": "application/cbor",
+            messages.Header.STAMP.value: call.stamp,
+        },
+    )
+    sent = send(client)
+    if isinstance(sent, result.Err):
+        return sent
+    response = sent.ok_value
+    if response.status_code != _OK:
+        return result.Err(_refusal(response))
+    head = engine.stream_head(response)
+    return result.Ok(
+        engine.EngineStream(
+            response=response,
+            checker=stream.Checker(attempt_id=head.attempt_id),
+            generation=response.get(messages.Header.GENERATION.value) or "",
+            head=head,
+        )
+    )
+
+
+def _refusal(response) -> errors.CallError:
+    """Takes the owner's word on whether the request ran."""
+    told = response.get("X-Outcome")
+    detail = dispatch.read_all(response).unwrap_or(b"")[:200]
+    not_run = told == outcome.Outcome.NOT_RUN.value
+    return errors.CallError(
+        outcome=(
+            outcome.Outcome.NOT_RUN if not_run else outcome.Outcome.UNKNOWN
+        ),
+        cause=outcome.Cause.REFUSED,
+        detail=f"owner answered {response.status_code}: {detail!r}",
+    )
--- a/irisshelf/cli/remote.py
+++ b/irisshelf/cli/remote.py
@@ -69,7 +69,7 @@
 
 def nodes(platform: interface.Platform) -> tuple[messages.Node, ...]:
     """Lists instances of irisshelf, or ends the command."""
-    listed = platform.nodes()
+    listed = platform.nodes(since=0)
     if isinstance(listed, result.Err):
         output.fail(
             f"the platform did not answer: {listed.err_value.detail}",
@@ -77,7 +77,7 @@
         )
     return tuple(
         node
-        for node in listed.ok_value
+        for node in listed.ok_value.changed
         if node.role is messages.NodeRole.INSTANCE
     )
 
--- a/irisshelf/daemon/admin.py
+++ b/irisshelf/daemon/admin.py
@@ -7,6 +7,7 @@
 
 from irisshelf.daemon import http
 from irisshelf.daemon import node
+from irisshelf.daemon import peers as peers_module
 from irisshelf.observe import timeline
 
 
@@ -15,10 +16,12 @@
 
     Args:
         nd: This instance.
+        peers: What it knows of the others.
     """
 
-    def __init__(self, *, nd: node.Node):
+    def __init__(self, *, nd: node.Node, peers: peers_module.Peers):
         self._nd = nd
+        self._peers = peers
         self.caller_timeout_s = nd.cfg.limits.caller_timeout_s
         self._paths: dict[str, Callable] = {
             "/metrics": self._metrics,
@@ -61,7 +64,10 @@
         return http.answer(start_response, 200 if ready else 503, document)
 
     def _status(self, start_response: http.StartResponse) -> list[bytes]:
-        return http.answer(start_response, 200, status(self._nd))
+        document = status(self._nd)
+        document["peers"] = self._peers.statuses()
+        document["name_conflicts"] = self._peers.gossip.conflicts
+        return http.answer(start_response, 200, document)
 
     def _timeline(self, start_response: http.StartResponse) -> list[bytes]:
         events = [timeline.encode(e) for e in self._nd.timeline.events()]
--- a/irisshelf/daemon/follower.py
+++ b/irisshelf/daemon/follower.py
@@ -62,10 +62,31 @@
         self._state = self._chart.initial
         self._sections: dict[str, bytes] = {}
         self._bundle: schema.Bundle | None = None
+        self._head_in_force: head.Head | None = None
+        self._objects: dict[str, bytes] = {}
+        self._from_peers: Callable[[str], bytes | None] = lambda key: None
         self._log: logging.Logger = log.get("bundle")
         self.platform_up = False
         self.fetched_bytes = 0
 
+    @property
+    def in_force(self) -> int:
+        """Number of the bundle in force; 0 for none."""
+        return self._follower.in_force
+
+    @property
+    def head_in_force(self) -> head.Head | None:
+        """The head of the bundle in force."""
+        return self._head_in_force
+
+    def set_from_peers(self, fetch: Callable[[str], bytes | None]) -> None:
+        """Sets how objects are fetched from other instances."""
+        self._from_peers = fetch
+
+    def held(self, key: str) -> bytes | None:
+        """Returns an object of the bundle in force, for other instances."""
+        return self._objects.get(key)
+
     @property
     def bundle(self) -> schema.Bundle | None:
         """The bundle in force."""
@@ -111,17 +132,16 @@
         if isinstance(opened, result.Err):
             self._refuse(wanted, str(opened.err_value))
             return
-        self._put_in_force(opened.ok_value, fetched[1])
+        self._put_in_force(wanted, opened.ok_value, *fetched)
 
     def _fetch(
         self, wanted: head.Head
     ) -> tuple[envelope.Envelope, dict[str, bytes]] | None:
         """Fetches an envelope and those sections that are not at hand."""
-        raw = self._platform.get_object(wanted.object_key)
-        if isinstance(raw, result.Err):
+        raw = self._object(wanted.object_key)
+        if raw is None:
             return None
-        self.fetched_bytes += len(raw.ok_value)
-        sealed = check.parse(raw.ok_value, model=envelope.Envelope)
+        sealed = check.parse(raw, model=envelope.Envelope)
         if isinstance(sealed, result.Err):
             empty = _no_envelope(wanted.number)
             return empty, {}
@@ -136,11 +156,18 @@
     def _section(self, digest: str) -> bytes | None:
         if digest in self._sections:
             return self._sections[digest]
-        found = self._platform.get_object(envelope.section_key(digest))
-        if isinstance(found, result.Err):
-            return None
-        self.fetched_bytes += len(found.ok_value)
-        return found.ok_value
+        return self._object(envelope.section_key(digest))
+
+    def _object(self, key: str) -> bytes | None:
+        """Fetches an object from the platform, or else from a peer."""
+        found = self._platform.get_object(key)
+        if isinstance(found, result.Ok):
+            data = found.ok_value
+        else:
+            data = self._from_peers(key)
+        if data is not None:
+            self.fetched_bytes += len(data)
+        return data
 
     def _verify(
         self,
@@ -171,15 +198,26 @@
         return keys, max(self._required, signers.required)
 
     def _put_in_force(
-        self, bundle: schema.Bundle, sections: dict[str, bytes]
+        self,
+        wanted: head.Head,
+        bundle: schema.Bundle,
+        sealed: envelope.Envelope,
+        sections: dict[str, bytes],
     ) -> None:
         if not self._follower.adopt(bundle.number):
             self._move("refused")
             return
         self._bundle = bundle
+        self._head_in_force = wanted
         self._sections = {
-            envelope.canonical.digest(data): data for data in sections.values()
+            sealed.manifest.sections[name]: data
+            for name, data in sections.items()
+        }
+        self._objects = {
+            envelope.section_key(digest): data
+            for digest, data in self._sections.items()
         }
+        self._objects[wanted.object_key] = envelope.encode(sealed)
         self._move("verified")
         self._adopt(bundle)
         self._events.add(timeline.Kind.BUNDLE, bundle=bundle.number)
--- a/irisshelf/daemon/front.py
+++ b/irisshelf/daemon/front.py
@@ -20,6 +20,7 @@
 from irisshelf.daemon import model_call
 from irisshelf.daemon import node
 from irisshelf.daemon import once
+from irisshelf.daemon import parts
 from irisshelf.daemon import plain_call
 from irisshelf.observe import log
 from irisshelf.observe import timeline
@@ -62,6 +63,9 @@
         counted = _Counted(self._nd)
         try:
             answer = self._serve(environ, start_response)
+        except Exception as exc:
+            self._log.exception("internal error")
+            answer = http.answer_refusal(start_response, _internal(exc))
         except BaseException:
             counted.close()
             raise
@@ -141,8 +145,9 @@
             team=team.name,
             model=body["model"],
             body=body,
-            expected_decode=router.expected_decode,
+            expected_decode=router.expected_decode(context.decode_limit(body)),
         )
+        router.placer.arrived(ctx, self._nd.now())
         self._nd.timeline.add(
             timeline.Kind.REQUEST,
             request=request_id,
@@ -151,24 +156,26 @@
         )
         req = model_call.Request(
             request_id=request_id,
-            team=team,
             router=router,
             context=ctx,
+            priority=team.cfg.priority.value,
+            limit=context.decode_limit(body),
             body=json.dumps({**body, "stream": True}).encode(),
             repeatable=not key,
             deadline_s=self._nd.now() + router.cfg.timeouts.total_s,
         )
         if key:
-            return self._chat_once(req, key, body, start_response)
+            return self._chat_once(req, team, key, body, start_response)
         if body.get("stream"):
-            return self._stream(req, start_response)
+            return self._stream(req, team, start_response)
         return self._whole(
-            req, start_response, once.Ticket(nd=self._nd, granted=None)
+            req, team, start_response, once.Ticket(nd=self._nd, granted=None)
         )
 
     def _chat_once(
         self,
         req: model_call.Request,
+        team: node.Team,
         key: str,
         body: dict[str, Any],
         start_response: http.StartResponse,
@@ -187,32 +194,31 @@
             )
         return once.run(
             self._nd,
-            row=claim.row_key(
-                team=req.team.name, service=req.router.name, key=key
-            ),
+            row=claim.row_key(team=team.name, service=req.router.name, key=key),
             without_platform=req.router.cfg.without_platform,
             start_response=start_response,
-            call=lambda ticket: self._whole(req, start_response, ticket),
+            call=lambda ticket: self._whole(req, team, start_response, ticket),
         )
 
     def _whole(
         self,
         req: model_call.Request,
+        team: node.Team,
         start_response: http.StartResponse,
         ticket: once.Ticket,
     ) -> list[bytes]:
-        entered = self._enter(req.router, req.team, req.request_id)
+        entered = self._enter(req.router, team, req.request_id)
         if entered is not None:
             ticket.did_not_run()
             return self._refuse(
                 req.router, req.request_id, entered, start_response
             )
-        call = model_call.ModelCall(nd=self._nd, req=req)
-        with self._admitter.slot(req.router, req.team.name, self._nd.now):
+        call = self._nd.begin(model_call.ModelCall(nd=self._nd, req=req))
+        with self._admitter.slot(req.router, team.name, self._nd.now):
             try:
                 done = call.whole()
             finally:
-                call.close()
+                self._nd.end(call)
         if isinstance(done, result.Err):
             if done.err_value.outcome is outcome.Outcome.NOT_RUN:
                 ticket.did_not_run()
@@ -252,23 +258,27 @@
         )
 
     def _stream(
-        self, req: model_call.Request, start_response: http.StartResponse
+        self,
+        req: model_call.Request,
+        team: node.Team,
+        start_response: http.StartResponse,
     ) -> Iterable[bytes]:
-        entered = self._enter(req.router, req.team, req.request_id)
+        entered = self._enter(req.router, team, req.request_id)
         if entered is not None:
             return self._refuse(
                 req.router, req.request_id, entered, start_response
             )
-        slot = self._admitter.slot(req.router, req.team.name, self._nd.now)
+        slot = self._admitter.slot(req.router, team.name, self._nd.now)
         slot.__enter__()
-        call = model_call.ModelCall(nd=self._nd, req=req)
+        call = self._nd.begin(model_call.ModelCall(nd=self._nd, req=req))
         try:
             first = call.open()
         except BaseException:
-            call.close()
+            self._nd.end(call)
             slot.__exit__(None, None, None)
             raise
         if isinstance(first, result.Err):
+            self._nd.end(call)
             slot.__exit__(None, None, None)
             return self._refuse(
                 req.router, req.request_id, first.err_value, start_response
@@ -276,9 +286,9 @@
         start_response(
             "200 OK", [*_SSE_HEADERS, ("X-Request-Id", req.request_id)]
         )
-        return _Closing(
+        return parts.Closing(
             self._relay(req, call, first.ok_value),
-            lambda: (call.close(), slot.__exit__(None, None, None)),
+            lambda: (self._nd.end(call), slot.__exit__(None, None, None)),
         )
 
     def _relay(
@@ -481,7 +491,7 @@
         if isinstance(answer, list):
             self.close()
             return answer
-        return _Closing(answer, self.close, inner=answer)
+        return parts.Closing(answer, self.close)
 
     def close(self) -> None:
         if self._open:
@@ -489,24 +499,13 @@
             self._nd.open_requests -= 1
 
 
-class _Closing:
-    """An answer's parts, with something to do once nobody wants more."""
-
-    def __init__(self, parts: Iterable[bytes], then, *, inner=None):
-        self._parts = iter(parts)
-        self._then = then
-        self._inner = inner
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self._parts
-
-    def close(self) -> None:
-        """Called by the server at the end, also if the caller went away."""
-        if self._inner is not None:
-            self._inner.close()
-        elif hasattr(self._parts, "close"):
-            self._parts.close()
-        self._then()
+def _internal(exc: Exception) -> outcome.Refusal:
+    """A fault of ours: nobody can say whether the request ran."""
+    return outcome.Refusal(
+        outcome=outcome.Outcome.UNKNOWN,
+        cause=outcome.Cause.INTERNAL,
+        detail=type(exc).__name__,
+    )
 
 
 def _closing_connection(
--- a/irisshelf/daemon/http.py
+++ b/irisshelf/daemon/http.py
@@ -24,6 +24,7 @@
     411: "411 Length Required",
     413: "413 Content Too Large",
     429: "429 Too Many Requests",
+    500: "500 Internal Server Error",
     502: "502 Bad Gateway",
     503: "503 Service Unavailable",
     504: "504 Gateway Timeout",
@@ -36,6 +37,7 @@
     outcome.Cause.GARBLED: 502,
     outcome.Cause.REFUSED: 502,
     outcome.Cause.TIMEOUT: 504,
+    outcome.Cause.INTERNAL: 500,
 }
 _UNAVAILABLE = 503
 
--- a/irisshelf/daemon/main.py
+++ b/irisshelf/daemon/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import pathlib
 import random
 import signal
@@ -19,6 +20,9 @@
 from irisshelf.daemon import front
 from irisshelf.daemon import http
 from irisshelf.daemon import node
+from irisshelf.daemon import objects
+from irisshelf.daemon import peers
+from irisshelf.daemon import relay
 from irisshelf.daemon import settings
 from irisshelf.daemon import watch
 from irisshelf.observe import log
@@ -53,7 +57,19 @@
             front.Front(nd=self._node, admitter=self._admitter),
             cfg.limits.max_connections,
         )
-        self._admin = _server(cfg.admin_listen, admin.Admin(nd=self._node), 100)
+        self._peers = peers.Peers(nd=self._node)
+        self._node.peer_unreachable = self._peers.mark_unreachable
+        self._node.follower.set_from_peers(
+            functools.partial(objects.fetch, self._node)
+        )
+        self._relay = _server(
+            cfg.peers.relay_listen,
+            relay.Relay(nd=self._node),
+            cfg.limits.max_connections,
+        )
+        self._admin = _server(
+            cfg.admin_listen, admin.Admin(nd=self._node, peers=self._peers), 100
+        )
         self._stop_signals = 0
 
     def run(self) -> None:
@@ -63,6 +79,8 @@
             OSError: A port cannot be listened on.
         """
         self._admin.start()
+        self._relay.start()
+        self._peers.start()
         self._front.start()
         for signum in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(signum, self._on_signal)
@@ -72,11 +90,14 @@
             gevent.spawn(watch.tick, self._node, self._admitter.give_up),
             gevent.spawn(watch.watch_nodes, self._node),
             gevent.spawn(watch.probe_servers, self._node),
+            gevent.spawn(self._peers.run),
         ]
         while self._node.state != "stopped":
             gevent.sleep(_DRAIN_STEP_S)
         gevent.killall(loops)
         self._front.close()
+        self._relay.close()
+        self._peers.stop()
         self._admin.close()
 
     def _on_signal(self) -> None:
@@ -90,10 +111,12 @@
         limit_s = self._node.now() + self._cfg.limits.drain_s
         gevent.sleep(_LAME_DUCK_S)
         self._front.stop_accepting()
-        while self._node.open_requests and self._node.now() < limit_s:
+        while self._busy() and self._node.now() < limit_s:
             gevent.sleep(_DRAIN_STEP_S)
-        left = self._node.open_requests
-        self._node.move("drain_limit" if left else "drained")
+        self._node.move("drain_limit" if self._busy() else "drained")
+
+    def _busy(self) -> bool:
+        return bool(self._node.open_requests or self._node.running)
 
 
 def _server(address: str, app, max_connections: int) -> pywsgi.WSGIServer:
--- a/irisshelf/daemon/model_call.py
+++ b/irisshelf/daemon/model_call.py
@@ -1,4 +1,10 @@
-"""Serves one model call: place, send, check, relay, retry, resume, cancel."""
+"""Serves one model call: place, send, check, relay, retry, resume, cancel.
+
+The same code runs on the entry instance and on the owner that a call is
+handed to. An attempt is either a call to an engine or a hand-on to another
+instance; a cut stream is resumed at the engine in both cases, so that the
+death of the instance in between costs the caller nothing.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +23,9 @@
 from irisshelf.charts import chart
 from irisshelf.daemon import node
 from irisshelf.observe import timeline
+from irisshelf.peers import relay_messages
 from irisshelf.routing import context
+from irisshelf.routing import load
 from irisshelf.routing import outcome
 from irisshelf.routing import retry
 from irisshelf.routing import service
@@ -25,19 +33,36 @@
 
 MAX_RESUMES = 2
 _RESUME_WAIT_S = 0.05
+_MAX_HAND_ON_FAILURES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Request:
-    """A model call that has been admitted."""
+    """A model call that has been admitted.
+
+    Attributes:
+        request_id: The entry instance's id.
+        priority: Told to the engine.
+        router: Decisions on the service.
+        context: What placement needs to know.
+        limit: The caller's limit on the answer's length; 0 for none.
+        body: The body for the engine, JSON.
+        repeatable: Whether it may be sent again after it may have run.
+        deadline_s: When the caller's time is up.
+        hops: Instances that have handed it on.
+        avoid: Targets that failed it on other instances.
+    """
 
     request_id: str
-    team: node.Team
+    priority: str
     router: service.ServiceRouter
     context: context.Context
+    limit: int
     body: bytes
     repeatable: bool
     deadline_s: float
+    hops: int = 0
+    avoid: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -49,26 +74,49 @@
     decode_tokens: int
 
 
-class _Attempt:
-    """One attempt: what was sent where, and the state of its chart."""
+class Attempt:
+    """One attempt: what was sent where, and the state of its chart.
 
-    def __init__(self, *, send: service.Send, call: messages.EngineCall):
-        self.send = send
+    Args:
+        target: The engine that it is for.
+        call: The call to the engine, or to the engine's owner.
+        send: The placement, if it was made here.
+    """
+
+    def __init__(
+        self,
+        *,
+        target: service.Target,
+        call: messages.EngineCall | messages.RelayCall,
+        send: service.Send | None,
+    ):
+        self.target = target
         self.call = call
+        self.send = send
+        self.left = send.placement.work if send else 0.0
         self.stream: engine.EngineStream | None = None
         self._chart = chart.load("attempt")
         self._state = self._chart.initial
 
     def move(self, event: str) -> None:
+        """Takes an event of the attempt's life."""
         self._state = self._chart.step(self._state, event).unwrap()
 
     @property
     def over(self) -> bool:
+        """Whether nothing more happens to it."""
         return self._chart.has_tag(self._state, "final")
 
+    @property
+    def attempt_id(self) -> str:
+        """The id that the engine knows it by; empty until it is known."""
+        if isinstance(self.call, messages.EngineCall):
+            return self.call.attempt_id
+        return self.stream.head.attempt_id if self.stream else ""
+
 
 class ModelCall:
-    """Serves one request. Iterate ``events`` or take ``whole``.
+    """Serves one request: ``open`` and ``rest``, or ``whole``; then ``close``.
 
     Args:
         nd: This instance.
@@ -79,11 +127,17 @@
         self._nd = nd
         self._req = req
         self._attempts = 0
-        self._failed: set[str] = set()
+        self._hand_on_failures = 0
+        self._failed: set[str] = set(req.avoid)
         self._worst = outcome.Outcome.NOT_RUN
-        self._attempt: _Attempt | None = None
+        self._attempt: Attempt | None = None
         self._last_data = b""
 
+    @property
+    def attempt(self) -> Attempt | None:
+        """The attempt that runs, or ran last."""
+        return self._attempt
+
     def open(self) -> result.Result[bytes, outcome.Refusal]:
         """Tries engines until one answers; returns its first event.
 
@@ -91,13 +145,15 @@
             The first event, or the caller's final answer.
         """
         while True:
-            send = self._place()
-            if send is None:
+            attempt = self._next_attempt()
+            if attempt is None:
                 return result.Err(self._no_engine())
-            tried = self._try(send)
+            tried = self._try(attempt)
             if isinstance(tried, result.Ok):
                 return tried
-            self._failed.add(send.target.name)
+            if self._hand_on_again(attempt, tried.err_value):
+                continue
+            self._failed.add(attempt.target.name)
             refusal = self._after(tried.err_value)
             if refusal is not None:
                 return result.Err(refusal)
@@ -108,12 +164,15 @@
         Raises:
             errors.StreamError: The answer cannot be made whole any more.
         """
+        read = self._read
+        attempt = self._attempt
         while True:
-            event = self._read()
+            event = read()
             if not event:
                 self._finish()
                 return
-            self._last_data = self._keep(event)
+            if not attempt.stream.ended:
+                self._last_data = event
             yield event
 
     def whole(self) -> result.Result[list[bytes], outcome.Refusal]:
@@ -125,7 +184,7 @@
             try:
                 return result.Ok([first.ok_value, *self.rest()])
             except errors.StreamError as exc:
-                self._failed.add(self._attempt.send.target.name)
+                self._failed.add(self._attempt.target.name)
                 refusal = self._after(exc.error)
             if refusal is not None:
                 return result.Err(refusal)
@@ -137,52 +196,130 @@
             return
         self._end(attempt, "cancel")
         self._note(timeline.Kind.CANCEL, attempt)
-        gevent.spawn(engine.cancel, self._nd.clients, attempt.call)
+        if isinstance(attempt.call, messages.EngineCall):
+            gevent.spawn(engine.cancel, self._nd.clients, attempt.call)
 
-    def _place(self) -> service.Send | None:
-        return self._req.router.place(
+    def progress(self) -> None:
+        """Counts the work that the engine has done since the last look."""
+        attempt = self._attempt
+        if attempt is None or attempt.over or attempt.stream is None:
+            return
+        decoded = attempt.stream.next_offset
+        if attempt.send is None or not decoded:
+            return
+        left = max(1.0, self._req.context.decode_tokens - decoded)
+        if left < attempt.left:
+            done = attempt.left - left
+            attempt.left = left
+            now = self._nd.now()
+            self._req.router.progressed(attempt.send, done, now)
+
+    def _next_attempt(self) -> Attempt | None:
+        decided = self._req.router.route(
             self._req.context,
-            self._nd.now(),
             avoid=frozenset(self._failed),
+            hops_left=self._hops_left(),
+            entering=self._req.hops == 0,
+        )
+        if decided is None:
+            return None
+        if isinstance(decided, service.Send):
+            call = self._engine_call(decided)
+            return Attempt(target=decided.target, call=call, send=decided)
+        address = self._nd.relay_address(decided.owner)
+        call = self._relay_call(address)
+        self._nd.timeline.add(
+            timeline.Kind.FORWARD,
+            request=self._req.request_id,
+            engine=decided.target.name,
+            detail=decided.owner,
         )
+        return Attempt(target=decided.target, call=call, send=None)
 
-    def _try(
-        self, send: service.Send
-    ) -> result.Result[bytes, errors.CallError]:
+    def _hops_left(self) -> int:
+        if self._hand_on_failures >= _MAX_HAND_ON_FAILURES:
+            return 0
+        return relay_messages.MAX_HOPS - self._req.hops
+
+    def _engine_call(self, send: service.Send) -> messages.EngineCall:
+        return messages.EngineCall(
+            address=send.target.address,
+            engine=send.target.engine,
+            attempt_id=self._nd.new_id(),
+            priority=self._req.priority,
+            body=self._req.body,
+            limits=self._limits(),
+        )
+
+    def _relay_call(self, address: str) -> messages.RelayCall:
+        req = self._req
+        handed = relay_messages.Request(
+            request_id=req.request_id,
+            service=req.router.name,
+            priority=req.priority,
+            context=req.context,
+            limit=req.limit,
+            body=req.body,
+            avoid=tuple(sorted(self._failed)),
+            hops=req.hops + 1,
+            left_s=max(0.0, req.deadline_s - self._nd.now()),
+            repeatable=req.repeatable,
+        )
+        return messages.RelayCall(
+            address=address,
+            secret=self._nd.peer_secret,
+            body=relay_messages.encode(handed),
+            stamp=self._nd.timeline.stamp_text(),
+            limits=self._limits(),
+        )
+
+    def _limits(self) -> messages.Limits:
+        timeouts = self._req.router.cfg.timeouts
+        return messages.Limits(
+            connect_s=timeouts.connect_s,
+            idle_s=timeouts.idle_s,
+            max_body_bytes=0,
+        )
+
+    def _try(self, attempt: Attempt) -> result.Result[bytes, errors.CallError]:
         """Makes one attempt, up to its first event."""
-        attempt = _Attempt(send=send, call=self._call(send))
         self._attempt = attempt
+        sent_s = self._nd.now()
         self._attempts += 1
-        self._req.router.sent(send, self._nd.now())
-        self._nd.metrics.placements.labels(send.placement.reason.value).inc()
-        self._note(timeline.Kind.SEND, attempt)
+        if attempt.send is not None:
+            self._req.router.sent(attempt.send, sent_s)
+            reason = attempt.send.placement.reason.value
+            self._nd.metrics.placements.labels(reason).inc()
+            self._note(timeline.Kind.SEND, attempt)
         attempt.move("send")
         started = dispatch.start(attempt.call, clients=self._nd.clients)
         if isinstance(started, result.Err):
-            return self._failed_attempt(attempt, started.err_value)
+            return self._fail(attempt, started.err_value)
         attempt.stream = started.ok_value
         attempt.move("head")
+        self._take_head(attempt, sent_s)
         try:
             first = self._read()
         except errors.StreamError as exc:
             return result.Err(exc.error)
-        self._last_data = self._keep(first)
+        if not attempt.stream.ended:
+            self._last_data = first
         return result.Ok(first)
 
-    def _call(self, send: service.Send) -> messages.EngineCall:
-        timeouts = self._req.router.cfg.timeouts
-        return messages.EngineCall(
-            address=send.target.address,
-            engine=send.target.engine,
-            attempt_id=self._nd.new_id(),
-            priority=self._req.team.cfg.priority.value,
-            body=self._req.body,
-            limits=messages.Limits(
-                connect_s=timeouts.connect_s,
-                idle_s=timeouts.idle_s,
-                max_body_bytes=0,
-            ),
-        )
+    def _take_head(self, attempt: Attempt, sent_s: float) -> None:
+        head = attempt.stream.head
+        if attempt.send is None:
+            target = self._req.router.target(head.target)
+            attempt.target = target or attempt.target
+            self._req.router.placed_elsewhere(
+                self._req.context, head.target, head.reason
+            )
+        elif head.engine_work is not None:
+            # The engine's word covers what it had before this request.
+            self._req.router.report(
+                attempt.target.name,
+                load.Report(work=head.engine_work, at_s=sent_s - 1e-6),
+            )
 
     def _read(self) -> bytes:
         """Reads an event; resumes the stream if it was cut."""
@@ -195,11 +332,11 @@
                 attempt.stream.close()
                 error = exc.error
             if resumes >= MAX_RESUMES or not self._resume(attempt, error):
-                self._failed_attempt(attempt, error)
+                self._fail(attempt, error)
                 raise errors.StreamError(error=error)
             resumes += 1
 
-    def _resume(self, attempt: _Attempt, error: errors.CallError) -> bool:
+    def _resume(self, attempt: Attempt, error: errors.CallError) -> bool:
         """Goes on at the exact offset of the same generation, if it can."""
         if error.cause is not outcome.Cause.BROKEN:
             return False
@@ -207,12 +344,12 @@
         self._note(timeline.Kind.RESUME, attempt)
         self._nd.metrics.resumes.labels(self._req.router.name).inc()
         call = messages.ResumeCall(
-            address=attempt.call.address,
-            engine=attempt.call.engine,
-            attempt_id=attempt.call.attempt_id,
+            address=attempt.target.address,
+            engine=attempt.target.engine,
+            attempt_id=attempt.attempt_id,
             next_offset=attempt.stream.next_offset,
             generation=attempt.stream.generation,
-            limits=attempt.call.limits,
+            limits=self._limits(),
         )
         resumed = dispatch.start(call, clients=self._nd.clients)
         if isinstance(resumed, result.Err):
@@ -220,13 +357,23 @@
         attempt.stream = resumed.ok_value
         return True
 
-    def _failed_attempt(
-        self, attempt: _Attempt, error: errors.CallError
+    def _fail(
+        self, attempt: Attempt, error: errors.CallError
     ) -> result.Result[bytes, errors.CallError]:
         self._end(attempt, "fail")
-        self._nd.observe_call(attempt.send.target, error)
+        if attempt.send is not None:
+            self._nd.observe_call(attempt.target, error)
         return result.Err(error)
 
+    def _hand_on_again(self, attempt: Attempt, error: errors.CallError) -> bool:
+        """Tells whether an owner that cannot be reached may be replaced."""
+        if attempt.send is not None or not error.unreachable:
+            return False
+        self._hand_on_failures += 1
+        self._attempts -= 1
+        self._nd.peer_unreachable(attempt.call.address)
+        return True
+
     def _after(self, error: errors.CallError) -> outcome.Refusal | None:
         self._worst = retry.worst(self._worst, error.outcome)
         refusal = retry.decide(
@@ -255,40 +402,41 @@
     def _finish(self) -> None:
         attempt = self._attempt
         self._end(attempt, "end")
-        self._nd.observe_call(attempt.send.target, None)
+        self._note(timeline.Kind.ANSWERED, attempt)
+        if attempt.send is None:
+            return
+        self._nd.observe_call(attempt.target, None)
         usage = usage_of(self._last_data)
         if usage is not None:
-            self._count(usage)
-        self._note(timeline.Kind.ANSWERED, attempt)
+            self._count(attempt.send, usage)
 
-    def _count(self, usage: Usage) -> None:
-        name = self._req.router.name
-        self._req.router.decoded(usage.decode_tokens)
-        self._nd.metrics.prompt_tokens.labels(name).inc(usage.prompt_tokens)
-        self._nd.metrics.cached_tokens.labels(name).inc(usage.cached_tokens)
+    def _count(self, send: service.Send, usage: Usage) -> None:
+        router = self._req.router
+        router.decoded(self._req.limit, usage.decode_tokens)
+        router.answered(send, usage.decode_tokens)
+        counts = self._nd.metrics
+        counts.prompt_tokens.labels(router.name).inc(usage.prompt_tokens)
+        counts.cached_tokens.labels(router.name).inc(usage.cached_tokens)
 
-    def _end(self, attempt: _Attempt, event: str) -> None:
+    def _end(self, attempt: Attempt, event: str) -> None:
         if attempt.over:
             return
         attempt.move(event)
-        self._req.router.ended(attempt.send, self._nd.now())
+        if attempt.send is not None:
+            now = self._nd.now()
+            self._req.router.progressed(attempt.send, attempt.left, now)
         if event != "end" and attempt.stream is not None:
             attempt.stream.close()
 
-    def _keep(self, event: bytes) -> bytes:
-        """Keeps the last event that carries data, for its usage."""
-        if self._attempt.stream.ended:
-            return self._last_data
-        return event
-
-    def _note(self, kind: timeline.Kind, attempt: _Attempt) -> None:
+    def _note(self, kind: timeline.Kind, attempt: Attempt) -> None:
+        reason = attempt.send.placement.reason.value if attempt.send else ""
         self._nd.timeline.add(
             kind,
             request=self._req.request_id,
-            attempt=attempt.call.attempt_id,
+            attempt=attempt.attempt_id,
             chat=f"{self._req.context.chat_key:016x}",
-            engine=attempt.send.target.name,
-            detail=attempt.send.placement.reason.value,
+            engine=attempt.target.name,
+            detail=reason,
         )
 
 
--- a/irisshelf/daemon/node.py
+++ b/irisshelf/daemon/node.py
@@ -7,6 +7,8 @@
 import time
 import uuid
 from collections.abc import Callable
+from typing import Protocol
+from typing import TypeVar
 
 from irisshelf.backends import errors
 from irisshelf.backends import pool
@@ -20,6 +22,7 @@
 from irisshelf.observe import metrics
 from irisshelf.observe import timeline
 from irisshelf.platform import interface
+from irisshelf.platform import messages as platform_messages
 from irisshelf.routing import health
 from irisshelf.routing import service
 
@@ -32,6 +35,19 @@
     cfg: schema.Team
 
 
+class Running(Protocol):
+    """A model call that runs on this instance."""
+
+    def progress(self) -> None:
+        """Counts the work that has been done since the last look."""
+
+    def close(self) -> None:
+        """Ends the call."""
+
+
+_R = TypeVar("_R", bound=Running)
+
+
 class Node:
     """One instance: its state and the parts that act on it.
 
@@ -66,6 +82,10 @@
         self.claims = claims.ClaimWriter(platform=platform, counts=self.metrics)
         self.instances = 1
         self.open_requests = 0
+        self.nodes: dict[str, platform_messages.Node] = {}
+        self.running: set[Running] = set()
+        self.peer_secret = cfg.peers.secret.load()
+        self.peer_unreachable: Callable[[str], None] = lambda address: None
         self._teams: dict[str, Team] = {}
         self._chart = chart.load("instance")
         self._state = self._chart.initial
@@ -179,6 +199,21 @@
         else:
             self.observe(target.name, health.Event.FAILURE, error.detail)
 
+    def relay_address(self, instance: str) -> str:
+        """Returns where another instance takes requests handed on to it."""
+        found = self.nodes.get(instance)
+        return found.relay_address if found else ""
+
+    def begin(self, call: _R) -> _R:
+        """Notes that a model call runs, until ``end``."""
+        self.running.add(call)
+        return call
+
+    def end(self, call: Running) -> None:
+        """Ends a model call."""
+        self.running.discard(call)
+        call.close()
+
     def count_control(self, kind: str, size: int) -> None:
         """Counts bytes of control traffic."""
         self.metrics.control_bytes.labels(kind).inc(size)
--- a/irisshelf/daemon/plain_call.py
+++ b/irisshelf/daemon/plain_call.py
@@ -87,9 +87,7 @@
             new_tokens=1,
             decode_tokens=1,
         )
-        return self._req.router.place(
-            ctx, self._nd.now(), avoid=frozenset(self._failed)
-        )
+        return self._req.router.route(ctx, avoid=frozenset(self._failed))
 
     def _try(self, send: service.Send) -> result.Result:
         timeouts = self._req.router.cfg.timeouts
@@ -116,7 +114,8 @@
         try:
             answer = dispatch.start(call, clients=self._nd.clients)
         finally:
-            self._req.router.ended(send, self._nd.now())
+            work = send.placement.work
+            self._req.router.progressed(send, work, self._nd.now())
         self._nd.observe_call(send.target, answer.err())
         if answer.is_ok() and answer.ok_value.leaving:
             server = send.target.server
--- a/irisshelf/daemon/settings.py
+++ b/irisshelf/daemon/settings.py
@@ -68,6 +68,20 @@
     keys: dict[schema.Name, KeySource] = pydantic.Field(min_length=1)
 
 
+class Peers(_Model):
+    """How instances reach each other.
+
+    Attributes:
+        link_listen: Where the exchange between instances comes in.
+        relay_listen: Where requests come in that other instances hand on.
+        secret: What all instances of the fleet know.
+    """
+
+    link_listen: schema.Address
+    relay_listen: schema.Address
+    secret: KeySource
+
+
 class Limits(_Model):
     """Limits towards callers."""
 
@@ -81,7 +95,7 @@
 
     head_poll_s: float = pydantic.Field(3.0, gt=0, le=60)
     nodes_poll_s: float = pydantic.Field(2.0, gt=0, le=60)
-    probe_s: float = pydantic.Field(1.0, gt=0, le=60)
+    probe_s: float = pydantic.Field(2.0, gt=0, le=60)
 
 
 class Settings(_Model):
@@ -93,6 +107,7 @@
     admin_listen: schema.Address
     platform: Platform
     operators: Operators
+    peers: Peers
     limits: Limits = Limits()
     pace: Pace = Pace()
     log_level: Literal["debug", "info", "warning", "error"] = "info"
@@ -109,11 +124,14 @@
     parsed = check.parse(text, model=Settings)
     if isinstance(parsed, result.Err):
         return parsed
-    for name, source in parsed.ok_value.operators.keys.items():
+    cfg = parsed.ok_value
+    sources = {f"operators.keys.{n}": s for n, s in cfg.operators.keys.items()}
+    sources["peers.secret"] = cfg.peers.secret
+    for name, source in sources.items():
         try:
             source.load()
         except ValueError as exc:
-            return _error(f"operators.keys.{name}", "no key", str(exc))
+            return _error(name, "no key", str(exc))
     return parsed
 
 
--- a/irisshelf/daemon/watch.py
+++ b/irisshelf/daemon/watch.py
@@ -25,6 +25,8 @@
         give_up: Called with each waiting request that is refused.
     """
     while True:
+        for call in list(nd.running):
+            call.progress()
         for router in nd.services.values():
             for refused in router.tick(nd.now()):
                 give_up(refused)
@@ -33,36 +35,65 @@
 
 def watch_nodes(nd: node.Node) -> None:
     """Follows the platform's list of live and leaving nodes for ever."""
+    version = 0
     while True:
-        listed = nd.platform.nodes()
+        listed = nd.platform.nodes(since=version)
         if isinstance(listed, result.Ok):
+            version = listed.ok_value.version
             _take_nodes(nd, listed.ok_value)
         gevent.sleep(_jittered(nd, nd.cfg.pace.nodes_poll_s))
 
 
-def _take_nodes(
-    nd: node.Node, nodes: tuple[platform_messages.Node, ...]
-) -> None:
+def _take_nodes(nd: node.Node, changes: platform_messages.NodeChanges) -> None:
+    nodes = {} if changes.whole else dict(nd.nodes)
+    nodes.update({item.name: item for item in changes.changed})
+    for name in changes.removed:
+        nodes.pop(name, None)
+    nd.nodes = nodes
     instances = 0
-    for item in nodes:
+    for item in nodes.values():
         live = item.state is platform_messages.NodeState.LIVE
         if item.role is platform_messages.NodeRole.INSTANCE:
             instances += live
-        elif not live:
-            nd.observe(item.name, health.Event.LEAVE, "listed as leaving")
     nd.set_instances(max(1, instances))
+    for item in changes.changed:
+        server = item.role is platform_messages.NodeRole.BACKEND_SERVER
+        if server and item.state is platform_messages.NodeState.LEAVING:
+            nd.observe(item.name, health.Event.LEAVE, "listed as leaving")
 
 
 def probe_servers(nd: node.Node) -> None:
-    """Asks every backend server for its load, for ever."""
+    """Asks backend servers for their load where that is needed, for ever."""
     while True:
         bundle = nd.bundle
         if bundle is not None:
             for name, server in bundle.backend_servers.items():
-                gevent.spawn(_probe, nd, name, server)
+                if _needs_probe(nd, name, server):
+                    gevent.spawn(_probe, nd, name, server)
         gevent.sleep(_jittered(nd, nd.cfg.pace.probe_s))
 
 
+def _needs_probe(
+    nd: node.Node, name: str, server: schema.BackendServer
+) -> bool:
+    """Tells whether real traffic does not already show how a server is.
+
+    A server with engines is its owners' to probe; one that is not healthy is
+    probed by everyone who saw it, until it is.
+    """
+    unfit = [name, *(f"{name}/{engine}" for engine in server.engines)]
+    if any(nd.health.state(item) != "healthy" for item in unfit):
+        return True
+    owned = any(
+        router.owns(f"{name}/{engine}")
+        for engine in server.engines
+        for router in nd.services.values()
+        if router.name == server.service
+    )
+    quiet_s = nd.now() - nd.health.heard_s(name)
+    return owned and quiet_s > nd.cfg.pace.probe_s
+
+
 def _probe(nd: node.Node, name: str, server: schema.BackendServer) -> None:
     asked_s = nd.now()
     answer = engine.report(
--- a/irisshelf/observe/metrics.py
+++ b/irisshelf/observe/metrics.py
@@ -30,6 +30,9 @@
         self.control_bytes = self._counter(
             "control_bytes", "Control traffic by kind.", "kind"
         )
+        self.peer_refusals = self._counter(
+            "peer_refusals", "Peers and messages refused.", "where"
+        )
         self.relay_seconds = prometheus_client.Histogram(
             "irisshelf_first_byte_seconds",
             "Time from a request to its answer's first byte.",
--- a/irisshelf/observe/timeline.py
+++ b/irisshelf/observe/timeline.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import enum
+import math
 from collections.abc import Iterable
 from typing import Any
 
@@ -78,6 +79,23 @@
         self._events.append(event)
         return event
 
+    def stamp_text(self) -> str:
+        """Returns a stamp for a message to another process."""
+        stamp = self._clock.now()
+        return f"{stamp.wall_s!r} {stamp.count} {stamp.process}"
+
+    def receive(self, stamp_text: str) -> None:
+        """Moves past the stamp of a message; one that is no stamp is left."""
+        parts = stamp_text.split(" ")
+        try:
+            stamp = clock.Stamp(
+                wall_s=float(parts[0]), count=int(parts[1]), process=parts[2]
+            )
+        except (ValueError, IndexError):
+            return
+        if math.isfinite(stamp.wall_s):
+            self._clock.receive(stamp)
+
     def events(self) -> tuple[Event, ...]:
         """Returns the events kept, oldest first."""
         return tuple(self._events)
--- a/irisshelf/platform/http_client.py
+++ b/irisshelf/platform/http_client.py
@@ -121,16 +121,16 @@
         return result.Ok(data)
 
     def nodes(
-        self,
-    ) -> result.Result[tuple[messages.Node, ...], errors.Unavailable]:
+        self, *, since: int
+    ) -> result.Result[messages.NodeChanges, errors.Unavailable]:
         """See ``interface.Platform.nodes``."""
-        answer = self._call("GET", "/v1/nodes")
+        answer = self._call("GET", f"/v1/nodes?since={since}")
         if isinstance(answer, result.Err):
             return answer
         status, data = answer.ok_value
         if status != _OK:
             return result.Err(_refused(status))
-        return _decode(data, lambda doc: tuple(map(_node, doc["nodes"])))
+        return _decode(data, _changes)
 
     def _call(
         self, method: str, path: str, body: Any = None
@@ -193,6 +193,15 @@
     return errors.Conflict(failed=failed)
 
 
+def _changes(doc: Any) -> messages.NodeChanges:
+    return messages.NodeChanges(
+        version=int(doc["version"]),
+        whole=bool(doc["whole"]),
+        changed=tuple(map(_node, doc["changed"])),
+        removed=tuple(map(str, doc["removed"])),
+    )
+
+
 def _node(doc: Any) -> messages.Node:
     return messages.Node(
         name=str(doc["name"]),
@@ -201,4 +210,6 @@
         data_centre=str(doc["data_centre"]),
         address=str(doc["address"]),
         admin_address=str(doc.get("admin_address", "")),
+        link_address=str(doc.get("link_address", "")),
+        relay_address=str(doc.get("relay_address", "")),
     )
--- a/irisshelf/platform/interface.py
+++ b/irisshelf/platform/interface.py
@@ -45,6 +45,10 @@
 
     @abc.abstractmethod
     def nodes(
-        self,
-    ) -> result.Result[tuple[messages.Node, ...], errors.Unavailable]:
-        """Lists live and leaving nodes; the list lags."""
+        self, *, since: int
+    ) -> result.Result[messages.NodeChanges, errors.Unavailable]:
+        """Lists what changed of live and leaving nodes; the list lags.
+
+        Args:
+            since: Version of the list that the caller has; 0 for none.
+        """
--- a/irisshelf/platform/messages.py
+++ b/irisshelf/platform/messages.py
@@ -60,3 +60,23 @@
     data_centre: str
     address: str
     admin_address: str = ""
+    link_address: str = ""
+    relay_address: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeChanges:
+    """What changed in the list since a version.
+
+    Attributes:
+        version: The list's version now; ask from it next time.
+        whole: Whether ``changed`` is the whole list, as the version asked
+            from was not known.
+        changed: Entries that are new or differ.
+        removed: Names of entries that are gone.
+    """
+
+    version: int
+    whole: bool
+    changed: tuple[Node, ...]
+    removed: tuple[str, ...] = ()
--- a/irisshelf/routing/context.py
+++ b/irisshelf/routing/context.py
@@ -62,6 +62,14 @@
     return int.from_bytes(state.digest(), "big")
 
 
+def decode_limit(body: Mapping[str, Any]) -> int:
+    """Returns the caller's limit on the answer's length; 0 for none."""
+    limit = body.get("max_completion_tokens", body.get("max_tokens"))
+    if isinstance(limit, int) and limit > 0:
+        return limit
+    return 0
+
+
 def from_chat(
     *, team: str, model: str, body: Mapping[str, Any], expected_decode: int
 ) -> Context:
@@ -71,7 +79,7 @@
         team: The team that asks.
         model: The service that serves the model.
         body: The decoded request; ``messages`` has been checked.
-        expected_decode: Tokens to expect where ``max_tokens`` is not given.
+        expected_decode: Tokens to expect of the answer.
 
     Returns:
         The context. The chat is named by ``prompt_cache_key`` where the
@@ -93,17 +101,10 @@
         shared_tokens=_tokens(shared),
         chat_tokens=_tokens(rest[:-1]),
         new_tokens=max(1, _tokens(rest[-1:])),
-        decode_tokens=_decode_tokens(body, expected_decode),
+        decode_tokens=expected_decode,
     )
 
 
-def _decode_tokens(body: Mapping[str, Any], expected: int) -> int:
-    limit = body.get("max_completion_tokens", body.get("max_tokens"))
-    if isinstance(limit, int) and limit > 0:
-        return min(limit, expected) if expected else limit
-    return expected
-
-
 def _encode(message: Mapping[str, Any]) -> bytes:
     role = str(message.get("role", ""))
     content = message.get("content", "")
--- a/irisshelf/routing/health.py
+++ b/irisshelf/routing/health.py
@@ -34,6 +34,7 @@
 
     state: str
     flaps: int = 0
+    heard_s: float = float("-inf")
     down_at_s: float = float("-inf")
 
 
@@ -52,6 +53,10 @@
         """Returns the state of a server or engine itself."""
         return self._get(name).state
 
+    def heard_s(self, name: str) -> float:
+        """Returns when a server or engine last answered well."""
+        return self._get(name).heard_s
+
     def takes_work(self, name: str) -> bool:
         """Tells whether a server or engine may get new work."""
         server, _, engine = name.partition("/")
@@ -76,6 +81,8 @@
             return False
         state = self._chart.move(before.state, event.value)
         after = dataclasses.replace(before, state=state)
+        if event in (Event.SUCCESS, Event.PROBE_OK):
+            after = dataclasses.replace(after, heard_s=now)
         if state == "down" and before.state != "down":
             after = _gone_down(after, now)
         self._servers[name] = after
--- a/irisshelf/routing/outcome.py
+++ b/irisshelf/routing/outcome.py
@@ -32,6 +32,7 @@
     GARBLED = "answer_garbled"
     TIMEOUT = "backend_server_silent"
     REFUSED = "refused_by_backend_server"
+    INTERNAL = "internal_error"
     CANCELLED = "caller_went_away"
 
 
--- a/irisshelf/routing/placement.py
+++ b/irisshelf/routing/placement.py
@@ -34,7 +34,6 @@
 from irisshelf.routing import popularity
 from irisshelf.routing import ranking
 
-
 HOMES_PER_GROUP = 8
 _GROUP_SHIFT = 32  # Group and slot of a chat use different bits of its key.
 _GROUP_SALT = 0x9E3779B97F4A7C15
@@ -267,7 +266,7 @@
     ) -> None:
         """Counts a request that goes to its engine."""
         self.loads.add(placement.engine, placement.work, now)
-        if self.cfg.use_cache_view:
+        if self.cfg.use_cache_view and placement.engine in self._views:
             self._views[placement.engine].touch(ctx)
         self.remember(ctx, placement.engine, placement.reason)
 
--- a/irisshelf/routing/service.py
+++ b/irisshelf/routing/service.py
@@ -50,6 +50,14 @@
     context: context.Context
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HandOn:
+    """The decision to hand a request on to an engine's owner."""
+
+    owner: str
+    target: Target
+
+
 class ServiceRouter:
     """Decides for one service.
 
@@ -70,7 +78,9 @@
         self._by_server: dict[str, list[int]] = {}
         self._placer: placement.Placer | None = None
         self._instances = 1
-        self._expected_decode = float(context.DEFAULT_DECODE_TOKENS)
+        self._expected_decode: dict[int, float] = {}
+        self._owners: dict[str, str] = {}
+        self._me = ""
         self.cfg: schema.Service | None = None
         self.admission = admission.Admission(limit=1, shares={})
         self.budget = retry.Budget(ratio=0, burst=0)
@@ -120,33 +130,120 @@
         self.placer.loads.set_instances(self._instances)
         self._limit_admission(bundle)
 
-    def place(
+    def set_owners(self, owners: Mapping[str, str], *, me: str) -> None:
+        """Sets which instance owns which target; none: this one owns all.
+
+        Args:
+            owners: Instance by target's name.
+            me: This instance's name.
+        """
+        self._owners = dict(owners)
+        self._me = me
+        self._apply_owners()
+
+    def owns(self, name: str) -> bool:
+        """Tells whether this instance places on a target."""
+        return self._owners.get(name, self._me) == self._me
+
+    def target(self, name: str) -> Target | None:
+        """Returns a target by its name."""
+        index = self._index.get(name)
+        return None if index is None else self._targets[index]
+
+    def route(
         self,
         ctx: context.Context,
-        now: float,
         *,
         avoid: frozenset[str] = frozenset(),
-    ) -> Send | None:
-        """Chooses a target; None if there is none."""
-        self.placer.arrived(ctx, now)
+        hops_left: int = 0,
+        entering: bool = False,
+    ) -> Send | HandOn | None:
+        """Decides where a request goes.
+
+        Args:
+            ctx: The request's context.
+            avoid: Targets that already failed this request.
+            hops_left: How many more instances may hand it on.
+            entering: Whether it came from a caller, not from an instance.
+
+        Returns:
+            A send to a target, a hand-on to an owner, or None if no target
+            takes work.
+        """
         avoided = frozenset(
             self._index[name] for name in avoid if name in self._index
         )
-        chosen = self.placer.place(ctx, avoid=avoided)
-        if not isinstance(chosen, placement.Placement):
-            return None
+        if entering and hops_left > 0:
+            first = self.placer.entry(ctx, avoid=avoided)
+            if first is None:
+                return None
+            target = self._targets[first]
+            if not self.owns(target.name):
+                return HandOn(owner=self._owners[target.name], target=target)
+        chosen = self.placer.place(
+            ctx, avoid=avoided, may_forward=hops_left > 0
+        )
+        if isinstance(chosen, placement.Forward):
+            target = self._targets[chosen.engine]
+            return HandOn(owner=self._owners[target.name], target=target)
+        if chosen is None:
+            return self._adopt(ctx, avoided)
         target = self._targets[chosen.engine]
         return Send(target=target, placement=chosen, context=ctx)
 
+    def _adopt(
+        self, ctx: context.Context, avoided: frozenset[int]
+    ) -> Send | None:
+        """Places on an engine of another owner, as a last resort."""
+        first = self.placer.entry(ctx, avoid=avoided)
+        if first is None:
+            return None
+        chosen = placement.Placement(
+            engine=first,
+            work=float(ctx.decode_tokens),
+            reason=placement.Reason.OVER_BOUND,
+        )
+        target = self._targets[first]
+        return Send(target=target, placement=chosen, context=ctx)
+
     def sent(self, send: Send, now: float) -> None:
         """Counts a request that goes to its target."""
         self.placer.sent(send.context, send.placement, now)
 
-    def ended(self, send: Send, now: float) -> None:
-        """Counts a request that no longer runs."""
+    def progressed(self, send: Send, work: float, now: float) -> None:
+        """Counts work of a request that is done, or no longer runs."""
+        index = self._index.get(send.target.name)
+        if index is not None:
+            self.placer.ended(index, work, now)
+
+    def answered(self, send: Send, answer_tokens: int) -> None:
+        """Notes a whole answer, whose text its engine has cached."""
         index = self._index.get(send.target.name)
         if index is not None:
-            self.placer.ended(index, send.placement.work, now)
+            self.placer.answered(send.context, index, answer_tokens)
+
+    def placed_elsewhere(
+        self, ctx: context.Context, target: str, reason: str
+    ) -> None:
+        """Notes where another owner placed a chat whose home is here."""
+        index = self._index.get(target)
+        known = reason in {r.value for r in placement.Reason}
+        if index is not None and known:
+            self.placer.remember(ctx, index, placement.Reason(reason))
+
+    def lost_cache(self, name: str) -> None:
+        """Notes that a target has started anew."""
+        index = self._index.get(name)
+        if index is not None:
+            self.placer.lost_cache(index)
+
+    def totals(self) -> placement.Totals:
+        """Returns the work on the targets that this instance owns."""
+        return self.placer.totals()
+
+    def full(self) -> frozenset[int]:
+        """Returns the owned targets, by number, that are at their bound."""
+        return self.placer.full()
 
     def refresh(self, name: str) -> None:
         """Applies the health of a server or an engine to placement."""
@@ -162,16 +259,26 @@
         if index is not None:
             self.placer.report(index, report)
 
-    def decoded(self, tokens: int) -> None:
-        """Learns from an answer's length what to expect of the next."""
-        self._expected_decode += _DECODE_WEIGHT * (
-            tokens - self._expected_decode
+    def decoded(self, limit: int, tokens: int) -> None:
+        """Learns from an answer's length what to expect of the next.
+
+        Args:
+            limit: The caller's limit on the answer's length; 0 for none.
+            tokens: The answer's length.
+        """
+        size = limit.bit_length()
+        before = self._expected_decode.get(size, float(tokens))
+        self._expected_decode[size] = before + _DECODE_WEIGHT * (
+            tokens - before
         )
 
-    @property
-    def expected_decode(self) -> int:
-        """Tokens to expect of an answer."""
-        return max(1, round(self._expected_decode))
+    def expected_decode(self, limit: int) -> int:
+        """Returns the tokens to expect of an answer with this limit."""
+        default = min(limit, context.DEFAULT_DECODE_TOKENS)
+        expected = self._expected_decode.get(
+            limit.bit_length(), default or context.DEFAULT_DECODE_TOKENS
+        )
+        return max(1, round(min(expected, limit) if limit else expected))
 
     def tick(self, now: float) -> list[admission.GiveUp]:
         """Drops old reports and refuses what has waited too long."""
@@ -193,11 +300,14 @@
                 load_bound=cfg.load_bound,
                 prefill_weight=cfg.prefill_weight,
                 use_reports=True,
+                use_exceptions=cfg.kind is schema.ServiceKind.MODEL,
+                use_cache_view=cfg.kind is schema.ServiceKind.MODEL,
             ),
             members=[ranking.Member(name=t.name) for t in targets],
             rng=self._rng,
             instances=self._instances,
         )
+        self._apply_owners()
         for server in self._by_server:
             self.refresh(server)
         if before is not None:
@@ -213,6 +323,12 @@
             if new is not None and own > 0:
                 self.placer.loads.add(new, own, now)
 
+    def _apply_owners(self) -> None:
+        if self._placer is not None:
+            self._placer.set_owned(
+                [i for n, i in self._index.items() if self.owns(n)]
+            )
+
     def _limit_admission(self, bundle: schema.Bundle) -> None:
         slots = len(self._targets) * bundle.services[self.name].engine_slots
         limit = max(1, -(-slots // self._instances))
--- a/irisshelf/testing/demo/__main__.py
+++ b/irisshelf/testing/demo/__main__.py
@@ -109,6 +109,8 @@
             "data_centre": instance.data_centre,
             "address": instance.address,
             "admin_address": instance.admin_address,
+            "link_address": instance.link_address,
+            "relay_address": instance.relay_address,
         }
         processes.call(self._plan.platform, "/_node", node)
 
--- a/irisshelf/testing/demo/callers.py
+++ b/irisshelf/testing/demo/callers.py
@@ -55,6 +55,7 @@
     status: int
     outcome: str
     body: bytes
+    retry_after_s: float = 1.0
 
 
 class Callers:
@@ -146,8 +147,13 @@
         nonce = path.rpartition("/")[2]
         headers = {"Idempotency-Key": key} if key else {}
         began_s = time.monotonic()
-        instance, reply = self._send(team, method, path, b"", headers)
-        told = _judge_plain(reply, nonce)
+        for _ in range(_TRIES):
+            instance, reply = self._send(team, method, path, b"", headers)
+            told = _judge_plain(reply, nonce)
+            if reply is None or reply.status != 409:
+                break
+            # The key is in use: ask again later, as the answer says.
+            gevent.sleep(reply.retry_after_s)
         kind = "once" if key else "lookup"
         self._keep(nonce, kind, instance, told, began_s, reply)
 
@@ -219,7 +225,12 @@
         response = client.request(method, path, body=body, headers=headers)
         content = bytes(response.read())
         told = response.get("X-Outcome") or ""
-        return _Reply(status=response.status_code, outcome=told, body=content)
+        return _Reply(
+            status=response.status_code,
+            outcome=told,
+            body=content,
+            retry_after_s=float(response.get("Retry-After") or 1.0),
+        )
     finally:
         client.close()
 
--- a/irisshelf/testing/demo/layout.py
+++ b/irisshelf/testing/demo/layout.py
@@ -23,6 +23,8 @@
     data_centre: str
     address: str
     admin_address: str
+    link_address: str
+    relay_address: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,7 +53,7 @@
 
 def make(fleet: fleets.Fleet, folder: pathlib.Path) -> Layout:
     """Chooses addresses and makes keys."""
-    count = 1 + 2 * (fleet.instances + 1)
+    count = 1 + 4 * (fleet.instances + 1)
     count += len(fleet.engines) + fleet.plain_servers
     ports = iter(processes.free_ports(count))
 
@@ -65,6 +67,8 @@
             data_centre=place,
             address=address(),
             admin_address=address(),
+            link_address=address(),
+            relay_address=address(),
         )
 
     return Layout(
@@ -121,6 +125,11 @@
                 for name, key in layout.operator_keys.items()
             },
         },
+        "peers": {
+            "link_listen": instance.link_address,
+            "relay_listen": instance.relay_address,
+            "secret": {"value": "secret-of-the-demo"},
+        },
         "limits": {"drain_s": 20},
     }
 
--- a/irisshelf/testing/platform.py
+++ b/irisshelf/testing/platform.py
@@ -45,6 +45,15 @@
     expires_s: float | None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Listed:
+    """The instance list as it was from a time on."""
+
+    at_s: float
+    version: int
+    nodes: dict[str, messages.Node]
+
+
 class _RateLimit:
     """Token bucket of one second's burst."""
 
@@ -92,7 +101,7 @@
         self._rows: dict[str, _Stored] = {}
         self._objects: dict[str, bytes] = {}
         self._nodes: dict[str, messages.Node] = {}
-        self._history: list[tuple[float, tuple[messages.Node, ...]]] = []
+        self._history: list[_Listed] = []
         self._write_limit = _RateLimit()
         self._read_limit = _RateLimit()
         self._last_version = 0
@@ -146,19 +155,22 @@
         return self._after(result.Ok(self._objects[key]))
 
     def nodes(
-        self,
-    ) -> result.Result[tuple[messages.Node, ...], errors.Unavailable]:
+        self, *, since: int
+    ) -> result.Result[messages.NodeChanges, errors.Unavailable]:
         """See ``interface.Platform.nodes``."""
         self.reads += 1
         problem = self._before(self._read_limit, self.faults.max_reads_per_s)
         if problem is not None:
             return result.Err(problem)
         wanted = self._clock() - self.faults.list_lag_s
-        shown: tuple[messages.Node, ...] = ()
-        for at_s, nodes in self._history:
-            if at_s <= wanted:
-                shown = nodes
-        return self._after(result.Ok(shown))
+        shown = _Listed(at_s=0.0, version=0, nodes={})
+        before = None
+        for listed in self._history:
+            if listed.at_s <= wanted:
+                shown = listed
+            if listed.version == since:
+                before = listed
+        return self._after(result.Ok(_changes(before, shown)))
 
     def set_node(self, node: messages.Node) -> None:
         """Adds or replaces an entry of the instance list."""
@@ -175,8 +187,11 @@
         self._objects[key] = data
 
     def _remember_nodes(self) -> None:
-        entry = (self._clock(), tuple(self._nodes.values()))
-        self._history = [*self._history[-99:], entry]
+        version = self._history[-1].version + 1 if self._history else 1
+        listed = _Listed(
+            at_s=self._clock(), version=version, nodes=dict(self._nodes)
+        )
+        self._history = [*self._history[-99:], listed]
 
     def _before(
         self, limit: _RateLimit, rate: float
@@ -238,3 +253,22 @@
 
 def _unavailable(effect: errors.Effect, detail: str) -> errors.Unavailable:
     return errors.Unavailable(effect=effect, detail=detail)
+
+
+def _changes(before: _Listed | None, now: _Listed) -> messages.NodeChanges:
+    if before is None or before.version > now.version:
+        return messages.NodeChanges(
+            version=now.version, whole=True, changed=tuple(now.nodes.values())
+        )
+    changed = [
+        node
+        for name, node in now.nodes.items()
+        if before.nodes.get(name) != node
+    ]
+    removed = [name for name in before.nodes if name not in now.nodes]
+    return messages.NodeChanges(
+        version=now.version,
+        whole=False,
+        changed=tuple(changed),
+        removed=tuple(removed),
+    )
--- a/irisshelf/testing/platform_server.py
+++ b/irisshelf/testing/platform_server.py
@@ -40,8 +40,10 @@
             key = path.removeprefix("/v1/objects/")
             return self._object(method, key, body, start_response)
         if path == "/v1/nodes":
-            answer = self._platform.nodes().map(_nodes)
-            return _respond(answer, start_response)
+            query = urllib.parse.parse_qs(environ["QUERY_STRING"])
+            since = int(query.get("since", ["0"])[0])
+            answer = self._platform.nodes(since=since)
+            return _respond(answer.map(dataclasses.asdict), start_response)
         return self._control(path, body, start_response)
 
     def _transact(self, body: bytes, start_response: Callable) -> list[bytes]:
@@ -90,10 +92,6 @@
         return _send(start_response, "200 OK", b"{}")
 
 
-def _nodes(nodes: tuple[messages.Node, ...]) -> dict[str, Any]:
-    return {"nodes": [dataclasses.asdict(node) for node in nodes]}
-
-
 def _respond(
     answer: result.Result[Any, errors.Error], start_response: Callable
 ) -> list[bytes]:
