--- a/irisshelf/cli/bundle.py
+++ b/irisshelf/cli/bundle.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import uuid
+from collections.abc import Sequence
 from typing import Annotated
 from typing import Any
 
@@ -20,9 +21,10 @@
 from irisshelf.cli import remote
 from irisshelf.coordination import head
 from irisshelf.platform import interface
+from irisshelf.platform import messages
 
 app = typer.Typer(no_args_is_help=True, help="Make and roll out bundles.")
-_READ_BACKS = 5
+_TRIES = 8
 
 FileArgument = Annotated[pathlib.Path, typer.Argument(help="A bundle file.")]
 OutOption = Annotated[
@@ -124,8 +126,7 @@
         writes = head.submission(wanted, current=row)
     except ValueError as exc:
         output.fail(f"{file}: {exc}", code=output.EXIT_REFUSED)
-    step = head.after_submission(wanted, client.transact(writes))
-    _report(_settle(client, wanted, step), wanted, as_json)
+    _report(_carry_out(client, wanted, writes), wanted, as_json)
 
 
 @app.command(
@@ -234,14 +235,24 @@
             )
 
 
-def _settle(
-    client: interface.Platform, wanted: head.Head, step: head.Step
+def _carry_out(
+    client: interface.Platform,
+    wanted: head.Head,
+    writes: Sequence[messages.Write],
 ) -> head.Step:
-    """Reads the head back until it is known what became of a submission."""
-    for _ in range(_READ_BACKS):
-        if not isinstance(step, head.ReadBack):
+    """Submits, and reads back until it is known what became of it."""
+    step: head.Step = head.Resubmit()
+    for _ in range(_TRIES):
+        if isinstance(step, head.Resubmit):
+            step = head.after_submission(wanted, client.transact(writes))
+        elif isinstance(step, head.ReadBack):
+            step = head.after_read(
+                wanted,
+                client.read(head.ROW),
+                if_version=writes[0].if_version,
+            )
+        else:
             break
-        step = head.after_read(wanted, client.read(head.ROW))
     return step
 
 
--- a/irisshelf/coordination/head.py
+++ b/irisshelf/coordination/head.py
@@ -68,7 +68,15 @@
     detail: str
 
 
-Step = Won | Lost | ReadBack | NoEffect
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Resubmit:
+    """Undecided, as the write may still arrive: send the same write again.
+
+    Its condition makes the second of the two fail.
+    """
+
+
+Step = Won | Lost | ReadBack | NoEffect | Resubmit
 
 
 def decode(value: Any) -> Head | None:
@@ -139,12 +147,26 @@
 def after_read(
     head: Head,
     answer: result.Result[messages.Row, errors.NotFound | errors.Unavailable],
+    *,
+    if_version: int | None,
 ) -> Step:
-    """Decides what follows from reading the head back."""
+    """Decides what follows from reading the head back.
+
+    A head that is still as the submission expects it proves nothing: the
+    write may be on its way. Only another version shows that it lost.
+
+    Args:
+        head: The head that was submitted.
+        answer: What the table answered.
+        if_version: The version that the submission expects.
+    """
     if isinstance(answer, result.Ok):
-        return _compare(head, answer.ok_value.value)
+        row = answer.ok_value
+        if row.version == if_version:
+            return Resubmit()
+        return _compare(head, row.value)
     if isinstance(answer.err_value, errors.NotFound):
-        return NoEffect(detail="the submission was lost")
+        return Resubmit()
     return ReadBack()
 
 
--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications, checked against the very functions the daemon runs."""
