Sums of data centres carry their age; tests of the exchange and platform

Cause: a test of a cut found that two instances of a data centre kept an old sum of another one alive for ever by telling it to each other, each time as news.

Change: a sum carries its age, and only a newer one is taken.

Conclusion: whatever is passed on needs the age of its making, not of its hearing, as with beats.

--- a/irisshelf/coordination/gossip.py
+++ b/irisshelf/coordination/gossip.py
@@ -67,7 +67,7 @@
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _HeldSummary:
     summary: messages.Summary
-    heard_s: float
+    made_s: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -244,7 +244,7 @@
             for load in held.record.loads
         ]
         for held in self._summaries.values():
-            if now - held.heard_s <= SUMMARY_OLD_S:
+            if now - held.made_s <= SUMMARY_OLD_S:
                 loads += held.summary.loads
         return _sum(service, [x for x in loads if x.service == service])
 
@@ -361,12 +361,13 @@
         known = sorted(
             place
             for place, held in self._summaries.items()
-            if now - held.heard_s <= SUMMARY_OLD_S
+            if now - held.made_s <= SUMMARY_OLD_S
         )
         if not known:
             return ()
-        chosen = self._rng.choice(known)
-        return (self._summaries[chosen].summary,)
+        held = self._summaries[self._rng.choice(known)]
+        age_s = now - held.made_s
+        return (dataclasses.replace(held.summary, age_s=age_s),)
 
     def _own_summary(self, now: float) -> messages.Summary:
         by_service: dict[str, list[messages.Load]] = collections.defaultdict(
@@ -383,7 +384,7 @@
                 by_service[load.service].append(load)
         return messages.Summary(
             data_centre=self.data_centre,
-            beat=sum(record.beat for record in records),
+            age_s=0.0,
             loads=tuple(
                 _sum(service, loads) for service, loads in by_service.items()
             ),
@@ -450,12 +451,11 @@
     def _take_summary(self, summary: messages.Summary, now: float) -> None:
         if summary.data_centre == self.data_centre:
             return
+        made_s = now - summary.age_s
         held = self._summaries.get(summary.data_centre)
-        if held is None or summary.beat != held.summary.beat:
-            # Beats of two representatives may differ a little; the one that
-            # arrives last is taken, since both are fresh.
+        if held is None or made_s > held.made_s:
             self._summaries[summary.data_centre] = _HeldSummary(
-                summary=summary, heard_s=now
+                summary=summary, made_s=made_s
             )
 
     def _forget(self, now: float) -> None:
--- a/irisshelf/coordination/gossip_messages.py
+++ b/irisshelf/coordination/gossip_messages.py
@@ -72,10 +72,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Summary:
-    """Sum over a data centre's instances."""
+    """Sum over a data centre's instances.
+
+    Attributes:
+        data_centre: The data centre.
+        age_s: How long ago the sum was made; it may have come a long way.
+        loads: The sums by service.
+    """
 
     data_centre: str
-    beat: int
+    age_s: float
     loads: tuple[Load, ...]
 
 
@@ -138,7 +144,7 @@
                 for r in message.records
             ],
             [
-                [s.data_centre, s.beat, _loads(s.loads)]
+                [s.data_centre, round(s.age_s / AGE_STEP_S), _loads(s.loads)]
                 for s in message.summaries
             ],
             _pack(message.beats),
@@ -235,10 +241,10 @@
 
 
 def _summary(item: Any) -> Summary:
-    data_centre, beat, loads = item
+    data_centre, age, loads = item
     return Summary(
         data_centre=_name(data_centre),
-        beat=_count(beat),
+        age_s=_count(age) * AGE_STEP_S,
         loads=_load_list(loads),
     )
 
--- /dev/null
+++ b/irisshelf/tests/test_gossip.py
@@ -0,0 +1,307 @@
+"""The exchange between instances, and their links."""
+
+import random
+
+import pytest
+from gevent import server
+from gevent import socket
+
+from irisshelf.coordination import gossip
+from irisshelf.coordination import gossip_messages as messages
+from irisshelf.peers import errors
+from irisshelf.peers import link
+from irisshelf.testing import harness
+
+_LOAD = messages.Load(service="lm", work=10.0, engines=2, full=(1,))
+
+
+def _node(name, place="a", *, incarnation=1, budget=1e9):
+    node = gossip.Gossip(
+        name=name,
+        data_centre=place,
+        incarnation=incarnation,
+        rng=random.Random(name),
+        budget=gossip.Budget(bytes_per_s=budget),
+    )
+    node.set_own(
+        loads=[_LOAD],
+        leaving=False,
+        head=messages.HeadHint(number=0, object_key=""),
+    )
+    return node
+
+
+class _Net:
+    """Some instances under virtual time, with lossy links."""
+
+    def __init__(self, places, *, loss=0.0, seed=1):
+        self.now = 0.0
+        self.nodes = {n: _node(n, p) for n, p in places.items()}
+        self.places = places
+        self.silent = set()
+        self.loss = loss
+        self.one_way_cut = set()
+        self._rng = random.Random(seed)
+        for name, node in self.nodes.items():
+            node.set_peers(
+                [
+                    gossip.Peer(name=n, data_centre=p)
+                    for n, p in places.items()
+                    if n != name
+                ]
+            )
+
+    def run(self, seconds):
+        for _ in range(round(seconds / gossip.TICK_S)):
+            self.now += gossip.TICK_S
+            for name in self.nodes:
+                if name not in self.silent:
+                    for out in self.nodes[name].tick(self.now):
+                        self._carry(name, out.to, out.message)
+
+    def _carry(self, sender, to, message):
+        lost = self._rng.random() < self.loss
+        if to in self.silent or lost or (sender, to) in self.one_way_cut:
+            return
+        decoded = messages.decode(messages.encode(message)).unwrap()
+        answer = self.nodes[to].receive(decoded, self.now)
+        if answer is not None:
+            self._carry(to, sender, answer)
+
+    def statuses(self, name):
+        return {
+            self.nodes[other].status(name, self.now)
+            for other in self.nodes
+            if other != name
+            and other not in self.silent
+            and self.places[other] == self.places[name]
+        }
+
+
+_FIVE = {f"i{i}": "a" for i in range(5)}
+_ALIVE, _DEAD = messages.Status.ALIVE, messages.Status.DEAD
+
+
+def test_all_know_all_and_sum_their_loads():
+    net = _Net({**_FIVE, "j0": "b", "j1": "b"})
+    net.run(10)
+    for name in _FIVE:
+        assert net.statuses(name) == {_ALIVE}
+        found = net.nodes[name].others("lm", net.now)
+        assert (found.work, found.engines) == (60.0, 12)
+        assert net.nodes[name].near(net.now) == sorted(_FIVE)
+
+
+def test_a_dead_instance_is_known_within_3_s():
+    net = _Net(_FIVE)
+    net.run(5)
+    net.silent.add("i2")
+    net.run(3)
+    assert net.statuses("i2") == {_DEAD}
+    assert "i2" not in net.nodes["i0"].near(net.now)
+
+
+def test_a_paused_instance_that_comes_back_is_taken_back():
+    net = _Net(_FIVE)
+    net.run(5)
+    net.silent.add("i2")
+    net.run(8)
+    net.silent.clear()
+    net.run(2)
+    assert net.statuses("i2") == {_ALIVE}
+
+
+def test_an_observer_that_hears_nothing_does_not_throw_others_out():
+    net = _Net(_FIVE)
+    net.run(5)
+    net.one_way_cut = {(n, "i0") for n in _FIVE if n != "i0"}
+    net.run(6)
+    others = {net.nodes[o].status("i1", net.now) for o in ("i2", "i3", "i4")}
+    assert others == {_ALIVE}
+    assert net.nodes["i0"].status("i1", net.now) is _DEAD
+
+
+def test_loss_and_short_pauses_kill_nobody():
+    net = _Net({f"i{i}": "a" for i in range(12)}, loss=0.05)
+    net.run(5)
+    for number in range(12):
+        net.silent = {f"i{number}"}
+        net.run(1.5)
+        net.silent = set()
+        for name in net.nodes:
+            assert _DEAD not in net.statuses(name)
+        net.run(1.5)
+
+
+def test_a_restart_under_the_same_name_is_told_apart():
+    net = _Net(_FIVE)
+    net.run(5)
+    old = net.nodes["i2"]
+    net.nodes["i2"] = _node("i2", incarnation=2)
+    net.nodes["i2"].set_peers(
+        [gossip.Peer(name=n, data_centre="a") for n in _FIVE if n != "i2"]
+    )
+    net.run(4)
+    assert net.statuses("i2") == {_ALIVE}
+    assert old.conflicts == 0
+
+
+def test_two_instances_with_one_name_are_counted():
+    one = _node("i", incarnation=1)
+    two = _node("i", incarnation=5)
+    other = _node("o")
+    other.set_peers([gossip.Peer(name="i", data_centre="a")])
+    two.set_peers([gossip.Peer(name="o", data_centre="a")])
+    one.set_peers([gossip.Peer(name="o", data_centre="a")])
+    for out in two.tick(1.0):
+        other.receive(out.message, 1.0)
+    for out in other.tick(1.5):
+        one.receive(out.message, 1.5)
+    assert one.conflicts == 1
+
+
+def test_a_head_reaches_everybody_also_after_a_cut():
+    places = {**_FIVE, "j0": "b", "j1": "b", "k0": "c"}
+    net = _Net(places)
+    net.run(5)
+    cut = {(a, b) for a in places for b in places if places[a] != places[b]}
+    net.one_way_cut = cut
+    net.nodes["i0"].set_own(
+        loads=[],
+        leaving=False,
+        head=messages.HeadHint(number=9, object_key="o9"),
+    )
+    net.run(11)
+    assert {net.nodes[n].head.number for n in _FIVE} == {9}
+    assert net.nodes["j0"].head.number == 0
+    assert net.nodes["j0"].others("lm", net.now).engines == 2  # Only j1's.
+    net.one_way_cut = set()
+    net.run(8)
+    assert {node.head.number for node in net.nodes.values()} == {9}
+
+
+def test_a_leaving_instance_owns_nothing_more():
+    net = _Net(_FIVE)
+    net.run(3)
+    net.nodes["i1"].set_own(
+        loads=[], leaving=True, head=messages.HeadHint(number=0, object_key="")
+    )
+    net.run(4)
+    assert net.statuses("i1") == {messages.Status.LEAVING}
+    assert "i1" not in net.nodes["i0"].near(net.now)
+
+
+def test_no_instance_sends_more_than_its_budget():
+    net = _Net({f"i{i}": "a" for i in range(30)})
+    sent = 0
+    for node in net.nodes.values():
+        node._budget = gossip.Budget(bytes_per_s=300.0)
+    original = net._carry
+
+    def count(sender, to, message):
+        nonlocal sent
+        sent += messages.size_of(message)
+        original(sender, to, message)
+
+    net._carry = count
+    net.run(20)
+    assert sent / 30 / 20 < 1.4 * 300
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xff",
+        b"\x80" * 20_000,
+        messages.encode(_node("i").tick(0.0)[0].message)[:-3]
+        if _node("i").tick(0.0)
+        else b"\x01",
+    ],
+)
+def test_what_is_no_message_is_refused(data):
+    assert messages.decode(data).is_err()
+
+
+def test_another_version_is_refused():
+    net = _Net(_FIVE)
+    message = net.nodes["i0"].tick(1.0)[0].message
+    data = bytearray(messages.encode(message))
+    assert messages.decode(bytes(data)).is_ok()
+    data[1] = 2  # The version, the list's first item.
+    assert "version is 2" in messages.decode(bytes(data)).unwrap_err()
+
+
+@pytest.fixture
+def listener():
+    got = []
+
+    def take(sock, _address):
+        opened = link.accept(
+            sock, secret="s", refused=lambda why: got.append(("refused", why))
+        )
+        if opened is None:
+            sock.close()
+            return
+        try:
+            for data in opened.messages():
+                got.append(("message", data))
+                opened.send(b"got " + data[:10])
+        except errors.LinkError as exc:
+            got.append(("broken", str(exc)))
+        finally:
+            opened.close()
+
+    made = server.StreamServer(("127.0.0.1", 0), take)
+    made.start()
+    yield f"127.0.0.1:{made.server_port}", got
+    made.stop()
+
+
+def test_a_link_carries_messages_both_ways(listener):
+    address, got = listener
+    opened = link.connect(address, secret="s")
+    answers = opened.messages()
+    for number in range(3):
+        opened.send(b"m%d" % number)
+        assert next(answers) == b"got m%d" % number
+    assert [data for _, data in got] == [b"m0", b"m1", b"m2"]
+    opened.close()
+
+
+def test_a_peer_without_the_secret_is_refused(listener):
+    address, got = listener
+    with pytest.raises(errors.LinkError, match="403"):
+        link.connect(address, secret="wrong")
+    assert harness.wait_for(lambda: bool(got))
+    assert got[0][0] == "refused"
+
+
+@pytest.mark.parametrize(
+    "data", [b"garbage\r\n\r\n", b"GET / HTTP/1.1\r\n\r\n", b"\x00" * 70_000]
+)
+def test_a_peer_that_sends_garbage_is_refused(listener, data):
+    address, got = listener
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection((host, int(port)))
+    sock.sendall(data)
+    sock.settimeout(3)
+    try:
+        while sock.recv(4096):
+            pass
+    except OSError:
+        pass
+    sock.close()
+    assert harness.wait_for(lambda: bool(got))
+    assert got[0][0] == "refused"
+
+
+def test_a_frame_that_is_too_long_ends_the_link(listener):
+    address, got = listener
+    opened = link.connect(address, secret="s")
+    opened.send(b"x" * (messages.MAX_BYTES + 1))
+    with pytest.raises((errors.LinkError, StopIteration)):
+        next(opened.messages())
+    assert harness.wait_for(lambda: bool(got))
+    assert got[0][0] == "broken"
+    assert "exceeds limit" in got[0][1]
--- a/specs/fuzz.py
+++ b/specs/fuzz.py
@@ -323,7 +323,7 @@
             ),
         ),
         summaries=(
-            gossip_messages.Summary(data_centre="there", beat=1, loads=()),
+            gossip_messages.Summary(data_centre="there", age_s=1.0, loads=()),
         ),
     )
 )
