One owner a request at the most; only the entry instance cancels

Cause: a request could go entry, owner, entry again.

Change: an owner that would hand a request on names the other engine instead, and the entry instance asks that one's owner. Owners never cancel; the entry instance does, at the engine itself.

Conclusion: fewer hops and a clear duty to cancel. If entry and owner die together, an engine decodes an answer that nobody reads to its end.

--- a/irisshelf/backends/engine.py
+++ b/irisshelf/backends/engine.py
@@ -195,7 +195,7 @@
 
 
 def cancel(
-    clients: pool.Pool, call: messages.EngineCall
+    clients: pool.Pool, call: messages.CancelCall
 ) -> result.Result[None, errors.CallError]:
     """Tells an engine that nobody waits for an attempt any more."""
     client = clients.client(
@@ -314,7 +314,7 @@
     )
 
 
-def _stream_path(call: messages.EngineCall | messages.ResumeCall) -> str:
+def _stream_path(call: messages.CancelCall | messages.ResumeCall) -> str:
     engine = urllib.parse.quote(call.engine)
     return f"/engines/{engine}/streams/{urllib.parse.quote(call.attempt_id)}"
 
--- a/irisshelf/backends/errors.py
+++ b/irisshelf/backends/errors.py
@@ -16,6 +16,7 @@
         cause: What went wrong.
         unreachable: Whether the server could not even be connected to.
         leaving: Whether the server said that it takes no new work.
+        try_target: The engine whose owner should be asked instead.
         detail: For people.
     """
 
@@ -23,6 +24,7 @@
     cause: outcome.Cause
     unreachable: bool = False
     leaving: bool = False
+    try_target: str = ""
     detail: str = ""
 
 
--- a/irisshelf/backends/messages.py
+++ b/irisshelf/backends/messages.py
@@ -60,6 +60,15 @@
     limits: Limits
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CancelCall:
+    """Word to an engine that nobody waits for an attempt any more."""
+
+    address: str
+    engine: str
+    attempt_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RelayCall:
     """A model call handed on to the owner of an engine.
--- a/irisshelf/backends/relay.py
+++ b/irisshelf/backends/relay.py
@@ -58,6 +58,7 @@
 def _refusal(response) -> errors.CallError:
     """Takes the owner's word on whether the request ran."""
     told = response.get("X-Outcome")
+    elsewhere = response.get(messages.Header.TARGET.value) or ""
     detail = dispatch.read_all(response).unwrap_or(b"")[:200]
     not_run = told == outcome.Outcome.NOT_RUN.value
     return errors.CallError(
@@ -65,5 +66,6 @@
             outcome.Outcome.NOT_RUN if not_run else outcome.Outcome.UNKNOWN
         ),
         cause=outcome.Cause.REFUSED,
+        try_target=elsewhere if not_run else "",
         detail=f"owner answered {response.status_code}: {detail!r}",
     )
--- a/irisshelf/coordination/gossip.py
+++ b/irisshelf/coordination/gossip.py
@@ -38,7 +38,7 @@
 MAX_RECORDS = 2
 REPRESENTATIVES = 2
 SUMMARY_OLD_S = 10.0
-BUDGET_BYTES_PER_S = 1400.0  # Of 2 KB/s; the rest is polls and probes.
+BUDGET_BYTES_PER_S = 1600.0  # Of 2 KB/s; the rest is polls and probes.
 _BURST_S = 2.0
 
 
--- a/irisshelf/daemon/http.py
+++ b/irisshelf/daemon/http.py
@@ -24,6 +24,7 @@
     409: "409 Conflict",
     411: "411 Length Required",
     413: "413 Content Too Large",
+    421: "421 Misdirected Request",
     429: "429 Too Many Requests",
     500: "500 Internal Server Error",
     502: "502 Bad Gateway",
--- a/irisshelf/daemon/model_call.py
+++ b/irisshelf/daemon/model_call.py
@@ -49,7 +49,7 @@
         body: The body for the engine, JSON.
         repeatable: Whether it may be sent again after it may have run.
         deadline_s: When the caller's time is up.
-        hops: Instances that have handed it on.
+        hops: 0 on the entry instance, above on an owner.
         avoid: Targets that failed it on other instances.
     """
 
@@ -118,6 +118,8 @@
 class ModelCall:
     """Serves one request: ``open`` and ``rest``, or ``whole``; then ``close``.
 
+    A request goes through one owner at the most, besides the entry instance.
+
     Args:
         nd: This instance.
         req: The request.
@@ -128,6 +130,7 @@
         self._req = req
         self._attempts = 0
         self._hand_on_failures = 0
+        self._ask_owner_of = ""
         self._failed: set[str] = set(req.avoid)
         self._worst = outcome.Outcome.NOT_RUN
         self._attempt: Attempt | None = None
@@ -196,8 +199,19 @@
             return
         self._end(attempt, "cancel")
         self._note(timeline.Kind.CANCEL, attempt)
-        if isinstance(attempt.call, messages.EngineCall):
-            gevent.spawn(engine.cancel, self._nd.clients, attempt.call)
+        if self._req.hops == 0 and attempt.attempt_id:
+            # Only the entry instance knows that nobody waits any more. An
+            # owner whose reader is gone may have lost just the instance in
+            # between, and the stream is being resumed at the engine.
+            self._cancel(attempt)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        call = messages.CancelCall(
+            address=attempt.target.address,
+            engine=attempt.target.engine,
+            attempt_id=attempt.attempt_id,
+        )
+        gevent.spawn(engine.cancel, self._nd.clients, call)
 
     def progress(self) -> None:
         """Counts the work that the engine has done since the last look."""
@@ -215,12 +229,7 @@
             self._req.router.progressed(attempt.send, done, now)
 
     def _next_attempt(self) -> Attempt | None:
-        decided = self._req.router.route(
-            self._req.context,
-            avoid=frozenset(self._failed),
-            hops_left=self._hops_left(),
-            entering=self._req.hops == 0,
-        )
+        decided = self._decide()
         if decided is None:
             return None
         if isinstance(decided, service.Send):
@@ -232,6 +241,7 @@
             self._hand_on_failures += 1
             return self._next_attempt()
         call = self._relay_call(address)
+        self._ask_owner_of = ""
         self._nd.timeline.add(
             timeline.Kind.FORWARD,
             request=self._req.request_id,
@@ -240,10 +250,19 @@
         )
         return Attempt(target=decided.target, call=call, send=None)
 
-    def _hops_left(self) -> int:
-        if self._hand_on_failures >= _MAX_HAND_ON_FAILURES:
-            return 0
-        return relay_messages.MAX_HOPS - self._req.hops
+    def _decide(self) -> service.Send | service.HandOn | None:
+        router = self._req.router
+        wanted = router.target(self._ask_owner_of)
+        if wanted is not None and not router.owns(wanted.name):
+            return router.hand_on(wanted)
+        entering = self._req.hops == 0 and not self._ask_owner_of
+        alone = self._hand_on_failures >= _MAX_HAND_ON_FAILURES
+        return router.route(
+            self._req.context,
+            avoid=frozenset(self._failed),
+            hops_left=1 if entering and not alone else 0,
+            entering=entering,
+        )
 
     def _engine_call(self, send: service.Send) -> messages.EngineCall:
         return messages.EngineCall(
@@ -257,6 +276,9 @@
 
     def _relay_call(self, address: str) -> messages.RelayCall:
         req = self._req
+        hops = relay_messages.FIRST_OWNER
+        if self._ask_owner_of:
+            hops = relay_messages.LAST_OWNER
         handed = relay_messages.Request(
             request_id=req.request_id,
             service=req.router.name,
@@ -265,7 +287,7 @@
             limit=req.limit,
             body=req.body,
             avoid=tuple(sorted(self._failed)),
-            hops=req.hops + 1,
+            hops=hops,
             left_s=max(0.0, req.deadline_s - self._nd.now()),
             repeatable=req.repeatable,
         )
@@ -370,12 +392,19 @@
         return result.Err(error)
 
     def _hand_on_again(self, attempt: Attempt, error: errors.CallError) -> bool:
-        """Tells whether an owner that cannot be reached may be replaced."""
-        if attempt.send is not None or not error.unreachable:
+        """Tells whether another owner should be asked, as nothing ran.
+
+        Either this one cannot be reached, or it names another one.
+        """
+        if attempt.send is not None:
+            return False
+        if not error.unreachable and not error.try_target:
             return False
         self._hand_on_failures += 1
         self._attempts -= 1
-        self._nd.peer_unreachable(attempt.call.address)
+        self._ask_owner_of = error.try_target
+        if error.unreachable:
+            self._nd.peer_unreachable(attempt.call.address)
         return True
 
     def _after(self, error: errors.CallError) -> outcome.Refusal | None:
--- a/irisshelf/daemon/relay.py
+++ b/irisshelf/daemon/relay.py
@@ -17,6 +17,8 @@
 from irisshelf.daemon import parts
 from irisshelf.peers import relay_messages
 from irisshelf.routing import outcome
+from irisshelf.routing import placement
+from irisshelf.routing import service
 
 OBJECTS_PREFIX = "/objects/"
 MAX_BODY_BYTES = 70_000_000
@@ -83,7 +85,24 @@
         handed = decoded.ok_value
         if handed.service not in self._nd.services:
             return http.answer_refusal(start_response, _unknown(handed))
-        return self._serve(self._request(handed), start_response)
+        req = self._request(handed)
+        if handed.hops < relay_messages.LAST_OWNER:
+            elsewhere = self._elsewhere(req)
+            if elsewhere is not None:
+                return _redirect(start_response, elsewhere)
+        return self._serve(req, start_response)
+
+    def _elsewhere(self, req: model_call.Request) -> str | None:
+        """Returns the engine whose owner should be asked instead, if any."""
+        decided = req.router.route(req.context, avoid=req.avoid, hops_left=1)
+        if not isinstance(decided, service.HandOn):
+            return None
+        req.router.placed_elsewhere(
+            req.context,
+            decided.target.name,
+            placement.Reason.OTHER_HOME.value,
+        )
+        return decided.target.name
 
     def _request(self, handed: relay_messages.Request) -> model_call.Request:
         return model_call.Request(
@@ -143,6 +162,19 @@
     ]
 
 
+def _redirect(start_response: http.StartResponse, target: str) -> list[bytes]:
+    """Tells the entry instance to ask the owner of another engine.
+
+    It could be handed on from here, but each instance in between is one more
+    whose end cuts the stream, and one more that relays every token.
+    """
+    headers = [
+        ("X-Outcome", outcome.Outcome.NOT_RUN.value),
+        (messages.Header.TARGET.value, target),
+    ]
+    return http.answer(start_response, 421, {"target": target}, headers)
+
+
 def _unknown(handed: relay_messages.Request) -> outcome.Refusal:
     return outcome.Refusal(
         outcome=outcome.Outcome.NOT_RUN,
--- a/irisshelf/peers/relay_messages.py
+++ b/irisshelf/peers/relay_messages.py
@@ -12,6 +12,8 @@
 
 VERSION = 1
 MAX_HOPS = 2
+FIRST_OWNER = 1  # It may tell the entry instance to ask another owner.
+LAST_OWNER = 2  # It must place the request itself, or refuse.
 _FIELDS = 11
 
 
@@ -27,7 +29,7 @@
         limit: The caller's limit on the answer's length; 0 for none.
         body: The body for the engine, JSON.
         avoid: Engines that already failed this request.
-        hops: Instances that have handed it on.
+        hops: ``FIRST_OWNER`` or ``LAST_OWNER``.
         left_s: Time that is left for the whole request.
         repeatable: Whether it may be sent again after it may have run.
     """
--- a/irisshelf/routing/service.py
+++ b/irisshelf/routing/service.py
@@ -141,6 +141,10 @@
         self._me = me
         self._apply_owners()
 
+    def hand_on(self, target: Target) -> HandOn:
+        """Returns the decision to ask a target's owner."""
+        return HandOn(owner=self._owners[target.name], target=target)
+
     def owns(self, name: str) -> bool:
         """Tells whether this instance places on a target."""
         return self._owners.get(name, self._me) == self._me
@@ -179,13 +183,12 @@
                 return None
             target = self._targets[first]
             if not self.owns(target.name):
-                return HandOn(owner=self._owners[target.name], target=target)
+                return self.hand_on(target)
         chosen = self.placer.place(
             ctx, avoid=avoided, may_forward=hops_left > 0
         )
         if isinstance(chosen, placement.Forward):
-            target = self._targets[chosen.engine]
-            return HandOn(owner=self._owners[target.name], target=target)
+            return self.hand_on(self._targets[chosen.engine])
         if chosen is None:
             return self._adopt(ctx, avoided)
         target = self._targets[chosen.engine]
