--- a/bench/routing/simulation.py
+++ b/bench/routing/simulation.py
@@ -104,6 +104,8 @@
         load_bound: The bound that is checked.
         seed: Of churn and lags, the same for all policies.
         duration_s: Length of the run.
+        count_sends: Whether each send is held against the bound, which costs
+            a look at every engine.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         load_bound: float,
         seed: int,
         duration_s: float,
+        count_sends: bool = True,
     ):
         self.engines = [engines.Engine(number=i) for i in range(count)]
         self.now = 0.0
@@ -127,6 +130,7 @@
         self._bound = load_bound
         self._rng = random.Random(seed)
         self._duration_s = duration_s
+        self._count_sends = count_sends
         self._heap: list[tuple[float, int, int, object]] = []
         self._order = 0
         self._wake = [float("inf")] * count
@@ -197,7 +201,8 @@
         if self._counting:
             self._prompt += prompt
             self._cached += cached
-            self._count_send(engine, job)
+            if self._count_sends:
+                self._count_send(engine, job)
         engine.add(job, self.now)
         self._sent[req.number] = number
         self._policy.sent(req, number, self.now)
--- a/irisshelf/daemon/claims.py
+++ b/irisshelf/daemon/claims.py
@@ -22,9 +22,10 @@
 class ClaimWriter:
     """Makes claims for the requests of this instance.
 
-    One transaction is on its way at a time; claims that come meanwhile go
-    into the next one together. Outcomes wait for the next transaction, or
-    ``_RECORD_EVERY_S`` at the most, since no caller waits for them.
+    One transaction of claims is on its way at a time; claims that come
+    meanwhile go into the next one together. Outcomes are written by a loop of
+    their own, together, ``_RECORD_EVERY_S`` apart: no caller waits for them,
+    and no claim may wait behind them.
 
     Args:
         platform: The table.
@@ -41,6 +42,7 @@
             maxlen=_MAX_RECORDS
         )
         self._wake = event.Event()
+        self._wake_records = event.Event()
         self.writes = 0
 
     def claim(
@@ -62,15 +64,21 @@
     def release(self, granted: claim.Granted) -> None:
         """Gives up a claim whose call did not run, so a repeat may run."""
         self._records.append(claim.release(granted))
-        self._wake.set()
+        self._wake_records.set()
 
     def run(self) -> None:
         """Carries out claims for ever."""
         while True:
-            self._wake.wait(timeout=_RECORD_EVERY_S)
+            self._wake.wait()
             self._wake.clear()
             while self._pending:
                 self._insert_some()
+
+    def run_records(self) -> None:
+        """Writes outcomes for ever; releases go at once."""
+        while True:
+            self._wake_records.wait(timeout=_RECORD_EVERY_S)
+            self._wake_records.clear()
             self._write_records()
 
     def _insert_some(self) -> None:
--- a/irisshelf/daemon/main.py
+++ b/irisshelf/daemon/main.py
@@ -87,6 +87,7 @@
         loops = [
             gevent.spawn(self._node.follower.run),
             gevent.spawn(self._node.claims.run),
+            gevent.spawn(self._node.claims.run_records),
             gevent.spawn(watch.tick, self._node, self._admitter.give_up),
             gevent.spawn(watch.watch_nodes, self._node),
             gevent.spawn(watch.probe_servers, self._node),
--- a/irisshelf/testing/demo/__main__.py
+++ b/irisshelf/testing/demo/__main__.py
@@ -182,9 +182,9 @@
         """One fault after the other, while callers go on."""
         plan = self._plan
         gevent.sleep(4)
-        victim = plan.servers[0]
-        processes.call(victim.address, "/engines/e3/_kill", {})
-        _say(f"engine {victim.name}/e3 died in mid-stream")
+        victim, engine = self._busy_engine()
+        processes.call(victim.address, f"/engines/{engine}/_kill", {})
+        _say(f"engine {victim.name}/{engine} died in mid-stream")
         gevent.sleep(2)
         leaver = plan.servers[1]
         processes.call(leaver.address, "/_drain", {})
@@ -197,6 +197,16 @@
         gevent.sleep(3)
         self._submit_under_load()
 
+    def _busy_engine(self) -> tuple[layout.Server, str]:
+        """Finds an engine that streams; not on the server that leaves."""
+        server = self._plan.servers[0]
+        while True:
+            loads = processes.call(server.address, "/load")["engines"]
+            busy = [name for name, load in loads.items() if load["running"]]
+            if busy:
+                return server, busy[0]
+            gevent.sleep(_STEP_S)
+
     def _planned_stop(self, instance: layout.Instance) -> None:
         self._live.remove(instance)
         self._processes.terminate(instance.name)
--- a/irisshelf/testing/harness.py
+++ b/irisshelf/testing/harness.py
@@ -81,6 +81,7 @@
         self.node.adopt(bundle)
         self._loops = [
             gevent.spawn(self.node.claims.run),
+            gevent.spawn(self.node.claims.run_records),
             gevent.spawn(watch.tick, self.node, self.admitter.give_up),
         ]
 
