A server listed as leaving is left alone though it says otherwise

The next probe, in which the server did not know of its leaving, took it back.

Change: a probe does not take back what the list says; the list is polled every 2 s.

Conclusion: whichever source knows first now counts, in both directions.

--- a/bench/main.py
+++ b/bench/main.py
@@ -10,6 +10,7 @@
 from bench import claims
 from bench import gossip
 from bench import relay
+from bench import rollout
 from bench.routing import decision
 from bench.routing import fleet
 from bench.routing import run
@@ -23,6 +24,7 @@
         "decisions": decision.measure,
         "relay": relay.measure,
         "claims": claims.measure,
+        "rollout": rollout.measure,
         "routing": _routing,
         "routing at 400": fleet.measure,
         "exchange": gossip.measure,
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -15,8 +15,7 @@
 import geventhttpclient
 
 from irisshelf.testing.demo import fleets
-from irisshelf.testing.demo import layout
-from irisshelf.testing.demo import processes
+from irisshelf.testing.demo import rig
 
 _FLEET = fleets.Fleet(
     name="bench",
@@ -44,81 +43,6 @@
     return (int(fields[13]) + int(fields[14])) / 100
 
 
-class _Rig:
-    """One instance before one engine server."""
-
-    def __init__(self, folder: pathlib.Path):
-        self._processes = processes.Processes(folder=folder)
-        self.plan = layout.make(_FLEET, folder)
-        self._folder = folder
-
-    def start(self) -> None:
-        plan = self.plan
-        run = self._processes
-        run.start(
-            "platform",
-            "irisshelf.testing.stand_in",
-            "platform",
-            plan.platform.rpartition(":")[2],
-        )
-        engine, plain = plan.servers
-        run.start(
-            "engine",
-            "irisshelf.testing.stand_in",
-            "engines",
-            engine.address.rpartition(":")[2],
-            "4",
-            "--token-s",
-            "0",
-        )
-        run.start(
-            "plain",
-            "irisshelf.testing.stand_in",
-            "plain",
-            plain.address.rpartition(":")[2],
-        )
-        processes.wait_until_answers(plan.platform, "/v1/nodes")
-        processes.wait_until_answers(engine.address, "/load")
-        self._submit()
-        settings = layout.settings(plan, plan.instances[0])
-        path = layout.write(self._folder, "i.json", settings)
-        run.start("router", "irisshelf.daemon.main", "--settings", path)
-        admin = plan.instances[0].admin_address
-        limit = time.monotonic() + 20
-        while time.monotonic() < limit:
-            try:
-                if processes.call(admin, "/ready")["ready"]:
-                    return
-            except (OSError, ValueError):
-                pass
-            time.sleep(0.1)
-        raise TimeoutError("the instance is not ready")
-
-    def _submit(self) -> None:
-        folder = self._folder
-        path = layout.write(
-            folder, "b.json", layout.bundle(self.plan, number=1, note="")
-        )
-        tool = "irisshelf.cli.main"
-        for name in layout.OPERATORS:
-            out = str(folder / f"b-{name}.json")
-            key = str(folder / f"{name}.pem")
-            self._processes.run(
-                tool, "bundle", "sign", path,
-                "--key", key, "--name", name, "--out", out,
-            )  # fmt: skip
-            path = out
-        self._processes.run(
-            tool, "bundle", "submit", path, "--platform", self.plan.platform
-        )
-
-    def pid(self, name: str) -> int:
-        return self._processes.pid(name)
-
-    def stop(self) -> None:
-        self._processes.end_all()
-
-
 def _client(address: str) -> geventhttpclient.HTTPClient:
     host, _, port = address.rpartition(":")
     return geventhttpclient.HTTPClient(host, int(port), network_timeout=30)
@@ -148,28 +72,30 @@
 def measure() -> dict[str, float]:
     """Returns the figures of the last line."""
     with tempfile.TemporaryDirectory() as temporary:
-        rig = _Rig(pathlib.Path(temporary))
+        made = rig.Rig(
+            fleet=_FLEET, folder=pathlib.Path(temporary), token_s=0.0
+        )
         try:
-            rig.start()
-            return _measure(rig)
+            made.start()
+            return _measure(made)
         finally:
-            rig.stop()
+            made.stop()
 
 
-def _measure(rig: _Rig) -> dict[str, float]:
-    instance = rig.plan.instances[0]
-    key = rig.plan.team_keys["team-0"]
+def _measure(made: rig.Rig) -> dict[str, float]:
+    instance = made.plan.instances[0]
+    key = made.plan.team_keys["team-0"]
     routed = (
         _client(instance.address),
         "/v1/chat/completions",
         lambda i: {"Authorization": f"Bearer {key}"},
     )
     direct = (
-        _client(rig.plan.servers[0].address),
+        _client(made.plan.servers[0].address),
         "/engines/e0/v1/chat/completions",
         lambda i: {"X-Attempt-Id": f"direct-{i}"},
     )
-    pid = rig.pid("router")
+    pid = made.processes.pid(instance.name)
     with_router, without = [], []
     used = _ticks_s(pid)
     for i in range(_REQUESTS + _WARM_UP):
--- a/irisshelf/daemon/settings.py
+++ b/irisshelf/daemon/settings.py
@@ -94,7 +94,7 @@
     """How often the daemon looks at what it depends on, in seconds."""
 
     head_poll_s: float = pydantic.Field(4.0, gt=0, le=60)
-    nodes_poll_s: float = pydantic.Field(3.0, gt=0, le=60)
+    nodes_poll_s: float = pydantic.Field(2.0, gt=0, le=60)
     probe_s: float = pydantic.Field(2.0, gt=0, le=60)
 
 
--- a/irisshelf/daemon/watch.py
+++ b/irisshelf/daemon/watch.py
@@ -40,11 +40,12 @@
         listed = nd.platform.nodes(since=version)
         if isinstance(listed, result.Ok):
             version = listed.ok_value.version
-            _take_nodes(nd, listed.ok_value)
+            take_nodes(nd, listed.ok_value)
         gevent.sleep(_jittered(nd, nd.cfg.pace.nodes_poll_s))
 
 
-def _take_nodes(nd: node.Node, changes: platform_messages.NodeChanges) -> None:
+def take_nodes(nd: node.Node, changes: platform_messages.NodeChanges) -> None:
+    """Takes changes of the platform's list of nodes."""
     nodes = {} if changes.whole else dict(nd.nodes)
     nodes.update({item.name: item for item in changes.changed})
     for name in changes.removed:
@@ -69,7 +70,7 @@
         if bundle is not None:
             for name, server in bundle.backend_servers.items():
                 if _needs_probe(nd, name, server):
-                    gevent.spawn(_probe, nd, name, server)
+                    gevent.spawn(probe, nd, name, server)
         gevent.sleep(_jittered(nd, nd.cfg.pace.probe_s))
 
 
@@ -94,7 +95,8 @@
     return owned and quiet_s > nd.cfg.pace.probe_s
 
 
-def _probe(nd: node.Node, name: str, server: schema.BackendServer) -> None:
+def probe(nd: node.Node, name: str, server: schema.BackendServer) -> None:
+    """Asks a backend server for its load and takes what it says."""
     asked_s = nd.now()
     answer = engine.report(
         nd.clients,
@@ -113,7 +115,9 @@
     if report.leaving:
         nd.observe(name, health.Event.LEAVE, "says so")
     elif nd.health.state(name) == "leaving":
-        nd.observe(name, health.Event.REJOIN)
+        # Its own word does not take back what the platform's list says.
+        if not _listed_as_leaving(nd, name):
+            nd.observe(name, health.Event.REJOIN)
     else:
         nd.observe(name, health.Event.PROBE_OK)
     for engine_name in server.engines:
@@ -125,6 +129,12 @@
         )
 
 
+def _listed_as_leaving(nd: node.Node, name: str) -> bool:
+    listed = nd.nodes.get(name)
+    leaving = platform_messages.NodeState.LEAVING
+    return listed is not None and listed.state is leaving
+
+
 def _take_engine(
     nd: node.Node,
     name: str,
--- a/irisshelf/testing/demo/__main__.py
+++ b/irisshelf/testing/demo/__main__.py
@@ -19,11 +19,9 @@
 from irisshelf.testing.demo import fleets
 from irisshelf.testing.demo import layout
 from irisshelf.testing.demo import processes
+from irisshelf.testing.demo import rig
 from irisshelf.testing.demo import verdict
 
-DAEMON = "irisshelf.daemon.main"
-TOOL = "irisshelf.cli.main"
-STAND_IN = "irisshelf.testing.stand_in"
 LOAD_S = 24.0
 CHATS_OF_LARGE_TEAM = 12
 CHATS_OF_SMALL_TEAM = 3
@@ -42,9 +40,9 @@
     """
 
     def __init__(self, *, fleet: fleets.Fleet, folder: pathlib.Path, seed: int):
-        self._folder = folder
-        self._plan = layout.make(fleet, folder)
-        self._processes = processes.Processes(folder=folder)
+        self._rig = rig.Rig(fleet=fleet, folder=folder)
+        self._plan = self._rig.plan
+        self._processes = self._rig.processes
         self._live = list(self._plan.instances)
         self._ready: list[layout.Instance] = []
         self._callers = callers.Callers(
@@ -62,91 +60,19 @@
             self._load()
             return self._judge()
         finally:
-            self._processes.end_all()
+            self._rig.stop()
 
     def _start(self) -> None:
-        plan = self._plan
-        self._processes.start(
-            "platform", STAND_IN, "platform", _port(plan.platform)
-        )
-        plain = []
-        for server in plan.servers:
-            if server.engines:
-                self._processes.start(
-                    server.name,
-                    STAND_IN,
-                    "engines",
-                    _port(server.address),
-                    str(len(server.engines)),
-                )
-            else:
-                plain.append(_port(server.address))
-        self._processes.start("plain", STAND_IN, "plain", *plain)
-        processes.wait_until_answers(plan.platform, "/v1/nodes")
-        for server in plan.servers:
-            processes.wait_until_answers(server.address, "/load")
-            self._list_server(server, "live")
-        self._submit(number=1, note="first")
-        for instance in plan.instances:
-            self._start_instance(instance)
+        self._rig.start()
         self._wait_in_force(1)
-        _say(f"{len(plan.instances)} instances serve bundle 1")
-
-    def _start_instance(self, instance: layout.Instance) -> None:
-        settings = layout.write(
-            self._folder,
-            f"{instance.name}.json",
-            layout.settings(self._plan, instance),
-        )
-        self._processes.start(instance.name, DAEMON, "--settings", settings)
-        self._list_instance(instance, "live")
-
-    def _list_instance(self, instance: layout.Instance, state: str) -> None:
-        node = {
-            "name": instance.name,
-            "role": "instance",
-            "state": state,
-            "data_centre": instance.data_centre,
-            "address": instance.address,
-            "admin_address": instance.admin_address,
-            "link_address": instance.link_address,
-            "relay_address": instance.relay_address,
-        }
-        processes.call(self._plan.platform, "/_node", node)
-
-    def _list_server(self, server: layout.Server, state: str) -> None:
-        node = {
-            "name": server.name,
-            "role": "backend_server",
-            "state": state,
-            "data_centre": server.data_centre,
-            "address": server.address,
-        }
-        processes.call(self._plan.platform, "/_node", node)
-
-    def _submit(self, *, number: int, note: str) -> None:
-        """Signs a bundle by two people and submits it, by the tool."""
-        folder = self._folder
-        document = layout.bundle(self._plan, number=number, note=note)
-        path = layout.write(folder, f"bundle-{number}.json", document)
-        for name in layout.OPERATORS:
-            signed = str(folder / f"signed-{number}-{name}.json")
-            key = str(folder / f"{name}.pem")
-            self._processes.run(
-                TOOL, "bundle", "sign", path,
-                "--key", key, "--name", name, "--out", signed,
-            )  # fmt: skip
-            path = signed
-        self._processes.run(
-            TOOL, "bundle", "submit", path, "--platform", self._plan.platform
-        )
+        _say(f"{len(self._plan.instances)} instances serve bundle 1")
 
     def _wait_in_force(self, number: int) -> float:
         """Waits until every instance has a bundle; returns the seconds."""
         began_s = time.monotonic()
         waiting = list(self._live)
         while waiting and time.monotonic() - began_s < _IN_FORCE_LIMIT_S:
-            waiting = [i for i in waiting if _bundle_of(i) < number]
+            waiting = [i for i in waiting if self._rig.bundle_of(i) < number]
             gevent.sleep(_STEP_S)
         return time.monotonic() - began_s
 
@@ -188,7 +114,7 @@
         gevent.sleep(2)
         leaver = plan.servers[1]
         processes.call(leaver.address, "/_drain", {})
-        self._list_server(leaver, "leaving")
+        self._rig.list_server(leaver, "leaving")
         _say(f"backend server {leaver.name} leaves")
         gevent.sleep(2)
         gevent.spawn(self._planned_stop, plan.instances[0])
@@ -210,7 +136,7 @@
     def _planned_stop(self, instance: layout.Instance) -> None:
         self._live.remove(instance)
         self._processes.terminate(instance.name)
-        self._list_instance(instance, "leaving")
+        self._rig.list_instance(instance, "leaving")
         _say(f"instance {instance.name} is stopped as planned")
 
     def _kill_and_replace(self, instance: layout.Instance) -> None:
@@ -219,14 +145,14 @@
         processes.call(
             self._plan.platform, "/_remove_node", {"name": instance.name}
         )
-        self._start_instance(self._plan.spare)
+        self._rig.start_instance(self._plan.spare)
         self._live.append(self._plan.spare)
         _say(f"instance {instance.name} is killed, {self._plan.spare.name}"
              " replaces it")  # fmt: skip
 
     def _submit_under_load(self) -> None:
         submit = gevent.get_hub().threadpool.spawn(
-            self._submit, number=2, note="second"
+            self._rig.submit, number=2, note="second"
         )
         began_s = time.monotonic()
         submit.get()
@@ -301,17 +227,6 @@
         }
 
 
-def _port(address: str) -> str:
-    return address.rpartition(":")[2]
-
-
-def _bundle_of(instance: layout.Instance) -> int:
-    try:
-        return processes.call(instance.admin_address, "/status")["bundle"]
-    except (OSError, ValueError):
-        return 0
-
-
 def _is_ready(instance: layout.Instance) -> bool:
     try:
         return processes.call(instance.admin_address, "/ready")["ready"]
--- a/irisshelf/testing/engine.py
+++ b/irisshelf/testing/engine.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import json
+import time
 import uuid
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -52,6 +53,7 @@
     nonce: str
     prompt_tokens: int
     cached_tokens: int
+    started_s: float
 
 
 class _Generation:
@@ -118,6 +120,7 @@
                 nonce=nonce,
                 prompt_tokens=prompt,
                 cached_tokens=cached,
+                started_s=time.time(),
             )
         )
         events = _events(attempt_id, nonce, count, prompt, cached)
