The coming size on control: owners as asked, packed bundles, leaner gossip

Change: an owner is worked out when it is first asked for, and anew only if engines or live instances change; objects are stored compressed, and unpacked with a limit; what others said goes to one partner a tick; a restart's beats start ahead of its old life's, which tests showed to be needed; death after 2.9 s.

--- a/bench/main.py
+++ b/bench/main.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from bench import bundle
 from bench import chart
 from bench import claims
 from bench import gossip
@@ -21,6 +22,7 @@
     """Measures everything, one part after the other."""
     parts: dict[str, Callable[[], dict[str, float]]] = {
         "charts": chart.measure,
+        "bundle": bundle.measure,
         "decisions": decision.measure,
         "relay": relay.measure,
         "claims": claims.measure,
--- a/irisshelf/bundle/canonical.py
+++ b/irisshelf/bundle/canonical.py
@@ -10,10 +10,12 @@
 
 import hashlib
 import json
+import zlib
 from collections.abc import Mapping
 from typing import Any
 
 SHARDS = 64
+MAX_OBJECT_BYTES = 32_000_000
 SHARDED = ("backend_servers", "teams")
 _ROOT = "root"
 
@@ -30,6 +32,26 @@
     ).encode("ascii")
 
 
+def pack(data: bytes) -> bytes:
+    """Compresses bytes for the object store."""
+    return zlib.compress(data, level=9)
+
+
+def unpack(data: bytes) -> bytes | None:
+    """Undoes ``pack``.
+
+    Returns:
+        The bytes; None if they are damaged or over ``MAX_OBJECT_BYTES``: a
+        small object must not fill an instance's memory.
+    """
+    inflate = zlib.decompressobj()
+    try:
+        found = inflate.decompress(data, MAX_OBJECT_BYTES)
+    except zlib.error:
+        return None
+    return found if inflate.eof else None
+
+
 def digest(data: bytes) -> str:
     """Returns the SHA-256 of some bytes in hex."""
     return hashlib.sha256(data).hexdigest()
--- a/irisshelf/cli/bundle.py
+++ b/irisshelf/cli/bundle.py
@@ -12,6 +12,7 @@
 import result
 import typer
 
+from irisshelf.bundle import canonical
 from irisshelf.bundle import check
 from irisshelf.bundle import envelope
 from irisshelf.bundle import schema
@@ -227,7 +228,7 @@
     }
     objects[envelope.object_key(sealed)] = envelope.encode(sealed)
     for key, data in objects.items():
-        stored = client.put_object(key, data)
+        stored = client.put_object(key, canonical.pack(data))
         if isinstance(stored, result.Err):
             output.fail(
                 f"cannot store {key}: {stored.err_value.detail}",
@@ -305,4 +306,7 @@
             f"cannot fetch {key}: {json.dumps(str(found.err_value))}",
             code=output.EXIT_UNAVAILABLE,
         )
-    return found.ok_value
+    data = canonical.unpack(found.ok_value)
+    if data is None:
+        output.fail(f"{key} is damaged", code=output.EXIT_REFUSED)
+    return data
--- a/irisshelf/coordination/gossip.py
+++ b/irisshelf/coordination/gossip.py
@@ -2,7 +2,7 @@
 
 Each instance keeps one record of itself and makes it newer every tick. A tick
 sends it to a few partners in the data centre, chosen at random, together with
-the beats of all others, five bytes each: so news of who lives spreads in a few
+the beats of all others, six bytes each: so news of who lives spreads in a few
 ticks at any size, while loads reach a sample of instances a second, which is
 enough for their mean. The first few instances of a data centre
 by name's rank, no one special, also exchange sums with another data centre.
@@ -33,7 +33,7 @@
 ASK_AFTER_S = 1.0
 MAX_QUESTIONS = 4
 SUSPECT_S = 2.0
-DEAD_S = 2.75
+DEAD_S = 2.9
 FORGET_S = 60.0
 MAX_RECORDS = 2
 REPRESENTATIVES = 2
@@ -111,6 +111,8 @@
         data_centre: Where it stands.
         incarnation: Grows with each start, such as the wall clock in
             milliseconds.
+        first_beat: Where beats start; from the wall clock, so that a new
+            life's beats are ahead of an old one's that are still passed on.
         rng: Chooses partners.
         budget: Bytes that may be sent.
     """
@@ -123,6 +125,7 @@
         incarnation: int,
         rng: random.Random,
         budget: Budget,
+        first_beat: int = 0,
     ):
         self.name = name
         self.data_centre = data_centre
@@ -136,7 +139,11 @@
         self._summaries: dict[str, _HeldSummary] = {}
         self._head = messages.HeadHint(number=0, object_key="")
         self._own = messages.Record(
-            name=name, incarnation=incarnation, beat=0, leaving=False, loads=()
+            name=name,
+            incarnation=incarnation,
+            beat=first_beat,
+            leaving=False,
+            loads=(),
         )
 
     @property
@@ -166,12 +173,17 @@
         self._own = dataclasses.replace(self._own, beat=self._own.beat + 1)
         self._forget(now)
         outgoing = []
-        for partner in self._partners(now):
+        for place, partner in enumerate(self._partners(now)):
             if not self._budget.has_room(now):
                 break
             # A near partner tells of itself anyway; a far one is asked.
             near = self._peers[partner].data_centre == self.data_centre
             message = self._message(now, near=near, wants_answer=not near)
+            if near and place:
+                # What others said goes to the first partner alone.
+                message = dataclasses.replace(
+                    message, records=(self._own,), summaries=()
+                )
             self._budget.spend(messages.size_of(message))
             outgoing.append(Outgoing(to=partner, message=message))
         for silent in self._silent(now):
--- a/irisshelf/daemon/follower.py
+++ b/irisshelf/daemon/follower.py
@@ -11,6 +11,7 @@
 import pydantic
 import result
 
+from irisshelf.bundle import canonical
 from irisshelf.bundle import check
 from irisshelf.bundle import envelope
 from irisshelf.bundle import errors as bundle_errors
@@ -63,7 +64,7 @@
         self._sections: dict[str, bytes] = {}
         self._bundle: schema.Bundle | None = None
         self._head_in_force: head.Head | None = None
-        self._objects: dict[str, bytes] = {}
+        self._envelope = b""
         self._from_peers: Callable[[str], bytes | None] = lambda key: None
         self._log: logging.Logger = log.get("bundle")
         self.platform_up = False
@@ -85,7 +86,12 @@
 
     def held(self, key: str) -> bytes | None:
         """Returns an object of the bundle in force, for other instances."""
-        return self._objects.get(key)
+        wanted = self._head_in_force
+        if wanted is not None and key == wanted.object_key:
+            return canonical.pack(self._envelope)
+        digest = key.removeprefix(envelope.SECTION_PREFIX)
+        data = self._sections.get(digest)
+        return None if data is None else canonical.pack(data)
 
     @property
     def bundle(self) -> schema.Bundle | None:
@@ -138,10 +144,11 @@
         self, wanted: head.Head
     ) -> tuple[envelope.Envelope, dict[str, bytes]] | None:
         """Fetches an envelope and those sections that are not at hand."""
-        raw = self._object(wanted.object_key)
-        if raw is None:
+        packed = self._object(wanted.object_key)
+        if packed is None:
             return None
-        sealed = check.parse(raw, model=envelope.Envelope)
+        raw = canonical.unpack(packed)
+        sealed = check.parse(raw or b"", model=envelope.Envelope)
         if isinstance(sealed, result.Err):
             empty = _no_envelope(wanted.number)
             return empty, {}
@@ -154,9 +161,11 @@
         return sealed.ok_value, sections
 
     def _section(self, digest: str) -> bytes | None:
+        """Returns a section; one that is damaged is empty and will not do."""
         if digest in self._sections:
             return self._sections[digest]
-        return self._object(envelope.section_key(digest))
+        packed = self._object(envelope.section_key(digest))
+        return None if packed is None else canonical.unpack(packed) or b""
 
     def _object(self, key: str) -> bytes | None:
         """Fetches an object from the platform, or else from a peer."""
@@ -213,11 +222,7 @@
             sealed.manifest.sections[name]: data
             for name, data in sections.items()
         }
-        self._objects = {
-            envelope.section_key(digest): data
-            for digest, data in self._sections.items()
-        }
-        self._objects[wanted.object_key] = envelope.encode(sealed)
+        self._envelope = envelope.encode(sealed)
         self._move("verified")
         self._adopt(bundle)
         self._events.add(timeline.Kind.BUNDLE, bundle=bundle.number)
--- a/irisshelf/daemon/node.py
+++ b/irisshelf/daemon/node.py
@@ -151,12 +151,10 @@
 
     def configure(self, bundle: schema.Bundle) -> None:
         """Gives every service the bundle and the number of instances."""
-        home = bundle.data_centres.get(self.cfg.data_centre)
         for router in self.services.values():
             router.configure(
                 bundle=bundle,
                 instances=self.instances,
-                local_region=home.region if home else "",
                 now=self.now(),
             )
 
--- a/irisshelf/daemon/peers.py
+++ b/irisshelf/daemon/peers.py
@@ -37,7 +37,8 @@
         self._log = log.get("peers")
         self._links: dict[str, link.Link] = {}
         self._unreachable: dict[str, float] = {}
-        self._owners_key: object = None
+        self._live: tuple[ownership.Candidate, ...] = ()
+        self._targets: dict[str, object] = {}
         cfg = nd.cfg
         self.gossip = gossip.Gossip(
             name=cfg.instance,
@@ -45,6 +46,7 @@
             incarnation=int(time.time() * 1000),
             rng=nd.rng,
             budget=gossip.Budget(),
+            first_beat=int(time.time() / gossip.TICK_S),
         )
         host, _, port = cfg.peers.link_listen.rpartition(":")
         self._server = server.StreamServer((host, int(port)), self._accept)
@@ -142,22 +144,24 @@
     ) -> None:
         """Works out who owns which engine, if who lives has changed."""
         live = self._candidates(nodes, now)
-        bundle = self._nd.bundle
-        key = (live, bundle.number if bundle else 0)
-        if bundle is None or key == self._owners_key:
-            return
-        self._owners_key = key
-        for router in self._nd.services.values():
+        if live != self._live:
+            self._live = live
+            self._targets.clear()
+            self._nd.timeline.add(
+                timeline.Kind.MEMBERSHIP,
+                detail=f"{len(live)} live instances",
+            )
+        for name, router in self._nd.services.items():
+            if self._targets.get(name) is router.targets:
+                continue
+            self._targets[name] = router.targets
             engines = {
                 t.name: t.data_centre for t in router.targets if t.engine
             }
             router.set_owners(
-                ownership.owners(engines, live), me=self._nd.cfg.instance
+                ownership.Owners(engines=engines, instances=live),
+                me=self._nd.cfg.instance,
             )
-        self._nd.timeline.add(
-            timeline.Kind.MEMBERSHIP,
-            detail=f"{len(live)} live instances",
-        )
 
     def _candidates(
         self, nodes: dict[str, platform_messages.Node], now: float
--- a/irisshelf/routing/ownership.py
+++ b/irisshelf/routing/ownership.py
@@ -25,35 +25,54 @@
     data_centre: str
 
 
-def owners(
-    engines: Mapping[str, str], instances: Sequence[Candidate]
-) -> dict[str, str]:
-    """Computes the owner of every engine.
+class Owners:
+    """Owners of engines, each worked out when it is first asked for.
+
+    An instance asks for few of them: its own data centre's, to know which are
+    its own, and those that its callers' chats lead to.
 
     Args:
         engines: Data centre by engine.
         instances: Live instances.
 
-    Returns:
-        Instance by engine; empty if no instance lives.
-
     Example:
-        >>> owners({"e": "a"}, [Candidate(name="i", data_centre="a")])
-        {'e': 'i'}
+        >>> owners = Owners(engines={"e": "a"},
+        ...     instances=[Candidate(name="i", data_centre="a")])
+        >>> owners.of("e")
+        'i'
     """
-    if not instances:
-        return {}
-    everywhere = _Place(instances)
-    places: dict[str, _Place] = {}
-    found = {}
-    for engine, data_centre in engines.items():
-        place = places.get(data_centre)
-        if place is None:
-            here = [i for i in instances if i.data_centre == data_centre]
-            place = _Place(here) if here else everywhere
-            places[data_centre] = place
-        found[engine] = place.first(engine)
-    return found
+
+    def __init__(
+        self, *, engines: Mapping[str, str], instances: Sequence[Candidate]
+    ):
+        self._engines = engines
+        self._known: dict[str, str | None] = {}
+        by_place: dict[str, list[Candidate]] = {}
+        for instance in instances:
+            by_place.setdefault(instance.data_centre, []).append(instance)
+        self._places = {name: _Place(here) for name, here in by_place.items()}
+        self._everywhere = _Place(instances) if instances else None
+
+    def of(self, engine: str) -> str | None:
+        """Returns an engine's owner; None if no instance lives."""
+        if engine not in self._known:
+            place = self._place(engine)
+            self._known[engine] = place.first(engine) if place else None
+        return self._known[engine]
+
+    def owned_by(self, instance: str) -> list[str]:
+        """Returns the engines that an instance owns."""
+        return [
+            engine
+            for engine in self._engines
+            if (place := self._place(engine)) is not None
+            and instance in place
+            and self.of(engine) == instance
+        ]
+
+    def _place(self, engine: str) -> _Place | None:
+        data_centre = self._engines.get(engine, "")
+        return self._places.get(data_centre, self._everywhere)
 
 
 class _Place:
@@ -64,6 +83,10 @@
         members = [ranking.Member(name=name) for name in self._names]
         self._ranking = ranking.Ranking(members=members, slots=1 << 63)
         self._all = range(len(members))
+        self._set = frozenset(self._names)
+
+    def __contains__(self, instance: str) -> bool:
+        return instance in self._set
 
     def first(self, engine: str) -> str:
         key = context.hash64(engine.encode())
--- a/irisshelf/routing/service.py
+++ b/irisshelf/routing/service.py
@@ -9,12 +9,14 @@
 import dataclasses
 import random
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from irisshelf.bundle import schema
 from irisshelf.routing import admission
 from irisshelf.routing import context
 from irisshelf.routing import health
 from irisshelf.routing import load
+from irisshelf.routing import ownership
 from irisshelf.routing import placement
 from irisshelf.routing import ranking
 from irisshelf.routing import retry
@@ -79,7 +81,7 @@
         self._placer: placement.Placer | None = None
         self._instances = 1
         self._expected_decode: dict[int, float] = {}
-        self._owners: dict[str, str] = {}
+        self._owners: ownership.Owners | None = None
         self._me = ""
         self.cfg: schema.Service | None = None
         self.admission = admission.Admission(limit=1, shares={})
@@ -106,7 +108,6 @@
         *,
         bundle: schema.Bundle,
         instances: int,
-        local_region: str,
         now: float,
     ) -> None:
         """Takes a bundle, or a new number of instances.
@@ -114,7 +115,6 @@
         Args:
             bundle: The bundle in force.
             instances: Live instances of irisshelf.
-            local_region: Region whose engines come first.
             now: Time in seconds.
         """
         cfg = bundle.services[self.name]
@@ -130,24 +130,28 @@
         self.placer.loads.set_instances(self._instances)
         self._limit_admission(bundle)
 
-    def set_owners(self, owners: Mapping[str, str], *, me: str) -> None:
-        """Sets which instance owns which target; none: this one owns all.
+    def set_owners(self, owners: ownership.Owners, *, me: str) -> None:
+        """Sets which instance owns which target; before, this one owns all.
 
         Args:
-            owners: Instance by target's name.
+            owners: Tells each target's owner.
             me: This instance's name.
         """
-        self._owners = dict(owners)
+        self._owners = owners
         self._me = me
         self._apply_owners()
 
     def hand_on(self, target: Target) -> HandOn:
         """Returns the decision to ask a target's owner."""
-        return HandOn(owner=self._owners[target.name], target=target)
+        return HandOn(owner=self._owner(target.name), target=target)
 
     def owns(self, name: str) -> bool:
         """Tells whether this instance places on a target."""
-        return self._owners.get(name, self._me) == self._me
+        return self._owner(name) == self._me
+
+    def _owner(self, name: str) -> str:
+        owner = self._owners.of(name) if self._owners else None
+        return self._me if owner is None else owner
 
     def target(self, name: str) -> Target | None:
         """Returns a target by its name."""
@@ -328,9 +332,13 @@
 
     def _apply_owners(self) -> None:
         if self._placer is not None:
-            self._placer.set_owned(
-                [i for n, i in self._index.items() if self.owns(n)]
-            )
+            self._placer.set_owned(self._owned_indexes())
+
+    def _owned_indexes(self) -> Sequence[int]:
+        if self._owners is None:
+            return range(len(self._targets))
+        owned = self._owners.owned_by(self._me)
+        return [self._index[name] for name in owned if name in self._index]
 
     def _limit_admission(self, bundle: schema.Bundle) -> None:
         slots = len(self._targets) * bundle.services[self.name].engine_slots
--- a/irisshelf/tests/test_bundle.py
+++ b/irisshelf/tests/test_bundle.py
@@ -82,6 +82,20 @@
     assert envelope.open_sections(sealed, sections).unwrap() == bundle
 
 
+@pytest.mark.parametrize(
+    ("packed", "found"),
+    [
+        (canonical.pack(b"x" * 1000), b"x" * 1000),
+        (canonical.pack(b""), b""),
+        (canonical.pack(b"x" * 1000)[:-1], None),
+        (b"nonsense", None),
+        (canonical.pack(b"x" * (canonical.MAX_OBJECT_BYTES + 1)), None),
+    ],
+)
+def test_objects_are_unpacked_whole_or_not_at_all(packed, found):
+    assert canonical.unpack(packed) == found
+
+
 def test_a_small_change_changes_few_sections():
     document = examples.bundle_document()
     document["teams"] = {
