Fronts, gate, attempt and completion in modules of their own

Change: one module a kind of caller, one for admission and refusal, one for an attempt, one for what events add up to.

--- a/irisshelf/daemon/http.py
+++ b/irisshelf/daemon/http.py
@@ -162,7 +162,7 @@
     """Reads a request's body, which must be no longer than the limit."""
     length_text = environ.get("CONTENT_LENGTH") or ""
     if length_text and int(length_text) > limit:
-        return _too_large(length_text, limit)
+        return too_large(length_text, limit)
     try:
         body = environ["wsgi.input"].read(limit + 1)
     except TimeoutError:
@@ -174,7 +174,7 @@
             status=400, message=f"the body is broken: {exc}", code="body"
         )
     if len(body) > limit:
-        return _too_large(f"over {limit}", limit)
+        return too_large(f"over {limit}", limit)
     if length_text and len(body) < int(length_text):
         return Problem(
             status=400,
@@ -184,7 +184,8 @@
     return body
 
 
-def _too_large(got: str, limit: int) -> Problem:
+def too_large(got: str, limit: int) -> Problem:
+    """Makes the problem of a body that is too long."""
     return Problem(
         status=413,
         message=f"body has {got} bytes, allowed: {limit}",
--- a/irisshelf/daemon/model_call.py
+++ b/irisshelf/daemon/model_call.py
@@ -9,9 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
-import json
 from collections.abc import Iterator
-from typing import Any
 
 import gevent
 import result
@@ -20,7 +18,8 @@
 from irisshelf.backends import engine
 from irisshelf.backends import errors
 from irisshelf.backends import messages
-from irisshelf.charts import chart
+from irisshelf.daemon import attempt as attempt_module
+from irisshelf.daemon import completion
 from irisshelf.daemon import node
 from irisshelf.observe import timeline
 from irisshelf.peers import relay_messages
@@ -29,7 +28,6 @@
 from irisshelf.routing import outcome
 from irisshelf.routing import retry
 from irisshelf.routing import service
-from irisshelf.routing import stream
 
 MAX_RESUMES = 2
 _RESUME_WAIT_S = 0.05
@@ -65,56 +63,6 @@
     avoid: frozenset[str] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Usage:
-    """What the engine reported at the end of its answer."""
-
-    prompt_tokens: int
-    cached_tokens: int
-    decode_tokens: int
-
-
-class Attempt:
-    """One attempt: what was sent where, and the state of its chart.
-
-    Args:
-        target: The engine that it is for.
-        call: The call to the engine, or to the engine's owner.
-        send: The placement, if it was made here.
-    """
-
-    def __init__(
-        self,
-        *,
-        target: service.Target,
-        call: messages.EngineCall | messages.RelayCall,
-        send: service.Send | None,
-    ):
-        self.target = target
-        self.call = call
-        self.send = send
-        self.left = send.placement.work if send else 0.0
-        self.stream: engine.EngineStream | None = None
-        self._chart = chart.load("attempt")
-        self._state = self._chart.initial
-
-    def move(self, event: str) -> None:
-        """Takes an event of the attempt's life."""
-        self._state = self._chart.step(self._state, event).unwrap()
-
-    @property
-    def over(self) -> bool:
-        """Whether nothing more happens to it."""
-        return self._chart.has_tag(self._state, "final")
-
-    @property
-    def attempt_id(self) -> str:
-        """The id that the engine knows it by; empty until it is known."""
-        if isinstance(self.call, messages.EngineCall):
-            return self.call.attempt_id
-        return self.stream.head.attempt_id if self.stream else ""
-
-
 class ModelCall:
     """Serves one request: ``open`` and ``rest``, or ``whole``; then ``close``.
 
@@ -133,10 +81,10 @@
         self._ask_owner_of = ""
         self._failed: set[str] = set(req.avoid)
         self._worst = outcome.Outcome.NOT_RUN
-        self._attempt: Attempt | None = None
+        self._attempt: attempt_module.Attempt | None = None
 
     @property
-    def attempt(self) -> Attempt | None:
+    def attempt(self) -> attempt_module.Attempt | None:
         """The attempt that runs, or ran last."""
         return self._attempt
 
@@ -201,7 +149,7 @@
             # between, and the stream is being resumed at the engine.
             self._cancel(attempt)
 
-    def _cancel(self, attempt: Attempt) -> None:
+    def _cancel(self, attempt: attempt_module.Attempt) -> None:
         call = messages.CancelCall(
             address=attempt.target.address,
             engine=attempt.target.engine,
@@ -224,13 +172,15 @@
             now = self._nd.now()
             self._req.router.progressed(attempt.send, done, now)
 
-    def _next_attempt(self) -> Attempt | None:
+    def _next_attempt(self) -> attempt_module.Attempt | None:
         decided = self._decide()
         if decided is None:
             return None
         if isinstance(decided, service.Send):
             call = self._engine_call(decided)
-            return Attempt(target=decided.target, call=call, send=decided)
+            return attempt_module.Attempt(
+                target=decided.target, call=call, send=decided
+            )
         address = self._nd.relay_address(decided.owner)
         if not address:
             # The owner has just left the list; decide again, at last alone.
@@ -244,7 +194,9 @@
             engine=decided.target.name,
             detail=decided.owner,
         )
-        return Attempt(target=decided.target, call=call, send=None)
+        return attempt_module.Attempt(
+            target=decided.target, call=call, send=None
+        )
 
     def _decide(self) -> service.Send | service.HandOn | None:
         router = self._req.router
@@ -303,7 +255,9 @@
             max_body_bytes=0,
         )
 
-    def _try(self, attempt: Attempt) -> result.Result[bytes, errors.CallError]:
+    def _try(
+        self, attempt: attempt_module.Attempt
+    ) -> result.Result[bytes, errors.CallError]:
         """Makes one attempt, up to its first event."""
         self._attempt = attempt
         sent_s = self._nd.now()
@@ -326,7 +280,9 @@
             return result.Err(exc.error)
         return result.Ok(first)
 
-    def _take_head(self, attempt: Attempt, sent_s: float) -> None:
+    def _take_head(
+        self, attempt: attempt_module.Attempt, sent_s: float
+    ) -> None:
         head = attempt.stream.head
         if attempt.send is None:
             target = self._req.router.target(head.target)
@@ -356,7 +312,9 @@
                 raise errors.StreamError(error=error)
             resumes += 1
 
-    def _resume(self, attempt: Attempt, error: errors.CallError) -> bool:
+    def _resume(
+        self, attempt: attempt_module.Attempt, error: errors.CallError
+    ) -> bool:
         """Goes on at the exact offset of the same generation, if it can."""
         if error.cause is not outcome.Cause.BROKEN:
             return False
@@ -378,14 +336,16 @@
         return True
 
     def _fail(
-        self, attempt: Attempt, error: errors.CallError
+        self, attempt: attempt_module.Attempt, error: errors.CallError
     ) -> result.Result[bytes, errors.CallError]:
         self._end(attempt, "fail")
         if attempt.send is not None:
             self._nd.observe_call(attempt.target, error)
         return result.Err(error)
 
-    def _hand_on_again(self, attempt: Attempt, error: errors.CallError) -> bool:
+    def _hand_on_again(
+        self, attempt: attempt_module.Attempt, error: errors.CallError
+    ) -> bool:
         """Tells whether another owner should be asked, as nothing ran.
 
         Either this one cannot be reached, or it names another one.
@@ -433,11 +393,11 @@
         if attempt.send is None:
             return
         self._nd.observe_call(attempt.target, None)
-        usage = usage_of(attempt.stream.last_chunk)
+        usage = completion.usage_of(attempt.stream.last_chunk)
         if usage is not None:
             self._count(attempt.send, usage)
 
-    def _count(self, send: service.Send, usage: Usage) -> None:
+    def _count(self, send: service.Send, usage: completion.Usage) -> None:
         router = self._req.router
         router.decoded(self._req.limit, usage.decode_tokens)
         router.answered(send, usage.decode_tokens)
@@ -445,7 +405,7 @@
         counts.prompt_tokens.labels(router.name).inc(usage.prompt_tokens)
         counts.cached_tokens.labels(router.name).inc(usage.cached_tokens)
 
-    def _end(self, attempt: Attempt, event: str) -> None:
+    def _end(self, attempt: attempt_module.Attempt, event: str) -> None:
         if attempt.over:
             return
         attempt.move(event)
@@ -455,7 +415,9 @@
         if event != "end" and attempt.stream is not None:
             attempt.stream.close()
 
-    def _note(self, kind: timeline.Kind, attempt: Attempt) -> None:
+    def _note(
+        self, kind: timeline.Kind, attempt: attempt_module.Attempt
+    ) -> None:
         reason = attempt.send.placement.reason.value if attempt.send else ""
         self._nd.timeline.add(
             kind,
@@ -465,60 +427,3 @@
             engine=attempt.target.name,
             detail=reason,
         )
-
-
-def usage_of(event: bytes) -> Usage | None:
-    """Reads the usage from an answer's last chunk; None if it has none."""
-    try:
-        usage = json.loads(stream.payload(event))["usage"]
-        details = usage.get("prompt_tokens_details") or {}
-        return Usage(
-            prompt_tokens=int(usage["prompt_tokens"]),
-            cached_tokens=int(details.get("cached_tokens", 0)),
-            decode_tokens=int(usage["completion_tokens"]),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return None
-
-
-def assemble(
-    parts_read: list[bytes], *, request_id: str, model: str
-) -> result.Result[dict[str, Any], str]:
-    """Builds a whole chat completion from an answer's events.
-
-    Args:
-        parts_read: What the stream gave, each part one event or more.
-        request_id: The completion's id.
-        model: The service that served it.
-
-    Returns:
-        The completion, or what is wrong with the events.
-    """
-    parts: list[str] = []
-    reason = None
-    usage = None
-    try:
-        events = b"".join(parts_read).split(engine.EVENT_END)
-        for event in events[:-1]:
-            data = stream.payload(event)
-            if data == stream.END_MARK:
-                continue
-            chunk = json.loads(data)
-            choice = chunk["choices"][0]
-            parts.append(choice["delta"].get("content") or "")
-            reason = choice.get("finish_reason") or reason
-            usage = chunk.get("usage") or usage
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as exc:
-        return result.Err(f"{type(exc).__name__}: {exc}")
-    message = {"role": "assistant", "content": "".join(parts)}
-    return result.Ok(
-        {
-            "id": request_id,
-            "object": "chat.completion",
-            "model": model,
-            "choices": [
-                {"index": 0, "message": message, "finish_reason": reason}
-            ],
-            "usage": usage,
-        }
-    )
--- a/specs/fuzz.py
+++ b/specs/fuzz.py
@@ -22,7 +22,7 @@
 from irisshelf.coordination import gossip_messages
 from irisshelf.coordination import head
 from irisshelf.coordination import lease
-from irisshelf.daemon import model_call
+from irisshelf.daemon import completion
 from irisshelf.daemon import settings
 from irisshelf.observe import timeline
 from irisshelf.peers import relay_messages
@@ -177,8 +177,8 @@
         event = b'id: a:3\ndata: {"choices":[{"delta":{"content":"x"}}]}\n\n'
         self._data = mutate_bytes(event, self._rng)
         checker.check(self._data)
-        model_call.usage_of(self._data)
-        model_call.assemble([self._data], request_id="r", model="m")
+        completion.usage_of(self._data)
+        completion.assemble([self._data], request_id="r", model="m")
 
     def _chat_body(self) -> None:
         body = {
