Engine streams, beats and budget in modules of their own

Change: beats with their ages, the byte budget and the checked stream stand by themselves, for others to embed.

Conclusion: no change of behaviour.

--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -17,6 +17,7 @@
 import tracemalloc
 from collections.abc import Callable
 
+from irisshelf.coordination import budget
 from irisshelf.coordination import gossip
 from irisshelf.coordination import gossip_messages as messages
 
@@ -73,7 +74,7 @@
                 data_centre=place,
                 incarnation=1,
                 rng=random.Random(self._rng.random()),
-                budget=gossip.Budget(),
+                budget=budget.Budget(),
             )
             for name, place in self.place.items()
         }
--- a/irisshelf/backends/relay.py
+++ b/irisshelf/backends/relay.py
@@ -7,7 +7,7 @@
 import result
 
 from irisshelf.backends import dispatch
-from irisshelf.backends import engine
+from irisshelf.backends import engine_stream
 from irisshelf.backends import errors
 from irisshelf.backends import messages
 from irisshelf.backends import pool
@@ -21,7 +21,7 @@
 @dispatch.start.register
 def _start_relay_call(
     call: messages.RelayCall, *, clients: pool.Pool
-) -> result.Result[engine.EngineStream, errors.CallError]:
+) -> result.Result[engine_stream.EngineStream, errors.CallError]:
     client = clients.client(
         call.address,
         connect_s=call.limits.connect_s,
@@ -44,9 +44,9 @@
     response = sent.ok_value
     if response.status_code != _OK:
         return result.Err(_refusal(response))
-    head = engine.stream_head(response)
+    head = engine_stream.head_of(response)
     return result.Ok(
-        engine.EngineStream(
+        engine_stream.EngineStream(
             response=response,
             checker=stream.Checker(attempt_id=head.attempt_id),
             generation=response.get(messages.Header.GENERATION.value) or "",
--- a/irisshelf/coordination/gossip.py
+++ b/irisshelf/coordination/gossip.py
@@ -24,6 +24,8 @@
 import random
 from collections.abc import Sequence
 
+from irisshelf.coordination import beats
+from irisshelf.coordination import budget as budgets
 from irisshelf.coordination import gossip_messages as messages
 from irisshelf.routing import context
 
@@ -38,8 +40,6 @@
 MAX_RECORDS = 2
 REPRESENTATIVES = 2
 SUMMARY_OLD_S = 10.0
-BUDGET_BYTES_PER_S = 1600.0  # Of 2 KB/s; the rest is polls and probes.
-_BURST_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,39 +70,6 @@
     made_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Alive:
-    """The latest beat of an instance, and when it was made."""
-
-    beat: int
-    heard_s: float
-
-
-class Budget:
-    """Bytes that may be sent, as a token bucket.
-
-    Args:
-        bytes_per_s: Rate.
-    """
-
-    def __init__(self, *, bytes_per_s: float = BUDGET_BYTES_PER_S):
-        self._rate = bytes_per_s
-        self._left = bytes_per_s * _BURST_S
-        self._at_s: float | None = None
-
-    def has_room(self, now: float) -> bool:
-        """Tells whether anything may be sent now."""
-        if self._at_s is not None:
-            grown = self._left + (now - self._at_s) * self._rate
-            self._left = min(self._rate * _BURST_S, grown)
-        self._at_s = now
-        return self._left > 0
-
-    def spend(self, size: int) -> None:
-        """Counts bytes that were sent."""
-        self._left -= size
-
-
 class Gossip:
     """One instance's side of the exchange.
 
@@ -124,7 +91,7 @@
         data_centre: str,
         incarnation: int,
         rng: random.Random,
-        budget: Budget,
+        budget: budgets.Budget,
         first_beat: int = 0,
     ):
         self.name = name
@@ -134,8 +101,7 @@
         self._budget = budget
         self._peers: dict[str, Peer] = {}
         self._held: dict[str, _Held] = {}
-        self._alive: dict[int, _Alive] = {}
-        self._hashes: dict[str, int] = {}
+        self._beats = beats.Beats(me=name)
         self._summaries: dict[str, _HeldSummary] = {}
         self._head = messages.HeadHint(number=0, object_key="")
         self._own = messages.Record(
@@ -204,8 +170,7 @@
         for record in message.records:
             self._take_record(record, now, direct=record.name == message.sender)
         for beat in message.beats:
-            made_s = now - beat.age_s
-            self._take_beat(beat.name_hash, beat.beat, made_s)
+            self._beats.take(beat, now)
         for summary in message.summaries:
             self._take_summary(summary, now)
         if not message.wants_answer or not self._budget.has_room(now):
@@ -221,10 +186,9 @@
         """Returns what this instance thinks of another one."""
         if name == self.name:
             return messages.Status.ALIVE
-        alive = self._alive.get(self._hash(name))
-        if alive is None:
+        silent_s = self._beats.silent_s(name, now)
+        if silent_s is None:
             return messages.Status.UNKNOWN
-        silent_s = now - alive.heard_s
         if silent_s > DEAD_S:
             return messages.Status.DEAD
         held = self._held.get(name)
@@ -324,7 +288,7 @@
             head=self._head,
             records=tuple(records),
             summaries=self._told_summaries(now, near=near),
-            beats=self._told_beats(now) if near else (),
+            beats=self._beats.fresh(now, DEAD_S) if near else (),
         )
 
     def _short_message(self, *, wants_answer: bool) -> messages.Message:
@@ -343,27 +307,14 @@
         """Near instances without news, the most silent first."""
         found = []
         for name in self._near_names():
-            alive = self._alive.get(self._hash(name))
-            if alive is None or name not in self._peers:
+            silent_s = self._beats.silent_s(name, now)
+            if silent_s is None or name not in self._peers:
                 continue
-            silent_s = now - alive.heard_s
             if ASK_AFTER_S < silent_s <= DEAD_S:
                 found.append((silent_s, name))
         found.sort(reverse=True)
         return [name for _, name in found[:MAX_QUESTIONS]]
 
-    def _told_beats(self, now: float) -> tuple[messages.Beat, ...]:
-        """The freshest beats first; dead instances are not told of."""
-        fresh = sorted(
-            (alive.heard_s, name_hash, alive.beat)
-            for name_hash, alive in self._alive.items()
-            if now - alive.heard_s <= DEAD_S
-        )
-        return tuple(
-            messages.Beat(name_hash=name_hash, beat=beat, age_s=now - made_s)
-            for made_s, name_hash, beat in fresh[: -messages.MAX_BEATS - 1 : -1]
-        )
-
     def _told_summaries(
         self, now: float, *, near: bool
     ) -> tuple[messages.Summary, ...]:
@@ -425,28 +376,9 @@
                 and record.incarnation > held.record.incarnation
             )
             if restarted:
-                self._alive.pop(self._hash(record.name), None)
+                self._beats.forget(record.name)
             if direct:
-                self._take_beat(self._hash(record.name), record.beat, now)
-
-    def _take_beat(self, name_hash: int, beat: int, made_s: float) -> None:
-        """Takes a beat if it is ahead of the one known, modulo its size."""
-        if name_hash == self._hash(self.name):
-            return
-        known = self._alive.get(name_hash)
-        beat %= messages.BEAT_MODULUS
-        if known is not None:
-            ahead = (beat - known.beat) % messages.BEAT_MODULUS
-            if not 0 < ahead < messages.BEAT_MODULUS // 2:
-                return
-        self._alive[name_hash] = _Alive(beat=beat, heard_s=made_s)
-
-    def _hash(self, name: str) -> int:
-        found = self._hashes.get(name)
-        if found is None:
-            found = messages.name_hash(name)
-            self._hashes[name] = found
-        return found
+                self._beats.heard_from(record.name, record.beat, now)
 
     def _defend(self, record: messages.Record) -> None:
         """Outbids a record of our name that we did not make.
@@ -474,13 +406,7 @@
         old = [n for n, h in self._held.items() if now - h.heard_s > FORGET_S]
         for name in old:
             del self._held[name]
-        gone = [
-            name_hash
-            for name_hash, alive in self._alive.items()
-            if now - alive.heard_s > FORGET_S
-        ]
-        for name_hash in gone:
-            del self._alive[name_hash]
+        self._beats.forget_old(now, FORGET_S)
 
 
 def _newer(record: messages.Record, than: messages.Record) -> bool:
--- a/irisshelf/daemon/attempt.py
+++ b/irisshelf/daemon/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from irisshelf.backends import engine
+from irisshelf.backends import engine_stream
 from irisshelf.backends import messages
 from irisshelf.charts import chart
 from irisshelf.routing import service
@@ -28,7 +28,7 @@
         self.call = call
         self.send = send
         self.left = send.placement.work if send else 0.0
-        self.stream: engine.EngineStream | None = None
+        self.stream: engine_stream.EngineStream | None = None
         self._chart = chart.load("attempt")
         self._state = self._chart.initial
 
--- a/irisshelf/daemon/completion.py
+++ b/irisshelf/daemon/completion.py
@@ -8,7 +8,7 @@
 
 import result
 
-from irisshelf.backends import engine
+from irisshelf.backends import engine_stream
 from irisshelf.routing import stream
 
 
@@ -52,7 +52,7 @@
     reason = None
     usage = None
     try:
-        events = b"".join(parts_read).split(engine.EVENT_END)
+        events = b"".join(parts_read).split(engine_stream.EVENT_END)
         for event in events[:-1]:
             data = stream.payload(event)
             if data == stream.END_MARK:
--- a/irisshelf/daemon/peers.py
+++ b/irisshelf/daemon/peers.py
@@ -8,6 +8,7 @@
 import result
 from gevent import server
 
+from irisshelf.coordination import budget
 from irisshelf.coordination import gossip
 from irisshelf.coordination import gossip_messages
 from irisshelf.coordination import head
@@ -45,7 +46,7 @@
             data_centre=cfg.data_centre,
             incarnation=int(time.time() * 1000),
             rng=nd.rng,
-            budget=gossip.Budget(),
+            budget=budget.Budget(),
             first_beat=int(time.time() / gossip.TICK_S),
         )
         host, _, port = cfg.peers.link_listen.rpartition(":")
--- a/irisshelf/routing/load.py
+++ b/irisshelf/routing/load.py
@@ -9,8 +9,8 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
-from collections import deque
 from collections.abc import Sequence
 
 MAX_REPORT_AGE_S = 10.0
@@ -54,8 +54,8 @@
         self._base = [0.0] * size
         self._base_at_s = [float("-inf")] * size
         self._since = [0.0] * size
-        self._changes: list[deque[tuple[float, float]]] = [
-            deque(maxlen=_MAX_CHANGES) for _ in range(size)
+        self._changes: list[collections.deque[tuple[float, float]]] = [
+            collections.deque(maxlen=_MAX_CHANGES) for _ in range(size)
         ]
         self._total = 0.0
 
--- a/irisshelf/tests/test_gossip.py
+++ b/irisshelf/tests/test_gossip.py
@@ -6,6 +6,7 @@
 from gevent import server
 from gevent import socket
 
+from irisshelf.coordination import budget
 from irisshelf.coordination import gossip
 from irisshelf.coordination import gossip_messages as messages
 from irisshelf.peers import errors
@@ -15,13 +16,13 @@
 _LOAD = messages.Load(service="lm", work=10.0, engines=2, full=(1,))
 
 
-def _node(name, place="a", *, incarnation=1, budget=1e9, first_beat=0):
+def _node(name, place="a", *, incarnation=1, bytes_per_s=1e9, first_beat=0):
     node = gossip.Gossip(
         name=name,
         data_centre=place,
         incarnation=incarnation,
         rng=random.Random(name),
-        budget=gossip.Budget(bytes_per_s=budget),
+        budget=budget.Budget(bytes_per_s=bytes_per_s),
         first_beat=first_beat,
     )
     node.set_own(
@@ -197,7 +198,7 @@
     net = _Net({f"i{i}": "a" for i in range(30)})
     sent = 0
     for node in net.nodes.values():
-        node._budget = gossip.Budget(bytes_per_s=300.0)
+        node._budget = budget.Budget(bytes_per_s=300.0)
     original = net._carry
 
     def count(sender, to, message):
