--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -266,6 +266,16 @@
     return healed or float("inf"), peak
 
 
+def all_to_all_bytes_per_s(size: int) -> float:
+    """Returns what heartbeats to everybody would cost an instance.
+
+    A baseline: the same short message to each other instance every tick.
+    """
+    node = next(iter(Fleet(size=3, seed=1, services=2).nodes.values()))
+    message = node._short_message(wants_answer=False)
+    return (size - 1) * messages.size_of(message) / gossip.TICK_S
+
+
 def memory_mb(size: int) -> float:
     """Returns the memory of one instance's exchange at a size."""
     tracemalloc.start()
@@ -279,7 +289,8 @@
 def measure() -> dict[str, float]:
     """Prints a table and returns the figures of the last line."""
     print(
-        f"{'size':>5}{'B/s':>8}{'cpu %':>8}{'converge':>10}{'detect':>8}"
+        f"{'size':>5}{'B/s':>8}{'all-to-all':>12}{'cpu %':>8}"
+        f"{'converge':>10}{'detect':>8}"
         f"{'false/h':>9}{'heal s':>8}{'peak B/s':>10}"
     )
     with multiprocessing.Pool(PROCESSES) as pool:
@@ -287,6 +298,7 @@
     for found in slopes:
         print(
             f"{found.size:5}{found.bytes_per_s:8.0f}"
+            f"{all_to_all_bytes_per_s(found.size):12.0f}"
             f"{found.cpu_share * 100:8.3f}"
             f"{found.converge_s:10.2f}{found.detect_dead_s:8.2f}"
             f"{found.false_suspicions_per_hour:9.1f}{found.heal_s:8.1f}"
@@ -301,6 +313,7 @@
         "converge_s_400": last.converge_s,
         "false_suspicions_per_hour_400": last.false_suspicions_per_hour,
         "detect_dead_s_400": last.detect_dead_s,
+        "all_to_all_bytes_per_s_per_node_400": all_to_all_bytes_per_s(400),
         "heal_s_after_cut": last.heal_s,
         "heal_peak_bytes_per_s": last.heal_peak_bytes_per_s,
     }
--- a/irisshelf/cli/timeline.py
+++ b/irisshelf/cli/timeline.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import datetime
+import pathlib
 from typing import Annotated
 
 import typer
 
+from irisshelf.cli import files
 from irisshelf.cli import output
 from irisshelf.cli import remote
 from irisshelf.observe import timeline
+from irisshelf.observe import timeline_page
 
 
 def timeline_command(
@@ -18,6 +21,10 @@
     chat: Annotated[str, typer.Option(help="Only this chat.")] = "",
     engine: Annotated[str, typer.Option(help="Only this engine.")] = "",
     bundle: Annotated[int, typer.Option(help="Only this bundle.")] = 0,
+    html: Annotated[
+        pathlib.Path | None,
+        typer.Option("--html", help="Write a page to read in a browser."),
+    ] = None,
     as_json: remote.JsonOption = False,
 ):
     """Shows the events of all instances in causal order."""
@@ -34,6 +41,11 @@
         request=request, chat=chat, engine=engine, bundle=bundle
     )
     merged = timeline.merge(events, wanted=wanted)
+    if html is not None:
+        files.write_text(html, timeline_page.render(merged))
+        typer.echo(f"{html}: {len(merged)} events", err=as_json)
+        if not as_json:
+            return
     document = {
         "events": [timeline.encode(event) for event in merged],
         "missing": missing,
--- a/irisshelf/daemon/follower.py
+++ b/irisshelf/daemon/follower.py
@@ -70,6 +70,11 @@
         self.platform_up = False
         self.fetched_bytes = 0
 
+    @property
+    def state(self) -> str:
+        """Where the latest bundle stands, as in ``charts/bundle_roll.json``."""
+        return self._state
+
     @property
     def in_force(self) -> int:
         """Number of the bundle in force; 0 for none."""
--- /dev/null
+++ b/irisshelf/observe/timeline_page.py
@@ -0,0 +1,129 @@
+"""The time line as one self-contained page that a person can read.
+
+Lanes by process, a text filter, and a click on an event to see only its
+request. The events are put into the page as JSON; nothing is fetched.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+
+from irisshelf.observe import timeline
+
+_DATA_MARK = "/*EVENTS*/[]"
+_PAGE = """<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>irisshelf time line</title>
+<style>
+body { font: 14px system-ui, sans-serif; margin: 1rem; color: #222; }
+header { position: sticky; top: 0; background: #fff; padding: .5rem 0;
+  border-bottom: 1px solid #ccc; }
+input { font: inherit; padding: .3rem; width: 24rem; max-width: 60vw; }
+button { font: inherit; }
+table { border-collapse: collapse; width: 100%; table-layout: fixed; }
+th, td { text-align: left; vertical-align: top; padding: .15rem .4rem;
+  border-bottom: 1px solid #eee; overflow-wrap: anywhere; }
+th { position: sticky; top: 3.2rem; background: #f6f6f6; }
+td.time { font-variant-numeric: tabular-nums; color: #555; }
+.event { border-left: .3rem solid #888; padding-left: .4rem; cursor: pointer; }
+.request, .answered { border-color: #2a7; }
+.send, .forward { border-color: #27c; }
+.retry, .resume, .cancel { border-color: #d90; }
+.refused { border-color: #c22; }
+.health, .membership, .instance, .platform { border-color: #83a; }
+.bundle { border-color: #057; font-weight: 600; }
+small { color: #555; }
+</style>
+</head>
+<body>
+<header>
+<label>Filter <input id="filter" placeholder="any word of an event"></label>
+<button id="all">Show all</button>
+<span id="count" role="status"></span>
+</header>
+<table><thead id="head"></thead><tbody id="body"></tbody></table>
+<script>
+const events = /*EVENTS*/[];
+const lanes = [...new Set(events.map(e => e.stamp.process))].sort();
+const first = events.length ? events[0].stamp.wall_s : 0;
+const filter = document.getElementById("filter");
+const most = 2000;
+let request = "";
+
+function cell(row, text, tag) {
+  const made = document.createElement(tag || "td");
+  made.textContent = text;
+  row.append(made);
+  return made;
+}
+
+function words(e) {
+  return [e.kind, e.request, e.attempt, e.chat, e.engine,
+    e.bundle ? "bundle " + e.bundle : "", e.detail, e.stamp.process].join(" ");
+}
+
+function wanted(e) {
+  if (request && e.request !== request) return false;
+  return words(e).toLowerCase().includes(filter.value.toLowerCase());
+}
+
+function show() {
+  const found = events.filter(wanted);
+  const body = document.getElementById("body");
+  body.replaceChildren();
+  for (const e of found.slice(0, most)) {
+    const row = document.createElement("tr");
+    cell(row, "+" + (e.stamp.wall_s - first).toFixed(3) + " s").className =
+      "time";
+    for (const lane of lanes) {
+      const place = cell(row, "");
+      if (lane !== e.stamp.process) continue;
+      const box = document.createElement("div");
+      box.className = "event " + e.kind;
+      box.textContent = e.kind + " " + e.detail;
+      const more = document.createElement("small");
+      more.textContent = " " + [e.engine, e.bundle || "",
+        e.request.slice(0, 8)].filter(Boolean).join(" ");
+      box.append(more);
+      box.title = words(e);
+      box.onclick = () => { request = e.request; show(); };
+      place.append(box);
+    }
+    body.append(row);
+  }
+  const cut = found.length > most ? ", the first " + most + " shown" : "";
+  document.getElementById("count").textContent =
+    found.length + " of " + events.length + " events" + cut +
+    (request ? ", request " + request.slice(0, 8) : "");
+}
+
+const head = document.createElement("tr");
+cell(head, "time", "th");
+lanes.forEach(lane => cell(head, lane, "th"));
+document.getElementById("head").append(head);
+filter.oninput = show;
+document.getElementById("all").onclick = () => {
+  request = ""; filter.value = ""; show();
+};
+show();
+</script>
+</body>
+</html>
+"""
+
+
+def render(events: Sequence[timeline.Event]) -> str:
+    """Returns the page for some events, in the order given.
+
+    Args:
+        events: Events as ``timeline.merge`` returns them.
+
+    See Also:
+        timeline.merge: puts events in causal order.
+    """
+    data = json.dumps([timeline.encode(event) for event in events])
+    # "</script>" inside an event must not end the page's script.
+    return _PAGE.replace(_DATA_MARK, data.replace("<", "\\u003c"))
--- a/irisshelf/testing/demo/__main__.py
+++ b/irisshelf/testing/demo/__main__.py
@@ -37,9 +37,18 @@
         fleet: Whose fleet to play.
         folder: Where files and logs go.
         seed: Decides what callers do.
+        page: Where to write the time line; None for nowhere.
     """
 
-    def __init__(self, *, fleet: fleets.Fleet, folder: pathlib.Path, seed: int):
+    def __init__(
+        self,
+        *,
+        fleet: fleets.Fleet,
+        folder: pathlib.Path,
+        seed: int,
+        page: pathlib.Path | None = None,
+    ):
+        self._page = page
         self._rig = rig.Rig(fleet=fleet, folder=folder)
         self._plan = self._rig.plan
         self._processes = self._rig.processes
@@ -195,6 +204,12 @@
             once_path=plan.fleet.once_path,
         )
         self._explain()
+        if self._page is not None:
+            self._processes.run(
+                "irisshelf.cli.main", "timeline", "--html", str(self._page),
+                "--platform", self._plan.platform,
+            )  # fmt: skip
+            _say(f"time line: {self._page}")
         return self._last_line(found)
 
     def _explain(self) -> None:
@@ -257,6 +272,9 @@
     keep: Annotated[
         pathlib.Path | None, typer.Option(help="Keep files and logs here.")
     ] = None,
+    page: Annotated[
+        pathlib.Path | None, typer.Option(help="Write the time line there.")
+    ] = None,
 ) -> None:
     """Runs the demo and exits with 0 only if every promise held."""
     if fleet not in fleets.FLEETS:
@@ -267,7 +285,9 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = keep or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        demo = Demo(fleet=fleets.FLEETS[fleet], folder=folder, seed=seed)
+        demo = Demo(
+            fleet=fleets.FLEETS[fleet], folder=folder, seed=seed, page=page
+        )
         try:
             last_line = demo.run()
         except subprocess.CalledProcessError as exc:
--- /dev/null
+++ b/irisshelf/tests/test_charts.py
@@ -0,0 +1,100 @@
+"""Each chart's edges, walked through the code that follows the chart."""
+
+import random
+
+import pytest
+import result
+
+from irisshelf.backends import messages
+from irisshelf.bundle import schema
+from irisshelf.charts import chart
+from irisshelf.daemon import attempt
+from irisshelf.routing import service
+from irisshelf.testing import clock
+from irisshelf.testing import harness
+from irisshelf.testing import platform as fake_platform
+from irisshelf.tests import examples
+from irisshelf.tests import test_platform
+
+
+def _path_to(name, state):
+    """Returns events that lead from a chart's start to a state."""
+    found = chart.load(name)
+    paths = {found.initial: ()}
+    for _ in found.edges:
+        for edge in found.edges:
+            if edge.source in paths and edge.dest not in paths:
+                paths[edge.dest] = (*paths[edge.source], edge.event)
+    return paths[state]
+
+
+def _edges(name):
+    return [
+        pytest.param(edge, id=f"{edge.source}-{edge.event}")
+        for edge in chart.load(name).edges
+    ]
+
+
+@pytest.mark.parametrize("edge", _edges("attempt"))
+def test_attempt(edge):
+    target = service.Target(
+        name="s/e", server="s", engine="e", data_centre="d", address="a:1"
+    )
+    call = messages.CancelCall(address="a:1", engine="e", attempt_id="x")
+    made = attempt.Attempt(target=target, call=call, send=None)
+    for event in _path_to("attempt", edge.source):
+        made.move(event)
+    made.move(edge.event)
+    final = chart.load("attempt").has_tag(edge.dest, "final")
+    assert made.over == final
+    if final:
+        with pytest.raises(result.UnwrapError):
+            made.move(edge.event)
+
+
+@pytest.mark.parametrize("edge", _edges("instance"))
+def test_instance(edge):
+    platform = fake_platform.FakePlatform(
+        clock=clock.FakeClock(), rng=random.Random(1)
+    )
+    bundle = schema.Bundle.model_validate(examples.bundle_document())
+    instance = harness.Instance(name="i", platform=platform, bundle=bundle)
+    nd = instance.node
+    nd._state = chart.load("instance").initial
+    for event in _path_to("instance", edge.source):
+        nd.move(event)
+    nd.move(edge.event)
+    assert nd.state == edge.dest
+    assert nd.ready == (edge.dest == "serving")
+    assert nd.accepts == (edge.dest in ("serving", "draining"))
+    got = instance.call("GET", "/services/crew/x", key="wrong")
+    assert got.status == (401 if nd.accepts else 503)
+    if edge.dest == "draining":
+        assert got.headers["connection"] == "close"
+    instance.stop()
+
+
+@pytest.mark.parametrize(
+    ("steps", "states"),
+    [
+        # A bundle comes, then a newer one: see, fetched, verified, twice.
+        (("good", "good"), ["in_force", "in_force"]),
+        # The object store is down, then up: see, fetch_failed, see, ...
+        (("lost", "good"), ["idle", "in_force"]),
+        # A bundle that is not signed, then a good one: refused, see.
+        (("unsigned", "good"), ["rejected", "in_force"]),
+        (("good", "unsigned", "good"), ["in_force", "rejected", "in_force"]),
+    ],
+)
+def test_bundle_roll(steps, states):
+    rig = test_platform._Rig()
+    found = []
+    for number, step in enumerate(steps, start=1):
+        rig.put(number, signers=() if step == "unsigned" else ("anna",))
+        get_object = rig.platform.get_object
+        if step == "lost":
+            rig.platform.get_object = lambda key: test_platform.LOST
+        rig.follower.look()
+        rig.platform.get_object = get_object
+        found.append(rig.follower.state)
+    assert found == states
--- a/irisshelf/tests/test_cli.py
+++ b/irisshelf/tests/test_cli.py
@@ -8,7 +8,10 @@
 from typer import testing
 
 from irisshelf.cli import main
+from irisshelf.coordination import clock
 from irisshelf.daemon import settings
+from irisshelf.observe import timeline
+from irisshelf.observe import timeline_page
 from irisshelf.platform import messages
 from irisshelf.testing import harness
 from irisshelf.testing import platform as fake_platform
@@ -234,3 +237,16 @@
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(document))
     assert part in str(settings.load(path).unwrap_err())
+
+
+def test_the_page_of_the_time_line_holds_every_event_and_no_script_of_theirs():
+    made = timeline.Timeline(
+        clock=clock.HybridClock(process="espoo-a-1", wall=lambda: 5.0)
+    )
+    made.add(timeline.Kind.REQUEST, request="r1", detail="</script><b>x")
+    made.add(timeline.Kind.SEND, request="r1", engine="s/e0")
+    page = timeline_page.render(made.events())
+    assert page.count("</script>") == 1
+    data = page.partition("const events = ")[2].partition(";\nconst")[0]
+    decoded = [timeline.decode(item) for item in json.loads(data)]
+    assert tuple(decoded) == made.events()
--- a/irisshelf/tests/test_platform.py
+++ b/irisshelf/tests/test_platform.py
@@ -115,6 +115,11 @@
     assert client.nodes(since=later.version).unwrap().changed == ()
 
 
+LOST = result.Err(
+    errors.Unavailable(effect=errors.Effect.UNKNOWN, detail="lost")
+)
+
+
 class _Rig:
     """A follower before a fake platform."""
 
