--- a/bench/relay.py
+++ b/bench/relay.py
@@ -43,6 +43,11 @@
     return (int(fields[13]) + int(fields[14])) / 100
 
 
+def _rss_mb(pid: int) -> float:
+    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
+    return int(pages) * 4096 / 1e6
+
+
 def _client(address: str) -> geventhttpclient.HTTPClient:
     host, _, port = address.rpartition(":")
     return geventhttpclient.HTTPClient(host, int(port), network_timeout=30)
@@ -112,6 +117,7 @@
     direct_s = sorted(without[_WARM_UP:])[middle]
     added = sorted(with_router[_WARM_UP:])[middle] - direct_s
     return {
+        "daemon_rss_mb": _rss_mb(pid),
         "relay_direct_ms_p50": direct_s * 1e3,
         "relay_overhead_us_per_chunk": chunk * 1e6,
         "relay_overhead_ms_p50": added * 1e3,
--- a/irisshelf/testing/harness.py
+++ b/irisshelf/testing/harness.py
@@ -182,7 +182,7 @@
 
     def __init__(self, *, app: Callable):
         self._server = pywsgi.WSGIServer(
-            ("127.0.0.1", 0), app, log=None, error_log=_Quiet()
+            ("127.0.0.1", 0), app, log=None, error_log=Quiet()
         )
         self._server.start()
         self.address = f"127.0.0.1:{self._server.server_port}"
@@ -192,8 +192,11 @@
         self._server.stop(timeout=0.01)
 
 
-class _Quiet:
+class Quiet:
+    """A log that keeps nothing."""
+
     def write(self, text: str) -> None:
+        """Drops a line."""
         del text
 
 
