TLS with mutual certificates between instances; keys authority, instance

Cause: links and relays were guarded by a shared secret alone.

Change: settings name authority, certificate and key; the tool makes them; demo, benches and process test use them. Certificates bear one name, as the HTTP library compares names and instances take any address.

Found on the way: with the first certificates relays failed in silence, since a request then falls back to its entry instance; the process test now also asks that the owner made sends.

Conclusion: who has no certificate of the fleet reaches no instance.

--- a/irisshelf/backends/relay.py
+++ b/irisshelf/backends/relay.py
@@ -22,7 +22,7 @@
 def _start_relay_call(
     call: messages.RelayCall, *, clients: pool.Pool
 ) -> result.Result[engine_stream.EngineStream, errors.CallError]:
-    client = clients.client(
+    client = clients.peer_client(
         call.address,
         connect_s=call.limits.connect_s,
         idle_s=call.limits.idle_s,
--- a/irisshelf/daemon/main.py
+++ b/irisshelf/daemon/main.py
@@ -14,6 +14,7 @@
 import typer
 from gevent import pool
 from gevent import pywsgi
+from gevent import ssl
 
 from irisshelf.daemon import admin
 from irisshelf.daemon import admit
@@ -26,6 +27,7 @@
 from irisshelf.daemon import settings
 from irisshelf.daemon import watch
 from irisshelf.observe import log
+from irisshelf.peers import tls
 from irisshelf.platform import http_client
 
 EXIT_OK = 0
@@ -66,6 +68,7 @@
             cfg.peers.relay_listen,
             relay.Relay(nd=self._node),
             cfg.limits.max_connections,
+            context=_peer_context(cfg),
         )
         self._admin = _server(
             cfg.admin_listen, admin.Admin(nd=self._node, peers=self._peers), 100
@@ -120,8 +123,21 @@
         return bool(self._node.open_requests or self._node.running)
 
 
-def _server(address: str, app, max_connections: int) -> pywsgi.WSGIServer:
+def _peer_context(cfg: settings.Settings) -> ssl.SSLContext | None:
+    if cfg.peers.tls is None:
+        return None
+    return tls.server_context(cfg.peers.tls.files())
+
+
+def _server(
+    address: str,
+    app,
+    max_connections: int,
+    *,
+    context: ssl.SSLContext | None = None,
+) -> pywsgi.WSGIServer:
     host, _, port = address.rpartition(":")
+    secured = {} if context is None else {"ssl_context": context}
     return pywsgi.WSGIServer(
         (host, int(port)),
         app,
@@ -129,6 +145,7 @@
         log=None,
         error_log=log.get("http"),
         spawn=pool.Pool(max_connections),
+        **secured,
     )
 
 
--- a/irisshelf/daemon/node.py
+++ b/irisshelf/daemon/node.py
@@ -21,6 +21,7 @@
 from irisshelf.observe import log
 from irisshelf.observe import metrics
 from irisshelf.observe import timeline
+from irisshelf.peers import tls
 from irisshelf.platform import interface
 from irisshelf.platform import messages as platform_messages
 from irisshelf.routing import health
@@ -76,7 +77,11 @@
         self.timeline = timeline.Timeline(
             clock=clock.HybridClock(process=cfg.instance, wall=wall)
         )
-        self.clients = pool.Pool()
+        secured = cfg.peers.tls
+        self.peer_context = (
+            tls.client_context(secured.files()) if secured else None
+        )
+        self.clients = pool.Pool(peer_context=self.peer_context)
         self.health = health.HealthBook()
         self.services: dict[str, service.ServiceRouter] = {}
         self.claims = claims.ClaimWriter(platform=platform, counts=self.metrics)
--- a/irisshelf/daemon/objects.py
+++ b/irisshelf/daemon/objects.py
@@ -37,7 +37,9 @@
 
 
 def _ask(nd: node.Node, address: str, key: str) -> bytes | None:
-    client = nd.clients.client(address, connect_s=_TIMEOUT_S, idle_s=_TIMEOUT_S)
+    client = nd.clients.peer_client(
+        address, connect_s=_TIMEOUT_S, idle_s=_TIMEOUT_S
+    )
     sent = dispatch.request(
         "GET",
         f"/objects/{urllib.parse.quote(key)}",
--- a/irisshelf/daemon/peers.py
+++ b/irisshelf/daemon/peers.py
@@ -17,6 +17,7 @@
 from irisshelf.observe import timeline
 from irisshelf.peers import errors
 from irisshelf.peers import link
+from irisshelf.peers import tls
 from irisshelf.platform import messages as platform_messages
 from irisshelf.routing import ownership
 from irisshelf.routing import placement
@@ -50,6 +51,10 @@
             first_beat=int(time.time() / gossip.TICK_S),
         )
         host, _, port = cfg.peers.link_listen.rpartition(":")
+        secured = cfg.peers.tls
+        context = tls.server_context(secured.files()) if secured else None
+        # The handshake is made in the link's own greenlet, with a time limit.
+        self._tls = context
         self._server = server.StreamServer((host, int(port)), self._accept)
 
     def start(self) -> None:
@@ -213,7 +218,11 @@
         found = self._links.get(to.name)
         if found is not None:
             return found
-        opened = link.connect(to.link_address, secret=self._nd.peer_secret)
+        opened = link.connect(
+            to.link_address,
+            secret=self._nd.peer_secret,
+            context=self._nd.peer_context,
+        )
         if len(self._links) >= MAX_LINKS:
             self._drop(next(iter(self._links)))
         self._links[to.name] = opened
@@ -227,7 +236,10 @@
 
     def _accept(self, sock, _address) -> None:
         opened = link.accept(
-            sock, secret=self._nd.peer_secret, refused=self._refused
+            sock,
+            secret=self._nd.peer_secret,
+            refused=self._refused,
+            context=self._tls,
         )
         if opened is None:
             sock.close()
--- a/irisshelf/daemon/settings.py
+++ b/irisshelf/daemon/settings.py
@@ -13,6 +13,8 @@
 from irisshelf.bundle import check
 from irisshelf.bundle import errors
 from irisshelf.bundle import schema
+from irisshelf.peers import errors as peer_errors
+from irisshelf.peers import tls
 
 
 class _Model(pydantic.BaseModel):
@@ -68,6 +70,22 @@
     keys: dict[schema.Name, KeySource] = pydantic.Field(min_length=1)
 
 
+class PeersTls(_Model):
+    """Paths of PEM files for TLS between instances."""
+
+    authority: str
+    certificate: str
+    key: str
+
+    def files(self) -> tls.Files:
+        """Returns the paths for the peers layer."""
+        return tls.Files(
+            authority=self.authority,
+            certificate=self.certificate,
+            key=self.key,
+        )
+
+
 class Peers(_Model):
     """How instances reach each other.
 
@@ -75,11 +93,13 @@
         link_listen: Where the exchange between instances comes in.
         relay_listen: Where requests come in that other instances hand on.
         secret: What all instances of the fleet know.
+        tls: Certificates for links and relays; without, they are plain TCP.
     """
 
     link_listen: schema.Address
     relay_listen: schema.Address
     secret: KeySource
+    tls: PeersTls | None = None
 
 
 class Limits(_Model):
@@ -132,6 +152,11 @@
             source.load()
         except ValueError as exc:
             return _error(name, "no key", str(exc))
+    if cfg.peers.tls is not None:
+        try:
+            tls.server_context(cfg.peers.tls.files())
+        except peer_errors.LinkError as exc:
+            return _error("peers.tls", "unfit files", str(exc))
     return parsed
 
 
--- a/irisshelf/peers/link.py
+++ b/irisshelf/peers/link.py
@@ -24,6 +24,7 @@
 
 from irisshelf.coordination import gossip_messages
 from irisshelf.peers import errors
+from irisshelf.peers import tls
 
 PATH = "/link"
 CONNECT_S = 1.0
@@ -129,7 +130,7 @@
     try:
         sock = socket.create_connection((host, int(port)), timeout=CONNECT_S)
         if context is not None:
-            sock = context.wrap_socket(sock, server_hostname=host)
+            sock = context.wrap_socket(sock, server_hostname=tls.SERVER_NAME)
     except (OSError, ValueError) as exc:
         raise errors.LinkError(f"cannot connect to {address}: {exc}") from exc
     proto = client.ClientProtocol(
@@ -157,7 +158,11 @@
 
 
 def accept(
-    sock: socket.socket, *, secret: str, refused: Callable[[str], None]
+    sock: socket.socket,
+    *,
+    secret: str,
+    refused: Callable[[str], None],
+    context: ssl.SSLContext | None = None,
 ) -> Link | None:
     """Answers a peer's handshake on an accepted socket.
 
@@ -165,11 +170,18 @@
         sock: The accepted socket.
         secret: What all instances of the fleet know.
         refused: Told why a peer was refused.
+        context: For TLS with mutual certificates; None for plain TCP.
 
     Returns:
         The open link, or None if the peer was refused.
     """
     sock.settimeout(CONNECT_S)
+    if context is not None:
+        try:
+            sock = context.wrap_socket(sock, server_side=True)
+        except OSError as exc:
+            refused(f"TLS: {exc}")
+            return None
     proto = server.ServerProtocol(max_size=gossip_messages.MAX_BYTES)
     link = Link(sock=sock, proto=proto)
     try:
--- a/irisshelf/testing/demo/layout.py
+++ b/irisshelf/testing/demo/layout.py
@@ -43,6 +43,7 @@
     """All addresses and keys of one demo."""
 
     fleet: fleets.Fleet
+    folder: pathlib.Path
     platform: str
     instances: tuple[Instance, ...]
     spare: Instance
@@ -73,6 +74,7 @@
 
     return Layout(
         fleet=fleet,
+        folder=folder,
         platform=address(),
         instances=tuple(instance(i) for i in range(fleet.instances)),
         spare=instance(fleet.instances),
@@ -129,6 +131,11 @@
             "link_listen": instance.link_address,
             "relay_listen": instance.relay_address,
             "secret": {"value": "secret-of-the-demo"},
+            "tls": {
+                "authority": str(layout.folder / "fleet" / "authority.crt"),
+                "certificate": str(layout.folder / "peer" / "instance.crt"),
+                "key": str(layout.folder / "peer" / "instance.key"),
+            },
         },
         "limits": {"drain_s": 20},
     }
--- a/irisshelf/testing/demo/rig.py
+++ b/irisshelf/testing/demo/rig.py
@@ -50,6 +50,7 @@
         Raises:
             TimeoutError: It does not come up in time.
         """
+        self._make_certificates()
         self._start_stand_ins()
         self.submit(number=1, note="first")
         for instance in self.plan.instances:
@@ -146,6 +147,16 @@
         finally:
             client.close()
 
+    def _make_certificates(self) -> None:
+        """One certificate serves all instances of a rig."""
+        fleet = str(self._folder / "fleet")
+        peer = str(self._folder / "peer")
+        self.processes.run(_TOOL, "keys", "authority", "--out", fleet)
+        self.processes.run(
+            _TOOL, "keys", "instance", "peer",
+            "--authority", fleet, "--out", peer,
+        )  # fmt: skip
+
     def _start_stand_ins(self) -> None:
         plan = self.plan
         self.processes.start(
--- a/irisshelf/tests/test_processes.py
+++ b/irisshelf/tests/test_processes.py
@@ -51,6 +51,9 @@
     events = processes.call(first.admin_address, "/timeline")["events"]
     handed = [e for e in events if e["kind"] == "forward"]
     assert 0 < len(handed) < 8
+    owner = processes.call(second.admin_address, "/timeline")["events"]
+    taken = [e for e in owner if e["kind"] == "send"]
+    assert 0 < len(taken) <= len(handed)  # Some were named another engine.
     fleet.processes.kill(second.name)  # The owner of those that were handed on.
     gevent.sleep(0.2)
     fleet.processes.terminate(first.name)  # A planned stop, with streams open.
