Names: displaced chats, pending claims, claim reports; a true key in a bench

Cause: routing.exceptions read like errors, Wish was a word of ours, two Tickets meant different things; the exchange's bench used an object key a third of a real one's length.

Change: names; the bench tells of a key as long as a real one.

--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -104,7 +104,9 @@
         self.nodes[name].set_own(
             loads=self._loads,
             leaving=False,
-            head=messages.HeadHint(number=head, object_key=f"bundles/{head}"),
+            head=messages.HeadHint(
+                number=head, object_key=f"bundles/{head}-0123456789abcdef"
+            ),
         )
 
     def run_until(self, until_s: float, stop: Callable[[], bool] | None = None):
--- a/bench/routing/decision.py
+++ b/bench/routing/decision.py
@@ -73,7 +73,7 @@
     """Returns the memory of one router's placer for 3.4 million chats.
 
     Each router sees its sliver of chats; it keeps rankings, cache views of
-    its engines and exceptions, all bounded.
+    its engines and displaced chats, all bounded.
     """
     tracemalloc.start()
     placer = _placer(LARGE, OWNED)
--- a/bench/routing/run.py
+++ b/bench/routing/run.py
@@ -59,7 +59,7 @@
     "no owners, reports": _direct("no owners, reports", use_reports=True),
     "no owners, own sends": _direct("no owners, own sends"),
     "no cache view": _owned("no cache view", use_cache_view=False),
-    "no exceptions": _owned("no exceptions", use_exceptions=False),
+    "no displaced chats": _owned("no displaced chats", use_displaced=False),
     "one home": _owned("one home", spread=0.0),
     "no margin": _owned("no margin", margin=0.0),
     "no full list": _owned("no full list", use_full=False),
--- a/irisshelf/coordination/claim.py
+++ b/irisshelf/coordination/claim.py
@@ -37,11 +37,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Claim:
-    """One instance's wish to send one call.
+    """One instance's request to be the one that sends a call.
 
     Attributes:
         row: The table's key, from ``row_key``.
-        claim_id: Unique to this wish; tells our insert from another's.
+        claim_id: Unique to this request; tells our insert from another's.
         attempts: Inserts of this claim already tried.
         if_version: The row's version that the insert expects: none, or that
             of a row whose claim was released.
--- a/irisshelf/daemon/chat_front.py
+++ b/irisshelf/daemon/chat_front.py
@@ -60,7 +60,7 @@
             return self._once(req, team, key, start_response)
         if body.get("stream"):
             return self._stream(req, team, start_response)
-        ticket = once.Ticket(nd=self._nd, granted=None)
+        ticket = once.ClaimReport(nd=self._nd, granted=None)
         return self._whole(req, team, start_response, ticket)
 
     def _body(
@@ -141,7 +141,7 @@
         req: model_call.Request,
         team: node.Team,
         start_response: http.StartResponse,
-        ticket: once.Ticket,
+        ticket: once.ClaimReport,
     ) -> list[bytes]:
         done = self._admitted(req, team)
         if isinstance(done, result.Err):
--- a/irisshelf/daemon/claims.py
+++ b/irisshelf/daemon/claims.py
@@ -10,7 +10,7 @@
 from gevent import event
 
 from irisshelf.coordination import claim
-from irisshelf.daemon import settle
+from irisshelf.daemon import pending_claim
 from irisshelf.observe import metrics
 from irisshelf.platform import interface
 from irisshelf.platform import messages
@@ -37,7 +37,9 @@
     ):
         self._platform = platform
         self._counts = counts
-        self._pending: collections.deque[settle.Wish] = collections.deque()
+        self._pending: collections.deque[pending_claim.PendingClaim] = (
+            collections.deque()
+        )
         self._records: collections.deque[messages.Write] = collections.deque(
             maxlen=_MAX_RECORDS
         )
@@ -49,13 +51,13 @@
         self, row: str
     ) -> claim.Granted | claim.Duplicate | claim.Refused:
         """Makes a claim; returns when it is decided."""
-        wish = settle.Wish(
+        waiting = pending_claim.PendingClaim(
             claim=claim.Claim(row=row, claim_id=uuid.uuid4().hex),
             decided=event.AsyncResult(),
         )
-        self._pending.append(wish)
+        self._pending.append(waiting)
         self._wake.set()
-        return wish.decided.get()
+        return waiting.decided.get()
 
     def record(self, granted: claim.Granted, recorded: claim.Recorded) -> None:
         """Keeps a call's outcome for repeats of its key."""
@@ -82,27 +84,29 @@
             self._write_records()
 
     def _insert_some(self) -> None:
-        wishes = settle.take(self._pending, limit=claim.MAX_BATCH)
-        claims = [wish.claim for wish in wishes]
+        pending = pending_claim.take(self._pending, limit=claim.MAX_BATCH)
+        claims = [waiting.claim for waiting in pending]
         self.writes += 1
         answer = self._platform.transact([claim.insert(c) for c in claims])
         steps = claim.after_insert(claims, answer)
-        for wish, step in zip(wishes, steps, strict=True):
-            self._carry_out(wish, step)
+        for waiting, step in zip(pending, steps, strict=True):
+            self._carry_out(waiting, step)
 
-    def _carry_out(self, wish: settle.Wish, step: claim.Step) -> None:
+    def _carry_out(
+        self, waiting: pending_claim.PendingClaim, step: claim.Step
+    ) -> None:
         self._counts.claims.labels(type(step).__name__.lower()).inc()
         if isinstance(step, claim.ReadBack):
-            gevent.spawn(self._read_back, wish)
+            gevent.spawn(self._read_back, waiting)
         elif isinstance(step, claim.Insert):
-            self._pending.append(settle.again(wish, step.claim))
+            self._pending.append(pending_claim.again(waiting, step.claim))
             self._wake.set()
         else:
-            wish.decided.set(step)
+            waiting.decided.set(step)
 
-    def _read_back(self, wish: settle.Wish) -> None:
-        answer = self._platform.read(wish.claim.row)
-        self._carry_out(wish, claim.after_read(wish.claim, answer))
+    def _read_back(self, waiting: pending_claim.PendingClaim) -> None:
+        answer = self._platform.read(waiting.claim.row)
+        self._carry_out(waiting, claim.after_read(waiting.claim, answer))
 
     def _write_records(self) -> None:
         """Writes outcomes; a conflict costs only the record, not the claim."""
--- a/irisshelf/daemon/once.py
+++ b/irisshelf/daemon/once.py
@@ -16,7 +16,7 @@
 _REPLAYED = ("Idempotency-Replayed", "true")
 
 
-class Ticket:
+class ClaimReport:
     """Tells what became of the call that a claim was made for.
 
     The call says exactly one of ``ran`` and ``did_not_run``, or neither if
@@ -56,7 +56,7 @@
     row: str,
     without_platform: schema.WithoutPlatform,
     start_response: http.StartResponse,
-    call: Callable[[Ticket], list[bytes]],
+    call: Callable[[ClaimReport], list[bytes]],
 ) -> list[bytes]:
     """Claims a row and, if that is granted, makes the call.
 
@@ -76,11 +76,11 @@
         timeline.Kind.CLAIM, detail=f"{type(decided).__name__.lower()} {row}"
     )
     if isinstance(decided, claim.Granted):
-        return call(Ticket(nd=nd, granted=decided))
+        return call(ClaimReport(nd=nd, granted=decided))
     if isinstance(decided, claim.Duplicate):
         return _replay(decided, start_response)
     if without_platform is schema.WithoutPlatform.RUN_UNCLAIMED:
-        return call(Ticket(nd=nd, granted=None))
+        return call(ClaimReport(nd=nd, granted=None))
     refusal = outcome.Refusal(
         outcome=outcome.Outcome.NOT_RUN,
         cause=outcome.Cause.NO_CLAIM,
--- a/irisshelf/daemon/settle.py
+++ b/irisshelf/daemon/pending_claim.py
@@ -11,31 +11,33 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Wish:
+class PendingClaim:
     """A claim and the request that waits for its decision."""
 
     claim: claim.Claim
     decided: event.AsyncResult
 
 
-def take(pending: collections.deque[Wish], *, limit: int) -> list[Wish]:
-    """Takes wishes for one transaction: each row at most once.
+def take(
+    pending: collections.deque[PendingClaim], *, limit: int
+) -> list[PendingClaim]:
+    """Takes pending claims for one transaction: each row at most once.
 
     Two claims on one row in one transaction would both be granted, so the
     second one waits for the next transaction.
     """
-    taken: dict[str, Wish] = {}
-    later: list[Wish] = []
+    taken: dict[str, PendingClaim] = {}
+    later: list[PendingClaim] = []
     while pending and len(taken) < limit:
-        wish = pending.popleft()
-        if wish.claim.row in taken:
-            later.append(wish)
+        waiting = pending.popleft()
+        if waiting.claim.row in taken:
+            later.append(waiting)
         else:
-            taken[wish.claim.row] = wish
+            taken[waiting.claim.row] = waiting
     pending.extendleft(reversed(later))
     return list(taken.values())
 
 
-def again(wish: Wish, renewed: claim.Claim) -> Wish:
-    """Returns the wish with its claim as it should be tried next."""
-    return dataclasses.replace(wish, claim=renewed)
+def again(waiting: PendingClaim, renewed: claim.Claim) -> PendingClaim:
+    """Returns the pending claim with its claim as it should be tried next."""
+    return dataclasses.replace(waiting, claim=renewed)
--- a/irisshelf/daemon/plain_front.py
+++ b/irisshelf/daemon/plain_front.py
@@ -58,7 +58,7 @@
             timeline.Kind.REQUEST, request=req.request_id, detail=team.name
         )
         if not key:
-            ticket = once.Ticket(nd=self._nd, granted=None)
+            ticket = once.ClaimReport(nd=self._nd, granted=None)
             return self._run(req, team, start_response, ticket)
         return once.run(
             self._nd,
@@ -112,7 +112,7 @@
         req: plain_call.Request,
         team: node.Team,
         start_response: http.StartResponse,
-        ticket: once.Ticket,
+        ticket: once.ClaimReport,
     ) -> list[bytes]:
         done = self._admitted(req, team)
         if isinstance(done, result.Err):
--- a/irisshelf/routing/exceptions.py
+++ b/irisshelf/routing/displaced.py
@@ -7,7 +7,7 @@
 MAX_ENTRIES = 20_000
 
 
-class Exceptions:
+class DisplacedChats:
     """Least-recently-used map from a chat's key to the engine that holds it.
 
     Args:
--- a/irisshelf/routing/placement.py
+++ b/irisshelf/routing/placement.py
@@ -29,7 +29,7 @@
 
 from irisshelf.routing import cache_view
 from irisshelf.routing import context
-from irisshelf.routing import exceptions
+from irisshelf.routing import displaced
 from irisshelf.routing import load
 from irisshelf.routing import popularity
 from irisshelf.routing import ranking
@@ -44,7 +44,7 @@
 class Reason(enum.StrEnum):
     """Why an engine was chosen."""
 
-    EXCEPTION = "exception"
+    DISPLACED = "displaced"
     HOME = "home"
     OTHER_HOME = "other_home"
     SPILL = "spill"
@@ -66,7 +66,7 @@
             believed loads are not exact; 0 to 1.
         cache_tokens: Size of an engine's prefix cache.
         use_reports: Whether engines' reports are used.
-        use_exceptions: Whether displaced chats are remembered.
+        use_displaced: Whether displaced chats are remembered.
         use_cache_view: Whether an owner follows its engines' caches; without,
             a chat is thought cached where it belongs.
     """
@@ -77,7 +77,7 @@
     margin: float = 0.45
     cache_tokens: int = 400_000
     use_reports: bool = False
-    use_exceptions: bool = True
+    use_displaced: bool = True
     use_cache_view: bool = True
 
 
@@ -132,7 +132,7 @@
         self.cfg = cfg
         self.ranking = ranking.Ranking(members=members)
         self.loads = load.LoadBook(size=len(members), instances=instances)
-        self.exceptions = exceptions.Exceptions()
+        self.displaced = displaced.DisplacedChats()
         self._views = {
             engine: self._new_view() for engine in range(len(members))
         }
@@ -252,7 +252,7 @@
         """Returns the work, in tokens, that a request is thought to be."""
         if self.cfg.use_cache_view:
             cached = self._views[engine].cached_tokens(ctx)
-        elif reason in (Reason.HOME, Reason.EXCEPTION):
+        elif reason in (Reason.HOME, Reason.DISPLACED):
             cached = ctx.shared_tokens + ctx.chat_tokens
         elif reason is Reason.OTHER_HOME:
             cached = ctx.shared_tokens
@@ -274,12 +274,12 @@
         self, ctx: context.Context, engine: int, reason: Reason
     ) -> None:
         """Notes where a chat's context now is, if that is not its home."""
-        if not self.cfg.use_exceptions:
+        if not self.cfg.use_displaced:
             return
         if reason is Reason.HOME:
-            self.exceptions.discard(ctx.chat_key)
+            self.displaced.discard(ctx.chat_key)
         else:
-            self.exceptions.put(ctx.chat_key, engine)
+            self.displaced.put(ctx.chat_key, engine)
 
     def answered(
         self, ctx: context.Context, engine: int, answer_tokens: int
@@ -292,7 +292,7 @@
         """Notes that an engine has started anew."""
         if engine in self._views:
             self._views[engine].clear()
-        self.exceptions.discard_engine(engine)
+        self.displaced.discard_engine(engine)
 
     def ended(self, engine: int, work: float, now: float) -> None:
         """Counts work that is done, or that no longer runs."""
@@ -334,10 +334,10 @@
         return self.ranking.among(ctx.chat_key, homes)
 
     def _candidates(self, ctx: context.Context) -> Iterator[tuple[int, Reason]]:
-        if self.cfg.use_exceptions and ctx.returning:
-            known = self.exceptions.get(ctx.chat_key)
+        if self.cfg.use_displaced and ctx.returning:
+            known = self.displaced.get(ctx.chat_key)
             if known is not None:
-                yield known, Reason.EXCEPTION
+                yield known, Reason.DISPLACED
         homes = self._homes(ctx)
         yield homes[0], Reason.HOME
         for engine in homes[1:]:
--- a/irisshelf/routing/service.py
+++ b/irisshelf/routing/service.py
@@ -307,7 +307,7 @@
                 load_bound=cfg.load_bound,
                 prefill_weight=cfg.prefill_weight,
                 use_reports=True,
-                use_exceptions=cfg.kind is schema.ServiceKind.MODEL,
+                use_displaced=cfg.kind is schema.ServiceKind.MODEL,
                 use_cache_view=cfg.kind is schema.ServiceKind.MODEL,
             ),
             members=[ranking.Member(name=t.name) for t in targets],
--- a/irisshelf/tests/test_routing.py
+++ b/irisshelf/tests/test_routing.py
@@ -134,7 +134,7 @@
     again = placer.place(_ctx(chat_tokens=50))
     assert (again.engine, again.reason) == (
         away.engine,
-        placement.Reason.EXCEPTION,
+        placement.Reason.DISPLACED,
     )
     placer.lost_cache(away.engine)
     assert placer.place(_ctx(chat_tokens=50)).engine == home
