--- a/bench/relay.py
+++ b/bench/relay.py
@@ -17,20 +17,7 @@
 from irisshelf.testing.demo import fleets
 from irisshelf.testing.demo import rig
 
-_FLEET = fleets.Fleet(
-    name="bench",
-    region="here",
-    data_centres=("here",),
-    model="lm",
-    engines=(4,),
-    plain="crew",
-    plain_servers=1,
-    once_path="/once",
-    lookup_path="/get",
-    instances=1,
-    teams=1,
-    large_teams=1,
-)
+_FLEET = fleets.small(instances=1, engines=(4,))
 _CHUNKS = 400
 _STREAMS = 40
 _REQUESTS = 300
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -18,19 +18,8 @@
 from irisshelf.testing.demo import processes
 from irisshelf.testing.demo import rig
 
-_FLEET = fleets.Fleet(
-    name="bench",
-    region="here",
-    data_centres=("a", "b", "c"),
-    model="lm",
-    engines=(4, 4, 4),
-    plain="crew",
-    plain_servers=1,
-    once_path="/once",
-    lookup_path="/get",
-    instances=3,
-    teams=1,
-    large_teams=1,
+_FLEET = fleets.small(
+    instances=3, engines=(4, 4, 4), data_centres=("a", "b", "c")
 )
 _BUNDLES = 5
 _LIST_LAG_S = 0.0
--- a/irisshelf/coordination/gossip_messages.py
+++ b/irisshelf/coordination/gossip_messages.py
@@ -20,6 +20,17 @@
 MAX_FULL = 64
 MAX_LOADS = 16
 MAX_NAME = 64
+# What decoding bytes from a peer may raise, of the library and of our checks.
+MALFORMED = (
+    cbor2.CBORError,
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+    AttributeError,
+)
 MAX_BEATS = 64
 BEAT_MODULUS = 1 << 16
 _HASH_BYTES = 3
@@ -168,16 +179,7 @@
     try:
         items = cbor2.loads(data)
         return _message(items)
-    except (
-        cbor2.CBORError,
-        ValueError,
-        TypeError,
-        KeyError,
-        IndexError,
-        OverflowError,
-        RecursionError,
-        AttributeError,
-    ) as exc:
+    except MALFORMED as exc:
         return result.Err(f"{type(exc).__name__}: {exc}")
 
 
--- a/irisshelf/peers/link.py
+++ b/irisshelf/peers/link.py
@@ -139,22 +139,36 @@
     )
     request = proto.connect()
     request.headers[_SECRET_HEADER] = f"Bearer {secret}"
-    link = Link(sock=sock, proto=proto)
+    opened = Link(sock=sock, proto=proto)
     try:
-        proto.send_request(request)
-        link._flush()
-        while proto.state is protocol.State.CONNECTING:
-            data = sock.recv(_READ_BYTES)
-            link._take(data)
-            if proto.handshake_exc is not None:
-                raise errors.LinkError(str(proto.handshake_exc))
-            if not data:
-                raise errors.LinkError("the peer closed the handshake")
+        _ask(opened, proto, request, sock)
     except (*_BROKEN, errors.LinkError) as exc:
         sock.close()
         raise errors.LinkError(f"{address}: {exc}") from exc
     sock.settimeout(IDLE_S)
-    return link
+    return opened
+
+
+def _ask(
+    opened: Link,
+    proto: client.ClientProtocol,
+    request: http11.Request,
+    sock: socket.socket,
+) -> None:
+    """Makes the client's side of the handshake.
+
+    Raises:
+        errors.LinkError: The peer refuses or hangs up.
+    """
+    proto.send_request(request)
+    opened._flush()
+    while proto.state is protocol.State.CONNECTING:
+        data = sock.recv(_READ_BYTES)
+        opened._take(data)
+        if proto.handshake_exc is not None:
+            raise errors.LinkError(str(proto.handshake_exc))
+        if not data:
+            raise errors.LinkError("the peer closed the handshake")
 
 
 def accept(
@@ -183,30 +197,40 @@
             refused(f"TLS: {exc}")
             return None
     proto = server.ServerProtocol(max_size=gossip_messages.MAX_BYTES)
-    link = Link(sock=sock, proto=proto)
+    opened = Link(sock=sock, proto=proto)
     try:
-        while proto.state is protocol.State.CONNECTING:
-            data = sock.recv(_READ_BYTES)
-            if not data:
-                refused("closed in the handshake")
-                return None
-            link.received_bytes += len(data)
-            proto.receive_data(data)
-            for event in proto.events_received():
-                if isinstance(event, http11.Request):
-                    _answer(proto, event, secret)
-            link._flush()
-            if proto.handshake_exc is not None:
-                refused(str(proto.handshake_exc))
-                return None
-            if proto.state is protocol.State.CLOSED:
-                refused("handshake refused")
-                return None
+        problem = _hear(opened, proto, sock, secret)
     except _BROKEN as exc:
-        refused(str(exc))
+        problem = str(exc)
+    if problem:
+        refused(problem)
         return None
     sock.settimeout(IDLE_S)
-    return link
+    return opened
+
+
+def _hear(
+    opened: Link,
+    proto: server.ServerProtocol,
+    sock: socket.socket,
+    secret: str,
+) -> str:
+    """Makes the server's side of the handshake; returns what is wrong."""
+    while proto.state is protocol.State.CONNECTING:
+        data = sock.recv(_READ_BYTES)
+        if not data:
+            return "closed in the handshake"
+        opened.received_bytes += len(data)
+        proto.receive_data(data)
+        for event in proto.events_received():
+            if isinstance(event, http11.Request):
+                _answer(proto, event, secret)
+        opened._flush()
+        if proto.handshake_exc is not None:
+            return str(proto.handshake_exc)
+    if proto.state is protocol.State.CLOSED:
+        return "handshake refused"
+    return ""
 
 
 def _answer(
--- a/irisshelf/peers/relay_messages.py
+++ b/irisshelf/peers/relay_messages.py
@@ -8,6 +8,7 @@
 import cbor2
 import result
 
+from irisshelf.coordination import gossip_messages
 from irisshelf.routing import context
 
 VERSION = 1
@@ -73,16 +74,7 @@
     """
     try:
         return _request(cbor2.loads(data))
-    except (
-        cbor2.CBORError,
-        ValueError,
-        TypeError,
-        KeyError,
-        IndexError,
-        OverflowError,
-        RecursionError,
-        AttributeError,
-    ) as exc:
+    except gossip_messages.MALFORMED as exc:
         return result.Err(f"{type(exc).__name__}: {exc}")
 
 
--- a/irisshelf/testing/demo/fleets.py
+++ b/irisshelf/testing/demo/fleets.py
@@ -37,6 +37,29 @@
     large_teams: int = 3
 
 
+def small(
+    *,
+    instances: int,
+    engines: tuple[int, ...],
+    data_centres: tuple[str, ...] = ("here",),
+) -> Fleet:
+    """Returns a small fleet for a test or a bench."""
+    return Fleet(
+        name="small",
+        region="here",
+        data_centres=data_centres,
+        model="lm",
+        engines=engines,
+        plain="crew",
+        plain_servers=1,
+        once_path="/once",
+        lookup_path="/get",
+        instances=instances,
+        teams=1,
+        large_teams=1,
+    )
+
+
 PAINEVIRTA = Fleet(
     name="painevirta",
     region="fi-south",
--- a/irisshelf/tests/test_processes.py
+++ b/irisshelf/tests/test_processes.py
@@ -8,20 +8,7 @@
 from irisshelf.testing.demo import processes
 from irisshelf.testing.demo import rig
 
-_FLEET = fleets.Fleet(
-    name="test",
-    region="here",
-    data_centres=("here",),
-    model="lm",
-    engines=(3,),
-    plain="crew",
-    plain_servers=1,
-    once_path="/once",
-    lookup_path="/get",
-    instances=2,
-    teams=1,
-    large_teams=1,
-)
+_FLEET = fleets.small(instances=2, engines=(3,))
 _TOKEN_S = 0.02
 
 
