Tests of the engine client: load, orders, cache events, KV cache

Cause: orders, cache events and KV export and import were built without a test; the stand-in gave no cache events at all.

Change: the stand-in tells of its cache, the latest 256 events, so that a late reader finds a gap; tables of what the client makes of all that.

Conclusion: the client is ready for what will use it; nothing does yet.

--- a/irisshelf/testing/engine.py
+++ b/irisshelf/testing/engine.py
@@ -282,7 +282,17 @@
         return self._stream(engine, generation, int(last) + 1, start_response)
 
     def _on_cache_events(self, engine, rest, environ, start_response):
-        document = {"first": 0, "next": 0, "added": [], "evicted": []}
+        cache = engine.cache
+        query = environ.get("QUERY_STRING", "")
+        since = int(query.removeprefix("since=") or 0)
+        kept = len(cache.added) + len(cache.evicted)
+        first = max(since, cache.events - kept)
+        document = {
+            "first": first,
+            "next": cache.events,
+            "added": [f"{key:016x}" for key in cache.added],
+            "evicted": [f"{key:016x}" for key in cache.evicted],
+        }
         return _json(start_response, 200, document)
 
     def _on_orders(self, engine, rest, environ, start_response):
@@ -296,13 +306,14 @@
         return _json(start_response, 200, {})
 
     def _on_kv(self, engine, rest, environ, start_response):
+        key = "/".join(rest)
         if environ["REQUEST_METHOD"] == "PUT":
-            engine.kv[rest[0]] = environ["wsgi.input"].read()
+            engine.kv[key] = environ["wsgi.input"].read()
             return _json(start_response, 200, {})
-        if rest[0] not in engine.kv:
+        if key not in engine.kv:
             return _json(start_response, 404, {"error": "not cached"})
         start_response("200 OK", [("Content-Type", "application/octet-stream")])
-        return [engine.kv[rest[0]]]
+        return [engine.kv[key]]
 
     def _stream(self, engine, generation, first, start_response):
         start_response(
--- a/irisshelf/testing/prefix_cache.py
+++ b/irisshelf/testing/prefix_cache.py
@@ -6,6 +6,8 @@
 import dataclasses
 from collections.abc import Sequence
 
+MAX_EVENTS = 256
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Block:
@@ -34,6 +36,9 @@
             collections.OrderedDict()
         )
         self._held = 0
+        self.added: list[int] = []
+        self.evicted: list[int] = []
+        self.events = 0
 
     def match(self, blocks: Sequence[Block]) -> int:
         """Returns how many leading tokens of a prompt are cached."""
@@ -56,11 +61,21 @@
             else:
                 self._blocks[block.key] = block.tokens
                 self._held += block.tokens
+                self._note(self.added, block.key)
         while self._held > self._capacity and self._blocks:
-            _, tokens = self._blocks.popitem(last=False)
+            key, tokens = self._blocks.popitem(last=False)
             self._held -= tokens
+            self._note(self.evicted, key)
+
+    def _note(self, events: list[int], key: int) -> None:
+        """Keeps the latest events; older ones become a gap."""
+        self.events += 1
+        events.append(key)
+        del events[:-MAX_EVENTS]
 
     def clear(self) -> None:
         """Empties the cache, as a restart does."""
         self._blocks.clear()
         self._held = 0
+        self.added.clear()
+        self.evicted.clear()
