--- a/bench/gossip.py
+++ b/bench/gossip.py
@@ -102,6 +102,7 @@
     def tell(self, name: str, head: int) -> None:
         """Sets what an instance says of itself."""
         self.nodes[name].set_own(
+            now=self.now,
             loads=self._loads,
             leaving=False,
             head=messages.HeadHint(
--- a/irisshelf/coordination/gossip.py
+++ b/irisshelf/coordination/gossip.py
@@ -40,6 +40,7 @@
 MAX_RECORDS = 2
 REPRESENTATIVES = 2
 SUMMARY_OLD_S = 10.0
+HEAD_NEWS_S = 10.0
 _NO_HEAD = messages.HeadHint(number=0, object_key="")
 
 
@@ -105,6 +106,7 @@
         self._beats = beats.Beats(me=name)
         self._summaries: dict[str, _HeldSummary] = {}
         self._head = _NO_HEAD
+        self._head_heard_s = float("-inf")
         self._own = messages.Record(
             name=name,
             incarnation=incarnation,
@@ -128,12 +130,13 @@
         loads: Sequence[messages.Load],
         leaving: bool,
         head: messages.HeadHint,
+        now: float,
     ) -> None:
         """Sets what this instance says of itself from now on."""
         self._own = dataclasses.replace(
             self._own, loads=tuple(loads), leaving=leaving
         )
-        self._take_head(head)
+        self._take_head(head, now)
 
     def tick(self, now: float) -> list[Outgoing]:
         """Makes the own record newer and sends what the budget allows."""
@@ -149,10 +152,11 @@
             if near and (place or self._own.beat % 2):
                 # What others said goes to one partner every second tick.
                 message = dataclasses.replace(
-                    message, records=(self._own,), summaries=()
+                    message,
+                    records=(self._own,),
+                    summaries=(),
+                    head=self._head if self._head_is_news(now) else _NO_HEAD,
                 )
-            if near and place:
-                message = dataclasses.replace(message, head=_NO_HEAD)
             self._budget.spend(messages.size_of(message))
             outgoing.append(Outgoing(to=partner, message=message))
         for silent in self._silent(now):
@@ -169,7 +173,7 @@
         """Takes a message; returns the answer to it, if one is due."""
         if message.sender == self.name:
             return None
-        self._take_head(message.head)
+        self._take_head(message.head, now)
         for record in message.records:
             self._take_record(record, now, direct=record.name == message.sender)
         for beat in message.beats:
@@ -356,9 +360,14 @@
             ),
         )
 
-    def _take_head(self, head: messages.HeadHint) -> None:
+    def _take_head(self, head: messages.HeadHint, now: float) -> None:
         if head.number > self._head.number:
             self._head = head
+            self._head_heard_s = now
+
+    def _head_is_news(self, now: float) -> bool:
+        """Tells whether the head goes into every message for a while."""
+        return now - self._head_heard_s <= HEAD_NEWS_S
 
     def _take_record(
         self, record: messages.Record, now: float, *, direct: bool
--- a/irisshelf/daemon/peers.py
+++ b/irisshelf/daemon/peers.py
@@ -92,6 +92,7 @@
             loads=self._loads(),
             leaving=not self._nd.ready,
             head=self._head(),
+            now=now,
         )
         for outgoing in self.gossip.tick(now):
             gevent.spawn(self._send, nodes[outgoing.to], outgoing.message)
--- a/irisshelf/tests/test_gossip.py
+++ b/irisshelf/tests/test_gossip.py
@@ -26,6 +26,7 @@
         first_beat=first_beat,
     )
     node.set_own(
+        now=0.0,
         loads=[_LOAD],
         leaving=False,
         head=messages.HeadHint(number=0, object_key=""),
@@ -171,6 +172,7 @@
     cut = {(a, b) for a in places for b in places if places[a] != places[b]}
     net.one_way_cut = cut
     net.nodes["i0"].set_own(
+        now=net.now,
         loads=[],
         leaving=False,
         head=messages.HeadHint(number=9, object_key="o9"),
@@ -188,7 +190,10 @@
     net = _Net(_FIVE)
     net.run(3)
     net.nodes["i1"].set_own(
-        loads=[], leaving=True, head=messages.HeadHint(number=0, object_key="")
+        now=net.now,
+        loads=[],
+        leaving=True,
+        head=messages.HeadHint(number=0, object_key=""),
     )
     net.run(4)
     assert net.statuses("i1") == {messages.Status.LEAVING}
