An owner that names another for ever is asked five times, not for ever

Cause: a table of owners that are gone, cut off or mad found that one which names the same other engine each time was asked without end (the test hung). It also found that a call to an owner was only known if another module happened to import its client.

--- a/irisshelf/daemon/model_call.py
+++ b/irisshelf/daemon/model_call.py
@@ -14,10 +14,10 @@
 import gevent
 import result
 
-from irisshelf.backends import dispatch
 from irisshelf.backends import engine
 from irisshelf.backends import errors
 from irisshelf.backends import messages
+from irisshelf.backends import registry
 from irisshelf.daemon import attempt as attempt_module
 from irisshelf.daemon import completion
 from irisshelf.daemon import node
@@ -32,6 +32,7 @@
 MAX_RESUMES = 2
 _RESUME_WAIT_S = 0.05
 _MAX_HAND_ON_FAILURES = 4
+_SILENT = (outcome.Cause.TIMEOUT, outcome.Cause.BROKEN)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -268,7 +269,7 @@
             self._nd.metrics.placements.labels(reason).inc()
             self._note(timeline.Kind.SEND, attempt)
         attempt.move("send")
-        started = dispatch.start(attempt.call, clients=self._nd.clients)
+        started = registry.start(attempt.call, clients=self._nd.clients)
         if isinstance(started, result.Err):
             return self._fail(attempt, started.err_value)
         attempt.stream = started.ok_value
@@ -329,7 +330,7 @@
             generation=attempt.stream.generation,
             limits=self._limits(),
         )
-        resumed = dispatch.start(call, clients=self._nd.clients)
+        resumed = registry.start(call, clients=self._nd.clients)
         if isinstance(resumed, result.Err):
             return False
         attempt.stream = resumed.ok_value
@@ -341,6 +342,9 @@
         self._end(attempt, "fail")
         if attempt.send is not None:
             self._nd.observe_call(attempt.target, error)
+        elif error.cause in _SILENT and attempt.stream is None:
+            # Perhaps cut off: others should not wait for it as well.
+            self._nd.peer_unreachable(attempt.call.address)
         return result.Err(error)
 
     def _hand_on_again(
@@ -354,6 +358,9 @@
             return False
         if not error.unreachable and not error.try_target:
             return False
+        if self._hand_on_failures >= _MAX_HAND_ON_FAILURES:
+            self._ask_owner_of = ""
+            return False
         self._hand_on_failures += 1
         self._attempts -= 1
         self._ask_owner_of = error.try_target
--- a/irisshelf/daemon/plain_call.py
+++ b/irisshelf/daemon/plain_call.py
@@ -7,8 +7,8 @@
 
 import result
 
-from irisshelf.backends import dispatch
 from irisshelf.backends import messages
+from irisshelf.backends import registry
 from irisshelf.daemon import node
 from irisshelf.observe import timeline
 from irisshelf.routing import context
@@ -112,7 +112,7 @@
         )
         self._req.router.sent(send, self._nd.now())
         try:
-            answer = dispatch.start(call, clients=self._nd.clients)
+            answer = registry.start(call, clients=self._nd.clients)
         finally:
             work = send.placement.work
             self._req.router.progressed(send, work, self._nd.now())
