Store: the package of the shared store is named for what it is

Cause: irisshelf/platform/ is to be the adapter to the users' platform, and held the product's own abstract entry to its table, objects and list. Change: renamed to irisshelf/store/, imports and docs with it; no behaviour.

--- a/irisshelf/cli/bundle.py
+++ b/irisshelf/cli/bundle.py
@@ -21,8 +21,8 @@
 from irisshelf.cli import output
 from irisshelf.cli import remote
 from irisshelf.coordination import head
-from irisshelf.platform import interface
-from irisshelf.platform import messages
+from irisshelf.store import interface
+from irisshelf.store import messages
 
 app = typer.Typer(no_args_is_help=True, help="Make and roll out bundles.")
 _TRIES = 8
--- a/irisshelf/cli/remote.py
+++ b/irisshelf/cli/remote.py
@@ -13,10 +13,10 @@
 from irisshelf.backends import pool
 from irisshelf.cli import output
 from irisshelf.coordination import head
-from irisshelf.platform import errors
-from irisshelf.platform import http_client
-from irisshelf.platform import interface
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import http_client
+from irisshelf.store import interface
+from irisshelf.store import messages
 
 TIMEOUT_S = 5.0
 
--- a/irisshelf/coordination/claim.py
+++ b/irisshelf/coordination/claim.py
@@ -26,8 +26,8 @@
 
 import result
 
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 TTL_S = 86_400.0
 PREFIX = "claims/"
--- a/irisshelf/coordination/head.py
+++ b/irisshelf/coordination/head.py
@@ -20,8 +20,8 @@
 
 import result
 
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 ROW = "bundle/head"
 HISTORY_PREFIX = "bundle/history/"
--- a/irisshelf/coordination/lease.py
+++ b/irisshelf/coordination/lease.py
@@ -26,8 +26,8 @@
 
 import result
 
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 ROW_PREFIX = "leases/orders/"
 LENGTH_S = 10.0
--- a/irisshelf/daemon/claims.py
+++ b/irisshelf/daemon/claims.py
@@ -12,8 +12,8 @@
 from irisshelf.coordination import claim
 from irisshelf.daemon import pending_claim
 from irisshelf.observe import metrics
-from irisshelf.platform import interface
-from irisshelf.platform import messages
+from irisshelf.store import interface
+from irisshelf.store import messages
 
 _RECORD_EVERY_S = 2.0
 _MAX_RECORDS = 4096
--- a/irisshelf/daemon/follower.py
+++ b/irisshelf/daemon/follower.py
@@ -21,8 +21,8 @@
 from irisshelf.coordination import head
 from irisshelf.observe import log
 from irisshelf.observe import timeline
-from irisshelf.platform import errors
-from irisshelf.platform import interface
+from irisshelf.store import errors
+from irisshelf.store import interface
 
 _JITTER = 0.2
 
--- a/irisshelf/daemon/main.py
+++ b/irisshelf/daemon/main.py
@@ -28,7 +28,7 @@
 from irisshelf.daemon import watch
 from irisshelf.observe import log
 from irisshelf.peers import tls
-from irisshelf.platform import http_client
+from irisshelf.store import http_client
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
--- a/irisshelf/daemon/node.py
+++ b/irisshelf/daemon/node.py
@@ -22,10 +22,10 @@
 from irisshelf.observe import metrics
 from irisshelf.observe import timeline
 from irisshelf.peers import tls
-from irisshelf.platform import interface
-from irisshelf.platform import messages as platform_messages
 from irisshelf.routing import health
 from irisshelf.routing import service
+from irisshelf.store import interface
+from irisshelf.store import messages as platform_messages
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/irisshelf/daemon/objects.py
+++ b/irisshelf/daemon/objects.py
@@ -8,7 +8,7 @@
 
 from irisshelf.backends import dispatch
 from irisshelf.daemon import node
-from irisshelf.platform import messages
+from irisshelf.store import messages
 
 _TIMEOUT_S = 1.0
 _MAX_ASKED = 3
--- a/irisshelf/daemon/peers.py
+++ b/irisshelf/daemon/peers.py
@@ -18,9 +18,9 @@
 from irisshelf.peers import errors
 from irisshelf.peers import link
 from irisshelf.peers import tls
-from irisshelf.platform import messages as platform_messages
 from irisshelf.routing import ownership
 from irisshelf.routing import placement
+from irisshelf.store import messages as platform_messages
 
 UNREACHABLE_HOLD_S = 3.0
 MAX_LINKS = 64
--- a/irisshelf/daemon/watch.py
+++ b/irisshelf/daemon/watch.py
@@ -9,9 +9,9 @@
 from irisshelf.backends import messages
 from irisshelf.bundle import schema
 from irisshelf.daemon import node
-from irisshelf.platform import messages as platform_messages
 from irisshelf.routing import health
 from irisshelf.routing import load
+from irisshelf.store import messages as platform_messages
 
 _TICK_S = 0.1
 _JITTER = 0.2
--- a/irisshelf/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Client side of the platform's services."""
--- /dev/null
+++ b/irisshelf/store/__init__.py
@@ -0,0 +1,1 @@
+"""The shared store: one abstract entry and its backends."""
--- a/irisshelf/platform/http_client.py
+++ b/irisshelf/store/http_client.py
@@ -12,9 +12,9 @@
 import result
 
 from irisshelf.observe import traffic
-from irisshelf.platform import errors
-from irisshelf.platform import interface
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import interface
+from irisshelf.store import messages
 
 _CONCURRENCY = 8
 _OK = 200
--- a/irisshelf/platform/interface.py
+++ b/irisshelf/store/interface.py
@@ -7,8 +7,8 @@
 
 import result
 
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 
 class Platform(abc.ABC):
--- a/irisshelf/testing/harness.py
+++ b/irisshelf/testing/harness.py
@@ -24,7 +24,7 @@
 from irisshelf.daemon import node
 from irisshelf.daemon import settings
 from irisshelf.daemon import watch
-from irisshelf.platform import interface
+from irisshelf.store import interface
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/irisshelf/testing/platform.py
+++ b/irisshelf/testing/platform.py
@@ -10,9 +10,9 @@
 
 import result
 
-from irisshelf.platform import errors
-from irisshelf.platform import interface
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import interface
+from irisshelf.store import messages
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/irisshelf/testing/platform_server.py
+++ b/irisshelf/testing/platform_server.py
@@ -10,8 +10,8 @@
 
 import result
 
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 from irisshelf.testing import platform as fake_platform
 
 
--- a/irisshelf/tests/test_calls.py
+++ b/irisshelf/tests/test_calls.py
@@ -10,7 +10,7 @@
 
 from irisshelf.bundle import schema
 from irisshelf.coordination import claim
-from irisshelf.platform import messages
+from irisshelf.store import messages
 from irisshelf.testing import engine
 from irisshelf.testing import faulty
 from irisshelf.testing import harness
--- a/irisshelf/tests/test_cli.py
+++ b/irisshelf/tests/test_cli.py
@@ -12,7 +12,7 @@
 from irisshelf.daemon import settings
 from irisshelf.observe import timeline
 from irisshelf.observe import timeline_page
-from irisshelf.platform import messages
+from irisshelf.store import messages
 from irisshelf.testing import harness
 from irisshelf.testing import platform as fake_platform
 from irisshelf.testing import platform_server
--- a/irisshelf/tests/test_coordination.py
+++ b/irisshelf/tests/test_coordination.py
@@ -9,8 +9,8 @@
 from irisshelf.coordination import clock
 from irisshelf.coordination import head
 from irisshelf.coordination import lease
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 _CLAIM = claim.Claim(row="r", claim_id="a")
 _LOST = result.Err(
--- a/irisshelf/tests/test_hand_on.py
+++ b/irisshelf/tests/test_hand_on.py
@@ -9,8 +9,8 @@
 from gevent import server
 
 from irisshelf.bundle import schema
-from irisshelf.platform import messages
 from irisshelf.routing import ownership
+from irisshelf.store import messages
 from irisshelf.testing import engine
 from irisshelf.testing import harness
 from irisshelf.testing import platform as fake_platform
--- a/irisshelf/tests/test_platform.py
+++ b/irisshelf/tests/test_platform.py
@@ -12,9 +12,9 @@
 from irisshelf.coordination import head
 from irisshelf.daemon import follower
 from irisshelf.observe import timeline
-from irisshelf.platform import errors
-from irisshelf.platform import http_client
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import http_client
+from irisshelf.store import messages
 from irisshelf.testing import clock as fake_clock
 from irisshelf.testing import harness
 from irisshelf.testing import platform as fake_platform
--- a/irisshelf/tests/test_watch.py
+++ b/irisshelf/tests/test_watch.py
@@ -7,7 +7,7 @@
 
 from irisshelf.bundle import schema
 from irisshelf.daemon import watch
-from irisshelf.platform import messages
+from irisshelf.store import messages
 from irisshelf.testing import clock
 from irisshelf.testing import engine
 from irisshelf.testing import harness
--- a/specs/claim_spec.py
+++ b/specs/claim_spec.py
@@ -14,8 +14,8 @@
 import result
 
 from irisshelf.coordination import claim
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 INSTANCES = ("a", "b")
 MAX_WRITES = 3
--- a/specs/fuzz.py
+++ b/specs/fuzz.py
@@ -26,9 +26,9 @@
 from irisshelf.daemon import settings
 from irisshelf.observe import timeline
 from irisshelf.peers import relay_messages
-from irisshelf.platform import messages
 from irisshelf.routing import context
 from irisshelf.routing import stream
+from irisshelf.store import messages
 from irisshelf.testing import harness
 from irisshelf.testing import platform as fake_platform
 
--- a/specs/head_spec.py
+++ b/specs/head_spec.py
@@ -14,8 +14,8 @@
 import result
 
 from irisshelf.coordination import head
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 NUMBERS = (2, 3)  # The numbers that the two operators submit.
 MAX_TRIES = 2
--- a/specs/lease_spec.py
+++ b/specs/lease_spec.py
@@ -15,8 +15,8 @@
 import result
 
 from irisshelf.coordination import lease
-from irisshelf.platform import errors
-from irisshelf.platform import messages
+from irisshelf.store import errors
+from irisshelf.store import messages
 
 NAMES = ("a", "b")
 MAX_VERSION = 2
