--- /dev/null
+++ b/irisshelf/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""What operators configure and which backend servers are there: plain data."""
--- /dev/null
+++ b/irisshelf/catalog/directory.py
@@ -0,0 +1,143 @@
+"""Which backend servers are there, by the store's list.
+
+An entry that vanishes is taken at once as a server that left. The one
+exception: entries also lapse while the store is away. What is missing in the
+first list after such a time is kept as lapsed for ``LAPSE_GRACE_S``, since
+the entry of a live server comes back within about two seconds.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+# Entries of live servers are back about two seconds after the store's return
+# (the users' letter); a tenth more for the way.
+LAPSE_GRACE_S = 2.2
+
+
+class ServerState(enum.StrEnum):
+    """Life of a backend server as listed."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendServer:
+    """One life of a backend server.
+
+    Attributes:
+        server_id: Names this life and no other.
+        service: The service it belongs to.
+        address: Such as ``10.0.0.1:8080``; may be used again by another.
+        data_centre: Where it stands.
+        slots: Requests that it works on at a time.
+        state: As listed.
+    """
+
+    server_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    state: ServerState = ServerState.READY
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Change:
+    """A changed entry; ``server`` is None if it vanished."""
+
+    server_id: str
+    server: BackendServer | None
+
+
+class Directory:
+    """The list, kept up to date by changes and, after gaps, whole lists."""
+
+    def __init__(self):
+        self._servers: dict[str, BackendServer] = {}
+        self._lapsed: dict[str, float] = {}
+        self._by_service: dict[str, tuple[BackendServer, ...]] = {}
+
+    def get(self, server_id: str) -> BackendServer | None:
+        """Returns a listed server."""
+        return self._servers.get(server_id)
+
+    def servers(self) -> tuple[BackendServer, ...]:
+        """Returns all listed servers."""
+        return tuple(self._servers.values())
+
+    def of(self, service: str) -> tuple[BackendServer, ...]:
+        """Returns the listed servers of a service, leaving ones as well."""
+        return self._by_service.get(service, ())
+
+    def apply(self, changes: Iterable[Change]) -> None:
+        """Takes changes seen while the store was well."""
+        for change in changes:
+            self._lapsed.pop(change.server_id, None)
+            if change.server is None:
+                self._servers.pop(change.server_id, None)
+            else:
+                self._servers[change.server_id] = change.server
+        self._index()
+
+    def replace(
+        self,
+        servers: Iterable[BackendServer],
+        *,
+        now: float,
+        after_outage: bool,
+    ) -> None:
+        """Takes a whole list.
+
+        Args:
+            servers: All entries.
+            now: Time in seconds.
+            after_outage: Whether the store may have been away before, so that
+                missing entries may only have lapsed.
+        """
+        listed = {server.server_id: server for server in servers}
+        missing = [name for name in self._servers if name not in listed]
+        for name in missing:
+            if after_outage:
+                listed[name] = self._servers[name]
+                self._lapsed.setdefault(name, now)
+        self._lapsed = {n: t for n, t in self._lapsed.items() if n in missing}
+        self._servers = listed
+        self._index()
+
+    def lapse(self, changes: Iterable[Change], *, now: float) -> None:
+        """Takes changes told after an outage: vanished entries may be back."""
+        kept = []
+        for change in changes:
+            known = change.server_id in self._servers
+            if change.server is None and known:
+                self._lapsed.setdefault(change.server_id, now)
+            else:
+                kept.append(change)
+        self.apply(kept)
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Drops entries that lapsed and did not come back; returns them."""
+        gone = tuple(
+            name
+            for name, since in self._lapsed.items()
+            if now - since >= LAPSE_GRACE_S
+        )
+        for name in gone:
+            del self._lapsed[name]
+            self._servers.pop(name, None)
+        if gone:
+            self._index()
+        return gone
+
+    def _index(self) -> None:
+        found: dict[str, list[BackendServer]] = {}
+        for server in self._servers.values():
+            found.setdefault(server.service, []).append(server)
+        self._by_service = {
+            name: tuple(sorted(group, key=lambda s: s.server_id))
+            for name, group in found.items()
+        }
--- /dev/null
+++ b/irisshelf/catalog/freshness.py
@@ -0,0 +1,29 @@
+"""How old what the store told is, at the most.
+
+Answers of the store carry its steady clock. A call sent at ``sent_s`` (ours)
+and answered with ``store_s`` (the store's) shows that the store's clock is
+behind ours by at least ``sent_s - store_s``. The largest such difference seen
+turns any later store time into a time of ours that is surely not too late.
+"""
+
+from __future__ import annotations
+
+import math
+
+
+class Freshness:
+    """A lower bound on when the store last told all it knew."""
+
+    def __init__(self):
+        self._offset_s = -math.inf
+        self._as_of_s = -math.inf
+
+    def told(self, *, sent_s: float, received_s: float, store_s: float) -> None:
+        """Takes an answer that held all changes up to ``store_s``."""
+        self._offset_s = max(self._offset_s, sent_s - store_s)
+        as_of_s = min(received_s, store_s + self._offset_s)
+        self._as_of_s = max(self._as_of_s, sent_s, as_of_s)
+
+    def age_s(self, now: float) -> float:
+        """Returns the age; infinite if the store has told nothing yet."""
+        return now - self._as_of_s
--- /dev/null
+++ b/irisshelf/gateway/follower.py
@@ -0,0 +1,180 @@
+"""Follows configuration and server list in the shared store."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+import result
+from gevent import event
+
+from irisshelf.catalog import directory
+from irisshelf.gateway import instance as instance_module
+from irisshelf.store import feed
+
+# How long the store may hold a call. The one on the configuration is also how
+# an instance learns that it is cut off: within the two seconds that a
+# configuration has to come into force.
+_HOLD_S = {feed.Table.CATALOG: 2.0, feed.Table.SERVERS: 10.0}
+# Each try costs money, and an instance is to be back soon after the store.
+_BACKOFF_S = (0.1, 0.3, 0.6)
+_EXPIRE_EVERY_S = 0.2
+
+
+class Follower:
+    """Keeps an instance's configuration and server list up to date.
+
+    Args:
+        inst: The instance.
+        store: Tables of the shared store.
+    """
+
+    def __init__(self, *, inst: instance_module.Instance, store: feed.Feed):
+        self._inst = inst
+        self._store = store
+        self._up = event.Event()
+        self._lost_s: float | None = None
+        self._back_s = float("-inf")
+        self._revision: dict[feed.Table, int | None] = dict.fromkeys(feed.Table)
+
+    def run(self, table: feed.Table) -> None:
+        """Follows a table as long as the process lives."""
+        failures = 0
+        while True:
+            if table is not feed.Table.CATALOG:
+                self._up.wait()
+            if self.step(table):
+                failures = 0
+                continue
+            pause_s = _BACKOFF_S[min(failures, len(_BACKOFF_S) - 1)]
+            failures += 1
+            gevent.sleep(pause_s)
+
+    def step(self, table: feed.Table) -> bool:
+        """Makes one call; returns whether the store answered it."""
+        sent_s = time.monotonic()
+        after = self._revision[table]
+        if after is None:
+            answer = self._store.whole(table)
+        else:
+            answer = self._store.changes(
+                table, after=after, wait_s=_HOLD_S[table]
+            )
+        self._count(table, answer)
+        if isinstance(answer, result.Ok):
+            self._answered(table, answer.ok_value, sent_s)
+            return True
+        if isinstance(answer.err_value, feed.HistoryLost):
+            self._inst.log.problem(
+                "store_history_lost", table=table.value, after=after
+            )
+            self._revision[table] = None
+            return True
+        self._failed(table, answer.err_value)
+        return False
+
+    def expire_lapsed(self) -> None:
+        """Drops servers whose lapsed entries have not come back."""
+        while True:
+            gevent.sleep(_EXPIRE_EVERY_S)
+            self._inst.links.expire()
+            if not self._up.is_set():
+                continue
+            if time.monotonic() - self._back_s < directory.LAPSE_GRACE_S:
+                continue
+            gone = self._inst.directory.expire(time.monotonic())
+            if gone:
+                self._inst.log.instance("lapsed_servers_gone", servers=gone)
+                self._inst.servers_changed()
+
+    def _answered(
+        self, table: feed.Table, batch: feed.Batch, sent_s: float
+    ) -> None:
+        now = time.monotonic()
+        if table is feed.Table.CATALOG:
+            self._regained(now)
+            self._take_catalog(batch)
+            self._inst.freshness.told(
+                sent_s=sent_s, received_s=now, store_s=batch.store_s
+            )
+        else:
+            self._take_servers(batch, now)
+        self._revision[table] = batch.revision
+
+    def _take_catalog(self, batch: feed.Batch) -> None:
+        for item in batch.items:
+            if item.problem:
+                self._inst.log.problem(
+                    "catalog_unreadable",
+                    problem=item.problem,
+                    kept=self._inst.metrics.catalog_version._value.get(),
+                )
+            elif item.value is not None:
+                self._inst.adopt(item.value)
+
+    def _take_servers(self, batch: feed.Batch, now: float) -> None:
+        for item in batch.items:
+            if item.problem:
+                self._inst.log.problem(
+                    "server_entry_unreadable",
+                    server=item.key,
+                    problem=item.problem,
+                )
+        listed = self._inst.directory
+        readable = [item for item in batch.items if not item.problem]
+        after_outage = now - self._back_s < directory.LAPSE_GRACE_S
+        changes = [
+            directory.Change(server_id=item.key, server=item.value)
+            for item in readable
+        ]
+        if batch.whole:
+            servers = [item.value for item in readable if item.value]
+            listed.replace(servers, now=now, after_outage=after_outage)
+        elif after_outage:
+            listed.lapse(changes, now=now)
+        else:
+            listed.apply(changes)
+        self._inst.listed = True
+        self._inst.servers_changed()
+        if changes:
+            self._inst.log.instance(
+                "servers_changed",
+                revision=batch.revision,
+                whole=batch.whole,
+                after_outage=after_outage,
+                changes=[_change_text(change) for change in changes],
+            )
+
+    def _failed(self, table: feed.Table, failure: feed.Unavailable) -> None:
+        if self._lost_s is None:
+            self._lost_s = time.monotonic()
+            self._inst.metrics.store_up.set(0)
+            self._inst.log.problem(
+                "store_lost", table=table.value, detail=failure.detail
+            )
+        if table is feed.Table.CATALOG and self._up.is_set():
+            self._up.clear()
+            # What the other call hears may be as dead.
+            self._store.reset(feed.Table.SERVERS)
+
+    def _regained(self, now: float) -> None:
+        self._up.set()
+        if self._lost_s is None:
+            return
+        self._inst.log.instance(
+            "store_regained", lost_for_s=round(now - self._lost_s, 3)
+        )
+        self._lost_s = None
+        self._back_s = now
+        self._inst.metrics.store_up.set(1)
+
+    def _count(self, table: feed.Table, answer: result.Result) -> None:
+        ended = "ok" if answer.is_ok() else "failed"
+        self._inst.metrics.store_calls.labels(table.value, ended).inc()
+
+
+def _change_text(change: directory.Change) -> str:
+    if change.server is None:
+        return f"{change.server_id} gone"
+    server = change.server
+    return f"{change.server_id} {server.state.value} {server.address}"
--- /dev/null
+++ b/irisshelf/gateway/front.py
@@ -0,0 +1,246 @@
+"""Admits callers' requests: route, key, time; then a call."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+
+import result
+
+from irisshelf.catalog import model
+from irisshelf.gateway import call as call_module
+from irisshelf.gateway import instance as instance_module
+from irisshelf.gateway import messages
+from irisshelf.transport import errors
+from irisshelf.transport import server as caller_side
+
+# After a signal to stop, streams are served if they may still end in time:
+# callers come on new connections for about two seconds more.
+_STREAMS_WHILE_STOPPING_S = 2.5
+# What is left of the time to stop when nothing new is begun any more.
+_LAST_CALLS_S = 2.0
+_UNKNOWN_ROUTE = 404
+_UNKNOWN_KEY = 401
+_BAD_REQUEST = 400
+_UNAVAILABLE = 503
+_STARTING_RETRY_S = 0.3
+
+
+class Front:
+    """Answers requests of callers.
+
+    Args:
+        inst: The instance.
+    """
+
+    def __init__(self, *, inst: instance_module.Instance):
+        self._inst = inst
+
+    def limits(self) -> caller_side.Limits:
+        """Returns what callers may send, by the configuration in force."""
+        catalog = self._inst.catalog
+        limits = catalog.limits if catalog else model.CallerLimits()
+        return caller_side.Limits(
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            head_s=limits.head_s,
+            idle_s=limits.idle_s,
+        )
+
+    def refuse(
+        self, status: int, text: str
+    ) -> tuple[list[tuple[bytes, bytes]], bytes]:
+        """Builds the answer to a request that could not be read."""
+        self._inst.log.request("unreadable", "", status=status, detail=text)
+        self._inst.metrics.requests.labels("unknown", "unreadable").inc()
+        return self._inst.dialect.own_headers("", None), _body(text)
+
+    def handle(
+        self, request: caller_side.Request, conn: caller_side.Connection
+    ) -> None:
+        """Answers one request."""
+        inbound = messages.Inbound(
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            has_body=request.has_body,
+            arrived_s=request.arrived_s,
+            kept=request.kept,
+        )
+        if self._inst.stopping:
+            conn.close_after_answer()
+        asked = self._inst.dialect.ask(inbound)
+        if isinstance(asked, result.Err):
+            self._refuse(conn, "", _BAD_REQUEST, asked.err_value)
+            return
+        job = self._admit(inbound, asked.ok_value, conn)
+        if job is not None:
+            self._serve(job, conn)
+
+    def _serve(
+        self, job: call_module.Job, conn: caller_side.Connection
+    ) -> None:
+        call = call_module.Call(inst=self._inst, job=job, conn=conn)
+        self._inst.in_flight += 1
+        self._inst.metrics.in_flight.set(self._inst.in_flight)
+        ended = "failed_inside"
+        try:
+            ended = call.run()
+        except errors.CallerGoneError:
+            ended = "caller_left"
+            raise
+        except OSError:
+            ended = "caller_lost"
+            raise
+        finally:
+            self._inst.in_flight -= 1
+            self._inst.metrics.in_flight.set(self._inst.in_flight)
+            self._count(job, ended, call)
+
+    def _count(
+        self, job: call_module.Job, ended: str, call: call_module.Call
+    ) -> None:
+        kind = job.route.kind.value
+        lasted_s = self._inst.now() - job.inbound.arrived_s
+        self._inst.metrics.requests.labels(kind, ended).inc()
+        self._inst.metrics.duration.labels(kind).observe(lasted_s)
+        self._inst.log.request(
+            "answered",
+            job.ask.request_id,
+            ended=ended,
+            route=job.route.name,
+            team=job.team,
+            catalog=job.version,
+            lasted_s=round(lasted_s, 4),
+            **call.summary(),
+        )
+
+    def _admit(
+        self,
+        inbound: messages.Inbound,
+        ask: messages.Ask,
+        conn: caller_side.Connection,
+    ) -> call_module.Job | None:
+        """Checks what a request needs; answers those that may not go on."""
+        inst = self._inst
+        catalog = inst.catalog
+        if catalog is None or not inst.listed:
+            conn.close_after_answer()
+            self._turn_away(conn, ask, "no configuration yet")
+            return None
+        if not inst.keys_hold():
+            # What it knows may have been withdrawn; another may know better.
+            conn.close_after_answer()
+            self._turn_away(conn, ask, "cut off from the store")
+            return None
+        route = catalog.route(ask.host, ask.path)
+        if route is None or not route.split:
+            text = f"no route for {ask.host!r} and {ask.path!r}"
+            self._refuse(conn, ask.request_id, _UNKNOWN_ROUTE, text)
+            return None
+        team = catalog.team(ask.key)
+        needs_key = bool(catalog.teams) and not route.public
+        if needs_key and team is None:
+            text = "key is not known"
+            self._refuse(conn, ask.request_id, _UNKNOWN_KEY, text)
+            return None
+        if self._too_late_to_begin(route, inbound.arrived_s):
+            self._turn_away(conn, ask, "stopping")
+            return None
+        if inst.in_flight >= inst.cfg.max_requests:
+            self._turn_away(conn, ask, f"{inst.in_flight} requests in flight")
+            return None
+        time_s = route.timeout_s
+        if ask.deadline_s is not None:
+            time_s = min(time_s, ask.deadline_s)
+        priority = route.priority
+        if team is not None and team.priority is not None:
+            priority = team.priority
+        return call_module.Job(
+            inbound=inbound,
+            ask=ask,
+            route=route,
+            service=self._service(route, ask),
+            team=team.name if team else "",
+            priority=priority,
+            version=catalog.version,
+            until_s=inbound.arrived_s + time_s,
+        )
+
+    def _too_late_to_begin(self, route: model.Route, arrived_s: float) -> bool:
+        since_s = self._inst.stopping_since_s
+        if since_s is None:
+            return False
+        passed_s = arrived_s - since_s
+        if route.kind is model.RouteKind.STREAMING:
+            return passed_s > _STREAMS_WHILE_STOPPING_S
+        return passed_s > self._inst.cfg.bounds.stop_s - _LAST_CALLS_S
+
+    def _service(self, route: model.Route, ask: messages.Ask) -> str:
+        """Picks one of a route's services by weight.
+
+        Requests with the same shared parts go to the same one.
+        """
+        if len(route.split) == 1:
+            return route.split[0].service
+        subject = ask.prompt.subject
+        share = self._inst.rng.random()
+        if subject:
+            text = f"{route.name}/{subject}".encode()
+            digest = hashlib.blake2b(text, digest_size=8).digest()
+            share = int.from_bytes(digest) / 2**64
+        left = share * sum(split.weight for split in route.split)
+        for split in route.split:
+            left -= split.weight
+            if left < 0:
+                return split.service
+        return route.split[-1].service
+
+    def _turn_away(
+        self, conn: caller_side.Connection, ask: messages.Ask, why: str
+    ) -> None:
+        """Tells a caller to come back, as nothing has run."""
+        retry_after_s = (
+            call_module.RETRY_AFTER_S
+            if self._inst.catalog
+            else _STARTING_RETRY_S
+        )
+        self._answer(conn, ask.request_id, _UNAVAILABLE, why, retry_after_s)
+
+    def _refuse(
+        self,
+        conn: caller_side.Connection,
+        request_id: str,
+        status: int,
+        why: str,
+    ) -> None:
+        self._answer(conn, request_id, status, why, None)
+
+    def _answer(
+        self,
+        conn: caller_side.Connection,
+        request_id: str,
+        status: int,
+        why: str,
+        retry_after_s: float | None,
+    ) -> None:
+        catalog = self._inst.catalog
+        age_s = self._inst.freshness.age_s(self._inst.now())
+        self._inst.metrics.requests.labels("unknown", f"refused_{status}").inc()
+        self._inst.log.request(
+            "refused",
+            request_id,
+            status=status,
+            why=why,
+            retry_after_s=retry_after_s,
+            catalog=catalog.version if catalog else None,
+            catalog_age_s=round(age_s, 3) if age_s < 1e9 else None,
+            stopping=self._inst.stopping,
+        )
+        headers = self._inst.dialect.own_headers(request_id, retry_after_s)
+        conn.answer(status, headers, _body(why))
+
+
+def _body(why: str) -> bytes:
+    return json.dumps({"error": why}).encode()
--- /dev/null
+++ b/irisshelf/gateway/instance.py
@@ -0,0 +1,153 @@
+"""What one entry instance holds and believes while it runs."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+from irisshelf.catalog import directory
+from irisshelf.catalog import freshness
+from irisshelf.catalog import model
+from irisshelf.gateway import dialect as dialect_module
+from irisshelf.gateway import links
+from irisshelf.gateway import metrics
+from irisshelf.gateway import settings
+from irisshelf.observe import decision_log
+from irisshelf.routing import server_book
+from irisshelf.routing import server_choice
+from irisshelf.routing import window_budget
+
+# Fixed part of the retry slack that one instance may use up in a window; the
+# users' slack is 52 for 6 instances and 210 for 85.
+_RETRY_SLACK = 2.0
+# A key holds for so long after the store last confirmed it, as a share of the
+# bound: the store may tell a change a second late (when it drops its history).
+_KEY_SHARE = 0.76
+
+
+class Instance:
+    """State of one entry instance, shared by its greenlets.
+
+    Args:
+        cfg: The settings.
+        dialect: What callers and servers speak.
+        log: Takes decisions.
+        rng: For weights and ties.
+        now: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: settings.Settings,
+        dialect: dialect_module.Dialect,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+        now: Callable[[], float] = time.monotonic,
+    ):
+        self.cfg = cfg
+        self.dialect = dialect
+        self.log = log
+        self.rng = rng
+        self.now = now
+        self.metrics = metrics.Metrics()
+        self.catalog: model.Catalog | None = None
+        self.directory = directory.Directory()
+        self.freshness = freshness.Freshness()
+        self.links = links.Links(now=now)
+        self.listed = False
+        self.stopping_since_s: float | None = None
+        self.in_flight = 0
+        self._choosers: dict[str, server_choice.Chooser] = {}
+        self._budgets: dict[str, window_budget.WindowBudget] = {}
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.stopping_since_s is not None
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send new connections here."""
+        known = self.catalog is not None and self.listed
+        return known and not self.stopping and self.keys_hold()
+
+    def keys_hold(self) -> bool:
+        """Tells whether the store has confirmed the keys lately enough."""
+        bound_s = self.cfg.bounds.key_withdrawn_ms / 1000 * _KEY_SHARE
+        return self.freshness.age_s(self.now()) <= bound_s
+
+    def chooser(self, service: str) -> server_choice.Chooser:
+        """Returns what chooses the servers of a service."""
+        found = self._choosers.get(service)
+        if found is None:
+            found = server_choice.Chooser(
+                data_centre=self.cfg.data_centre, rng=self.rng
+            )
+            self._choosers[service] = found
+        return found
+
+    def budget(self, service: str) -> window_budget.WindowBudget:
+        """Returns the retry budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            found = window_budget.WindowBudget(
+                ratio=self.cfg.bounds.retry_share,
+                slack=_RETRY_SLACK,
+                window_s=self.cfg.bounds.retry_window_s,
+            )
+            self._budgets[service] = found
+        return found
+
+    def adopt(self, catalog: model.Catalog) -> bool:
+        """Brings a configuration into force, unless it is an older one."""
+        if self.catalog is not None and (
+            catalog.version <= self.catalog.version
+        ):
+            return False
+        before = self.catalog.version if self.catalog else 0
+        self.catalog = catalog
+        self.metrics.catalog_version.set(catalog.version)
+        self.log.instance(
+            "catalog_in_force",
+            version=catalog.version,
+            before=before,
+            routes=len(catalog.routes),
+            keys=len(catalog.teams),
+        )
+        return True
+
+    def servers_changed(self) -> None:
+        """Forgets what is known of servers that are not listed any more."""
+        servers = self.directory.servers()
+        names = frozenset(server.server_id for server in servers)
+        for chooser in self._choosers.values():
+            chooser.book.keep(names)
+        self.links.keep(names)
+        self.metrics.servers.set(len(servers))
+
+    def seen(
+        self,
+        server: directory.BackendServer,
+        what: server_book.Seen,
+        request: str,
+        detail: str = "",
+    ) -> None:
+        """Takes what a request showed of a server."""
+        book = self.chooser(server.service).book
+        why = book.seen(server.server_id, what, self.now())
+        if what is not server_book.Seen.WELL:
+            self.metrics.failures.labels(what.value).inc()
+        if why:
+            self.metrics.rests.labels(server.service).inc()
+            self.log.problem(
+                "server_rests",
+                server=server.server_id,
+                address=server.address,
+                service=server.service,
+                why=why,
+                seen=what.value,
+                request=request,
+                detail=detail,
+            )
--- /dev/null
+++ b/irisshelf/gateway/links.py
@@ -0,0 +1,86 @@
+"""Connections to backend servers, kept between requests."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from irisshelf.catalog import directory
+from irisshelf.transport import client
+
+# Used where a server does not say how long it keeps idle connections, and at
+# the most where it does: some drop them earlier without a word.
+_LONGEST_IDLE_S = 4.0
+# Closed so long before the server would.
+_MARGIN_S = 1.0
+_MOST_IDLE = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Idle:
+    conn: client.Connection
+    since_s: float
+    until_s: float
+
+
+class Links:
+    """Idle connections by server.
+
+    Args:
+        now: Monotonic seconds.
+    """
+
+    def __init__(self, *, now: Callable[[], float]):
+        self._now = now
+        self._idle: dict[str, list[_Idle]] = {}
+
+    def take(
+        self, server: directory.BackendServer, *, most_idle_s: float
+    ) -> client.Connection | None:
+        """Returns a connection that has rested no longer than asked."""
+        now = self._now()
+        resting = self._idle.get(server.server_id, [])
+        while resting:
+            idle = resting.pop()
+            if now - idle.since_s > most_idle_s:
+                resting.append(idle)
+                return None
+            if now < idle.until_s and not idle.conn.is_stale():
+                return idle.conn
+            idle.conn.close()
+        return None
+
+    def put(
+        self,
+        server: directory.BackendServer,
+        conn: client.Connection,
+        keep_alive_s: float | None,
+    ) -> None:
+        """Keeps a connection whose exchange has ended, if it may be kept."""
+        resting = self._idle.setdefault(server.server_id, [])
+        rest_s = _LONGEST_IDLE_S
+        if keep_alive_s is not None:
+            rest_s = min(rest_s, keep_alive_s - _MARGIN_S)
+        if rest_s <= 0 or not conn.reusable or len(resting) >= _MOST_IDLE:
+            conn.close()
+            return
+        now = self._now()
+        resting.append(_Idle(conn=conn, since_s=now, until_s=now + rest_s))
+
+    def keep(self, names: frozenset[str]) -> None:
+        """Closes idle connections to servers that are not listed."""
+        for name in [n for n in self._idle if n not in names]:
+            for idle in self._idle.pop(name):
+                idle.conn.close()
+
+    def expire(self) -> None:
+        """Closes connections that have rested too long."""
+        now = self._now()
+        for name, resting in self._idle.items():
+            kept = []
+            for idle in resting:
+                if now < idle.until_s:
+                    kept.append(idle)
+                else:
+                    idle.conn.close()
+            self._idle[name] = kept
--- /dev/null
+++ b/irisshelf/gateway/messages.py
@@ -0,0 +1,135 @@
+"""Typed messages between the parts of an entry instance."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from irisshelf.routing import prompt
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Inbound:
+    """A caller's request as it came in.
+
+    Attributes:
+        method: Such as ``POST``.
+        target: Path and query, unchanged.
+        headers: Names and values, unchanged.
+        body: The whole body, unframed.
+        has_body: Whether the caller sent a body, though it may be empty.
+        arrived_s: When the head was whole, monotonic seconds.
+        kept: Whether it came on a connection that had been used before.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    has_body: bool
+    arrived_s: float
+    kept: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Ask:
+    """What a request's headers say.
+
+    Attributes:
+        request_id: The caller's id of this attempt.
+        host: The host asked for.
+        path: The path without a query.
+        key: The caller's key; empty if there is none.
+        deadline_s: Seconds that the caller waits; None if not said.
+        prompt: Parts of the prompt, for model engines.
+        last_event_id: The last event that the caller has of a stream.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    key: str = ""
+    deadline_s: float | None = None
+    prompt: prompt.Prompt = dataclasses.field(default_factory=prompt.Prompt)
+    last_event_id: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Send:
+    """What a backend server is told beside the caller's own headers.
+
+    Attributes:
+        server_id: The life of the server that it is meant for.
+        team: The key's team; empty on public routes.
+        left_s: What is left of the caller's time; None if not known.
+        priority: Its rank, 0 first; None to say nothing.
+        cache_source: Address of a server that holds the prompt's shared
+            parts; empty for none.
+        last_event_id: Events after this one are wanted.
+    """
+
+    server_id: str
+    team: str = ""
+    left_s: float | None = None
+    priority: int | None = None
+    cache_source: str = ""
+    last_event_id: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """A server's own word on its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerHead:
+    """The head of a backend server's answer, understood.
+
+    Attributes:
+        status: HTTP status.
+        headers: What goes to the caller.
+        request_id: Whose answer it is; empty if not said.
+        signed: Whether the server vouches for it.
+        not_run: Whether the server says that the request did not run.
+        wrong_server: Whether another server now has the address.
+        encoded: Whether the body is not as the server made it.
+        load: The server's load, if told.
+        keep_alive_s: How long the server keeps an idle connection.
+        closing: Whether the server closes the connection afterwards.
+    """
+
+    status: int
+    headers: Headers
+    request_id: str
+    signed: bool
+    not_run: bool
+    wrong_server: bool
+    encoded: bool
+    load: Load | None
+    keep_alive_s: float | None
+    closing: bool
+
+    @property
+    def success(self) -> bool:
+        """Whether it is a success that may be passed on."""
+        return 200 <= self.status < 300 and self.signed and not self.encoded
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Final:
+    """A whole answer to the caller.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers but for the framing.
+        body: The body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
--- /dev/null
+++ b/irisshelf/gateway/metrics.py
@@ -0,0 +1,77 @@
+"""Counters and latency histograms of an entry instance."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+_LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+class Metrics:
+    """All metrics, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests by route kind and result.", "kind", "result"
+        )
+        self.sends = self._counter(
+            "sends", "Requests sent to servers, by reason.", "reason"
+        )
+        self.retries = self._counter("retries", "Further sends.", "service")
+        self.failures = self._counter(
+            "send_failures", "Sends that went wrong, by cause.", "cause"
+        )
+        self.rests = self._counter(
+            "server_rests", "Servers left alone for a while.", "service"
+        )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the store.", "table", "result"
+        )
+        self.connects = self._counter(
+            "connects", "New connections to servers.", "service"
+        )
+        self.first_byte = self._histogram(
+            "first_byte_seconds", "Time to an answer's first byte.", "kind"
+        )
+        self.duration = self._histogram(
+            "duration_seconds", "Time to an answer's end.", "kind"
+        )
+        self.in_flight = self._gauge("requests_in_flight", "Requests now.")
+        self.catalog_version = self._gauge(
+            "catalog_version", "Version of the configuration in force."
+        )
+        self.store_up = self._gauge(
+            "store_up", "1 if the store answered last time."
+        )
+        self.servers = self._gauge("servers_listed", "Backend servers listed.")
+        self.lines_dropped = self._gauge(
+            "log_lines_dropped", "Log lines left out so far."
+        )
+
+    def expose(self) -> bytes:
+        """Returns all metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _counter(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f"irisshelf_{name}_total", text, labels, registry=self.registry
+        )
+
+    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f"irisshelf_{name}", text, registry=self.registry
+        )
+
+    def _histogram(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f"irisshelf_{name}",
+            text,
+            labels,
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/irisshelf/gateway/settings.py
@@ -0,0 +1,138 @@
+"""Settings of an entry instance: a JSON file, checked by a schema."""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import pathlib
+from typing import Annotated
+
+import msgspec
+import result
+
+_Positive = Annotated[float, msgspec.Meta(gt=0)]
+_Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listen:
+    """Addresses that an instance listens on.
+
+    Attributes:
+        front: For callers.
+        ready: For the balancer's question.
+        metrics: For metrics.
+    """
+
+    front: str
+    ready: str
+    metrics: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """What the operators' rules allow, in milliseconds unless named.
+
+    Attributes:
+        catalog_in_force_ms: From the store's acceptance of a configuration
+            until it is in force.
+        key_withdrawn_ms: From the acceptance of a key's withdrawal until no
+            request may run under it.
+        stop_s: From the signal to stop until the process is killed.
+        retry_share: Retries a service may get for each request.
+        retry_window_s: Window that retries are counted in.
+    """
+
+    catalog_in_force_ms: _Positive = 2000.0
+    key_withdrawn_ms: _Positive = 5000.0
+    stop_s: _Positive = 8.0
+    retry_share: _Share = 0.2
+    retry_window_s: _Positive = 10.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """All settings.
+
+    Attributes:
+        instance: This instance's name.
+        data_centre: Where it stands.
+        listen: Addresses to listen on.
+        store: The shared store's address.
+        bounds: What the operators' rules allow.
+        log_lines_per_s: Most log lines about requests in a second.
+        max_requests: Most requests in flight; more are refused.
+    """
+
+    instance: str
+    data_centre: str
+    listen: Listen
+    store: str
+    bounds: Bounds = Bounds()
+    log_lines_per_s: _Positive = 200.0
+    max_requests: _Count = 1000
+
+
+def load(path: pathlib.Path) -> result.Result[Settings, str]:
+    """Reads and checks a settings file.
+
+    Returns:
+        The settings, or a text that names field, value and what is allowed.
+    """
+    try:
+        data = path.read_bytes()
+    except OSError as exc:
+        return result.Err(f"cannot read settings {str(path)!r}: {exc}")
+    return decode(data)
+
+
+def decode(data: bytes) -> result.Result[Settings, str]:
+    """Checks settings; see ``load``."""
+    try:
+        document = msgspec.json.decode(data)
+    except msgspec.DecodeError as exc:
+        return result.Err(f"settings are no JSON: {exc}")
+    try:
+        cfg = msgspec.convert(document, Settings)
+    except msgspec.ValidationError as exc:
+        return result.Err(_explain(document, str(exc)))
+    for name, address in _addresses(cfg):
+        problem = _check_address(address)
+        if problem:
+            return result.Err(
+                f"field {name!r} is {address!r}, allowed: {problem}"
+            )
+    return result.Ok(cfg)
+
+
+def _explain(document: object, text: str) -> str:
+    """Adds the value found to msgspec's text, which names field and rule."""
+    allowed, _, path = text.partition(" - at `$")
+    value = document
+    for name in path.rstrip("`").strip(".").split("."):
+        if isinstance(value, dict) and name in value:
+            value = value[name]
+    field = path.rstrip("`").strip(".") or "(whole file)"
+    shown = repr(value) if not isinstance(value, dict) else "an object"
+    return f"field {field!r} is {shown}: {allowed}"
+
+
+def _addresses(cfg: Settings) -> list[tuple[str, str]]:
+    return [
+        ("listen.front", cfg.listen.front),
+        ("listen.ready", cfg.listen.ready),
+        ("listen.metrics", cfg.listen.metrics),
+        ("store", cfg.store),
+    ]
+
+
+def _check_address(address: str) -> str:
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return "an IP number, a colon and a port"
+    if not port.isdigit() or not 0 <= int(port) < 65536:
+        return "a port from 0 to 65535"
+    return ""
--- /dev/null
+++ b/irisshelf/platform/__main__.py
@@ -0,0 +1,27 @@
+"""Runs an entry instance on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+
+from irisshelf.gateway import daemon
+from irisshelf.platform import http_dialect
+from irisshelf.platform import store_feed
+
+# Holds the path of the settings, which the platform fills from a template.
+_SETTINGS_VARIABLE = "IRISSHELF_CONFIG"
+
+
+def main() -> int:
+    """Runs the program; returns its exit code."""
+    return daemon.run(
+        pathlib.Path(os.environ[_SETTINGS_VARIABLE]),
+        make_dialect=http_dialect.HttpDialect,
+        make_store=lambda address: store_feed.StoreFeed(address=address),
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/irisshelf/platform/http_dialect.py
@@ -0,0 +1,234 @@
+"""Headers that callers and backend servers of the platform speak."""
+
+from __future__ import annotations
+
+import result
+
+from irisshelf.gateway import dialect
+from irisshelf.gateway import messages
+from irisshelf.routing import prompt
+
+_REQUEST_ID = b"request-id"
+_SIGNATURE = b"response-signature"
+_NOT_RUN = b"not-executed"
+_LOAD = b"server-load"
+_DEADLINE = b"deadline-ms"
+_KEEP_ALIVE = b"keep-alive"
+_CONNECTION = b"connection"
+_BEARER = "bearer "
+_MISDIRECTED = 421
+# They belong to one connection, not to the message (RFC 9110, 7.6.1), or
+# frame a body that is framed anew.
+_HOP = frozenset(
+    {
+        _CONNECTION,
+        _KEEP_ALIVE,
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Set by irisshelf alone, whatever the caller sent; the key stays here.
+_OWN = frozenset(
+    {
+        b"authorization",
+        _DEADLINE,
+        b"tenant-id",
+        b"expect-instance",
+        b"expect-version",
+        b"request-priority",
+        b"last-event-id",
+        b"kv-fetch",
+        b"kv-from",
+        b"kv-backup",
+        b"hold",
+        b"pin-ms",
+    }
+)
+# Of an answer these are the server's word to irisshelf, not to its caller.
+_INTERNAL = frozenset({_LOAD, _NOT_RUN})
+
+
+class HttpDialect(dialect.Dialect):
+    """Translates heads of HTTP messages."""
+
+    def ask(self, inbound: messages.Inbound) -> result.Result:
+        """See ``dialect.Dialect.ask``."""
+        found = {
+            name.lower(): value.decode("latin-1").strip()
+            for name, value in inbound.headers
+        }
+        try:
+            return result.Ok(_ask(inbound.target, found))
+        except ValueError as exc:
+            return result.Err(str(exc))
+
+    def request_headers(
+        self, inbound: messages.Inbound, send: messages.Send
+    ) -> list[tuple[bytes, bytes]]:
+        """See ``dialect.Dialect.request_headers``."""
+        dropped = _HOP | _OWN | _named_in_connection(inbound.headers)
+        headers = [
+            (name, value)
+            for name, value in inbound.headers
+            if name.lower() not in dropped
+        ]
+        headers += [
+            (name, value.encode("latin-1")) for name, value in _set_by_us(send)
+        ]
+        if inbound.has_body:
+            length = str(len(inbound.body)).encode()
+            headers.append((b"Content-Length", length))
+        return headers
+
+    def answer_head(
+        self, status: int, headers: messages.Headers
+    ) -> messages.AnswerHead:
+        """See ``dialect.Dialect.answer_head``."""
+        found = {
+            name.lower(): value.decode("latin-1").strip()
+            for name, value in headers
+        }
+        dropped = _HOP | _INTERNAL | _named_in_connection(headers)
+        wrong_server = status == _MISDIRECTED
+        return messages.AnswerHead(
+            status=status,
+            headers=tuple(
+                (name, value)
+                for name, value in headers
+                if name.lower() not in dropped
+            ),
+            request_id=found.get(_REQUEST_ID, ""),
+            signed=bool(found.get(_SIGNATURE)),
+            not_run=_NOT_RUN in found or wrong_server,
+            wrong_server=wrong_server,
+            encoded=b"content-encoding" in found,
+            load=_load(found.get(_LOAD, "")),
+            keep_alive_s=_keep_alive_s(found.get(_KEEP_ALIVE, "")),
+            closing="close" in found.get(_CONNECTION, "").lower(),
+        )
+
+    def own_headers(
+        self, request_id: str, retry_after_s: float | None
+    ) -> list[tuple[bytes, bytes]]:
+        """See ``dialect.Dialect.own_headers``."""
+        headers = [(b"Content-Type", b"application/json")]
+        if request_id:
+            headers.append((b"Request-Id", request_id.encode("latin-1")))
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", f"{retry_after_s:.3f}".encode()))
+        return headers
+
+
+def _ask(target: str, found: dict[bytes, str]) -> messages.Ask:
+    request_id = found.get(_REQUEST_ID, "")
+    if not request_id:
+        raise ValueError("header 'Request-Id' is missing, allowed: an id")
+    return messages.Ask(
+        request_id=request_id,
+        host=found.get(b"host", ""),
+        path=target.partition("?")[0],
+        key=_key(found.get(b"authorization", "")),
+        deadline_s=_seconds(found, _DEADLINE),
+        prompt=_prompt(found),
+        last_event_id=_whole_number(found, b"last-event-id"),
+    )
+
+
+def _key(authorization: str) -> str:
+    if authorization[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return authorization[len(_BEARER) :].strip()
+
+
+def _seconds(found: dict[bytes, str], name: bytes) -> float | None:
+    text = found.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = -1.0
+    if not 0 <= value < 1e9:
+        raise ValueError(
+            f"header {name.decode()!r} is {text!r}, allowed: milliseconds"
+        )
+    return value / 1000
+
+
+def _whole_number(found: dict[bytes, str], name: bytes) -> int | None:
+    text = found.get(name)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise ValueError(
+            f"header {name.decode()!r} is {text!r}, allowed: a whole number"
+        )
+    return int(text)
+
+
+def _prompt(found: dict[bytes, str]) -> prompt.Prompt:
+    """Reads the prompt's parts; what is unreadable is left out of placement.
+
+    The headers themselves are passed on unchanged, so that the server judges
+    them.
+    """
+    parts = []
+    for item in found.get(b"prefix-hash", "").split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if part_id and tokens.isdigit():
+            parts.append(prompt.Part(part_id=part_id, tokens=int(tokens)))
+    most = found.get(b"token-count", "").partition(",")[2].strip()
+    return prompt.Prompt(
+        parts=tuple(parts),
+        max_answer_tokens=int(most) if most.isdigit() else 0,
+    )
+
+
+def _set_by_us(send: messages.Send) -> list[tuple[bytes, str]]:
+    headers = [(b"Expect-Instance", send.server_id)]
+    if send.team:
+        headers.append((b"Tenant-Id", send.team))
+    if send.left_s is not None:
+        left_ms = max(1, int(send.left_s * 1000))
+        headers.append((b"Deadline-Ms", str(left_ms)))
+    if send.priority is not None:
+        headers.append((b"Request-Priority", str(min(9, send.priority))))
+    if send.cache_source:
+        headers.append((b"Kv-Fetch", send.cache_source))
+    if send.last_event_id is not None:
+        headers.append((b"Last-Event-Id", str(send.last_event_id)))
+    return headers
+
+
+def _named_in_connection(headers: messages.Headers) -> frozenset[bytes]:
+    named = set()
+    for name, value in headers:
+        if name.lower() == _CONNECTION:
+            named |= {item.strip().lower() for item in value.split(b",")}
+    return frozenset(named)
+
+
+def _load(text: str) -> messages.Load | None:
+    """Reads running, waiting and slots; None if the server tells none."""
+    fields = [item.strip() for item in text.split(",")]
+    if len(fields) != 3 or not all(item.isdigit() for item in fields):
+        return None
+    running, waiting, slots = map(int, fields)
+    return messages.Load(running=running, waiting=waiting, slots=slots)
+
+
+def _keep_alive_s(text: str) -> float | None:
+    """Reads the seconds of ``Keep-Alive: timeout=5`` or of ``Keep-Alive: 5``.
+
+    The platform's page says only that they are whole seconds.
+    """
+    for item in text.split(","):
+        value = item.strip().lower().removeprefix("timeout=")
+        if value.isdigit():
+            return float(value)
+    return None
--- /dev/null
+++ b/irisshelf/routing/server_book.py
@@ -0,0 +1,193 @@
+"""What one instance knows of each backend server: load, speed and health.
+
+Load is the server's last own word, corrected by what this instance has sent
+and seen end since. Health is evidence from real requests only; probes cost
+the users money and may lie.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+# A report older than a typical answer takes says nothing any more.
+REPORT_AGE_S = 2.0
+# A server that cannot be reached, or misbehaves, rests this long before one
+# request tries it again; doubled each time, up to the longest.
+FIRST_REST_S = 0.6
+LONGEST_REST_S = 4.0
+# Weight of the newest outcome, and of the newest duration, in their averages.
+_OUTCOME_WEIGHT = 0.2
+_DURATION_WEIGHT = 0.2
+# A server is an outlier if its share of failures is so far above the mean of
+# its service, and so many outcomes speak for it.
+_OUTLIER_GAP = 0.3
+_OUTLIER_OUTCOMES = 4
+# Failures in a row that make a server rest, whatever the others do.
+_IN_A_ROW = 3
+
+
+class Seen(enum.StrEnum):
+    """What came of a request that was sent to a server."""
+
+    WELL = "well"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+
+
+@dataclasses.dataclass(slots=True)
+class _Server:
+    own: int = 0
+    told: int = 0
+    told_slots: int = 0
+    told_s: float = float("-inf")
+    own_when_told: int = 0
+    bad: float = 0.0
+    outcomes: int = 0
+    in_a_row: int = 0
+    rests: int = 0
+    rest_until_s: float = float("-inf")
+    trying: bool = False
+    duration_s: float = 0.0
+
+
+class ServerBook:
+    """What is known of the servers of one service."""
+
+    def __init__(self):
+        self._servers: dict[str, _Server] = {}
+
+    def keep(self, names: frozenset[str]) -> None:
+        """Forgets servers that are not listed any more and have no work."""
+        for name in [n for n in self._servers if n not in names]:
+            if not self._servers[name].own:
+                del self._servers[name]
+
+    def began(self, name: str) -> None:
+        """Counts a request that is sent."""
+        server = self._get(name)
+        server.own += 1
+        server.trying = True
+
+    def ended(self, name: str) -> None:
+        """Counts a request that does not run there any more."""
+        server = self._get(name)
+        server.own = max(0, server.own - 1)
+
+    def told(self, name: str, *, work: int, slots: int, now: float) -> None:
+        """Takes a server's own word: requests that run or wait there."""
+        server = self._get(name)
+        server.told = work
+        server.told_slots = slots
+        server.told_s = now
+        server.own_when_told = server.own
+
+    def lasted(self, name: str, duration_s: float) -> None:
+        """Takes how long a server took to answer, or to begin to."""
+        server = self._get(name)
+        if not server.duration_s:
+            server.duration_s = duration_s
+            return
+        step = duration_s - server.duration_s
+        server.duration_s += _DURATION_WEIGHT * step
+
+    def duration_s(self, name: str) -> float:
+        """Returns a server's average time to answer; 0 if not known."""
+        return self._get(name).duration_s
+
+    def own(self, name: str) -> int:
+        """Returns how many requests of this instance run there."""
+        return self._get(name).own
+
+    def report_age_s(self, name: str, now: float) -> float:
+        """Returns the age of a server's last word."""
+        return now - self._get(name).told_s
+
+    def load(self, name: str, now: float, *, otherwise: float = 0.0) -> float:
+        """Estimates the requests that a server has, of all instances.
+
+        Args:
+            name: The server.
+            now: Time in seconds.
+            otherwise: What others are thought to have there, if the server
+                has told nothing lately.
+        """
+        server = self._get(name)
+        if now - server.told_s > REPORT_AGE_S:
+            return server.own + otherwise
+        since = server.own - server.own_when_told
+        return float(max(server.own, server.told + since))
+
+    def loads(self, names: list[str], now: float) -> dict[str, float]:
+        """Estimates all loads; unknown ones from those that are known."""
+        fresh = [
+            max(0.0, self.load(name, now) - self.own(name))
+            for name in names
+            if now - self._get(name).told_s <= REPORT_AGE_S
+        ]
+        others = sum(fresh) / len(fresh) if fresh else 0.0
+        return {name: self.load(name, now, otherwise=others) for name in names}
+
+    def seen(self, name: str, what: Seen, now: float) -> str:
+        """Takes what came of a request.
+
+        Returns:
+            Why the server rests from now on; empty if nothing changes.
+        """
+        server = self._get(name)
+        server.trying = False
+        if what is Seen.REFUSED:
+            return ""
+        good = what is Seen.WELL
+        server.outcomes += 1
+        server.bad += _OUTCOME_WEIGHT * ((0.0 if good else 1.0) - server.bad)
+        server.in_a_row = 0 if good else server.in_a_row + 1
+        if good:
+            server.rests = 0
+            server.rest_until_s = float("-inf")
+            return ""
+        if what is Seen.UNREACHABLE:
+            return self._rest(server, now, "unreachable")
+        if server.in_a_row >= _IN_A_ROW and what is not Seen.FAILED:
+            return self._rest(server, now, f"{server.in_a_row} in a row")
+        if self._is_outlier(name, server):
+            return self._rest(server, now, f"fails {server.bad:.2f}")
+        return ""
+
+    def fit(self, name: str, now: float) -> bool:
+        """Tells whether a server may get a request.
+
+        One that rested gets a single request to show itself.
+        """
+        server = self._get(name)
+        if not server.rests:
+            return True
+        return now >= server.rest_until_s and not server.trying
+
+    def bad_share(self, name: str) -> float:
+        """Returns a server's recent share of failures."""
+        return self._get(name).bad
+
+    def _get(self, name: str) -> _Server:
+        server = self._servers.get(name)
+        if server is None:
+            server = self._servers[name] = _Server()
+        return server
+
+    def _rest(self, server: _Server, now: float, why: str) -> str:
+        if now < server.rest_until_s:
+            return ""
+        rest_s = min(LONGEST_REST_S, FIRST_REST_S * 2**server.rests)
+        server.rests += 1
+        server.rest_until_s = now + rest_s
+        return why
+
+    def _is_outlier(self, name: str, server: _Server) -> bool:
+        others = [s.bad for n, s in self._servers.items() if n != name]
+        if not others or server.outcomes < _OUTLIER_OUTCOMES:
+            return False
+        mean = sum(others) / len(others)
+        return server.bad - mean > _OUTLIER_GAP
--- /dev/null
+++ b/irisshelf/routing/server_choice.py
@@ -0,0 +1,235 @@
+"""Chooses a backend server for a request.
+
+Requests that share the parts of a prompt belong to one server, the first in
+the rendezvous ranking of the last shared part: every instance ranks alike
+from the same list, without a word, and a server that comes or goes moves only
+the parts that were, or are to be, its own. A server at its load bound passes
+its turn to the next. Requests without shared parts go to the server that is
+expected to answer first.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import hashlib
+import random
+from collections.abc import Sequence
+
+from irisshelf.catalog import directory
+from irisshelf.routing import prompt
+from irisshelf.routing import server_book
+
+# A server takes requests up to this multiple of the mean load, and so many
+# more, since small loads are lumpy; the users' bound is 2 times and 3.
+LOAD_FACTOR = 1.5
+LOAD_EXTRA = 2.0
+# Shared parts below so many tokens are read again rather than fetched: a
+# fetch takes the engine some milliseconds to set up, in which it reads 120.
+MIN_FETCH_TOKENS = 150
+# Subjects whose servers an instance remembers; the oldest go first.
+_MAX_SUBJECTS = 20_000
+# Assumed time to answer of a server that has shown nothing yet.
+_UNKNOWN_S = 0.02
+# Another data centre costs the way there and back, and bytes.
+_FAR_S = 0.001
+_FAILURE_WEIGHT = 4.0
+
+
+class Reason(enum.StrEnum):
+    """Why a server was chosen."""
+
+    HOME = "home"
+    SPILL = "spill"
+    LEAST_LOADED = "least_loaded"
+    FASTEST = "fastest"
+    LAST_RESORT = "last_resort"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """The server chosen, why, and what decided.
+
+    Attributes:
+        server: The server.
+        reason: Why.
+        load: Its estimated load, in requests.
+        mean_load: The mean of its service.
+        report_age_s: Age of the server's last word on its load.
+        source: A server that is thought to hold the shared parts, if the
+            chosen one is not.
+    """
+
+    server: directory.BackendServer
+    reason: Reason
+    load: float
+    mean_load: float
+    report_age_s: float
+    source: directory.BackendServer | None = None
+
+
+class Chooser:
+    """Chooses among the servers of one service.
+
+    Args:
+        data_centre: Where this instance stands.
+        rng: Breaks ties.
+    """
+
+    def __init__(self, *, data_centre: str, rng: random.Random):
+        self.book = server_book.ServerBook()
+        self._data_centre = data_centre
+        self._rng = rng
+        self._holders: collections.OrderedDict[str, dict[str, float]] = (
+            collections.OrderedDict()
+        )
+
+    def choose(
+        self,
+        servers: Sequence[directory.BackendServer],
+        asked: prompt.Prompt,
+        *,
+        avoid: frozenset[str],
+        now: float,
+    ) -> Choice | None:
+        """Chooses a server, or None if there is none.
+
+        Args:
+            servers: All listed servers of the service.
+            asked: The request's prompt.
+            avoid: Servers that have failed this request.
+            now: Time in seconds.
+        """
+        ready = [
+            s
+            for s in servers
+            if s.state is directory.ServerState.READY
+            and s.server_id not in avoid
+        ]
+        if not ready:
+            return None
+        fit = [s for s in ready if self.book.fit(s.server_id, now)]
+        pool = fit or ready
+        loads = self.book.loads([s.server_id for s in pool], now)
+        mean = sum(loads.values()) / len(loads)
+        if not asked.subject:
+            server = self._fastest(pool, loads)
+            reason = Reason.FASTEST if fit else Reason.LAST_RESORT
+            return self._choice(server, reason, loads, mean, now)
+        server, reason = self._by_subject(pool, asked.subject, loads, mean)
+        if not fit:
+            reason = Reason.LAST_RESORT
+        return self._choice(
+            server,
+            reason,
+            loads,
+            mean,
+            now,
+            source=self._source(servers, server, asked, now),
+        )
+
+    def sent(self, subject: str, server_id: str, now: float) -> None:
+        """Remembers that a server holds a subject's shared parts."""
+        if not subject:
+            return
+        self._holders.setdefault(subject, {})[server_id] = now
+        self._holders.move_to_end(subject)
+        while len(self._holders) > _MAX_SUBJECTS:
+            self._holders.popitem(last=False)
+
+    def _by_subject(
+        self,
+        pool: Sequence[directory.BackendServer],
+        subject: str,
+        loads: dict[str, float],
+        mean: float,
+    ) -> tuple[directory.BackendServer, Reason]:
+        bound = LOAD_FACTOR * mean + LOAD_EXTRA
+        ranked = rank(pool, subject)
+        for place, server in enumerate(ranked):
+            if loads[server.server_id] + 1 <= bound:
+                return server, Reason.SPILL if place else Reason.HOME
+        least = min(ranked, key=lambda s: loads[s.server_id])
+        return least, Reason.LEAST_LOADED
+
+    def _source(
+        self,
+        servers: Sequence[directory.BackendServer],
+        chosen: directory.BackendServer,
+        asked: prompt.Prompt,
+        now: float,
+    ) -> directory.BackendServer | None:
+        """Finds who may hold the shared parts that the chosen one lacks.
+
+        That is the server that this instance last sent the subject to, or
+        else the next in the ranking, which was the subject's home before the
+        chosen one came. Leaving servers still hand out what they hold.
+        """
+        if asked.shared_tokens < MIN_FETCH_TOKENS:
+            return None
+        held = self._holders.get(asked.subject, {})
+        if chosen.server_id in held:
+            return None
+        others = [
+            s
+            for s in servers
+            if s.server_id != chosen.server_id
+            and self.book.fit(s.server_id, now)
+        ]
+        known = [s for s in others if s.server_id in held]
+        if known:
+            return max(known, key=lambda s: held[s.server_id])
+        ranked = rank(others, asked.subject)
+        return ranked[0] if ranked else None
+
+    def _fastest(
+        self,
+        pool: Sequence[directory.BackendServer],
+        loads: dict[str, float],
+    ) -> directory.BackendServer:
+        def expected_s(server: directory.BackendServer) -> float:
+            name = server.server_id
+            each_s = self.book.duration_s(name) or _UNKNOWN_S
+            queued = (loads[name] + 1) / max(1, server.slots)
+            penalty = 1 + _FAILURE_WEIGHT * self.book.bad_share(name)
+            far = server.data_centre != self._data_centre
+            time_s = each_s * (1 + queued) + (_FAR_S if far else 0.0)
+            return time_s * penalty
+
+        return min(pool, key=lambda s: (expected_s(s), self._rng.random()))
+
+    def _choice(
+        self,
+        server: directory.BackendServer,
+        reason: Reason,
+        loads: dict[str, float],
+        mean: float,
+        now: float,
+        *,
+        source: directory.BackendServer | None = None,
+    ) -> Choice:
+        return Choice(
+            server=server,
+            reason=reason,
+            load=loads[server.server_id],
+            mean_load=mean,
+            report_age_s=self.book.report_age_s(server.server_id, now),
+            source=source,
+        )
+
+
+def rank(
+    servers: Sequence[directory.BackendServer], subject: str
+) -> list[directory.BackendServer]:
+    """Ranks servers for a subject by rendezvous hashing, the first first.
+
+    Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+    rates", 1998.
+    """
+    return sorted(servers, key=lambda s: _score(s.server_id, subject))
+
+
+def _score(server_id: str, subject: str) -> bytes:
+    text = f"{server_id}/{subject}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/irisshelf/store/feed.py
@@ -0,0 +1,96 @@
+"""The one entry point for following a table of the shared store.
+
+A backend answers whole tables and changes since a revision. Rows are decoded
+by the backend; nothing else knows how they are written down.
+"""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import enum
+from typing import Generic
+from typing import TypeVar
+
+import result
+
+_T = TypeVar("_T")
+
+
+class Table(enum.StrEnum):
+    """What can be followed."""
+
+    CATALOG = "catalog"
+    SERVERS = "servers"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Item(Generic[_T]):
+    """A row: its decoded content, or None if it is gone or unreadable.
+
+    Attributes:
+        key: The row's key.
+        value: The content.
+        problem: Why a row that is there could not be decoded; empty if it
+            could.
+    """
+
+    key: str
+    value: _T | None
+    problem: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Batch(Generic[_T]):
+    """A whole table, or what changed in it.
+
+    Attributes:
+        items: The rows.
+        revision: Ask for changes after this one next time.
+        store_s: The store's steady clock when it answered.
+        whole: Whether these are all rows there are.
+    """
+
+    items: tuple[Item[_T], ...]
+    revision: int
+    store_s: float
+    whole: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unavailable:
+    """The store did not answer, or turned the call away."""
+
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HistoryLost:
+    """The store has forgotten what came after the revision asked for."""
+
+
+Failure = Unavailable | HistoryLost
+
+
+class Feed(abc.ABC):
+    """Follows tables of the shared store."""
+
+    @abc.abstractmethod
+    def whole(self, table: Table) -> result.Result[Batch, Unavailable]:
+        """Reads a whole table as of one moment."""
+
+    @abc.abstractmethod
+    def changes(
+        self, table: Table, *, after: int, wait_s: float
+    ) -> result.Result[Batch, Failure]:
+        """Waits for changes after a revision.
+
+        Args:
+            table: What to follow.
+            after: The revision known.
+            wait_s: How long the store may hold the call if nothing changes.
+        """
+
+    @abc.abstractmethod
+    def reset(self, table: Table) -> None:
+        """Drops the connection used for a table; a held call fails."""
--- /dev/null
+++ b/irisshelf/transport/errors.py
@@ -0,0 +1,27 @@
+"""Errors of the transport."""
+
+from __future__ import annotations
+
+
+class TransportError(Exception):
+    """A connection that did not do what it should."""
+
+
+class ConnectError(TransportError):
+    """No connection came about; nothing was sent."""
+
+
+class BrokenError(TransportError):
+    """The peer broke the connection, or sent what is no HTTP."""
+
+
+class SilentError(TransportError):
+    """The peer sent nothing in time."""
+
+
+class CallerGoneError(Exception):
+    """The caller has closed its connection."""
+
+
+class CloseIdleError(Exception):
+    """The instance wants to close a connection that is at rest."""
--- /dev/null
+++ b/irisshelf/transport/server.py
@@ -0,0 +1,394 @@
+"""One caller's HTTP/1.1 connection: requests in, answers out."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import http
+import time
+from collections.abc import Callable
+
+import gevent
+import h11
+from gevent import socket
+
+from irisshelf.transport import errors
+
+_READ_BYTES = 65536
+# A caller that has sent so much ahead of its answer is not read any further.
+_MAX_AHEAD_BYTES = 65536
+# How long a caller may take to take in a part of an answer.
+_WRITE_S = 10.0
+# A closed connection is read this long, so that no reset destroys an answer
+# that the caller has not read yet.
+_LINGER_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Limits:
+    """What a caller may send, and how slowly."""
+
+    head_bytes: int
+    body_bytes: int
+    head_s: float
+    idle_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """A whole request.
+
+    Attributes:
+        method: Such as ``POST``.
+        target: Path and query, unchanged.
+        headers: Names and values as the caller wrote them.
+        body: The body, unframed.
+        has_body: Whether a body was framed, though it may be empty.
+        arrived_s: When the head was whole, monotonic seconds.
+        kept: Whether the connection had been used before.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    has_body: bool
+    arrived_s: float
+    kept: bool
+
+
+class _Phase(enum.Enum):
+    IDLE = "idle"
+    READING = "reading"
+    ANSWERING = "answering"
+
+
+class _BadRequestError(Exception):
+    def __init__(self, status: int, text: str):
+        super().__init__(text)
+        self.status = status
+
+
+class Connection:
+    """Serves one connection.
+
+    Args:
+        sock: The accepted socket.
+        limits: Tells the limits now.
+        handle: Answers a request by the methods of this connection.
+        refuse: Builds the body and headers of an answer to a request that
+            could not be read: takes the status and a text.
+    """
+
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        limits: Callable[[], Limits],
+        handle: Callable[[Request, Connection], None],
+        refuse: Callable[[int, str], tuple[list[tuple[bytes, bytes]], bytes]],
+    ):
+        self._sock = sock
+        self._limits = limits
+        self._handle = handle
+        self._refuse = refuse
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits().head_bytes
+        )
+        self._out = b""
+        self._phase = _Phase.IDLE
+        self._ahead = b""
+        self._kept = False
+        self._close_after = False
+        self._aborted = False
+        self._greenlet = gevent.getcurrent()
+        self._watcher: gevent.Greenlet | None = None
+        self._watching = False
+        self.began = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether the connection is at rest between requests."""
+        return self._phase is _Phase.IDLE
+
+    def serve(self) -> None:
+        """Serves requests until the connection ends."""
+        self._greenlet = gevent.getcurrent()
+        sock = self._sock
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            while self._serve_one():
+                self._kept = True
+        except (OSError, errors.CallerGoneError, errors.CloseIdleError):
+            # The caller left, or a planned stop closes what is at rest.
+            pass
+        except h11.LocalProtocolError:
+            self.abort()
+            raise
+        finally:
+            self._stop_watching()
+            self._end()
+
+    def close_after_answer(self) -> None:
+        """Announces that the connection ends with its next answer."""
+        self._close_after = True
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if it is at rest."""
+        if self.idle:
+            self._greenlet.kill(errors.CloseIdleError, block=False)
+
+    def answer(
+        self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        framed = [*headers, (b"Content-Length", str(len(body)).encode())]
+        self._start(status, framed)
+        if body:
+            self._queue(h11.Data(data=body))
+        self._queue(h11.EndOfMessage())
+        self._flush()
+
+    def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Sends the head of an answer of unknown length."""
+        self._start(status, [*headers, (b"Transfer-Encoding", b"chunked")])
+        self._flush()
+
+    def write(self, data: bytes) -> None:
+        """Sends a part of an answer at once."""
+        self._queue(h11.Data(data=data))
+        self._flush()
+
+    def end(self) -> None:
+        """Ends an answer as whole."""
+        self._queue(h11.EndOfMessage())
+        self._flush()
+
+    def abort(self) -> None:
+        """Breaks the answer off, so that it cannot be taken for whole."""
+        self._aborted = True
+
+    def detach_caller(self) -> None:
+        """From now on the work goes on though the caller leaves."""
+        self._stop_watching()
+
+    def _serve_one(self) -> bool:
+        try:
+            request = self._read_request()
+        except _BadRequestError as exc:
+            self._turn_down(exc)
+            return False
+        if request is None:
+            return False
+        self._phase = _Phase.ANSWERING
+        self._watch()
+        try:
+            self._handle(request, self)
+        finally:
+            self._stop_watching()
+        return self._next_cycle()
+
+    def _next_cycle(self) -> bool:
+        done = (
+            self._http.our_state is h11.DONE
+            and self._http.their_state is h11.DONE
+        )
+        if self._aborted or self._close_after or not done:
+            return False
+        self._http.start_next_cycle()
+        if self._ahead:
+            self._http.receive_data(self._ahead)
+            self._ahead = b""
+        self.began = False
+        self._phase = _Phase.IDLE
+        return True
+
+    def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        self.began = True
+        if self._close_after:
+            headers = [*headers, (b"Connection", b"close")]
+        self._out = b""
+        self._queue(
+            h11.Response(
+                status_code=status, headers=headers, reason=_reason(status)
+            )
+        )
+
+    def _queue(self, event: h11.Event) -> None:
+        self._out += self._http.send(event) or b""
+
+    def _flush(self) -> None:
+        data, self._out = self._out, b""
+        self._sock.settimeout(_WRITE_S)
+        self._sock.sendall(data)
+
+    def _read_request(self) -> Request | None:
+        limits = self._limits()
+        head = self._read_head(limits)
+        if head is None:
+            return None
+        arrived_s = time.monotonic()
+        headers = tuple(head.headers.raw_items())
+        has_body = _check_framing(headers, limits)
+        if self._http.they_are_waiting_for_100_continue:
+            self._out = b""
+            self._queue(h11.InformationalResponse(status_code=100, headers=[]))
+            self._flush()
+        body = self._read_body(limits)
+        return Request(
+            method=head.method.decode("ascii"),
+            target=head.target.decode("latin-1"),
+            headers=headers,
+            body=body,
+            has_body=has_body,
+            arrived_s=arrived_s,
+            kept=self._kept,
+        )
+
+    def _read_head(self, limits: Limits) -> h11.Request | None:
+        until_s = time.monotonic() + limits.idle_s
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise _BadRequestError(exc.error_status_hint, str(exc)) from exc
+            if isinstance(event, h11.Request):
+                return event
+            if isinstance(event, h11.ConnectionClosed):
+                return None
+            if event is not h11.NEED_DATA:
+                raise _BadRequestError(400, f"{event!r} before a request")
+            data = self._receive(until_s)
+            if data is None and self.idle:
+                return None
+            if data is None:
+                raise _BadRequestError(408, f"no head in {limits.head_s} s")
+            if self.idle and data:
+                self._phase = _Phase.READING
+                until_s = time.monotonic() + limits.head_s
+            self._feed(data)
+
+    def _read_body(self, limits: Limits) -> bytes:
+        parts = []
+        size = 0
+        while True:
+            until_s = time.monotonic() + limits.idle_s
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise _BadRequestError(exc.error_status_hint, str(exc)) from exc
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise _too_long(size, limits)
+                parts.append(bytes(event.data))
+            elif event is h11.NEED_DATA:
+                data = self._receive(until_s)
+                if data is None:
+                    raise _BadRequestError(408, "the body stopped coming in")
+                self._feed(data)
+            else:
+                raise errors.CallerGoneError
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+        except h11.RemoteProtocolError as exc:
+            raise _BadRequestError(exc.error_status_hint, str(exc)) from exc
+
+    def _receive(self, until_s: float) -> bytes | None:
+        left_s = until_s - time.monotonic()
+        if left_s <= 0:
+            return None
+        self._sock.settimeout(left_s)
+        try:
+            return self._sock.recv(_READ_BYTES)
+        except TimeoutError:
+            return None
+
+    def _turn_down(self, problem: _BadRequestError) -> None:
+        """Answers what could not be read; the connection then closes."""
+        if self._http.our_state is not h11.SEND_RESPONSE and (
+            self._http.our_state is not h11.IDLE
+        ):
+            return
+        self._close_after = True
+        headers, body = self._refuse(problem.status, str(problem))
+        self.answer(problem.status, headers, body)
+
+    def _watch(self) -> None:
+        """Notices when the caller leaves while it is being answered."""
+        self._watching = True
+        self._watcher = gevent.spawn(self._watch_caller)
+
+    def _watch_caller(self) -> None:
+        while len(self._ahead) < _MAX_AHEAD_BYTES:
+            try:
+                # The timeout of the socket belongs to its writer.
+                socket.wait_read(self._sock.fileno())
+                data = self._sock.recv(_READ_BYTES)
+            except TimeoutError:
+                continue
+            except (OSError, ValueError):
+                data = b""
+            if not data:
+                break
+            self._ahead += data
+        else:
+            return
+        if self._watching:
+            self._greenlet.kill(errors.CallerGoneError, block=False)
+
+    def _stop_watching(self) -> None:
+        self._watching = False
+        watcher, self._watcher = self._watcher, None
+        if watcher is not None and watcher is not gevent.getcurrent():
+            watcher.kill(block=True)
+
+    def _end(self) -> None:
+        try:
+            if self._aborted:
+                self._sock.close()
+                return
+            self._sock.shutdown(socket.SHUT_WR)
+            if not self.idle:
+                self._sock.settimeout(_LINGER_S)
+                while self._sock.recv(_READ_BYTES):
+                    pass
+        except (OSError, errors.CloseIdleError, errors.CallerGoneError):
+            pass
+        finally:
+            self._sock.close()
+
+
+def _check_framing(
+    headers: tuple[tuple[bytes, bytes], ...], limits: Limits
+) -> bool:
+    """Returns whether a body is framed; two framings may hide a request."""
+    names = [name.lower() for name, _ in headers]
+    chunked = b"transfer-encoding" in names
+    lengths = [v for n, v in headers if n.lower() == b"content-length"]
+    if chunked and lengths:
+        raise _BadRequestError(
+            400, "both Content-Length and Transfer-Encoding, allowed: one"
+        )
+    if names.count(b"host") > 1:
+        raise _BadRequestError(400, "more than one Host header")
+    if lengths and int(lengths[0]) > limits.body_bytes:
+        raise _too_long(int(lengths[0]), limits)
+    return chunked or bool(lengths)
+
+
+def _reason(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
+
+
+def _too_long(size: int, limits: Limits) -> _BadRequestError:
+    return _BadRequestError(
+        413, f"body has {size} bytes or more, allowed: {limits.body_bytes}"
+    )
