--- a/irisshelf/routing/event_stream.py
+++ b/irisshelf/routing/event_stream.py
@@ -26,11 +26,11 @@
 
 
 class Splitter:
-    """Takes bytes as they come and gives whole events.
+    r"""Takes bytes as they come and gives whole events.
 
     Example:
         >>> splitter = Splitter()
-        >>> [e.event_id for e in splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2")]
+        >>> [e.event_id for e in splitter.feed(b"id: 1\ndata: a\n\nid: 2")]
         [1]
         >>> splitter.rest
         b'id: 2'
