Tests of the gateway against stand-ins of the users' platform

Change: stand-ins of their store and servers with faults; tables of faults by kind of request; the store's troubles. They found that the gauge store_up stayed 0 until the first loss; it is set at the first answer now. Ruled out: mocks of sockets; real connections on loopback show what callers see.

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -102,12 +102,13 @@
         self._revision[table] = batch.revision
 
     def _take_catalog(self, batch: feed.Batch) -> None:
+        catalog = self._inst.catalog
         for item in batch.items:
             if item.problem:
                 self._inst.log.problem(
                     "catalog_unreadable",
                     problem=item.problem,
-                    kept=self._inst.metrics.catalog_version._value.get(),
+                    kept=catalog.version if catalog else None,
                 )
             elif item.value is not None:
                 self._inst.adopt(item.value)
@@ -159,6 +160,7 @@
 
     def _regained(self, now: float) -> None:
         self._up.set()
+        self._inst.metrics.store_up.set(1)
         if self._lost_s is None:
             return
         self._inst.log.instance(
@@ -166,7 +168,6 @@
         )
         self._lost_s = None
         self._back_s = now
-        self._inst.metrics.store_up.set(1)
 
     def _count(self, table: feed.Table, answer: result.Result) -> None:
         ended = "ok" if answer.is_ok() else "failed"
--- /dev/null
+++ b/irisshelf/platform/stand_in/server.py
@@ -0,0 +1,272 @@
+"""Stand-in for a backend server, plain or a model engine, with faults."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+import itertools
+
+import gevent
+from gevent import server
+from gevent import socket
+
+from irisshelf.transport import server as http
+
+_LIMITS = http.Limits(
+    head_bytes=65536, body_bytes=8_000_000, head_s=30.0, idle_s=300.0
+)
+_SIGNATURE = b"Response-Signature"
+
+
+class Fault(enum.StrEnum):
+    """What a server does to one request instead of answering it well."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    FAIL = "fail"
+    BARE_503 = "bare_503"
+    RESET = "reset"
+    RESET_AFTER_RUN = "reset_after_run"
+    HANG = "hang"
+    GARBAGE = "garbage"
+    UNSIGNED = "unsigned"
+    OTHER_ID = "other_id"
+    ENCODED = "encoded"
+    CUT = "cut"
+    TORN = "torn"
+    STRAY_FIRST = "stray_first"
+    STRAY_AFTER = "stray_after"
+    UNFRAMED = "unframed"
+    NOT_ME = "not_me"
+    SLOW = "slow"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Run:
+    """A request that a server worked on."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    server_id: str
+    after_event: int
+    whole: bool = False
+
+
+class Server:
+    """Serves on loopback and keeps what it ran.
+
+    Args:
+        server_id: Its id.
+        service: Its service.
+        streaming: Whether it answers with streams of events.
+        events: Events of a stream.
+        event_s: Pause before each event.
+        work_s: Time that a plain request takes.
+        port: To listen on; 0 for any.
+    """
+
+    def __init__(
+        self,
+        *,
+        server_id: str,
+        service: str,
+        streaming: bool,
+        events: int = 4,
+        event_s: float = 0.002,
+        work_s: float = 0.0,
+        port: int = 0,
+    ):
+        self.server_id = server_id
+        self.service = service
+        self.faults: collections.deque[Fault] = collections.deque()
+        self.always = Fault.NONE
+        self.runs: list[Run] = []
+        self.working = 0
+        self.broken_off = 0
+        self._streaming = streaming
+        self._events = events
+        self._event_s = event_s
+        self._work_s = work_s
+        self._serial = itertools.count()
+        self._server = server.StreamServer(
+            ("127.0.0.1", port), self._serve, backlog=256
+        )
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def start(self) -> Server:
+        """Begins to listen."""
+        self._server.start()
+        return self
+
+    def close(self) -> None:
+        """Stops."""
+        self._server.stop(timeout=0)
+
+    def entry(self, state: str = "ready") -> dict[str, object]:
+        """Returns its entry in the store's list."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 64,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+
+    def ran(self, request_id: str) -> int:
+        """Returns how often it ran a request."""
+        return sum(run.request_id == request_id for run in self.runs)
+
+    def _serve(self, sock: socket.socket, peer: object) -> None:
+        exchange = _Exchange(owner=self, sock=sock)
+        http.Connection(
+            sock=sock,
+            limits=lambda: _LIMITS,
+            handle=exchange.handle,
+            refuse=lambda status, text: ([], text.encode()),
+        ).serve()
+
+    def next_fault(self) -> Fault:
+        """Returns what happens to the request that has come."""
+        return self.faults.popleft() if self.faults else self.always
+
+
+class _Exchange:
+    """One connection's exchanges."""
+
+    def __init__(self, *, owner: Server, sock: socket.socket):
+        self._owner = owner
+        self._sock = sock
+
+    def handle(self, request: http.Request, conn: http.Connection) -> None:
+        owner = self._owner
+        headers = {
+            name.decode().lower(): value.decode()
+            for name, value in request.headers
+        }
+        if headers.get("expect-instance") != owner.server_id:
+            conn.answer(421, [(b"Instance-Id", owner.server_id.encode())], b"")
+            return
+        fault = owner.next_fault()
+        if self._turned_down(fault, conn):
+            return
+        after = int(headers.get("last-event-id", 0))
+        run = Run(
+            request_id=headers.get("request-id", ""),
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            body=request.body,
+            server_id=owner.server_id,
+            after_event=after,
+        )
+        owner.runs.append(run)
+        owner.working += 1
+        try:
+            self._answer(fault, run, conn)
+        except BaseException:
+            owner.broken_off += 1
+            raise
+        finally:
+            owner.working -= 1
+
+    def _turned_down(self, fault: Fault, conn: http.Connection) -> bool:
+        if fault is Fault.REFUSE:
+            conn.answer(503, [(b"Not-Executed", b"1")], b"")
+        elif fault is Fault.NOT_ME:
+            conn.answer(421, [(b"Instance-Id", b"i-other")], b"")
+        elif fault is Fault.RESET:
+            conn.abort()
+        else:
+            return False
+        return True
+
+    def _answer(self, fault: Fault, run: Run, conn: http.Connection) -> None:
+        gevent.sleep(self._owner._work_s)
+        if fault is Fault.HANG:
+            gevent.sleep(3600)
+        if fault is Fault.SLOW:
+            gevent.sleep(0.2)
+        if fault is Fault.RESET_AFTER_RUN:
+            conn.abort()
+        elif fault is Fault.GARBAGE:
+            self._sock.sendall(b"\x00\x01 this is no answer\r\n\r\n")
+            conn.abort()
+        elif fault is Fault.FAIL:
+            conn.answer(500, self._head(run), b"failed")
+        elif fault is Fault.BARE_503:
+            conn.answer(503, self._head(run), b"overloaded")
+        elif self._owner._streaming:
+            self._stream(fault, run, conn)
+        else:
+            self._plain(fault, run, conn)
+
+    def _head(self, run: Run, fault: Fault = Fault.NONE):
+        request_id = run.request_id
+        if fault is Fault.OTHER_ID:
+            request_id = "someone-elses"
+        signature = f"{self._owner.server_id}.{next(self._owner._serial)}"
+        headers = [
+            (b"Request-Id", request_id.encode()),
+            (b"Server-Load", f"{self._owner.working},0,64".encode()),
+        ]
+        if fault is not Fault.UNSIGNED:
+            headers.append((_SIGNATURE, signature.encode()))
+        if fault is Fault.ENCODED:
+            headers.append((b"Content-Encoding", b"gzip"))
+        return headers
+
+    def _plain(self, fault: Fault, run: Run, conn: http.Connection) -> None:
+        body = b"answer to " + run.request_id.encode()
+        if fault is Fault.STRAY_FIRST:
+            self._sock.sendall(_raw_answer(b"an-earlier-one", b"not yours"))
+        if fault is Fault.UNFRAMED:
+            head = b"".join(b"%s: %s\r\n" % pair for pair in self._head(run))
+            self._sock.sendall(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body)
+            conn.abort()
+            return
+        if fault is Fault.CUT:
+            head = b"".join(b"%s: %s\r\n" % pair for pair in self._head(run))
+            length = b"Content-Length: %d\r\n\r\n" % (len(body) + 9)
+            self._sock.sendall(b"HTTP/1.1 200 OK\r\n" + head + length + body)
+            conn.abort()
+            return
+        conn.answer(200, self._head(run, fault), body)
+        if fault is Fault.STRAY_AFTER:
+            self._sock.sendall(_raw_answer(b"an-earlier-one", b"not yours"))
+
+    def _stream(self, fault: Fault, run: Run, conn: http.Connection) -> None:
+        head = self._head(run, fault)
+        head.append((b"Content-Type", b"text/event-stream"))
+        conn.begin(200, head)
+        for number in range(run.after_event + 1, self._owner._events + 1):
+            gevent.sleep(self._owner._event_s)
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            half = self._owner._events // 2
+            if fault is Fault.CUT and number > half:
+                conn.abort()
+                return
+            if fault is Fault.TORN and number > half:
+                conn.write(event[: len(event) // 2])
+                conn.abort()
+                return
+            conn.write(event)
+        conn.end()
+
+
+def _raw_answer(request_id: bytes, body: bytes) -> bytes:
+    return (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id + b"\r\n"
+        b"Response-Signature: other.1\r\n"
+        b"Content-Length: %d\r\n\r\n" % len(body)
+    ) + body
--- /dev/null
+++ b/irisshelf/platform/stand_in/store.py
@@ -0,0 +1,181 @@
+"""Stand-in for the platform's store: rows, a feed of changes, faults."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import enum
+import json
+import time
+import urllib.parse
+from typing import Any
+
+import gevent
+from gevent import event
+from gevent import server
+from gevent import socket
+
+from irisshelf.transport import server as http
+
+_LIMITS = http.Limits(
+    head_bytes=65536, body_bytes=1_000_000, head_s=30.0, idle_s=300.0
+)
+_PAGE_ROWS = 500
+
+
+class Mode(enum.StrEnum):
+    """How the store behaves."""
+
+    WELL = "well"
+    BUSY = "busy"
+    SILENT = "silent"
+    RESET = "reset"
+    SLOW = "slow"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Row:
+    value: str
+    ver: int
+    deleted: bool = False
+
+
+class Store:
+    """Serves rows on loopback.
+
+    Args:
+        port: To listen on; 0 for any.
+    """
+
+    def __init__(self, *, port: int = 0):
+        self._tables: dict[str, dict[str, _Row]] = {}
+        self._ver = 0
+        self._forgotten = 0
+        self._changed = event.Event()
+        self._server = server.StreamServer(
+            ("127.0.0.1", port), self._serve, backlog=256
+        )
+        self.mode = Mode.WELL
+        self.slow_s = 0.3
+        self.calls = 0
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def start(self) -> Store:
+        """Begins to listen."""
+        self._server.start()
+        return self
+
+    def close(self) -> None:
+        """Stops."""
+        self._server.stop(timeout=0)
+
+    def put(self, table: str, key: str, document: Any) -> int:
+        """Writes a row as an operator or a server would."""
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        return self._write(table, key, value, deleted=False)
+
+    def drop(self, table: str, key: str) -> int:
+        """Removes a row."""
+        return self._write(table, key, "", deleted=True)
+
+    def forget_history(self) -> None:
+        """Makes every revision before now unknown."""
+        self._forgotten = self._ver
+        self._wake()
+
+    def _write(self, table: str, key: str, value: str, *, deleted: bool) -> int:
+        self._ver += 1
+        row = _Row(value=value, ver=self._ver, deleted=deleted)
+        self._tables.setdefault(table, {})[key] = row
+        self._wake()
+        return self._ver
+
+    def _wake(self) -> None:
+        waiting, self._changed = self._changed, event.Event()
+        waiting.set()
+
+    def _serve(self, sock: socket.socket, peer: object) -> None:
+        http.Connection(
+            sock=sock,
+            limits=lambda: _LIMITS,
+            handle=self._handle,
+            refuse=lambda status, text: ([], text.encode()),
+        ).serve()
+
+    def _handle(self, request: http.Request, conn: http.Connection) -> None:
+        self.calls += 1
+        if self.mode is Mode.SLOW:
+            gevent.sleep(self.slow_s)
+        path, _, query = request.target.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        if path == "/api/rows-get":
+            self._answer(conn, 200, self._page(fields))
+        elif path == "/api/rows-feed":
+            self._feed(conn, fields)
+        else:
+            self._answer(conn, 404, {})
+
+    def _feed(self, conn: http.Connection, fields: dict[str, str]) -> None:
+        after = int(fields["afterRevision"])
+        until_s = time.monotonic() + int(fields["waitMs"]) / 1000
+        while True:
+            if after < self._forgotten:
+                self._answer(conn, 410, {})
+                return
+            rows = self._since(fields["table"], after)
+            left_s = until_s - time.monotonic()
+            if rows or left_s <= 0:
+                break
+            self._changed.wait(left_s)
+        self._answer(conn, 200, {"rows": rows})
+
+    def _since(self, table: str, after: int) -> list[dict[str, Any]]:
+        rows = self._tables.get(table, {})
+        changed = [(k, r) for k, r in rows.items() if r.ver > after]
+        return [
+            _encode(table, key, row)
+            for key, row in sorted(changed, key=lambda pair: pair[1].ver)
+        ]
+
+    def _page(self, fields: dict[str, str]) -> dict[str, Any]:
+        rows = self._tables.get(fields["table"], {})
+        limit = min(_PAGE_ROWS, int(fields.get("limit", _PAGE_ROWS)))
+        start = fields.get("from", "")
+        keys = sorted(k for k, r in rows.items() if not r.deleted)
+        wanted = [key for key in keys if key >= start]
+        page = wanted[:limit]
+        table = fields["table"]
+        return {
+            "rows": [_encode(table, key, rows[key]) for key in page],
+            "morePages": len(wanted) > limit,
+        }
+
+    def _answer(
+        self, conn: http.Connection, status: int, document: dict[str, Any]
+    ) -> None:
+        if self.mode is Mode.SILENT:
+            gevent.sleep(3600)
+        if self.mode is Mode.RESET:
+            conn.abort()
+            return
+        if self.mode is Mode.BUSY:
+            status, document = 503, {}
+        now_ms = time.monotonic() * 1000
+        whole = {"ver": self._ver, "nowMs": now_ms, **document}
+        conn.answer(status, [], json.dumps(whole).encode())
+
+
+def _encode(table: str, key: str, row: _Row) -> dict[str, Any]:
+    encoded: dict[str, Any] = {
+        "table": table,
+        "part": "",
+        "tlsKey": key,
+        "ver": row.ver,
+    }
+    if row.deleted:
+        return {**encoded, "deleted": True}
+    return {**encoded, "value": row.value}
--- /dev/null
+++ b/irisshelf/tests/test_gateway_store.py
@@ -0,0 +1,133 @@
+"""The store's troubles: what an instance believes, and for how long."""
+
+import pytest
+
+from irisshelf.gateway import settings
+from irisshelf.platform.stand_in import store
+from irisshelf.platform.stand_in import world as world_module
+
+Mode = store.Mode
+
+
+def _put(world, version, **more):
+    world.store.put("op", "config", world_module.config(version, **more))
+
+
+def test_without_a_configuration_nothing_is_known():
+    world = world_module.World(configured=False)
+    answer = world.ask("/alarm/1")
+    assert (answer.status, world.inst.ready) == (503, False)
+    assert answer.headers["connection"] == "close"
+    _put(world, 1)
+    world.wait(lambda: world.inst.ready)
+    assert world.ask("/alarm/1").status == 200
+    world.close()
+
+
+def test_a_new_configuration_comes_into_force(world):
+    _put(world, 2, routes=[world_module.route("/new/", "safe", "crew")])
+    world.wait(lambda: world.inst.catalog.version == 2)
+    assert world.ask("/new/1").status == 200
+    assert world.ask("/valve/1").status == 404
+
+
+def test_an_older_configuration_does_not_come_back(world):
+    _put(world, 5)
+    world.wait(lambda: world.inst.catalog.version == 5)
+    _put(world, 4, routes=[])
+    _put(world, 6)
+    world.wait(lambda: world.inst.catalog.version == 6)
+    assert world.ask("/valve/1").status == 200
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        {"version": "two"},
+        {"version": 2, "routes": [{"host": "x"}]},
+        {"version": 2, "routes": [], "tenants": [{"apiKeys": 3}]},
+    ],
+)
+def test_an_unreadable_configuration_changes_nothing(world, document):
+    world.store.put("op", "config", document)
+    _put(world, 3)
+    world.wait(lambda: world.inst.catalog.version == 3)
+    assert world.ask("/valve/1").status == 200
+
+
+def test_forgotten_history_is_read_anew(world):
+    world.store.forget_history()
+    _put(world, 2)
+    world.wait(lambda: world.inst.catalog.version == 2)
+
+
+@pytest.mark.parametrize("mode", [Mode.BUSY, Mode.RESET, Mode.SILENT])
+def test_after_trouble_the_store_is_followed_again(world, mode):
+    world.store.mode = mode
+    _put(world, 2)
+    world.wait(lambda: not _store_up(world))
+    world.store.mode = Mode.WELL
+    world.wait(lambda: world.inst.catalog.version == 2)
+
+
+@pytest.mark.parametrize("mode", [Mode.BUSY, Mode.RESET, Mode.SILENT])
+def test_keys_hold_no_longer_than_the_store_vouches_for_them(mode):
+    bounds = settings.Bounds(key_withdrawn_ms=3500)
+    world = world_module.World(bounds=bounds)
+    world.store.mode = mode
+    world.wait(lambda: not world.inst.keys_hold())
+    answer = world.ask("/alarm/1", Request_Id="late")
+    assert (answer.status, world.runs("late")) == (503, 0)
+    assert answer.headers["connection"] == "close"
+    assert not world.inst.ready
+    world.store.mode = Mode.WELL
+    world.wait(world.inst.keys_hold)
+    assert world.ask("/alarm/1").status == 200
+    world.close()
+
+
+def test_a_withdrawn_key_is_refused(world):
+    _put(world, 2, tenants=[{"name": "blue", "apiKeys": ["another"]}])
+    world.wait(lambda: world.inst.catalog.version == 2)
+    assert world.ask("/alarm/1").status == 401
+
+
+@pytest.mark.parametrize("how", ["leaving", "gone"])
+def test_a_server_that_leaves_gets_nothing_more(world, how):
+    leaver = world.plain[0]
+    if how == "leaving":
+        entry = leaver.entry("draining")
+        world.store.put("servers", leaver.server_id, entry)
+    else:
+        world.store.drop("servers", leaver.server_id)
+    world.wait(lambda: not _takes_work(world, leaver))
+    before = len(leaver.runs)
+    answers = {world.ask("/alarm/1").status for _ in range(6)}
+    assert (answers, len(leaver.runs)) == ({200}, before)
+
+
+def test_entries_that_lapse_while_the_store_is_away_are_kept_a_while(world):
+    world.store.mode = Mode.BUSY
+    world.wait(lambda: not _store_up(world))
+    lapsed = [*world.plain, *world.engines]
+    for one in lapsed:
+        world.store.drop("servers", one.server_id)
+    world.store.forget_history()
+    world.store.mode = Mode.WELL
+    world.wait(lambda: _store_up(world))
+    assert world.ask("/alarm/1").status == 200
+    back = world.plain[0]
+    world.store.put("servers", back.server_id, back.entry())
+    world.wait(lambda: len(world.inst.directory.servers()) == 1)
+    assert world.inst.directory.get(back.server_id) is not None
+    assert world.ask("/alarm/1").status == 200
+
+
+def _takes_work(world, one):
+    listed = world.inst.directory.get(one.server_id)
+    return listed is not None and listed.state.value == "ready"
+
+
+def _store_up(world):
+    registry = world.inst.metrics.registry
+    return registry.get_sample_value("irisshelf_store_up") == 1
