--- /dev/null
+++ b/irisshelf/tests/test_server_choice.py
@@ -0,0 +1,221 @@
+"""Choosing a backend server: load, health, shared parts, retries."""
+
+import random
+
+import pytest
+
+from irisshelf.catalog import directory
+from irisshelf.routing import prompt
+from irisshelf.routing import server_book
+from irisshelf.routing import server_choice
+from irisshelf.routing import window_budget
+
+Seen = server_book.Seen
+
+
+def _server(name, state="ready", data_centre="a"):
+    return directory.BackendServer(
+        server_id=name,
+        service="s",
+        address=f"10.0.0.1:{name}",
+        data_centre=data_centre,
+        slots=8,
+        state=directory.ServerState(state),
+    )
+
+
+_SERVERS = [_server(name) for name in ("1", "2", "3", "4")]
+
+
+def _prompt(subject="bb", tokens=1000):
+    parts = [("aa", 100), (subject, tokens), ("own", 9)]
+    return prompt.Prompt(
+        parts=tuple(prompt.Part(part_id=p, tokens=n) for p, n in parts)
+    )
+
+
+def _chooser():
+    return server_choice.Chooser(data_centre="a", rng=random.Random(1))
+
+
+def _choose(chooser, servers=_SERVERS, asked=None, avoid=(), now=1.0):
+    return chooser.choose(
+        servers,
+        asked if asked is not None else _prompt(),
+        avoid=frozenset(avoid),
+        now=now,
+    )
+
+
+def test_every_instance_ranks_alike():
+    one = [s.server_id for s in server_choice.rank(_SERVERS, "bb")]
+    other = [s.server_id for s in server_choice.rank(_SERVERS[::-1], "bb")]
+    assert one == other
+
+
+def test_a_server_that_goes_moves_only_its_own_subjects():
+    subjects = [f"subject-{n}" for n in range(200)]
+    before = {s: server_choice.rank(_SERVERS, s)[0] for s in subjects}
+    after = {s: server_choice.rank(_SERVERS[1:], s)[0] for s in subjects}
+    moved = {s for s in subjects if before[s] != after[s]}
+    assert moved == {s for s in subjects if before[s] == _SERVERS[0]}
+
+
+def test_a_home_at_its_bound_passes_its_turn_and_is_the_source():
+    chooser = _chooser()
+    home = _choose(chooser).server
+    chooser.sent("bb", home.server_id, 1.0)
+    for _ in range(12):
+        chooser.book.began(home.server_id)
+    choice = _choose(chooser)
+    assert choice.reason is server_choice.Reason.SPILL
+    assert (choice.server != home, choice.source) == (True, home)
+
+
+@pytest.mark.parametrize(("tokens", "fetched"), [(1000, True), (10, False)])
+def test_only_long_parts_are_fetched(tokens, fetched):
+    choice = _choose(_chooser(), asked=_prompt(tokens=tokens))
+    assert (choice.source is not None) is fetched
+
+
+def test_a_holder_fetches_nothing():
+    chooser = _chooser()
+    home = _choose(chooser).server
+    chooser.sent("bb", home.server_id, 1.0)
+    assert _choose(chooser).source is None
+
+
+def test_a_leaving_holder_is_still_a_source():
+    chooser = _chooser()
+    home = _choose(chooser).server
+    chooser.sent("bb", home.server_id, 1.0)
+    servers = [
+        _server(s.server_id, "leaving") if s == home else s for s in _SERVERS
+    ]
+    choice = _choose(chooser, servers=servers)
+    assert choice.server.server_id != home.server_id
+    assert choice.source.server_id == home.server_id
+
+
+@pytest.mark.parametrize(
+    ("servers", "avoid"),
+    [
+        ([], ()),
+        ([_server("1", "leaving")], ()),
+        ([_server("1")], ("1",)),
+    ],
+)
+def test_no_server_is_no_choice(servers, avoid):
+    assert _choose(_chooser(), servers=servers, avoid=avoid) is None
+
+
+def test_without_a_subject_the_one_expected_first_is_chosen():
+    chooser = _chooser()
+    for server in _SERVERS:
+        chooser.book.lasted(server.server_id, 0.08)
+    chooser.book.lasted("3", 0.0)
+    chooser.book.lasted("3", 0.0)
+    choice = _choose(chooser, asked=prompt.Prompt())
+    assert choice.server.server_id == "3"
+
+
+def test_when_all_rest_one_is_asked_all_the_same():
+    chooser = _chooser()
+    for server in _SERVERS:
+        chooser.book.seen(server.server_id, Seen.UNREACHABLE, 1.0)
+    choice = _choose(chooser, now=1.1)
+    assert choice.reason is server_choice.Reason.LAST_RESORT
+
+
+@pytest.mark.parametrize(
+    ("seen", "rests"),
+    [
+        ([Seen.UNREACHABLE], True),
+        ([Seen.BROKEN], False),
+        ([Seen.BROKEN] * 3, True),
+        ([Seen.SILENT] * 3, True),
+        ([Seen.REFUSED] * 9, False),
+        ([Seen.FAILED, Seen.WELL] * 2, False),
+        ([Seen.FAILED] * 5, True),
+        ([Seen.WELL] * 9, False),
+    ],
+)
+def test_evidence_that_makes_a_server_rest(seen, rests):
+    book = server_book.ServerBook()
+    for _ in range(5):
+        book.seen("other", Seen.WELL, 1.0)
+    for what in seen:
+        book.seen("1", what, 1.0)
+    assert book.fit("1", 1.01) is not rests
+
+
+def test_what_all_servers_do_ejects_none():
+    book = server_book.ServerBook()
+    for _ in range(9):
+        for name in ("1", "2", "3"):
+            book.seen(name, Seen.FAILED, 1.0)
+    assert [book.fit(name, 1.1) for name in ("1", "2", "3")] == [True] * 3
+
+
+def test_a_rested_server_gets_one_request_to_show_itself():
+    book = server_book.ServerBook()
+    book.seen("1", Seen.UNREACHABLE, 1.0)
+    assert not book.fit("1", 1.5)
+    assert book.fit("1", 1.7)
+    book.began("1")
+    assert not book.fit("1", 1.7)
+    book.seen("1", Seen.WELL, 1.8)
+    assert book.fit("1", 1.8)
+
+
+def test_rests_grow_and_end_growing():
+    book = server_book.ServerBook()
+    now = 0.0
+    rests = []
+    for _ in range(6):
+        book.seen("1", Seen.UNREACHABLE, now)
+        steps = next(n for n in range(99) if book.fit("1", now + n / 10))
+        rests.append(steps / 10)
+        now += steps / 10
+    assert rests == [0.6, 1.2, 2.4, 4.0, 4.0, 4.0]
+
+
+@pytest.mark.parametrize(
+    ("told_s", "own_since", "expected"),
+    [
+        (1.0, 0, 5.0),
+        (1.0, 2, 7.0),
+        (-9.0, 2, 2.0),
+    ],
+)
+def test_load_is_the_last_word_and_what_was_sent_since(
+    told_s, own_since, expected
+):
+    book = server_book.ServerBook()
+    book.told("1", work=5, slots=8, now=told_s)
+    for _ in range(own_since):
+        book.began("1")
+    assert book.load("1", 1.5) == expected
+
+
+def test_unknown_loads_are_taken_from_known_ones():
+    book = server_book.ServerBook()
+    book.told("1", work=6, slots=8, now=1.0)
+    book.told("2", work=2, slots=8, now=1.0)
+    assert book.loads(["1", "2", "3"], 1.1)["3"] == 4.0
+
+
+@pytest.mark.parametrize(("requests", "allowed"), [(0, 2), (10, 3), (100, 18)])
+def test_retries_are_a_share_of_requests_and_a_little(requests, allowed):
+    budget = window_budget.WindowBudget(ratio=0.2, slack=2.0, window_s=10.0)
+    for _ in range(requests):
+        budget.arrived(1.0)
+    taken = sum(budget.take(1.0) for _ in range(100))
+    assert taken == allowed
+    assert not budget.take(10.9)
+
+
+def test_a_window_passes():
+    budget = window_budget.WindowBudget(ratio=0.2, slack=2.0, window_s=10.0)
+    assert [budget.take(0.0) for _ in range(3)] == [True, True, False]
+    assert budget.take(10.0)
