irisshelf logs: a request's story from the logs of all instances

Cause: engineers on call have logs alone; a request's lines are spread over instances, and what explains them (store lost, server left alone) has no id. Figures: 4 tests.

--- a/irisshelf/cli/main.py
+++ b/irisshelf/cli/main.py
@@ -7,6 +7,7 @@
 from irisshelf.cli import bundle
 from irisshelf.cli import instances
 from irisshelf.cli import keys
+from irisshelf.cli import logs
 from irisshelf.cli import output
 from irisshelf.cli import settings
 from irisshelf.cli import timeline
@@ -31,6 +32,9 @@
         "Example: irisshelf timeline --chat 00ff... --platform 127.0.0.1:7000"
     ),
 )(timeline.timeline_command)
+app.command(
+    "logs", epilog="Example: irisshelf logs 9c41d07be2a35f68 entry-*.log"
+)(logs.logs_command)
 
 
 def main() -> None:
--- a/irisshelf/tests/test_cli.py
+++ b/irisshelf/tests/test_cli.py
@@ -250,3 +250,43 @@
     data = page.partition("const events = ")[2].partition(";\nconst")[0]
     decoded = [timeline.decode(item) for item in json.loads(data)]
     assert tuple(decoded) == made.events()
+
+
+_LOG = """
+front-1 {"message": "catalog_in_force", "time": 9.5, "instance": "e1", \
+"version": 4}
+  12.1 front-1 {"message": "send", "time": 10.0, "instance": "e1", \
+"request": "r1", "server": "s1"}
+no log line at all
+{"message": "server_rests", "time": 10.1, "instance": "e1", "server": "s1"}
+{"message": "server_rests", "time": 10.1, "instance": "e1", "server": "s2"}
+{"message": "store_lost", "time": 10.1, "instance": "e2"}
+{"message": "send", "time": 10.2, "instance": "e1", "request": "r2"}
+{"message": "answered", "time": 10.4, "instance": "e1", "request": "r1", \
+"ended": "unknown_may_have_run"}
+""".replace("\\\n", "")
+
+
+@pytest.mark.parametrize(
+    ("request_id", "expected", "code"),
+    [
+        ("r1", ["catalog_in_force", "send", "server_rests", "answered"], 0),
+        ("r2", ["catalog_in_force", "send"], 0),
+        ("r3", [], 1),
+    ],
+)
+def test_logs_tell_a_requests_story(tmp_path, request_id, expected, code):
+    file = tmp_path / "entry.log"
+    file.write_text(_LOG)
+    ran = testing.CliRunner().invoke(
+        main.app, ["logs", request_id, str(file), "--json"]
+    )
+    assert ran.exit_code == code
+    if code == 0:
+        found = [line["message"] for line in json.loads(ran.stdout)]
+        assert found == expected
+
+
+def test_logs_that_cannot_be_read_are_named(tmp_path):
+    ran = testing.CliRunner().invoke(main.app, ["logs", "r1", "/no/such/file"])
+    assert ran.exit_code == 2
