A fault soak: real processes, faults from outside, promises checked

Change: soak/: faults drawn from a seed, a loopback proxy, instances as processes that are stopped, paused, killed and restarted, callers that keep their connections, a checker of nine promises that is tested on planted breaks. Every fourth seed has planned work alone, so that planned stops are checked.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 READY := $(VENV)/.ready
 PY := $(VENV)/bin/python
 SETTINGS ?= painevirta
+SEEDS ?= regressions
 
-.PHONY: setup demo test bench lint format prove clean
+.PHONY: setup demo test bench lint format prove soak clean
 
 setup: $(READY)
 
@@ -35,5 +36,8 @@
 prove: $(READY)
 	$(PY) -m specs.main
 
+soak: $(READY)
+	$(PY) -m soak.main --seeds $(SEEDS)
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/irisshelf/tests/test_soak.py
@@ -0,0 +1,167 @@
+"""The soak: its checker finds what is planted; two runs of real processes."""
+
+import dataclasses
+
+import pytest
+
+from soak import checker
+from soak import plan
+from soak import run as run_module
+
+_KIND = checker.RequestKind
+_PROMISE = checker.Promise
+_BOUNDS = checker.Bounds(key_s=5.0, left_s=2.5)
+_STREAM = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+
+
+def _asked(**changes):
+    asked = checker.Asked(
+        request_id="r1",
+        kind=_KIND.UNSAFE,
+        key="k",
+        instance=0,
+        sent_s=100.0,
+        deadline_s=2.0,
+        ended_s=100.1,
+        status=200,
+        whole=True,
+        body=b"answer to r1",
+        signature="s",
+    )
+    return dataclasses.replace(asked, **changes)
+
+
+def _ran(server="s1", request="r1"):
+    return checker.Ran(request_id=request, server_id=server, at_s=0.0)
+
+
+def _check(asked, ran, **more):
+    record = checker.Record(
+        **{
+            "asked": (asked,),
+            "ran": tuple(ran),
+            "withdrawn": {},
+            "left": {},
+            "disturbed": (),
+            "stopped": (),
+            "events": 2,
+            **more,
+        }
+    )
+    return {v.promise for v in checker.check(record, _BOUNDS)}
+
+
+_SPAN = (checker.Span(target=0, from_s=99.0, to_s=101.0),)
+
+
+@pytest.mark.parametrize(
+    ("asked", "ran", "more", "broken"),
+    [
+        pytest.param(_asked(), [_ran()], {}, None, id="well"),
+        pytest.param(
+            _asked(body=b"answer to r2"), [_ran()], {}, _PROMISE.WHOLE, id="mix"
+        ),
+        pytest.param(
+            _asked(signature=""), [_ran()], {}, _PROMISE.WHOLE, id="unsigned"
+        ),
+        pytest.param(_asked(), [], {}, _PROMISE.WHOLE, id="from-nowhere"),
+        pytest.param(
+            _asked(kind=_KIND.STREAM, body=_STREAM[:21]),
+            [_ran()],
+            {},
+            _PROMISE.WHOLE,
+            id="cut-looks-whole",
+        ),
+        pytest.param(
+            _asked(kind=_KIND.RESUMABLE, body=_STREAM[21:], whole=False),
+            [_ran()],
+            {},
+            _PROMISE.WHOLE,
+            id="gap",
+        ),
+        pytest.param(
+            _asked(), [_ran(), _ran("s2")], {}, _PROMISE.ONCE, id="twice"
+        ),
+        pytest.param(
+            _asked(kind=_KIND.SAFE), [_ran(), _ran("s2")], {}, None, id="safe"
+        ),
+        pytest.param(
+            _asked(status=503, body=b""),
+            [_ran()],
+            {},
+            _PROMISE.NOT_RUN,
+            id="refused-yet-ran",
+        ),
+        pytest.param(
+            _asked(status=502, body=b""), [_ran()], {}, None, id="unknown"
+        ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"withdrawn": {"k": 94.0}},
+            _PROMISE.KEY,
+            id="late-key",
+        ),
+        pytest.param(
+            _asked(), [_ran()], {"withdrawn": {"k": 96.0}}, None, id="key"
+        ),
+        pytest.param(
+            _asked(), [_ran()], {"left": {"s1": 97.0}}, _PROMISE.LEFT, id="left"
+        ),
+        pytest.param(
+            _asked(), [_ran()], {"left": {"s1": 98.0}}, None, id="leaving"
+        ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"left": {"s1": 97.0}, "disturbed": _SPAN},
+            None,
+            id="left-out-of-touch",
+        ),
+        pytest.param(
+            _asked(ended_s=103.0), [_ran()], {}, _PROMISE.TIME, id="too-late"
+        ),
+        pytest.param(
+            _asked(status=503, calm=True),
+            [],
+            {},
+            _PROMISE.SERVED,
+            id="refused-in-calm",
+        ),
+        pytest.param(
+            _asked(status=0, whole=False, body=b""),
+            [_ran()],
+            {"stopped": _SPAN},
+            _PROMISE.STOP,
+            id="cut-by-a-stop",
+        ),
+        pytest.param(
+            _asked(), [_ran(), _ran(request="x")], {}, _PROMISE.UNASKED, id="x"
+        ),
+    ],
+)
+def test_the_checker_finds_what_is_planted(asked, ran, more, broken):
+    assert _check(asked, ran, **more) == ({broken} if broken else set())
+
+
+def test_a_seed_always_draws_the_same_faults():
+    assert plan.draw(7) == plan.draw(7)
+    assert plan.draw(7) != plan.draw(8)
+
+
+@pytest.mark.parametrize("seed", range(0, 40, 4))
+def test_planned_seeds_have_planned_work_alone(seed):
+    trouble = {plan.Kind.KILL, plan.Kind.PAUSE, plan.Kind.STORE}
+    assert not trouble & {fault.kind for fault in plan.draw(seed)}
+
+
+def test_every_kind_of_fault_is_drawn():
+    drawn = {f.kind for seed in range(30) for f in plan.draw(seed)}
+    assert drawn == set(plan.Kind)
+
+
+@pytest.mark.parametrize("seed", [1, 4])
+def test_real_processes_keep_the_promises(tmp_path, seed):
+    verdict = run_module.Run(seed=seed, folder=tmp_path).play()
+    assert (verdict.violations, verdict.own_exits) == ((), 0)
+    assert verdict.served > 0
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/checker.py
@@ -0,0 +1,215 @@
+"""The promises, checked on what callers, servers and operators saw."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterable
+
+# Statuses that promise that a request has not run and never will.
+_NOT_RUN = frozenset({408, 421, 429, 503})
+_HANDLED = 0.5  # Seconds that an answer may be late at the caller.
+
+
+class Promise(enum.StrEnum):
+    """What must hold."""
+
+    WHOLE = "a success is the whole answer to its own request"
+    ONCE = "what may not run twice ran once at most"
+    NOT_RUN = "refused as not run is not run"
+    KEY = "no run under a key that was withdrawn before the bound"
+    LEFT = "no run at a server that left before the bound"
+    TIME = "an answer comes by the deadline"
+    UNASKED = "only what a caller sent is run"
+    SERVED = "after the faults all is served"
+    STOP = "a planned stop cuts nothing"
+
+
+class RequestKind(enum.StrEnum):
+    """Kinds of request by what may be repeated."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+    RESUMABLE = "resumable"
+
+    @property
+    def once(self) -> bool:
+        """Whether it may run once at most."""
+        return self in (RequestKind.UNSAFE, RequestKind.STREAM)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Asked:
+    """A request as its caller saw it.
+
+    Attributes:
+        request_id: Its id.
+        kind: Its kind.
+        key: The key it carried.
+        instance: The instance it went to, by number.
+        sent_s: When it was sent.
+        deadline_s: Seconds that its caller waits.
+        ended_s: When the answer ended.
+        status: 0 if the connection ended without an answer.
+        whole: Whether the body came to its proper end.
+        body: What came of the body.
+        signature: The server's word for it.
+        calm: Whether it was sent after the faults.
+    """
+
+    request_id: str
+    kind: RequestKind
+    key: str
+    instance: int
+    sent_s: float
+    deadline_s: float
+    ended_s: float
+    status: int
+    whole: bool
+    body: bytes
+    signature: str = ""
+    calm: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ran:
+    """A request that a server began to work on."""
+
+    request_id: str
+    server_id: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Span:
+    """A time in which something was disturbed; ``target`` by number."""
+
+    target: int
+    from_s: float
+    to_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """What the operators' rules allow, in seconds."""
+
+    key_s: float
+    left_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Record:
+    """All that was seen in a run.
+
+    Attributes:
+        asked: Requests.
+        ran: Runs.
+        withdrawn: When each withdrawn key was withdrawn.
+        left: When each server's leaving was accepted by the store.
+        disturbed: Spans in which an instance was not in touch.
+        stopped: Spans of planned stops of undisturbed instances.
+        events: Events of a whole stream.
+    """
+
+    asked: tuple[Asked, ...]
+    ran: tuple[Ran, ...]
+    withdrawn: dict[str, float]
+    left: dict[str, float]
+    disturbed: tuple[Span, ...]
+    stopped: tuple[Span, ...]
+    events: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Violation:
+    """A promise that was broken, by which request, and how."""
+
+    promise: Promise
+    request_id: str
+    detail: str
+
+
+def check(record: Record, bounds: Bounds) -> list[Violation]:
+    """Returns all broken promises."""
+    runs: dict[str, list[Ran]] = collections.defaultdict(list)
+    for ran in record.ran:
+        runs[ran.request_id].append(ran)
+    found = list(_unasked(record, runs))
+    for asked in record.asked:
+        found += _check_one(record, bounds, asked, runs[asked.request_id])
+    return found
+
+
+def whole_body(asked: Asked, events: int) -> bytes:
+    """Returns the body that a whole answer has."""
+    if asked.kind in (RequestKind.SAFE, RequestKind.UNSAFE):
+        return b"answer to " + asked.request_id.encode()
+    numbers = range(1, events + 1)
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+
+
+def _unasked(record: Record, runs: dict[str, list[Ran]]) -> Iterable[Violation]:
+    known = {asked.request_id for asked in record.asked}
+    for request_id in runs.keys() - known:
+        yield Violation(
+            promise=Promise.UNASKED, request_id=request_id, detail="unknown id"
+        )
+
+
+def _check_one(
+    record: Record, bounds: Bounds, asked: Asked, runs: list[Ran]
+) -> Iterable[Violation]:
+    broken: list[tuple[Promise, str]] = []
+    expected = whole_body(asked, record.events)
+    sound = asked.body == expected and asked.signature and runs
+    if asked.status == 200 and asked.whole and not sound:
+        broken.append((Promise.WHOLE, f"body {asked.body[:80]!r}"))
+    if asked.status == 200 and not expected.startswith(asked.body):
+        broken.append((Promise.WHOLE, f"part {asked.body[:80]!r}"))
+    if asked.kind.once and len(runs) > 1:
+        servers = [ran.server_id for ran in runs]
+        broken.append((Promise.ONCE, f"ran at {servers}"))
+    if asked.kind.once and asked.status in _NOT_RUN and runs:
+        broken.append((Promise.NOT_RUN, f"{asked.status}, ran {len(runs)}"))
+    withdrawn_s = record.withdrawn.get(asked.key)
+    if withdrawn_s is not None and runs:
+        late_s = asked.sent_s - withdrawn_s
+        if late_s > bounds.key_s:
+            broken.append((Promise.KEY, f"sent {late_s:.2f} s later"))
+    in_touch = not _touches(record.disturbed, asked)
+    if in_touch:
+        broken += _left_late(record, bounds, asked, runs)
+        took_s = asked.ended_s - asked.sent_s
+        if took_s > asked.deadline_s + _HANDLED:
+            broken.append((Promise.TIME, f"took {took_s:.2f} s"))
+    if asked.calm and asked.status != 200:
+        broken.append((Promise.SERVED, f"status {asked.status}"))
+    stopped = _touches(record.stopped, asked) and in_touch
+    if stopped and runs and (asked.status == 0 or not asked.whole):
+        broken.append((Promise.STOP, f"status {asked.status}, cut"))
+    for promise, detail in broken:
+        yield Violation(
+            promise=promise, request_id=asked.request_id, detail=detail
+        )
+
+
+def _left_late(
+    record: Record, bounds: Bounds, asked: Asked, runs: list[Ran]
+) -> list[tuple[Promise, str]]:
+    late = []
+    for ran in runs:
+        left_s = record.left.get(ran.server_id)
+        if left_s is not None and asked.sent_s > left_s + bounds.left_s:
+            late.append((Promise.LEFT, f"at {ran.server_id}"))
+    return late
+
+
+def _touches(spans: tuple[Span, ...], asked: Asked) -> bool:
+    return any(
+        span.target == asked.instance
+        and span.from_s <= asked.ended_s
+        and asked.sent_s <= span.to_s
+        for span in spans
+    )
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,156 @@
+"""Real entry instances as processes, restarted as the platform would."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import gevent
+
+from soak import proxy
+
+_RESTART_S = 0.3
+_STEP_S = 0.05
+# From the signal to stop until the kill.
+STOP_S = 8
+_STORE = "store"
+
+
+def free_port() -> int:
+    """Returns a port of loopback that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Entry:
+    """One instance: its process, its addresses, its links.
+
+    Args:
+        number: Its number.
+        folder: For its settings and its log.
+        store: The store's address.
+    """
+
+    def __init__(self, *, number: int, folder: pathlib.Path, store: str):
+        self.number = number
+        self.name = f"entry-{number}"
+        self.front = f"127.0.0.1:{free_port()}"
+        self.ready = f"127.0.0.1:{free_port()}"
+        self.store_link = proxy.Proxy(target=store)
+        self.caller_link = proxy.Proxy(target=self.front)
+        self.log = folder / f"{self.name}.log"
+        self._settings = folder / f"{self.name}.json"
+        self._process: subprocess.Popen | None = None
+        self._keeper: gevent.Greenlet | None = None
+        self.starts = 0
+        self.own_exits = 0
+        self._told_to_end = False
+        self._write_settings()
+
+    def start(self) -> None:
+        """Starts the process, and starts it again whenever it ends."""
+        self._keeper = gevent.spawn(self._keep)
+
+    def close(self) -> None:
+        """Ends the process for good."""
+        if self._keeper is not None:
+            self._keeper.kill()
+        process = self._process
+        if process is not None and process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+        self.store_link.close()
+        self.caller_link.close()
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        self._signal(signal.SIGKILL, ends=True)
+
+    def term(self) -> None:
+        """Stops the process as planned; it is killed if it takes too long."""
+        self._signal(signal.SIGTERM, ends=True)
+        process = self._process
+        gevent.spawn_later(STOP_S, _kill_if_alive, process)
+
+    def pause(self, for_s: float) -> None:
+        """Stands the process still for a while."""
+        process = self._process
+        self._signal(signal.SIGSTOP)
+        gevent.spawn_later(for_s, _continue, process)
+
+    def hup(self) -> None:
+        """Changes the settings and says so."""
+        self._write_settings(lines_per_s=150 + self.starts)
+        self._signal(signal.SIGHUP)
+
+    def _signal(self, signum: int, *, ends: bool = False) -> None:
+        process = self._process
+        if process is None or process.poll() is not None:
+            return
+        self._told_to_end = self._told_to_end or ends
+        process.send_signal(signum)
+
+    def _keep(self) -> None:
+        while True:
+            self._run()
+            while self._process.poll() is None:
+                gevent.sleep(_STEP_S)
+            if not self._told_to_end:
+                self.own_exits += 1
+            gevent.sleep(_RESTART_S)
+
+    def _run(self) -> None:
+        self._told_to_end = False
+        self.starts += 1
+        environment = {**os.environ, "IRISSHELF_CONFIG": str(self._settings)}
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "irisshelf.platform"],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def _write_settings(self, lines_per_s: float = 200) -> None:
+        document = {
+            "instance": self.name,
+            "data_centre": "a",
+            "listen": {
+                "front": self.front,
+                "ready": self.ready,
+                "metrics": "127.0.0.1:0",
+            },
+            _STORE: self.store_link.address,
+            "bounds": {"stop_s": STOP_S},
+            "log_lines_per_s": lines_per_s,
+        }
+        aside = self._settings.with_suffix(".new")
+        aside.write_text(json.dumps(document))
+        aside.rename(self._settings)
+
+
+def _kill_if_alive(process: subprocess.Popen | None) -> None:
+    if process is not None and process.poll() is None:
+        process.kill()
+
+
+def _continue(process: subprocess.Popen | None) -> None:
+    if process is not None and process.poll() is None:
+        process.send_signal(signal.SIGCONT)
+
+
+def wait_until(what, until_s: float) -> bool:
+    """Waits for something; returns whether it came in time."""
+    while time.monotonic() < until_s:
+        if what():
+            return True
+        gevent.sleep(_STEP_S)
+    return False
--- /dev/null
+++ b/soak/main.py
@@ -0,0 +1,123 @@
+"""The fault soak's command line: ``make soak SEEDS=1-50``."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import secrets
+import subprocess
+import sys
+import tempfile
+from typing import Annotated
+
+import typer
+
+from soak import plan
+from soak import run as run_module
+
+_REGRESSIONS = pathlib.Path(__file__).parent / "regressions.json"
+_AT_A_TIME = 4
+
+
+def main() -> None:
+    """Runs the program."""
+    typer.run(_soak)
+
+
+def _soak(
+    seeds: Annotated[
+        str,
+        typer.Option(help="Such as 1-50; 'fresh:20' draws; 'regressions'."),
+    ] = "regressions",
+    logs: Annotated[
+        pathlib.Path | None, typer.Option(help="Folder to keep logs in.")
+    ] = None,
+    one: Annotated[bool, typer.Option(hidden=True)] = False,
+) -> None:
+    """Plays seeds; each is a fleet of its own. Exit code 1: a promise broke."""
+    numbers = _numbers(seeds)
+    if one:
+        _play(numbers[0], logs)
+        return
+    folder = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    total = {"seeds": 0, "faults": 0, "requests": 0, "violations": 0}
+    broken = []
+    for start in range(0, len(numbers), _AT_A_TIME):
+        for seed, text in _side_by_side(
+            numbers[start : start + _AT_A_TIME], folder
+        ):
+            typer.echo(text.strip())
+            if not _add(total, text):
+                broken.append(seed)
+    typer.echo(f"{total}; broken seeds: {broken}; logs in {folder}")
+    raise typer.Exit(1 if broken else 0)
+
+
+def _numbers(seeds: str) -> list[int]:
+    if seeds == "regressions":
+        return [item["seed"] for item in json.loads(_REGRESSIONS.read_text())]
+    if seeds.startswith("fresh:"):
+        count = int(seeds.partition(":")[2])
+        return [secrets.randbelow(10**9) for _ in range(count)]
+    numbers = []
+    for item in seeds.split(","):
+        first, _, last = item.partition("-")
+        numbers += range(int(first), int(last or first) + 1)
+    return numbers
+
+
+def _side_by_side(
+    numbers: list[int], folder: pathlib.Path
+) -> list[tuple[int, str]]:
+    processes = []
+    for seed in numbers:
+        own = folder / str(seed)
+        own.mkdir(parents=True, exist_ok=True)
+        command = [sys.executable, "-m", "soak.main", "--one"]
+        command += ["--seeds", str(seed), "--logs", str(own)]
+        processes.append(
+            subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+        )
+    return [
+        (seed, process.communicate()[0])
+        for seed, process in zip(numbers, processes, strict=True)
+    ]
+
+
+def _play(seed: int, folder: pathlib.Path | None) -> None:
+    where = folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    faults = [str(fault) for fault in plan.draw(seed)]
+    (where / "plan.txt").write_text("\n".join(faults))
+    verdict = run_module.Run(seed=seed, folder=where).play()
+    document = {
+        "seed": seed,
+        "faults": verdict.faults,
+        "requests": verdict.requests,
+        "served": verdict.served,
+        "own_exits": verdict.own_exits,
+        "violations": [
+            f"{v.promise.value}: {v.request_id} {v.detail}"
+            for v in verdict.violations
+        ],
+    }
+    typer.echo(json.dumps(document))
+
+
+def _add(total: dict[str, int], text: str) -> bool:
+    """Adds a verdict to the totals; returns whether all held."""
+    total["seeds"] += 1
+    try:
+        verdict = json.loads(text)
+    except ValueError:
+        # The run died; its own output says why.
+        total["violations"] += 1
+        return False
+    total["faults"] += verdict["faults"]
+    total["requests"] += verdict["requests"]
+    count = len(verdict["violations"]) + verdict["own_exits"]
+    total["violations"] += count
+    return not count
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,127 @@
+"""Draws a run's faults from its seed."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+
+INSTANCES = 3
+SERVERS = 3  # Of each service.
+# Faults begin in this span; the rest of a run is calm.
+FAULTS_FROM_S = 1.0
+FAULTS_UNTIL_S = 9.0
+LONGEST_S = 4.0
+
+
+class Kind(enum.StrEnum):
+    """What goes wrong."""
+
+    KILL = "kill"
+    TERM = "term"
+    PAUSE = "pause"
+    HUP = "hup"
+    STORE = "store"
+    STORE_FORGETS = "store_forgets"
+    STORE_LINK = "store_link"
+    SERVER_LINK = "server_link"
+    CALLER_LINK = "caller_link"
+    SERVER_FAULTS = "server_faults"
+    SERVER_CRASH = "server_crash"
+    SERVER_LEAVES = "server_leaves"
+    CONFIGURATION = "configuration"
+    WITHDRAW_KEY = "withdraw_key"
+
+
+# Every so many seeds there is planned work alone, so that its promises, which
+# trouble suspends, are seen to hold.
+_PLANNED_EVERY = 4
+_PLANNED = (
+    Kind.TERM,
+    Kind.HUP,
+    Kind.SERVER_LEAVES,
+    Kind.CONFIGURATION,
+    Kind.WITHDRAW_KEY,
+)
+_LINK_MODES = ("silent", "silent_up", "silent_down", "reset", "slow")
+_VARIANTS = {
+    Kind.STORE: ("busy", "silent", "reset", "slow"),
+    Kind.STORE_LINK: _LINK_MODES,
+    Kind.SERVER_LINK: _LINK_MODES,
+    Kind.CALLER_LINK: ("reset", "slow"),
+    Kind.SERVER_FAULTS: (
+        "refuse",
+        "fail",
+        "bare_503",
+        "reset",
+        "reset_after_run",
+        "hang",
+        "garbage",
+        "unsigned",
+        "other_id",
+        "encoded",
+        "cut",
+        "torn",
+        "stray_first",
+        "stray_after",
+        "unframed",
+        "slow",
+    ),
+}
+_TARGETS = {
+    Kind.SERVER_LINK: 2 * SERVERS,
+    Kind.SERVER_FAULTS: 2 * SERVERS,
+    Kind.SERVER_CRASH: 2 * SERVERS,
+    Kind.SERVER_LEAVES: 2 * SERVERS,
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        at_s: Seconds from the run's start.
+        kind: What goes wrong.
+        target: Which instance or server, by number.
+        for_s: How long, where it lasts.
+        variant: How.
+        share: Share of a server's requests that it befalls.
+    """
+
+    at_s: float
+    kind: Kind
+    target: int
+    for_s: float
+    variant: str = ""
+    share: float = 1.0
+
+
+def is_planned(seed: int) -> bool:
+    """Tells whether a seed's run has planned work alone."""
+    return seed % _PLANNED_EVERY == 0
+
+
+def draw(seed: int) -> tuple[Fault, ...]:
+    """Returns the faults of a seed, by time; several come together or twice."""
+    rng = random.Random(seed)
+    kinds = _PLANNED if is_planned(seed) else tuple(Kind)
+    faults = [_draw_one(rng, kinds) for _ in range(rng.randint(8, 16))]
+    if rng.random() < 0.5:
+        twin = rng.choice(faults)
+        again_s = min(FAULTS_UNTIL_S, twin.at_s + rng.uniform(0.05, 1.5))
+        faults.append(dataclasses.replace(twin, at_s=again_s))
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def _draw_one(rng: random.Random, kinds: tuple[Kind, ...]) -> Fault:
+    kind = rng.choice(kinds)
+    variants = _VARIANTS.get(kind, ("",))
+    return Fault(
+        at_s=rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S),
+        kind=kind,
+        target=rng.randrange(_TARGETS.get(kind, INSTANCES)),
+        for_s=rng.uniform(0.3, LONGEST_S),
+        variant=rng.choice(variants),
+        share=rng.choice((0.3, 1.0)),
+    )
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,97 @@
+"""A loopback proxy that delays, resets, or silences connections."""
+
+from __future__ import annotations
+
+import struct
+
+import gevent
+from gevent import server
+from gevent import socket
+
+_READ_BYTES = 65536
+_SLOW_S = 0.15
+_STEP_S = 0.05
+
+
+class Proxy:
+    """Passes connections on to one address, as its mode says.
+
+    Args:
+        target: Where connections go.
+
+    Attributes:
+        mode: ``pass``, ``slow``, ``reset``, ``silent``, ``silent_up`` (nothing
+            gets to the target) or ``silent_down`` (nothing comes back).
+    """
+
+    def __init__(self, *, target: str):
+        self._target = target
+        self.mode = "pass"
+        self._open: set[socket.socket] = set()
+        self._server = server.StreamServer(
+            ("127.0.0.1", 0), self._serve, backlog=256
+        )
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def set_mode(self, mode: str) -> None:
+        """Changes the mode; ``reset`` ends what is open as well."""
+        self.mode = mode
+        if mode == "reset":
+            for sock in list(self._open):
+                _reset(sock)
+
+    def close(self) -> None:
+        """Stops."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, caller: socket.socket, peer: object) -> None:
+        if self.mode == "reset":
+            _reset(caller)
+            return
+        host, _, port = self._target.rpartition(":")
+        target = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            target.connect((host, int(port)))
+        except OSError:
+            _reset(caller)
+            return
+        self._open |= {caller, target}
+        ways = [
+            gevent.spawn(self._pass_on, caller, target, "silent_up"),
+            gevent.spawn(self._pass_on, target, caller, "silent_down"),
+        ]
+        gevent.joinall(ways)
+        self._open -= {caller, target}
+        caller.close()
+        target.close()
+
+    def _pass_on(
+        self, source: socket.socket, sink: socket.socket, blocked: str
+    ) -> None:
+        """Copies one way; the other way ends when this one breaks."""
+        try:
+            while data := source.recv(_READ_BYTES):
+                while self.mode in ("silent", blocked):
+                    gevent.sleep(_STEP_S)
+                if self.mode == "slow":
+                    gevent.sleep(_SLOW_S)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            _reset(sink)
+            _reset(source)
+
+
+def _reset(sock: socket.socket) -> None:
+    linger = struct.pack("ii", 1, 0)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+    except OSError:
+        # It is closed already.
+        return
