Instances of a data centre follow two keepers instead of the store

Ruled out: longer calls (a cut that says nothing must be noticed within the time that a change may take); rows for membership (each costs calls: seeds suffice); pushing the tables by datagram (configurations are too long). Change: coordination/roster ranks those heard from; the first two of a data centre follow the store, the others follow them over HTTP with CBOR, by the same abstract feed, and ask the store when none is fit. How old a keeper's word is comes with it, so keys hold no longer than before. Changes in bursts are gathered for 0.2 and 0.4 s.

--- /dev/null
+++ b/irisshelf/coordination/roster.py
@@ -0,0 +1,100 @@
+"""Who the other instances of a data centre are, and who reads the store.
+
+Calls to the shared store are dear, so in each data centre a few instances,
+the keepers, follow it and the others follow them. Keepers are the first in a
+rendezvous ranking of those heard from lately. Lists that differ cost calls to
+the store, and nothing else: an instance that finds no keeper asks the store.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+
+KEEPERS = 2
+# An instance not heard of for so long is left out; members ask every second.
+FORGET_S = 6.0
+# A keeper that failed is not asked again for so long.
+AVOID_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """An instance.
+
+    Attributes:
+        name: Its name.
+        address: Where other instances reach it.
+        data_centre: Where it stands.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+
+
+class Roster:
+    """The instances that this one knows of.
+
+    Args:
+        own: This instance.
+    """
+
+    def __init__(self, *, own: Member):
+        self.own = own
+        self._heard: dict[str, tuple[Member, float]] = {}
+        self._avoid: dict[str, float] = {}
+
+    def heard(self, member: Member, at_s: float) -> None:
+        """Takes that an instance lives, or lived at a time."""
+        if member.name == self.own.name:
+            return
+        known = self._heard.get(member.name)
+        if known is None or known[1] < at_s:
+            self._heard[member.name] = (member, at_s)
+
+    def failed(self, address: str, now: float) -> None:
+        """Takes that an instance did not answer, or is cut off itself."""
+        self._avoid[address] = now + AVOID_S
+
+    def left(self, name: str) -> None:
+        """Takes that an instance stops as planned."""
+        self._heard.pop(name, None)
+
+    def members(
+        self, data_centre: str, now: float
+    ) -> list[tuple[Member, float]]:
+        """Returns a data centre's instances but this one, with their ages."""
+        self._forget(now)
+        return [
+            (member, now - at_s)
+            for member, at_s in self._heard.values()
+            if member.data_centre == data_centre
+        ]
+
+    def keeper(self, now: float) -> Member | None:
+        """Returns whom to follow; None if this instance is to ask the store."""
+        others = [m for m, _ in self.members(self.own.data_centre, now)]
+        ranked = rank([*others, self.own])[:KEEPERS]
+        if self.own in ranked:
+            return None
+        for member in ranked:
+            if self._avoid.get(member.address, 0.0) <= now:
+                return member
+        return None
+
+    def _forget(self, now: float) -> None:
+        old = [n for n, (_, at) in self._heard.items() if now - at > FORGET_S]
+        for name in old:
+            del self._heard[name]
+        self._avoid = {a: t for a, t in self._avoid.items() if t > now}
+
+
+def rank(members: Iterable[Member]) -> list[Member]:
+    """Ranks instances alike everywhere, whatever the order they are told in."""
+    return sorted(members, key=lambda m: _score(m.name))
+
+
+def _score(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -11,11 +11,13 @@
 import gevent
 import result
 
+from irisshelf.coordination import roster
 from irisshelf.gateway import dialect
 from irisshelf.gateway import follower
 from irisshelf.gateway import front
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
+from irisshelf.gateway import neighbours
 from irisshelf.gateway import settings
 from irisshelf.observe import decision_log
 from irisshelf.store import feed
@@ -68,9 +70,23 @@
             log=self._log,
             rng=random.Random(),
         )
-        self._follower = follower.Follower(
-            inst=self._inst, store=make_store(cfg.store)
+        self._neighbours = neighbours.Neighbours(
+            own=roster.Member(
+                name=cfg.instance,
+                address=cfg.listen.peers,
+                data_centre=cfg.data_centre,
+            ),
+            seeds=cfg.seeds,
+            fresh=self._inst.freshness,
+            log=self._log,
+        )
+        shared = neighbours.SharedFeed(
+            store=make_store(cfg.store),
+            neighbours=self._neighbours,
+            age_s=lambda: self._inst.freshness.age_s(self._inst.now()),
+            count=self._count_call,
         )
+        self._follower = follower.Follower(inst=self._inst, store=shared)
         self._front = front.Front(inst=self._inst)
         self._listeners = [
             self._listener(
@@ -78,6 +94,9 @@
             ),
             self._listener(cfg.listen.ready, _admin_limits, self._ready),
             self._listener(cfg.listen.metrics, _admin_limits, self._metrics),
+            self._listener(
+                cfg.listen.peers, _admin_limits, self._neighbours.handle
+            ),
         ]
 
     def run(self) -> None:
@@ -96,6 +115,7 @@
             gevent.spawn(self._follower.run, table)
         gevent.spawn(self._follower.expire_lapsed)
         gevent.spawn(self._watch_settings)
+        gevent.spawn(self._neighbours.run)
         cfg = self._inst.cfg
         self._log.instance(
             "start", data_centre=cfg.data_centre, front=cfg.listen.front
@@ -106,6 +126,9 @@
         self._log.instance("stop", in_flight=self._inst.in_flight)
         self._log.flush()
 
+    def _count_call(self, table: feed.Table, ended: str) -> None:
+        self._inst.metrics.store_calls.labels(table.value, ended).inc()
+
     def _listener(self, address, limits, handle) -> listener.Listener:
         return listener.Listener(
             address=address,
@@ -119,6 +142,7 @@
         if not self._inst.stopping:
             self._inst.stopping_since_s = self._inst.now()
             self._log.instance("stopping", in_flight=self._inst.in_flight)
+            gevent.spawn(self._neighbours.say_goodbye)
 
     def _drain(self) -> None:
         """Ends open requests; callers come until the balancer has noticed."""
@@ -149,7 +173,7 @@
             self._log.problem("reload_refused", why=why, detail=loaded.err())
             return
         cfg = loaded.ok_value
-        fixed = ("instance", "data_centre", "listen", "store")
+        fixed = ("instance", "data_centre", "listen", "store", "seeds")
         later = [n for n in fixed if getattr(cfg, n) != _get(self._inst.cfg, n)]
         self._inst.cfg = cfg
         self._log.instance("reload", why=why, from_next_start=later)
--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -16,6 +16,9 @@
 # an instance learns that it is cut off: within the two seconds that a
 # configuration has to come into force.
 _HOLD_S = {feed.Table.CATALOG: 2.0, feed.Table.SERVERS: 10.0}
+# Changes come in bursts, and each call is paid for: after one, the next call
+# waits this long. Well within the two seconds that a change may take.
+_GATHER_S = {feed.Table.CATALOG: 0.2, feed.Table.SERVERS: 0.4}
 # Each try costs money, and an instance is to be back soon after the store.
 _BACKOFF_S = (0.1, 0.3, 0.6)
 _EXPIRE_EVERY_S = 0.2
@@ -36,6 +39,7 @@
         self._lost_s: float | None = None
         self._back_s = float("-inf")
         self._revision: dict[feed.Table, int | None] = dict.fromkeys(feed.Table)
+        self.changes_seen = dict.fromkeys(feed.Table, 0)
 
     def run(self, table: feed.Table) -> None:
         """Follows a table as long as the process lives."""
@@ -43,8 +47,11 @@
         while True:
             if table is not feed.Table.CATALOG:
                 self._up.wait()
+            seen = self.changes_seen[table]
             if self.step(table):
                 failures = 0
+                if self.changes_seen[table] != seen:
+                    gevent.sleep(_GATHER_S[table])
                 continue
             pause_s = _BACKOFF_S[min(failures, len(_BACKOFF_S) - 1)]
             failures += 1
@@ -60,7 +67,6 @@
             answer = self._store.changes(
                 table, after=after, wait_s=_HOLD_S[table]
             )
-        self._count(table, answer)
         if isinstance(answer, result.Ok):
             self._answered(table, answer.ok_value, sent_s)
             return True
@@ -94,12 +100,17 @@
         if table is feed.Table.CATALOG:
             self._regained(now)
             self._take_catalog(batch)
+            direct = batch.clock_s == batch.store_s
             self._inst.freshness.told(
-                sent_s=sent_s, received_s=now, store_s=batch.store_s
+                sent_s=sent_s,
+                received_s=now,
+                store_s=batch.store_s,
+                clock_s=None if direct else batch.clock_s,
             )
         else:
             self._take_servers(batch, now)
         self._revision[table] = batch.revision
+        self.changes_seen[table] += bool(batch.items)
 
     def _take_catalog(self, batch: feed.Batch) -> None:
         catalog = self._inst.catalog
@@ -169,10 +180,6 @@
         self._lost_s = None
         self._back_s = now
 
-    def _count(self, table: feed.Table, answer: result.Result) -> None:
-        ended = "ok" if answer.is_ok() else "failed"
-        self._inst.metrics.store_calls.labels(table.value, ended).inc()
-
 
 def _change_text(change: directory.Change) -> str:
     if change.server is None:
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -26,7 +26,10 @@
             "server_rests", "Servers left alone for a while.", "service"
         )
         self.store_calls = self._counter(
-            "store_calls", "Calls to the store.", "table", "result"
+            "store_calls",
+            "Calls for a table, by who answered or failed.",
+            "table",
+            "result",
         )
         self.connects = self._counter(
             "connects", "New connections to servers.", "service"
--- /dev/null
+++ b/irisshelf/gateway/neighbours.py
@@ -0,0 +1,397 @@
+"""What instances of a data centre tell each other: the store's tables.
+
+Instances ask each other over HTTP, with CBOR bodies, on the address of
+``listen.peers``. ``GET /feed/TABLE`` is the store's feed handed on;
+``GET /members`` tells who is there. Whoever asks tells its own name with it.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+import urllib.parse
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+import gevent
+import msgspec
+import result
+from gevent import event
+
+from irisshelf.catalog import directory
+from irisshelf.catalog import freshness
+from irisshelf.catalog import model
+from irisshelf.coordination import roster
+from irisshelf.observe import decision_log
+from irisshelf.store import feed
+from irisshelf.store import mirror
+from irisshelf.transport import client
+from irisshelf.transport import errors
+from irisshelf.transport import server as http
+
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+# A neighbour holds a call for so long; calls within a data centre are free,
+# and the age of what it knows adds to ours.
+_HOLD_S = 0.8
+# Neighbours stand within a millisecond; a slow one may take this much longer.
+_ANSWER_S = 0.4
+_CONNECT_S = 0.15
+# A keeper that has not heard from the store for so long is not followed: it
+# asks the store for 2 s at a time itself.
+_OLDEST_S = 2.6
+# What is older than this is asked of the store without waiting.
+_REFRESH_AFTER_S = 1.6
+_MEMBERS_EVERY_S = 1.0
+_SEEDS_EVERY_S = 5.0
+_TYPES = {
+    feed.Table.CATALOG: model.Catalog,
+    feed.Table.SERVERS: directory.BackendServer,
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Told:
+    """A neighbour's answer on a table.
+
+    Attributes:
+        revision: The store's revision.
+        whole: Whether these are all rows.
+        as_of_s: The store's clock when it had told all this.
+        clock_s: The store's clock now, at the most.
+        age_s: How old the neighbour thinks its knowledge is.
+        items: Rows, each key, value or None, and problem.
+    """
+
+    revision: int
+    whole: bool
+    as_of_s: float
+    clock_s: float
+    age_s: float
+    items: list[tuple[str, Any, str]]
+
+
+class Neighbours:
+    """Hands on what this instance knows, and knows whom to ask.
+
+    Args:
+        own: This instance.
+        seeds: Addresses of instances that may be there at the start.
+        fresh: How old this instance's knowledge is.
+        log: Takes what changes.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: roster.Member,
+        seeds: tuple[str, ...],
+        fresh: freshness.Freshness,
+        log: decision_log.DecisionLog,
+    ):
+        self.roster = roster.Roster(own=own)
+        self._seeds = tuple(seed for seed in seeds if seed != own.address)
+        self._fresh = fresh
+        self._log = log
+        self._mirrors = {table: mirror.Mirror() for table in feed.Table}
+        self._changed = {table: event.Event() for table in feed.Table}
+        self._keeper = ""
+        self._conns: dict[tuple[str, str], client.Connection] = {}
+
+    def learnt(self, table: feed.Table, batch: feed.Batch) -> None:
+        """Takes a batch that this instance has got."""
+        self._mirrors[table].apply(batch)
+        if batch.items:
+            waiting = self._changed[table]
+            self._changed[table] = event.Event()
+            waiting.set()
+
+    def keeper(self) -> roster.Member | None:
+        """Returns whom to follow; None to ask the store."""
+        found = self.roster.keeper(time.monotonic())
+        name = found.name if found else ""
+        if name != self._keeper:
+            self._log.instance("follows", whom=name or "the store")
+            self._keeper = name
+        return found
+
+    def run(self) -> None:
+        """Keeps the list of instances up to date."""
+        asked_seeds_s = float("-inf")
+        while True:
+            now = time.monotonic()
+            if now - asked_seeds_s > _SEEDS_EVERY_S or not self._neighbours():
+                asked_seeds_s = now
+                for seed in self._seeds:
+                    self._ask_members(seed)
+            keeper = self.roster.keeper(now)
+            if keeper is not None:
+                self._ask_members(keeper.address)
+            gevent.sleep(_MEMBERS_EVERY_S)
+
+    def say_goodbye(self) -> None:
+        """Tells those who may follow this instance that it stops."""
+        now = time.monotonic()
+        members = self.roster.members(self.roster.own.data_centre, now)
+        for member, _ in members:
+            gevent.spawn(self._get, member.address, "/goodbye", _ANSWER_S)
+
+    def handle(self, request: http.Request, conn: http.Connection) -> None:
+        """Answers a neighbour."""
+        path, _, query = request.target.partition("?")
+        fields = dict(urllib.parse.parse_qsl(query))
+        asker = roster.Member(
+            name=fields.get("name", ""),
+            address=fields.get("address", ""),
+            data_centre=fields.get("data_centre", ""),
+        )
+        if path == "/goodbye":
+            self.roster.left(asker.name)
+            conn.answer(_OK, [], b"")
+            return
+        if asker.name and asker.address:
+            self.roster.heard(asker, time.monotonic())
+        if path == "/members":
+            conn.answer(_OK, [], self._members(asker.data_centre))
+        elif path.startswith("/feed/"):
+            self._hand_on(path.removeprefix("/feed/"), fields, conn)
+        else:
+            conn.answer(_NOT_FOUND, [], b"")
+
+    def changes(
+        self, keeper: roster.Member, table: feed.Table, after: int | None
+    ) -> result.Result[tuple[feed.Batch, float], str]:
+        """Asks a keeper for a table's changes.
+
+        Args:
+            keeper: Whom to ask.
+            table: What to ask for.
+            after: The revision known; None for the whole table.
+
+        Returns:
+            The batch and the age of the keeper's knowledge, or what is wrong.
+        """
+        query = f"&after={-1 if after is None else after}"
+        path = f"/feed/{table.value}"
+        timeout_s = _HOLD_S + _ANSWER_S
+        answer = self._get(keeper.address, path, timeout_s, query)
+        if isinstance(answer, result.Err):
+            return answer
+        try:
+            told = msgspec.convert(cbor2.loads(answer.ok_value), _Told)
+            items = tuple(_item(table, *row) for row in told.items)
+        except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+            return result.Err(f"no answer of an instance: {exc}")
+        batch = feed.Batch(
+            items=items,
+            revision=told.revision,
+            store_s=told.as_of_s,
+            clock_s=told.clock_s,
+            whole=told.whole,
+        )
+        return result.Ok((batch, told.age_s))
+
+    def _neighbours(self) -> bool:
+        own = self.roster.own.data_centre
+        return bool(self.roster.members(own, time.monotonic()))
+
+    def _members(self, data_centre: str) -> bytes:
+        now = time.monotonic()
+        rows = [
+            (member.name, member.address, age_s)
+            for member, age_s in self.roster.members(data_centre, now)
+        ]
+        own = self.roster.own
+        if own.data_centre == data_centre:
+            rows.append((own.name, own.address, 0.0))
+        return cbor2.dumps(rows)
+
+    def _ask_members(self, address: str) -> None:
+        answer = self._get(address, "/members", _ANSWER_S)
+        if isinstance(answer, result.Err):
+            return
+        try:
+            rows = msgspec.convert(
+                cbor2.loads(answer.ok_value), list[tuple[str, str, float]]
+            )
+        except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+            self._log.problem(
+                "members_unreadable", address=address, detail=str(exc)
+            )
+            return
+        now = time.monotonic()
+        for name, where, age_s in rows:
+            member = roster.Member(
+                name=name,
+                address=where,
+                data_centre=self.roster.own.data_centre,
+            )
+            self.roster.heard(member, now - max(0.0, age_s))
+
+    def _hand_on(
+        self, table_name: str, fields: dict[str, str], conn: http.Connection
+    ) -> None:
+        try:
+            table = feed.Table(table_name)
+            after = int(fields.get("after", "-1"))
+        except ValueError:
+            conn.answer(_NOT_FOUND, [], b"")
+            return
+        known = self._mirrors[table]
+        if known.revision >= 0 and not known.has_since(after):
+            self._changed[table].wait(_HOLD_S)
+        age_s = self._fresh.age_s(time.monotonic())
+        if known.revision < 0 or age_s > _OLDEST_S:
+            conn.answer(_UNAVAILABLE, [], b"")
+            return
+        rows = known.since(after)
+        told = _Told(
+            revision=known.revision,
+            whole=rows is None,
+            as_of_s=self._fresh.as_of_store_s,
+            clock_s=self._fresh.store_clock_s(time.monotonic()),
+            age_s=age_s,
+            items=[
+                (item.key, _plain(item.value), item.problem)
+                for item in (known.whole() if rows is None else rows)
+            ],
+        )
+        conn.answer(_OK, [], cbor2.dumps(dataclasses.asdict(told)))
+
+    def _get(
+        self, address: str, path: str, timeout_s: float, query: str = ""
+    ) -> result.Result[bytes, str]:
+        fields = urllib.parse.urlencode(dataclasses.asdict(self.roster.own))
+        target = f"{path}?{fields}{query}"
+        try:
+            conn = self._connection(address, path)
+            status, data = _exchange(conn, target, timeout_s)
+        except errors.TransportError as exc:
+            return result.Err(str(exc))
+        if conn.reusable:
+            self._conns[address, path] = conn
+        if status != _OK:
+            return result.Err(f"{address} answered {status}")
+        return result.Ok(data)
+
+    def _connection(self, address: str, path: str) -> client.Connection:
+        """Returns the connection that rests from the last call, or a new one.
+
+        Raises:
+            errors.ConnectError: The instance cannot be reached.
+        """
+        conn = self._conns.pop((address, path), None)
+        if conn is not None and not conn.is_stale():
+            return conn
+        return client.connect(address, timeout_s=_CONNECT_S)
+
+
+def _exchange(
+    conn: client.Connection, target: str, timeout_s: float
+) -> tuple[int, bytes]:
+    """Asks once; a connection that fails is closed."""
+    until_s = time.monotonic() + timeout_s
+    headers = [(b"Host", conn.address.encode())]
+    try:
+        conn.send("GET", target, headers, b"", timeout_s=timeout_s)
+        status, _ = conn.read_head(timeout_s=until_s - time.monotonic())
+        return status, _read_all(conn, until_s)
+    except errors.TransportError:
+        conn.close()
+        raise
+
+
+class SharedFeed(feed.Feed):
+    """The store's tables, from a keeper where there is one.
+
+    Args:
+        store: The store itself.
+        neighbours: Whom else to ask.
+        age_s: Tells how old this instance's knowledge is.
+        count: Told of each call: the table and who answered or failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: feed.Feed,
+        neighbours: Neighbours,
+        age_s: Callable[[], float],
+        count: Callable[[feed.Table, str], None],
+    ):
+        self._store = store
+        self._neighbours = neighbours
+        self._age_s = age_s
+        self._count = count
+
+    def whole(
+        self, table: feed.Table
+    ) -> result.Result[feed.Batch, feed.Unavailable]:
+        """See ``feed.Feed.whole``."""
+        batch = self._from_keeper(table, None)
+        if batch is None:
+            answer = self._store.whole(table)
+            self._count(table, "store_ok" if answer.is_ok() else "store_failed")
+            if isinstance(answer, result.Err):
+                return answer
+            batch = answer.ok_value
+        self._neighbours.learnt(table, batch)
+        return result.Ok(batch)
+
+    def changes(
+        self, table: feed.Table, *, after: int, wait_s: float
+    ) -> result.Result[feed.Batch, feed.Failure]:
+        """See ``feed.Feed.changes``."""
+        batch = self._from_keeper(table, after)
+        if batch is None:
+            hold_s = wait_s
+            if table is feed.Table.CATALOG and self._age_s() > _REFRESH_AFTER_S:
+                # The keeper is lost: learn at once whether all still holds.
+                hold_s = 0.0
+            answer = self._store.changes(table, after=after, wait_s=hold_s)
+            self._count(table, "store_ok" if answer.is_ok() else "store_failed")
+            if isinstance(answer, result.Err):
+                return answer
+            batch = answer.ok_value
+        self._neighbours.learnt(table, batch)
+        return result.Ok(batch)
+
+    def reset(self, table: feed.Table) -> None:
+        """See ``feed.Feed.reset``."""
+        self._store.reset(table)
+
+    def _from_keeper(
+        self, table: feed.Table, after: int | None
+    ) -> feed.Batch | None:
+        keeper = self._neighbours.keeper()
+        if keeper is None:
+            return None
+        asked = self._neighbours.changes(keeper, table, after)
+        if isinstance(asked, result.Ok) and asked.ok_value[1] <= _OLDEST_S:
+            self._count(table, "keeper_ok")
+            return asked.ok_value[0]
+        self._count(table, "keeper_failed")
+        now = time.monotonic()
+        self._neighbours.roster.failed(keeper.address, now)
+        return None
+
+
+def _read_all(conn: client.Connection, until_s: float) -> bytes:
+    parts = []
+    while True:
+        part = conn.read_data(timeout_s=until_s - time.monotonic())
+        if part is None:
+            return b"".join(parts)
+        parts.append(part)
+
+
+def _plain(value: Any) -> Any:
+    return None if value is None else msgspec.to_builtins(value)
+
+
+def _item(table: feed.Table, key: str, value: Any, problem: str) -> feed.Item:
+    if value is not None:
+        value = msgspec.convert(value, _TYPES[table])
+    return feed.Item(key=key, value=value, problem=problem)
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -23,11 +23,13 @@
         front: For callers.
         ready: For the balancer's question.
         metrics: For metrics.
+        peers: For other instances.
     """
 
     front: str
     ready: str
     metrics: str
+    peers: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -60,6 +62,7 @@
         data_centre: Where it stands.
         listen: Addresses to listen on.
         store: The shared store's address.
+        seeds: Addresses of other instances, some of which may be there.
         bounds: What the operators' rules allow.
         log_lines_per_s: Most log lines about requests in a second.
         max_requests: Most requests in flight; more are refused.
@@ -69,6 +72,7 @@
     data_centre: str
     listen: Listen
     store: str
+    seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     log_lines_per_s: _Positive = 200.0
     max_requests: _Count = 1000
@@ -123,7 +127,9 @@
         ("listen.front", cfg.listen.front),
         ("listen.ready", cfg.listen.ready),
         ("listen.metrics", cfg.listen.metrics),
+        ("listen.peers", cfg.listen.peers),
         ("store", cfg.store),
+        *(("seeds", seed) for seed in cfg.seeds),
     ]
 
 
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -217,7 +217,10 @@
             instance="entry-1",
             data_centre="a",
             listen=settings.Listen(
-                front=_ANY_PORT, ready=_ANY_PORT, metrics=_ANY_PORT
+                front=_ANY_PORT,
+                ready=_ANY_PORT,
+                metrics=_ANY_PORT,
+                peers=_ANY_PORT,
             ),
             store=self.store.address,
             bounds=bounds,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -36,10 +36,22 @@
         number: Its number.
         folder: For its settings and its log.
         store: The store's address.
+        peers: Its address for other instances.
+        seeds: Those of all instances.
     """
 
-    def __init__(self, *, number: int, folder: pathlib.Path, store: str):
+    def __init__(
+        self,
+        *,
+        number: int,
+        folder: pathlib.Path,
+        store: str,
+        peers: str,
+        seeds: list[str],
+    ):
         self.number = number
+        self.peers = peers
+        self._seeds = seeds
         self.name = f"entry-{number}"
         self.front = f"127.0.0.1:{free_port()}"
         self.ready = f"127.0.0.1:{free_port()}"
@@ -127,7 +139,9 @@
                 "front": self.front,
                 "ready": self.ready,
                 "metrics": "127.0.0.1:0",
+                "peers": self.peers,
             },
+            "seeds": self._seeds,
             _STORE: self.store_link.address,
             "bounds": {"stop_s": STOP_S},
             "log_lines_per_s": lines_per_s,
--- a/soak/run.py
+++ b/soak/run.py
@@ -74,8 +74,17 @@
         self._keys = [world.KEY] + [f"key-{n}" for n in range(_NEXT_KEYS)]
         self._version = 0
         self._configure()
+        peers = [
+            f"127.0.0.1:{fleet.free_port()}" for _ in range(plan.INSTANCES)
+        ]
         self.entries = [
-            fleet.Entry(number=number, folder=folder, store=self.store.address)
+            fleet.Entry(
+                number=number,
+                folder=folder,
+                store=self.store.address,
+                peers=peers[number],
+                seeds=peers,
+            )
             for number in range(plan.INSTANCES)
         ]
         self._asked: list[checker.Asked] = []
