Instances tell each other the loads of servers, and which are out of reach

Ruled out: reports of servers (each is priced as a probe); the store (calls). Change: gateway/board: what an answer told of a load goes out four times a second at the most, as a datagram, to the own data centre and one instance of each other; the book takes news by their age, and lets them fade as what they counted ends. A server that one instance cannot reach rests in its data centre, unless it has just answered there.

--- a/irisshelf/coordination/roster.py
+++ b/irisshelf/coordination/roster.py
@@ -15,6 +15,8 @@
 KEEPERS = 2
 # An instance not heard of for so long is left out; members ask every second.
 FORGET_S = 6.0
+# Instances of other data centres are asked for less often.
+FORGET_ELSEWHERE_S = 20.0
 # A keeper that failed is not asked again for so long.
 AVOID_S = 3.0
 
@@ -73,6 +75,34 @@
             if member.data_centre == data_centre
         ]
 
+    def elsewhere(self, now: float) -> list[Member]:
+        """Returns the instances of other data centres."""
+        self._forget(now)
+        return [
+            member
+            for member, _ in self._heard.values()
+            if member.data_centre != self.own.data_centre
+        ]
+
+    def sample(
+        self, data_centre: str, now: float, most: int
+    ) -> list[tuple[Member, float]]:
+        """Returns those that an asker should know, with their ages.
+
+        All of its own data centre, and a few of each other one.
+        """
+        self._forget(now)
+        told: dict[str, int] = {}
+        rows = []
+        everyone = [(self.own, now), *self._heard.values()]
+        for member, at_s in everyone:
+            count = told.get(member.data_centre, 0)
+            if member.data_centre != data_centre and count >= most:
+                continue
+            told[member.data_centre] = count + 1
+            rows.append((member, now - at_s))
+        return rows
+
     def keeper(self, now: float) -> Member | None:
         """Returns whom to follow; None if this instance is to ask the store."""
         others = [m for m, _ in self.members(self.own.data_centre, now)]
@@ -84,10 +114,17 @@
                 return member
         return None
 
+    def _longest_s(self, member: Member) -> float:
+        if member.data_centre == self.own.data_centre:
+            return FORGET_S
+        return FORGET_ELSEWHERE_S
+
     def _forget(self, now: float) -> None:
-        old = [n for n, (_, at) in self._heard.items() if now - at > FORGET_S]
-        for name in old:
-            del self._heard[name]
+        self._heard = {
+            name: (member, at_s)
+            for name, (member, at_s) in self._heard.items()
+            if now - at_s <= self._longest_s(member)
+        }
         self._avoid = {a: t for a, t in self._avoid.items() if t > now}
 
 
--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -18,7 +18,7 @@
 
 # Servers answer a connect in 1 to 3 ms. One that does not in this time is
 # dark or cut off.
-_CONNECT_S = 0.15
+_CONNECT_S = 0.1
 _MOST_CONNECTS = 5
 # A request that must not run twice goes only on a connection that was in use
 # just now: whether one that died at rest took the request cannot be known.
@@ -183,7 +183,7 @@
         kept = conn.used
         self._log_send(choice, kept)
         self._sends += 1
-        self._book.began(server.server_id)
+        self._book.began(server.server_id, self._inst.now())
         self._chooser.sent(
             self._job.ask.prompt.subject, server.server_id, self._inst.now()
         )
@@ -202,7 +202,7 @@
             self._seen(server, server_book.Seen.WELL)
             return ended
         finally:
-            self._book.ended(server.server_id)
+            self._book.ended(server.server_id, self._inst.now())
             # A connection in the middle of an answer is not reusable and is
             # closed, so that the server stops working on it.
             self._inst.links.put(server, conn, keep_alive_s)
@@ -265,14 +265,8 @@
     def _told(
         self, server: directory.BackendServer, head: messages.AnswerHead
     ) -> None:
-        if head.load is None:
-            return
-        self._book.told(
-            server.server_id,
-            work=head.load.running + head.load.waiting,
-            slots=head.load.slots,
-            now=self._inst.now(),
-        )
+        if head.load is not None:
+            self._inst.told_load(server, head.load)
 
     def _check(
         self, conn: client.Connection, head: messages.AnswerHead
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -12,6 +12,7 @@
 import result
 
 from irisshelf.coordination import roster
+from irisshelf.gateway import board
 from irisshelf.gateway import dialect
 from irisshelf.gateway import follower
 from irisshelf.gateway import front
@@ -106,6 +107,15 @@
             OSError: An address cannot be listened on.
         """
         decision_log.start(self._log)
+        self._inst.board = board.Board(
+            address=self._inst.cfg.listen.peers,
+            roster=self._neighbours.roster,
+            on_load=self._inst.heard_load,
+            on_unreachable=self._inst.heard_unreachable,
+            log=self._log,
+            rng=self._inst.rng,
+        )
+        self._inst.board.start()
         for one in self._listeners:
             one.start()
         for signum in (signal.SIGTERM, signal.SIGINT):
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -9,8 +9,10 @@
 from irisshelf.catalog import directory
 from irisshelf.catalog import freshness
 from irisshelf.catalog import model
+from irisshelf.gateway import board as board_module
 from irisshelf.gateway import dialect as dialect_module
 from irisshelf.gateway import links
+from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
 from irisshelf.observe import decision_log
@@ -59,6 +61,8 @@
         self.listed = False
         self.stopping_since_s: float | None = None
         self.in_flight = 0
+        self.board: board_module.Board | None = None
+        self._by_key: dict[bytes, directory.BackendServer] = {}
         self._choosers: dict[str, server_choice.Chooser] = {}
         self._budgets: dict[str, window_budget.WindowBudget] = {}
 
@@ -118,10 +122,52 @@
         )
         return True
 
+    def told_load(
+        self, server: directory.BackendServer, load: messages.Load
+    ) -> None:
+        """Takes a server's word on its load, and tells other instances."""
+        now = self.now()
+        work = load.running + load.waiting
+        book = self.chooser(server.service).book
+        book.told(server.server_id, work=work, at_s=now)
+        if self.board is not None:
+            self.board.load(
+                board_module.LoadNews(
+                    server=board_module.key_of(server.server_id),
+                    work=work,
+                    at_s=now,
+                )
+            )
+
+    def heard_load(self, news: board_module.LoadNews) -> None:
+        """Takes what another instance was told of a server's load."""
+        server = self._by_key.get(news.server)
+        if server is not None:
+            book = self.chooser(server.service).book
+            book.told(server.server_id, work=news.work, at_s=news.at_s)
+
+    def heard_unreachable(self, key: bytes) -> None:
+        """Takes that another instance here could not reach a server."""
+        server = self._by_key.get(key)
+        if server is None:
+            return
+        book = self.chooser(server.service).book
+        if book.others_cannot_reach(server.server_id, self.now()):
+            self.log.instance(
+                "server_rests",
+                server=server.server_id,
+                address=server.address,
+                service=server.service,
+                why="another instance cannot reach it",
+            )
+
     def servers_changed(self) -> None:
         """Forgets what is known of servers that are not listed any more."""
         servers = self.directory.servers()
         names = frozenset(server.server_id for server in servers)
+        self._by_key = {
+            board_module.key_of(server.server_id): server for server in servers
+        }
         for chooser in self._choosers.values():
             chooser.book.keep(names)
         self.links.keep(names)
@@ -139,6 +185,9 @@
         why = book.seen(server.server_id, what, self.now())
         if what is not server_book.Seen.WELL:
             self.metrics.failures.labels(what.value).inc()
+        unreachable = what is server_book.Seen.UNREACHABLE
+        if unreachable and self.board is not None:
+            self.board.unreachable(board_module.key_of(server.server_id))
         if why:
             self.metrics.rests.labels(server.service).inc()
             self.log.problem(
--- a/irisshelf/gateway/neighbours.py
+++ b/irisshelf/gateway/neighbours.py
@@ -45,6 +45,8 @@
 # What is older than this is asked of the store without waiting.
 _REFRESH_AFTER_S = 1.6
 _MEMBERS_EVERY_S = 1.0
+# Instances of each other data centre that an asker is told of.
+_MEMBERS_ELSEWHERE = 3
 _SEEDS_EVERY_S = 5.0
 _TYPES = {
     feed.Table.CATALOG: model.Catalog,
@@ -200,12 +202,11 @@
     def _members(self, data_centre: str) -> bytes:
         now = time.monotonic()
         rows = [
-            (member.name, member.address, age_s)
-            for member, age_s in self.roster.members(data_centre, now)
+            (member.name, member.address, member.data_centre, age_s)
+            for member, age_s in self.roster.sample(
+                data_centre, now, _MEMBERS_ELSEWHERE
+            )
         ]
-        own = self.roster.own
-        if own.data_centre == data_centre:
-            rows.append((own.name, own.address, 0.0))
         return cbor2.dumps(rows)
 
     def _ask_members(self, address: str) -> None:
@@ -214,7 +215,8 @@
             return
         try:
             rows = msgspec.convert(
-                cbor2.loads(answer.ok_value), list[tuple[str, str, float]]
+                cbor2.loads(answer.ok_value),
+                list[tuple[str, str, str, float]],
             )
         except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
             self._log.problem(
@@ -222,11 +224,9 @@
             )
             return
         now = time.monotonic()
-        for name, where, age_s in rows:
+        for name, where, data_centre, age_s in rows:
             member = roster.Member(
-                name=name,
-                address=where,
-                data_centre=self.roster.own.data_centre,
+                name=name, address=where, data_centre=data_centre
             )
             self.roster.heard(member, now - max(0.0, age_s))
 
--- a/irisshelf/routing/server_book.py
+++ b/irisshelf/routing/server_book.py
@@ -7,15 +7,23 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
-
-# A report older than a typical answer takes says nothing any more.
-REPORT_AGE_S = 2.0
+import math
+
+# What a server said of its load fades, as the requests that it counted end:
+# answers last about a second. After three times that it says nothing.
+REPORT_FADE_S = 1.5
+REPORT_AGE_S = 4.5
+# Changes of own requests that are remembered for a server; news are younger.
+_MAX_CHANGES = 64
 # A server that cannot be reached, or misbehaves, rests this long before one
 # request tries it again; doubled each time, up to the longest.
 FIRST_REST_S = 0.6
 LONGEST_REST_S = 4.0
+# A server that has answered so lately is in reach, whatever others say.
+HEARD_WELL_S = 0.5
 # Weight of the newest outcome, and of the newest duration, in their averages.
 _OUTCOME_WEIGHT = 0.2
 _DURATION_WEIGHT = 0.2
@@ -42,9 +50,11 @@
 class _Server:
     own: int = 0
     told: int = 0
-    told_slots: int = 0
     told_s: float = float("-inf")
-    own_when_told: int = 0
+    changes: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=_MAX_CHANGES)
+    )
+    heard_well_s: float = float("-inf")
     bad: float = 0.0
     outcomes: int = 0
     in_a_row: int = 0
@@ -66,24 +76,52 @@
             if not self._servers[name].own:
                 del self._servers[name]
 
-    def began(self, name: str) -> None:
+    def began(self, name: str, now: float) -> None:
         """Counts a request that is sent."""
         server = self._get(name)
         server.own += 1
+        server.changes.append((now, 1))
         server.trying = True
 
-    def ended(self, name: str) -> None:
+    def ended(self, name: str, now: float) -> None:
         """Counts a request that does not run there any more."""
         server = self._get(name)
         server.own = max(0, server.own - 1)
+        server.changes.append((now, -1))
+
+    def told(self, name: str, *, work: int, at_s: float) -> bool:
+        """Takes a server's own word: requests that run or wait there.
+
+        Args:
+            name: The server.
+            work: Their number.
+            at_s: When it said so; an older word than the last is not taken.
 
-    def told(self, name: str, *, work: int, slots: int, now: float) -> None:
-        """Takes a server's own word: requests that run or wait there."""
+        Returns:
+            Whether it was taken.
+        """
         server = self._get(name)
+        if at_s <= server.told_s:
+            return False
         server.told = work
-        server.told_slots = slots
-        server.told_s = now
-        server.own_when_told = server.own
+        server.told_s = at_s
+        return True
+
+    def others_cannot_reach(self, name: str, now: float) -> bool:
+        """Takes that another instance could not reach a server.
+
+        It rests here too, unless it has answered this instance just now.
+
+        Returns:
+            Whether it rests because of this.
+        """
+        server = self._get(name)
+        resting = now < server.rest_until_s
+        if resting or now - server.heard_well_s < HEARD_WELL_S:
+            return False
+        server.rests = max(1, server.rests)
+        server.rest_until_s = now + FIRST_REST_S
+        return True
 
     def lasted(self, name: str, duration_s: float) -> None:
         """Takes how long a server took to answer, or to begin to."""
@@ -116,10 +154,16 @@
                 has told nothing lately.
         """
         server = self._get(name)
-        if now - server.told_s > REPORT_AGE_S:
+        age_s = now - server.told_s
+        if age_s > REPORT_AGE_S:
             return server.own + otherwise
-        since = server.own - server.own_when_told
-        return float(max(server.own, server.told + since))
+        since = sum(
+            step for at_s, step in server.changes if at_s > server.told_s
+        )
+        left = (server.told + since) * math.exp(
+            -max(0.0, age_s) / REPORT_FADE_S
+        )
+        return max(float(server.own), left)
 
     def loads(self, names: list[str], now: float) -> dict[str, float]:
         """Estimates all loads; unknown ones from those that are known."""
@@ -146,6 +190,7 @@
         server.bad += _OUTCOME_WEIGHT * ((0.0 if good else 1.0) - server.bad)
         server.in_a_row = 0 if good else server.in_a_row + 1
         if good:
+            server.heard_well_s = now
             server.rests = 0
             server.rest_until_s = float("-inf")
             return ""
--- /dev/null
+++ b/irisshelf/tests/test_board.py
@@ -0,0 +1,116 @@
+"""News of servers between instances, as datagrams on loopback."""
+
+import os
+import random
+import time
+
+import cbor2
+import gevent
+import pytest
+
+from irisshelf.coordination import roster
+from irisshelf.gateway import board as board_module
+from irisshelf.observe import decision_log
+
+_KEY = board_module.key_of("s1")
+
+
+class _Instance:
+    def __init__(self, name, data_centre):
+        self.loads = []
+        self.unreachable = []
+        self._fd = os.open(os.devnull, os.O_WRONLY)
+        self.log = decision_log.DecisionLog(instance=name, fd=self._fd)
+        self.problems = []
+        self.log.problem = lambda name, **fields: self.problems.append(name)
+        own = roster.Member(name=name, address="", data_centre=data_centre)
+        self.roster = roster.Roster(own=own)
+        self.board = board_module.Board(
+            address="127.0.0.1:0",
+            roster=self.roster,
+            on_load=self.loads.append,
+            on_unreachable=self.unreachable.append,
+            log=self.log,
+            rng=random.Random(1),
+        )
+        self.member = roster.Member(
+            name=name, address=self.board.address, data_centre=data_centre
+        )
+        self.greenlets = self.board.start()
+
+
+@pytest.fixture
+def four():
+    """Two instances in each of two data centres; each knows all others."""
+    made = [
+        _Instance(name, data_centre)
+        for name, data_centre in (
+            ("1", "a"),
+            ("2", "a"),
+            ("3", "b"),
+            ("4", "b"),
+        )
+    ]
+    for one in made:
+        for other in made:
+            one.roster.heard(other.member, time.monotonic())
+    yield made
+    for one in made:
+        gevent.killall(one.greenlets)
+
+
+def _wait(until):
+    end_s = time.monotonic() + 10
+    while not until() and time.monotonic() < end_s:
+        gevent.sleep(0.01)
+    assert until()
+
+
+def _news():
+    return board_module.LoadNews(server=_KEY, work=7, at_s=time.monotonic())
+
+
+def test_a_load_is_told_everywhere_once(four):
+    four[0].board.load(_news())
+    _wait(lambda: all(len(one.loads) == 1 for one in four[1:]))
+    gevent.sleep(0.1)
+    told = [[(n.server, n.work) for n in i.loads] for i in four]
+    assert told == [[], [(_KEY, 7)], [(_KEY, 7)], [(_KEY, 7)]]
+
+
+def test_who_is_out_of_reach_is_told_at_home_only(four):
+    four[0].board.unreachable(_KEY)
+    four[0].board.load(_news())
+    _wait(lambda: four[1].unreachable == [_KEY])
+    _wait(lambda: four[2].loads and four[3].loads)
+    assert [four[2].unreachable, four[3].unreachable] == [[], []]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xff",
+        cbor2.dumps({"a": 1}),
+        cbor2.dumps(["a", False, [["x"]], []]),
+        cbor2.dumps(["a", False, [[_KEY, 1, "old"]], []]),
+    ],
+)
+def test_garbage_is_told_once_and_left(four, data):
+    four[0].board.take(data)
+    four[0].board.take(data)
+    assert four[0].problems == ["news_unreadable"]
+    assert four[0].loads == []
+
+
+@pytest.mark.parametrize("age_ms", [-1, 60_000])
+def test_news_of_no_sensible_age_are_left(four, age_ms):
+    loads = [[_KEY, 1, age_ms]]
+    four[0].board.take(cbor2.dumps(["a", False, loads, []]))
+    assert four[0].loads == []
+
+
+def test_without_news_nothing_is_sent(four):
+    four[0].board.send()
+    gevent.sleep(0.05)
+    assert [one.loads for one in four] == [[], [], [], []]
