Placement by what servers hold, as instances tell each other

Half of what is read again are first parts (119 to 512 tokens) that many subjects share: each server reads them once; the rest follows subjects that move to a newcomer though their holder has room. Ruled out: homes by the first part (3 of them carry all digests); KV events (two listeners a server; own sends say nearly the same). Change: routing/holdings knows which server was sent which part, from own sends and from others' datagrams; holders within their bound go first; the longest run of parts that somebody holds is fetched.

--- a/irisshelf/gateway/board.py
+++ b/irisshelf/gateway/board.py
@@ -1,4 +1,4 @@
-"""What instances tell each other of servers: loads, and ones out of reach.
+"""What instances tell each other of servers: loads, prompts, reach.
 
 Each instance sends what it has just learnt from servers' answers, at most every
 ``_TICK_S``, as a datagram of CBOR to the instances of its data centre, and to
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import hashlib
 import random
@@ -26,7 +27,9 @@
 _TICK_S = 0.25
 # One Ethernet frame, less the headers.
 _MOST_BYTES = 1400
-_MOST_NEWS = 60
+_MOST_NEWS = 40
+# News that may wait for the next datagram; the oldest are dropped.
+_MOST_WAITING = 1000
 _ID_BYTES = 5
 # News are older than this only if something is wrong with a clock or a link.
 _OLDEST_MS = 5000
@@ -54,6 +57,8 @@
     loads: list[tuple[bytes, int, int]] = []
     # Keys of servers that could not be reached.
     unreachable: list[bytes] = []
+    # Server's key and the keys of the parts of prompts that it has read.
+    holds: dict[bytes, list[bytes]] = {}
 
 
 class Board:
@@ -65,6 +70,7 @@
         on_load: Takes a server's load.
         on_unreachable: Takes a server that an instance of this data centre
             could not reach.
+        on_holds: Takes a server's key and that of a part that it has read.
         log: Takes what goes wrong.
         rng: Chooses whom to tell in other data centres.
     """
@@ -76,6 +82,7 @@
         roster: roster_module.Roster,
         on_load: Callable[[LoadNews], None],
         on_unreachable: Callable[[bytes], None],
+        on_holds: Callable[[bytes, bytes], None],
         log: decision_log.DecisionLog,
         rng: random.Random,
     ):
@@ -83,10 +90,14 @@
         self._roster = roster
         self._on_load = on_load
         self._on_unreachable = on_unreachable
+        self._on_holds = on_holds
         self._log = log
         self._rng = rng
         self._loads: dict[bytes, LoadNews] = {}
         self._unreachable: set[bytes] = set()
+        self._holds: collections.deque[tuple[bytes, bytes]] = collections.deque(
+            maxlen=_MOST_WAITING
+        )
         self._garbled = False
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((host, int(port)))
@@ -109,9 +120,13 @@
         """Takes a server that this instance has just failed to reach."""
         self._unreachable.add(server)
 
+    def holds(self, server: bytes, part: bytes) -> None:
+        """Takes that this instance has sent a part of a prompt to a server."""
+        self._holds.append((server, part))
+
     def send(self) -> None:
         """Tells the news since the last time, if there are any."""
-        if not self._loads and not self._unreachable:
+        if not self._loads and not self._unreachable and not self._holds:
             return
         now = time.monotonic()
         loads = list(self._loads.values())[-_MOST_NEWS:]
@@ -122,6 +137,7 @@
                 (n.server, n.work, int((now - n.at_s) * 1000)) for n in loads
             ],
             unreachable=list(self._unreachable)[:_MOST_NEWS],
+            holds=self._take_holds(),
         )
         self._loads.clear()
         self._unreachable.clear()
@@ -144,6 +160,9 @@
                 at_s = now - age_ms / 1000
                 news = LoadNews(server=server, work=work, at_s=at_s)
                 self._on_load(news)
+        for server, parts in message.holds.items():
+            for part in parts:
+                self._on_holds(server, part)
         own = self._roster.own.data_centre
         if message.data_centre == own:
             for server in message.unreachable:
@@ -152,6 +171,14 @@
             message.pass_on = False
             self._tell_own(message)
 
+    def _take_holds(self) -> dict[bytes, list[bytes]]:
+        """Takes what fits into a datagram; the rest waits for the next."""
+        taken: dict[bytes, list[bytes]] = {}
+        for _ in range(min(_MOST_NEWS, len(self._holds))):
+            server, part = self._holds.popleft()
+            taken.setdefault(server, []).append(part)
+        return taken
+
     def _tell_own(self, message: _Message) -> None:
         data = _encode(message)
         now = time.monotonic()
@@ -162,7 +189,7 @@
     def _tell_others(self, message: _Message) -> None:
         message.pass_on = True
         message.unreachable = []
-        if not message.loads:
+        if not message.loads and not message.holds:
             return
         data = _encode(message)
         for member in self._one_elsewhere():
@@ -212,5 +239,6 @@
             message.pass_on,
             message.loads,
             message.unreachable,
+            message.holds,
         ]
     )
--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -184,9 +184,7 @@
         self._log_send(choice, kept)
         self._sends += 1
         self._book.began(server.server_id, self._inst.now())
-        self._chooser.sent(
-            self._job.ask.prompt.subject, server.server_id, self._inst.now()
-        )
+        self._inst.sent_prompt(server, self._job.ask.prompt)
         keep_alive_s = None
         try:
             sent_s = self._inst.now()
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -16,6 +16,7 @@
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
 from irisshelf.observe import decision_log
+from irisshelf.routing import prompt
 from irisshelf.routing import server_book
 from irisshelf.routing import server_choice
 from irisshelf.routing import window_budget
@@ -139,6 +140,24 @@
                 )
             )
 
+    def sent_prompt(
+        self, server: directory.BackendServer, asked: prompt.Prompt
+    ) -> None:
+        """Notes what a server has read by now, and tells other instances."""
+        chooser = self.chooser(server.service)
+        news = chooser.sent(asked, server.server_id, self.now())
+        if self.board is not None:
+            key = board_module.key_of(server.server_id)
+            for part in news:
+                self.board.holds(key, part)
+
+    def heard_holds(self, key: bytes, part: bytes) -> None:
+        """Takes that another instance has sent a server a part."""
+        server = self._by_key.get(key)
+        if server is not None:
+            held = self.chooser(server.service).holdings
+            held.heard(part, server.server_id, self.now())
+
     def heard_load(self, news: board_module.LoadNews) -> None:
         """Takes what another instance was told of a server's load."""
         server = self._by_key.get(news.server)
--- /dev/null
+++ b/irisshelf/routing/holdings.py
@@ -0,0 +1,69 @@
+"""Which servers are thought to hold which parts of prompts.
+
+A server that was sent a prompt has read its shared parts and keeps them for a
+while. Instances know their own sends and hear of each other's; what a server
+has dropped since is not known, so knowledge ends after ``HELD_S``.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+
+# Parts that nobody used for so long may have given way, and the users do not
+# mind that they are read again after ten seconds.
+HELD_S = 15.0
+# A part that stays in use is told anew so often.
+TELL_AGAIN_S = 5.0
+_MAX_PARTS = 20_000
+_KEY_BYTES = 6
+
+
+class Holdings:
+    """Servers by the parts that they hold."""
+
+    def __init__(self):
+        self._held: collections.OrderedDict[bytes, dict[str, float]] = (
+            collections.OrderedDict()
+        )
+        self._told: dict[tuple[bytes, str], float] = {}
+
+    def mark(self, part: bytes, server_id: str, at_s: float) -> None:
+        """Notes that a server has a part."""
+        servers = self._held.setdefault(part, {})
+        servers[server_id] = max(at_s, servers.get(server_id, at_s))
+        self._held.move_to_end(part)
+        while len(self._held) > _MAX_PARTS:
+            self._held.popitem(last=False)
+
+    def is_news(self, part: bytes, server_id: str, now: float) -> bool:
+        """Tells whether others should be told, and notes that they are."""
+        last_s = self._told.get((part, server_id), float("-inf"))
+        if now - last_s < TELL_AGAIN_S:
+            return False
+        self._told[part, server_id] = now
+        if len(self._told) > 2 * _MAX_PARTS:
+            self._told = {
+                pair: at_s
+                for pair, at_s in self._told.items()
+                if now - at_s < TELL_AGAIN_S
+            }
+        return True
+
+    def heard(self, part: bytes, server_id: str, at_s: float) -> None:
+        """Takes what another instance tells, which need not be told again."""
+        self.mark(part, server_id, at_s)
+        self._told[part, server_id] = at_s
+
+    def holders(self, part: bytes, now: float) -> dict[str, float]:
+        """Returns the servers that hold a part, and when it was used there."""
+        return {
+            server_id: at_s
+            for server_id, at_s in self._held.get(part, {}).items()
+            if now - at_s <= HELD_S
+        }
+
+
+def key_of(part_id: str) -> bytes:
+    """Returns the short name of a part."""
+    return hashlib.blake2b(part_id.encode(), digest_size=_KEY_BYTES).digest()
--- a/irisshelf/routing/server_choice.py
+++ b/irisshelf/routing/server_choice.py
@@ -3,14 +3,15 @@
 Requests that share the parts of a prompt belong to one server, the first in
 the rendezvous ranking of the last shared part: every instance ranks alike
 from the same list, without a word, and a server that comes or goes moves only
-the parts that were, or are to be, its own. A server at its load bound passes
-its turn to the next. Requests without shared parts go to the server that is
-expected to answer first.
+the parts that were, or are to be, its own. Servers that are known to hold the
+shared parts already go before the others, so that a newcomer takes over only
+what it must. A server at its load bound passes its turn to the next, which
+fetches the parts from it. Requests without shared parts go to the server that
+is expected to answer first.
 """
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 import hashlib
@@ -18,6 +19,7 @@
 from collections.abc import Sequence
 
 from irisshelf.catalog import directory
+from irisshelf.routing import holdings
 from irisshelf.routing import prompt
 from irisshelf.routing import server_book
 
@@ -26,10 +28,9 @@
 LOAD_FACTOR = 1.5
 LOAD_EXTRA = 2.0
 # Shared parts below so many tokens are read again rather than fetched: a
-# fetch takes the engine some milliseconds to set up, in which it reads 120.
-MIN_FETCH_TOKENS = 150
-# Subjects whose servers an instance remembers; the oldest go first.
-_MAX_SUBJECTS = 20_000
+# fetch takes the engine 2.5 ms to set up, in which it reads 120; but reading
+# costs the users seven times as much as fetching.
+MIN_FETCH_TOKENS = 60
 # Assumed time to answer of a server that has shown nothing yet.
 _UNKNOWN_S = 0.02
 # Another data centre costs the way there and back, and bytes.
@@ -40,6 +41,7 @@
 class Reason(enum.StrEnum):
     """Why a server was chosen."""
 
+    HELD = "held"
     HOME = "home"
     SPILL = "spill"
     LEAST_LOADED = "least_loaded"
@@ -81,9 +83,7 @@
         self.book = server_book.ServerBook()
         self._data_centre = data_centre
         self._rng = rng
-        self._holders: collections.OrderedDict[str, dict[str, float]] = (
-            collections.OrderedDict()
-        )
+        self.holdings = holdings.Holdings()
 
     def choose(
         self,
@@ -117,7 +117,8 @@
             server = self._fastest(pool, loads)
             reason = Reason.FASTEST if fit else Reason.LAST_RESORT
             return self._choice(server, reason, loads, mean, now)
-        server, reason = self._by_subject(pool, asked.subject, loads, mean)
+        held = self._holders_of(asked.subject, now)
+        server, reason = self._by_subject(pool, asked, held, loads, mean)
         if not fit:
             reason = Reason.LAST_RESORT
         return self._choice(
@@ -129,27 +130,37 @@
             source=self._source(servers, server, asked, now),
         )
 
-    def sent(self, subject: str, server_id: str, now: float) -> None:
-        """Remembers that a server holds a subject's shared parts."""
-        if not subject:
-            return
-        self._holders.setdefault(subject, {})[server_id] = now
-        self._holders.move_to_end(subject)
-        while len(self._holders) > _MAX_SUBJECTS:
-            self._holders.popitem(last=False)
+    def sent(
+        self, asked: prompt.Prompt, server_id: str, now: float
+    ) -> list[bytes]:
+        """Remembers that a server holds a prompt's shared parts.
+
+        Returns:
+            Keys of the parts that other instances should be told of.
+        """
+        keys = [holdings.key_of(part.part_id) for part in asked.shared]
+        for key in keys:
+            self.holdings.mark(key, server_id, now)
+        return [k for k in keys if self.holdings.is_news(k, server_id, now)]
+
+    def _holders_of(self, part_id: str, now: float) -> dict[str, float]:
+        return self.holdings.holders(holdings.key_of(part_id), now)
 
     def _by_subject(
         self,
         pool: Sequence[directory.BackendServer],
-        subject: str,
+        asked: prompt.Prompt,
+        held: dict[str, float],
         loads: dict[str, float],
         mean: float,
     ) -> tuple[directory.BackendServer, Reason]:
         bound = LOAD_FACTOR * mean + LOAD_EXTRA
-        ranked = rank(pool, subject)
+        ranked = rank(pool, asked.subject)
+        # The sort is stable: holders first, each group as ranked.
+        ranked.sort(key=lambda s: s.server_id not in held)
         for place, server in enumerate(ranked):
             if loads[server.server_id] + 1 <= bound:
-                return server, Reason.SPILL if place else Reason.HOME
+                return server, _reason(server, place, held)
         least = min(ranked, key=lambda s: loads[s.server_id])
         return least, Reason.LEAST_LOADED
 
@@ -162,24 +173,27 @@
     ) -> directory.BackendServer | None:
         """Finds who may hold the shared parts that the chosen one lacks.
 
-        That is the server that this instance last sent the subject to, or
-        else the next in the ranking, which was the subject's home before the
-        chosen one came. Leaving servers still hand out what they hold.
+        That is whoever holds the longest run of them; if nobody is known to,
+        the next in the ranking, which was the subject's home before the chosen
+        one came. Leaving servers still hand out what they hold.
         """
-        if asked.shared_tokens < MIN_FETCH_TOKENS:
-            return None
-        held = self._holders.get(asked.subject, {})
-        if chosen.server_id in held:
-            return None
         others = [
             s
             for s in servers
             if s.server_id != chosen.server_id
             and self.book.fit(s.server_id, now)
         ]
-        known = [s for s in others if s.server_id in held]
-        if known:
-            return max(known, key=lambda s: held[s.server_id])
+        lacking = 0
+        for part in reversed(asked.shared):
+            held = self._holders_of(part.part_id, now)
+            if chosen.server_id in held:
+                return None
+            lacking += part.tokens
+            known = [s for s in others if s.server_id in held]
+            if known and asked.shared_tokens >= MIN_FETCH_TOKENS:
+                return max(known, key=lambda s: held[s.server_id])
+        if lacking < MIN_FETCH_TOKENS:
+            return None
         ranked = rank(others, asked.subject)
         return ranked[0] if ranked else None
 
@@ -219,6 +233,14 @@
         )
 
 
+def _reason(
+    server: directory.BackendServer, place: int, held: dict[str, float]
+) -> Reason:
+    if server.server_id in held:
+        return Reason.HELD
+    return Reason.SPILL if place or held else Reason.HOME
+
+
 def rank(
     servers: Sequence[directory.BackendServer], subject: str
 ) -> list[directory.BackendServer]:
--- a/irisshelf/tests/test_board.py
+++ b/irisshelf/tests/test_board.py
@@ -19,6 +19,7 @@
     def __init__(self, name, data_centre):
         self.loads = []
         self.unreachable = []
+        self.holds = []
         self._fd = os.open(os.devnull, os.O_WRONLY)
         self.log = decision_log.DecisionLog(instance=name, fd=self._fd)
         self.problems = []
@@ -30,6 +31,7 @@
             roster=self.roster,
             on_load=self.loads.append,
             on_unreachable=self.unreachable.append,
+            on_holds=lambda server, part: self.holds.append((server, part)),
             log=self.log,
             rng=random.Random(1),
         )
@@ -86,6 +88,14 @@
     assert [four[2].unreachable, four[3].unreachable] == [[], []]
 
 
+def test_what_a_server_has_read_is_told_everywhere(four):
+    pairs = [(_KEY, bytes([n])) for n in range(100)]
+    for pair in pairs:
+        four[0].board.holds(*pair)
+    _wait(lambda: all(len(one.holds) == 100 for one in four[1:]))
+    assert all(sorted(one.holds) == pairs for one in four[1:])
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -5,6 +5,7 @@
 import pytest
 
 from irisshelf.catalog import directory
+from irisshelf.routing import holdings
 from irisshelf.routing import prompt
 from irisshelf.routing import server_book
 from irisshelf.routing import server_choice
@@ -27,8 +28,8 @@
 _SERVERS = [_server(name) for name in ("1", "2", "3", "4")]
 
 
-def _prompt(subject="bb", tokens=1000):
-    parts = [("aa", 100), (subject, tokens), ("own", 9)]
+def _prompt(subject="bb", tokens=1000, first=100):
+    parts = [("aa", first), (subject, tokens), ("own", 9)]
     return prompt.Prompt(
         parts=tuple(prompt.Part(part_id=p, tokens=n) for p, n in parts)
     )
@@ -64,7 +65,7 @@
 def test_a_home_at_its_bound_passes_its_turn_and_is_the_source():
     chooser = _chooser()
     home = _choose(chooser).server
-    chooser.sent("bb", home.server_id, 1.0)
+    chooser.sent(_prompt(), home.server_id, 1.0)
     for _ in range(12):
         chooser.book.began(home.server_id, 1.0)
     choice = _choose(chooser)
@@ -72,23 +73,56 @@
     assert (choice.server != home, choice.source) == (True, home)
 
 
-@pytest.mark.parametrize(("tokens", "fetched"), [(1000, True), (10, False)])
-def test_only_long_parts_are_fetched(tokens, fetched):
-    choice = _choose(_chooser(), asked=_prompt(tokens=tokens))
+@pytest.mark.parametrize(
+    ("first", "tokens", "fetched"), [(100, 1000, True), (10, 10, False)]
+)
+def test_only_long_parts_are_fetched(first, tokens, fetched):
+    asked = _prompt(tokens=tokens, first=first)
+    choice = _choose(_chooser(), asked=asked)
     assert (choice.source is not None) is fetched
 
 
+def test_a_holder_goes_before_the_first_in_the_ranking():
+    chooser = _chooser()
+    home, second, *_ = server_choice.rank(_SERVERS, "bb")
+    chooser.sent(_prompt(), second.server_id, 1.0)
+    choice = _choose(chooser)
+    assert (choice.server, choice.source) == (second, None)
+    assert choice.reason is server_choice.Reason.HELD
+    later = _choose(chooser, now=1.0 + holdings.HELD_S + 0.1)
+    assert later.server == home
+
+
+def test_a_first_part_is_fetched_from_whoever_holds_it():
+    chooser = _chooser()
+    other = _prompt(subject="another")
+    holder = server_choice.rank(_SERVERS, "bb")[-1]
+    chooser.sent(other, holder.server_id, 1.0)
+    choice = _choose(chooser)
+    assert (choice.server != holder, choice.source) == (True, holder)
+
+
+def test_what_others_tell_is_not_told_again():
+    chooser = _chooser()
+    keys = [holdings.key_of(part.part_id) for part in _prompt().shared]
+    assert chooser.sent(_prompt(), "1", 1.0) == keys
+    assert chooser.sent(_prompt(), "1", 2.0) == []
+    assert chooser.sent(_prompt(), "1", 1.0 + holdings.TELL_AGAIN_S) == keys
+    chooser.holdings.heard(keys[0], "2", 7.0)
+    assert chooser.sent(_prompt(), "2", 8.0) == keys[1:]
+
+
 def test_a_holder_fetches_nothing():
     chooser = _chooser()
     home = _choose(chooser).server
-    chooser.sent("bb", home.server_id, 1.0)
+    chooser.sent(_prompt(), home.server_id, 1.0)
     assert _choose(chooser).source is None
 
 
 def test_a_leaving_holder_is_still_a_source():
     chooser = _chooser()
     home = _choose(chooser).server
-    chooser.sent("bb", home.server_id, 1.0)
+    chooser.sent(_prompt(), home.server_id, 1.0)
     servers = [
         _server(s.server_id, "leaving") if s == home else s for s in _SERVERS
     ]
