--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 import itertools
+from collections.abc import Callable
 
 import gevent
 from gevent import server
@@ -84,6 +85,7 @@
         self.service = service
         self.faults: collections.deque[Fault] = collections.deque()
         self.always = Fault.NONE
+        self.choose_fault: Callable[[], Fault] | None = None
         self.runs: list[Run] = []
         self.working = 0
         self.broken_off = 0
@@ -138,6 +140,8 @@
 
     def next_fault(self) -> Fault:
         """Returns what happens to the request that has come."""
+        if self.choose_fault is not None:
+            return self.choose_fault()
         return self.faults.popleft() if self.faults else self.always
 
 
--- a/irisshelf/tests/test_gateway_faults.py
+++ b/irisshelf/tests/test_gateway_faults.py
@@ -21,7 +21,7 @@
         return left.pop() if left else Fault.NONE
 
     for one in everyone:
-        one.next_fault = next_fault
+        one.choose_fault = next_fault
 
 
 @pytest.mark.parametrize(
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 
@@ -333,12 +334,12 @@
         wanted = server.Fault(fault.variant)
         rng = random.Random(self._seed + fault.target)
 
-        def next_fault() -> server.Fault:
+        def choose_fault() -> server.Fault:
             hit = rng.random() < fault.share
             return wanted if hit else server.Fault.NONE
 
-        one.next_fault = next_fault
-        gevent.spawn_later(fault.for_s, _heal, one)
+        one.choose_fault = choose_fault
+        gevent.spawn_later(fault.for_s, _heal, one, choose_fault)
 
     def _crash(self, fault: plan.Fault) -> None:
         """A crashed server says nothing to the store; it comes back."""
@@ -366,8 +367,10 @@
         self._withdrawn[key] = time.monotonic()
 
 
-def _heal(one: server.Server) -> None:
-    del one.next_fault
+def _heal(one: server.Server, chosen_by: Callable[[], server.Fault]) -> None:
+    """Ends a fault, unless a later one has taken its place."""
+    if one.choose_fault is chosen_by:
+        one.choose_fault = None
 
 
 def _is_ready(entry: fleet.Entry) -> bool:
