call.py: one send of a request is a module of its own

Cause: the module had grown to 500 lines with two jobs. Change: attempt.py sends once and passes the answer on; call.py decides what comes next.

--- /dev/null
+++ b/irisshelf/gateway/attempt.py
@@ -0,0 +1,325 @@
+"""One send of a request: pass the answer on, or say what went wrong."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from irisshelf.catalog import directory
+from irisshelf.catalog import model
+from irisshelf.gateway import instance as instance_module
+from irisshelf.gateway import messages
+from irisshelf.routing import event_stream
+from irisshelf.routing import outcome
+from irisshelf.routing import server_book
+from irisshelf.routing import server_choice
+from irisshelf.transport import client
+from irisshelf.transport import errors
+from irisshelf.transport import server as caller_side
+
+# A connection that breaks before an answer was probably closed by the server
+# if it had rested this long; else the server is the likely cause.
+_MAY_BE_STALE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A request that has been admitted.
+
+    Attributes:
+        inbound: As it came in.
+        ask: What its headers say.
+        route: Its route.
+        service: The service that takes it.
+        team: The team that its key belongs to.
+        priority: Its rank.
+        version: Version of the configuration that admitted it.
+        until_s: When it has to be answered, monotonic seconds.
+    """
+
+    inbound: messages.Inbound
+    ask: messages.Ask
+    route: model.Route
+    service: str
+    team: str
+    priority: int
+    version: int
+    until_s: float
+
+
+class SendError(Exception):
+    """A send that went wrong.
+
+    Args:
+        seen: What it shows of the server.
+        outcome: Whether the request may have run.
+        detail: For people.
+        final: The server's own answer, if it gave a whole one.
+        excuse: Whether a connection that had rested is the likely cause.
+    """
+
+    def __init__(
+        self,
+        *,
+        seen: server_book.Seen,
+        outcome: outcome.Outcome,
+        detail: str,
+        final: messages.Final | None = None,
+        excuse: bool = False,
+    ):
+        super().__init__(detail)
+        self.seen = seen
+        self.outcome = outcome
+        self.final = final
+        self.excuse = excuse
+
+
+@dataclasses.dataclass(kw_only=True)
+class Progress:
+    """How far a request's answer has come, over all its sends.
+
+    Attributes:
+        last_event_id: The last event that the caller has.
+        events: Events that this instance has passed on.
+        first_byte_s: Time to the answer's first byte; None before.
+    """
+
+    last_event_id: int | None
+    events: int = 0
+    first_byte_s: float | None = None
+
+
+class Attempt:
+    """One send over one connection.
+
+    Args:
+        inst: The instance.
+        job: The request.
+        caller: The caller's connection.
+        progress: How far the answer has come; kept up to date.
+        patience_s: Tells how long to wait for a sign of life; takes whether
+            it would be the first one.
+    """
+
+    def __init__(
+        self,
+        *,
+        inst: instance_module.Instance,
+        job: Job,
+        caller: caller_side.Connection,
+        progress: Progress,
+        patience_s: Callable[[bool], float],
+    ):
+        self._inst = inst
+        self._job = job
+        self._caller = caller
+        self._progress = progress
+        self._patience_s = patience_s
+
+    def run(
+        self, choice: server_choice.Choice, conn: client.Connection
+    ) -> None:
+        """Sends the request and passes the answer on.
+
+        Raises:
+            SendError: There is no answer that may be passed on, or not all.
+        """
+        server = choice.server
+        book = self._inst.chooser(server.service).book
+        book.began(server.server_id, self._inst.now())
+        keep_alive_s = None
+        try:
+            sent_s = self._inst.now()
+            head = self._exchange_head(choice, conn)
+            keep_alive_s = head.keep_alive_s
+            self._told(server, head)
+            self._check(conn, head)
+            book.lasted(server.server_id, self._inst.now() - sent_s)
+            if self._job.route.kind is model.RouteKind.STREAMING:
+                self._relay(conn, head)
+            else:
+                self._pass_whole(conn, head)
+        finally:
+            book.ended(server.server_id, self._inst.now())
+            # A connection in the middle of an answer is not reusable and is
+            # closed, so that the server stops working on it.
+            self._inst.links.put(server, conn, keep_alive_s)
+
+    def _exchange_head(
+        self,
+        choice: server_choice.Choice,
+        conn: client.Connection,
+    ) -> messages.AnswerHead:
+        job = self._job
+        source = choice.source
+        told = messages.Send(
+            server_id=choice.server.server_id,
+            team=job.team,
+            left_s=self._job.until_s - self._inst.now(),
+            priority=job.priority,
+            cache_source=source.address if source else "",
+            last_event_id=self._progress.last_event_id,
+        )
+        headers = self._inst.dialect.request_headers(job.inbound, told)
+        if job.route.kind is model.RouteKind.UNSAFE:
+            # It must run once; that its caller leaves does not undo it.
+            self._caller.detach_caller()
+        patience_s = self._patience_s(True)
+        until_s = self._inst.now() + patience_s
+        try:
+            conn.send(
+                job.inbound.method,
+                job.inbound.target,
+                headers,
+                job.inbound.body,
+                timeout_s=patience_s,
+            )
+            return self._read_own_head(conn, until_s)
+        except errors.SilentError as exc:
+            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
+        except errors.BrokenError as exc:
+            raise _unknown(
+                server_book.Seen.BROKEN,
+                str(exc),
+                excuse=conn.rested_s >= _MAY_BE_STALE_S,
+            ) from exc
+
+    def _read_own_head(
+        self, conn: client.Connection, until_s: float
+    ) -> messages.AnswerHead:
+        """Reads heads until one is of this request's answer."""
+        while True:
+            left_s = until_s - self._inst.now()
+            status, raw = conn.read_head(timeout_s=left_s)
+            head = self._inst.dialect.answer_head(status, raw)
+            if head.request_id in ("", self._job.ask.request_id):
+                return head
+            self._inst.log.request(
+                "stray_answer",
+                self._job.ask.request_id,
+                belongs_to=head.request_id,
+            )
+            conn.skip_answer(timeout_s=until_s - self._inst.now())
+
+    def _told(
+        self, server: directory.BackendServer, head: messages.AnswerHead
+    ) -> None:
+        if head.load is not None:
+            self._inst.told_load(server, head.load)
+
+    def _check(
+        self, conn: client.Connection, head: messages.AnswerHead
+    ) -> None:
+        """Lets successes pass; raises for everything else."""
+        if head.success and head.request_id:
+            return
+        if head.not_run:
+            self._read_body(conn)
+            raise SendError(
+                seen=server_book.Seen.REFUSED,
+                outcome=outcome.Outcome.NOT_RUN,
+                detail=f"turned down with {head.status}",
+            )
+        if 200 <= head.status < 300:
+            raise _unknown(
+                server_book.Seen.BROKEN,
+                f"{head.status} without signature, id or plain body",
+            )
+        body = self._read_body(conn)
+        raise SendError(
+            seen=(
+                server_book.Seen.FAILED
+                if head.status >= 500
+                else server_book.Seen.WELL
+            ),
+            outcome=outcome.Outcome.UNKNOWN,
+            detail=f"answered {head.status}",
+            final=messages.Final(
+                status=head.status, headers=head.headers, body=body
+            ),
+        )
+
+    def _read_body(self, conn: client.Connection) -> bytes:
+        parts = []
+        until_s = self._inst.now() + self._patience_s(True)
+        try:
+            while True:
+                left_s = until_s - self._inst.now()
+                part = conn.read_data(timeout_s=left_s)
+                if part is None:
+                    return b"".join(parts)
+                parts.append(part)
+        except errors.SilentError as exc:
+            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
+        except errors.BrokenError as exc:
+            raise _unknown(server_book.Seen.BROKEN, str(exc)) from exc
+
+    def _pass_whole(
+        self, conn: client.Connection, head: messages.AnswerHead
+    ) -> None:
+        body = self._read_body(conn)
+        self._first_byte()
+        self._caller.answer(head.status, list(head.headers), body)
+
+    def _relay(self, conn: client.Connection, head: messages.AnswerHead) -> str:
+        """Passes events on as they come."""
+        splitter = event_stream.Splitter()
+        while True:
+            data = self._read_events(conn)
+            if data is None:
+                break
+            events = self._new_events(splitter.feed(data))
+            if events:
+                self._begin(head)
+                self._caller.write(b"".join(event.data for event in events))
+        if splitter.rest:
+            raise _unknown(server_book.Seen.BROKEN, "ends within an event")
+        self._begin(head)
+        self._caller.end()
+
+    def _begin(self, head: messages.AnswerHead) -> None:
+        """Sends the head of the first server that answers, and no other."""
+        if not self._caller.began:
+            self._first_byte()
+            self._caller.begin(head.status, list(head.headers))
+
+    def _read_events(self, conn: client.Connection) -> bytes | None:
+        patience_s = self._patience_s(not self._progress.events)
+        try:
+            return conn.read_data(timeout_s=patience_s)
+        except errors.SilentError as exc:
+            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
+        except errors.BrokenError as exc:
+            raise _unknown(server_book.Seen.BROKEN, str(exc)) from exc
+
+    def _new_events(
+        self, events: list[event_stream.Event]
+    ) -> list[event_stream.Event]:
+        """Drops events that the caller has; notes the last one's id."""
+        new = []
+        for event in events:
+            last = self._progress.last_event_id
+            if event.event_id is not None:
+                if last is not None and event.event_id <= last:
+                    continue
+                self._progress.last_event_id = event.event_id
+            new.append(event)
+        self._progress.events += len(new)
+        return new
+
+    def _first_byte(self) -> None:
+        passed_s = self._inst.now() - self._job.inbound.arrived_s
+        self._progress.first_byte_s = passed_s
+        kind = self._job.route.kind.value
+        self._inst.metrics.first_byte.labels(kind).observe(passed_s)
+
+
+def _unknown(
+    seen: server_book.Seen, detail: str, *, excuse: bool = False
+) -> SendError:
+    return SendError(
+        seen=seen,
+        outcome=outcome.Outcome.UNKNOWN,
+        detail=detail,
+        excuse=excuse,
+    )
--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 from irisshelf.catalog import directory
 from irisshelf.catalog import model
+from irisshelf.gateway import attempt as attempt_module
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
-from irisshelf.routing import event_stream
 from irisshelf.routing import outcome
 from irisshelf.routing import server_book
 from irisshelf.routing import server_choice
@@ -23,9 +21,6 @@
 # A request that must not run twice goes only on a connection that was in use
 # just now: whether one that died at rest took the request cannot be known.
 _REST_FOR_ONCE_S = 0.5
-# A connection that breaks before an answer was probably closed by the server
-# if it had rested this long; else the server is the likely cause.
-_MAY_BE_STALE_S = 1.0
 # A caller whose request did not run is told to come back this soon.
 RETRY_AFTER_S = 0.1
 # How long a silent server is waited for when another may still be asked: a
@@ -42,58 +37,6 @@
 _GATEWAY_TIMEOUT = 504
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Job:
-    """A request that has been admitted.
-
-    Attributes:
-        inbound: As it came in.
-        ask: What its headers say.
-        route: Its route.
-        service: The service that takes it.
-        team: The team that its key belongs to.
-        priority: Its rank.
-        version: Version of the configuration that admitted it.
-        until_s: When it has to be answered, monotonic seconds.
-    """
-
-    inbound: messages.Inbound
-    ask: messages.Ask
-    route: model.Route
-    service: str
-    team: str
-    priority: int
-    version: int
-    until_s: float
-
-
-class _SendError(Exception):
-    """A send that went wrong.
-
-    Args:
-        seen: What it shows of the server.
-        outcome: Whether the request may have run.
-        detail: For people.
-        final: The server's own answer, if it gave a whole one.
-        excuse: Whether a connection that had rested is the likely cause.
-    """
-
-    def __init__(
-        self,
-        *,
-        seen: server_book.Seen,
-        outcome: outcome.Outcome,
-        detail: str,
-        final: messages.Final | None = None,
-        excuse: bool = False,
-    ):
-        super().__init__(detail)
-        self.seen = seen
-        self.outcome = outcome
-        self.final = final
-        self.excuse = excuse
-
-
 class Call:
     """One request on its way.
 
@@ -107,22 +50,21 @@
         self,
         *,
         inst: instance_module.Instance,
-        job: Job,
+        job: attempt_module.Job,
         conn: caller_side.Connection,
     ):
         self._inst = inst
         self._job = job
         self._conn = conn
         self._chooser = inst.chooser(job.service)
-        self._book = self._chooser.book
         self._avoid: set[str] = set()
         self._sends = 0
         self._connects = 0
         self._worst = outcome.Outcome.NOT_RUN
         self._final: messages.Final | None = None
-        self._last_event_id = job.ask.last_event_id
-        self._events = 0
-        self._first_byte_s: float | None = None
+        self._progress = attempt_module.Progress(
+            last_event_id=job.ask.last_event_id
+        )
 
     def run(self) -> str:
         """Serves the request.
@@ -140,7 +82,7 @@
                 continue
             try:
                 return self._send(choice, conn)
-            except _SendError as exc:
+            except attempt_module.SendError as exc:
                 stop = self._after(choice, exc)
             if stop:
                 return self._give_up(stop)
@@ -185,193 +127,18 @@
         server = choice.server
         self._log_send(choice, conn.rested_s)
         self._sends += 1
-        self._book.began(server.server_id, self._inst.now())
         self._inst.sent_prompt(server, self._job.ask.prompt)
-        keep_alive_s = None
-        try:
-            sent_s = self._inst.now()
-            head = self._exchange_head(choice, conn)
-            keep_alive_s = head.keep_alive_s
-            self._told(server, head)
-            self._check(conn, head)
-            self._book.lasted(server.server_id, self._inst.now() - sent_s)
-            if self._job.route.kind is model.RouteKind.STREAMING:
-                ended = self._relay(conn, head)
-            else:
-                ended = self._pass_whole(conn, head)
-            self._seen(server, server_book.Seen.WELL)
-            return ended
-        finally:
-            self._book.ended(server.server_id, self._inst.now())
-            # A connection in the middle of an answer is not reusable and is
-            # closed, so that the server stops working on it.
-            self._inst.links.put(server, conn, keep_alive_s)
-
-    def _exchange_head(
-        self,
-        choice: server_choice.Choice,
-        conn: client.Connection,
-    ) -> messages.AnswerHead:
-        job = self._job
-        source = choice.source
-        told = messages.Send(
-            server_id=choice.server.server_id,
-            team=job.team,
-            left_s=self._left_s(),
-            priority=job.priority,
-            cache_source=source.address if source else "",
-            last_event_id=self._last_event_id,
-        )
-        headers = self._inst.dialect.request_headers(job.inbound, told)
-        if job.route.kind is model.RouteKind.UNSAFE:
-            # It must run once; that its caller leaves does not undo it.
-            self._conn.detach_caller()
-        patience_s = self._patience_s(first=True)
-        until_s = self._inst.now() + patience_s
-        try:
-            conn.send(
-                job.inbound.method,
-                job.inbound.target,
-                headers,
-                job.inbound.body,
-                timeout_s=patience_s,
-            )
-            return self._read_own_head(conn, until_s)
-        except errors.SilentError as exc:
-            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
-        except errors.BrokenError as exc:
-            raise _unknown(
-                server_book.Seen.BROKEN,
-                str(exc),
-                excuse=conn.rested_s >= _MAY_BE_STALE_S,
-            ) from exc
-
-    def _read_own_head(
-        self, conn: client.Connection, until_s: float
-    ) -> messages.AnswerHead:
-        """Reads heads until one is of this request's answer."""
-        while True:
-            left_s = until_s - self._inst.now()
-            status, raw = conn.read_head(timeout_s=left_s)
-            head = self._inst.dialect.answer_head(status, raw)
-            if head.request_id in ("", self._job.ask.request_id):
-                return head
-            self._inst.log.request(
-                "stray_answer",
-                self._job.ask.request_id,
-                belongs_to=head.request_id,
-            )
-            conn.skip_answer(timeout_s=until_s - self._inst.now())
-
-    def _told(
-        self, server: directory.BackendServer, head: messages.AnswerHead
-    ) -> None:
-        if head.load is not None:
-            self._inst.told_load(server, head.load)
-
-    def _check(
-        self, conn: client.Connection, head: messages.AnswerHead
-    ) -> None:
-        """Lets successes pass; raises for everything else."""
-        if head.success and head.request_id:
-            return
-        if head.not_run:
-            self._read_body(conn)
-            raise _SendError(
-                seen=server_book.Seen.REFUSED,
-                outcome=outcome.Outcome.NOT_RUN,
-                detail=f"turned down with {head.status}",
-            )
-        if 200 <= head.status < 300:
-            raise _unknown(
-                server_book.Seen.BROKEN,
-                f"{head.status} without signature, id or plain body",
-            )
-        body = self._read_body(conn)
-        raise _SendError(
-            seen=(
-                server_book.Seen.FAILED
-                if head.status >= 500
-                else server_book.Seen.WELL
-            ),
-            outcome=outcome.Outcome.UNKNOWN,
-            detail=f"answered {head.status}",
-            final=messages.Final(
-                status=head.status, headers=head.headers, body=body
-            ),
-        )
-
-    def _read_body(self, conn: client.Connection) -> bytes:
-        parts = []
-        until_s = self._inst.now() + self._patience_s(first=True)
-        try:
-            while True:
-                left_s = until_s - self._inst.now()
-                part = conn.read_data(timeout_s=left_s)
-                if part is None:
-                    return b"".join(parts)
-                parts.append(part)
-        except errors.SilentError as exc:
-            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
-        except errors.BrokenError as exc:
-            raise _unknown(server_book.Seen.BROKEN, str(exc)) from exc
-
-    def _pass_whole(
-        self, conn: client.Connection, head: messages.AnswerHead
-    ) -> str:
-        body = self._read_body(conn)
-        self._first_byte()
-        self._conn.answer(head.status, list(head.headers), body)
+        attempt_module.Attempt(
+            inst=self._inst,
+            job=self._job,
+            caller=self._conn,
+            progress=self._progress,
+            patience_s=self._patience_s,
+        ).run(choice, conn)
+        self._seen(server, server_book.Seen.WELL)
         return "served"
 
-    def _relay(self, conn: client.Connection, head: messages.AnswerHead) -> str:
-        """Passes events on as they come."""
-        splitter = event_stream.Splitter()
-        while True:
-            data = self._read_events(conn)
-            if data is None:
-                break
-            events = self._new_events(splitter.feed(data))
-            if events:
-                self._begin(head)
-                self._conn.write(b"".join(event.data for event in events))
-        if splitter.rest:
-            raise _unknown(server_book.Seen.BROKEN, "ends within an event")
-        self._begin(head)
-        self._conn.end()
-        return "served"
-
-    def _begin(self, head: messages.AnswerHead) -> None:
-        """Sends the head of the first server that answers, and no other."""
-        if not self._conn.began:
-            self._first_byte()
-            self._conn.begin(head.status, list(head.headers))
-
-    def _read_events(self, conn: client.Connection) -> bytes | None:
-        patience_s = self._patience_s(first=not self._events)
-        try:
-            return conn.read_data(timeout_s=patience_s)
-        except errors.SilentError as exc:
-            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
-        except errors.BrokenError as exc:
-            raise _unknown(server_book.Seen.BROKEN, str(exc)) from exc
-
-    def _new_events(
-        self, events: list[event_stream.Event]
-    ) -> list[event_stream.Event]:
-        """Drops events that the caller has; notes the last one's id."""
-        new = []
-        for event in events:
-            last = self._last_event_id
-            if event.event_id is not None:
-                if last is not None and event.event_id <= last:
-                    continue
-                self._last_event_id = event.event_id
-            new.append(event)
-        self._events += len(new)
-        return new
-
-    def _patience_s(self, *, first: bool) -> float:
+    def _patience_s(self, first: bool) -> float:
         """Returns how long to wait for a server's next sign of life."""
         left_s = max(0.001, self._left_s())
         route = self._job.route
@@ -396,7 +163,9 @@
             and len(self._inst.directory.of(self._job.service)) > 1
         )
 
-    def _after(self, choice: server_choice.Choice, exc: _SendError) -> str:
+    def _after(
+        self, choice: server_choice.Choice, exc: attempt_module.SendError
+    ) -> str:
         """Decides what follows a send that went wrong.
 
         Returns:
@@ -418,13 +187,13 @@
             cause=exc.seen.value,
             outcome=exc.outcome.value,
             detail=str(exc),
-            events=self._events,
+            events=self._progress.events,
             sends=self._sends,
             then=stop or "send again",
         )
         return stop
 
-    def _why_stop(self, exc: _SendError) -> str:
+    def _why_stop(self, exc: attempt_module.SendError) -> str:
         route = self._job.route
         if self._worst is outcome.Outcome.UNKNOWN and not route.repeatable:
             return "may_have_run"
@@ -447,7 +216,6 @@
             return f"cut_{why}"
         final = self._final
         if final is not None and final.status not in _NOT_RUN_STATUSES:
-            self._first_byte()
             self._conn.answer(final.status, list(final.headers), final.body)
             return "failed_by_server"
         if self._worst is outcome.Outcome.NOT_RUN:
@@ -469,11 +237,6 @@
     ) -> None:
         self._inst.seen(server, what, self._job.ask.request_id, detail)
 
-    def _first_byte(self) -> None:
-        self._first_byte_s = self._inst.now() - self._job.inbound.arrived_s
-        kind = self._job.route.kind.value
-        self._inst.metrics.first_byte.labels(kind).observe(self._first_byte_s)
-
     def _log_send(self, choice: server_choice.Choice, rested_s: float) -> None:
         self._inst.metrics.sends.labels(choice.reason.value).inc()
         self._inst.log.request(
@@ -493,32 +256,18 @@
             rested_s=round(rested_s, 3),
             attempt=self._sends + 1,
             left_s=round(self._left_s(), 3),
-            resume_after=self._last_event_id,
+            resume_after=self._progress.last_event_id,
         )
 
     def summary(self) -> dict[str, object]:
         """Returns figures for the request's last log line."""
+        first_s = self._progress.first_byte_s
         return {
             "sends": self._sends,
-            "events": self._events,
-            "first_byte_s": (
-                None
-                if self._first_byte_s is None
-                else round(self._first_byte_s, 4)
-            ),
+            "events": self._progress.events,
+            "first_byte_s": (None if first_s is None else round(first_s, 4)),
         }
 
 
-def _unknown(
-    seen: server_book.Seen, detail: str, *, excuse: bool = False
-) -> _SendError:
-    return _SendError(
-        seen=seen,
-        outcome=outcome.Outcome.UNKNOWN,
-        detail=detail,
-        excuse=excuse,
-    )
-
-
 def _age(age_s: float) -> float | None:
     return None if age_s == float("inf") else round(age_s, 3)
--- a/irisshelf/gateway/front.py
+++ b/irisshelf/gateway/front.py
@@ -8,6 +8,7 @@
 import result
 
 from irisshelf.catalog import model
+from irisshelf.gateway import attempt
 from irisshelf.gateway import call as call_module
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
@@ -78,9 +79,7 @@
         if job is not None:
             self._serve(job, conn)
 
-    def _serve(
-        self, job: call_module.Job, conn: caller_side.Connection
-    ) -> None:
+    def _serve(self, job: attempt.Job, conn: caller_side.Connection) -> None:
         call = call_module.Call(inst=self._inst, job=job, conn=conn)
         self._inst.in_flight += 1
         self._inst.metrics.in_flight.set(self._inst.in_flight)
@@ -99,7 +98,7 @@
             self._count(job, ended, call)
 
     def _count(
-        self, job: call_module.Job, ended: str, call: call_module.Call
+        self, job: attempt.Job, ended: str, call: call_module.Call
     ) -> None:
         kind = job.route.kind.value
         lasted_s = self._inst.now() - job.inbound.arrived_s
@@ -121,7 +120,7 @@
         inbound: messages.Inbound,
         ask: messages.Ask,
         conn: caller_side.Connection,
-    ) -> call_module.Job | None:
+    ) -> attempt.Job | None:
         """Checks what a request needs; answers those that may not go on."""
         inst = self._inst
         catalog = inst.catalog
@@ -157,7 +156,7 @@
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
-        return call_module.Job(
+        return attempt.Job(
             inbound=inbound,
             ask=ask,
             route=route,
