--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -80,6 +80,7 @@
             seeds=cfg.seeds,
             fresh=self._inst.freshness,
             log=self._log,
+            on_members=self._take_members,
         )
         shared = neighbours.SharedFeed(
             store=make_store(cfg.store),
@@ -137,6 +138,14 @@
         self._log.instance("stop", in_flight=self._inst.in_flight)
         self._log.flush()
 
+    def _take_members(self, others_here: int) -> None:
+        """Takes how many other instances the own data centre has.
+
+        Data centres are taken to be alike: this serves to share a budget.
+        """
+        count = (others_here + 1) * max(1, len(self._inst.cfg.data_centres))
+        self._inst.instances = count if others_here else None
+
     def _count_call(self, table: feed.Table, ended: str) -> None:
         self._inst.metrics.store_calls.labels(table.value, ended).inc()
 
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -21,9 +21,6 @@
 from irisshelf.routing import server_choice
 from irisshelf.routing import window_budget
 
-# Fixed part of the retry slack that one instance may use up in a window; the
-# users' slack is 52 for 6 instances and 210 for 85.
-_RETRY_SLACK = 2.0
 # A key holds for so long after the store last confirmed it, as a share of the
 # bound: the store may tell a change a second late (when it drops its history).
 _KEY_SHARE = 0.76
@@ -62,6 +59,8 @@
         self.listed = False
         self.stopping_since_s: float | None = None
         self.in_flight = 0
+        # How many instances there are; None if no other is known.
+        self.instances: int | None = None
         self.board: board_module.Board | None = None
         self._by_key: dict[bytes, directory.BackendServer] = {}
         self._choosers: dict[str, server_choice.Chooser] = {}
@@ -99,10 +98,13 @@
         if found is None:
             found = window_budget.WindowBudget(
                 ratio=self.cfg.bounds.retry_share,
-                slack=_RETRY_SLACK,
+                slack=0.0,
                 window_s=self.cfg.bounds.retry_window_s,
             )
             self._budgets[service] = found
+        found.slack = window_budget.share_of_slack(
+            self.cfg.bounds.retry_slack, self.instances
+        )
         return found
 
     def adopt(self, catalog: model.Catalog) -> bool:
--- a/irisshelf/gateway/neighbours.py
+++ b/irisshelf/gateway/neighbours.py
@@ -87,6 +87,7 @@
         seeds: Addresses of instances that may be there at the start.
         fresh: How old this instance's knowledge is.
         log: Takes what changes.
+        on_members: Told how many other instances the data centre has.
     """
 
     def __init__(
@@ -96,11 +97,13 @@
         seeds: tuple[str, ...],
         fresh: freshness.Freshness,
         log: decision_log.DecisionLog,
+        on_members: Callable[[int], None] = lambda count: None,
     ):
         self.roster = roster.Roster(own=own)
         self._seeds = tuple(seed for seed in seeds if seed != own.address)
         self._fresh = fresh
         self._log = log
+        self._on_members = on_members
         self._mirrors = {table: mirror.Mirror() for table in feed.Table}
         self._changed = {table: event.Event() for table in feed.Table}
         self._keeper = ""
@@ -142,6 +145,7 @@
             keeper = self.roster.keeper(now)
             if keeper is not None:
                 self._ask_members(keeper.address)
+            self._on_members(self._neighbours())
             gevent.sleep(_MEMBERS_EVERY_S)
 
     def say_goodbye(self) -> None:
@@ -213,9 +217,10 @@
             if where == address:
                 conn.close()
 
-    def _neighbours(self) -> bool:
+    def _neighbours(self) -> int:
+        """Returns how many other instances the own data centre has."""
         own = self.roster.own.data_centre
-        return bool(self.roster.members(own, time.monotonic()))
+        return len(self.roster.members(own, time.monotonic()))
 
     def _members(self, data_centre: str) -> bytes:
         now = time.monotonic()
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -43,6 +43,7 @@
             request may run under it.
         stop_s: From the signal to stop until the process is killed.
         retry_share: Retries a service may get for each request.
+        retry_slack: Retries beside those, of all instances, in a window.
         retry_window_s: Window that retries are counted in.
     """
 
@@ -50,6 +51,7 @@
     key_withdrawn_ms: _Positive = 5000.0
     stop_s: _Positive = 8.0
     retry_share: _Share = 0.2
+    retry_slack: _Positive = 50.0
     retry_window_s: _Positive = 10.0
 
 
@@ -60,6 +62,7 @@
     Attributes:
         instance: This instance's name.
         data_centre: Where it stands.
+        data_centres: Names of all data centres.
         listen: Addresses to listen on.
         store: The shared store's address.
         seeds: Addresses of other instances, some of which may be there.
@@ -72,6 +75,7 @@
     data_centre: str
     listen: Listen
     store: str
+    data_centres: tuple[str, ...] = ()
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     log_lines_per_s: _Positive = 200.0
--- a/irisshelf/routing/window_budget.py
+++ b/irisshelf/routing/window_budget.py
@@ -2,8 +2,8 @@
 
 The users bound, over every sliding window and all instances together, the
 sends beyond the first of each request by a share of the requests and a fixed
-slack. Each instance keeps to the same share of its own requests, and to a
-small fixed part of the slack.
+slack. Each instance keeps to the same share of its own requests, and to its
+part of the slack by the number of instances that it knows of.
 """
 
 from __future__ import annotations
@@ -13,6 +13,28 @@
 # Part of the bound that is used; requests and retries of a window do not fall
 # into the same one everywhere.
 _SAFETY = 0.8
+# Part of the slack that is dealt out: instances come, and others may not be
+# known yet.
+_DEALT = 0.6
+# An instance that knows of no other assumes this many; nobody gets more than
+# if there were this few.
+_ASSUMED = 30
+_FEWEST = 6
+
+
+def share_of_slack(slack: float, instances: int | None) -> float:
+    """Returns one instance's part of the slack of all.
+
+    Args:
+        slack: Retries in a window, of all instances together.
+        instances: How many there are, as far as known.
+
+    Example:
+        >>> share_of_slack(60.0, 9)
+        4.0
+    """
+    count = _ASSUMED if instances is None else max(_FEWEST, instances)
+    return slack * _DEALT / count
 
 
 class WindowBudget:
@@ -26,7 +48,7 @@
 
     def __init__(self, *, ratio: float, slack: float, window_s: float):
         self._ratio = ratio
-        self._slack = slack
+        self.slack = slack
         self._window_s = window_s
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
@@ -40,7 +62,7 @@
         """Returns how many retries are left in the window that ends now."""
         _expire(self._requests, now - self._window_s)
         _expire(self._retries, now - self._window_s)
-        allowed = self._ratio * _SAFETY * len(self._requests) + self._slack
+        allowed = self._ratio * _SAFETY * len(self._requests) + self.slack
         return allowed - len(self._retries)
 
     def take(self, now: float) -> bool:
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -300,3 +300,14 @@
         work = running if server == home else 1
         chooser.book.told(server.server_id, work=work, at_s=1.0)
     assert _choose(chooser, asked=asked).reason is reason
+
+
+@pytest.mark.parametrize(
+    ("instances", "share"),
+    [(None, 1.0), (1, 5.0), (6, 5.0), (30, 1.0), (300, 0.1)],
+)
+def test_the_slack_is_dealt_out_among_instances(instances, share):
+    found = window_budget.share_of_slack(50.0, instances)
+    assert found == pytest.approx(share)
+    if instances is not None:
+        assert found * instances <= 50.0
