--- a/irisshelf/routing/holdings.py
+++ b/irisshelf/routing/holdings.py
@@ -1,29 +1,51 @@
 """Which servers are thought to hold which parts of prompts.
 
-A server that was sent a prompt has read its shared parts and keeps them for a
-while. Instances know their own sends and hear of each other's; what a server
-has dropped since is not known, so knowledge ends after ``HELD_S``.
+A server that was sent a prompt reads its shared parts, which takes it a while,
+and then keeps them. Instances know their own sends and hear of each other's;
+what a server has dropped since is not known, so knowledge ends after
+``HELD_S``.
 """
 
 from __future__ import annotations
 
 import collections
+import dataclasses
 import hashlib
 
 # Parts that nobody used for so long may have given way, and the users do not
 # mind that they are read again after ten seconds.
 HELD_S = 15.0
+# Reading 10,000 tokens takes a server 0.2 s, and more beside other requests;
+# until then it has nothing to hand out, and would read the part once more.
+SETTLED_S = 0.4
 # A part that stays in use is told anew so often.
 TELL_AGAIN_S = 5.0
 _MAX_PARTS = 20_000
 _KEY_BYTES = 6
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Held:
+    """How a server holds a part.
+
+    Attributes:
+        since_s: When it was first sent.
+        used_s: When it was last sent.
+    """
+
+    since_s: float
+    used_s: float
+
+    def settled(self, now: float) -> bool:
+        """Tells whether the part has surely been read by now."""
+        return now - self.since_s >= SETTLED_S
+
+
 class Holdings:
     """Servers by the parts that they hold."""
 
     def __init__(self):
-        self._held: collections.OrderedDict[bytes, dict[str, float]] = (
+        self._held: collections.OrderedDict[bytes, dict[str, Held]] = (
             collections.OrderedDict()
         )
         self._told: dict[tuple[bytes, str], float] = {}
@@ -31,7 +53,11 @@
     def mark(self, part: bytes, server_id: str, at_s: float) -> None:
         """Notes that a server has a part."""
         servers = self._held.setdefault(part, {})
-        servers[server_id] = max(at_s, servers.get(server_id, at_s))
+        known = servers.get(server_id)
+        since_s = at_s
+        if known is not None and at_s - known.used_s <= HELD_S:
+            since_s = known.since_s
+        servers[server_id] = Held(since_s=since_s, used_s=at_s)
         self._held.move_to_end(part)
         while len(self._held) > _MAX_PARTS:
             self._held.popitem(last=False)
@@ -55,12 +81,12 @@
         self.mark(part, server_id, at_s)
         self._told[part, server_id] = at_s
 
-    def holders(self, part: bytes, now: float) -> dict[str, float]:
-        """Returns the servers that hold a part, and when it was used there."""
+    def holders(self, part: bytes, now: float) -> dict[str, Held]:
+        """Returns the servers that hold a part, or will in a moment."""
         return {
-            server_id: at_s
-            for server_id, at_s in self._held.get(part, {}).items()
-            if now - at_s <= HELD_S
+            server_id: held
+            for server_id, held in self._held.get(part, {}).items()
+            if now - held.used_s <= HELD_S
         }
 
 
--- a/irisshelf/routing/server_choice.py
+++ b/irisshelf/routing/server_choice.py
@@ -26,9 +26,9 @@
 # A server takes requests up to a multiple of the mean load, and so many more,
 # since small loads are lumpy; the users' bound is 2 times and 3. Prompts whose
 # shared parts are dear to move may go further than others.
-LOAD_FACTOR = 1.4
-LOAD_EXTRA = 1.5
-LONG_LOAD_FACTOR = 1.7
+LOAD_FACTOR = 1.6
+LOAD_EXTRA = 2.0
+LONG_LOAD_FACTOR = 1.75
 LONG_LOAD_EXTRA = 2.5
 LONG_TOKENS = 2000
 # Shared parts below so many tokens are read again rather than fetched: a
@@ -122,7 +122,7 @@
             reason = Reason.FASTEST if fit else Reason.LAST_RESORT
             return self._choice(server, reason, loads, mean, now)
         held = self._holders_of(asked.subject, now)
-        server, reason = self._by_subject(pool, asked, held, loads, mean)
+        server, reason = self._by_subject(pool, asked, held, loads, mean, now)
         if not fit:
             reason = Reason.LAST_RESORT
         return self._choice(
@@ -147,21 +147,22 @@
             self.holdings.mark(key, server_id, now)
         return [k for k in keys if self.holdings.is_news(k, server_id, now)]
 
-    def _holders_of(self, part_id: str, now: float) -> dict[str, float]:
+    def _holders_of(self, part_id: str, now: float) -> dict[str, holdings.Held]:
         return self.holdings.holders(holdings.key_of(part_id), now)
 
     def _by_subject(
         self,
         pool: Sequence[directory.BackendServer],
         asked: prompt.Prompt,
-        held: dict[str, float],
+        held: dict[str, holdings.Held],
         loads: dict[str, float],
         mean: float,
+        now: float,
     ) -> tuple[directory.BackendServer, Reason]:
         bound = _bound(asked, mean)
         ranked = rank(pool, asked.subject)
         # The sort is stable: holders first, each group as ranked.
-        ranked.sort(key=lambda s: s.server_id not in held)
+        ranked.sort(key=lambda s: _readiness(held.get(s.server_id), now))
         for place, server in enumerate(ranked):
             if loads[server.server_id] + 1 <= bound:
                 return server, _reason(server, place, held)
@@ -177,9 +178,10 @@
     ) -> directory.BackendServer | None:
         """Finds who may hold the shared parts that the chosen one lacks.
 
-        That is whoever holds the longest run of them; if nobody is known to,
-        the next in the ranking, which was the subject's home before the chosen
-        one came. Leaving servers still hand out what they hold.
+        That is whoever has held the longest run of them for longest; if nobody
+        is known to, the next in the ranking, which was the subject's home
+        before the chosen one came. Leaving servers still hand out what they
+        hold.
         """
         others = [
             s
@@ -189,13 +191,19 @@
         ]
         lacking = 0
         for part in reversed(asked.shared):
-            held = self._holders_of(part.part_id, now)
-            if chosen.server_id in held:
+            settled = {
+                server_id: held.since_s
+                for server_id, held in self._holders_of(
+                    part.part_id, now
+                ).items()
+                if held.settled(now)
+            }
+            if chosen.server_id in settled:
                 return None
             lacking += part.tokens
-            known = [s for s in others if s.server_id in held]
+            known = [s for s in others if s.server_id in settled]
             if known and asked.shared_tokens >= MIN_FETCH_TOKENS:
-                return max(known, key=lambda s: held[s.server_id])
+                return min(known, key=lambda s: settled[s.server_id])
         if lacking < MIN_FETCH_TOKENS:
             return None
         ranked = rank(others, asked.subject)
@@ -243,8 +251,15 @@
     return LOAD_FACTOR * mean + LOAD_EXTRA
 
 
+def _readiness(held: holdings.Held | None, now: float) -> int:
+    """Ranks servers that hold a part before those that will, and others."""
+    if held is None:
+        return 2
+    return 0 if held.settled(now) else 1
+
+
 def _reason(
-    server: directory.BackendServer, place: int, held: dict[str, float]
+    server: directory.BackendServer, place: int, held: dict[str, holdings.Held]
 ) -> Reason:
     if server.server_id in held:
         return Reason.HELD
--- /dev/null
+++ b/irisshelf/tests/test_deploy.py
@@ -0,0 +1,85 @@
+"""The settings that the users' platform fills from our template."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+import irisshelf
+from irisshelf.gateway import settings
+
+_DEPLOY = pathlib.Path(irisshelf.__file__).parent.parent / "deploy"
+_FIELDS = {
+    "nodeName": "front-espoo-a-1",
+    "ip": "10.1.0.40",
+    "zone": "espoo-a",
+    "zones": {"espoo-a": "fi-south", "vantaa-c": "fi-south"},
+    "listenAddrs": {
+        "front": "10.1.0.40:8227",
+        "ready": "10.1.0.40:8220",
+        "control": "10.1.0.40:8229",
+    },
+    "internalPorts": [7340, 7355],
+    "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
+    "bounds": {
+        "configMs": 2000,
+        "revokeMs": 5000,
+        "gracePeriodS": 8,
+        "retryBudgetRatio": 0.2,
+        "budgetSlack": 54,
+        "budgetWindowS": 10,
+    },
+    "platform": {"address": "10.200.1.7:8223"},
+}
+
+
+def _value(fields, path):
+    for name in path.split("."):
+        if isinstance(fields, list):
+            fields = fields[int(name)]
+        else:
+            fields = fields.get(name)
+    return fields
+
+
+def _render(text, fields):
+    """Fills a template as the platform does: values, JSON, and entries."""
+
+    def block(match):
+        name, inner = match.groups()
+        keys = list(_value(fields, name))
+        parts = []
+        for number, key in enumerate(keys):
+            comma = "," if number < len(keys) - 1 else ""
+            parts.append(inner.replace("{{@}}", key).replace("{{,}}", comma))
+        return "".join(parts)
+
+    def gap(match):
+        path, _, form = match.group(1).partition("|")
+        value = _value(fields, path)
+        return json.dumps(value) if form == "json" else str(value)
+
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", block, text)
+    return re.sub(r"\{\{([\w.|]+)\}\}", gap, text)
+
+
+def test_the_template_gives_sound_settings():
+    text = (_DEPLOY / "settings.json.tmpl").read_text()
+    cfg = settings.decode(_render(text, _FIELDS).encode()).unwrap()
+    assert cfg.instance == "front-espoo-a-1"
+    assert cfg.data_centres == ("espoo-a", "vantaa-c")
+    assert cfg.seeds == ("10.1.0.40:8229", "10.2.0.29:8229")
+    assert cfg.listen.metrics == "10.1.0.40:7340"
+    assert (cfg.bounds.stop_s, cfg.bounds.retry_slack) == (8.0, 54.0)
+
+
+def test_the_template_knows_no_key_of_an_entry_as_json():
+    """The platform gives null for it; only the bare key is filled in."""
+    assert "{{@|" not in (_DEPLOY / "settings.json.tmpl").read_text()
+
+
+@pytest.mark.parametrize("line", (_DEPLOY / "requirements.lock").open())
+def test_what_the_platform_installs_is_pinned_as_in_our_lock(line):
+    lock = (_DEPLOY.parent / "requirements.lock").read_text().splitlines()
+    assert line.strip() in lock
