A part that is being read counts as held; the source is the oldest holder

Ruled out: waiting for the part: an engine reads prompts one after the other, so the next request finds it. Change: no settling; the oldest holder stays the source.

--- a/irisshelf/routing/holdings.py
+++ b/irisshelf/routing/holdings.py
@@ -1,8 +1,8 @@
 """Which servers are thought to hold which parts of prompts.
 
-A server that was sent a prompt reads its shared parts, which takes it a while,
-and then keeps them. Instances know their own sends and hear of each other's;
-what a server has dropped since is not known, so knowledge ends after
+A server that was sent a prompt has read its shared parts, or reads them before
+it comes to the next request. Instances know their own sends and hear of each
+other's; what a server has dropped since is not known, so knowledge ends after
 ``HELD_S``.
 """
 
@@ -15,9 +15,6 @@
 # Parts that nobody used for so long may have given way, and the users do not
 # mind that they are read again after ten seconds.
 HELD_S = 15.0
-# Reading 10,000 tokens takes a server 0.2 s, and more beside other requests;
-# until then it has nothing to hand out, and would read the part once more.
-SETTLED_S = 0.4
 # A part that stays in use is told anew so often.
 TELL_AGAIN_S = 5.0
 _MAX_PARTS = 20_000
@@ -36,10 +33,6 @@
     since_s: float
     used_s: float
 
-    def settled(self, now: float) -> bool:
-        """Tells whether the part has surely been read by now."""
-        return now - self.since_s >= SETTLED_S
-
 
 class Holdings:
     """Servers by the parts that they hold."""
@@ -82,7 +75,7 @@
         self._told[part, server_id] = at_s
 
     def holders(self, part: bytes, now: float) -> dict[str, Held]:
-        """Returns the servers that hold a part, or will in a moment."""
+        """Returns the servers that hold a part, or are reading it."""
         return {
             server_id: held
             for server_id, held in self._held.get(part, {}).items()
--- a/irisshelf/routing/server_choice.py
+++ b/irisshelf/routing/server_choice.py
@@ -122,7 +122,7 @@
             reason = Reason.FASTEST if fit else Reason.LAST_RESORT
             return self._choice(server, reason, loads, mean, now)
         held = self._holders_of(asked.subject, now)
-        server, reason = self._by_subject(pool, asked, held, loads, mean, now)
+        server, reason = self._by_subject(pool, asked, held, loads, mean)
         if not fit:
             reason = Reason.LAST_RESORT
         return self._choice(
@@ -157,12 +157,11 @@
         held: dict[str, holdings.Held],
         loads: dict[str, float],
         mean: float,
-        now: float,
     ) -> tuple[directory.BackendServer, Reason]:
         bound = _bound(asked, mean)
         ranked = rank(pool, asked.subject)
         # The sort is stable: holders first, each group as ranked.
-        ranked.sort(key=lambda s: _readiness(held.get(s.server_id), now))
+        ranked.sort(key=lambda s: s.server_id not in held)
         for place, server in enumerate(ranked):
             if loads[server.server_id] + 1 <= bound:
                 return server, _reason(server, place, held)
@@ -191,19 +190,13 @@
         ]
         lacking = 0
         for part in reversed(asked.shared):
-            settled = {
-                server_id: held.since_s
-                for server_id, held in self._holders_of(
-                    part.part_id, now
-                ).items()
-                if held.settled(now)
-            }
-            if chosen.server_id in settled:
+            held = self._holders_of(part.part_id, now)
+            if chosen.server_id in held:
                 return None
             lacking += part.tokens
-            known = [s for s in others if s.server_id in settled]
+            known = [s for s in others if s.server_id in held]
             if known and asked.shared_tokens >= MIN_FETCH_TOKENS:
-                return min(known, key=lambda s: settled[s.server_id])
+                return min(known, key=lambda s: held[s.server_id].since_s)
         if lacking < MIN_FETCH_TOKENS:
             return None
         ranked = rank(others, asked.subject)
@@ -251,13 +244,6 @@
     return LOAD_FACTOR * mean + LOAD_EXTRA
 
 
-def _readiness(held: holdings.Held | None, now: float) -> int:
-    """Ranks servers that hold a part before those that will, and others."""
-    if held is None:
-        return 2
-    return 0 if held.settled(now) else 1
-
-
 def _reason(
     server: directory.BackendServer, place: int, held: dict[str, holdings.Held]
 ) -> Reason:
