--- a/irisshelf/gateway/board.py
+++ b/irisshelf/gateway/board.py
@@ -86,11 +86,13 @@
         return bool(self.loads or self.unreachable or self.holds)
 
     def load(self, news: LoadNews) -> None:
+        """Takes a load, unless a later one is waiting."""
         known = self.loads.get(news.server)
         if known is None or known.at_s < news.at_s:
             self.loads[news.server] = news
 
     def add(self, news: _News) -> None:
+        """Takes all of another's news."""
         for load in news.loads.values():
             self.load(load)
         self.unreachable |= news.unreachable
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -20,6 +20,7 @@
 from irisshelf.gateway import listener
 from irisshelf.gateway import neighbours
 from irisshelf.gateway import settings
+from irisshelf.gateway import shared_feed
 from irisshelf.observe import decision_log
 from irisshelf.store import feed
 from irisshelf.transport import server as caller_side
@@ -82,7 +83,7 @@
             log=self._log,
             on_members=self._take_members,
         )
-        shared = neighbours.SharedFeed(
+        shared = shared_feed.SharedFeed(
             store=make_store(cfg.store),
             neighbours=self._neighbours,
             age_s=lambda: self._inst.freshness.age_s(self._inst.now()),
--- a/irisshelf/gateway/front.py
+++ b/irisshelf/gateway/front.py
@@ -144,12 +144,20 @@
             text = "key is not known"
             self._refuse(conn, ask.request_id, _UNKNOWN_KEY, text)
             return None
-        if self._too_late_to_begin(route, inbound.arrived_s):
-            self._turn_away(conn, ask, "stopping")
-            return None
-        if inst.in_flight >= inst.cfg.max_requests:
-            self._turn_away(conn, ask, f"{inst.in_flight} requests in flight")
+        busy = self._too_busy(route, inbound.arrived_s)
+        if busy:
+            self._turn_away(conn, ask, busy)
             return None
+        return self._job(inbound, ask, catalog.version, route, team)
+
+    def _job(
+        self,
+        inbound: messages.Inbound,
+        ask: messages.Ask,
+        version: int,
+        route: model.Route,
+        team: model.Team | None,
+    ) -> attempt.Job:
         time_s = route.timeout_s
         if ask.deadline_s is not None:
             time_s = min(time_s, ask.deadline_s)
@@ -163,10 +171,19 @@
             service=self._service(route, ask),
             team=team.name if team else "",
             priority=priority,
-            version=catalog.version,
+            version=version,
             until_s=inbound.arrived_s + time_s,
         )
 
+    def _too_busy(self, route: model.Route, arrived_s: float) -> str:
+        """Returns why nothing new is begun; empty if it is."""
+        if self._too_late_to_begin(route, arrived_s):
+            return "stopping"
+        in_flight = self._inst.in_flight
+        if in_flight >= self._inst.cfg.max_requests:
+            return f"{in_flight} requests in flight"
+        return ""
+
     def _too_late_to_begin(self, route: model.Route, arrived_s: float) -> bool:
         since_s = self._inst.stopping_since_s
         if since_s is None:
--- a/irisshelf/observe/decision_log.py
+++ b/irisshelf/observe/decision_log.py
@@ -34,6 +34,7 @@
         self._at_s = time.monotonic()
 
     def take(self, now: float) -> bool:
+        """Takes a token, if there is one."""
         self._tokens = min(
             self._per_s, self._tokens + (now - self._at_s) * self._per_s
         )
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -153,6 +153,7 @@
         self._sock = sock
 
     def handle(self, request: http.Request, conn: http.Connection) -> None:
+        """Answers one request, as well as its fault allows."""
         owner = self._owner
         headers = {
             name.decode().lower(): value.decode()
--- a/irisshelf/tests/test_neighbours.py
+++ b/irisshelf/tests/test_neighbours.py
@@ -11,6 +11,7 @@
 from irisshelf.coordination import roster
 from irisshelf.gateway import listener
 from irisshelf.gateway import neighbours
+from irisshelf.gateway import shared_feed
 from irisshelf.observe import decision_log
 from irisshelf.platform import store_feed
 from irisshelf.platform.stand_in import store as store_module
@@ -173,7 +174,7 @@
             fresh=self.fresh,
             log=log,
         )
-        self.feed = neighbours.SharedFeed(
+        self.feed = shared_feed.SharedFeed(
             store=store_feed.StoreFeed(address=store.address),
             neighbours=self.own,
             age_s=lambda: self.fresh.age_s(time.monotonic()),
