A keeper packs what many ask for once

Ruled out: handing on the store's own bytes (the adapter alone reads those). Change: the last answer's rows are kept packed by revision and what was asked.

--- a/irisshelf/gateway/neighbours.py
+++ b/irisshelf/gateway/neighbours.py
@@ -63,7 +63,7 @@
         as_of_s: The store's clock when it had told all this.
         clock_s: The store's clock now, at the most.
         age_s: How old the neighbour thinks its knowledge is.
-        items: Rows, each key, value or None, and problem.
+        items: Rows in CBOR, each key, value or None, and problem.
     """
 
     revision: int
@@ -71,7 +71,7 @@
     as_of_s: float
     clock_s: float
     age_s: float
-    items: list[tuple[str, Any, str]]
+    items: bytes
 
 
 class Neighbours:
@@ -103,6 +103,8 @@
         self._changed = {table: event.Event() for table in feed.Table}
         self._keeper = ""
         self._followed_s = float("-inf")
+        # The last answer on a table: revision and what was asked, rows.
+        self._last_packed: dict[feed.Table, tuple[tuple[int, int], bytes]] = {}
         self._conns: dict[tuple[str, str], client.Connection] = {}
         self._busy: dict[tuple[str, str], client.Connection] = {}
 
@@ -193,7 +195,8 @@
             return answer
         try:
             told = msgspec.convert(cbor2.loads(answer.ok_value), _Told)
-            items = tuple(_item(table, *row) for row in told.items)
+            rows = cbor2.loads(told.items)
+            items = tuple(_item(table, *row) for row in rows)
         except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
             return result.Err(f"no answer of an instance: {exc}")
         batch = feed.Batch(
@@ -272,13 +275,34 @@
             as_of_s=self._fresh.as_of_store_s,
             clock_s=self._fresh.store_clock_s(time.monotonic()),
             age_s=age_s,
-            items=[
-                (item.key, _plain(item.value), item.problem)
-                for item in (known.whole() if rows is None else rows)
-            ],
+            items=self._packed(table, after, rows),
         )
         conn.answer(_OK, [], cbor2.dumps(dataclasses.asdict(told)))
 
+    def _packed(
+        self,
+        table: feed.Table,
+        after: int,
+        rows: tuple[feed.Item, ...] | None,
+    ) -> bytes:
+        """Returns rows in CBOR; all who ask alike get the same bytes.
+
+        A configuration has up to megabytes, and dozens may ask at once.
+        """
+        known = self._mirrors[table]
+        if rows is not None and not rows:
+            return cbor2.dumps([])
+        asked = (known.revision, -1 if rows is None else after)
+        last = self._last_packed.get(table)
+        if last is not None and last[0] == asked:
+            return last[1]
+        wanted = known.whole() if rows is None else rows
+        data = cbor2.dumps(
+            [(item.key, _plain(item.value), item.problem) for item in wanted]
+        )
+        self._last_packed[table] = (asked, data)
+        return data
+
     def _get(
         self, address: str, path: str, timeout_s: float, query: str = ""
     ) -> result.Result[bytes, str]:
