Each instance follows the store itself again; keepers removed

And an instance whose own call was held by a silent store heard of no server for up to 10 s, as its other call went by a keeper and did not fail. Change: shared_feed, mirror and the feed part of neighbours are gone, with the tests of what they did; neighbours keep the list of instances for the board and the retry slack. Changes are gathered for 0.3 and 0.6 s, which spares calls.

--- a/irisshelf/coordination/roster.py
+++ b/irisshelf/coordination/roster.py
@@ -1,9 +1,7 @@
-"""Who the other instances of a data centre are, and who reads the store.
+"""Who the other instances are, and which is the first of a data centre.
 
-Calls to the shared store are dear, so in each data centre a few instances,
-the keepers, follow it and the others follow them. Keepers are the first in a
-rendezvous ranking of those heard from lately. Lists that differ cost calls to
-the store, and nothing else: an instance that finds no keeper asks the store.
+Instances rank those heard from lately alike, whatever the order they hear of
+them. Lists that differ for a while cost a datagram or two, and nothing else.
 """
 
 from __future__ import annotations
@@ -12,13 +10,10 @@
 import hashlib
 from collections.abc import Iterable
 
-KEEPERS = 2
-# An instance not heard of for so long is left out; members ask every second.
+# An instance not heard of for so long is left out; members ask every 2.5 s.
 FORGET_S = 6.0
 # Instances of other data centres are asked for less often.
 FORGET_ELSEWHERE_S = 20.0
-# A keeper that failed is not asked again for so long.
-AVOID_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -46,7 +41,6 @@
     def __init__(self, *, own: Member):
         self.own = own
         self._heard: dict[str, tuple[Member, float]] = {}
-        self._avoid: dict[str, float] = {}
 
     def heard(self, member: Member, at_s: float) -> None:
         """Takes that an instance lives, or lived at a time."""
@@ -56,10 +50,6 @@
         if known is None or known[1] < at_s:
             self._heard[member.name] = (member, at_s)
 
-    def failed(self, address: str, now: float) -> None:
-        """Takes that an instance did not answer, or is cut off itself."""
-        self._avoid[address] = now + AVOID_S
-
     def left(self, name: str) -> None:
         """Takes that an instance stops as planned."""
         self._heard.pop(name, None)
@@ -103,22 +93,10 @@
             rows.append((member, now - at_s))
         return rows
 
-    def keeper(self, now: float) -> Member | None:
-        """Returns whom to follow; None if this instance is to ask the store."""
-        others = [m for m, _ in self.members(self.own.data_centre, now)]
-        ranked = rank([*others, self.own])[:KEEPERS]
-        if self.own in ranked:
-            return None
-        for member in ranked:
-            if self._avoid.get(member.address, 0.0) <= now:
-                return member
-        return None
-
     def first(self, now: float) -> Member | None:
         """Returns the first of the data centre; None if it is this instance."""
         others = [m for m, _ in self.members(self.own.data_centre, now)]
-        fit = [m for m in others if self._avoid.get(m.address, 0.0) <= now]
-        found = rank([*fit, self.own])[0]
+        found = rank([*others, self.own])[0]
         return None if found == self.own else found
 
     def _longest_s(self, member: Member) -> float:
@@ -132,7 +110,6 @@
             for name, (member, at_s) in self._heard.items()
             if now - at_s <= self._longest_s(member)
         }
-        self._avoid = {a: t for a, t in self._avoid.items() if t > now}
 
 
 def rank(members: Iterable[Member]) -> list[Member]:
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -20,7 +20,6 @@
 from irisshelf.gateway import listener
 from irisshelf.gateway import neighbours
 from irisshelf.gateway import settings
-from irisshelf.gateway import shared_feed
 from irisshelf.observe import decision_log
 from irisshelf.store import feed
 from irisshelf.transport import server as caller_side
@@ -79,17 +78,12 @@
                 data_centre=cfg.data_centre,
             ),
             seeds=cfg.seeds,
-            fresh=self._inst.freshness,
             log=self._log,
             on_members=self._take_members,
         )
-        shared = shared_feed.SharedFeed(
-            store=make_store(cfg.store),
-            neighbours=self._neighbours,
-            age_s=lambda: self._inst.freshness.age_s(self._inst.now()),
-            count=self._count_call,
+        self._follower = follower.Follower(
+            inst=self._inst, store=make_store(cfg.store)
         )
-        self._follower = follower.Follower(inst=self._inst, store=shared)
         self._front = front.Front(inst=self._inst)
         self._listeners = [
             self._listener(
@@ -147,9 +141,6 @@
         count = (others_here + 1) * max(1, len(self._inst.cfg.data_centres))
         self._inst.instances = count if others_here else None
 
-    def _count_call(self, table: feed.Table, ended: str) -> None:
-        self._inst.metrics.store_calls.labels(table.value, ended).inc()
-
     def _listener(self, address, limits, handle) -> listener.Listener:
         return listener.Listener(
             address=address,
--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -18,7 +18,7 @@
 _HOLD_S = {feed.Table.CATALOG: 2.0, feed.Table.SERVERS: 10.0}
 # Changes come in bursts, and each call is paid for: after one, the next call
 # waits this long. Well within the two seconds that a change may take.
-_GATHER_S = {feed.Table.CATALOG: 0.2, feed.Table.SERVERS: 0.4}
+_GATHER_S = {feed.Table.CATALOG: 0.3, feed.Table.SERVERS: 0.6}
 # Each try costs money, and an instance is to be back soon after the store.
 _BACKOFF_S = (0.1, 0.3, 0.6)
 _EXPIRE_EVERY_S = 0.2
@@ -67,6 +67,8 @@
             answer = self._store.changes(
                 table, after=after, wait_s=_HOLD_S[table]
             )
+        ended = "ok" if answer.is_ok() else "failed"
+        self._inst.metrics.store_calls.labels(table.value, ended).inc()
         if isinstance(answer, result.Ok):
             self._answered(table, answer.ok_value, sent_s)
             return True
@@ -100,12 +102,8 @@
         if table is feed.Table.CATALOG:
             self._regained(now)
             self._take_catalog(batch)
-            direct = batch.clock_s == batch.store_s
             self._inst.freshness.told(
-                sent_s=sent_s,
-                received_s=now,
-                store_s=batch.store_s,
-                clock_s=None if direct else batch.clock_s,
+                sent_s=sent_s, received_s=now, store_s=batch.store_s
             )
         else:
             self._take_servers(batch, now)
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -27,7 +27,7 @@
         )
         self.store_calls = self._counter(
             "store_calls",
-            "Calls for a table, by who answered or failed.",
+            "Calls to the store for a table.",
             "table",
             "result",
         )
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -167,7 +167,6 @@
         ),
         revision=answer.ver,
         store_s=answer.now_ms / _MS,
-        clock_s=answer.now_ms / _MS,
         whole=whole,
     )
 
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -47,15 +47,13 @@
     Attributes:
         items: The rows.
         revision: Ask for changes after this one next time.
-        store_s: The store's steady clock when it had told all this.
-        clock_s: The store's steady clock when this was answered, at the most.
+        store_s: The store's steady clock when it answered.
         whole: Whether these are all rows there are.
     """
 
     items: tuple[Item[_T], ...]
     revision: int
     store_s: float
-    clock_s: float
     whole: bool
 
 
