A lapse's time runs from the store's return; no hearsay on who is out of reach

Ruled out: a quorum of instances: nothing measured speaks for hearsay at all. Change: lapses count from the return; the board no longer tells of reach, which each instance sees by its own requests. Its tests go with it; a test of the lapse that failed before.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -87,14 +87,14 @@
         self,
         servers: Iterable[BackendServer],
         *,
-        now: float,
+        back_s: float,
         after_outage: bool,
     ) -> None:
         """Takes a whole list.
 
         Args:
             servers: All entries.
-            now: Time in seconds.
+            back_s: When the store came back, if it was away.
             after_outage: Whether the store may have been away before, so that
                 missing entries may only have lapsed.
         """
@@ -103,18 +103,21 @@
         for name in missing:
             if after_outage:
                 listed[name] = self._servers[name]
-                self._lapsed.setdefault(name, now)
+                self._lapsed.setdefault(name, back_s)
         self._lapsed = {n: t for n, t in self._lapsed.items() if n in missing}
         self._servers = listed
         self._index()
 
-    def lapse(self, changes: Iterable[Change], *, now: float) -> None:
-        """Takes changes told after an outage: vanished entries may be back."""
+    def lapse(self, changes: Iterable[Change], *, back_s: float) -> None:
+        """Takes changes told after an outage: vanished entries may be back.
+
+        Their time runs from the store's return, whenever they are missed.
+        """
         kept = []
         for change in changes:
             known = change.server_id in self._servers
             if change.server is None and known:
-                self._lapsed.setdefault(change.server_id, now)
+                self._lapsed.setdefault(change.server_id, back_s)
             else:
                 kept.append(change)
         self.apply(kept)
--- a/irisshelf/gateway/board.py
+++ b/irisshelf/gateway/board.py
@@ -1,4 +1,4 @@
-"""What instances tell each other of servers: loads, prompts, reach.
+"""What instances tell each other of servers: their loads and their prompts.
 
 Each instance sends what it has just learnt from servers' answers to the first
 instance of its data centre, as a datagram of CBOR. That one gathers, tells all
@@ -66,8 +66,6 @@
     way: _Way
     # Server's key, work, age in ms.
     loads: list[tuple[bytes, int, int]] = []
-    # Keys of servers that could not be reached.
-    unreachable: list[bytes] = []
     # Server's key and the keys of the parts of prompts that it has read.
     holds: dict[bytes, list[bytes]] = {}
 
@@ -77,13 +75,12 @@
 
     def __init__(self):
         self.loads: dict[bytes, LoadNews] = {}
-        self.unreachable: set[bytes] = set()
         self.holds: collections.deque[tuple[bytes, bytes]] = collections.deque(
             maxlen=_MOST_WAITING
         )
 
     def __bool__(self) -> bool:
-        return bool(self.loads or self.unreachable or self.holds)
+        return bool(self.loads or self.holds)
 
     def load(self, news: LoadNews) -> None:
         """Takes a load, unless a later one is waiting."""
@@ -95,7 +92,6 @@
         """Takes all of another's news."""
         for load in news.loads.values():
             self.load(load)
-        self.unreachable |= news.unreachable
         self.holds.extend(news.holds)
 
     def take(self, data_centre: str, way: _Way) -> _Message:
@@ -104,8 +100,6 @@
         loads = [
             self.loads.pop(server) for server in list(self.loads)[:_MOST_NEWS]
         ]
-        unreachable = list(self.unreachable)[:_MOST_NEWS]
-        self.unreachable -= set(unreachable)
         holds: dict[bytes, list[bytes]] = {}
         for _ in range(min(_MOST_NEWS, len(self.holds))):
             server, part = self.holds.popleft()
@@ -117,7 +111,6 @@
                 (n.server, n.work, max(0, int((now - n.at_s) * 1000)))
                 for n in loads
             ],
-            unreachable=unreachable,
             holds=holds,
         )
 
@@ -129,8 +122,6 @@
         address: Where to listen, IP number and port.
         roster: The other instances.
         on_load: Takes a server's load.
-        on_unreachable: Takes a server that an instance of this data centre
-            could not reach.
         on_holds: Takes a server's key and that of a part that it has read.
         log: Takes what goes wrong.
         rng: Chooses whom to tell in other data centres.
@@ -142,7 +133,6 @@
         address: str,
         roster: roster_module.Roster,
         on_load: Callable[[LoadNews], None],
-        on_unreachable: Callable[[bytes], None],
         on_holds: Callable[[bytes, bytes], None],
         log: decision_log.DecisionLog,
         rng: random.Random,
@@ -150,7 +140,6 @@
         host, _, port = address.rpartition(":")
         self._roster = roster
         self._on_load = on_load
-        self._on_unreachable = on_unreachable
         self._on_holds = on_holds
         self._log = log
         self._rng = rng
@@ -175,10 +164,6 @@
         """Takes a load that this instance has just been told."""
         self._own.load(news)
 
-    def unreachable(self, server: bytes) -> None:
-        """Takes a server that this instance has just failed to reach."""
-        self._own.unreachable.add(server)
-
     def holds(self, server: bytes, part: bytes) -> None:
         """Takes that this instance has sent a part of a prompt to a server."""
         self._own.holds.append((server, part))
@@ -210,7 +195,7 @@
             return
         at_home = message.data_centre == self._roster.own.data_centre
         news = _decode(message)
-        self._apply(news, at_home=at_home)
+        self._apply(news)
         if message.way is _Way.TO_ALL:
             return
         first = self._roster.first(time.monotonic())
@@ -220,14 +205,11 @@
             message.way = _Way.FORWARDED
             self._send_to(first.address, _encode(message))
 
-    def _apply(self, news: _News, *, at_home: bool) -> None:
+    def _apply(self, news: _News) -> None:
         for load in news.loads.values():
             self._on_load(load)
         for server, part in news.holds:
             self._on_holds(server, part)
-        if at_home:
-            for server in news.unreachable:
-                self._on_unreachable(server)
 
     def _send_news(
         self,
@@ -296,7 +278,6 @@
         if 0 <= age_ms <= _OLDEST_MS:
             at_s = now - age_ms / 1000
             news.load(LoadNews(server=server, work=work, at_s=at_s))
-    news.unreachable.update(message.unreachable)
     for server, parts in message.holds.items():
         news.holds.extend((server, part) for part in parts)
     return news
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -107,7 +107,6 @@
             address=self._inst.cfg.listen.peers,
             roster=self._neighbours.roster,
             on_load=self._inst.heard_load,
-            on_unreachable=self._inst.heard_unreachable,
             on_holds=self._inst.heard_holds,
             log=self._log,
             rng=self._inst.rng,
--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -139,9 +139,11 @@
         ]
         if batch.whole:
             servers = [item.value for item in readable if item.value]
-            listed.replace(servers, now=now, after_outage=after_outage)
+            listed.replace(
+                servers, back_s=self._back_s, after_outage=after_outage
+            )
         elif after_outage:
-            listed.lapse(changes, now=now)
+            listed.lapse(changes, back_s=self._back_s)
         else:
             listed.apply(changes)
         self._inst.listed = True
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -167,21 +167,6 @@
             book = self.chooser(server.service).book
             book.told(server.server_id, work=news.work, at_s=news.at_s)
 
-    def heard_unreachable(self, key: bytes) -> None:
-        """Takes that another instance here could not reach a server."""
-        server = self._by_key.get(key)
-        if server is None:
-            return
-        book = self.chooser(server.service).book
-        if book.others_cannot_reach(server.server_id, self.now()):
-            self.log.instance(
-                "server_rests",
-                server=server.server_id,
-                address=server.address,
-                service=server.service,
-                why="another instance cannot reach it",
-            )
-
     def servers_changed(self) -> None:
         """Forgets what is known of servers that are not listed any more."""
         servers = self.directory.servers()
@@ -206,9 +191,6 @@
         why = book.seen(server.server_id, what, self.now())
         if what is not server_book.Seen.WELL:
             self.metrics.failures.labels(what.value).inc()
-        unreachable = what is server_book.Seen.UNREACHABLE
-        if unreachable and self.board is not None:
-            self.board.unreachable(board_module.key_of(server.server_id))
         if why:
             self.metrics.rests.labels(server.service).inc()
             self.log.problem(
--- a/irisshelf/routing/server_book.py
+++ b/irisshelf/routing/server_book.py
@@ -22,8 +22,6 @@
 # request tries it again; doubled each time, up to the longest.
 FIRST_REST_S = 0.6
 LONGEST_REST_S = 4.0
-# A server that has answered so lately is in reach, whatever others say.
-HEARD_WELL_S = 0.5
 # Weight of the newest outcome, and of the newest duration, in their averages.
 _OUTCOME_WEIGHT = 0.2
 _DURATION_WEIGHT = 0.2
@@ -54,7 +52,6 @@
     changes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=_MAX_CHANGES)
     )
-    heard_well_s: float = float("-inf")
     bad: float = 0.0
     outcomes: int = 0
     in_a_row: int = 0
@@ -107,22 +104,6 @@
         server.told_s = at_s
         return True
 
-    def others_cannot_reach(self, name: str, now: float) -> bool:
-        """Takes that another instance could not reach a server.
-
-        It rests here too, unless it has answered this instance just now.
-
-        Returns:
-            Whether it rests because of this.
-        """
-        server = self._get(name)
-        resting = now < server.rest_until_s
-        if resting or now - server.heard_well_s < HEARD_WELL_S:
-            return False
-        server.rests = max(1, server.rests)
-        server.rest_until_s = now + FIRST_REST_S
-        return True
-
     def lasted(self, name: str, duration_s: float) -> None:
         """Takes how long a server took to answer, or to begin to."""
         server = self._get(name)
@@ -190,7 +171,6 @@
         server.bad += _OUTCOME_WEIGHT * ((0.0 if good else 1.0) - server.bad)
         server.in_a_row = 0 if good else server.in_a_row + 1
         if good:
-            server.heard_well_s = now
             server.rests = 0
             server.rest_until_s = float("-inf")
             return ""
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -1,10 +1,14 @@
 """The store's troubles: what an instance believes, and for how long."""
 
+import time
+
 import pytest
 
+from irisshelf.catalog import directory
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world as world_module
+from irisshelf.store import feed
 
 Mode = store.Mode
 
@@ -123,6 +127,20 @@
     assert world.ask("/alarm/1").status == 200
 
 
+def test_a_lapses_time_runs_from_the_stores_return(world):
+    """Not from when the entry is missed: it may be gone for good by then."""
+    follower = world._follower
+    leaver = world.plain[0]
+    back_s = time.monotonic() - 1.5
+    follower._back_s = back_s
+    gone = feed.Item(key=leaver.server_id, value=None)
+    batch = feed.Batch(items=(gone,), revision=99, store_s=0.0, whole=False)
+    follower._take_servers(batch, time.monotonic())
+    assert world.inst.directory.get(leaver.server_id) is not None
+    end_s = back_s + directory.LAPSE_GRACE_S + 0.01
+    assert world.inst.directory.expire(end_s) == (leaver.server_id,)
+
+
 def _takes_work(world, one):
     listed = world.inst.directory.get(one.server_id)
     return listed is not None and listed.state.value == "ready"
