A silent server is asked for a connection; a lost one until it answers

Cause: a zone that is cut, or a server that goes dark, says nothing.

Ruled out: a shorter patience for all (it would send work from servers that are only busy to others, which read the prompts anew); health requests (dear, and said to lie).

A connect or a read whose time is over looks once more at the socket, as a process that stood still finds its timers expired. Files are looked at by poll: select takes only 1,024.

Two tests of rests stated the trial by a request for servers out of reach: they now state it for servers that misbehave, and new ones state what holds for servers out of reach.

--- a/irisshelf/gateway/attempt.py
+++ b/irisshelf/gateway/attempt.py
@@ -9,6 +9,7 @@
 from irisshelf.catalog import model
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
+from irisshelf.gateway import watched
 from irisshelf.routing import event_stream
 from irisshelf.routing import outcome
 from irisshelf.routing import server_book
@@ -97,8 +98,11 @@
         job: The request.
         caller: The caller's connection.
         progress: How far the answer has come; kept up to date.
+        choice: The server, and why.
+        conn: The connection to it.
         patience_s: Tells how long to wait for a sign of life; takes whether
             it would be the first one.
+        may_send_again: Tells whether another send may follow this one.
     """
 
     def __init__(
@@ -108,52 +112,57 @@
         job: Job,
         caller: caller_side.Connection,
         progress: Progress,
+        choice: server_choice.Choice,
+        conn: client.Connection,
         patience_s: Callable[[bool], float],
+        may_send_again: Callable[[], bool],
     ):
         self._inst = inst
         self._job = job
         self._caller = caller
         self._progress = progress
+        self._choice = choice
+        self._conn = conn
         self._patience_s = patience_s
+        self._watched = watched.Watched(
+            inst=inst,
+            server=choice.server,
+            conn=conn,
+            may_leave=may_send_again,
+        )
 
-    def run(
-        self, choice: server_choice.Choice, conn: client.Connection
-    ) -> None:
+    def run(self) -> None:
         """Sends the request and passes the answer on.
 
         Raises:
             SendError: There is no answer that may be passed on, or not all.
         """
-        server = choice.server
+        server = self._choice.server
         book = self._inst.chooser(server.service).book
         book.began(server.server_id, self._inst.now())
         keep_alive_s = None
         try:
             sent_s = self._inst.now()
-            head = self._exchange_head(choice, conn)
+            head = self._exchange_head()
             keep_alive_s = head.keep_alive_s
             self._told(server, head)
-            self._check(conn, head)
+            self._check(head)
             book.lasted(server.server_id, self._inst.now() - sent_s)
             if self._job.route.kind is model.RouteKind.STREAMING:
-                self._relay(conn, head)
+                self._relay(head)
             else:
-                self._pass_whole(conn, head)
+                self._pass_whole(head)
         finally:
             book.ended(server.server_id, self._inst.now())
             # A connection in the middle of an answer is not reusable and is
             # closed, so that the server stops working on it.
-            self._inst.links.put(server, conn, keep_alive_s)
+            self._inst.links.put(server, self._conn, keep_alive_s)
 
-    def _exchange_head(
-        self,
-        choice: server_choice.Choice,
-        conn: client.Connection,
-    ) -> messages.AnswerHead:
+    def _exchange_head(self) -> messages.AnswerHead:
         job = self._job
-        source = choice.source
+        source = self._choice.source
         told = messages.Send(
-            server_id=choice.server.server_id,
+            server_id=self._choice.server.server_id,
             team=job.team,
             left_s=self._job.until_s - self._inst.now(),
             priority=job.priority,
@@ -167,39 +176,33 @@
         patience_s = self._patience_s(True)
         until_s = self._inst.now() + patience_s
         try:
-            conn.send(
+            self._conn.send(
                 job.inbound.method,
                 job.inbound.target,
                 headers,
                 job.inbound.body,
                 timeout_s=patience_s,
             )
-            return self._read_own_head(conn, until_s)
-        except errors.SilentError as exc:
-            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
-        except errors.BrokenError as exc:
-            raise _unknown(
-                server_book.Seen.BROKEN,
-                str(exc),
-                excuse=conn.rested_s >= _MAY_BE_STALE_S,
-            ) from exc
+        except errors.TransportError as exc:
+            raise _broken(exc, self._conn) from exc
+        return self._read_own_head(until_s)
 
-    def _read_own_head(
-        self, conn: client.Connection, until_s: float
-    ) -> messages.AnswerHead:
+    def _read_own_head(self, until_s: float) -> messages.AnswerHead:
         """Reads heads until one is of this request's answer."""
-        while True:
-            left_s = until_s - self._inst.now()
-            status, raw = conn.read_head(timeout_s=left_s)
-            head = self._inst.dialect.answer_head(status, raw)
-            if head.request_id in ("", self._job.ask.request_id):
-                return head
-            self._inst.log.request(
-                "stray_answer",
-                self._job.ask.request_id,
-                belongs_to=head.request_id,
-            )
-            conn.skip_answer(timeout_s=until_s - self._inst.now())
+        try:
+            while True:
+                status, raw = self._watched.read_head(until_s)
+                head = self._inst.dialect.answer_head(status, raw)
+                if head.request_id in ("", self._job.ask.request_id):
+                    return head
+                self._inst.log.request(
+                    "stray_answer",
+                    self._job.ask.request_id,
+                    belongs_to=head.request_id,
+                )
+                self._conn.skip_answer(timeout_s=until_s - self._inst.now())
+        except errors.TransportError as exc:
+            raise _broken(exc, self._conn) from exc
 
     def _told(
         self, server: directory.BackendServer, head: messages.AnswerHead
@@ -207,14 +210,12 @@
         if head.load is not None:
             self._inst.told_load(server, head.load)
 
-    def _check(
-        self, conn: client.Connection, head: messages.AnswerHead
-    ) -> None:
+    def _check(self, head: messages.AnswerHead) -> None:
         """Lets successes pass; raises for everything else."""
         if head.success and head.request_id:
             return
         if head.not_run:
-            self._read_body(conn)
+            self._read_body()
             raise SendError(
                 seen=server_book.Seen.REFUSED,
                 outcome=outcome.Outcome.NOT_RUN,
@@ -225,7 +226,7 @@
                 server_book.Seen.BROKEN,
                 f"{head.status} without signature, id or plain body",
             )
-        body = self._read_body(conn)
+        body = self._read_body()
         raise SendError(
             seen=(
                 server_book.Seen.FAILED
@@ -239,33 +240,29 @@
             ),
         )
 
-    def _read_body(self, conn: client.Connection) -> bytes:
+    def _read_body(self) -> bytes:
         parts = []
         until_s = self._inst.now() + self._patience_s(True)
+        while (part := self._read_data(until_s)) is not None:
+            parts.append(part)
+        return b"".join(parts)
+
+    def _read_data(self, until_s: float) -> bytes | None:
         try:
-            while True:
-                left_s = until_s - self._inst.now()
-                part = conn.read_data(timeout_s=left_s)
-                if part is None:
-                    return b"".join(parts)
-                parts.append(part)
-        except errors.SilentError as exc:
-            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
-        except errors.BrokenError as exc:
-            raise _unknown(server_book.Seen.BROKEN, str(exc)) from exc
-
-    def _pass_whole(
-        self, conn: client.Connection, head: messages.AnswerHead
-    ) -> None:
-        body = self._read_body(conn)
+            return self._watched.read_data(until_s)
+        except errors.TransportError as exc:
+            raise _broken(exc) from exc
+
+    def _pass_whole(self, head: messages.AnswerHead) -> None:
+        body = self._read_body()
         self._first_byte()
         self._caller.answer(head.status, list(head.headers), body)
 
-    def _relay(self, conn: client.Connection, head: messages.AnswerHead) -> str:
+    def _relay(self, head: messages.AnswerHead) -> None:
         """Passes events on as they come."""
         splitter = event_stream.Splitter()
         while True:
-            data = self._read_events(conn)
+            data = self._read_events()
             if data is None:
                 break
             events = self._new_events(splitter.feed(data))
@@ -283,14 +280,9 @@
             self._first_byte()
             self._caller.begin(head.status, list(head.headers))
 
-    def _read_events(self, conn: client.Connection) -> bytes | None:
+    def _read_events(self) -> bytes | None:
         patience_s = self._patience_s(not self._progress.events)
-        try:
-            return conn.read_data(timeout_s=patience_s)
-        except errors.SilentError as exc:
-            raise _unknown(server_book.Seen.SILENT, str(exc)) from exc
-        except errors.BrokenError as exc:
-            raise _unknown(server_book.Seen.BROKEN, str(exc)) from exc
+        return self._read_data(self._inst.now() + patience_s)
 
     def _new_events(
         self, events: list[event_stream.Event]
@@ -314,6 +306,24 @@
         self._inst.metrics.first_byte.labels(kind).observe(passed_s)
 
 
+def _broken(
+    exc: errors.TransportError, conn: client.Connection | None = None
+) -> SendError:
+    """Says what an exchange that went wrong shows.
+
+    Args:
+        exc: How it went wrong.
+        conn: The connection, if nothing of an answer has come yet: then one
+            that had rested may be to blame.
+    """
+    if isinstance(exc, errors.OutOfReachError):
+        return _unknown(server_book.Seen.UNREACHABLE, str(exc))
+    if isinstance(exc, errors.SilentError):
+        return _unknown(server_book.Seen.SILENT, str(exc))
+    stale = conn is not None and conn.rested_s >= _MAY_BE_STALE_S
+    return _unknown(server_book.Seen.BROKEN, str(exc), excuse=stale)
+
+
 def _unknown(
     seen: server_book.Seen, detail: str, *, excuse: bool = False
 ) -> SendError:
--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -7,6 +7,7 @@
 from irisshelf.gateway import attempt as attempt_module
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
+from irisshelf.gateway import reach
 from irisshelf.routing import outcome
 from irisshelf.routing import server_book
 from irisshelf.routing import server_choice
@@ -14,9 +15,6 @@
 from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
 
-# Servers answer a connect in 1 to 3 ms. One that does not in this time is
-# dark or cut off.
-_CONNECT_S = 0.1
 _MOST_CONNECTS = 5
 # A request that must not run twice goes only on a connection that was in use
 # just now: whether one that died at rest took the request cannot be known.
@@ -114,11 +112,11 @@
         self._connects += 1
         self._inst.metrics.connects.labels(server.service).inc()
         try:
-            timeout_s = min(_CONNECT_S, self._left_s())
+            timeout_s = min(reach.CONNECT_S, self._left_s())
             return client.connect(server.address, timeout_s=timeout_s)
         except errors.ConnectError as exc:
             self._avoid.add(server.server_id)
-            self._seen(server, server_book.Seen.UNREACHABLE, str(exc))
+            self._inst.unreachable(server, exc, self._job.ask.request_id)
             return None
 
     def _send(
@@ -133,8 +131,11 @@
             job=self._job,
             caller=self._conn,
             progress=self._progress,
+            choice=choice,
+            conn=conn,
             patience_s=self._patience_s,
-        ).run(choice, conn)
+            may_send_again=self._may_send_again,
+        ).run()
         self._seen(server, server_book.Seen.WELL)
         return "served"
 
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -14,12 +14,14 @@
 from irisshelf.gateway import links
 from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
+from irisshelf.gateway import reach
 from irisshelf.gateway import settings
 from irisshelf.observe import decision_log
 from irisshelf.routing import prompt
 from irisshelf.routing import server_book
 from irisshelf.routing import server_choice
 from irisshelf.routing import window_budget
+from irisshelf.transport import errors
 
 # A key holds for so long after the store last confirmed it, as a share of the
 # bound: the store may tell a change a second late (when it drops its history).
@@ -56,6 +58,14 @@
         self.directory = directory.Directory()
         self.freshness = freshness.Freshness()
         self.links = links.Links(now=now)
+        self.reach = reach.Reach(
+            links=self.links,
+            listed=self.directory.servers,
+            heard_s=self._heard_s,
+            on_reached=self._reached,
+            on_lost=self._lost,
+            now=now,
+        )
         self.listed = False
         self.stopping_since_s: float | None = None
         self.in_flight = 0
@@ -177,8 +187,49 @@
         for chooser in self._choosers.values():
             chooser.book.keep(names)
         self.links.keep(names)
+        self.reach.keep(names)
         self.metrics.servers.set(len(servers))
 
+    def heard(self, server: directory.BackendServer) -> None:
+        """Takes that bytes have come from a server."""
+        book = self.chooser(server.service).book
+        book.heard(server.server_id, self.now())
+
+    def out_of_reach(self, server: directory.BackendServer) -> bool:
+        """Tells whether a server was out of reach the last time."""
+        return self.chooser(server.service).book.unreachable(server.server_id)
+
+    def unreachable(
+        self,
+        server: directory.BackendServer,
+        exc: errors.ConnectError,
+        request: str,
+    ) -> None:
+        """Takes that no connection came about; asks for one from now on."""
+        what = server_book.Seen.UNREACHABLE
+        self.seen(server, what, request, str(exc))
+        self.reach.lost(server, silent=exc.silent)
+
+    def _heard_s(self, server: directory.BackendServer) -> float:
+        return self.chooser(server.service).book.heard_s(server.server_id)
+
+    def _reached(self, server: directory.BackendServer) -> None:
+        self.metrics.connects.labels(server.service).inc()
+        if self.out_of_reach(server):
+            self.log.instance(
+                "server_in_reach",
+                server=server.server_id,
+                address=server.address,
+                service=server.service,
+            )
+        book = self.chooser(server.service).book
+        book.reached(server.server_id, self.now())
+
+    def _lost(
+        self, server: directory.BackendServer, exc: errors.ConnectError
+    ) -> None:
+        self.unreachable(server, exc, "")
+
     def seen(
         self,
         server: directory.BackendServer,
--- a/irisshelf/gateway/links.py
+++ b/irisshelf/gateway/links.py
@@ -68,6 +68,16 @@
         now = self._now()
         resting.append(_Idle(conn=conn, since_s=now, until_s=now + rest_s))
 
+    def put_new(
+        self, server: directory.BackendServer, conn: client.Connection
+    ) -> None:
+        """Keeps a connection that nothing has been sent on yet."""
+        now = self._now()
+        resting = self._idle.setdefault(server.server_id, [])
+        resting.append(
+            _Idle(conn=conn, since_s=now, until_s=now + _LONGEST_IDLE_S)
+        )
+
     def keep(self, names: frozenset[str]) -> None:
         """Closes idle connections to servers that are not listed."""
         for name in [n for n in self._idle if n not in names]:
--- /dev/null
+++ b/irisshelf/gateway/watched.py
@@ -0,0 +1,86 @@
+"""A connection to a backend server whose silence is looked into."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from irisshelf.catalog import directory
+from irisshelf.gateway import instance as instance_module
+from irisshelf.gateway import reach
+from irisshelf.transport import client
+from irisshelf.transport import errors
+
+_T = TypeVar("_T")
+# How often a silent server's fate is looked up.
+_LOOK_S = 0.05
+
+
+class Watched:
+    """Reads from a server as long as it can be reached.
+
+    Args:
+        inst: The instance.
+        server: The server.
+        conn: The connection to it.
+        may_leave: Tells whether the request may be sent to another server; if
+            not, an unreachable one is waited for, as its link may come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        inst: instance_module.Instance,
+        server: directory.BackendServer,
+        conn: client.Connection,
+        may_leave: Callable[[], bool],
+    ):
+        self._conn = conn
+        self._inst = inst
+        self._server = server
+        self._may_leave = may_leave
+
+    def read_head(self, until_s: float) -> tuple[int, client.Headers]:
+        """Waits for an answer's head; see ``client.Connection.read_head``.
+
+        Raises:
+            errors.OutOfReachError: Nothing comes, as the server is lost.
+        """
+        return self._read(
+            lambda wait_s: self._conn.read_head(timeout_s=wait_s), until_s
+        )
+
+    def read_data(self, until_s: float) -> bytes | None:
+        """Waits for more of a body; see ``client.Connection.read_data``.
+
+        Raises:
+            errors.OutOfReachError: Nothing comes, as the server is lost.
+        """
+        return self._read(
+            lambda wait_s: self._conn.read_data(timeout_s=wait_s), until_s
+        )
+
+    def _read(self, read: Callable[[float], _T], until_s: float) -> _T:
+        wait_s = reach.SILENT_S
+        while True:
+            left_s = until_s - self._inst.now()
+            try:
+                found = read(min(wait_s, left_s))
+            except errors.SilentError:
+                if left_s <= wait_s:
+                    raise
+                self._look()
+                wait_s = _LOOK_S
+                continue
+            self._inst.heard(self._server)
+            return found
+
+    def _look(self) -> None:
+        """Asks what became of a silent server.
+
+        Raises:
+            errors.OutOfReachError: It cannot be reached.
+        """
+        self._inst.reach.doubt(self._server)
+        if self._inst.out_of_reach(self._server) and self._may_leave():
+            raise errors.OutOfReachError("silent and out of reach")
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -30,6 +30,7 @@
     RESET = "reset"
     RESET_AFTER_RUN = "reset_after_run"
     HANG = "hang"
+    HANG_MIDWAY = "hang_midway"
     GARBAGE = "garbage"
     UNSIGNED = "unsigned"
     OTHER_ID = "other_id"
@@ -89,6 +90,7 @@
         self.runs: list[Run] = []
         self.working = 0
         self.broken_off = 0
+        self.closed = False
         self._streaming = streaming
         self._events = events
         self._event_s = event_s
@@ -109,7 +111,8 @@
         return self
 
     def close(self) -> None:
-        """Stops."""
+        """Stops listening; open connections go on."""
+        self.closed = True
         self._server.stop(timeout=0)
 
     def entry(self, state: str = "ready") -> dict[str, object]:
@@ -258,6 +261,8 @@
             gevent.sleep(self._owner._event_s)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             half = self._owner._events // 2
+            if fault is Fault.HANG_MIDWAY and number > half:
+                gevent.sleep(3600)
             if fault is Fault.CUT and number > half:
                 conn.abort()
                 return
--- a/irisshelf/routing/server_book.py
+++ b/irisshelf/routing/server_book.py
@@ -18,8 +18,8 @@
 REPORT_AGE_S = 4.5
 # Changes of own requests that are remembered for a server; news are younger.
 _MAX_CHANGES = 64
-# A server that cannot be reached, or misbehaves, rests this long before one
-# request tries it again; doubled each time, up to the longest.
+# A server that misbehaves rests this long before one request tries it again;
+# doubled each time, up to the longest.
 FIRST_REST_S = 0.6
 LONGEST_REST_S = 4.0
 # Weight of the newest outcome, and of the newest duration, in their averages.
@@ -58,6 +58,9 @@
     rests: int = 0
     rest_until_s: float = float("-inf")
     trying: bool = False
+    unreachable: bool = False
+    lost_s: float = float("-inf")
+    heard_s: float = float("-inf")
     duration_s: float = 0.0
 
 
@@ -171,23 +174,49 @@
         server.bad += _OUTCOME_WEIGHT * ((0.0 if good else 1.0) - server.bad)
         server.in_a_row = 0 if good else server.in_a_row + 1
         if good:
-            server.rests = 0
-            server.rest_until_s = float("-inf")
+            self._end_rest(server)
             return ""
         if what is Seen.UNREACHABLE:
-            return self._rest(server, now, "unreachable")
+            return self._lose(server, now)
         if server.in_a_row >= _IN_A_ROW and what is not Seen.FAILED:
             return self._rest(server, now, f"{server.in_a_row} in a row")
         if self._is_outlier(name, server):
             return self._rest(server, now, f"fails {server.bad:.2f}")
         return ""
 
+    def reached(self, name: str, now: float) -> None:
+        """Takes that a server accepts connections.
+
+        That says nothing of its answers, so that it ends only a rest that a
+        failed connect began.
+        """
+        server = self._get(name)
+        server.heard_s = max(server.heard_s, now)
+        if server.unreachable:
+            self._end_rest(server)
+
+    def unreachable(self, name: str) -> bool:
+        """Tells whether a server was out of reach the last time."""
+        return self._get(name).unreachable
+
+    def heard(self, name: str, now: float) -> None:
+        """Takes that bytes have come from a server."""
+        self._get(name).heard_s = now
+
+    def heard_s(self, name: str) -> float:
+        """Returns when a server was last heard; minus infinity if never."""
+        return self._get(name).heard_s
+
     def fit(self, name: str, now: float) -> bool:
         """Tells whether a server may get a request.
 
-        One that rested gets a single request to show itself.
+        One that is out of reach gets none until a connect has shown otherwise,
+        or nobody has tried for the longest rest. One that rests for another
+        reason gets a single request afterwards, to show itself.
         """
         server = self._get(name)
+        if server.unreachable:
+            return now - server.lost_s >= LONGEST_REST_S
         if not server.rests:
             return True
         return now >= server.rest_until_s and not server.trying
@@ -202,6 +231,16 @@
             server = self._servers[name] = _Server()
         return server
 
+    def _lose(self, server: _Server, now: float) -> str:
+        before, server.unreachable = server.unreachable, True
+        server.lost_s = now
+        return "" if before else "unreachable"
+
+    def _end_rest(self, server: _Server) -> None:
+        server.unreachable = False
+        server.rests = 0
+        server.rest_until_s = float("-inf")
+
     def _rest(self, server: _Server, now: float, why: str) -> str:
         if now < server.rest_until_s:
             return ""
--- a/irisshelf/tests/test_gateway_faults.py
+++ b/irisshelf/tests/test_gateway_faults.py
@@ -197,6 +197,41 @@
     assert sum(one.broken_off for one in world.plain) == 0
 
 
+@pytest.mark.parametrize("moment", [Fault.HANG, Fault.HANG_MIDWAY])
+def test_a_stream_leaves_a_silent_server_that_is_out_of_reach(world, moment):
+    patient = world_module.config(2)
+    for route in patient["routes"]:
+        route |= {"targetLatencyMs": 60_000, "gapTargetMs": 60_000}
+    world.store.put("op", "config", patient)
+    world.wait(lambda: world.inst.catalog.version == 2)
+    _first_fault(world, moment)
+
+    def close_the_silent_one():
+        world.wait(lambda: any(one.working for one in world.engines))
+        (silent,) = [one for one in world.engines if one.working]
+        silent.close()
+
+    gevent.spawn(close_the_silent_one)
+    answer = world.ask("/digest/1", Deadline_Ms="60000")
+    assert (answer.status, answer.body) == (200, _ALL_EVENTS)
+    (lost,) = [s for s in world.engines if s.closed]
+    assert world.inst.out_of_reach(world.inst.directory.get(lost.server_id))
+
+
+def test_a_stream_that_may_run_once_waits_for_a_silent_server(world):
+    """Its answer may still come: a silence is no reason to end it sooner."""
+    _first_fault(world, Fault.HANG)
+
+    def close_the_silent_one():
+        world.wait(lambda: any(one.working for one in world.engines))
+        (silent,) = [one for one in world.engines if one.working]
+        silent.close()
+
+    gevent.spawn(close_the_silent_one)
+    answer = world.ask("/query/1", Deadline_Ms="700", Request_Id="q")
+    assert (answer.status, world.runs("q")) == (504, 1)
+
+
 def test_a_connection_in_use_just_now_that_breaks_is_the_servers_fault(world):
     for _ in range(4):
         world.ask("/digest/1", Prefix_Hash="aa:500,bb:900,own:9")
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -203,9 +203,15 @@
     assert [book.fit(name, 1.1) for name in ("1", "2", "3")] == [True] * 3
 
 
+def _misbehave(book, now):
+    """Makes a server rest; it need not be failing more than others."""
+    for _ in range(3):
+        book.seen("1", Seen.SILENT, now)
+
+
 def test_a_rested_server_gets_one_request_to_show_itself():
     book = server_book.ServerBook()
-    book.seen("1", Seen.UNREACHABLE, 1.0)
+    _misbehave(book, 1.0)
     assert not book.fit("1", 1.5)
     assert book.fit("1", 1.7)
     book.began("1", 1.7)
@@ -214,12 +220,36 @@
     assert book.fit("1", 1.8)
 
 
+def test_a_server_out_of_reach_gets_nothing_until_it_is_reached():
+    book = server_book.ServerBook()
+    assert book.seen("1", Seen.UNREACHABLE, 1.0) == "unreachable"
+    for now in (1.7, 5.0, 8.9):
+        assert book.seen("1", Seen.UNREACHABLE, now) == ""
+        assert not book.fit("1", now + 0.1)
+    book.reached("1", 9.0)
+    assert (book.fit("1", 9.0), book.unreachable("1")) == (True, False)
+
+
+def test_a_server_that_nobody_asks_any_more_is_tried():
+    book = server_book.ServerBook()
+    book.seen("1", Seen.UNREACHABLE, 1.0)
+    assert not book.fit("1", 1.0 + server_book.LONGEST_REST_S - 0.1)
+    assert book.fit("1", 1.0 + server_book.LONGEST_REST_S)
+
+
+def test_that_connections_come_about_excuses_no_failures():
+    book = server_book.ServerBook()
+    _misbehave(book, 1.0)
+    book.reached("1", 1.1)
+    assert not book.fit("1", 1.2)
+
+
 def test_rests_grow_and_end_growing():
     book = server_book.ServerBook()
     now = 0.0
     rests = []
     for _ in range(6):
-        book.seen("1", Seen.UNREACHABLE, now)
+        _misbehave(book, now)
         steps = next(n for n in range(99) if book.fit("1", now + n / 10))
         rests.append(steps / 10)
         now += steps / 10
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
+import select
 import time
 
 import gevent
 import h11
-from gevent import select
 from gevent import socket
 
 from irisshelf.transport import errors
@@ -63,8 +63,7 @@
         """Tells whether a connection at rest was closed or got stray bytes."""
         if not self._open:
             return True
-        readable, _, _ = select.select([self._sock], [], [], 0)
-        return bool(readable)
+        return _is_ready(self._sock, select.POLLIN)
 
     def send(
         self,
@@ -181,13 +180,26 @@
                 return event
             self._receive(until_s)
 
+    def _recv(self, timeout_s: float) -> bytes:
+        """Waits for bytes; looks once more when the time is over.
+
+        A process that stood still finds its timers expired, and what came
+        meanwhile unread.
+        """
+        self._sock.settimeout(timeout_s)
+        try:
+            return self._sock.recv(_READ_BYTES)
+        except TimeoutError:
+            if not _is_ready(self._sock, select.POLLIN):
+                raise
+            return self._sock.recv(_READ_BYTES)
+
     def _receive(self, until_s: float) -> None:
         left_s = until_s - time.monotonic()
         if left_s <= 0:
             raise errors.SilentError("no answer in time")
         try:
-            self._sock.settimeout(left_s)
-            data = self._sock.recv(_READ_BYTES)
+            data = self._recv(left_s)
         except TimeoutError as exc:
             raise errors.SilentError("no answer in time") from exc
         except OSError as exc:
@@ -210,12 +222,30 @@
         _set_options(sock)
         sock.settimeout(max(0.001, timeout_s))
         sock.connect((host, int(port)))
+    except TimeoutError as exc:
+        if not _came_about(sock):
+            sock.close()
+            raise errors.ConnectError(f"{address}: {exc}", silent=True) from exc
     except (OSError, ValueError) as exc:
         sock.close()
         raise errors.ConnectError(f"{address}: {exc}") from exc
     return Connection(sock=sock, address=address)
 
 
+def _came_about(sock: socket.socket) -> bool:
+    """Looks once more: a process that stood still finds its timers expired."""
+    if not _is_ready(sock, select.POLLOUT):
+        return False
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+
+
+def _is_ready(sock: socket.socket, what: int) -> bool:
+    """Looks without waiting; by poll, as select takes only 1,024 files."""
+    poll = select.poll()
+    poll.register(sock, what)
+    return bool(poll.poll(0))
+
+
 def _set_options(sock: socket.socket) -> None:
     options = [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
--- a/irisshelf/transport/errors.py
+++ b/irisshelf/transport/errors.py
@@ -8,7 +8,16 @@
 
 
 class ConnectError(TransportError):
-    """No connection came about; nothing was sent."""
+    """No connection came about; nothing was sent.
+
+    Args:
+        detail: For people.
+        silent: Whether the peer said nothing at all, rather than refuse.
+    """
+
+    def __init__(self, detail: str, *, silent: bool = False):
+        super().__init__(detail)
+        self.silent = silent
 
 
 class BrokenError(TransportError):
@@ -19,6 +28,10 @@
     """The peer sent nothing in time."""
 
 
+class OutOfReachError(TransportError):
+    """The peer is silent, and new connections to it do not come about."""
+
+
 class CallerGoneError(Exception):
     """The caller has closed its connection."""
 
