A home for shared parts in two data centres, for short ones in all

Cause: each shared part had one holder.

Change: a data centre's first server in the ranking is a home: it fetches the parts from a holder when they are first needed there. Long prompts get homes in two data centres, short ones in all. Holders that do not answer count for nothing, those that only just were sent a part are not fetched from yet.

--- a/irisshelf/routing/server_choice.py
+++ b/irisshelf/routing/server_choice.py
@@ -1,13 +1,16 @@
 """Chooses a backend server for a request.
 
-Requests that share the parts of a prompt belong to one server, the first in
-the rendezvous ranking of the last shared part: every instance ranks alike
-from the same list, without a word, and a server that comes or goes moves only
-the parts that were, or are to be, its own. Servers that are known to hold the
-shared parts already go before the others, so that a newcomer takes over only
-what it must. A server at its load bound passes its turn to the next, which
-fetches the parts from it. Requests without shared parts go to the server that
-is expected to answer first.
+Requests that share the parts of a prompt belong to one server a data centre,
+its first in the rendezvous ranking of the last shared part: every instance
+ranks alike from the same list, without a word, and a server that comes or goes
+moves only the parts that were, or are to be, its own. Parts that no server is
+known to hold are read once, by the first in the ranking of all; other data
+centres' homes fetch them from there when they first need them. Long parts, dear
+to move, get homes in two data centres, short ones in all. So what one server or
+one data centre takes with it is not lost. Servers that hold the parts go before
+the others, so that a newcomer takes over only what it must. A server at its
+load bound passes its turn to the next, which fetches the parts from it.
+Requests without shared parts go to the server that is expected to answer first.
 """
 
 from __future__ import annotations
@@ -15,6 +18,7 @@
 import dataclasses
 import enum
 import hashlib
+import itertools
 import random
 from collections.abc import Sequence
 
@@ -35,6 +39,13 @@
 # fetch takes the engine 2.5 ms to set up, in which it reads 120; but reading
 # costs the users seven times as much as fetching.
 MIN_FETCH_TOKENS = 60
+# A server that was first sent a part so long ago has read it, and can hand it
+# on: the longest prompts, 30,000 tokens, take 0.6 s to read, more in company.
+READ_S = 1.0
+# Data centres that have a home for a long prompt's shared parts. Moving costs
+# a seventh of reading; a third home was paid for and seldom used (scale-1 of
+# milkshed-ng: 0.678 of worth with three, 0.703 with two).
+LONG_HOMES = 2
 # Assumed time to answer of a server that has shown nothing yet.
 _UNKNOWN_S = 0.02
 # Another data centre costs the way there and back, and bytes.
@@ -121,8 +132,8 @@
             server = self._fastest(pool, loads)
             reason = Reason.FASTEST if fit else Reason.LAST_RESORT
             return self._choice(server, reason, loads, mean, now)
-        held = self._holders_of(asked.subject, now)
-        server, reason = self._by_subject(pool, asked, held, loads, mean)
+        held = self._reachable_holders(servers, asked.subject, now)
+        server, reason = self._by_subject(pool, asked, held, loads, mean, now)
         if not fit:
             reason = Reason.LAST_RESORT
         return self._choice(
@@ -150,6 +161,17 @@
     def _holders_of(self, part_id: str, now: float) -> dict[str, holdings.Held]:
         return self.holdings.holders(holdings.key_of(part_id), now)
 
+    def _reachable_holders(
+        self,
+        servers: Sequence[directory.BackendServer],
+        part_id: str,
+        now: float,
+    ) -> dict[str, holdings.Held]:
+        """Returns the holders of a part that answer; leaving ones as well."""
+        fit = {s.server_id for s in servers if self.book.fit(s.server_id, now)}
+        held = self._holders_of(part_id, now)
+        return {name: one for name, one in held.items() if name in fit}
+
     def _by_subject(
         self,
         pool: Sequence[directory.BackendServer],
@@ -157,17 +179,41 @@
         held: dict[str, holdings.Held],
         loads: dict[str, float],
         mean: float,
+        now: float,
     ) -> tuple[directory.BackendServer, Reason]:
         bound = _bound(asked, mean)
-        ranked = rank(pool, asked.subject)
-        # The sort is stable: holders first, each group as ranked.
-        ranked.sort(key=lambda s: s.server_id not in held)
+        ranked = self._by_preference(pool, asked, held, now)
         for place, server in enumerate(ranked):
             if loads[server.server_id] + 1 <= bound:
                 return server, _reason(server, place, held)
         least = min(ranked, key=lambda s: loads[s.server_id])
         return least, Reason.LEAST_LOADED
 
+    def _by_preference(
+        self,
+        pool: Sequence[directory.BackendServer],
+        asked: prompt.Prompt,
+        held: dict[str, holdings.Held],
+        now: float,
+    ) -> list[directory.BackendServer]:
+        """Sorts servers by where the shared parts are, or should be.
+
+        Near holders, the near home if it can fetch the parts, other holders,
+        and the rest as they are ranked.
+        """
+        ranked = rank(pool, asked.subject)
+        near = self._data_centre
+        home = None
+        if any(now - one.since_s >= READ_S for one in held.values()):
+            home = _home(ranked, asked, near)
+
+        def preference(server: directory.BackendServer) -> int:
+            if server.server_id in held:
+                return 0 if server.data_centre == near else 2
+            return 1 if server is home else 3
+
+        return sorted(ranked, key=preference)
+
     def _source(
         self,
         servers: Sequence[directory.BackendServer],
@@ -238,6 +284,20 @@
         )
 
 
+def _home(
+    ranked: Sequence[directory.BackendServer],
+    asked: prompt.Prompt,
+    data_centre: str,
+) -> directory.BackendServer | None:
+    """Returns a data centre's home of a subject, or None if it has none."""
+    firsts: dict[str, directory.BackendServer] = {}
+    for server in ranked:
+        firsts.setdefault(server.data_centre, server)
+    if asked.shared_tokens >= LONG_TOKENS:
+        firsts = dict(itertools.islice(firsts.items(), LONG_HOMES))
+    return firsts.get(data_centre)
+
+
 def _bound(asked: prompt.Prompt, mean: float) -> float:
     if asked.shared_tokens >= LONG_TOKENS:
         return LONG_LOAD_FACTOR * mean + LONG_LOAD_EXTRA
@@ -249,7 +309,7 @@
 ) -> Reason:
     if server.server_id in held:
         return Reason.HELD
-    return Reason.SPILL if place or held else Reason.HOME
+    return Reason.SPILL if place else Reason.HOME
 
 
 def rank(
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -102,6 +102,75 @@
     assert (choice.server != holder, choice.source) == (True, holder)
 
 
+_TWO_CENTRES = [
+    *(_server(name, data_centre="a") for name in ("1", "2", "3")),
+    *(_server(name, data_centre="b") for name in ("4", "5", "6")),
+]
+
+
+def _first(data_centre, subject="bb"):
+    ranked = server_choice.rank(_TWO_CENTRES, subject)
+    return next(s for s in ranked if s.data_centre == data_centre)
+
+
+@pytest.mark.parametrize(
+    ("holder", "age_s", "chosen", "source", "reason"),
+    [
+        pytest.param("", 0, "any", "", "home", id="first-of-all-reads-it"),
+        pytest.param("b", 1.0, "a", "b", "home", id="fetched-from-afar"),
+        pytest.param("b", 0.9, "b", "", "held", id="still-being-read-there"),
+        pytest.param("a", 0.1, "a", "", "held", id="held-here"),
+        pytest.param(
+            "both", 5.0, "a", "", "held", id="the-near-one-goes-first"
+        ),
+    ],
+)
+def test_each_data_centre_gets_a_home_once_it_can_fetch(
+    holder, age_s, chosen, source, reason
+):
+    chooser = _chooser()
+    firsts = {"a": _first("a"), "b": _first("b")}
+    firsts["any"] = server_choice.rank(_TWO_CENTRES, "bb")[0]
+    for name in {"a": "a", "b": "b", "both": "ab"}.get(holder, ""):
+        chooser.sent(_prompt(), firsts[name].server_id, 20.0 - age_s)
+    choice = _choose(chooser, servers=_TWO_CENTRES, now=20.0)
+    assert (choice.server, choice.reason) == (firsts[chosen], reason)
+    if holder:
+        assert choice.source == (firsts[source] if source else None)
+
+
+def test_a_holder_that_does_not_answer_is_nothing_to_fetch_from():
+    chooser = _chooser()
+    chooser.sent(_prompt(), _first("b").server_id, 10.0)
+    chooser.book.seen(_first("b").server_id, Seen.UNREACHABLE, 20.0)
+    choice = _choose(chooser, servers=_TWO_CENTRES, now=20.0)
+    left = [s for s in _TWO_CENTRES if s != _first("b")]
+    assert choice.server == server_choice.rank(left, "bb")[0]
+    assert choice.source != _first("b")
+
+
+@pytest.mark.parametrize(
+    ("tokens", "homes"),
+    [(1000, 3), (server_choice.LONG_TOKENS, server_choice.LONG_HOMES)],
+)
+def test_long_parts_have_homes_in_fewer_data_centres(tokens, homes):
+    servers = [
+        _server(f"{data_centre}{n}", data_centre=data_centre)
+        for data_centre in "abc"
+        for n in "123"
+    ]
+    holder = server_choice.rank(servers, "bb")[0]
+    chosen = set()
+    for data_centre in "abc":
+        chooser = server_choice.Chooser(
+            data_centre=data_centre, rng=random.Random(1)
+        )
+        chooser.sent(_prompt(tokens=tokens), holder.server_id, 0.0)
+        choice = _choose(chooser, servers=servers, asked=_prompt(tokens=tokens))
+        chosen.add(choice.server.data_centre)
+    assert len(chosen) == homes
+
+
 def test_what_others_tell_is_not_told_again():
     chooser = _chooser()
     keys = [holdings.key_of(part.part_id) for part in _prompt().shared]
