A silent server is left only for one that is fit

And of two plain servers the second was out of reach, so a lookup that the first failed was lost.

Ruled out: longer patience (a request that hangs at a server that lives has to leave it).

Change: patience ends only if another server is fit; connections that rest to a lost server are not used; if no other is fit, one that gave a whole answer of failure is asked again, which adds no server to the request's count.

Tests: three in test_gateway_faults, failing before.

--- a/irisshelf/gateway/attempt.py
+++ b/irisshelf/gateway/attempt.py
@@ -129,6 +129,7 @@
             server=choice.server,
             conn=conn,
             may_leave=may_send_again,
+            end_s=job.until_s,
         )
 
     def run(self) -> None:
--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from irisshelf.catalog import directory
 from irisshelf.catalog import model
 from irisshelf.gateway import attempt as attempt_module
@@ -55,7 +57,9 @@
         self._job = job
         self._conn = conn
         self._chooser = inst.chooser(job.service)
+        # Servers not to be asked again, and those of them that answered.
         self._avoid: set[str] = set()
+        self._failed: set[str] = set()
         self._sends = 0
         self._connects = 0
         self._worst = outcome.Outcome.NOT_RUN
@@ -91,10 +95,23 @@
     def _choose(self) -> server_choice.Choice | None:
         if self._connects >= _MOST_CONNECTS or self._left_s() <= 0:
             return None
+        servers = self._inst.directory.of(self._job.service)
+        choice = self._choose_among(servers, self._avoid)
+        if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
+            # One that failed this request lives; another try may do better.
+            failed = [s for s in servers if s.server_id in self._failed]
+            again = self._choose_among(failed, set())
+            if again and again.reason is not server_choice.Reason.LAST_RESORT:
+                return again
+        return choice
+
+    def _choose_among(
+        self, servers: Sequence[directory.BackendServer], avoid: set[str]
+    ) -> server_choice.Choice | None:
         return self._chooser.choose(
-            self._inst.directory.of(self._job.service),
+            servers,
             self._job.ask.prompt,
-            avoid=frozenset(self._avoid),
+            avoid=frozenset(avoid),
             now=self._inst.now(),
         )
 
@@ -106,7 +123,10 @@
         rest_s = float("inf")
         if not self._job.route.repeatable:
             rest_s = _REST_FOR_ONCE_S
-        kept = self._inst.links.take(server, most_idle_s=rest_s)
+        # A connection to a lost server rests in vain: it swallows requests.
+        kept = None
+        if not self._inst.out_of_reach(server):
+            kept = self._inst.links.take(server, most_idle_s=rest_s)
         if kept is not None:
             return kept
         self._connects += 1
@@ -134,17 +154,19 @@
             choice=choice,
             conn=conn,
             patience_s=self._patience_s,
-            may_send_again=self._may_send_again,
+            may_send_again=lambda: self._may_send_again(server),
         ).run()
         self._seen(server, server_book.Seen.WELL)
         return "served"
 
     def _patience_s(self, first: bool) -> float:
-        """Returns how long to wait for a server's next sign of life."""
+        """Returns how long to wait for a sign of life if another may be asked.
+
+        Args:
+            first: Whether nothing of the answer has come yet.
+        """
         left_s = max(0.001, self._left_s())
         route = self._job.route
-        if not self._may_send_again():
-            return left_s
         if route.kind is model.RouteKind.SAFE:
             patience_s = route.target_s * _SAFE_PATIENCE
         elif first:
@@ -153,15 +175,26 @@
             patience_s = route.target_gap_s * _PAUSE_PATIENCE
         return min(left_s, max(_SHORTEST_PATIENCE_S, patience_s))
 
-    def _may_send_again(self) -> bool:
-        """Tells whether another send may follow the one that runs."""
+    def _may_send_again(self, running: directory.BackendServer) -> bool:
+        """Tells whether another send may follow the one that runs.
+
+        It needs a server that is fit: what is gained by leaving a silent one
+        for one that nobody can reach?
+        """
         route = self._job.route
         budget = self._inst.budget(self._job.service)
         return (
             route.repeatable
             and self._sends < route.max_attempts
             and budget.left(self._inst.now()) >= 1
-            and len(self._inst.directory.of(self._job.service)) > 1
+            and self._has_other_fit(running)
+        )
+
+    def _has_other_fit(self, running: directory.BackendServer) -> bool:
+        return self._chooser.has_fit(
+            self._inst.directory.of(self._job.service),
+            avoid=frozenset(self._avoid | {running.server_id}),
+            now=self._inst.now(),
         )
 
     def _after(
@@ -180,6 +213,7 @@
             self._worst = outcome.Outcome.UNKNOWN
         if exc.final is not None:
             self._final = exc.final
+            self._failed.add(server.server_id)
         stop = self._why_stop(exc)
         self._inst.log.request(
             "send_failed",
--- a/irisshelf/gateway/watched.py
+++ b/irisshelf/gateway/watched.py
@@ -24,7 +24,8 @@
         server: The server.
         conn: The connection to it.
         may_leave: Tells whether the request may be sent to another server; if
-            not, an unreachable one is waited for, as its link may come back.
+            not, a silent one is waited for, as its answer may still come.
+        end_s: When the request has to be answered, monotonic seconds.
     """
 
     def __init__(
@@ -34,11 +35,13 @@
         server: directory.BackendServer,
         conn: client.Connection,
         may_leave: Callable[[], bool],
+        end_s: float,
     ):
         self._conn = conn
         self._inst = inst
         self._server = server
         self._may_leave = may_leave
+        self._end_s = end_s
 
     def read_head(self, until_s: float) -> tuple[int, client.Headers]:
         """Waits for an answer's head; see ``client.Connection.read_head``.
@@ -68,7 +71,9 @@
                 found = read(min(wait_s, left_s))
             except errors.SilentError:
                 if left_s <= wait_s:
-                    raise
+                    if until_s >= self._end_s or self._may_leave():
+                        raise
+                    until_s = self._end_s
                 self._look()
                 wait_s = _LOOK_S
                 continue
--- a/irisshelf/routing/server_choice.py
+++ b/irisshelf/routing/server_choice.py
@@ -116,15 +116,10 @@
             avoid: Servers that have failed this request.
             now: Time in seconds.
         """
-        ready = [
-            s
-            for s in servers
-            if s.state is directory.ServerState.READY
-            and s.server_id not in avoid
-        ]
+        ready = _ready(servers, avoid)
         if not ready:
             return None
-        fit = [s for s in ready if self.book.fit(s.server_id, now)]
+        fit = self._fit(ready, now)
         pool = fit or ready
         loads = self.book.loads([s.server_id for s in pool], now)
         mean = sum(loads.values()) / len(loads)
@@ -145,6 +140,21 @@
             source=self._source(servers, server, asked, now),
         )
 
+    def has_fit(
+        self,
+        servers: Sequence[directory.BackendServer],
+        *,
+        avoid: frozenset[str],
+        now: float,
+    ) -> bool:
+        """Tells whether ``choose`` would find a server that is fit."""
+        return bool(self._fit(_ready(servers, avoid), now))
+
+    def _fit(
+        self, servers: Sequence[directory.BackendServer], now: float
+    ) -> list[directory.BackendServer]:
+        return [s for s in servers if self.book.fit(s.server_id, now)]
+
     def sent(
         self, asked: prompt.Prompt, server_id: str, now: float
     ) -> list[bytes]:
@@ -168,7 +178,7 @@
         now: float,
     ) -> dict[str, holdings.Held]:
         """Returns the holders of a part that answer; leaving ones as well."""
-        fit = {s.server_id for s in servers if self.book.fit(s.server_id, now)}
+        fit = {s.server_id for s in self._fit(servers, now)}
         held = self._holders_of(part_id, now)
         return {name: one for name, one in held.items() if name in fit}
 
@@ -284,6 +294,16 @@
         )
 
 
+def _ready(
+    servers: Sequence[directory.BackendServer], avoid: frozenset[str]
+) -> list[directory.BackendServer]:
+    return [
+        s
+        for s in servers
+        if s.state is directory.ServerState.READY and s.server_id not in avoid
+    ]
+
+
 def _home(
     ranked: Sequence[directory.BackendServer],
     asked: prompt.Prompt,
--- a/irisshelf/tests/test_gateway_faults.py
+++ b/irisshelf/tests/test_gateway_faults.py
@@ -5,6 +5,7 @@
 
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import world as world_module
+from irisshelf.routing import server_book
 
 Fault = server.Fault
 _ALL_EVENTS = b"".join(
@@ -232,6 +233,41 @@
     assert (answer.status, world.runs("q")) == (504, 1)
 
 
+def test_a_silent_server_is_waited_for_if_no_other_is_fit(world):
+    """Leaving it for one out of reach would only lose its answer."""
+    busy, lost = world.plain
+    busy.always = Fault.SLOW
+    world.inst.chooser("crew").book.seen(
+        lost.server_id, server_book.Seen.UNREACHABLE, world.inst.now()
+    )
+    lost.close()
+    answer = world.ask("/valve/1", method="GET", body=b"", Request_Id="v")
+    assert (answer.status, world.runs("v")) == (200, 1)
+
+
+def test_a_lost_servers_resting_connection_is_not_used(world):
+    for _ in range(4):
+        world.ask("/valve/1", method="GET", body=b"")
+    for one in world.plain:
+        world.inst.chooser("crew").book.seen(
+            one.server_id, server_book.Seen.UNREACHABLE, world.inst.now()
+        )
+        one.close()
+    answer = world.ask("/valve/1", method="GET", body=b"", Request_Id="v")
+    assert (answer.status, world.runs("v")) == (503, 0)
+
+
+def test_the_only_server_that_is_fit_is_asked_again(world):
+    only, lost = world.plain
+    only.faults.append(Fault.FAIL)
+    world.inst.chooser("crew").book.seen(
+        lost.server_id, server_book.Seen.UNREACHABLE, world.inst.now()
+    )
+    lost.close()
+    answer = world.ask("/valve/1", method="GET", body=b"", Request_Id="v")
+    assert (answer.status, world.runs("v")) == (200, 2)
+
+
 def test_a_connection_in_use_just_now_that_breaks_is_the_servers_fault(world):
     for _ in range(4):
         world.ask("/digest/1", Prefix_Hash="aa:500,bb:900,own:9")
