Requests at the start wait for the first configuration; a regained store is asked at once

And after a lost answer the next call was held for 2 s, in which the keys' age ran past its bound (worked out).

Ruled out: listening only when all is known (a refused connection costs the caller more than a wait).

Tests: two in test_gateway_store, failing before.

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -35,7 +35,9 @@
     def __init__(self, *, inst: instance_module.Instance, store: feed.Feed):
         self._inst = inst
         self._store = store
+        # Set as long as nothing speaks against it.
         self._up = event.Event()
+        self._up.set()
         self._lost_s: float | None = None
         self._back_s = float("-inf")
         self._revision: dict[feed.Table, int | None] = dict.fromkeys(feed.Table)
@@ -64,9 +66,9 @@
         if after is None:
             answer = self._store.whole(table)
         else:
-            answer = self._store.changes(
-                table, after=after, wait_s=_HOLD_S[table]
-            )
+            # After trouble, what the store knows now is wanted at once.
+            hold_s = _HOLD_S[table] if self._lost_s is None else 0.0
+            answer = self._store.changes(table, after=after, wait_s=hold_s)
         ended = "ok" if answer.is_ok() else "failed"
         self._inst.metrics.store_calls.labels(table.value, ended).inc()
         if isinstance(answer, result.Ok):
@@ -146,8 +148,7 @@
             listed.lapse(changes, back_s=self._back_s)
         else:
             listed.apply(changes)
-        self._inst.listed = True
-        self._inst.servers_changed()
+        self._inst.server_list_taken()
         if changes:
             self._inst.log.instance(
                 "servers_changed",
--- a/irisshelf/gateway/front.py
+++ b/irisshelf/gateway/front.py
@@ -25,6 +25,9 @@
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
 _STARTING_RETRY_S = 0.3
+# A request that comes while the instance starts waits so long for the first
+# configuration: less than the shortest objective, 0.1 s, allows.
+START_PATIENCE_S = 0.08
 
 
 class Front:
@@ -123,8 +126,7 @@
     ) -> attempt.Job | None:
         """Checks what a request needs; answers those that may not go on."""
         inst = self._inst
-        catalog = inst.catalog
-        if catalog is None or not inst.listed:
+        if not inst.wait_until_known(START_PATIENCE_S):
             conn.close_after_answer()
             self._turn_away(conn, ask, "no configuration yet")
             return None
@@ -133,6 +135,7 @@
             conn.close_after_answer()
             self._turn_away(conn, ask, "cut off from the store")
             return None
+        catalog = inst.catalog
         route = catalog.route(ask.host, ask.path)
         if route is None or not route.split:
             text = f"no route for {ask.host!r} and {ask.path!r}"
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+from gevent import event
+
 from irisshelf.catalog import directory
 from irisshelf.catalog import freshness
 from irisshelf.catalog import model
@@ -26,6 +28,9 @@
 # A key holds for so long after the store last confirmed it, as a share of the
 # bound: the store may tell a change a second late (when it drops its history).
 _KEY_SHARE = 0.76
+# Configuration and servers come within 0.1 s of the start, if the store is
+# well; later, nobody waits for them any more.
+START_S = 1.0
 
 
 class Instance:
@@ -66,7 +71,9 @@
             on_lost=self._lost,
             now=now,
         )
-        self.listed = False
+        self._listed = False
+        self._known = event.Event()
+        self._began_s = now()
         self.stopping_since_s: float | None = None
         self.in_flight = 0
         # How many instances there are; None if no other is known.
@@ -76,6 +83,25 @@
         self._choosers: dict[str, server_choice.Chooser] = {}
         self._budgets: dict[str, window_budget.WindowBudget] = {}
 
+    @property
+    def knows(self) -> bool:
+        """Whether configuration and servers are known."""
+        return self._known.is_set()
+
+    def wait_until_known(self, most_s: float) -> bool:
+        """Waits for the first configuration and list of servers.
+
+        Args:
+            most_s: How long at the most. An instance that has been without
+                them for longer than it takes to start does not wait.
+
+        Returns:
+            Whether they are known.
+        """
+        if self.knows or self.now() - self._began_s > START_S:
+            return self.knows
+        return self._known.wait(most_s)
+
     @property
     def stopping(self) -> bool:
         """Whether a planned stop has begun."""
@@ -84,8 +110,7 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send new connections here."""
-        known = self.catalog is not None and self.listed
-        return known and not self.stopping and self.keys_hold()
+        return self.knows and not self.stopping and self.keys_hold()
 
     def keys_hold(self) -> bool:
         """Tells whether the store has confirmed the keys lately enough."""
@@ -125,6 +150,7 @@
             return False
         before = self.catalog.version if self.catalog else 0
         self.catalog = catalog
+        self._note_what_is_known()
         self.metrics.catalog_version.set(catalog.version)
         self.log.instance(
             "catalog_in_force",
@@ -177,6 +203,16 @@
             book = self.chooser(server.service).book
             book.told(server.server_id, work=news.work, at_s=news.at_s)
 
+    def server_list_taken(self) -> None:
+        """Notes that the store's list has been read."""
+        self._listed = True
+        self._note_what_is_known()
+        self.servers_changed()
+
+    def _note_what_is_known(self) -> None:
+        if self._listed and self.catalog is not None:
+            self._known.set()
+
     def servers_changed(self) -> None:
         """Forgets what is known of servers that are not listed any more."""
         servers = self.directory.servers()
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -59,6 +59,8 @@
             ("127.0.0.1", port), self._serve, backlog=256
         )
         self.mode = Mode.WELL
+        # How long each follower asked to be held, in ms, as it was said.
+        self.waits: list[str] = []
         self.slow_s = 0.3
         self.calls = 0
 
@@ -124,6 +126,7 @@
 
     def _feed(self, conn: http.Connection, fields: dict[str, str]) -> None:
         after = int(fields["afterRevision"])
+        self.waits.append(fields["waitMs"])
         until_s = time.monotonic() + int(fields["waitMs"]) / 1000
         while True:
             if after < self._forgotten:
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -2,9 +2,12 @@
 
 import time
 
+import gevent
 import pytest
 
 from irisshelf.catalog import directory
+from irisshelf.gateway import front
+from irisshelf.gateway import instance
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world as world_module
@@ -160,3 +163,26 @@
 def _store_up(world):
     registry = world.inst.metrics.registry
     return registry.get_sample_value("irisshelf_store_up") == 1
+
+
+def test_a_request_that_comes_at_the_start_waits_for_the_configuration(
+    monkeypatch,
+):
+    monkeypatch.setattr(instance, "START_S", 60.0)
+    monkeypatch.setattr(front, "START_PATIENCE_S", 60.0)
+    world = world_module.World(configured=False)
+    asked = gevent.spawn(world.ask, "/alarm/1")
+    gevent.sleep(0.01)
+    _put(world, 1)
+    assert asked.get().status == 200
+    world.close()
+
+
+def test_after_trouble_the_store_is_asked_for_what_it_knows_now(world):
+    """A held call would leave the age of the keys in doubt as long as it is."""
+    world.store.mode = Mode.SILENT
+    world.wait(lambda: not _store_up(world))
+    seen = len(world.store.waits)
+    world.store.mode = Mode.WELL
+    world.wait(lambda: _store_up(world))
+    assert "0" in world.store.waits[seen:]
