One retry budget for both fronts

Cause: the chat-completions front had a token bucket of its own, the gateway a sliding window: two copies of one policy.

Change: routing/retry_budget.py serves both; the share of the users' common bound that is used moves to the one who shares it. A bundle's burst is now the slack of each ten seconds, its ratio as before.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -20,9 +20,9 @@
 from irisshelf.gateway import settings
 from irisshelf.observe import decision_log
 from irisshelf.routing import prompt
+from irisshelf.routing import retry_budget
 from irisshelf.routing import server_book
 from irisshelf.routing import server_choice
-from irisshelf.routing import window_budget
 from irisshelf.transport import errors
 
 # A key holds for so long after the store last confirmed it, as a share of the
@@ -81,7 +81,7 @@
         self.board: board_module.Board | None = None
         self._by_key: dict[bytes, directory.BackendServer] = {}
         self._choosers: dict[str, server_choice.Chooser] = {}
-        self._budgets: dict[str, window_budget.WindowBudget] = {}
+        self._budgets: dict[str, retry_budget.RetryBudget] = {}
 
     @property
     def knows(self) -> bool:
@@ -127,17 +127,17 @@
             self._choosers[service] = found
         return found
 
-    def budget(self, service: str) -> window_budget.WindowBudget:
+    def budget(self, service: str) -> retry_budget.RetryBudget:
         """Returns the retry budget of a service."""
         found = self._budgets.get(service)
         if found is None:
-            found = window_budget.WindowBudget(
-                ratio=self.cfg.bounds.retry_share,
+            found = retry_budget.RetryBudget(
+                ratio=self.cfg.bounds.retry_share * retry_budget.SHARED_SAFETY,
                 slack=0.0,
                 window_s=self.cfg.bounds.retry_window_s,
             )
             self._budgets[service] = found
-        found.slack = window_budget.share_of_slack(
+        found.slack = retry_budget.share_of_slack(
             self.cfg.bounds.retry_slack, self.instances
         )
         return found
--- a/irisshelf/routing/retry.py
+++ b/irisshelf/routing/retry.py
@@ -1,9 +1,7 @@
 """Whether a failed attempt is followed by another.
 
 A retry needs all of: the request did not run, or may be repeated; nothing of
-an answer has reached the caller; budget; time; attempts left. The budget is a
-share of first attempts, so that a fleet in trouble does not multiply its own
-load.
+an answer has reached the caller; budget; time; attempts left.
 """
 
 from __future__ import annotations
@@ -11,6 +9,7 @@
 import dataclasses
 
 from irisshelf.routing import outcome
+from irisshelf.routing import retry_budget
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 1.0
@@ -32,31 +31,6 @@
     detail: str = ""
 
 
-class Budget:
-    """Token bucket that first attempts fill and retries empty.
-
-    Args:
-        ratio: Tokens a first attempt adds.
-        burst: Most tokens held, and tokens at the start.
-    """
-
-    def __init__(self, *, ratio: float, burst: float):
-        self._ratio = ratio
-        self._burst = burst
-        self._tokens = burst
-
-    def first_attempt(self) -> None:
-        """Counts a request's first attempt."""
-        self._tokens = min(self._burst, self._tokens + self._ratio)
-
-    def take(self) -> bool:
-        """Takes a token for a retry, if there is one."""
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
-
-
 def decide(
     failure: Failure,
     *,
@@ -64,7 +38,7 @@
     repeatable: bool,
     now: float,
     deadline_s: float,
-    budget: Budget,
+    budget: retry_budget.RetryBudget,
 ) -> outcome.Refusal | None:
     """Decides what follows a failed attempt.
 
@@ -87,7 +61,7 @@
         and not failure.delivered
         and attempts < MAX_ATTEMPTS
         and now < deadline_s
-        and budget.take()
+        and budget.take(now)
     ):
         return None
     return outcome.Refusal(
--- a/irisshelf/routing/window_budget.py
+++ b/irisshelf/routing/retry_budget.py
@@ -1,18 +1,21 @@
-"""A retry budget that all instances keep without a word to each other.
+"""A retry budget over a sliding window.
 
-The users bound, over every sliding window and all instances together, the
-sends beyond the first of each request by a share of the requests and a fixed
-slack. Each instance keeps to the same share of its own requests, and to its
-part of the slack by the number of instances that it knows of.
+Retries are bounded by a share of the requests of the last seconds and a fixed
+slack, so that a fleet in trouble does not multiply its own load. The users'
+platform bounds the retries of all instances together: each keeps, without a
+word to the others, to the same share of its own requests, and to its part of
+the slack by the number of instances that it knows of.
 """
 
 from __future__ import annotations
 
 import collections
 
-# Part of the bound that is used; requests and retries of a window do not fall
-# into the same one everywhere.
-_SAFETY = 0.8
+# Part of a bound on all instances together that is used: requests and retries
+# of a window do not fall into the same one everywhere.
+SHARED_SAFETY = 0.8
+# Seconds over which a bundle's budget is counted.
+WINDOW_S = 10.0
 # Part of the slack that is dealt out: instances come, and others may not be
 # known yet.
 _DEALT = 0.6
@@ -37,7 +40,7 @@
     return slack * _DEALT / count
 
 
-class WindowBudget:
+class RetryBudget:
     """The retry budget of one service on one instance.
 
     Args:
@@ -62,7 +65,7 @@
         """Returns how many retries are left in the window that ends now."""
         _expire(self._requests, now - self._window_s)
         _expire(self._retries, now - self._window_s)
-        allowed = self._ratio * _SAFETY * len(self._requests) + self.slack
+        allowed = self._ratio * len(self._requests) + self.slack
         return allowed - len(self._retries)
 
     def take(self, now: float) -> bool:
--- a/irisshelf/routing/service.py
+++ b/irisshelf/routing/service.py
@@ -19,7 +19,7 @@
 from irisshelf.routing import ownership
 from irisshelf.routing import placement
 from irisshelf.routing import ranking
-from irisshelf.routing import retry
+from irisshelf.routing import retry_budget
 
 _DECODE_WEIGHT = 0.05
 
@@ -85,7 +85,7 @@
         self._me = ""
         self.cfg: schema.Service | None = None
         self.admission = admission.Admission(limit=1, shares={})
-        self.budget = retry.Budget(ratio=0, burst=0)
+        self.budget = _budget(schema.RetryBudget(ratio=0.0, burst=0.0))
 
     @property
     def targets(self) -> tuple[Target, ...]:
@@ -119,9 +119,7 @@
         """
         cfg = bundle.services[self.name]
         if cfg != self.cfg:
-            self.budget = retry.Budget(
-                ratio=cfg.retry.ratio, burst=cfg.retry.burst
-            )
+            self.budget = _budget(cfg.retry)
         targets = tuple(_targets(self.name, bundle))
         if targets != self._targets or cfg != self.cfg:
             self._rebuild(cfg, targets, now)
@@ -360,3 +358,9 @@
                 data_centre=server.data_centre,
                 address=server.address,
             )
+
+
+def _budget(cfg: schema.RetryBudget) -> retry_budget.RetryBudget:
+    return retry_budget.RetryBudget(
+        ratio=cfg.ratio, slack=cfg.burst, window_s=retry_budget.WINDOW_S
+    )
--- a/irisshelf/tests/test_gateway_faults.py
+++ b/irisshelf/tests/test_gateway_faults.py
@@ -268,6 +268,17 @@
     assert (answer.status, world.runs("v")) == (200, 2)
 
 
+def test_an_instance_uses_part_of_the_retries_that_all_may_make(world):
+    world.inst.instances = 10
+    budget = world.inst.budget("crew")
+    for _ in range(100):
+        budget.arrived(world.inst.now())
+    bounds = world.inst.cfg.bounds
+    whole = bounds.retry_share * 100 + bounds.retry_slack / 10
+    left = budget.left(world.inst.now())
+    assert 0.5 * whole < left < 0.9 * whole
+
+
 def test_a_connection_in_use_just_now_that_breaks_is_the_servers_fault(world):
     for _ in range(4):
         world.ask("/digest/1", Prefix_Hash="aa:500,bb:900,own:9")
