Few neighbours of a silent server are asked; a holder that fails requests hands on

And holders that rested as they failed requests (30 servers at 11 s) were no sources any more, so their parts were read anew.

Ruled out: asking nobody else (a cut zone is found server by server then).

Change: two neighbours are asked, and two of each that is lost as well; an answer is waited for 0.2 s, and a time-out that the process slept through shows nothing. Only a server out of reach is no source.

Tests: two in test_reach, one in test_server_choice, failing before.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -69,6 +69,7 @@
             heard_s=self._heard_s,
             on_reached=self._reached,
             on_lost=self._lost,
+            rng=rng,
             now=now,
         )
         self._listed = False
--- a/irisshelf/gateway/reach.py
+++ b/irisshelf/gateway/reach.py
@@ -4,11 +4,14 @@
 requests just wait. So a server that has been silent while it should speak is
 asked for a connection, which costs it nothing. One that cannot be reached is
 asked again and again until it can; no request has to try it meanwhile. And as
-what stands together is cut off together, its neighbours are asked at once.
+what stands together is cut off together, a few of its neighbours are asked at
+once, and a few of theirs if they are lost as well: never all, as every instance
+asks at the same moment.
 """
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -22,6 +25,13 @@
 # Servers answer a connect in 1 to 3 ms. One that does not in this time is
 # dark or cut off.
 CONNECT_S = 0.1
+# A server asked by many instances at once is slower, and nobody waits for this
+# answer but requests that have been silent anyway.
+_ASK_S = 0.2
+# A time-out that is noticed so late was spent by this process, not the server.
+_HELD_UP_S = 0.03
+# Neighbours of a silent server that are asked.
+_NEIGHBOURS = 2
 # Engines say something every 20 to 60 ms while they work; a server that has
 # said nothing for so long is asked for a connection.
 SILENT_S = 0.15
@@ -41,6 +51,7 @@
         heard_s: Tells when a server was last heard, monotonic seconds.
         on_reached: Told of a server that can be reached.
         on_lost: Told of a server that cannot, and why; told each time.
+        rng: Picks neighbours.
         now: Monotonic seconds.
         connect: Makes a connection.
         sleep: Waits between tries.
@@ -54,6 +65,7 @@
         heard_s: Callable[[directory.BackendServer], float],
         on_reached: Callable[[directory.BackendServer], None],
         on_lost: Callable[[directory.BackendServer, errors.ConnectError], None],
+        rng: random.Random,
         now: Callable[[], float],
         connect: Callable[..., client.Connection] = client.connect,
         sleep: Callable[[float], None] = gevent.sleep,
@@ -63,6 +75,7 @@
         self._heard_s = heard_s
         self._on_reached = on_reached
         self._on_lost = on_lost
+        self._rng = rng
         self._now = now
         self._connect = connect
         self._sleep = sleep
@@ -89,9 +102,14 @@
         self._ask(server, pause_s=_PAUSES_S[0])
         if not silent:
             return
-        for other in list(self._listed()):
-            if other.data_centre == server.data_centre:
-                self.doubt(other)
+        near = [
+            other
+            for other in self._listed()
+            if other.data_centre == server.data_centre
+            and other.server_id not in self._asking
+        ]
+        for other in self._rng.sample(near, min(_NEIGHBOURS, len(near))):
+            self.doubt(other)
 
     def keep(self, names: frozenset[str]) -> None:
         """Forgets servers that are not listed any more."""
@@ -121,10 +139,13 @@
             del self._asking[server.server_id]
 
     def _try(self, server: directory.BackendServer) -> bool:
+        began_s = self._now()
         try:
-            conn = self._connect(server.address, timeout_s=CONNECT_S)
+            conn = self._connect(server.address, timeout_s=_ASK_S)
         except errors.ConnectError as exc:
-            self._on_lost(server, exc)
+            passed_s = self._now() - began_s
+            if not exc.silent or passed_s <= _ASK_S + _HELD_UP_S:
+                self._on_lost(server, exc)
             return False
         self._reached_s[server.server_id] = self._now()
         self._links.put_new(server, conn)
--- a/irisshelf/routing/server_choice.py
+++ b/irisshelf/routing/server_choice.py
@@ -177,10 +177,17 @@
         part_id: str,
         now: float,
     ) -> dict[str, holdings.Held]:
-        """Returns the holders of a part that answer; leaving ones as well."""
-        fit = {s.server_id for s in self._fit(servers, now)}
+        """Returns the holders of a part that can hand it on.
+
+        Leaving ones can, and so can those that rest as they fail requests.
+        """
+        listed = {s.server_id for s in servers}
         held = self._holders_of(part_id, now)
-        return {name: one for name, one in held.items() if name in fit}
+        return {
+            name: one
+            for name, one in held.items()
+            if name in listed and not self.book.unreachable(name)
+        }
 
     def _by_subject(
         self,
@@ -242,7 +249,7 @@
             s
             for s in servers
             if s.server_id != chosen.server_id
-            and self.book.fit(s.server_id, now)
+            and not self.book.unreachable(s.server_id)
         ]
         lacking = 0
         for part in reversed(asked.shared):
--- a/irisshelf/tests/test_reach.py
+++ b/irisshelf/tests/test_reach.py
@@ -1,5 +1,7 @@
 """Whether servers can be reached: silence looked into, neighbours asked."""
 
+import random
+
 import gevent
 import pytest
 from gevent import socket
@@ -44,18 +46,21 @@
             heard_s=lambda s: self.heard.get(s.server_id, float("-inf")),
             on_reached=lambda s: self.reached.append(s.server_id),
             on_lost=self._on_lost,
+            rng=random.Random(1),
             now=self.clock,
             connect=self._connect,
             sleep=self._sleep,
         )
         self.after_tries = {}
         self.silent = False
+        self.delay_s = 0.0
         self.peers = []
 
     def _connect(self, address, *, timeout_s):
         name = address.split(":")[0].rpartition(".")[2]
         self.tries.append(name)
         self.after_tries.get(len(self.tries), lambda: None)()
+        self.clock.advance(self.delay_s)
         if name in self.dark:
             raise errors.ConnectError(address, silent=self.silent)
         near, far = socket.socketpair()
@@ -137,3 +142,27 @@
     network.settle()
     assert set(network.tries) == asked
     assert set(network.reached) == asked
+
+
+def test_only_a_few_of_many_neighbours_are_asked():
+    """All instances ask at the same moment; each server answers one by one."""
+    network = _Network()
+    network.listed = [_server(str(number), "a") for number in range(1, 41)]
+    network.silent = True
+    network.dark = {"1"}
+    network.after_tries = {9: lambda: network.listed.pop(0)}
+    network.reach.lost(network.listed[0], silent=True)
+    network.settle()
+    asked = 1 + 2 * (1 + network.tries.count("1"))
+    assert 1 < len(set(network.tries)) <= asked
+
+
+def test_a_timeout_that_the_process_slept_through_shows_nothing():
+    network = _Network()
+    network.silent = True
+    network.dark = {"1"}
+    network.delay_s = 1.0
+    network.after_tries = {3: network.dark.clear}
+    network.reach.doubt(_NEAR[0])
+    network.settle()
+    assert (network.lost, network.reached) == ([], ["1"])
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -149,6 +149,16 @@
     assert choice.source != _first("b")
 
 
+def test_a_holder_that_fails_requests_can_still_hand_its_parts_on():
+    chooser = _chooser()
+    holder = _choose(chooser).server
+    chooser.sent(_prompt(), holder.server_id, 0.0)
+    for _ in range(3):
+        chooser.book.seen(holder.server_id, Seen.SILENT, 1.9)
+    choice = _choose(chooser, now=2.0)
+    assert (choice.server != holder, choice.source) == (True, holder)
+
+
 @pytest.mark.parametrize(
     ("tokens", "homes"),
     [(1000, 3), (server_choice.LONG_TOKENS, server_choice.LONG_HOMES)],
