Soak: ports come from a block that nobody else takes

Logs: "cannot listen: Address already in use" on ports 54359 and 35713, which are in the kernel's range of local ends. No instance broke a promise of its own.

Ruled out: the instances (the log shows no other line than the listen's); load.

Change: soak/ports.py: a block below that range, held by a bound socket.

--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -1,11 +1,14 @@
 """The soak: its checker finds what is planted; two runs of real processes."""
 
 import dataclasses
+import pathlib
+import socket
 
 import pytest
 
 from soak import checker
 from soak import plan
+from soak import ports
 from soak import run as run_module
 
 _KIND = checker.RequestKind
@@ -160,6 +163,35 @@
     assert drawn == set(plan.Kind)
 
 
+def test_blocks_of_ports_do_not_overlap():
+    blocks = [ports.Block() for _ in range(3)]
+    taken = [block.take() for block in blocks for _ in range(5)]
+    assert len(set(taken)) == len(taken)
+    for block in blocks:
+        block.close()
+
+
+def test_ports_lie_below_those_of_outgoing_connections():
+    """Else a port that was free is soon somebody's local end."""
+    path = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
+    first = int(path.read_text().split()[0])
+    assert first >= ports.LAST
+    block = ports.Block()
+    assert ports.FIRST < block.take() < ports.LAST
+    block.close()
+
+
+def test_a_port_in_use_is_not_handed_out():
+    block = ports.Block()
+    port = block.take()
+    other = socket.socket()
+    other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    other.bind(("127.0.0.1", port + 1))
+    assert block.take() > port + 1
+    other.close()
+    block.close()
+
+
 @pytest.mark.parametrize("seed", [1, 4])
 def test_real_processes_keep_the_promises(tmp_path, seed):
     verdict = run_module.Run(seed=seed, folder=tmp_path).play()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -6,13 +6,13 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 
 import gevent
 
+from soak import ports
 from soak import proxy
 
 _RESTART_S = 0.3
@@ -22,13 +22,6 @@
 _STORE = "store"
 
 
-def free_port() -> int:
-    """Returns a port of loopback that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Entry:
     """One instance: its process, its addresses, its links.
 
@@ -37,6 +30,7 @@
         folder: For its settings and its log.
         store: The store's address.
         peers: Its address for other instances.
+        block: Where its ports come from.
         seeds: Those of all instances.
     """
 
@@ -47,14 +41,15 @@
         folder: pathlib.Path,
         store: str,
         peers: str,
+        block: ports.Block,
         seeds: list[str],
     ):
         self.number = number
         self.peers = peers
         self._seeds = seeds
         self.name = f"entry-{number}"
-        self.front = f"127.0.0.1:{free_port()}"
-        self.ready = f"127.0.0.1:{free_port()}"
+        self.front = f"127.0.0.1:{block.take()}"
+        self.ready = f"127.0.0.1:{block.take()}"
         self.store_link = proxy.Proxy(target=store)
         self.caller_link = proxy.Proxy(target=self.front)
         self.log = folder / f"{self.name}.log"
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from soak import checker
 from soak import fleet
 from soak import plan
+from soak import ports
 from soak import proxy
 
 EVENTS = 12
@@ -75,8 +76,9 @@
         self._keys = [world.KEY] + [f"key-{n}" for n in range(_NEXT_KEYS)]
         self._version = 0
         self._configure()
+        self._ports = ports.Block()
         peers = [
-            f"127.0.0.1:{fleet.free_port()}" for _ in range(plan.INSTANCES)
+            f"127.0.0.1:{self._ports.take()}" for _ in range(plan.INSTANCES)
         ]
         self.entries = [
             fleet.Entry(
@@ -84,6 +86,7 @@
                 folder=folder,
                 store=self.store.address,
                 peers=peers[number],
+                block=self._ports,
                 seeds=peers,
             )
             for number in range(plan.INSTANCES)
@@ -109,6 +112,7 @@
             for one in self.servers:
                 one.close()
             self.store.close()
+            self._ports.close()
 
     def _play(self) -> Verdict:
         for entry in self.entries:
