A change of readiness is logged with its reason

Cause: that an instance turned unready changes where callers go, and no line said so. Change: a line `readiness` with the reason and the age of what it knows, once a change, as the balancer's question is answered; a gauge `irisshelf_ready`. Test: test_a_change_of_readiness_is_logged_once_with_its_reason.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -192,7 +192,7 @@
     def _ready(
         self, request: caller_side.Request, conn: caller_side.Connection
     ) -> None:
-        ready = self._inst.ready
+        ready = self._inst.answer_readiness()
         conn.answer(_OK if ready else _UNAVAILABLE, [], b"")
 
     def _metrics(
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -75,6 +75,7 @@
         self._listed = False
         self._known = event.Event()
         self._began_s = now()
+        self._was_ready = False
         self.stopping_since_s: float | None = None
         self.in_flight = 0
         # How many instances there are; None if no other is known.
@@ -111,8 +112,36 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send new connections here."""
-        fit = self.keys_hold() and not self.isolated()
-        return self.knows and not self.stopping and fit
+        return not self._why_not_ready()
+
+    def answer_readiness(self) -> bool:
+        """Tells whether it is ready, and logs it if that has changed."""
+        why = self._why_not_ready()
+        ready = not why
+        if ready is not self._was_ready:
+            self._was_ready = ready
+            self.metrics.ready.set(ready)
+            age_s = self.freshness.age_s(self.now())
+            self.log.instance(
+                "readiness",
+                ready=ready,
+                why=why,
+                catalog=self.catalog.version if self.catalog else None,
+                catalog_age_s=round(age_s, 3) if age_s < 1e9 else None,
+                servers=len(self.directory.servers()),
+            )
+        return ready
+
+    def _why_not_ready(self) -> str:
+        if not self.knows:
+            return "no configuration yet"
+        if self.stopping:
+            return "stopping"
+        if not self.keys_hold():
+            return "cut off from the store"
+        if self.isolated():
+            return "no server in reach"
+        return ""
 
     def isolated(self) -> bool:
         """Tells whether no server at all can be reached from here.
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -44,6 +44,7 @@
         self.catalog_version = self._gauge(
             "catalog_version", "Version of the configuration in force."
         )
+        self.ready = self._gauge("ready", "1 if the balancer is told to come.")
         self.store_up = self._gauge(
             "store_up", "1 if the store answered last time."
         )
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -178,6 +178,22 @@
     world.close()
 
 
+def test_a_change_of_readiness_is_logged_once_with_its_reason(
+    world, monkeypatch
+):
+    lines = []
+    monkeypatch.setattr(
+        world.inst.log,
+        "instance",
+        lambda name, **fields: lines.append((name, fields)),
+    )
+    assert [world.inst.answer_readiness() for _ in range(2)] == [True, True]
+    world.inst.stopping_since_s = world.inst.now()
+    assert not world.inst.answer_readiness()
+    told = [(f["ready"], f["why"]) for n, f in lines if n == "readiness"]
+    assert told == [(True, ""), (False, "stopping")]
+
+
 def test_after_trouble_the_store_is_asked_for_what_it_knows_now(world):
     """A held call would leave the age of the keys in doubt as long as it is."""
     world.store.mode = Mode.SILENT
