When all servers are out of reach one is tried, not five

Cause: an instance that was cut off tried up to five lost servers, 0.1 s each, before it refused; reach.py asks each of them once a second anyway.

Change: a connect that fails to a server of last resort ends the tries: the refusal comes after 0.1 s, while the caller has time to ask another instance.

Test: test_one_last_resort_is_tried_and_no_more, failing before.

--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -138,6 +138,10 @@
             return client.connect(server.address, timeout_s=timeout_s)
         except errors.ConnectError as exc:
             self._avoid.add(server.server_id)
+            if choice.reason is server_choice.Reason.LAST_RESORT:
+                # The others are known to be lost as well; the caller should
+                # hear so while there is time to ask another instance.
+                self._connects = _MOST_CONNECTS
             self._inst.unreachable(server, exc, self._job.ask.request_id)
             return None
 
--- a/irisshelf/tests/test_gateway_faults.py
+++ b/irisshelf/tests/test_gateway_faults.py
@@ -271,6 +271,29 @@
     assert ("connection" in answer.headers) is (lost == "all")
 
 
+def test_one_last_resort_is_tried_and_no_more(monkeypatch):
+    world = world_module.World(servers=4)
+    for one in world.plain:
+        world.inst.chooser("crew").book.seen(
+            one.server_id, server_book.Seen.UNREACHABLE, world.inst.now()
+        )
+        one.close()
+    tried = []
+    monkeypatch.setattr(
+        world.inst.log,
+        "problem",
+        lambda name, **fields: tried.append(name),
+    )
+    monkeypatch.setattr(
+        world.inst,
+        "unreachable",
+        lambda server, exc, request: tried.append(request),
+    )
+    answer = world.ask("/valve/1", method="GET", body=b"", Request_Id="v")
+    assert (answer.status, tried) == (503, ["v"])
+    world.close()
+
+
 def test_the_only_server_that_is_fit_is_asked_again(world):
     only, lost = world.plain
     only.faults.append(Fault.FAIL)
