One course of attempts for model calls and plain calls; messages built apart

The gateway is not touched.

Tests: two of the course in test_admission; those of both fronts pass as they were.

--- a/irisshelf/daemon/chat_front.py
+++ b/irisshelf/daemon/chat_front.py
@@ -16,6 +16,7 @@
 from irisshelf.daemon import gate
 from irisshelf.daemon import http
 from irisshelf.daemon import model_call
+from irisshelf.daemon import model_messages
 from irisshelf.daemon import node
 from irisshelf.daemon import once
 from irisshelf.daemon import parts
@@ -92,7 +93,7 @@
 
     def _request(
         self, body: dict[str, Any], team: node.Team, *, repeatable: bool
-    ) -> model_call.Request:
+    ) -> model_messages.Request:
         router = self._nd.services[body["model"]]
         limit = context.decode_limit(body)
         ctx = context.from_chat(
@@ -103,7 +104,7 @@
         )
         now = self._nd.now()
         router.placer.arrived(ctx, now)
-        req = model_call.Request(
+        req = model_messages.Request(
             request_id=self._nd.new_id(),
             router=router,
             context=ctx,
@@ -123,7 +124,7 @@
 
     def _once(
         self,
-        req: model_call.Request,
+        req: model_messages.Request,
         team: node.Team,
         key: str,
         start_response: http.StartResponse,
@@ -138,7 +139,7 @@
 
     def _whole(
         self,
-        req: model_call.Request,
+        req: model_messages.Request,
         team: node.Team,
         start_response: http.StartResponse,
         ticket: once.ClaimReport,
@@ -160,7 +161,7 @@
         )
 
     def _admitted(
-        self, req: model_call.Request, team: node.Team
+        self, req: model_messages.Request, team: node.Team
     ) -> result.Result[dict[str, Any], outcome.Refusal]:
         """Waits for admission, makes the call, and builds its completion."""
         entered = self._gate.enter(req.router, team, req.request_id)
@@ -180,7 +181,7 @@
 
     def _stream(
         self,
-        req: model_call.Request,
+        req: model_messages.Request,
         team: node.Team,
         start_response: http.StartResponse,
     ) -> Iterable[bytes]:
@@ -210,7 +211,7 @@
 
     def _relay(
         self,
-        req: model_call.Request,
+        req: model_messages.Request,
         call: model_call.ModelCall,
         first: bytes,
     ) -> Iterator[bytes]:
@@ -237,7 +238,7 @@
 
     def _refuse(
         self,
-        req: model_call.Request,
+        req: model_messages.Request,
         refusal: outcome.Refusal,
         start_response: http.StartResponse,
     ) -> list[bytes]:
--- a/irisshelf/daemon/model_call.py
+++ b/irisshelf/daemon/model_call.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Iterator
 
 import gevent
@@ -20,10 +19,9 @@
 from irisshelf.backends import registry
 from irisshelf.daemon import attempt as attempt_module
 from irisshelf.daemon import completion
+from irisshelf.daemon import model_messages
 from irisshelf.daemon import node
 from irisshelf.observe import timeline
-from irisshelf.peers import relay_messages
-from irisshelf.routing import context
 from irisshelf.routing import load
 from irisshelf.routing import outcome
 from irisshelf.routing import retry
@@ -35,35 +33,6 @@
 _SILENT = (outcome.Cause.TIMEOUT, outcome.Cause.BROKEN)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Request:
-    """A model call that has been admitted.
-
-    Attributes:
-        request_id: The entry instance's id.
-        priority: Told to the engine.
-        router: Decisions on the service.
-        context: What placement needs to know.
-        limit: The caller's limit on the answer's length; 0 for none.
-        body: The body for the engine, JSON.
-        repeatable: Whether it may be sent again after it may have run.
-        deadline_s: When the caller's time is up.
-        hops: 0 on the entry instance, above on an owner.
-        avoid: Targets that failed it on other instances.
-    """
-
-    request_id: str
-    priority: str
-    router: service.ServiceRouter
-    context: context.Context
-    limit: int
-    body: bytes
-    repeatable: bool
-    deadline_s: float
-    hops: int = 0
-    avoid: frozenset[str] = frozenset()
-
-
 class ModelCall:
     """Serves one request: ``open`` and ``rest``, or ``whole``; then ``close``.
 
@@ -74,14 +43,17 @@
         req: The request.
     """
 
-    def __init__(self, *, nd: node.Node, req: Request):
+    def __init__(self, *, nd: node.Node, req: model_messages.Request):
         self._nd = nd
         self._req = req
-        self._attempts = 0
+        self._course = retry.Course(
+            repeatable=req.repeatable,
+            deadline_s=req.deadline_s,
+            budget=req.router.budget,
+        )
         self._hand_on_failures = 0
         self._ask_owner_of = ""
         self._failed: set[str] = set(req.avoid)
-        self._worst = outcome.Outcome.NOT_RUN
         self._attempt: attempt_module.Attempt | None = None
 
     @property
@@ -98,7 +70,9 @@
         while True:
             attempt = self._next_attempt()
             if attempt is None:
-                return result.Err(self._no_engine())
+                name = self._req.router.name
+                detail = f"no engine of {name!r} takes work"
+                return result.Err(self._course.nobody(detail))
             tried = self._try(attempt)
             if isinstance(tried, result.Ok):
                 return tried
@@ -178,7 +152,7 @@
         if decided is None:
             return None
         if isinstance(decided, service.Send):
-            call = self._engine_call(decided)
+            call = model_messages.engine_call(self._nd, self._req, decided)
             return attempt_module.Attempt(
                 target=decided.target, call=call, send=decided
             )
@@ -187,7 +161,13 @@
             # The owner has just left the list; decide again, at last alone.
             self._hand_on_failures += 1
             return self._next_attempt()
-        call = self._relay_call(address)
+        call = model_messages.relay_call(
+            self._nd,
+            self._req,
+            address,
+            avoid=self._failed,
+            last_owner=bool(self._ask_owner_of),
+        )
         self._ask_owner_of = ""
         self._nd.timeline.add(
             timeline.Kind.FORWARD,
@@ -213,56 +193,13 @@
             entering=entering,
         )
 
-    def _engine_call(self, send: service.Send) -> messages.EngineCall:
-        return messages.EngineCall(
-            address=send.target.address,
-            engine=send.target.engine,
-            attempt_id=self._nd.new_id(),
-            priority=self._req.priority,
-            body=self._req.body,
-            limits=self._limits(),
-        )
-
-    def _relay_call(self, address: str) -> messages.RelayCall:
-        req = self._req
-        hops = relay_messages.FIRST_OWNER
-        if self._ask_owner_of:
-            hops = relay_messages.LAST_OWNER
-        handed = relay_messages.Request(
-            request_id=req.request_id,
-            service=req.router.name,
-            priority=req.priority,
-            context=req.context,
-            limit=req.limit,
-            body=req.body,
-            avoid=tuple(sorted(self._failed)),
-            hops=hops,
-            left_s=max(0.0, req.deadline_s - self._nd.now()),
-            repeatable=req.repeatable,
-        )
-        return messages.RelayCall(
-            address=address,
-            secret=self._nd.peer_secret,
-            body=relay_messages.encode(handed),
-            stamp=self._nd.timeline.stamp_text(),
-            limits=self._limits(),
-        )
-
-    def _limits(self) -> messages.Limits:
-        timeouts = self._req.router.cfg.timeouts
-        return messages.Limits(
-            connect_s=timeouts.connect_s,
-            idle_s=timeouts.idle_s,
-            max_body_bytes=0,
-        )
-
     def _try(
         self, attempt: attempt_module.Attempt
     ) -> result.Result[bytes, errors.CallError]:
         """Makes one attempt, up to its first event."""
         self._attempt = attempt
         sent_s = self._nd.now()
-        self._attempts += 1
+        self._course.began()
         if attempt.send is not None:
             self._req.router.sent(attempt.send, sent_s)
             reason = attempt.send.placement.reason.value
@@ -322,14 +259,7 @@
         gevent.sleep(_RESUME_WAIT_S)
         self._note(timeline.Kind.RESUME, attempt)
         self._nd.metrics.resumes.labels(self._req.router.name).inc()
-        call = messages.ResumeCall(
-            address=attempt.target.address,
-            engine=attempt.target.engine,
-            attempt_id=attempt.attempt_id,
-            next_offset=attempt.stream.next_offset,
-            generation=attempt.stream.generation,
-            limits=self._limits(),
-        )
+        call = model_messages.resume_call(self._req, attempt)
         resumed = registry.start(call, clients=self._nd.clients)
         if isinstance(resumed, result.Err):
             return False
@@ -362,37 +292,22 @@
             self._ask_owner_of = ""
             return False
         self._hand_on_failures += 1
-        self._attempts -= 1
+        self._course.did_not_begin()
         self._ask_owner_of = error.try_target
         if error.unreachable:
             self._nd.peer_unreachable(attempt.call.address)
         return True
 
     def _after(self, error: errors.CallError) -> outcome.Refusal | None:
-        self._worst = retry.worst(self._worst, error.outcome)
-        refusal = retry.decide(
-            retry.Failure(
-                outcome=self._worst, cause=error.cause, detail=error.detail
-            ),
-            attempts=self._attempts,
-            repeatable=self._req.repeatable,
-            now=self._nd.now(),
-            deadline_s=self._req.deadline_s,
-            budget=self._req.router.budget,
+        failure = retry.Failure(
+            outcome=error.outcome, cause=error.cause, detail=error.detail
         )
+        refusal = self._course.failed(failure, self._nd.now())
         if refusal is None:
             self._nd.metrics.retries.labels(self._req.router.name).inc()
             self._note(timeline.Kind.RETRY, self._attempt)
         return refusal
 
-    def _no_engine(self) -> outcome.Refusal:
-        return outcome.Refusal(
-            outcome=self._worst,
-            cause=outcome.Cause.NO_ENGINE,
-            retry_after_s=retry.RETRY_AFTER_S,
-            detail=f"no engine of {self._req.router.name!r} takes work",
-        )
-
     def _finish(self) -> None:
         attempt = self._attempt
         self._end(attempt, "end")
--- a/irisshelf/daemon/plain_call.py
+++ b/irisshelf/daemon/plain_call.py
@@ -46,33 +46,29 @@
         self._nd = nd
         self._req = req
         self._failed: set[str] = set()
-        self._worst = outcome.Outcome.NOT_RUN
+        self._course = retry.Course(
+            repeatable=req.repeatable,
+            deadline_s=req.deadline_s,
+            budget=req.router.budget,
+        )
 
     def run(self) -> result.Result[messages.ServiceAnswer, outcome.Refusal]:
         """Sends the call, again if it may and must."""
-        attempts = 0
         while True:
             send = self._place()
             if send is None:
-                return result.Err(self._no_server())
-            attempts += 1
+                detail = f"no server of {self._req.router.name!r} takes work"
+                return result.Err(self._course.nobody(detail))
+            self._course.began()
             answer = self._try(send)
             if isinstance(answer, result.Ok):
                 return answer
             self._failed.add(send.target.name)
-            self._worst = retry.worst(self._worst, answer.err_value.outcome)
-            refusal = retry.decide(
-                retry.Failure(
-                    outcome=self._worst,
-                    cause=answer.err_value.cause,
-                    detail=answer.err_value.detail,
-                ),
-                attempts=attempts,
-                repeatable=self._req.repeatable,
-                now=self._nd.now(),
-                deadline_s=self._req.deadline_s,
-                budget=self._req.router.budget,
+            error = answer.err_value
+            failure = retry.Failure(
+                outcome=error.outcome, cause=error.cause, detail=error.detail
             )
+            refusal = self._course.failed(failure, self._nd.now())
             if refusal is not None:
                 return result.Err(refusal)
             self._nd.metrics.retries.labels(self._req.router.name).inc()
@@ -121,11 +117,3 @@
             server = send.target.server
             self._nd.observe(server, health.Event.LEAVE, "says so")
         return answer
-
-    def _no_server(self) -> outcome.Refusal:
-        return outcome.Refusal(
-            outcome=self._worst,
-            cause=outcome.Cause.NO_ENGINE,
-            retry_after_s=retry.RETRY_AFTER_S,
-            detail=f"no server of {self._req.router.name!r} takes work",
-        )
--- a/irisshelf/daemon/relay.py
+++ b/irisshelf/daemon/relay.py
@@ -13,6 +13,7 @@
 from irisshelf.backends import relay as relay_client
 from irisshelf.daemon import http
 from irisshelf.daemon import model_call
+from irisshelf.daemon import model_messages
 from irisshelf.daemon import node
 from irisshelf.daemon import parts
 from irisshelf.peers import relay_messages
@@ -92,7 +93,7 @@
                 return _redirect(start_response, elsewhere)
         return self._serve(req, start_response)
 
-    def _elsewhere(self, req: model_call.Request) -> str | None:
+    def _elsewhere(self, req: model_messages.Request) -> str | None:
         """Returns the engine whose owner should be asked instead, if any."""
         decided = req.router.route(req.context, avoid=req.avoid, hops_left=1)
         if not isinstance(decided, service.HandOn):
@@ -104,8 +105,10 @@
         )
         return decided.target.name
 
-    def _request(self, handed: relay_messages.Request) -> model_call.Request:
-        return model_call.Request(
+    def _request(
+        self, handed: relay_messages.Request
+    ) -> model_messages.Request:
+        return model_messages.Request(
             request_id=handed.request_id,
             priority=handed.priority,
             router=self._nd.services[handed.service],
@@ -119,7 +122,7 @@
         )
 
     def _serve(
-        self, req: model_call.Request, start_response: http.StartResponse
+        self, req: model_messages.Request, start_response: http.StartResponse
     ) -> Iterable[bytes]:
         call = self._nd.begin(model_call.ModelCall(nd=self._nd, req=req))
         try:
--- a/irisshelf/routing/retry.py
+++ b/irisshelf/routing/retry.py
@@ -82,3 +82,62 @@
     if outcome.Outcome.UNKNOWN in (first, second):
         return outcome.Outcome.UNKNOWN
     return outcome.Outcome.NOT_RUN
+
+
+class Course:
+    """How one request fares over its attempts, and what follows each.
+
+    Args:
+        repeatable: Whether the request may run twice.
+        deadline_s: When the caller's time is up.
+        budget: The service's retry budget.
+
+    Attributes:
+        worst: What may be said of all attempts so far.
+    """
+
+    def __init__(
+        self,
+        *,
+        repeatable: bool,
+        deadline_s: float,
+        budget: retry_budget.RetryBudget,
+    ):
+        self._repeatable = repeatable
+        self._deadline_s = deadline_s
+        self._budget = budget
+        self._attempts = 0
+        self.worst = outcome.Outcome.NOT_RUN
+
+    def began(self) -> None:
+        """Counts an attempt."""
+        self._attempts += 1
+
+    def did_not_begin(self) -> None:
+        """Takes an attempt back, as nobody took it."""
+        self._attempts -= 1
+
+    def failed(self, failure: Failure, now: float) -> outcome.Refusal | None:
+        """Takes how an attempt failed.
+
+        Returns:
+            None to try again, or the caller's final answer.
+        """
+        self.worst = worst(self.worst, failure.outcome)
+        return decide(
+            dataclasses.replace(failure, outcome=self.worst),
+            attempts=self._attempts,
+            repeatable=self._repeatable,
+            now=now,
+            deadline_s=self._deadline_s,
+            budget=self._budget,
+        )
+
+    def nobody(self, detail: str) -> outcome.Refusal:
+        """Returns the final answer when nobody is left to try."""
+        return outcome.Refusal(
+            outcome=self.worst,
+            cause=outcome.Cause.NO_ENGINE,
+            retry_after_s=RETRY_AFTER_S,
+            detail=detail,
+        )
--- a/irisshelf/tests/test_admission.py
+++ b/irisshelf/tests/test_admission.py
@@ -109,6 +109,41 @@
         assert refusal.outcome is ran
 
 
+def _course(**changes):
+    return retry.Course(
+        **{
+            "repeatable": True,
+            "deadline_s": 10.0,
+            "budget": _budget(slack=9.0),
+            **changes,
+        }
+    )
+
+
+def _failure(ran):
+    return retry.Failure(outcome=ran, cause=outcome.Cause.BROKEN)
+
+
+def test_what_one_attempt_may_have_done_is_said_of_the_whole_course():
+    course = _course()
+    course.began()
+    assert course.failed(_failure(outcome.Outcome.UNKNOWN), 0.0) is None
+    course.began()
+    assert course.failed(_failure(outcome.Outcome.NOT_RUN), 0.0) is None
+    assert course.nobody("none left").outcome is outcome.Outcome.UNKNOWN
+
+
+def test_a_course_ends_with_its_attempts_but_for_those_that_nobody_took():
+    course = _course()
+    for _ in range(5):
+        course.began()
+        course.did_not_begin()
+    for last in range(retry.MAX_ATTEMPTS):
+        course.began()
+        refusal = course.failed(_failure(outcome.Outcome.NOT_RUN), 0.0)
+        assert (refusal is None) == (last < retry.MAX_ATTEMPTS - 1)
+
+
 def test_the_budget_keeps_retries_to_a_share():
     budget = _budget(slack=2.0)
     taken = 0
