--- a/soak/run.py
+++ b/soak/run.py
@@ -207,6 +207,15 @@
                 conn = None
             gevent.sleep(_PAUSE_S)
 
+    def _headers(self, request_id: str, key: str) -> dict[str, str]:
+        return {
+            "Host": world.HOST,
+            "Request-Id": request_id,
+            "Deadline-Ms": str(int(_DEADLINE_S * 1000)),
+            "Authorization": f"Bearer {key}",
+            "Prefix-Hash": f"aa:300,b{self._serial % 7}:900,own:9",
+        }
+
     def _ask(
         self, conn: client.Connection, instance: int
     ) -> client.Connection | None:
@@ -220,27 +229,9 @@
             key = self._rng.choice(list(self._withdrawn))
         calm = self._calm and key not in self._withdrawn
         sent_s = time.monotonic()
-        headers = {
-            "Host": world.HOST,
-            "Request-Id": request_id,
-            "Deadline-Ms": str(int(_DEADLINE_S * 1000)),
-            "Authorization": f"Bearer {key}",
-            "Prefix-Hash": f"aa:300,b{self._serial % 7}:900,own:9",
-        }
-        if body:
-            headers["Content-Length"] = str(len(body))
-        try:
-            conn.send(
-                method,
-                target,
-                [(n.encode(), v.encode()) for n, v in headers.items()],
-                body,
-                timeout_s=2.0,
-            )
-        except errors.TransportError:
-            answer = world.Answer(status=0, headers={}, body=b"", whole=False)
-        else:
-            answer = world.read_answer(conn)
+        answer = _exchange(
+            conn, method, target, body, self._headers(request_id, key)
+        )
         self._asked.append(
             checker.Asked(
                 request_id=request_id,
@@ -377,6 +368,29 @@
         one.choose_fault = None
 
 
+def _exchange(
+    conn: client.Connection,
+    method: str,
+    target: str,
+    body: bytes,
+    headers: dict[str, str],
+) -> world.Answer:
+    """Sends a request and collects what comes of the answer."""
+    if body:
+        headers["Content-Length"] = str(len(body))
+    try:
+        conn.send(
+            method,
+            target,
+            [(n.encode(), v.encode()) for n, v in headers.items()],
+            body,
+            timeout_s=2.0,
+        )
+    except errors.TransportError:
+        return world.Answer(status=0, headers={}, body=b"", whole=False)
+    return world.read_answer(conn)
+
+
 def _is_ready(entry: fleet.Entry) -> bool:
     try:
         conn = client.connect(entry.ready, timeout_s=0.5)
