--- a/bench/routing/baselines.py
+++ b/bench/routing/baselines.py
@@ -23,25 +23,32 @@
         self.up = [[True] * count for _ in range(routers)]
 
     def router(self, req: workloads.Request) -> int:
+        """Returns the number of the router that a request comes to."""
         return req.entry % self.routers
 
     def live(self, req: workloads.Request) -> list[int]:
+        """Returns the engines that a request's router takes to be up."""
         up = self.up[self.router(req)]
         return [i for i in range(self.count) if up[i]]
 
     def available(self, router: int, engine: int, up: bool) -> None:
+        """Takes that a router sees an engine come or go."""
         self.up[router][engine] = up
 
     def sent(self, req: workloads.Request, engine: int, now: float) -> None:
+        """Takes that a request was sent."""
         del req, engine, now
 
     def ended(self, req: workloads.Request, engine: int, now: float) -> None:
+        """Takes that a request has ended."""
         del req, engine, now
 
     def report(self, engine: int, work: float, at_s: float, now: float):
+        """Takes an engine's word on its work, in tokens."""
         del engine, work, at_s, now
 
     def tick(self, now: float) -> None:
+        """Takes that time has passed."""
         del now
 
 
@@ -86,17 +93,21 @@
         self._works: dict[int, tuple[int, float]] = {}
 
     def work(self, req: workloads.Request) -> float:
+        """Returns a request's work: tokens to decode and, less, to read."""
         ctx = req.context
         uncached = ctx.prompt_tokens - ctx.shared_tokens - ctx.chat_tokens
         return ctx.decode_tokens + engines.PREFILL_WEIGHT * uncached
 
     def sent(self, req, engine, now):
+        """Counts a request."""
         self.books[self.router(req)].add(engine, self.work(req), now)
 
     def ended(self, req, engine, now):
+        """Counts a request no more."""
         self.books[self.router(req)].add(engine, -self.work(req), now)
 
     def report(self, engine, work, at_s, now):
+        """Takes an engine's word into every router's book."""
         if self.use_reports:
             for book in self.books:
                 book.report(engine, load.Report(work=work, at_s=at_s))
--- a/bench/routing/workloads.py
+++ b/bench/routing/workloads.py
@@ -172,11 +172,13 @@
         self.turns_left = 1 if self._digest else rng.randint(*shape.turns)
 
     def pause_s(self) -> float:
+        """Draws the pause before the chat's next turn."""
         return self._rng.lognormvariate(
             math.log(self._shape.pause_s), self._shape.pause_sigma
         )
 
     def turn(self, number: int, at_s: float) -> Request:
+        """Draws the chat's next turn."""
         rng = self._rng
         self.turns_left -= 1
         new = rng.randint(
