A long list is read on where a failure stopped it, and its changes are asked for since its first page

Reading the code for it: a list of more than 500 servers is read in pages; a page that failed threw all away, and every instance tried again at the same moment; and changes were asked for since the last page, so that what changed on an earlier page meanwhile was never told.

Change: what has been read is kept for 10 s and read on; the first page's revision holds; waits between tries vary by half; a line names 40 changes and counts the rest.

Tests: test_store_pages (three; two fail before).

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -24,7 +24,11 @@
 _GATHER_S = {feed.Table.CATALOG: 0.3, feed.Table.SERVERS: 1.0}
 # Each try costs money, and an instance is to be back soon after the store.
 _BACKOFF_S = (0.1, 0.3, 0.6)
+# All instances find the store away at the same moment.
+_JITTER = (0.5, 1.5)
 _EXPIRE_EVERY_S = 0.2
+# A line names so many changes at the most, and counts the others.
+_MOST_CHANGES_TOLD = 40
 
 
 class Follower:
@@ -60,7 +64,7 @@
                 continue
             pause_s = _BACKOFF_S[min(failures, len(_BACKOFF_S) - 1)]
             failures += 1
-            gevent.sleep(pause_s)
+            gevent.sleep(pause_s * self._inst.rng.uniform(*_JITTER))
 
     def step(self, table: feed.Table) -> bool:
         """Makes one call; returns whether the store answered it."""
@@ -158,7 +162,11 @@
                 revision=batch.revision,
                 whole=batch.whole,
                 after_outage=after_outage,
-                changes=[_change_text(change) for change in changes],
+                count=len(changes),
+                changes=[
+                    _change_text(change)
+                    for change in changes[:_MOST_CHANGES_TOLD]
+                ],
             )
 
     def _failed(self, table: feed.Table, failure: feed.Unavailable) -> None:
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -8,6 +8,7 @@
 import json
 import time
 import urllib.parse
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -59,6 +60,9 @@
             ("127.0.0.1", port), self._serve, backlog=256
         )
         self.mode = Mode.WELL
+        self.page_rows = _PAGE_ROWS
+        # Told of each page that is asked for, before it is read.
+        self.on_page: Callable[[str], None] = lambda start: None
         # How long each follower asked to be held, in ms, as it was said.
         self.waits: list[str] = []
         self.slow_s = 0.3
@@ -149,8 +153,9 @@
 
     def _page(self, fields: dict[str, str]) -> dict[str, Any]:
         rows = self._tables.get(fields["table"], {})
-        limit = min(_PAGE_ROWS, int(fields.get("limit", _PAGE_ROWS)))
+        limit = min(self.page_rows, int(fields.get("limit", _PAGE_ROWS)))
         start = fields.get("from", "")
+        self.on_page(start)
         keys = sorted(k for k, r in rows.items() if not r.deleted)
         wanted = [key for key in keys if key >= start]
         page = wanted[:limit]
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -23,6 +23,9 @@
 _TABLES = {feed.Table.CATALOG: "op", feed.Table.SERVERS: "servers"}
 _PAGE_ROWS = 500  # The store returns no more at a time.
 _MAX_PAGES = 1000
+# A list that was begun so long ago is begun anew: the store keeps its history
+# for 20 s.
+_PAGES_S = 10.0
 # An answer begins after 4 ms, or 60 times that while the store is slow, and
 # goes on without such a pause; a long one takes seconds on the slowest links
 # (a configuration of 1,600 routes has 5 Mbit).
@@ -46,6 +49,36 @@
     more_pages: bool = False
 
 
+class _Pages:
+    """A table as far as it has been read.
+
+    Args:
+        began_s: When its first page was asked for, monotonic seconds.
+
+    Attributes:
+        rows: Of all pages so far.
+        start: The key that the next page begins at; empty for the first.
+        first: The first page, whose revision holds for all.
+        complete: Whether there are no more pages.
+    """
+
+    def __init__(self, *, began_s: float):
+        self.began_s = began_s
+        self.rows: list[_Row] = []
+        self.start = ""
+        self.first: _Answer | None = None
+        self.complete = False
+
+    def add(self, page: _Answer) -> None:
+        """Takes the next page."""
+        self.first = self.first or page
+        self.rows += page.rows
+        self.complete = not page.more_pages or not page.rows
+        if page.rows:
+            # The least key after the last one.
+            self.start = page.rows[-1].key + "\0"
+
+
 class StoreFeed(feed.Feed):
     """Follows tables of the platform's store.
 
@@ -56,23 +89,33 @@
     def __init__(self, *, address: str):
         self._address = address
         self._conns: dict[feed.Table, client.Connection] = {}
+        self._begun: dict[feed.Table, _Pages] = {}
         self.calls = 0
 
     def whole(
         self, table: feed.Table
     ) -> result.Result[feed.Batch, feed.Unavailable]:
-        """See ``feed.Feed.whole``."""
-        rows: list[_Row] = []
-        start = ""
+        """See ``feed.Feed.whole``.
+
+        Pages are read at different moments, so that changes have to be asked
+        for since the first one. A call that fails loses none of them: the next
+        goes on where it stopped. Else many instances that read a long list at
+        once keep each other from ever coming to its end.
+        """
+        pages = self._begun.get(table)
+        if pages is None or time.monotonic() - pages.began_s > _PAGES_S:
+            pages = self._begun[table] = _Pages(began_s=time.monotonic())
         for _ in range(_MAX_PAGES):
-            read = self._call(table, "rows-get", _page(table, start), 0.0)
+            query = _page(table, pages.start)
+            read = self._call(table, "rows-get", query, 0.0)
             if isinstance(read, result.Err):
                 return result.Err(_unavailable(read.err_value))
-            answer = read.ok_value
-            rows += answer.rows
-            if not answer.more_pages or not answer.rows:
-                return result.Ok(_batch(table, answer, rows, whole=True))
-            start = answer.rows[-1].key + "\0"
+            pages.add(read.ok_value)
+            if pages.complete:
+                del self._begun[table]
+                return result.Ok(
+                    _batch(table, pages.first, pages.rows, whole=True)
+                )
         return result.Err(feed.Unavailable(detail="the list has no end"))
 
     def changes(
--- /dev/null
+++ b/irisshelf/tests/test_store_pages.py
@@ -0,0 +1,74 @@
+"""Long lists, read page by page while they change and the store fails."""
+
+import gevent
+import pytest
+
+from irisshelf.platform import store_feed
+from irisshelf.platform.stand_in import store as store_module
+from irisshelf.store import feed
+
+_NAMES = [f"server-{number}" for number in range(9)]
+
+
+def _entry(state="ready"):
+    return {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "a",
+        "slots": 8,
+        "state": state,
+    }
+
+
+@pytest.fixture
+def store():
+    """A store with nine servers, three a page."""
+    made = store_module.Store().start()
+    made.page_rows = 3
+    for name in _NAMES:
+        made.put("servers", name, _entry())
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("changed", ["server-0", "server-8"])
+def test_what_changes_between_pages_is_told_afterwards(store, changed):
+    def change(start):
+        if start:
+            store.on_page = lambda start: None
+            store.put("servers", changed, _entry("draining"))
+
+    store.on_page = change
+    reader = store_feed.StoreFeed(address=store.address)
+    whole = reader.whole(feed.Table.SERVERS).ok_value
+    assert [item.key for item in whole.items] == _NAMES
+    later = reader.changes(
+        feed.Table.SERVERS, after=whole.revision, wait_s=0.0
+    ).ok_value
+    assert [item.key for item in later.items] == [changed]
+
+
+def test_a_failure_loses_no_page_that_was_read(store):
+    pages = []
+
+    def fail_at_the_second(start):
+        pages.append(start)
+        if len(pages) == 2:
+            store.mode = store_module.Mode.BUSY
+
+    store.on_page = fail_at_the_second
+    reader = store_feed.StoreFeed(address=store.address)
+    assert reader.whole(feed.Table.SERVERS).is_err()
+    store.mode = store_module.Mode.WELL
+    whole = reader.whole(feed.Table.SERVERS).ok_value
+    assert [item.key for item in whole.items] == _NAMES
+    assert pages.count("") == 1
+    gevent.sleep(0)
+
+
+def test_a_list_that_was_read_is_read_anew_the_next_time(store):
+    reader = store_feed.StoreFeed(address=store.address)
+    reader.whole(feed.Table.SERVERS)
+    store.drop("servers", _NAMES[0])
+    whole = reader.whole(feed.Table.SERVERS).ok_value
+    assert [item.key for item in whole.items] == _NAMES[1:]
