Callers refused while the store is away come back when it may be there

Cause: they were told 0.1 s whatever the outage, try again once, and are refused for good.

Change: a reader that has lost the store, and whose watcher is silent too, tells them to come back after as long as the outage has lasted (4 s at the most). One that is cut off alone still sends them on at once, to another instance.

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -375,13 +375,27 @@
             self._inst.log.problem(
                 "store_lost", table=table.value, detail=failure.detail
             )
-        if table is feed.Table.CATALOG and self._up.is_set():
+        if table is not feed.Table.CATALOG:
+            return
+        self._note_outage()
+        if self._up.is_set():
             self._up.clear()
             # What the other call hears may be as dead.
             self._store.reset(feed.Table.SERVERS)
 
+    def _note_outage(self) -> None:
+        """Notes that neither this instance nor its watcher has the store."""
+        now = time.monotonic()
+        watch = self._watches[feed.Table.CATALOG]
+        timing = watch_timing(self._inst.cfg.bounds)
+        reads = self._role() is shared_watch.Role.READER
+        if reads and watch.is_silent(timing, now):
+            age_s = self._inst.freshness.age_s(now)
+            self._inst.outage_since_s = now - age_s
+
     def _regained(self, now: float) -> None:
         self._up.set()
+        self._inst.outage_since_s = None
         self._inst.metrics.store_up.set(1)
         if self._lost_s is None:
             return
--- a/irisshelf/gateway/front.py
+++ b/irisshelf/gateway/front.py
@@ -13,6 +13,7 @@
 from irisshelf.gateway import call as call_module
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
+from irisshelf.routing.direct import outage
 from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
 
@@ -218,10 +219,23 @@
         self, conn: caller_side.Connection, ask: messages.Ask, why: str
     ) -> None:
         """Tells a caller to come back, as nothing has run."""
-        retry_after_s = (
-            admission.RETRY_SOON_S if self._inst.catalog else _STARTING_RETRY_S
+        self._answer(
+            conn, ask.request_id, _UNAVAILABLE, why, self._retry_after_s()
         )
-        self._answer(conn, ask.request_id, _UNAVAILABLE, why, retry_after_s)
+
+    def _retry_after_s(self) -> float:
+        """Returns when a caller should try again.
+
+        Soon, as another instance may serve it at once, unless the store is
+        away for others too: callers try again once, and would do so in vain.
+        """
+        if self._inst.catalog is None:
+            return _STARTING_RETRY_S
+        since_s = self._inst.outage_since_s
+        if since_s is None or self._inst.keys_hold():
+            return admission.RETRY_SOON_S
+        lasted_s = self._inst.now() - since_s
+        return outage.retry_after_s(lasted_s, self._inst.rng)
 
     def _refuse(
         self,
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -58,6 +58,9 @@
             rng=rng,
             now=now,
         )
+        # Since when the store is away for others of the data centre as well,
+        # monotonic seconds; None if it is not, or if that is not known.
+        self.outage_since_s: float | None = None
         self._listed = False
         self._was_ready = False
         self.stopping_since_s: float | None = None
