Tests of updates on the wire, and of nine followers before one store

Round trips, an update too long for a datagram, garbage, another data centre; nine instances whose watcher ends, or whom the store turns away.

--- /dev/null
+++ b/irisshelf/tests/test_store_updates.py
@@ -0,0 +1,281 @@
+"""Updates of the store's tables between instances, as datagrams on loopback."""
+
+import os
+import random
+import time
+
+import cbor2
+import gevent
+import pytest
+
+from irisshelf.catalog import directory
+from irisshelf.coordination import roster as roster_module
+from irisshelf.coordination import shared_watch
+from irisshelf.gateway import datagrams as datagrams_module
+from irisshelf.gateway import follower
+from irisshelf.gateway import instance
+from irisshelf.gateway import settings
+from irisshelf.gateway import store_updates
+from irisshelf.observe import decision_log
+from irisshelf.platform import http_dialect
+from irisshelf.platform import store_feed
+from irisshelf.platform.stand_in import store
+from irisshelf.platform.stand_in import world as world_module
+from irisshelf.store import feed
+
+_ANY = "127.0.0.1:0"
+_KIND = bytes([datagrams_module.Kind.STORE_UPDATE])
+
+
+class _Instance:
+    """An instance that follows the store, without callers."""
+
+    def __init__(self, name, store_address="127.0.0.1:9"):
+        self._fd = os.open(os.devnull, os.O_WRONLY)
+        self.problems = []
+        log = decision_log.DecisionLog(instance=name, fd=self._fd)
+        log.problem = lambda name, **fields: self.problems.append(name)
+        self.datagrams = datagrams_module.Datagrams(address=_ANY, log=log)
+        self.member = roster_module.Member(
+            name=name, address=self.datagrams.address, data_centre="a"
+        )
+        self.roster = roster_module.Roster(own=self.member)
+        self.updates = store_updates.Updates(
+            datagrams=self.datagrams, roster=self.roster, log=log
+        )
+        self.inst = instance.Instance(
+            cfg=settings.Settings(
+                instance=name,
+                data_centre="a",
+                listen=settings.Listen(
+                    front=_ANY, ready=_ANY, metrics=_ANY, peers=_ANY
+                ),
+                store=store_address,
+            ),
+            dialect=http_dialect.HttpDialect(),
+            log=log,
+            rng=random.Random(name),
+        )
+        self.follower = follower.Follower(
+            inst=self.inst,
+            store=store_feed.StoreFeed(address=store_address),
+            updates=self.updates,
+        )
+        self._greenlets = [gevent.spawn(self.datagrams.run)]
+
+    def follow(self):
+        """Begins to follow the store."""
+        self._greenlets += [
+            gevent.spawn(self.follower.run, table) for table in feed.Table
+        ]
+
+    def stop(self):
+        gevent.killall(self._greenlets)
+
+    @property
+    def version(self):
+        return self.inst.catalog.version if self.inst.catalog else 0
+
+
+def _know_each_other(everyone):
+    for one in everyone:
+        for other in everyone:
+            # From now on, whatever the test lasts.
+            later_s = time.monotonic() + 60.0
+            one.roster.heard(other.member, later_s)
+
+
+def _wait(until):
+    end_s = time.monotonic() + 20
+    while not until() and time.monotonic() < end_s:
+        gevent.sleep(0.01)
+    assert until()
+
+
+@pytest.fixture
+def pair():
+    made = [_Instance(name) for name in ("1", "2")]
+    _know_each_other(made)
+    yield made
+    for one in made:
+        one.stop()
+
+
+def _server(number, state=directory.ServerState.READY):
+    return directory.BackendServer(
+        server_id=f"i-{number:08x}",
+        service="pool",
+        address=f"10.20.30.40:{8000 + number}",
+        data_centre="far-away-e",
+        slots=64,
+        state=state,
+    )
+
+
+def _changes(count):
+    return tuple(
+        directory.Change(server_id=f"i-{n:08x}", server=_server(n))
+        for n in range(count)
+    )
+
+
+@pytest.mark.parametrize(
+    "update",
+    [
+        shared_watch.CatalogUpdate(store_s=5.25, version=7, revision=90),
+        shared_watch.ServersUpdate(store_s=5.25, since=80, revision=80),
+        shared_watch.ServersUpdate(
+            store_s=5.25,
+            since=80,
+            revision=90,
+            changes=(
+                *_changes(10),
+                directory.Change(server_id="gone", server=None),
+                directory.Change(
+                    server_id=_server(1).server_id,
+                    server=_server(1, directory.ServerState.LEAVING),
+                ),
+            ),
+        ),
+    ],
+)
+def test_an_update_arrives_as_it_was(pair, update):
+    taken = []
+    pair[1].updates.hand_to(taken.append)
+    pair[0].updates.tell(update)
+    _wait(lambda: taken)
+    assert taken == [update]
+
+
+def test_an_update_that_is_too_long_says_that_there_is_more(pair):
+    taken = []
+    pair[1].updates.hand_to(taken.append)
+    update = shared_watch.ServersUpdate(
+        store_s=1.0, since=80, revision=90, changes=_changes(60)
+    )
+    pair[0].updates.tell(update)
+    _wait(lambda: taken)
+    verdict = shared_watch.judge_servers(taken[0], 85)
+    assert verdict is shared_watch.Verdict.FETCH
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        {"a": 1},
+        ["a"],
+        ["a", 5, 1.0, 1, 1],
+        ["a", 0, "now", 1, 1],
+        ["a", 1, 1.0, 9, 1, [["s", "x", "y", "z", 1, "tired"]]],
+    ],
+)
+def test_garbage_is_told_once_and_left(pair, content):
+    taken = []
+    pair[1].updates.hand_to(taken.append)
+    for _ in range(2):
+        pair[1].datagrams.take(_KIND + cbor2.dumps(content))
+    assert (taken, pair[1].problems) == ([], ["news_unreadable"])
+
+
+def test_updates_of_another_data_centre_are_left(pair):
+    taken = []
+    pair[1].updates.hand_to(taken.append)
+    pair[1].datagrams.take(_KIND + cbor2.dumps(["b", 0, 1.0, 1, 1]))
+    assert (taken, pair[1].problems) == ([], [])
+
+
+@pytest.fixture
+def fleet():
+    """Nine instances of a data centre before one store."""
+    served = store.Store().start()
+    served.put("op", "config", world_module.config(1))
+    served.put("servers", "s1", _entry())
+    everyone = [_Instance(str(n), served.address) for n in range(9)]
+    _know_each_other(everyone)
+    for one in everyone:
+        one.follow()
+    _wait(lambda: all(one.inst.knows for one in everyone))
+    yield served, everyone
+    for one in everyone:
+        one.stop()
+    served.close()
+
+
+def _entry(state="ready"):
+    return {
+        "service": "crew",
+        "address": "127.0.0.1:1",
+        "zone": "a",
+        "version": 1,
+        "slots": 4,
+        "state": state,
+        "coldRemainingMs": 0,
+        "sequence": 1,
+    }
+
+
+def _watcher(everyone):
+    (found,) = [
+        one
+        for one in everyone
+        if one.updates.role() is shared_watch.Role.WATCHER
+    ]
+    return found
+
+
+def _takes_work(one):
+    listed = one.inst.directory.get("s1")
+    return listed is not None and listed.state is directory.ServerState.READY
+
+
+def test_what_the_store_accepts_is_known_by_all(fleet):
+    served, everyone = fleet
+    served.put("op", "config", world_module.config(2))
+    served.put("servers", "s1", _entry("draining"))
+    _wait(lambda: all(one.version == 2 for one in everyone))
+    _wait(lambda: not any(map(_takes_work, everyone)))
+
+
+def test_readers_are_told_that_nothing_has_changed(fleet):
+    _, everyone = fleet
+    watcher = _watcher(everyone)
+    readers = [one for one in everyone if one is not watcher]
+    _wait(lambda: all(_told(one) >= 2 for one in readers))
+    assert _told(watcher) == 0
+
+
+def _told(one):
+    registry = one.inst.metrics.registry
+    name = "irisshelf_store_updates_total"
+    return registry.get_sample_value(name, {"verdict": "current"}) or 0
+
+
+def test_without_their_watcher_readers_ask_by_themselves(fleet):
+    served, everyone = fleet
+    watcher = _watcher(everyone)
+    watcher.stop()
+    others = [one for one in everyone if one is not watcher]
+    served.put("op", "config", world_module.config(2))
+    served.put("servers", "s1", _entry("draining"))
+    _wait(lambda: all(one.version == 2 for one in others))
+    _wait(lambda: not any(map(_takes_work, others)))
+    _wait(lambda: all(one.inst.keys_hold() for one in others))
+
+
+def test_readers_that_the_store_turns_away_go_on_by_updates(fleet):
+    """Ages are those of the watcher's answers; nothing says they are newer."""
+    served, everyone = fleet
+    watcher = _watcher(everyone)
+    served.mode = store.Mode.BUSY
+    watcher.stop()
+    others = [one for one in everyone if one is not watcher]
+    _wait(lambda: not any(one.inst.keys_hold() for one in others))
+    now_s = time.monotonic()
+    for one in others:
+        # The stand-in's clock is the machine's.
+        one.follower.take_update(
+            shared_watch.CatalogUpdate(store_s=now_s, version=1, revision=10**6)
+        )
+    assert all(one.inst.keys_hold() for one in others)
+    for one in others:
+        assert one.inst.freshness.age_s(now_s) >= 0
