The list of servers in a module of its own; vanished entries in an outage

Cause of the change in it: a watcher may tell of vanished entries before its readers know that the store is back; they would have dropped servers whose entries had only lapsed. While the store is away for a reader, vanished entries count as lapsed. Test first (fails before: the entry is dropped at once).

A stopping instance goes on asking no more: the instance that it asked took it for live again, and for the first of the data centre.

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -13,10 +13,10 @@
 import result
 from gevent import event
 
-from irisshelf.catalog import directory
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
+from irisshelf.gateway import server_list
 from irisshelf.gateway import settings
 from irisshelf.gateway import store_updates
 from irisshelf.store import feed
@@ -46,8 +46,6 @@
 # All instances find the store away at the same moment.
 _JITTER = (0.5, 1.5)
 _EXPIRE_EVERY_S = 0.2
-# A line names so many changes at the most, and counts the others.
-_MOST_CHANGES_TOLD = 40
 
 
 def hold_s(table: feed.Table, bounds: settings.Bounds) -> float:
@@ -115,11 +113,10 @@
         self._up = event.Event()
         self._up.set()
         self._lost_s: float | None = None
-        self._back_s = float("-inf")
         self._watches = {t: table_watch.TableWatch() for t in feed.Table}
         self._updated = {table: event.Event() for table in feed.Table}
         self.changes_seen = dict.fromkeys(feed.Table, 0)
-        self._changes = shared_watch.ChangeLog()
+        self.server_list = server_list.ServerList(inst=inst)
         if updates is not None:
             updates.hand_to(self.take_update)
 
@@ -196,7 +193,7 @@
         self._note_update(feed.Table.SERVERS, update, verdict)
         if verdict is shared_watch.Verdict.APPLY:
             now = time.monotonic()
-            self._change_servers(update.changes, update.revision, now)
+            self.server_list.change(update.changes, update.revision, now)
             watch.follows_to(update.revision)
 
     def _note_update(
@@ -252,12 +249,7 @@
             self._inst.servers.links.expire()
             if not self._up.is_set():
                 continue
-            if time.monotonic() - self._back_s < directory.LAPSE_GRACE_S:
-                continue
-            gone = self._inst.directory.expire(time.monotonic())
-            if gone:
-                self._inst.log.instance("lapsed_servers_gone", servers=gone)
-                self._inst.servers.list_changed()
+            self.server_list.expire(time.monotonic())
 
     def _answered(
         self, table: feed.Table, batch: feed.Batch, sent_s: float
@@ -271,7 +263,7 @@
                 sent_s=sent_s, received_s=now, store_s=batch.store_s
             )
         elif newest:
-            self._take_servers(batch, now)
+            self.server_list.take(batch, now)
         self.changes_seen[table] += bool(batch.items)
         if self._role() is shared_watch.Role.WATCHER:
             self._tell(table, batch, now)
@@ -279,7 +271,7 @@
     def _tell(self, table: feed.Table, batch: feed.Batch, now: float) -> None:
         """Tells the readers what the store has just answered."""
         if table is feed.Table.SERVERS:
-            self._updates.tell(self._changes.update(batch.store_s, now))
+            self._updates.tell(self.server_list.update(batch.store_s, now))
         elif self._inst.catalog is not None:
             self._updates.tell(
                 shared_watch.CatalogUpdate(
@@ -301,76 +293,10 @@
             elif item.value is not None:
                 self._inst.adopt(item.value)
 
-    def _take_servers(self, batch: feed.Batch, now: float) -> None:
-        for item in batch.items:
-            if item.problem:
-                self._inst.log.problem(
-                    "server_entry_unreadable",
-                    server=item.key,
-                    problem=item.problem,
-                )
-        changes = tuple(
-            directory.Change(server_id=item.key, server=item.value)
-            for item in batch.items
-            if not item.problem
-        )
-        if batch.whole:
-            self._replace_servers(changes, batch.revision, now)
-        else:
-            self._change_servers(changes, batch.revision, now)
-
-    def _replace_servers(
-        self, entries: tuple[directory.Change, ...], revision: int, now: float
-    ) -> None:
-        """Takes a whole list."""
-        self._inst.directory.replace(
-            [entry.server for entry in entries if entry.server],
-            back_s=self._back_s,
-            after_outage=self._after_outage(now),
-        )
-        self._changes.restart(revision)
-        self._inst.server_list_taken()
-        self._log_servers(entries, revision, now, whole=True)
-
-    def _change_servers(
-        self, changes: tuple[directory.Change, ...], revision: int, now: float
-    ) -> None:
-        """Takes what changed since the list known."""
-        if self._after_outage(now):
-            self._inst.directory.lapse(changes, back_s=self._back_s)
-        else:
-            self._inst.directory.apply(changes)
-        self._changes.add(changes, revision, now)
-        self._inst.server_list_taken()
-        self._log_servers(changes, revision, now, whole=False)
-
-    def _after_outage(self, now: float) -> bool:
-        """Whether entries that vanish may only have lapsed."""
-        return now - self._back_s < directory.LAPSE_GRACE_S
-
-    def _log_servers(
-        self,
-        changes: tuple[directory.Change, ...],
-        revision: int,
-        now: float,
-        *,
-        whole: bool,
-    ) -> None:
-        if not changes:
-            return
-        told = changes[:_MOST_CHANGES_TOLD]
-        self._inst.log.instance(
-            "servers_changed",
-            revision=revision,
-            whole=whole,
-            after_outage=self._after_outage(now),
-            count=len(changes),
-            changes=[_change_text(change) for change in told],
-        )
-
     def _failed(self, table: feed.Table, failure: feed.Unavailable) -> None:
         if self._lost_s is None:
             self._lost_s = time.monotonic()
+            self.server_list.store_lost()
             self._inst.metrics.store_up.set(0)
             self._inst.log.problem(
                 "store_lost", table=table.value, detail=failure.detail
@@ -403,11 +329,4 @@
             "store_regained", lost_for_s=round(now - self._lost_s, 3)
         )
         self._lost_s = None
-        self._back_s = now
-
-
-def _change_text(change: directory.Change) -> str:
-    if change.server is None:
-        return f"{change.server_id} gone"
-    server = change.server
-    return f"{change.server_id} {server.state.value} {server.address}"
+        self.server_list.store_back(now)
--- a/irisshelf/gateway/neighbours.py
+++ b/irisshelf/gateway/neighbours.py
@@ -61,12 +61,16 @@
         self._log = log
         self._on_members = on_members
         self._conns: dict[str, client.Connection] = {}
+        self._leaving = False
 
     def run(self) -> None:
-        """Keeps the list of instances up to date."""
+        """Keeps the list of instances up to date, until this one leaves.
+
+        It does not ask after that: whom it asks would take it for live again.
+        """
         asked_seeds_s = float("-inf")
         pauses_s = iter(_ALONE_PAUSES_S)
-        while True:
+        while not self._leaving:
             now = time.monotonic()
             if now - asked_seeds_s > _SEEDS_EVERY_S or not self._neighbours():
                 asked_seeds_s = now
@@ -88,6 +92,7 @@
 
     def say_goodbye(self) -> None:
         """Tells the others of the data centre that this instance stops."""
+        self._leaving = True
         now = time.monotonic()
         members = self.roster.members(self.roster.own.data_centre, now)
         for member, _ in members:
--- /dev/null
+++ b/irisshelf/gateway/server_list.py
@@ -0,0 +1,127 @@
+"""Brings the store's list of servers into force, also through outages."""
+
+from __future__ import annotations
+
+import math
+
+from irisshelf.catalog import directory
+from irisshelf.coordination import shared_watch
+from irisshelf.gateway import instance as instance_module
+from irisshelf.store import feed
+
+# A line names so many changes at the most, and counts the others.
+_MOST_CHANGES_TOLD = 40
+
+
+class ServerList:
+    """Takes what the store, or the watcher of the data centre, tells.
+
+    Args:
+        inst: The instance whose list it is.
+    """
+
+    def __init__(self, *, inst: instance_module.Instance):
+        self._inst = inst
+        self._changes = shared_watch.ChangeLog()
+        self._away = False
+        self._back_s = -math.inf
+
+    def store_lost(self) -> None:
+        """Takes that the store does not answer this instance."""
+        self._away = True
+
+    def store_back(self, now: float) -> None:
+        """Takes that the store is back."""
+        self._away = False
+        self._back_s = now
+
+    def take(self, batch: feed.Batch, now: float) -> None:
+        """Takes an answer of the store."""
+        for item in batch.items:
+            if item.problem:
+                self._inst.log.problem(
+                    "server_entry_unreadable",
+                    server=item.key,
+                    problem=item.problem,
+                )
+        changes = tuple(
+            directory.Change(server_id=item.key, server=item.value)
+            for item in batch.items
+            if not item.problem
+        )
+        if batch.whole:
+            self._replace(changes, batch.revision, now)
+        else:
+            self.change(changes, batch.revision, now)
+
+    def change(
+        self, changes: tuple[directory.Change, ...], revision: int, now: float
+    ) -> None:
+        """Takes what changed since the list known."""
+        if self._after_outage(now):
+            self._inst.directory.lapse(changes, back_s=self._returned_s(now))
+        else:
+            self._inst.directory.apply(changes)
+        self._changes.add(changes, revision, now)
+        self._inst.server_list_taken()
+        self._log_changes(changes, revision, now, whole=False)
+
+    def update(self, store_s: float, now: float) -> shared_watch.ServersUpdate:
+        """Returns what readers are told; see ``ChangeLog.update``."""
+        return self._changes.update(store_s, now)
+
+    def expire(self, now: float) -> None:
+        """Drops servers whose lapsed entries have not come back."""
+        if self._after_outage(now):
+            return
+        gone = self._inst.directory.expire(now)
+        if gone:
+            self._inst.log.instance("lapsed_servers_gone", servers=gone)
+            self._inst.servers.list_changed()
+
+    def _replace(
+        self, entries: tuple[directory.Change, ...], revision: int, now: float
+    ) -> None:
+        self._inst.directory.replace(
+            [entry.server for entry in entries if entry.server],
+            back_s=self._returned_s(now),
+            after_outage=self._after_outage(now),
+        )
+        self._changes.restart(revision)
+        self._inst.server_list_taken()
+        self._log_changes(entries, revision, now, whole=True)
+
+    def _after_outage(self, now: float) -> bool:
+        """Whether entries that vanish may only have lapsed."""
+        return self._away or now - self._back_s < directory.LAPSE_GRACE_S
+
+    def _returned_s(self, now: float) -> float:
+        """Returns when the store came back; now if that is not known yet."""
+        return now if self._away else self._back_s
+
+    def _log_changes(
+        self,
+        changes: tuple[directory.Change, ...],
+        revision: int,
+        now: float,
+        *,
+        whole: bool,
+    ) -> None:
+        if not changes:
+            return
+        told = changes[:_MOST_CHANGES_TOLD]
+        self._inst.log.instance(
+            "servers_changed",
+            revision=revision,
+            whole=whole,
+            after_outage=self._after_outage(now),
+            count=len(changes),
+            changes=[_text(change) for change in told],
+        )
+
+
+def _text(change: directory.Change) -> str:
+    if change.server is None:
+        return f"{change.server_id} gone"
+    server = change.server
+    return f"{change.server_id} {server.state.value} {server.address}"
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -165,18 +165,31 @@
 
 def test_a_lapses_time_runs_from_the_stores_return(world):
     """Not from when the entry is missed: it may be gone for good by then."""
-    following = world._follower
+    listed = world._follower.server_list
     leaver = world.plain[0]
     back_s = time.monotonic() - 1.5
-    following._back_s = back_s
+    listed.store_back(back_s)
     gone = feed.Item(key=leaver.server_id, value=None)
     batch = feed.Batch(items=(gone,), revision=99, store_s=0.0, whole=False)
-    following._take_servers(batch, time.monotonic())
+    listed.take(batch, time.monotonic())
     assert world.inst.directory.get(leaver.server_id) is not None
     end_s = back_s + directory.LAPSE_GRACE_S + 0.01
     assert world.inst.directory.expire(end_s) == (leaver.server_id,)
 
 
+def test_an_entry_that_is_missed_before_the_stores_return_is_kept(world):
+    """The watcher may tell of it first: it has read the list already."""
+    listed = world._follower.server_list
+    leaver = world.plain[0]
+    gone = directory.Change(server_id=leaver.server_id, server=None)
+    listed.store_lost()
+    missed_s = time.monotonic()
+    listed.change((gone,), 99, missed_s)
+    assert world.inst.directory.get(leaver.server_id) is not None
+    end_s = missed_s + directory.LAPSE_GRACE_S + 0.01
+    assert world.inst.directory.expire(end_s) == (leaver.server_id,)
+
+
 def _takes_work(world, one):
     listed = world.inst.directory.get(one.server_id)
     return listed is not None and listed.state.value == "ready"
--- a/irisshelf/tests/test_neighbours.py
+++ b/irisshelf/tests/test_neighbours.py
@@ -126,6 +126,16 @@
     _wait(lambda: first.names() == ["3"])
 
 
+def test_an_instance_that_has_said_goodbye_asks_no_more():
+    first = _Instance("1")
+    leaver = _Instance("2", seeds=(first.address,))
+    loop = gevent.spawn(leaver.own.run)
+    _wait(lambda: first.names() == ["2"])
+    leaver.own.say_goodbye()
+    _wait(loop.ready)
+    assert first.names() == []
+
+
 @pytest.mark.parametrize("seed", ["127.0.0.1:9", "not-an-address"])
 def test_a_seed_that_is_not_there_is_borne(seed):
     alone = _Instance("1", seeds=(seed,))
