Soak: fleets of any size, with a shared watch, and four further faults

With eight instances and more one follows the store for the others. Such runs add a store that turns some instances away, connections to the store and to servers that go silent for good, and half-written settings; half of the faults of instances hit the first of them.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 PY := $(VENV)/bin/python
 SETTINGS ?= painevirta
 SEEDS ?= regressions
+INSTANCES ?= 3
 
 .PHONY: setup demo test bench lint format prove soak clean
 
@@ -37,7 +38,7 @@
 	$(PY) -m specs.main
 
 soak: $(READY)
-	$(PY) -m soak.main --seeds $(SEEDS)
+	$(PY) -m soak.main --seeds $(SEEDS) --instances $(INSTANCES)
 
 clean:
 	rm -rf $(VENV)
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -158,9 +158,21 @@
     assert not trouble & {fault.kind for fault in plan.draw(seed)}
 
 
-def test_every_kind_of_fault_is_drawn():
-    drawn = {f.kind for seed in range(30) for f in plan.draw(seed)}
-    assert drawn == set(plan.Kind)
+@pytest.mark.parametrize(
+    ("instances", "kinds"),
+    [(plan.INSTANCES, plan.SMALL_KINDS), (10, tuple(plan.Kind))],
+)
+def test_every_kind_of_fault_is_drawn(instances, kinds):
+    drawn = {f.kind for seed in range(30) for f in plan.draw(seed, instances)}
+    assert drawn == set(kinds)
+
+
+def test_many_faults_of_a_wide_run_hit_the_first_instance():
+    faults = [f for seed in range(30) for f in plan.draw(seed, 10)]
+    hits = sum(fault.hits_first for fault in faults)
+    assert 0.1 * len(faults) < hits < 0.6 * len(faults)
+    small = [f for seed in range(30) for f in plan.draw(seed)]
+    assert not any(fault.hits_first for fault in small)
 
 
 def test_blocks_of_ports_do_not_overlap():
@@ -171,6 +183,13 @@
         block.close()
 
 
+def test_a_run_of_many_instances_gets_more_blocks():
+    block = ports.Block()
+    taken = {block.take() for _ in range(3 * ports.SIZE)}
+    assert len(taken) == 3 * ports.SIZE
+    block.close()
+
+
 def test_ports_lie_below_those_of_outgoing_connections():
     """Else a port that was free is soon somebody's local end."""
     path = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range")
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -98,6 +98,13 @@
         self._write_settings(lines_per_s=150 + self.starts)
         self._signal(signal.SIGHUP)
 
+    def half_settings(self, for_s: float) -> None:
+        """Leaves the settings half written for a while, and says so."""
+        text = self._settings.read_text()
+        self._settings.write_text(text[: len(text) // 2])
+        self._signal(signal.SIGHUP)
+        gevent.spawn_later(for_s, self.hup)
+
     def _signal(self, signum: int, *, ends: bool = False) -> None:
         process = self._process
         if process is None or process.poll() is not None:
--- a/soak/main.py
+++ b/soak/main.py
@@ -16,7 +16,8 @@
 from soak import run as run_module
 
 _REGRESSIONS = pathlib.Path(__file__).parent / "regressions.json"
-_AT_A_TIME = 4
+# Instances that run side by side, of all seeds that do.
+_INSTANCES_AT_A_TIME = 12
 
 
 def main() -> None:
@@ -32,20 +33,23 @@
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Folder to keep logs in.")
     ] = None,
+    instances: Annotated[
+        int, typer.Option(min=1, max=200, help="In each seed's fleet.")
+    ] = plan.INSTANCES,
     one: Annotated[bool, typer.Option(hidden=True)] = False,
 ) -> None:
     """Plays seeds; each is a fleet of its own. Exit code 1: a promise broke."""
     numbers = _numbers(seeds)
     if one:
-        _play(numbers[0], logs)
+        _play(numbers[0], instances, logs)
         return
     folder = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     total = {"seeds": 0, "faults": 0, "requests": 0, "violations": 0}
     broken = []
-    for start in range(0, len(numbers), _AT_A_TIME):
-        for seed, text in _side_by_side(
-            numbers[start : start + _AT_A_TIME], folder
-        ):
+    together = max(1, _INSTANCES_AT_A_TIME // instances)
+    for start in range(0, len(numbers), together):
+        some = numbers[start : start + together]
+        for seed, text in _side_by_side(some, instances, folder):
             typer.echo(text.strip())
             if not _add(total, text):
                 broken.append(seed)
@@ -67,7 +71,7 @@
 
 
 def _side_by_side(
-    numbers: list[int], folder: pathlib.Path
+    numbers: list[int], instances: int, folder: pathlib.Path
 ) -> list[tuple[int, str]]:
     processes = []
     for seed in numbers:
@@ -75,6 +79,7 @@
         own.mkdir(parents=True, exist_ok=True)
         command = [sys.executable, "-m", "soak.main", "--one"]
         command += ["--seeds", str(seed), "--logs", str(own)]
+        command += ["--instances", str(instances)]
         processes.append(
             subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
         )
@@ -84,11 +89,12 @@
     ]
 
 
-def _play(seed: int, folder: pathlib.Path | None) -> None:
+def _play(seed: int, instances: int, folder: pathlib.Path | None) -> None:
     where = folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    faults = [str(fault) for fault in plan.draw(seed)]
+    faults = [str(fault) for fault in plan.draw(seed, instances)]
     (where / "plan.txt").write_text("\n".join(faults))
-    verdict = run_module.Run(seed=seed, folder=where).play()
+    run = run_module.Run(seed=seed, folder=where, instances=instances)
+    verdict = run.play()
     document = {
         "seed": seed,
         "faults": verdict.faults,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -7,6 +7,9 @@
 import random
 
 INSTANCES = 3
+# From so many on, one instance follows the store for the others; such runs have
+# further kinds of faults, and most of those of instances hit that one.
+WIDE = 8
 SERVERS = 3  # Of each service.
 # Faults begin in this span; the rest of a run is calm.
 FAULTS_FROM_S = 1.0
@@ -31,7 +34,22 @@
     SERVER_LEAVES = "server_leaves"
     CONFIGURATION = "configuration"
     WITHDRAW_KEY = "withdraw_key"
-
+    # Of wide runs alone.
+    STORE_TURNS_AWAY = "store_turns_away"
+    STORE_MUTE = "store_mute"
+    SERVER_MUTE = "server_mute"
+    HALF_SETTINGS = "half_settings"
+
+
+_WIDE_KINDS = (
+    Kind.STORE_TURNS_AWAY,
+    Kind.STORE_MUTE,
+    Kind.SERVER_MUTE,
+    Kind.HALF_SETTINGS,
+)
+SMALL_KINDS = tuple(kind for kind in Kind if kind not in _WIDE_KINDS)
+# Share of a wide run's faults of instances that hit the first of them.
+_FIRST_SHARE = 0.5
 
 # Every so many seeds there is planned work alone, so that its promises, which
 # trouble suspends, are seen to hold.
@@ -49,6 +67,7 @@
     Kind.STORE_LINK: _LINK_MODES,
     Kind.SERVER_LINK: _LINK_MODES,
     Kind.CALLER_LINK: ("reset", "slow"),
+    Kind.STORE_TURNS_AWAY: ("silent", "reset"),
     Kind.SERVER_FAULTS: (
         "refuse",
         "fail",
@@ -73,6 +92,7 @@
     Kind.SERVER_FAULTS: 2 * SERVERS,
     Kind.SERVER_CRASH: 2 * SERVERS,
     Kind.SERVER_LEAVES: 2 * SERVERS,
+    Kind.SERVER_MUTE: 2 * SERVERS,
 }
 
 
@@ -86,7 +106,9 @@
         target: Which instance or server, by number.
         for_s: How long, where it lasts.
         variant: How.
-        share: Share of a server's requests that it befalls.
+        share: Share of a server's requests, or of the instances, that it
+            befalls.
+        hits_first: Whether it befalls the first instance, not the target.
     """
 
     at_s: float
@@ -95,6 +117,7 @@
     for_s: float
     variant: str = ""
     share: float = 1.0
+    hits_first: bool = False
 
 
 def is_planned(seed: int) -> bool:
@@ -102,11 +125,19 @@
     return seed % _PLANNED_EVERY == 0
 
 
-def draw(seed: int) -> tuple[Fault, ...]:
-    """Returns the faults of a seed, by time; several come together or twice."""
+def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
+    """Returns the faults of a seed, by time; several come together or twice.
+
+    Args:
+        seed: Draws them.
+        instances: How many instances there are.
+    """
     rng = random.Random(seed)
-    kinds = _PLANNED if is_planned(seed) else tuple(Kind)
-    faults = [_draw_one(rng, kinds) for _ in range(rng.randint(8, 16))]
+    kinds = tuple(Kind) if instances >= WIDE else SMALL_KINDS
+    if is_planned(seed):
+        kinds = _PLANNED
+    count = rng.randint(8, 16)
+    faults = [_draw_one(rng, kinds, instances) for _ in range(count)]
     if rng.random() < 0.5:
         twin = rng.choice(faults)
         again_s = min(FAULTS_UNTIL_S, twin.at_s + rng.uniform(0.05, 1.5))
@@ -114,14 +145,20 @@
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
-def _draw_one(rng: random.Random, kinds: tuple[Kind, ...]) -> Fault:
+def _draw_one(
+    rng: random.Random, kinds: tuple[Kind, ...], instances: int
+) -> Fault:
     kind = rng.choice(kinds)
     variants = _VARIANTS.get(kind, ("",))
-    return Fault(
+    fault = Fault(
         at_s=rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S),
         kind=kind,
-        target=rng.randrange(_TARGETS.get(kind, INSTANCES)),
+        target=rng.randrange(_TARGETS.get(kind, instances)),
         for_s=rng.uniform(0.3, LONGEST_S),
         variant=rng.choice(variants),
         share=rng.choice((0.3, 1.0)),
     )
+    if instances < WIDE or kind in _TARGETS:
+        return fault
+    first = rng.random() < _FIRST_SHARE
+    return dataclasses.replace(fault, hits_first=first)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,13 +21,15 @@
 
     Attributes:
         mode: ``pass``, ``slow``, ``reset``, ``silent``, ``silent_up`` (nothing
-            gets to the target) or ``silent_down`` (nothing comes back).
+            gets to the target), ``silent_down`` (nothing comes back) or
+            ``mute`` (what is open by now says nothing any more, for good).
     """
 
     def __init__(self, *, target: str):
         self._target = target
         self.mode = "pass"
         self._open: set[socket.socket] = set()
+        self._mute: set[socket.socket] = set()
         self._server = server.StreamServer(
             ("127.0.0.1", 0), self._serve, backlog=256
         )
@@ -44,6 +46,8 @@
         if mode == "reset":
             for sock in list(self._open):
                 _reset(sock)
+        if mode == "mute":
+            self._mute |= self._open
 
     def close(self) -> None:
         """Stops."""
@@ -67,6 +71,7 @@
         ]
         gevent.joinall(ways)
         self._open -= {caller, target}
+        self._mute -= {caller, target}
         caller.close()
         target.close()
 
@@ -76,7 +81,7 @@
         """Copies one way; the other way ends when this one breaks."""
         try:
             while data := source.recv(_READ_BYTES):
-                while self.mode in ("silent", blocked):
+                while self.mode in ("silent", blocked) or source in self._mute:
                     gevent.sleep(_STEP_S)
                 if self.mode == "slow":
                     gevent.sleep(_SLOW_S)
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from irisshelf.coordination import roster
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
@@ -59,12 +60,19 @@
     Args:
         seed: Draws the faults.
         folder: For settings and logs.
+        instances: How many there are.
     """
 
-    def __init__(self, *, seed: int, folder: pathlib.Path):
+    def __init__(
+        self,
+        *,
+        seed: int,
+        folder: pathlib.Path,
+        instances: int = plan.INSTANCES,
+    ):
         self._seed = seed
         self._rng = random.Random(seed)
-        self._faults = plan.draw(seed)
+        self._faults = plan.draw(seed, instances)
         self.store = store.Store().start()
         self.servers = [
             *self._make_servers("crew", streaming=False),
@@ -77,9 +85,7 @@
         self._version = 0
         self._configure()
         self._ports = ports.Block()
-        peers = [
-            f"127.0.0.1:{self._ports.take()}" for _ in range(plan.INSTANCES)
-        ]
+        peers = [f"127.0.0.1:{self._ports.take()}" for _ in range(instances)]
         self.entries = [
             fleet.Entry(
                 number=number,
@@ -87,9 +93,9 @@
                 store=self.store.address,
                 peers=peers[number],
                 block=self._ports,
-                seeds=peers,
+                seeds=peers[: plan.INSTANCES],
             )
-            for number in range(plan.INSTANCES)
+            for number in range(instances)
         ]
         self._asked: list[checker.Asked] = []
         self._withdrawn: dict[str, float] = {}
@@ -123,7 +129,7 @@
         began_s = time.monotonic()
         for fault in self._faults:
             gevent.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
-            self._inject(fault)
+            self._inject(self._aimed(fault))
         last_s = max(fault.at_s + fault.for_s for fault in self._faults)
         gevent.sleep(max(0.0, began_s + last_s - time.monotonic()))
         gevent.sleep(_SETTLE_S)
@@ -275,10 +281,34 @@
             plan.Kind.SERVER_LEAVES: lambda: self._leave(fault),
             plan.Kind.CONFIGURATION: self._configure,
             plan.Kind.WITHDRAW_KEY: self._withdraw,
+            plan.Kind.STORE_TURNS_AWAY: lambda: self._turn_away(fault),
+            plan.Kind.STORE_MUTE: lambda: _mute(self._entry(fault).store_link),
+            plan.Kind.SERVER_MUTE: lambda: _mute(self.links[fault.target]),
+            plan.Kind.HALF_SETTINGS: lambda: self._entry(fault).half_settings(
+                fault.for_s
+            ),
         }
         actions[fault.kind]()
         self._note(fault)
 
+    def _aimed(self, fault: plan.Fault) -> plan.Fault:
+        """Returns a fault with its target, where that is the first instance."""
+        if not fault.hits_first:
+            return fault
+        members = [
+            roster.Member(name=e.name, address=e.peers, data_centre="a")
+            for e in self.entries
+        ]
+        first = roster.rank(members)[0].name
+        numbers = [e.number for e in self.entries if e.name == first]
+        return dataclasses.replace(fault, target=numbers[0])
+
+    def _turned_away(self, fault: plan.Fault) -> list[int]:
+        """Returns the numbers of the instances that the store turns away."""
+        count = round(fault.share * len(self.entries) / 2)
+        numbers = range(fault.target, fault.target + max(1, count))
+        return [number % len(self.entries) for number in numbers]
+
     def _entry(self, fault: plan.Fault) -> fleet.Entry:
         return self.entries[fault.target]
 
@@ -305,7 +335,12 @@
             plan.Kind.STORE_LINK,
             plan.Kind.CALLER_LINK,
         )
-        targets = range(plan.INSTANCES) if everywhere else [fault.target]
+        everywhere = everywhere or fault.kind is plan.Kind.SERVER_MUTE
+        own = own or fault.kind is plan.Kind.STORE_MUTE
+        targets = range(len(self.entries)) if everywhere else [fault.target]
+        if fault.kind is plan.Kind.STORE_TURNS_AWAY:
+            own = True
+            targets = self._turned_away(fault)
         if everywhere or own:
             until_s = now + fault.for_s + _IN_TOUCH_S
             self._disturbed += [
@@ -317,6 +352,10 @@
         self.store.mode = store.Mode(fault.variant)
         gevent.spawn_later(fault.for_s, self._store_back)
 
+    def _turn_away(self, fault: plan.Fault) -> None:
+        for number in self._turned_away(fault):
+            self._link(self.entries[number].store_link, fault)
+
     def _store_back(self) -> None:
         self.store.mode = store.Mode.WELL
 
@@ -362,6 +401,11 @@
         self._withdrawn[key] = time.monotonic()
 
 
+def _mute(link: proxy.Proxy) -> None:
+    link.set_mode("mute")
+    link.set_mode("pass")
+
+
 def _heal(one: server.Server, chosen_by: Callable[[], server.Fault]) -> None:
     """Ends a fault, unless a later one has taken its place."""
     if one.choose_fault is chosen_by:
