--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,234 @@
+"""Injects a run's faults, and notes whom they disturb."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+
+from irisshelf.coordination import roster
+from irisshelf.platform.stand_in import server
+from irisshelf.platform.stand_in import store
+from irisshelf.platform.stand_in import world
+from soak import checker
+from soak import fleet
+from soak import plan
+from soak import proxy
+
+# An instance counts as in touch again so long after a disturbance.
+_IN_TOUCH_S = 3.0
+_NEXT_KEYS = 40
+
+
+class Injector:
+    """Does what a plan says, and keeps what the checker needs of it.
+
+    Args:
+        seed: Of the run.
+        served: The store.
+        servers: Backend servers.
+        links: Their proxies, in the same order.
+
+    Attributes:
+        entries: The instances; set once they are made.
+        keys: Keys that hold, those that are withdrawn next first.
+        withdrawn: When each withdrawn key was withdrawn, monotonic seconds.
+        left: When each server's leaving was accepted by the store.
+        disturbed: Spans in which an instance was not in touch.
+        stopped: Spans of planned stops.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        served: store.Store,
+        servers: list[server.Server],
+        links: list[proxy.Proxy],
+    ):
+        self._seed = seed
+        self._rng = random.Random(seed)
+        self._served = served
+        self._servers = servers
+        self._links = links
+        self._version = 0
+        self.entries: list[fleet.Entry] = []
+        self.keys = [world.KEY] + [f"key-{n}" for n in range(_NEXT_KEYS)]
+        self.withdrawn: dict[str, float] = {}
+        self.left: dict[str, float] = {}
+        self.disturbed: list[checker.Span] = []
+        self.stopped: list[checker.Span] = []
+
+    def prepare(self) -> None:
+        """Writes the list of servers and the first configuration."""
+        for number in range(len(self._servers)):
+            self._list(number, "ready")
+        self._configure()
+
+    def inject(self, fault: plan.Fault) -> None:
+        """Does what a fault says, now."""
+        fault = self._aimed(fault)
+        actions = {
+            plan.Kind.KILL: lambda: self._entry(fault).kill(),
+            plan.Kind.TERM: lambda: self._entry(fault).term(),
+            plan.Kind.PAUSE: lambda: self._entry(fault).pause(fault.for_s),
+            plan.Kind.HUP: lambda: self._entry(fault).hup(),
+            plan.Kind.STORE: lambda: self._store(fault),
+            plan.Kind.STORE_FORGETS: self._served.forget_history,
+            plan.Kind.STORE_LINK: lambda: self._link(
+                self._entry(fault).store_link, fault
+            ),
+            plan.Kind.SERVER_LINK: lambda: self._link(
+                self._links[fault.target], fault
+            ),
+            plan.Kind.CALLER_LINK: lambda: self._link(
+                self._entry(fault).caller_link, fault
+            ),
+            plan.Kind.SERVER_FAULTS: lambda: self._server_faults(fault),
+            plan.Kind.SERVER_CRASH: lambda: self._crash(fault),
+            plan.Kind.SERVER_LEAVES: lambda: self._leave(fault),
+            plan.Kind.CONFIGURATION: self._configure,
+            plan.Kind.WITHDRAW_KEY: self._withdraw,
+            plan.Kind.STORE_TURNS_AWAY: lambda: self._turn_away(fault),
+            plan.Kind.STORE_MUTE: lambda: _mute(self._entry(fault).store_link),
+            plan.Kind.SERVER_MUTE: lambda: _mute(self._links[fault.target]),
+            plan.Kind.HALF_SETTINGS: lambda: self._entry(fault).half_settings(
+                fault.for_s
+            ),
+        }
+        actions[fault.kind]()
+        self._note(fault)
+
+    def _aimed(self, fault: plan.Fault) -> plan.Fault:
+        """Returns a fault with its target, where that is the first instance."""
+        if not fault.hits_first:
+            return fault
+        members = [
+            roster.Member(name=e.name, address=e.peers, data_centre="a")
+            for e in self.entries
+        ]
+        first = roster.rank(members)[0].name
+        numbers = [e.number for e in self.entries if e.name == first]
+        return dataclasses.replace(fault, target=numbers[0])
+
+    def _turned_away(self, fault: plan.Fault) -> list[int]:
+        """Returns the numbers of the instances that the store turns away."""
+        count = round(fault.share * len(self.entries) / 2)
+        numbers = range(fault.target, fault.target + max(1, count))
+        return [number % len(self.entries) for number in numbers]
+
+    def _entry(self, fault: plan.Fault) -> fleet.Entry:
+        return self.entries[fault.target]
+
+    def _note(self, fault: plan.Fault) -> None:
+        """Notes which instances are not in touch, and for how long."""
+        now = time.monotonic()
+        if plan.is_planned(self._seed):
+            if fault.kind is plan.Kind.TERM:
+                until_s = now + fleet.STOP_S
+                self.stopped.append(
+                    checker.Span(target=fault.target, from_s=now, to_s=until_s)
+                )
+            return
+        everywhere = fault.kind in (
+            plan.Kind.STORE,
+            plan.Kind.STORE_FORGETS,
+            plan.Kind.SERVER_LINK,
+            plan.Kind.SERVER_CRASH,
+        )
+        own = fault.kind in (
+            plan.Kind.KILL,
+            plan.Kind.TERM,
+            plan.Kind.PAUSE,
+            plan.Kind.STORE_LINK,
+            plan.Kind.CALLER_LINK,
+        )
+        everywhere = everywhere or fault.kind is plan.Kind.SERVER_MUTE
+        own = own or fault.kind is plan.Kind.STORE_MUTE
+        targets = range(len(self.entries)) if everywhere else [fault.target]
+        if fault.kind is plan.Kind.STORE_TURNS_AWAY:
+            own = True
+            targets = self._turned_away(fault)
+        if everywhere or own:
+            until_s = now + fault.for_s + _IN_TOUCH_S
+            self.disturbed += [
+                checker.Span(target=target, from_s=now, to_s=until_s)
+                for target in targets
+            ]
+
+    def _store(self, fault: plan.Fault) -> None:
+        self._served.mode = store.Mode(fault.variant)
+        gevent.spawn_later(fault.for_s, self._store_back)
+
+    def _turn_away(self, fault: plan.Fault) -> None:
+        for number in self._turned_away(fault):
+            self._link(self.entries[number].store_link, fault)
+
+    def _store_back(self) -> None:
+        self._served.mode = store.Mode.WELL
+
+    def _link(self, link: proxy.Proxy, fault: plan.Fault) -> None:
+        link.set_mode(fault.variant)
+        gevent.spawn_later(fault.for_s, link.set_mode, "pass")
+
+    def _server_faults(self, fault: plan.Fault) -> None:
+        one = self._servers[fault.target]
+        wanted = server.Fault(fault.variant)
+        rng = random.Random(self._seed + fault.target)
+
+        def choose_fault() -> server.Fault:
+            hit = rng.random() < fault.share
+            return wanted if hit else server.Fault.NONE
+
+        one.choose_fault = choose_fault
+        gevent.spawn_later(fault.for_s, _heal, one, choose_fault)
+
+    def _crash(self, fault: plan.Fault) -> None:
+        """A crashed server says nothing to the store; it comes back."""
+        link = self._links[fault.target]
+        link.set_mode("reset")
+        gevent.spawn_later(fault.for_s, link.set_mode, "pass")
+
+    def _leave(self, fault: plan.Fault) -> None:
+        """A server leaves, and another life of it comes."""
+        number = fault.target
+        one = self._servers[number]
+        if one.server_id in self.left:
+            return
+        same = [s for s in self._servers if s.service == one.service]
+        if sum(s.server_id not in self.left for s in same) < 3:
+            return
+        self._list(number, "draining")
+        self.left[one.server_id] = time.monotonic()
+
+    def _withdraw(self) -> None:
+        if len(self.keys) < 2:
+            return
+        key = self.keys.pop(0)
+        self._configure()
+        self.withdrawn[key] = time.monotonic()
+
+    def _list(self, number: int, state: str) -> None:
+        one = self._servers[number]
+        entry = {**one.entry(state), "address": self._links[number].address}
+        self._served.put("servers", one.server_id, entry)
+
+    def _configure(self) -> None:
+        self._version += self._rng.randint(1, 3)
+        teams = [{"name": "blue", "apiKeys": self.keys}]
+        document = world.config(self._version, tenants=teams)
+        self._served.put("op", "config", document)
+
+
+def _mute(link: proxy.Proxy) -> None:
+    link.set_mode("mute")
+    link.set_mode("pass")
+
+
+def _heal(one: server.Server, chosen_by: Callable[[], server.Fault]) -> None:
+    """Ends a fault, unless a later one has taken its place."""
+    if one.choose_fault is chosen_by:
+        one.choose_fault = None
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,17 +6,16 @@
 import pathlib
 import random
 import time
-from collections.abc import Callable
 
 import gevent
 
-from irisshelf.coordination import roster
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
 from irisshelf.transport import client
 from irisshelf.transport import errors
 from soak import checker
+from soak import faults
 from soak import fleet
 from soak import plan
 from soak import ports
@@ -30,9 +29,6 @@
 # After the faults: links are back, processes restarted, lapses over.
 _SETTLE_S = 6.0
 _CALM_S = 3.0
-# An instance counts as in touch again so long after a disturbance.
-_IN_TOUCH_S = 3.0
-_NEXT_KEYS = 40
 _BOUNDS = checker.Bounds(key_s=5.0, left_s=2.5)
 _ROUTES = {
     checker.RequestKind.SAFE: ("GET", "/valve/1", b""),
@@ -79,11 +75,13 @@
             *self._make_servers("lm", streaming=True),
         ]
         self.links = [proxy.Proxy(target=one.address) for one in self.servers]
-        for number in range(len(self.servers)):
-            self._list(number, "ready")
-        self._keys = [world.KEY] + [f"key-{n}" for n in range(_NEXT_KEYS)]
-        self._version = 0
-        self._configure()
+        self._injector = faults.Injector(
+            seed=seed,
+            served=self.store,
+            servers=self.servers,
+            links=self.links,
+        )
+        self._injector.prepare()
         self._ports = ports.Block()
         peers = [f"127.0.0.1:{self._ports.take()}" for _ in range(instances)]
         self.entries = [
@@ -97,11 +95,8 @@
             )
             for number in range(instances)
         ]
+        self._injector.entries = self.entries
         self._asked: list[checker.Asked] = []
-        self._withdrawn: dict[str, float] = {}
-        self._left: dict[str, float] = {}
-        self._disturbed: list[checker.Span] = []
-        self._stopped: list[checker.Span] = []
         self._serial = 0
         self._calm = False
         self._over = False
@@ -129,7 +124,7 @@
         began_s = time.monotonic()
         for fault in self._faults:
             gevent.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
-            self._inject(self._aimed(fault))
+            self._injector.inject(fault)
         last_s = max(fault.at_s + fault.for_s for fault in self._faults)
         gevent.sleep(max(0.0, began_s + last_s - time.monotonic()))
         gevent.sleep(_SETTLE_S)
@@ -152,10 +147,10 @@
                 for one in self.servers
                 for run in one.runs
             ),
-            withdrawn=self._withdrawn,
-            left=self._left,
-            disturbed=tuple(self._disturbed),
-            stopped=tuple(self._stopped),
+            withdrawn=self._injector.withdrawn,
+            left=self._injector.left,
+            disturbed=tuple(self._injector.disturbed),
+            stopped=tuple(self._injector.stopped),
             events=EVENTS,
         )
         return Verdict(
@@ -182,17 +177,6 @@
             for number in range(plan.SERVERS)
         ]
 
-    def _list(self, number: int, state: str) -> None:
-        one = self.servers[number]
-        entry = {**one.entry(state), "address": self.links[number].address}
-        self.store.put("servers", one.server_id, entry)
-
-    def _configure(self) -> None:
-        self._version += self._rng.randint(1, 3)
-        teams = [{"name": "blue", "apiKeys": self._keys}]
-        document = world.config(self._version, tenants=teams)
-        self.store.put("op", "config", document)
-
     def _all_serve(self, until_s: float) -> bool:
         return all(
             fleet.wait_until(lambda e=entry: _is_ready(e), until_s)
@@ -229,11 +213,12 @@
         method, target, body = _ROUTES[kind]
         self._serial += 1
         request_id = f"s{self._seed}-{self._serial}"
-        key = self._keys[0]
+        withdrawn = self._injector.withdrawn
+        key = self._injector.keys[0]
         # A caller may not have heard that its key is withdrawn.
-        if self._withdrawn and self._rng.random() < 0.2:
-            key = self._rng.choice(list(self._withdrawn))
-        calm = self._calm and key not in self._withdrawn
+        if withdrawn and self._rng.random() < 0.2:
+            key = self._rng.choice(list(withdrawn))
+        calm = self._calm and key not in withdrawn
         sent_s = time.monotonic()
         answer = _exchange(
             conn, method, target, body, self._headers(request_id, key)
@@ -259,158 +244,6 @@
         conn.close()
         return None
 
-    def _inject(self, fault: plan.Fault) -> None:
-        actions = {
-            plan.Kind.KILL: lambda: self._entry(fault).kill(),
-            plan.Kind.TERM: lambda: self._entry(fault).term(),
-            plan.Kind.PAUSE: lambda: self._entry(fault).pause(fault.for_s),
-            plan.Kind.HUP: lambda: self._entry(fault).hup(),
-            plan.Kind.STORE: lambda: self._store(fault),
-            plan.Kind.STORE_FORGETS: self.store.forget_history,
-            plan.Kind.STORE_LINK: lambda: self._link(
-                self._entry(fault).store_link, fault
-            ),
-            plan.Kind.SERVER_LINK: lambda: self._link(
-                self.links[fault.target], fault
-            ),
-            plan.Kind.CALLER_LINK: lambda: self._link(
-                self._entry(fault).caller_link, fault
-            ),
-            plan.Kind.SERVER_FAULTS: lambda: self._server_faults(fault),
-            plan.Kind.SERVER_CRASH: lambda: self._crash(fault),
-            plan.Kind.SERVER_LEAVES: lambda: self._leave(fault),
-            plan.Kind.CONFIGURATION: self._configure,
-            plan.Kind.WITHDRAW_KEY: self._withdraw,
-            plan.Kind.STORE_TURNS_AWAY: lambda: self._turn_away(fault),
-            plan.Kind.STORE_MUTE: lambda: _mute(self._entry(fault).store_link),
-            plan.Kind.SERVER_MUTE: lambda: _mute(self.links[fault.target]),
-            plan.Kind.HALF_SETTINGS: lambda: self._entry(fault).half_settings(
-                fault.for_s
-            ),
-        }
-        actions[fault.kind]()
-        self._note(fault)
-
-    def _aimed(self, fault: plan.Fault) -> plan.Fault:
-        """Returns a fault with its target, where that is the first instance."""
-        if not fault.hits_first:
-            return fault
-        members = [
-            roster.Member(name=e.name, address=e.peers, data_centre="a")
-            for e in self.entries
-        ]
-        first = roster.rank(members)[0].name
-        numbers = [e.number for e in self.entries if e.name == first]
-        return dataclasses.replace(fault, target=numbers[0])
-
-    def _turned_away(self, fault: plan.Fault) -> list[int]:
-        """Returns the numbers of the instances that the store turns away."""
-        count = round(fault.share * len(self.entries) / 2)
-        numbers = range(fault.target, fault.target + max(1, count))
-        return [number % len(self.entries) for number in numbers]
-
-    def _entry(self, fault: plan.Fault) -> fleet.Entry:
-        return self.entries[fault.target]
-
-    def _note(self, fault: plan.Fault) -> None:
-        """Notes which instances are not in touch, and for how long."""
-        now = time.monotonic()
-        if plan.is_planned(self._seed):
-            if fault.kind is plan.Kind.TERM:
-                until_s = now + fleet.STOP_S
-                self._stopped.append(
-                    checker.Span(target=fault.target, from_s=now, to_s=until_s)
-                )
-            return
-        everywhere = fault.kind in (
-            plan.Kind.STORE,
-            plan.Kind.STORE_FORGETS,
-            plan.Kind.SERVER_LINK,
-            plan.Kind.SERVER_CRASH,
-        )
-        own = fault.kind in (
-            plan.Kind.KILL,
-            plan.Kind.TERM,
-            plan.Kind.PAUSE,
-            plan.Kind.STORE_LINK,
-            plan.Kind.CALLER_LINK,
-        )
-        everywhere = everywhere or fault.kind is plan.Kind.SERVER_MUTE
-        own = own or fault.kind is plan.Kind.STORE_MUTE
-        targets = range(len(self.entries)) if everywhere else [fault.target]
-        if fault.kind is plan.Kind.STORE_TURNS_AWAY:
-            own = True
-            targets = self._turned_away(fault)
-        if everywhere or own:
-            until_s = now + fault.for_s + _IN_TOUCH_S
-            self._disturbed += [
-                checker.Span(target=target, from_s=now, to_s=until_s)
-                for target in targets
-            ]
-
-    def _store(self, fault: plan.Fault) -> None:
-        self.store.mode = store.Mode(fault.variant)
-        gevent.spawn_later(fault.for_s, self._store_back)
-
-    def _turn_away(self, fault: plan.Fault) -> None:
-        for number in self._turned_away(fault):
-            self._link(self.entries[number].store_link, fault)
-
-    def _store_back(self) -> None:
-        self.store.mode = store.Mode.WELL
-
-    def _link(self, link: proxy.Proxy, fault: plan.Fault) -> None:
-        link.set_mode(fault.variant)
-        gevent.spawn_later(fault.for_s, link.set_mode, "pass")
-
-    def _server_faults(self, fault: plan.Fault) -> None:
-        one = self.servers[fault.target]
-        wanted = server.Fault(fault.variant)
-        rng = random.Random(self._seed + fault.target)
-
-        def choose_fault() -> server.Fault:
-            hit = rng.random() < fault.share
-            return wanted if hit else server.Fault.NONE
-
-        one.choose_fault = choose_fault
-        gevent.spawn_later(fault.for_s, _heal, one, choose_fault)
-
-    def _crash(self, fault: plan.Fault) -> None:
-        """A crashed server says nothing to the store; it comes back."""
-        link = self.links[fault.target]
-        link.set_mode("reset")
-        gevent.spawn_later(fault.for_s, link.set_mode, "pass")
-
-    def _leave(self, fault: plan.Fault) -> None:
-        """A server leaves, and another life of it comes."""
-        number = fault.target
-        one = self.servers[number]
-        if one.server_id in self._left:
-            return
-        same = [s for s in self.servers if s.service == one.service]
-        if sum(s.server_id not in self._left for s in same) < 3:
-            return
-        self._list(number, "draining")
-        self._left[one.server_id] = time.monotonic()
-
-    def _withdraw(self) -> None:
-        if len(self._keys) < 2:
-            return
-        key = self._keys.pop(0)
-        self._configure()
-        self._withdrawn[key] = time.monotonic()
-
-
-def _mute(link: proxy.Proxy) -> None:
-    link.set_mode("mute")
-    link.set_mode("pass")
-
-
-def _heal(one: server.Server, chosen_by: Callable[[], server.Fault]) -> None:
-    """Ends a fault, unless a later one has taken its place."""
-    if one.choose_fault is chosen_by:
-        one.choose_fault = None
-
 
 def _exchange(
     conn: client.Connection,
