--- a/irisshelf/testing/busy_service.py
+++ b/irisshelf/testing/busy_service.py
@@ -16,6 +16,7 @@
 
 from irisshelf.routing.direct import overload
 from irisshelf.routing.direct import server_book
+from irisshelf.routing.direct import server_choice
 
 # How long the way from an instance to a server and back takes together.
 _WAY_S = 0.004
@@ -61,6 +62,9 @@
         factor: How many times the ordinary load comes at a time.
         team: Draws a request's team at a time.
         callers_return: Whether refused callers come back.
+        subjects: How many shared histories the requests are about, each with
+            servers ranked for it, as ``server_choice`` takes them; none: every
+            request goes to the least loaded server.
     """
 
     kinds: tuple[Kind, ...]
@@ -72,6 +76,7 @@
     factor: Callable[[float], float] = lambda at_s: 1.0
     team: Callable[[float, random.Random], str] = lambda at_s, rng: "team"
     callers_return: bool = False
+    subjects: int = 0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -143,6 +148,10 @@
         self._now = 0.0
         self._servers = [_Server(load.slots) for _ in range(load.servers)]
         self._names = [str(n) for n in range(load.servers)]
+        self._rankings = [
+            self._rng.sample(self._names, load.servers)
+            for _ in range(load.subjects)
+        ]
         self._books = [server_book.ServerBook() for _ in range(load.instances)]
         self._gates = [overload.Overload() for _ in range(load.instances)]
         self.by_kind: dict[str, Seen] = collections.defaultdict(Seen)
@@ -186,12 +195,22 @@
     def _choose(self, request: _Request) -> None:
         book = self._books[request.instance]
         loads = book.loads(self._names, self._now)
-        name = min(loads, key=lambda n: (loads[n], self._rng.random()))
+        name = self._server_for(loads)
         if self._admitting and self._is_refused(request, loads[name]):
             return
         book.began(name, self._now)
         self._after(_WAY_S, lambda: self._reach(request, name))
 
+    def _server_for(self, loads: dict[str, float]) -> str:
+        """Returns the server that a request is sent to."""
+        if not self._load.subjects:
+            return min(loads, key=lambda n: (loads[n], self._rng.random()))
+        ranked = self._rng.choice(self._rankings)
+        mean = sum(loads.values()) / len(loads)
+        bound = server_choice.LOAD_FACTOR * mean + server_choice.LOAD_EXTRA
+        within = (name for name in ranked if loads[name] + 1 <= bound)
+        return next(within, ranked[0])
+
     def _is_refused(self, request: _Request, load: float) -> bool:
         gate = self._gates[request.instance]
         refusal = gate.arrive(
