--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -79,7 +79,8 @@
         data_centres: Names of all data centres.
         listen: Addresses to listen on.
         store: The shared store's address.
-        seeds: Addresses of other instances, some of which may be there.
+        seeds: Addresses of other instances, some of which may be there; without
+            any, the instance is the only one until it hears of another.
         bounds: What the operators' rules allow.
         log_lines_per_s: Most log lines about requests in a second.
         max_requests: Most requests in flight; more are refused.
--- a/irisshelf/tests/test_store_updates.py
+++ b/irisshelf/tests/test_store_updates.py
@@ -19,6 +19,7 @@
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
+from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.store import feed
@@ -185,11 +186,19 @@
 
 
 @pytest.fixture
-def fleet():
+def one_server():
+    made = server.Server(server_id="s1", service="crew", streaming=False)
+    made.start()
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def fleet(one_server):
     """Nine instances of a data centre before one store."""
     served = store.Store().start()
     served.put("op", "config", world_module.config(1))
-    served.put("servers", "s1", _entry())
+    served.put("servers", "s1", one_server.entry())
     everyone = [_Instance(str(n), served.address) for n in range(9)]
     _know_each_other(everyone)
     for one in everyone:
@@ -201,19 +210,6 @@
     served.close()
 
 
-def _entry(state="ready"):
-    return {
-        "service": "crew",
-        "address": "127.0.0.1:1",
-        "zone": "a",
-        "version": 1,
-        "slots": 4,
-        "state": state,
-        "coldRemainingMs": 0,
-        "sequence": 1,
-    }
-
-
 def _watcher(everyone):
     (found,) = [
         one
@@ -228,10 +224,10 @@
     return listed is not None and listed.state is directory.ServerState.READY
 
 
-def test_what_the_store_accepts_is_known_by_all(fleet):
+def test_what_the_store_accepts_is_known_by_all(fleet, one_server):
     served, everyone = fleet
     served.put("op", "config", world_module.config(2))
-    served.put("servers", "s1", _entry("draining"))
+    served.put("servers", "s1", one_server.entry("draining"))
     _wait(lambda: all(one.version == 2 for one in everyone))
     _wait(lambda: not any(map(_takes_work, everyone)))
 
@@ -250,13 +246,13 @@
     return registry.get_sample_value(name, {"verdict": "current"}) or 0
 
 
-def test_without_their_watcher_readers_ask_by_themselves(fleet):
+def test_without_their_watcher_readers_ask_by_themselves(fleet, one_server):
     served, everyone = fleet
     watcher = _watcher(everyone)
     watcher.stop()
     others = [one for one in everyone if one is not watcher]
     served.put("op", "config", world_module.config(2))
-    served.put("servers", "s1", _entry("draining"))
+    served.put("servers", "s1", one_server.entry("draining"))
     _wait(lambda: all(one.version == 2 for one in others))
     _wait(lambda: not any(map(_takes_work, others)))
     _wait(lambda: all(one.inst.keys_hold() for one in others))
