Log what a new configuration took to get here

Cause: the log of an instance that was late could not tell whether the store's answer was cut off, as neither its size nor its revision was logged. Change: catalog_answer, a line for each answer with a configuration. No logic changes; the tests of the store pass.

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -155,6 +155,8 @@
         ended = "ok" if answer.is_ok() else "failed"
         self._inst.metrics.store_calls.labels(table.value, ended).inc()
         if isinstance(answer, result.Ok):
+            if table is feed.Table.CATALOG:
+                self._log_catalog_answer(after, answer.ok_value, sent_s)
             self._answered(table, answer.ok_value, sent_s)
             return True
         if isinstance(answer.err_value, feed.HistoryLost):
@@ -268,6 +270,23 @@
         if self._role() is shared_watch.Role.WATCHER:
             self._tell(table, batch, now)
 
+    def _log_catalog_answer(
+        self, after: int | None, batch: feed.Batch, sent_s: float
+    ) -> None:
+        """Logs what a new configuration took to get here."""
+        if not batch.items:
+            return
+        self._inst.log.instance(
+            "catalog_answer",
+            after=after,
+            revision=batch.revision,
+            versions=len(batch.items),
+            size_bytes=batch.size_bytes,
+            transfer_s=round(batch.transfer_s, 4),
+            call_s=round(time.monotonic() - sent_s, 4),
+            as_of_store_s=round(batch.store_s, 3),
+        )
+
     def _tell(self, table: feed.Table, batch: feed.Batch, now: float) -> None:
         """Tells the readers what the store has just answered."""
         if table is feed.Table.SERVERS:
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import time
 import urllib.parse
 from typing import Any
@@ -49,6 +50,30 @@
     more_pages: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Exchange:
+    """What came back for one call, as it was transferred.
+
+    Attributes:
+        status: HTTP status.
+        data: The body.
+        transfer_s: From the head to the body's end, in seconds.
+    """
+
+    status: int
+    data: bytes
+    transfer_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Read:
+    """A decoded answer, and what it took to transfer it."""
+
+    answer: _Answer
+    size_bytes: int
+    transfer_s: float
+
+
 class _Pages:
     """A table as far as it has been read.
 
@@ -66,17 +91,18 @@
         self.began_s = began_s
         self.rows: list[_Row] = []
         self.start = ""
-        self.first: _Answer | None = None
+        self.first: _Read | None = None
         self.complete = False
 
-    def add(self, page: _Answer) -> None:
+    def add(self, page: _Read) -> None:
         """Takes the next page."""
         self.first = self.first or page
-        self.rows += page.rows
-        self.complete = not page.more_pages or not page.rows
-        if page.rows:
+        rows = page.answer.rows
+        self.rows += rows
+        self.complete = not page.answer.more_pages or not rows
+        if rows:
             # The least key after the last one.
-            self.start = page.rows[-1].key + "\0"
+            self.start = rows[-1].key + "\0"
 
 
 class StoreFeed(feed.Feed):
@@ -129,7 +155,7 @@
         }
         read = self._call(table, "rows-feed", query, wait_s)
         return read.map(
-            lambda answer: _batch(table, answer, answer.rows, whole=False)
+            lambda read: _batch(table, read, read.answer.rows, whole=False)
         )
 
     def reset(self, table: feed.Table) -> None:
@@ -140,34 +166,42 @@
 
     def _call(
         self, table: feed.Table, verb: str, query: dict[str, Any], hold_s: float
-    ) -> result.Result[_Answer, feed.Failure]:
+    ) -> result.Result[_Read, feed.Failure]:
         self.calls += 1
         path = f"/api/{verb}?{urllib.parse.urlencode(query)}"
         try:
-            status, data = self._exchange(table, path, hold_s + _ANSWER_S)
+            got = self._exchange(table, path, hold_s + _ANSWER_S)
         except errors.TransportError as exc:
             # A connection that has lost an answer says nothing any more.
             self.reset(table)
             return result.Err(feed.Unavailable(detail=str(exc)))
-        if status == _GONE:
+        if got.status == _GONE:
             return result.Err(feed.HistoryLost())
-        if status != _OK:
-            detail = f"the store answered {status}"
+        if got.status != _OK:
+            detail = f"the store answered {got.status}"
             return result.Err(feed.Unavailable(detail=detail))
         try:
-            return result.Ok(msgspec.json.decode(data, type=_Answer))
+            answer = msgspec.json.decode(got.data, type=_Answer)
         except msgspec.MsgspecError as exc:
             detail = f"the store's answer is garbled: {exc}"
             return result.Err(feed.Unavailable(detail=detail))
+        return result.Ok(
+            _Read(
+                answer=answer,
+                size_bytes=len(got.data),
+                transfer_s=got.transfer_s,
+            )
+        )
 
     def _exchange(
         self, table: feed.Table, path: str, timeout_s: float
-    ) -> tuple[int, bytes]:
+    ) -> _Exchange:
         conn = self._connection(table)
         headers = [(b"Host", self._address.encode())]
         conn.send("GET", path, headers, b"", timeout_s=timeout_s)
         status, _ = conn.read_head(timeout_s=timeout_s)
-        until_s = time.monotonic() + _LONGEST_ANSWER_S
+        began_s = time.monotonic()
+        until_s = began_s + _LONGEST_ANSWER_S
         parts = []
         while True:
             left_s = until_s - time.monotonic()
@@ -177,7 +211,11 @@
             parts.append(part)
         if not conn.reusable:
             self.reset(table)
-        return status, b"".join(parts)
+        return _Exchange(
+            status=status,
+            data=b"".join(parts),
+            transfer_s=time.monotonic() - began_s,
+        )
 
     def _connection(self, table: feed.Table) -> client.Connection:
         conn = self._conns.get(table)
@@ -204,7 +242,7 @@
 
 
 def _batch(
-    table: feed.Table, answer: _Answer, rows: list[_Row], *, whole: bool
+    table: feed.Table, read: _Read, rows: list[_Row], *, whole: bool
 ) -> feed.Batch:
     return feed.Batch(
         items=tuple(
@@ -212,9 +250,11 @@
             for row in rows
             if table is not feed.Table.CATALOG or row.key == _CATALOG_KEY
         ),
-        revision=answer.ver,
-        store_s=answer.now_ms / _MS,
+        revision=read.answer.ver,
+        store_s=read.answer.now_ms / _MS,
         whole=whole,
+        size_bytes=read.size_bytes,
+        transfer_s=read.transfer_s,
     )
 
 
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -49,12 +49,16 @@
         revision: Ask for changes after this one next time.
         store_s: The store's steady clock when it answered.
         whole: Whether these are all rows there are.
+        size_bytes: Of the answer, or of its last page, as it was transferred.
+        transfer_s: From its first byte to its last one, in seconds.
     """
 
     items: tuple[Item[_T], ...]
     revision: int
     store_s: float
     whole: bool
+    size_bytes: int = 0
+    transfer_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
