Say whether an answer of the store may have been cut off

Nothing told such an answer from one that holds all. Change: feed.Batch.complete, logged, not used yet; the stand-in keeps every version and cuts long answers off, as its feed told the newest only and so hid what an instance that was away has to bring.

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -281,6 +281,7 @@
             after=after,
             revision=batch.revision,
             versions=len(batch.items),
+            complete=batch.complete,
             size_bytes=batch.size_bytes,
             transfer_s=round(batch.transfer_s, 4),
             call_s=round(time.monotonic() - sent_s, 4),
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -22,6 +22,8 @@
     head_bytes=65536, body_bytes=1_000_000, head_s=30.0, idle_s=300.0
 )
 _PAGE_ROWS = 500
+# Of values, encoded as 4/3 of that, in one answer.
+_ANSWER_BYTES = 1_000_000
 _TRICKLE_PIECES = 8
 _TRICKLE_S = 0.15
 
@@ -53,6 +55,8 @@
 
     def __init__(self, *, port: int = 0):
         self._tables: dict[str, dict[str, _Row]] = {}
+        # Every change of each table, in order.
+        self._history: dict[str, list[tuple[str, _Row]]] = {}
         self._ver = 0
         self._forgotten = 0
         self._changed = event.Event()
@@ -100,6 +104,7 @@
         self._ver += 1
         row = _Row(value=value, ver=self._ver, deleted=deleted)
         self._tables.setdefault(table, {})[key] = row
+        self._history.setdefault(table, []).append((key, row))
         self._wake()
         return self._ver
 
@@ -136,20 +141,22 @@
             if after < self._forgotten:
                 self._answer(conn, 410, {})
                 return
-            rows = self._since(fields["table"], after)
+            changed = self._since(fields["table"], after)
             left_s = until_s - time.monotonic()
-            if rows or left_s <= 0:
+            if changed or left_s <= 0:
                 break
             self._changed.wait(left_s)
-        self._answer(conn, 200, {"rows": rows})
-
-    def _since(self, table: str, after: int) -> list[dict[str, Any]]:
-        rows = self._tables.get(table, {})
-        changed = [(k, r) for k, r in rows.items() if r.ver > after]
-        return [
-            _encode(table, key, row)
-            for key, row in sorted(changed, key=lambda pair: pair[1].ver)
-        ]
+        told = _cut_off(changed)
+        rows = [_encode(fields["table"], key, row) for key, row in told]
+        answer: dict[str, Any] = {"rows": rows}
+        if len(told) < len(changed):
+            answer["ver"] = told[-1][1].ver
+        self._answer(conn, 200, answer)
+
+    def _since(self, table: str, after: int) -> list[tuple[str, _Row]]:
+        """Returns every change after a revision, not just each row's last."""
+        history = self._history.get(table, [])
+        return [(key, row) for key, row in history if row.ver > after]
 
     def _page(self, fields: dict[str, str]) -> dict[str, Any]:
         rows = self._tables.get(fields["table"], {})
@@ -184,6 +191,16 @@
             conn.answer(status, [], data)
 
 
+def _cut_off(changed: list[tuple[str, _Row]]) -> list[tuple[str, _Row]]:
+    """Returns as many of the first changes as one answer holds."""
+    left_bytes = _ANSWER_BYTES
+    for count, (_, row) in enumerate(changed):
+        left_bytes -= len(row.value) * 3 // 4
+        if left_bytes < 0 or count == _PAGE_ROWS:
+            return changed[: max(count, 1)]
+    return changed
+
+
 def _trickle(conn: http.Connection, status: int, data: bytes) -> None:
     """Answers as over a slow link: a long while, but without a long pause."""
     conn.begin(status, [])
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -31,6 +31,12 @@
 # goes on without such a pause; a long one takes seconds on the slowest links
 # (a configuration of 1,600 routes has 5 Mbit).
 _ANSWER_S = 0.6
+# The store ends an answer before the row that would make it longer than 1 MB
+# (1.33 MB as it is encoded) or than 500 rows, and names the last row's revision
+# as its own. One of less than half of either has not been cut off: a longer row
+# would be the next answer's first one, and is noticed there.
+_SURELY_COMPLETE_BYTES = 600_000
+_SURELY_COMPLETE_ROWS = 250
 _LONGEST_ANSWER_S = 8.0
 _CONNECT_S = 0.4
 
@@ -253,11 +259,18 @@
         revision=read.answer.ver,
         store_s=read.answer.now_ms / _MS,
         whole=whole,
+        complete=whole or _is_complete(read),
         size_bytes=read.size_bytes,
         transfer_s=read.transfer_s,
     )
 
 
+def _is_complete(read: _Read) -> bool:
+    """Tells whether an answer of the feed surely holds all there is."""
+    few = len(read.answer.rows) < _SURELY_COMPLETE_ROWS
+    return few and read.size_bytes < _SURELY_COMPLETE_BYTES
+
+
 def _item(table: feed.Table, row: _Row) -> feed.Item:
     if row.deleted:
         return feed.Item(key=row.key, value=None)
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -49,6 +49,8 @@
         revision: Ask for changes after this one next time.
         store_s: The store's steady clock when it answered.
         whole: Whether these are all rows there are.
+        complete: Whether these are all changes up to ``store_s``; if not, the
+            store has cut the answer off, and more come after ``revision``.
         size_bytes: Of the answer, or of its last page, as it was transferred.
         transfer_s: From its first byte to its last one, in seconds.
     """
@@ -57,6 +59,7 @@
     revision: int
     store_s: float
     whole: bool
+    complete: bool = True
     size_bytes: int = 0
     transfer_s: float = 0.0
 
--- a/irisshelf/tests/test_store_pages.py
+++ b/irisshelf/tests/test_store_pages.py
@@ -72,3 +72,34 @@
     store.drop("servers", _NAMES[0])
     whole = reader.whole(feed.Table.SERVERS).ok_value
     assert [item.key for item in whole.items] == _NAMES[1:]
+
+
+@pytest.mark.parametrize(
+    ("versions", "document_bytes", "complete"),
+    [
+        (1, 50_000, True),
+        (5, 80_000, True),
+        (20, 80_000, False),
+        (1, 700_000, False),
+        (2, 700_000, False),
+    ],
+)
+def test_an_answer_that_may_be_cut_off_says_so(
+    store, versions, document_bytes, complete
+):
+    reader = store_feed.StoreFeed(address=store.address)
+    for number in range(versions):
+        document = {"version": number + 1, "note": "x" * document_bytes}
+        last = store.put("op", "config", document)
+    after = last - versions
+    batch = reader.changes(feed.Table.CATALOG, after=after, wait_s=0.0).ok_value
+    assert batch.complete is complete
+    whole = reader.whole(feed.Table.CATALOG).ok_value
+    assert (len(whole.items), whole.complete) == (1, True)
+    brought = len(batch.items)
+    while not batch.complete and batch.revision < last:
+        batch = reader.changes(
+            feed.Table.CATALOG, after=batch.revision, wait_s=0.0
+        ).ok_value
+        brought += len(batch.items)
+    assert brought == versions
