--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -262,3 +262,28 @@
 def test_changes_are_gathered_well_within_the_bound(table, leaving_ms, seconds):
     bounds = settings.Bounds(server_leaving_ms=leaving_ms)
     assert follower.gather_s(table, bounds) == seconds
+
+
+@pytest.mark.parametrize("mode", [Mode.BUSY, Mode.RESET, Mode.SILENT])
+def test_nobody_is_refused_for_good_by_what_may_be_out_of_date(mode):
+    """A caller does not repeat after 401 and 404; another instance may serve.
+
+    Seen where an instance that had been cut off refused keys and routes that
+    had been added five to ten seconds before, and logged that very age. Cause:
+    the age of the configuration was looked at for withdrawn keys alone.
+    """
+    bounds = settings.Bounds(catalog_in_force_ms=300, keys_strict=False)
+    world = world_module.World(bounds=bounds)
+    world.store.mode = mode
+    world.wait(lambda: world.inst.freshness.age_s(world.inst.now()) > 1.5)
+    for target, key in (("/added/1", world_module.KEY), ("/alarm/1", "added")):
+        answer = world.ask(target, Authorization=f"Bearer {key}")
+        assert answer.status == 503
+        assert 0 < float(answer.headers["retry-after"]) <= 5.0
+        assert answer.headers["connection"] == "close"
+    assert world.ask("/alarm/1").status == 200
+    world.store.mode = Mode.WELL
+    world.wait(lambda: _store_up(world))
+    world.wait(lambda: world.ask("/added/1").status == 404)
+    assert world.ask("/alarm/1", Authorization="Bearer added").status == 401
+    world.close()
