Nobody is refused for good by a configuration that may be out of date

Cause: 404 and 401 did not look at the configuration's age, which only decided whether keys hold; callers do not come back after either. Change: once the call on the configuration is overdue, an unknown route or key gets 503, Retry-After and a closed connection, so that the caller reaches another instance. Retry-After is told by each reason, not guessed from state.

--- a/irisshelf/gateway/front.py
+++ b/irisshelf/gateway/front.py
@@ -127,28 +127,27 @@
         inst = self._inst
         if not inst.knows:
             conn.close_after_answer()
-            self._turn_away(conn, ask, "no configuration yet")
+            why = "no configuration yet"
+            self._turn_away(conn, ask, why, _STARTING_RETRY_S)
             return None
         if not inst.keys_hold():
-            # What it knows may have been withdrawn; another may know better.
-            conn.close_after_answer()
-            self._turn_away(conn, ask, "cut off from the store")
+            self._send_elsewhere(conn, ask, "cut off from the store")
             return None
         catalog = inst.catalog
         route = catalog.route(ask.host, ask.path)
         if route is None or not route.split:
             text = f"no route for {ask.host!r} and {ask.path!r}"
-            self._refuse(conn, ask.request_id, _UNKNOWN_ROUTE, text)
+            self._refuse_unknown(conn, ask, _UNKNOWN_ROUTE, text)
             return None
         team = catalog.team(ask.key)
         needs_key = bool(catalog.teams) and not route.public
         if needs_key and team is None:
             text = "key is not known"
-            self._refuse(conn, ask.request_id, _UNKNOWN_KEY, text)
+            self._refuse_unknown(conn, ask, _UNKNOWN_KEY, text)
             return None
         busy = self._too_busy(route, inbound.arrived_s)
         if busy:
-            self._turn_away(conn, ask, busy)
+            self._turn_away(conn, ask, busy, admission.RETRY_SOON_S)
             return None
         return self._job(inbound, ask, catalog.version, route, team)
 
@@ -215,24 +214,49 @@
                 return split.service
         return route.split[-1].service
 
-    def _turn_away(
+    def _refuse_unknown(
+        self,
+        conn: caller_side.Connection,
+        ask: messages.Ask,
+        status: int,
+        why: str,
+    ) -> None:
+        """Refuses a route or key that the configuration does not have.
+
+        For good only if it surely has to have it: a caller does not come back
+        after 401 or 404, and an instance that was away for seconds refused keys
+        and routes that had been accepted up to ten seconds before.
+        """
+        if self._inst.may_be_out_of_date():
+            self._send_elsewhere(conn, ask, f"may be out of date: {why}")
+            return
+        self._refuse(conn, ask.request_id, status, why)
+
+    def _send_elsewhere(
         self, conn: caller_side.Connection, ask: messages.Ask, why: str
+    ) -> None:
+        """Turns a caller away whom an instance that has the store may serve."""
+        conn.close_after_answer()
+        self._turn_away(conn, ask, why, self._retry_without_store_s())
+
+    def _turn_away(
+        self,
+        conn: caller_side.Connection,
+        ask: messages.Ask,
+        why: str,
+        retry_after_s: float,
     ) -> None:
         """Tells a caller to come back, as nothing has run."""
-        self._answer(
-            conn, ask.request_id, _UNAVAILABLE, why, self._retry_after_s()
-        )
+        self._answer(conn, ask.request_id, _UNAVAILABLE, why, retry_after_s)
 
-    def _retry_after_s(self) -> float:
-        """Returns when a caller should try again.
+    def _retry_without_store_s(self) -> float:
+        """Returns when a caller should try again who needs the store's word.
 
         Soon, as another instance may serve it at once, unless the store is
         away for others too: callers try again once, and would do so in vain.
         """
-        if self._inst.catalog is None:
-            return _STARTING_RETRY_S
         since_s = self._inst.outage_since_s
-        if since_s is None or self._inst.keys_hold():
+        if since_s is None:
             return admission.RETRY_SOON_S
         lasted_s = self._inst.now() - since_s
         return outage.retry_after_s(lasted_s, self._inst.rng)
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -19,6 +19,9 @@
 # confirmed it, as a share of the bound: the store may tell a change a second
 # late (when it drops its history).
 KEY_SHARE = 0.76
+# A call on the configuration is held for the time that one has to come into
+# force, at the most, and answered within this time after; see ``follower``.
+_ANSWER_S = 0.6
 
 
 class Instance:
@@ -123,6 +126,15 @@
             bound_s = bounds.key_withdrawn_ms / 1000 * KEY_SHARE
         return self.freshness.age_s(self.now()) <= bound_s
 
+    def may_be_out_of_date(self) -> bool:
+        """Tells whether a configuration may be owed that is not in force.
+
+        Its age grows while a call is held, so that it is in doubt only once
+        that call is overdue.
+        """
+        in_force_s = self.cfg.bounds.catalog_in_force_ms / 1000
+        return self.freshness.age_s(self.now()) > in_force_s + _ANSWER_S
+
     def adopt(self, catalog: model.Catalog) -> bool:
         """Brings a configuration into force, unless it is an older one."""
         if self.catalog is not None and (
