Outside bytes: a value in its range or the decoder's own error

Cause: str.isdigit takes superscripts, int() takes no 5,000 digits, a nested document raises RecursionError, one row whose value is no text spoilt the whole answer of the store, and an entry that became unreadable was left out of the changes, so that its server stayed in use. An unknown state counted as ready. Change: each decoder raises ValueError alone, or reads nothing; rows are decoded one by one; an unreadable entry takes its server out of use at once, also after an outage; one line of the log counts them and names five.

--- a/irisshelf/gateway/server_list.py
+++ b/irisshelf/gateway/server_list.py
@@ -11,6 +11,8 @@
 
 # A line names so many changes at the most, and counts the others.
 _MOST_CHANGES_TOLD = 40
+# Other writers may leave thousands of entries that name no server.
+_MOST_PROBLEMS_TOLD = 5
 
 
 class ServerList:
@@ -36,19 +38,16 @@
         self._back_s = now
 
     def take(self, batch: feed.Batch, now: float) -> None:
-        """Takes an answer of the store."""
-        for item in batch.items:
-            if item.problem:
-                self._inst.log.problem(
-                    "server_entry_unreadable",
-                    server=item.key,
-                    problem=item.problem,
-                )
-        changes = tuple(
-            directory.Change(server_id=item.key, server=item.value)
-            for item in batch.items
-            if not item.problem
-        )
+        """Takes an answer of the store.
+
+        An entry that cannot be read is there, but names no server: one that it
+        named before is dropped at once, also after an outage.
+        """
+        unreadable = [item for item in batch.items if item.problem]
+        if unreadable:
+            self._log_unreadable(unreadable)
+            self._inst.directory.apply(map(_change, unreadable))
+        changes = tuple(map(_change, batch.items))
         if batch.whole:
             self._replace(changes, batch.revision, now)
         else:
@@ -91,6 +90,14 @@
         self._inst.server_list_taken()
         self._log_changes(entries, revision, now, whole=True)
 
+    def _log_unreadable(self, items: list[feed.Item]) -> None:
+        told = items[:_MOST_PROBLEMS_TOLD]
+        self._inst.log.problem(
+            "server_entries_unreadable",
+            count=len(items),
+            first=[f"{item.key!r}: {item.problem}" for item in told],
+        )
+
     def _after_outage(self, now: float) -> bool:
         """Whether entries that vanish may only have lapsed."""
         return self._away or now - self._back_s < directory.LAPSE_GRACE_S
@@ -120,6 +127,10 @@
         )
 
 
+def _change(item: feed.Item) -> directory.Change:
+    return directory.Change(server_id=item.key, server=item.value)
+
+
 def _text(change: directory.Change) -> str:
     if change.server is None:
         return f"{change.server_id} gone"
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -2,13 +2,31 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated
+from typing import TypeVar
+
 import msgspec
 
 from irisshelf.catalog import directory
 from irisshelf.catalog import model
 
 _MS = 1000.0
-_DRAINING = "draining"
+_STATES = {
+    "ready": directory.ServerState.READY,
+    "draining": directory.ServerState.LEAVING,
+}
+# A server's id goes into headers; the store takes keys of 200 bytes.
+_ID = re.compile(r"[!-~]{1,200}")
+# As IPv4 numbers are written; ``ipaddress`` takes ten times as long.
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_ADDRESS = re.compile(rf"(?:{_OCTET}\.){{3}}{_OCTET}:([1-9][0-9]{{0,4}})")
+_HIGHEST_PORT = 65535
+# Far above any engine's; a larger one is somebody's mistake.
+_MOST_SLOTS = 1_000_000
+# What an error shows of a value: enough to find it in the store.
+_SHOWN = 60
+_Document = TypeVar("_Document")
 
 
 class _Split(msgspec.Struct):
@@ -65,12 +83,16 @@
 
 
 class _Server(msgspec.Struct):
-    service: str
+    service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     zone: str
     # "ready", or "draining" ahead of a planned end.
-    state: str = "ready"
-    slots: int = 1
+    state: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+
+
+_CONFIG = msgspec.json.Decoder(_Config)
+_SERVER = msgspec.json.Decoder(_Server)
 
 
 def catalog(data: bytes) -> model.Catalog:
@@ -79,7 +101,7 @@
     Raises:
         ValueError: The document is not sound; the text names the field.
     """
-    doc = msgspec.json.decode(data, type=_Config)
+    doc = _decode(data, _CONFIG)
     return model.Catalog(
         version=doc.version,
         routes=tuple(_route(route) for route in doc.routes),
@@ -102,27 +124,47 @@
 
 
 def server(server_id: str, data: bytes) -> directory.BackendServer:
-    """Decodes a backend server's entry.
+    """Decodes a backend server's entry, which any writer may have made.
 
     Raises:
-        ValueError: The document is not sound; the text names the field.
+        ValueError: It names no server to use; the text says which field, its
+            value, and what is allowed.
     """
-    doc = msgspec.json.decode(data, type=_Server)
-    leaving = doc.state == _DRAINING
+    if not _ID.fullmatch(server_id):
+        raise _not_allowed("key", server_id, "1 to 200 visible ASCII letters")
+    doc = _decode(data, _SERVER)
+    state = _STATES.get(doc.state)
+    if state is None:
+        raise _not_allowed("state", doc.state, ", ".join(_STATES))
+    if not _is_address(doc.address):
+        raise _not_allowed("address", doc.address, "IP number:port")
     return directory.BackendServer(
         server_id=server_id,
         service=doc.service,
         address=doc.address,
         data_centre=doc.zone,
         slots=doc.slots,
-        state=(
-            directory.ServerState.LEAVING
-            if leaving
-            else directory.ServerState.READY
-        ),
+        state=state,
     )
 
 
+def _decode(data: bytes, decoder: msgspec.json.Decoder[_Document]) -> _Document:
+    try:
+        return decoder.decode(data)
+    except RecursionError as exc:
+        raise ValueError("nested too deep, allowed: 1,000 levels") from exc
+
+
+def _is_address(text: str) -> bool:
+    found = _ADDRESS.fullmatch(text)
+    return found is not None and int(found[1]) <= _HIGHEST_PORT
+
+
+def _not_allowed(field: str, value: str, allowed: str) -> ValueError:
+    shown = repr(value[:_SHOWN])
+    return ValueError(f"{field} is {shown}, allowed: {allowed}")
+
+
 def _route(doc: _Route) -> model.Route:
     split = [
         model.Split(service=item.service, weight=item.weight)
--- a/irisshelf/platform/http_dialect.py
+++ b/irisshelf/platform/http_dialect.py
@@ -17,6 +17,11 @@
 _CONNECTION = b"connection"
 _BEARER = "bearer "
 _MISDIRECTED = 421
+# Fifteen digits are exact in any number format; a count has fewer.
+_MOST_DIGITS = 15
+_LONGEST_KEEP_ALIVE_S = 86400
+# What an error shows of a value.
+_SHOWN = 60
 # They belong to one connection, not to the message (RFC 9110, 7.6.1), or
 # frame a body that is framed anew.
 _HOP = frozenset(
@@ -155,7 +160,8 @@
         value = -1.0
     if not 0 <= value < 1e9:
         raise ValueError(
-            f"header {name.decode()!r} is {text!r}, allowed: milliseconds"
+            f"header {name.decode()!r} is {text[:_SHOWN]!r}, "
+            "allowed: milliseconds"
         )
     return value / 1000
 
@@ -164,11 +170,13 @@
     text = found.get(name)
     if text is None:
         return None
-    if not text.isascii() or not text.isdigit():
+    count = _count(text)
+    if count is None:
+        shown = text[:_SHOWN]
         raise ValueError(
-            f"header {name.decode()!r} is {text!r}, allowed: a whole number"
+            f"header {name.decode()!r} is {shown!r}, allowed: a whole number"
         )
-    return int(text)
+    return count
 
 
 def _prompt(found: dict[bytes, str]) -> prompt.Prompt:
@@ -180,15 +188,23 @@
     parts = []
     for item in found.get(b"prefix-hash", "").split(","):
         part_id, _, tokens = item.strip().partition(":")
-        if part_id and tokens.isdigit():
-            parts.append(prompt.Part(part_id=part_id, tokens=int(tokens)))
+        count = _count(tokens)
+        if part_id and count is not None:
+            parts.append(prompt.Part(part_id=part_id, tokens=count))
     most = found.get(b"token-count", "").partition(",")[2].strip()
     return prompt.Prompt(
         parts=tuple(parts),
-        max_answer_tokens=int(most) if most.isdigit() else 0,
+        max_answer_tokens=_count(most) or 0,
     )
 
 
+def _count(text: str) -> int | None:
+    """Reads a whole number; None if it is none, or too long to be meant."""
+    if not (text.isascii() and text.isdigit()) or len(text) > _MOST_DIGITS:
+        return None
+    return int(text)
+
+
 def _set_by_us(send: messages.Send) -> list[tuple[bytes, str]]:
     headers = [(b"Expect-Instance", send.server_id)]
     if send.team:
@@ -216,9 +232,10 @@
 def _load(text: str) -> messages.Load | None:
     """Reads running, waiting and slots; None if the server tells none."""
     fields = [item.strip() for item in text.split(",")]
-    if len(fields) != 3 or not all(item.isdigit() for item in fields):
+    counts = [_count(item) for item in fields]
+    if len(counts) != 3 or None in counts:
         return None
-    running, waiting, slots = map(int, fields)
+    running, waiting, slots = counts
     return messages.Load(running=running, waiting=waiting, slots=slots)
 
 
@@ -229,6 +246,7 @@
     """
     for item in text.split(","):
         value = item.strip().lower().removeprefix("timeout=")
-        if value.isdigit():
-            return float(value)
+        seconds = _count(value)
+        if seconds is not None:
+            return float(min(seconds, _LONGEST_KEEP_ALIVE_S))
     return None
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -41,7 +41,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Row:
-    value: str
+    value: Any
     ver: int
     deleted: bool = False
 
@@ -91,6 +91,10 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         return self._write(table, key, value, deleted=False)
 
+    def put_raw(self, table: str, key: str, value: Any) -> int:
+        """Writes a row as another writer might, whatever its value."""
+        return self._write(table, key, value, deleted=False)
+
     def drop(self, table: str, key: str) -> int:
         """Removes a row."""
         return self._write(table, key, "", deleted=True)
@@ -100,7 +104,7 @@
         self._forgotten = self._ver
         self._wake()
 
-    def _write(self, table: str, key: str, value: str, *, deleted: bool) -> int:
+    def _write(self, table: str, key: str, value: Any, *, deleted: bool) -> int:
         self._ver += 1
         row = _Row(value=value, ver=self._ver, deleted=deleted)
         self._tables.setdefault(table, {})[key] = row
@@ -198,7 +202,7 @@
     """Returns as many of the first changes as one answer holds."""
     left_bytes = _ANSWER_BYTES
     for count, (_, row) in enumerate(changed):
-        left_bytes -= len(row.value) * 3 // 4
+        left_bytes -= len(str(row.value)) * 3 // 4
         if left_bytes < 0 or count == _PAGE_ROWS:
             return changed[: max(count, 1)]
     return changed
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -44,7 +44,8 @@
 class _Row(msgspec.Struct):
     # The row's key; the name has nothing to do with TLS.
     key: str = msgspec.field(name="tlsKey", default="")
-    value: str = ""
+    # A text, but any writer may have left something else.
+    value: Any = ""
     deleted: bool = False
 
 
@@ -271,11 +272,18 @@
     return few and read.size_bytes < _SURELY_COMPLETE_BYTES
 
 
+def _content(value: Any) -> bytes:
+    if not isinstance(value, str):
+        kind = type(value).__name__
+        raise ValueError(f"value is of type {kind}, allowed: base64 text")
+    return base64.b64decode(value, validate=True)
+
+
 def _item(table: feed.Table, row: _Row) -> feed.Item:
     if row.deleted:
         return feed.Item(key=row.key, value=None)
     try:
-        data = base64.b64decode(row.value)
+        data = _content(row.value)
         if table is feed.Table.SERVERS:
             value = documents.server(row.key, data)
         else:
--- a/irisshelf/routing/direct/event_stream.py
+++ b/irisshelf/routing/direct/event_stream.py
@@ -10,6 +10,8 @@
 
 _BLANK_LINES = (b"\n\n", b"\r\n\r\n", b"\r\r")
 _ID = b"id:"
+# Fifteen digits are exact in any number format; an event's number has fewer.
+_MOST_DIGITS = 15
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,5 +69,6 @@
     for line in event.splitlines():
         if line.startswith(_ID):
             text = line[len(_ID) :].strip()
-            return int(text) if text.isdigit() else None
+            numbered = text.isdigit() and len(text) <= _MOST_DIGITS
+            return int(text) if numbered else None
     return None
--- /dev/null
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -0,0 +1,297 @@
+"""Whatever bytes others write: a value in its range, or the decoder's error.
+
+Entries of the list come from other writers too, and answers from servers of
+any make. Seen by calling the code: a state that has no name was taken for
+ready, one row without a text made the store count as away, an entry that
+became unreadable left its server in use, a deeply nested one ended the
+greenlet that follows the store, and a superscript two in a header ended the
+request.
+"""
+
+import base64
+import json
+import math
+
+import cbor2
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from irisshelf.gateway import datagrams as datagrams_module
+from irisshelf.gateway import messages
+from irisshelf.platform import documents
+from irisshelf.platform import http_dialect
+from irisshelf.platform import store_feed
+from irisshelf.platform.stand_in import store as store_module
+from irisshelf.routing.direct import event_stream
+from irisshelf.store import feed
+
+_GOOD = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 8,
+    "state": "ready",
+    "version": 3,
+    "sequence": 9,
+}
+_DEEP = b'{"more": ' + b"[" * 5000 + b"]" * 5000 + b"}"
+_MOST = 10**15
+
+
+def _with(**changed):
+    return json.dumps({**_GOOD, **changed}).encode()
+
+
+def _without(name):
+    return json.dumps({k: v for k, v in _GOOD.items() if k != name}).encode()
+
+
+_UNUSABLE = {
+    "no such state": _with(state="sleeping"),
+    "state of another type": _with(state=1),
+    "slots below one": _with(slots=-4),
+    "no slots": _with(slots=0),
+    "very many slots": _with(slots=10**30),
+    "slots as text": _with(slots="8"),
+    "no port": _with(address="10.0.0.1"),
+    "port out of range": _with(address="10.0.0.1:70000"),
+    "superscript port": _with(address="10.0.0.1:8²"),
+    "a host's name": _with(address="server.example:80"),
+    "half an address": _with(address="10.1:80"),
+    "empty service": _with(service=""),
+    "service of another type": _with(service=None),
+    **{f"without {n}": _without(n) for n in list(_GOOD)[:5]},
+    "an empty document": b"",
+    "not an object": b"[]",
+    "not text": b"\xff\xfe\x00",
+    "deep nesting": _DEEP,
+    "a megabyte": _with(address="1" * 1_000_000),
+}
+
+
+@pytest.mark.parametrize("data", _UNUSABLE.values(), ids=_UNUSABLE)
+def test_an_unusable_entry_is_an_error_in_few_words(data):
+    with pytest.raises(ValueError) as caught:
+        documents.server("server-1", data)
+    assert len(str(caught.value)) < 300
+
+
+@pytest.mark.parametrize("key", ["", "two words", "a\r\nb", "ü", "x" * 201])
+def test_a_key_that_is_no_id_names_no_server(key):
+    with pytest.raises(ValueError):
+        documents.server(key, _with())
+
+
+def test_an_entry_may_hold_more_than_is_named():
+    found = documents.server("server-1", _with(colour="red", parts=[1, {}]))
+    assert (found.service, found.slots) == ("s", 8)
+
+
+def test_a_deeply_nested_configuration_is_unreadable():
+    with pytest.raises(ValueError):
+        documents.catalog(_DEEP)
+
+
+@pytest.fixture
+def store():
+    made = store_module.Store().start()
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        7,
+        ["x"],
+        {"x": 1},
+        "not base64!",
+        "ü",
+        base64.b64encode(_DEEP).decode(),
+    ],
+    ids=repr,
+)
+def test_one_bad_row_leaves_the_others_as_they_are(store, value):
+    store.put("servers", "good-1", _GOOD)
+    store.put_raw("servers", "bad", value)
+    store.put("servers", "good-2", _GOOD)
+    reader = store_feed.StoreFeed(address=store.address)
+    for read in (
+        reader.whole(feed.Table.SERVERS),
+        reader.changes(feed.Table.SERVERS, after=0, wait_s=0.0),
+    ):
+        items = {item.key: item for item in read.ok_value.items}
+        assert items["good-1"].value and items["good-2"].value
+        assert items["bad"].value is None and items["bad"].problem
+
+
+@pytest.mark.parametrize("after_outage", [False, True])
+def test_an_entry_that_becomes_unusable_takes_its_server_out_of_use(
+    world, after_outage
+):
+    if after_outage:
+        world.store.mode = store_module.Mode.BUSY
+        world.wait(lambda: not _store_up(world))
+    name = world.plain[0].server_id
+    world.store.put("servers", name, {"service": "crew", "state": "ready"})
+    world.store.mode = store_module.Mode.WELL
+    world.wait(lambda: world.inst.directory.get(name) is None)
+    assert world.ask("/alarm/1").status == 200
+
+
+def test_thousands_of_unusable_entries_are_told_in_one_line(world, monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        world.inst.log,
+        "problem",
+        lambda name, **fields: lines.append((name, fields)),
+    )
+    world.store.mode = store_module.Mode.BUSY
+    world.wait(lambda: not _store_up(world))
+    for number in range(300):
+        world.store.put_raw("servers", f"foreign-{number}", None)
+    world.store.mode = store_module.Mode.WELL
+    good = world.plain[0]
+    world.store.put("servers", "one-more", good.entry())
+    world.wait(lambda: world.inst.directory.get("one-more") is not None)
+    told = [fields for name, fields in lines if "unreadable" in name]
+    assert sum(fields["count"] for fields in told) == 300
+    assert len(told) <= 3
+    assert all(len(fields["first"]) <= 5 for fields in told)
+
+
+def _store_up(world):
+    registry = world.inst.metrics.registry
+    return registry.get_sample_value("irisshelf_store_up") == 1
+
+
+@pytest.mark.parametrize(
+    ("name", "text"),
+    [
+        ("Server-Load", "²,0,8"),
+        ("Server-Load", "9" * 5000 + ",0,8"),
+        ("Server-Load", "1,-1,8"),
+        ("Keep-Alive", "²"),
+        ("Keep-Alive", "9" * 400),
+        ("Keep-Alive", "timeout=" + "9" * 5000),
+    ],
+)
+def test_a_header_that_says_nothing_does_not_end_the_answer(name, text):
+    headers = ((name.encode(), text.encode("latin-1")),)
+    head = http_dialect.HttpDialect().answer_head(200, headers)
+    assert head.load is None
+    assert head.keep_alive_s is None or head.keep_alive_s <= 86400
+
+
+_NAMES = strategies.sampled_from(
+    [b"Server-Load", b"Keep-Alive", b"Connection", b"Request-Id"]
+)
+_DIGITS = strategies.text("0123456789²٣,= -+.e", max_size=40)
+_VALUES = strategies.one_of(
+    strategies.binary(max_size=60),
+    _DIGITS.map(lambda text: text.encode("latin-1", "replace")),
+)
+
+
+@hypothesis.given(
+    headers=strategies.lists(strategies.tuples(_NAMES, _VALUES), max_size=5)
+)
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_answer_head_is_read(headers):
+    head = http_dialect.HttpDialect().answer_head(200, tuple(headers))
+    if head.keep_alive_s is not None:
+        assert 0 <= head.keep_alive_s <= 86400
+    if head.load is not None:
+        for count in (head.load.running, head.load.waiting, head.load.slots):
+            assert 0 <= count <= _MOST
+
+
+_ASK_NAMES = strategies.sampled_from(
+    [b"Deadline-Ms", b"Last-Event-Id", b"Prefix-Hash", b"Token-Count"]
+)
+
+
+@hypothesis.given(
+    headers=strategies.lists(strategies.tuples(_ASK_NAMES, _VALUES), max_size=5)
+)
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_request_head_is_read_or_refused(headers):
+    inbound = messages.Inbound(
+        method="POST",
+        target="/x/1",
+        headers=(*headers, (b"Request-Id", b"r1")),
+        body=b"",
+        has_body=False,
+        arrived_s=0.0,
+    )
+    asked = http_dialect.HttpDialect().ask(inbound)
+    if asked.is_err():
+        assert "allowed" in asked.err_value
+        return
+    ask = asked.ok_value
+    assert ask.deadline_s is None or 0 <= ask.deadline_s < math.inf
+    assert ask.last_event_id is None or 0 <= ask.last_event_id <= _MOST
+    assert 0 <= ask.prompt.max_answer_tokens <= _MOST
+    assert all(0 <= part.tokens <= _MOST for part in ask.prompt.parts)
+
+
+@hypothesis.given(data=strategies.binary(max_size=200))
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_event_stream_is_split(data):
+    splitter = event_stream.Splitter()
+    for event in splitter.feed(data):
+        assert event.event_id is None or 0 <= event.event_id <= _MOST
+
+
+@pytest.mark.parametrize("number", [b"9" * 5000, "²".encode(), b"-1", b""])
+def test_an_event_without_a_number_has_none(number):
+    data = b"id: " + number + b"\ndata: x\n\n"
+    (event,) = event_stream.Splitter().feed(data)
+    assert (event.data, event.event_id) == (data, None)
+
+
+_JSON = strategies.recursive(
+    strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.integers(),
+        strategies.floats(),
+        strategies.text(max_size=20),
+        strategies.sampled_from(["ready", "draining", "10.0.0.1:80"]),
+    ),
+    lambda inner: strategies.lists(inner, max_size=3),
+    max_leaves=4,
+)
+
+
+@hypothesis.given(
+    changed=strategies.dictionaries(
+        strategies.sampled_from([*_GOOD, "born"]), _JSON, max_size=4
+    )
+)
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_entry_is_a_server_in_its_ranges_or_an_error(changed):
+    try:
+        found = documents.server("server-1", _with(**changed))
+    except ValueError as exc:
+        assert len(str(exc)) < 300
+        return
+    host, _, port = found.address.rpartition(":")
+    assert host.count(".") == 3 and 0 < int(port) < 65536
+    assert found.slots >= 1 and found.service
+
+
+def test_a_deeply_nested_datagram_is_said_once_and_dropped(world):
+    lines = []
+    log = world.inst.log
+    log.problem = lambda name, **fields: lines.append(name)
+    datagrams = datagrams_module.Datagrams(address="127.0.0.1:0", log=log)
+    nested = bytes([0x81]) * 1300 + b"\x00"
+    for kind in datagrams_module.Kind:
+        taken = []
+        datagrams.hand_to(kind, taken.append)
+        datagrams.take(bytes([kind]) + nested)
+        datagrams.take(bytes([kind]) + cbor2.dumps([1]))
+        assert len(taken) >= 1
