A life of a server is its id and its start

Cause: a server may start again under its id; everything known of it went by the id, so that a new life would inherit loads, rests, reach, durations and held prompts, and requests at the old one would wait for nothing if it went dark. Change: BackendServer.server_id names the life, as its docstring always said; entry_id is the id in the list and in headers. Exchanges with a life that another has taken the place of are broken off. The later life is the one whose entry the store took later, as clocks may jump.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -1,5 +1,13 @@
 """Which backend servers are there, by the store's list.
 
+A server may start again under the id that its entry bears. What is known of it
+belongs to one *life*: its id and the moment of its start. A later entry under
+the same id with another start names another life, which holds and has done
+nothing yet, and ends the one before. Which of two lives is the later one
+follows from the order in which the store took their entries and from nothing
+else: the time of day may jump between two starts, so that the later life may
+name the earlier moment.
+
 An entry that vanishes is taken at once as a server that left. The one
 exception: entries also lapse while the store is away. What is missing in the
 first list after such a time is kept as lapsed for ``LAPSE_GRACE_S``, since
@@ -29,12 +37,16 @@
     """One life of a backend server.
 
     Attributes:
-        server_id: Names this life and no other.
+        server_id: Names this life and no other, see ``life_id``.
         service: The service it belongs to.
         address: Such as ``10.0.0.1:8080``; may be used again by another.
         data_centre: Where it stands.
         slots: Requests that it works on at a time.
         state: As listed.
+        entry_id: The id in the list, which later lives may bear as well; that
+            of the life if none is named.
+        born_ms: Its start in Unix milliseconds, by its own clock; None if it
+            does not tell.
     """
 
     server_id: str
@@ -43,16 +55,32 @@
     data_centre: str
     slots: int
     state: ServerState = ServerState.READY
+    entry_id: str = ""
+    born_ms: int | None = None
+
+    def __post_init__(self):
+        if not self.entry_id:
+            object.__setattr__(self, "entry_id", self.server_id)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Change:
     """A changed entry; ``server`` is None if it vanished."""
 
-    server_id: str
+    entry_id: str
     server: BackendServer | None
 
 
+def life_id(entry_id: str, born_ms: int | None) -> str:
+    """Returns the name of one life of a server.
+
+    Example:
+        >>> life_id("i-7f3a", 1786503869131), life_id("i-7f3a", None)
+        ('i-7f3a@1786503869131', 'i-7f3a')
+    """
+    return entry_id if born_ms is None else f"{entry_id}@{born_ms}"
+
+
 class Directory:
     """The list, kept up to date by changes and, after gaps, whole lists."""
 
@@ -61,9 +89,9 @@
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
 
-    def get(self, server_id: str) -> BackendServer | None:
-        """Returns a listed server."""
-        return self._servers.get(server_id)
+    def get(self, entry_id: str) -> BackendServer | None:
+        """Returns the life that is listed under an id."""
+        return self._servers.get(entry_id)
 
     def servers(self) -> tuple[BackendServer, ...]:
         """Returns all listed servers."""
@@ -76,11 +104,11 @@
     def apply(self, changes: Iterable[Change]) -> None:
         """Takes changes seen while the store was well."""
         for change in changes:
-            self._lapsed.pop(change.server_id, None)
+            self._lapsed.pop(change.entry_id, None)
             if change.server is None:
-                self._servers.pop(change.server_id, None)
+                self._servers.pop(change.entry_id, None)
             else:
-                self._servers[change.server_id] = change.server
+                self._servers[change.entry_id] = change.server
         self._index()
 
     def replace(
@@ -98,7 +126,7 @@
             after_outage: Whether the store may have been away before, so that
                 missing entries may only have lapsed.
         """
-        listed = {server.server_id: server for server in servers}
+        listed = {server.entry_id: server for server in servers}
         missing = [name for name in self._servers if name not in listed]
         for name in missing:
             if after_outage:
@@ -115,9 +143,9 @@
         """
         kept = []
         for change in changes:
-            known = change.server_id in self._servers
+            known = change.entry_id in self._servers
             if change.server is None and known:
-                self._lapsed.setdefault(change.server_id, back_s)
+                self._lapsed.setdefault(change.entry_id, back_s)
             else:
                 kept.append(change)
         self.apply(kept)
--- a/irisshelf/gateway/attempt.py
+++ b/irisshelf/gateway/attempt.py
@@ -140,6 +140,8 @@
         """
         server = self._choice.server
         book = self._inst.servers.chooser(server.service).book
+        links = self._inst.servers.links
+        links.begin(server, self._conn)
         book.began(server.server_id, self._inst.now())
         keep_alive_s = None
         try:
@@ -164,13 +166,13 @@
             book.ended(server.server_id, self._inst.now())
             # A connection in the middle of an answer is not reusable and is
             # closed, so that the server stops working on it.
-            self._inst.servers.links.put(server, self._conn, keep_alive_s)
+            links.put(server, self._conn, keep_alive_s)
 
     def _exchange_head(self) -> messages.AnswerHead:
         job = self._job
         source = self._choice.source
         told = messages.Send(
-            server_id=self._choice.server.server_id,
+            entry_id=self._choice.server.entry_id,
             team=job.team,
             left_s=self._job.until_s - self._inst.now(),
             priority=job.priority,
--- a/irisshelf/gateway/links.py
+++ b/irisshelf/gateway/links.py
@@ -1,9 +1,10 @@
-"""Connections to backend servers, kept between requests."""
+"""Connections to backend servers, in use and kept between requests."""
 
 from __future__ import annotations
 
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from irisshelf.catalog import directory
 from irisshelf.transport import client
@@ -24,7 +25,7 @@
 
 
 class Links:
-    """Idle connections by server.
+    """Connections by life of a server.
 
     Args:
         now: Monotonic seconds.
@@ -33,6 +34,7 @@
     def __init__(self, *, now: Callable[[], float]):
         self._now = now
         self._idle: dict[str, list[_Idle]] = {}
+        self._used: dict[client.Connection, directory.BackendServer] = {}
 
     def take(
         self, server: directory.BackendServer, *, most_idle_s: float
@@ -51,13 +53,42 @@
             idle.conn.close()
         return None
 
+    def begin(
+        self, server: directory.BackendServer, conn: client.Connection
+    ) -> None:
+        """Takes that an exchange begins."""
+        self._used[conn] = server
+
+    def break_off_ended(self, lives: Mapping[str, str]) -> int:
+        """Breaks off exchanges with lives that another has taken the place of.
+
+        A server that starts again has lost what it worked on. If it went dark,
+        nothing else tells: those who wait there would until their patience or
+        their callers' time is over.
+
+        Args:
+            lives: The listed life of each id.
+
+        Returns:
+            How many were broken off.
+        """
+        ended = [
+            conn
+            for conn, server in self._used.items()
+            if lives.get(server.entry_id, server.server_id) != server.server_id
+        ]
+        for conn in ended:
+            conn.break_off()
+        return len(ended)
+
     def put(
         self,
         server: directory.BackendServer,
         conn: client.Connection,
         keep_alive_s: float | None,
     ) -> None:
-        """Keeps a connection whose exchange has ended, if it may be kept."""
+        """Takes that an exchange has ended; keeps its connection if it may."""
+        self._used.pop(conn, None)
         resting = self._idle.setdefault(server.server_id, [])
         rest_s = _LONGEST_IDLE_S
         if keep_alive_s is not None:
--- a/irisshelf/gateway/messages.py
+++ b/irisshelf/gateway/messages.py
@@ -60,7 +60,7 @@
     """What a backend server is told beside the caller's own headers.
 
     Attributes:
-        server_id: The life of the server that it is meant for.
+        entry_id: The listed id of the server that it is meant for.
         team: The key's team; empty on public routes.
         left_s: What is left of the caller's time; None if not known.
         priority: Its rank, 0 first; None to say nothing.
@@ -69,7 +69,7 @@
         last_event_id: Events after this one are wanted.
     """
 
-    server_id: str
+    entry_id: str
     team: str = ""
     left_s: float | None = None
     priority: int | None = None
--- a/irisshelf/gateway/server_list.py
+++ b/irisshelf/gateway/server_list.py
@@ -128,11 +128,11 @@
 
 
 def _change(item: feed.Item) -> directory.Change:
-    return directory.Change(server_id=item.key, server=item.value)
+    return directory.Change(entry_id=item.key, server=item.value)
 
 
 def _text(change: directory.Change) -> str:
     if change.server is None:
-        return f"{change.server_id} gone"
+        return f"{change.entry_id} gone"
     server = change.server
-    return f"{change.server_id} {server.state.value} {server.address}"
+    return f"{server.server_id} {server.state.value} {server.address}"
--- a/irisshelf/gateway/servers.py
+++ b/irisshelf/gateway/servers.py
@@ -163,8 +163,17 @@
             chooser.book.keep(names)
         self.links.keep(names)
         self.reach.keep(names)
+        self._break_off_ended(servers)
         self._metrics.servers.set(len(servers))
 
+    def _break_off_ended(
+        self, servers: tuple[directory.BackendServer, ...]
+    ) -> None:
+        lives = {server.entry_id: server.server_id for server in servers}
+        count = self.links.break_off_ended(lives)
+        if count:
+            self._log.instance("exchanges_of_ended_lives", broken_off=count)
+
     def heard(self, server: directory.BackendServer) -> None:
         """Takes that bytes have come from a server."""
         book = self.chooser(server.service).book
--- a/irisshelf/gateway/store_updates.py
+++ b/irisshelf/gateway/store_updates.py
@@ -32,12 +32,13 @@
 class _Server(msgspec.Struct, array_like=True):
     """A changed entry; those that are gone have an id only."""
 
-    server_id: str
+    entry_id: str
     service: str = ""
     address: str = ""
     data_centre: str = ""
     slots: int = 0
     state: directory.ServerState | None = None
+    born_ms: int | None = None
 
 
 class _Message(msgspec.Struct, array_like=True):
@@ -154,29 +155,32 @@
 def _entry(change: directory.Change) -> _Server:
     server = change.server
     if server is None:
-        return _Server(server_id=change.server_id)
+        return _Server(entry_id=change.entry_id)
     return _Server(
-        server_id=server.server_id,
+        entry_id=server.entry_id,
         service=server.service,
         address=server.address,
         data_centre=server.data_centre,
         slots=server.slots,
         state=server.state,
+        born_ms=server.born_ms,
     )
 
 
 def _change(entry: _Server) -> directory.Change:
     if entry.state is None:
-        return directory.Change(server_id=entry.server_id, server=None)
+        return directory.Change(entry_id=entry.entry_id, server=None)
     server = directory.BackendServer(
-        server_id=entry.server_id,
+        server_id=directory.life_id(entry.entry_id, entry.born_ms),
+        entry_id=entry.entry_id,
+        born_ms=entry.born_ms,
         service=entry.service,
         address=entry.address,
         data_centre=entry.data_centre,
         slots=entry.slots,
         state=entry.state,
     )
-    return directory.Change(server_id=entry.server_id, server=server)
+    return directory.Change(entry_id=entry.entry_id, server=server)
 
 
 def _decode(message: _Message) -> shared_watch.Update:
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -24,6 +24,8 @@
 _HIGHEST_PORT = 65535
 # Far above any engine's; a larger one is somebody's mistake.
 _MOST_SLOTS = 1_000_000
+# The year 5138: a clock that jumped is still before it.
+_LATEST_MS = 10**14
 # What an error shows of a value: enough to find it in the store.
 _SHOWN = 60
 _Document = TypeVar("_Document")
@@ -89,6 +91,8 @@
     # "ready", or "draining" ahead of a planned end.
     state: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+    # The start of this life, in Unix milliseconds.
+    born: Annotated[int, msgspec.Meta(ge=0, le=_LATEST_MS)] | None = None
 
 
 _CONFIG = msgspec.json.Decoder(_Config)
@@ -123,15 +127,15 @@
     )
 
 
-def server(server_id: str, data: bytes) -> directory.BackendServer:
+def server(entry_id: str, data: bytes) -> directory.BackendServer:
     """Decodes a backend server's entry, which any writer may have made.
 
     Raises:
         ValueError: It names no server to use; the text says which field, its
             value, and what is allowed.
     """
-    if not _ID.fullmatch(server_id):
-        raise _not_allowed("key", server_id, "1 to 200 visible ASCII letters")
+    if not _ID.fullmatch(entry_id):
+        raise _not_allowed("key", entry_id, "1 to 200 visible ASCII letters")
     doc = _decode(data, _SERVER)
     state = _STATES.get(doc.state)
     if state is None:
@@ -139,7 +143,9 @@
     if not _is_address(doc.address):
         raise _not_allowed("address", doc.address, "IP number:port")
     return directory.BackendServer(
-        server_id=server_id,
+        server_id=directory.life_id(entry_id, doc.born),
+        entry_id=entry_id,
+        born_ms=doc.born,
         service=doc.service,
         address=doc.address,
         data_centre=doc.zone,
--- a/irisshelf/platform/http_dialect.py
+++ b/irisshelf/platform/http_dialect.py
@@ -206,7 +206,7 @@
 
 
 def _set_by_us(send: messages.Send) -> list[tuple[bytes, str]]:
-    headers = [(b"Expect-Instance", send.server_id)]
+    headers = [(b"Expect-Instance", send.entry_id)]
     if send.team:
         headers.append((b"Tenant-Id", send.team))
     if send.left_s is not None:
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -69,6 +69,7 @@
         event_s: Pause before each event.
         work_s: Time that a plain request takes.
         port: To listen on; 0 for any.
+        born_ms: Its start, as its entry tells it; None if it does not.
     """
 
     def __init__(
@@ -81,9 +82,11 @@
         event_s: float = 0.002,
         work_s: float = 0.0,
         port: int = 0,
+        born_ms: int | None = None,
     ):
         self.server_id = server_id
         self.service = service
+        self.born_ms = born_ms
         self.faults: collections.deque[Fault] = collections.deque()
         self.always = Fault.NONE
         self.choose_fault: Callable[[], Fault] | None = None
@@ -117,7 +120,9 @@
 
     def entry(self, state: str = "ready") -> dict[str, object]:
         """Returns its entry in the store's list."""
+        born = {} if self.born_ms is None else {"born": self.born_ms}
         return {
+            **born,
             "service": self.service,
             "address": self.address,
             "zone": "a",
--- a/irisshelf/tests/test_catalog.py
+++ b/irisshelf/tests/test_catalog.py
@@ -114,7 +114,7 @@
 
 
 def _gone(name):
-    return directory.Change(server_id=name, server=None)
+    return directory.Change(entry_id=name, server=None)
 
 
 def test_a_vanished_entry_is_gone_at_once():
@@ -147,7 +147,7 @@
 def test_an_entry_that_comes_back_stays():
     found = _listed(["a", "b"])
     found.lapse([_gone("a")], back_s=1.0)
-    found.apply([directory.Change(server_id="a", server=_server("a"))])
+    found.apply([directory.Change(entry_id="a", server=_server("a"))])
     assert found.expire(9.0) == ()
     assert _names(found) == ["a", "b"]
 
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -181,7 +181,7 @@
     """The watcher may tell of it first: it has read the list already."""
     listed = world._follower.server_list
     leaver = world.plain[0]
-    gone = directory.Change(server_id=leaver.server_id, server=None)
+    gone = directory.Change(entry_id=leaver.server_id, server=None)
     listed.store_lost()
     missed_s = time.monotonic()
     listed.change((gone,), 99, missed_s)
--- a/irisshelf/tests/test_shared_watch.py
+++ b/irisshelf/tests/test_shared_watch.py
@@ -262,7 +262,7 @@
             verdict = shared_watch.judge_servers(update, watch.revision)
             if verdict is _Verdict.APPLY:
                 for change in update.changes:
-                    self.servers[change.server_id] = change.server is not None
+                    self.servers[change.entry_id] = change.server is not None
                 self.log.add(update.changes, update.revision, self.clock_s)
                 watch.follows_to(update.revision)
         self.watches[table].updated(as_of_s, update.revision, verdict)
@@ -275,7 +275,7 @@
     server = directory.BackendServer(
         server_id=name, service="s", address="", data_centre="a", slots=1
     )
-    return directory.Change(server_id=name, server=server if there else None)
+    return directory.Change(entry_id=name, server=server if there else None)
 
 
 class _Play:
--- a/irisshelf/tests/test_store_updates.py
+++ b/irisshelf/tests/test_store_updates.py
@@ -115,7 +115,7 @@
 
 def _changes(count):
     return tuple(
-        directory.Change(server_id=f"i-{n:08x}", server=_server(n))
+        directory.Change(entry_id=f"i-{n:08x}", server=_server(n))
         for n in range(count)
     )
 
@@ -131,9 +131,9 @@
             revision=90,
             changes=(
                 *_changes(10),
-                directory.Change(server_id="gone", server=None),
+                directory.Change(entry_id="gone", server=None),
                 directory.Change(
-                    server_id=_server(1).server_id,
+                    entry_id=_server(1).server_id,
                     server=_server(1, directory.ServerState.LEAVING),
                 ),
             ),
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -149,6 +149,17 @@
         if extra:
             self._http.receive_data(extra)
 
+    def break_off(self) -> None:
+        """Ends the connection under whoever waits on it.
+
+        The waiter finds that the server closed it.
+        """
+        try:
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # It has ended by itself, which the waiter finds as well.
+            return
+
     def close(self) -> None:
         """Closes the connection; the server may drop what it works on."""
         self._open = False
