A reader between two tries is woken by its watcher's first word

Cause: a reader whose watcher was silent too slept up to 2.2 s between two tries and was not woken when the watcher told that it had the store again. Change: it waits for the update as well; one whose watcher has the store all the time, so that it alone is cut off, makes no more calls than before.

--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -128,6 +128,8 @@
                 self._up.wait()
             self._rest_while_told(table)
             seen = self.changes_seen[table]
+            self._updated[table].clear()
+            untold = self._is_untold(table)
             if self.step(table):
                 failures = 0
                 if self.changes_seen[table] != seen:
@@ -137,7 +139,13 @@
             backoff_s = _BACKOFF_READER_S if reads else _BACKOFF_S
             pause_s = backoff_s[min(failures, len(backoff_s) - 1)]
             failures += 1
-            gevent.sleep(pause_s * self._inst.rng.uniform(*_JITTER))
+            pause_s *= self._inst.rng.uniform(*_JITTER)
+            if untold:
+                # The watcher's first word says that the store is back. Without
+                # it readers slept up to 2.2 s longer and refused callers.
+                self._updated[table].wait(pause_s)
+            else:
+                gevent.sleep(pause_s)
 
     def step(self, table: feed.Table) -> bool:
         """Makes one call; returns whether the store answered it."""
@@ -363,14 +371,19 @@
 
     def _note_outage(self) -> None:
         """Notes that neither this instance nor its watcher has the store."""
-        now = time.monotonic()
-        watch = self._watches[feed.Table.CATALOG]
-        timing = watch_timing(self._inst.cfg.bounds)
-        reads = self._role() is shared_watch.Role.READER
-        if reads and watch.is_silent(timing, now):
+        if self._is_untold(feed.Table.CATALOG):
+            now = time.monotonic()
             age_s = self._inst.freshness.age_s(now)
             self._inst.outage_since_s = now - age_s
 
+    def _is_untold(self, table: feed.Table) -> bool:
+        """Tells whether this instance reads, and its watcher is silent."""
+        timing = watch_timing(self._inst.cfg.bounds)
+        reads = self._role() is shared_watch.Role.READER
+        return reads and self._watches[table].is_silent(
+            timing, time.monotonic()
+        )
+
     def _regained(self, now: float) -> None:
         self._up.set()
         self._inst.outage_since_s = None
--- a/irisshelf/tests/test_catching_up.py
+++ b/irisshelf/tests/test_catching_up.py
@@ -125,16 +125,16 @@
         pass
 
     def whole(self, table):
-        if self._away():
+        if self.is_away():
             return self._unavailable()
         return self._answer(table, [self.version], self.version, whole=True)
 
     def changes(self, table, *, after, wait_s):
-        if self._away():
+        if self.is_away():
             return self._unavailable()
         changed = lambda: self.version > after  # noqa: E731
         self._clock.until(self._clock.now + wait_s, woken=changed)
-        if self._away():
+        if self.is_away():
             return self._unavailable()
         versions = [v for _, v in self.accepted if v > after]
         most = max(1, _ANSWER_BYTES // self._body_bytes)
@@ -142,7 +142,7 @@
         revision = told[-1] if told else after
         return self._answer(table, told, revision, whole=False)
 
-    def _away(self):
+    def is_away(self):
         return self.cut[0] <= self._clock.now < self.cut[1]
 
     def _unavailable(self):
@@ -178,6 +178,8 @@
         self._clock = clock
         self._store = store
         self._role = role
+        # Whether the store is away for the watcher as well.
+        self.shares_cut = False
 
     def hand_to(self, taker):
         self._take = taker
@@ -190,7 +192,8 @@
         pass
 
     def _beat(self):
-        if self._role is _Role.READER:
+        silent = self.shares_cut and self._store.is_away()
+        if self._role is _Role.READER and not silent:
             version = self._store.version
             self._take(
                 shared_watch.CatalogUpdate(
@@ -224,9 +227,9 @@
         self.understated = []
         self._patch(monkeypatch)
         self.inst = self._instance(bound_s)
-        watcher = _Watcher(clock=self.clock, store=self.store, role=role)
+        self.watcher = _Watcher(clock=self.clock, store=self.store, role=role)
         self._follower = follower.Follower(
-            inst=self.inst, store=self.store, updates=watcher
+            inst=self.inst, store=self.store, updates=self.watcher
         )
         self.clock.at(1.0, self._check)
 
@@ -327,3 +330,23 @@
     play.store.cut = (20.0, 30.0)
     play.run()
     assert play.store.brought_bytes <= 2 * body_bytes
+
+
+@pytest.mark.parametrize("end_s", [18.0, 18.4, 18.8, 19.2, 19.6, 20.0])
+def test_a_reader_between_two_tries_is_woken_by_its_watcher(monkeypatch, end_s):
+    """Else it sleeps on for up to 2.2 s while callers are refused.
+
+    A try that runs out takes 0.4 s, the watcher's next word up to 0.5 s more.
+    """
+    play = _Play(
+        monkeypatch,
+        role=_Role.READER,
+        bound_s=4.0,
+        body_bytes=80_000,
+        end_s=end_s + 1.1,
+    )
+    play.change_every(0.5, begin_s=2.0, end_s=end_s)
+    play.store.cut = (10.0, end_s)
+    play.watcher.shares_cut = True
+    play.run()
+    assert play.inst.catalog.version == play.store.version
