--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,14 @@
 # An instance counts as in touch again so long after a disturbance.
 _IN_TOUCH_S = 3.0
 _NEXT_KEYS = 40
+# What another writer may leave in the list.
+_FOREIGN = (
+    None,
+    7,
+    "not base64!",
+    {"service": "crew"},
+    {"service": "crew", "address": "127.0.0.1", "state": "ready"},
+)
 
 
 class Injector:
@@ -89,6 +97,8 @@
             ),
             plan.Kind.SERVER_FAULTS: lambda: self._server_faults(fault),
             plan.Kind.SERVER_CRASH: lambda: self._crash(fault),
+            plan.Kind.SERVER_RESTARTS: lambda: self._restart(fault),
+            plan.Kind.FOREIGN_ENTRIES: self._write_foreign,
             plan.Kind.SERVER_LEAVES: lambda: self._leave(fault),
             plan.Kind.CONFIGURATION: self._configure,
             plan.Kind.WITHDRAW_KEY: self._withdraw,
@@ -138,6 +148,7 @@
             plan.Kind.STORE_FORGETS,
             plan.Kind.SERVER_LINK,
             plan.Kind.SERVER_CRASH,
+            plan.Kind.SERVER_RESTARTS,
         )
         own = fault.kind in (
             plan.Kind.KILL,
@@ -192,6 +203,25 @@
         link.set_mode("reset")
         gevent.spawn_later(fault.for_s, link.set_mode, "pass")
 
+    def _restart(self, fault: plan.Fault) -> None:
+        """A server crashes, and another life of it comes under its id.
+
+        Its clock may have jumped, so that the new life may seem the older one.
+        """
+        self._crash(fault)
+        one = self._servers[fault.target]
+        one.born_ms += self._rng.choice((1000, -3_600_000))
+        gevent.spawn_later(fault.for_s, self._list_unless_left, fault.target)
+
+    def _list_unless_left(self, number: int) -> None:
+        if self._servers[number].server_id not in self.left:
+            self._list(number, "ready")
+
+    def _write_foreign(self) -> None:
+        """Another writer leaves entries in the list that name no server."""
+        for number, value in enumerate(_FOREIGN):
+            self._served.put_raw("servers", f"foreign-{number}", value)
+
     def _leave(self, fault: plan.Fault) -> None:
         """A server leaves, and another life of it comes."""
         number = fault.target
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -39,6 +39,8 @@
     STORE_MUTE = "store_mute"
     SERVER_MUTE = "server_mute"
     HALF_SETTINGS = "half_settings"
+    SERVER_RESTARTS = "server_restarts"
+    FOREIGN_ENTRIES = "foreign_entries"
 
 
 _WIDE_KINDS = (
@@ -46,6 +48,8 @@
     Kind.STORE_MUTE,
     Kind.SERVER_MUTE,
     Kind.HALF_SETTINGS,
+    Kind.SERVER_RESTARTS,
+    Kind.FOREIGN_ENTRIES,
 )
 SMALL_KINDS = tuple(kind for kind in Kind if kind not in _WIDE_KINDS)
 # Share of a wide run's faults of instances that hit the first of them.
@@ -93,6 +97,7 @@
     Kind.SERVER_CRASH: 2 * SERVERS,
     Kind.SERVER_LEAVES: 2 * SERVERS,
     Kind.SERVER_MUTE: 2 * SERVERS,
+    Kind.SERVER_RESTARTS: 2 * SERVERS,
 }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,8 @@
 _PAUSE_S = 0.02
 _DEADLINE_S = 2.0
 _START_S = 20.0
+# When the servers say that they started, Unix ms.
+_BORN_MS = 1_700_000_000_000
 # After the faults: links are back, processes restarted, lapses over.
 _SETTLE_S = 6.0
 _CALM_S = 3.0
@@ -173,6 +175,7 @@
                 events=EVENTS,
                 event_s=0.01,
                 work_s=0.01,
+                born_ms=_BORN_MS,
             ).start()
             for number in range(plan.SERVERS)
         ]
