Datagrams: numbers in their ranges, or the datagram is dropped

Cause: an update whose store time is no number or infinite was dated now, so that an instance vouched for what it had not read; a load below zero would draw all requests. Change: ranges in the message types; what is outside raises ValueError, which the datagrams' loop logs once a kind.

--- a/irisshelf/gateway/board.py
+++ b/irisshelf/gateway/board.py
@@ -17,6 +17,7 @@
 import time
 from collections.abc import Callable
 from collections.abc import Sequence
+from typing import Annotated
 from typing import Any
 
 import gevent
@@ -33,6 +34,8 @@
 _ID_BYTES = 5
 # News are older than this only if something is wrong with a clock or a link.
 _OLDEST_MS = 5000
+# A server with less than no work would draw all requests.
+_Work = Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -62,7 +65,7 @@
     data_centre: str
     way: _Way
     # Server's key, work, age in ms.
-    loads: list[tuple[bytes, int, int]] = []
+    loads: list[tuple[bytes, _Work, int]] = []
     # Server's key and the keys of the parts of prompts that it has read.
     holds: dict[bytes, list[bytes]] = {}
 
--- a/irisshelf/gateway/store_updates.py
+++ b/irisshelf/gateway/store_updates.py
@@ -9,8 +9,10 @@
 import dataclasses
 import enum
 import functools
+import math
 import time
 from collections.abc import Callable
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -22,6 +24,7 @@
 from irisshelf.observe import decision_log
 
 _KIND = datagrams_module.Kind.STORE_UPDATE
+_Revision = Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
 
 
 class _Table(enum.IntEnum):
@@ -46,11 +49,16 @@
     table: _Table
     # In seconds; see the fields of the two kinds of update.
     store_s: float
-    revision: int
+    revision: _Revision
     # Version of the configuration, or the revision that changes follow.
-    base: int
+    base: _Revision
     servers: list[_Server] = []
 
+    def __post_init__(self):
+        # No number compares with it, so that ages would come out as none.
+        if not 0 <= self.store_s < math.inf:
+            raise ValueError(f"store_s is {self.store_s}, allowed: 0 and above")
+
 
 class Updates:
     """Tells updates to the readers of a data centre, and takes them.
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -11,14 +11,18 @@
 import base64
 import json
 import math
+import random
 
 import cbor2
 import hypothesis
 import pytest
 from hypothesis import strategies
 
+from irisshelf.coordination import roster
+from irisshelf.gateway import board
 from irisshelf.gateway import datagrams as datagrams_module
 from irisshelf.gateway import messages
+from irisshelf.gateway import store_updates
 from irisshelf.platform import documents
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
@@ -295,3 +299,90 @@
         datagrams.take(bytes([kind]) + nested)
         datagrams.take(bytes([kind]) + cbor2.dumps([1]))
         assert len(taken) >= 1
+
+
+_NUMBERS = strategies.one_of(
+    strategies.integers(), strategies.floats(), strategies.just(2**70)
+)
+_FIELDS = strategies.one_of(
+    _NUMBERS,
+    strategies.text(max_size=8),
+    strategies.binary(max_size=8),
+    strategies.none(),
+    strategies.lists(
+        strategies.tuples(strategies.binary(max_size=5), _NUMBERS, _NUMBERS),
+        max_size=3,
+    ),
+    strategies.dictionaries(
+        strategies.binary(max_size=5),
+        strategies.lists(strategies.binary(max_size=5), max_size=2),
+        max_size=2,
+    ),
+)
+_CONTENTS = strategies.one_of(
+    strategies.lists(_FIELDS, max_size=7),
+    strategies.tuples(
+        strategies.just("a"),
+        strategies.integers(0, 2),
+        strategies.one_of(_NUMBERS, _FIELDS),
+        strategies.one_of(_NUMBERS, _FIELDS),
+        _NUMBERS,
+    ).map(list),
+)
+
+
+class _Takers:
+    """What an instance makes of datagrams, without a socket."""
+
+    def __init__(self):
+        self.updates = []
+        self.loads = []
+        self._takers = {}
+        own = roster.Member(name="1", address="", data_centre="a")
+        members = roster.Roster(own=own)
+        board.Board(
+            datagrams=self,
+            roster=members,
+            on_load=self.loads.append,
+            on_holds=lambda server, part: None,
+            rng=random.Random(1),
+        )
+        store_updates.Updates(datagrams=self, roster=members, log=None).hand_to(
+            self.updates.append
+        )
+
+    def hand_to(self, kind, taker):
+        self._takers[kind] = taker
+
+    def take(self, kind, content):
+        try:
+            self._takers[kind](content)
+        except ValueError:
+            return
+
+
+@hypothesis.given(
+    kind=strategies.sampled_from(list(datagrams_module.Kind)), content=_CONTENTS
+)
+@hypothesis.example(
+    datagrams_module.Kind.STORE_UPDATE, ["a", 0, math.nan, 1, 1]
+)
+@hypothesis.example(
+    datagrams_module.Kind.STORE_UPDATE, ["a", 0, math.inf, 1, 1]
+)
+@hypothesis.example(datagrams_module.Kind.STORE_UPDATE, ["a", 0, 1.0, -1, 1])
+@hypothesis.example(datagrams_module.Kind.STORE_UPDATE, ["a", 1, 1.0, 2**70, 1])
+@hypothesis.example(
+    datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", -7, 1]], {}]
+)
+@hypothesis.settings(max_examples=400, derandomize=True, deadline=None)
+def test_any_datagram_is_taken_or_dropped(kind, content):
+    """Whatever it says, no age and no load is out of its range."""
+    takers = _Takers()
+    takers.take(kind, content)
+    for update in takers.updates:
+        assert 0 <= update.store_s < math.inf
+        assert 0 <= update.revision < 2**63
+    for news in takers.loads:
+        assert math.isfinite(news.at_s)
+        assert 0 <= news.work < 2**63
