--- a/irisshelf/tests/test_catching_up.py
+++ b/irisshelf/tests/test_catching_up.py
@@ -31,6 +31,7 @@
 
 from irisshelf.catalog import model
 from irisshelf.coordination import shared_watch
+from irisshelf.coordination import table_watch
 from irisshelf.gateway import follower
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import settings
@@ -320,6 +321,41 @@
     assert (play.late, play.understated) == ([], [])
 
 
+@pytest.mark.parametrize("role", [_Role.READER, _Role.ALONE, _Role.WATCHER])
+def test_a_burst_that_one_answer_cannot_hold_is_not_taken_for_known(
+    monkeypatch, role
+):
+    play = _Play(
+        monkeypatch, role=role, bound_s=4.0, body_bytes=300_000, end_s=60.0
+    )
+    for begin_s in range(5, 50, 6):
+        play.change_every(0.05, begin_s=begin_s, end_s=begin_s + 0.3)
+    play.run()
+    assert (play.late, play.understated) == ([], [])
+
+
+@pytest.mark.parametrize(
+    ("told_revision", "since_s", "alone"),
+    [
+        pytest.param(None, 0.3, False, id="up-to-date"),
+        pytest.param(None, 0.7, True, id="not-of-late"),
+        pytest.param(5, 0.3, False, id="told-of-what-it-has"),
+        pytest.param(6, 0.3, True, id="told-of-a-newer-one"),
+    ],
+)
+def test_when_the_newest_is_read_alone(told_revision, since_s, alone):
+    watch = table_watch.TableWatch()
+    assert watch.reads_newest_alone(0.0)
+    watch.answered(5, 10.0)
+    watch.caught_up(10.0)
+    if told_revision is not None:
+        verdict = shared_watch.Verdict.FETCH
+        if told_revision == 5:
+            verdict = shared_watch.Verdict.CURRENT
+        watch.updated(10.0, told_revision, verdict)
+    assert watch.reads_newest_alone(10.0 + since_s) is alone
+
+
 @pytest.mark.parametrize("role", [_Role.READER, _Role.ALONE, _Role.WATCHER])
 @pytest.mark.parametrize("body_bytes", [80_000, 630_000])
 def test_a_configuration_at_rest_is_brought_once(monkeypatch, role, body_bytes):
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -22,6 +22,7 @@
 from irisshelf.gateway import board
 from irisshelf.gateway import datagrams as datagrams_module
 from irisshelf.gateway import messages
+from irisshelf.gateway import server_list
 from irisshelf.gateway import store_updates
 from irisshelf.platform import documents
 from irisshelf.platform import http_dialect
@@ -145,6 +146,30 @@
     assert world.ask("/alarm/1").status == 200
 
 
+@pytest.mark.parametrize("whole", [False, True])
+def test_an_unusable_entry_has_not_lapsed(world, whole):
+    """An outage gives vanished entries a while to come back; this one is back.
+
+    What it names now is no server to use.
+    """
+    listed = server_list.ServerList(inst=world.inst)
+    server = world.plain[0]
+    listed.store_lost()
+    rows = [feed.Item(key=server.server_id, value=None, problem="garbled")]
+    if whole:
+        rows += [
+            feed.Item(key=one.server_id, value=one)
+            for one in world.inst.directory.servers()
+            if one.server_id != server.server_id
+        ]
+    batch = feed.Batch(
+        items=tuple(rows), revision=10**9, store_s=0.0, whole=whole
+    )
+    listed.take(batch, world.inst.now())
+    assert world.inst.directory.get(server.server_id) is None
+    assert len(world.inst.directory.servers()) == 3
+
+
 def test_thousands_of_unusable_entries_are_told_in_one_line(world, monkeypatch):
     lines = []
     monkeypatch.setattr(
