--- a/bench/main.py
+++ b/bench/main.py
@@ -9,6 +9,7 @@
 from bench import bundle
 from bench import chart
 from bench import claims
+from bench import documents
 from bench import gossip
 from bench import relay
 from bench import rollout
@@ -28,6 +29,7 @@
         "decisions": decision.measure,
         "relay": relay.measure,
         "claims": claims.measure,
+        "documents": documents.measure,
         "rollout": rollout.measure,
         "routing": _routing,
         "routing at 400": fleet.measure,
