Store timing in a module of its own; isolation by the services that are named

Cause of the second: an entry of another writer with a service that is not in the configuration is never tried, so that an instance that reaches none of its servers did not count as isolated and stayed ready; test first.

--- a/irisshelf/gateway/board.py
+++ b/irisshelf/gateway/board.py
@@ -35,7 +35,7 @@
 # News are older than this only if something is wrong with a clock or a link.
 _OLDEST_MS = 5000
 # A server with less than no work would draw all requests.
-_Work = Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+_Work = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -285,7 +285,7 @@
         if final is not None and final.status not in _NOT_RUN_STATUSES:
             self._conn.answer(final.status, list(final.headers), final.body)
             return "failed_by_server"
-        if self._inst.servers.isolated():
+        if self._inst.isolated:
             # The caller's next request is better off elsewhere.
             self._conn.close_after_answer()
         if self._worst is outcome.Outcome.NOT_RUN:
--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -17,28 +17,10 @@
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import server_list
-from irisshelf.gateway import settings
+from irisshelf.gateway import store_timing
 from irisshelf.gateway import store_updates
 from irisshelf.store import feed
 
-# Where withdrawals bind strictly, keys age while a call is held: it is held for
-# this part of the bound, and requests are refused at 0.76 of it.
-_HOLD_OF_KEY_BOUND = 0.4
-# The store forgets what is older than 20 s; a call is held for half of that.
-_LONGEST_HOLD_S = 10.0
-# Changes come in bursts, and each call is paid for: after one, the next call
-# waits. The configuration's wait is short, as keys age meanwhile: with 0.8 s an
-# instance that was cut off refused its callers half a second sooner; in one
-# outage 12 callers more were refused for it.
-_GATHER_CATALOG_S = 0.3
-# Part of the time that a leaving server still takes requests; the rest is for
-# the answer's way and for requests that were sent just before it.
-_GATHER_OF_LEAVING = 0.5
-# A watcher calls for a whole data centre, so that its calls may come often; a
-# reader's call for a new configuration moves its body, and waits for this part
-# of the time that the configuration has to come into force.
-_GATHER_WATCHER_S = 0.3
-_GATHER_READER_OF_CATALOG = 0.25
 # Each try costs money, and an instance is to be back soon after the store.
 _BACKOFF_S = (0.1, 0.3, 0.6)
 # A reader is told by its watcher when the store is back.
@@ -48,47 +30,6 @@
 _EXPIRE_EVERY_S = 0.2
 
 
-def hold_s(table: feed.Table, bounds: settings.Bounds) -> float:
-    """Returns how long the store may hold a call, in seconds.
-
-    The one on the configuration is also how an instance learns that it is cut
-    off: within the time that a configuration has to come into force. With 87
-    instances, 3 s instead of 2, and changes of servers gathered for 1.5 s
-    instead of 1, made 5,416 calls of 7,409 in a minute of faults.
-    """
-    if table is feed.Table.SERVERS:
-        return _LONGEST_HOLD_S
-    longest_s = bounds.catalog_in_force_ms / 1000
-    if bounds.keys_strict:
-        keys_s = bounds.key_withdrawn_ms / 1000
-        longest_s = min(longest_s, _HOLD_OF_KEY_BOUND * keys_s)
-    return min(longest_s, _LONGEST_HOLD_S)
-
-
-def gather_s(
-    table: feed.Table,
-    bounds: settings.Bounds,
-    role: shared_watch.Role = shared_watch.Role.ALONE,
-) -> float:
-    """Returns how long changes are gathered after one, in seconds."""
-    if role is shared_watch.Role.WATCHER:
-        return _GATHER_WATCHER_S
-    if role is shared_watch.Role.READER and table is feed.Table.CATALOG:
-        return _GATHER_READER_OF_CATALOG * bounds.catalog_in_force_ms / 1000
-    if table is feed.Table.CATALOG:
-        return _GATHER_CATALOG_S
-    return _GATHER_OF_LEAVING * bounds.server_leaving_ms / 1000
-
-
-def watch_timing(bounds: settings.Bounds) -> shared_watch.Timing:
-    """Returns when the store is asked where a watch is shared."""
-    tightest_ms = min(bounds.catalog_in_force_ms, bounds.server_leaving_ms)
-    if bounds.keys_strict:
-        keys_ms = instance_module.KEY_SHARE * bounds.key_withdrawn_ms
-        tightest_ms = min(tightest_ms, keys_ms)
-    return shared_watch.timing(tightest_ms / 1000)
-
-
 class Follower:
     """Keeps an instance's configuration and server list up to date.
 
@@ -231,7 +172,7 @@
         watch = self._watches[table]
         updated = self._updated[table]
         while True:
-            timing = watch_timing(self._inst.cfg.bounds)
+            timing = store_timing.watch_timing(self._inst.cfg.bounds)
             until_s = watch.rests_until_s(self._role(), timing)
             left_s = until_s - time.monotonic()
             if left_s <= 0:
@@ -249,7 +190,7 @@
         cfg = self._inst.cfg
         if not cfg.policy.gathering:
             return 0.0
-        pause_s = gather_s(table, cfg.bounds, self._role())
+        pause_s = store_timing.gather_s(table, cfg.bounds, self._role())
         if table is feed.Table.CATALOG:
             pause_s -= self._inst.freshness.age_s(time.monotonic())
         return max(pause_s, 0.0)
@@ -262,8 +203,8 @@
         bounds = self._inst.cfg.bounds
         return self._watches[table].hold_s(
             self._role(),
-            watch_timing(bounds),
-            alone_s=hold_s(table, bounds),
+            store_timing.watch_timing(bounds),
+            alone_s=store_timing.hold_s(table, bounds),
             now=now,
         )
 
@@ -378,7 +319,7 @@
 
     def _is_untold(self, table: feed.Table) -> bool:
         """Tells whether this instance reads, and its watcher is silent."""
-        timing = watch_timing(self._inst.cfg.bounds)
+        timing = store_timing.watch_timing(self._inst.cfg.bounds)
         reads = self._role() is shared_watch.Role.READER
         return reads and self._watches[table].is_silent(
             timing, time.monotonic()
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -89,6 +89,12 @@
         """Whether the balancer should send new connections here."""
         return not self._why_not_ready()
 
+    @property
+    def isolated(self) -> bool:
+        """Whether no server of the configuration's can be reached."""
+        services = self.catalog.services if self.catalog else ()
+        return self.servers.isolated(services)
+
     def answer_readiness(self) -> bool:
         """Tells whether it is ready, and logs it if that has changed."""
         why = self._why_not_ready()
@@ -114,7 +120,7 @@
             return "stopping"
         if not self.keys_hold():
             return "cut off from the store"
-        if self.servers.isolated():
+        if self.isolated:
             return "no server in reach"
         return ""
 
--- a/irisshelf/gateway/servers.py
+++ b/irisshelf/gateway/servers.py
@@ -5,6 +5,7 @@
 import collections
 import random
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from irisshelf.catalog import directory
 from irisshelf.gateway import board as board_module
@@ -70,13 +71,18 @@
             overload.Overload
         )
 
-    def isolated(self) -> bool:
+    def isolated(self, services: Iterable[str]) -> bool:
         """Tells whether no server at all can be reached from here.
 
         All servers are hardly lost at once: it is this instance that is cut
         off, and others serve its callers better.
+
+        Args:
+            services: Those of the configuration. An entry of another service
+                is another writer's; nobody tries it, so that it never is out
+                of reach.
         """
-        servers = self._listed.servers()
+        servers = [s for name in services for s in self._listed.of(name)]
         return bool(servers) and all(map(self.out_of_reach, servers))
 
     def chooser(self, service: str) -> server_choice.Chooser:
--- a/irisshelf/gateway/store_updates.py
+++ b/irisshelf/gateway/store_updates.py
@@ -24,7 +24,7 @@
 from irisshelf.observe import decision_log
 
 _KIND = datagrams_module.Kind.STORE_UPDATE
-_Revision = Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _Table(enum.IntEnum):
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -5,8 +5,8 @@
 import pytest
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import follower
 from irisshelf.gateway import settings
+from irisshelf.gateway import store_timing
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.store import feed
@@ -253,7 +253,7 @@
     ],
 )
 def test_calls_are_held_as_long_as_the_bounds_allow(table, bounds, seconds):
-    assert follower.hold_s(table, settings.Bounds(**bounds)) == seconds
+    assert store_timing.hold_s(table, settings.Bounds(**bounds)) == seconds
 
 
 @pytest.mark.parametrize(
@@ -262,7 +262,7 @@
 )
 def test_changes_are_gathered_well_within_the_bound(table, leaving_ms, seconds):
     bounds = settings.Bounds(server_leaving_ms=leaving_ms)
-    assert follower.gather_s(table, bounds) == seconds
+    assert store_timing.gather_s(table, bounds) == seconds
 
 
 @pytest.mark.parametrize("mode", [Mode.BUSY, Mode.RESET, Mode.SILENT])
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -30,6 +30,7 @@
 from irisshelf.platform.stand_in import store as store_module
 from irisshelf.routing.direct import event_stream
 from irisshelf.store import feed
+from irisshelf.transport import errors
 
 _GOOD = {
     "service": "s",
@@ -170,6 +171,19 @@
     assert len(world.inst.directory.servers()) == 3
 
 
+def test_an_entry_of_an_unnamed_service_hides_no_isolation(world):
+    """Nobody tries its server, so that it would always seem in reach."""
+    foreign = {**world.plain[0].entry(), "service": "not-ours"}
+    world.store.put("servers", "foreign", foreign)
+    world.wait(lambda: world.inst.directory.get("foreign") is not None)
+    for server in world.inst.directory.servers():
+        if server.service != "not-ours":
+            lost = errors.ConnectError("gone", silent=False)
+            world.inst.servers.unreachable(server, lost, "r1")
+    assert world.inst.isolated
+    assert not world.inst.ready
+
+
 def test_thousands_of_unusable_entries_are_told_in_one_line(world, monkeypatch):
     lines = []
     monkeypatch.setattr(
@@ -386,6 +400,20 @@
             return
 
 
+@pytest.mark.parametrize(
+    ("kind", "content"),
+    [
+        (datagrams_module.Kind.STORE_UPDATE, ["a", 0, 5.0, 7, 3]),
+        (datagrams_module.Kind.STORE_UPDATE, ["a", 1, 5.0, 2**63 - 1, 0]),
+        (datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", 7, 1]], {}]),
+    ],
+)
+def test_a_sound_datagram_is_taken(kind, content):
+    takers = _Takers()
+    takers.take(kind, content)
+    assert len(takers.updates) + len(takers.loads) == 1
+
+
 @hypothesis.given(
     kind=strategies.sampled_from(list(datagrams_module.Kind)), content=_CONTENTS
 )
--- a/irisshelf/tests/test_shared_watch.py
+++ b/irisshelf/tests/test_shared_watch.py
@@ -19,8 +19,8 @@
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
-from irisshelf.gateway import follower
 from irisshelf.gateway import settings
+from irisshelf.gateway import store_timing
 from irisshelf.store import feed
 
 _CATALOG, _SERVERS = feed.Table.CATALOG, feed.Table.SERVERS
@@ -162,7 +162,7 @@
         hold_s = watch.hold_s(
             self.role(),
             self.play.timing,
-            alone_s=follower.hold_s(table, self.play.bounds),
+            alone_s=store_timing.hold_s(table, self.play.bounds),
             now=self.clock_s,
         )
         watch.asked()
@@ -225,7 +225,9 @@
             self._tell(table, ver, store_s)
         pause_s = 0.0
         if news:
-            pause_s = follower.gather_s(table, self.play.bounds, self.role())
+            pause_s = store_timing.gather_s(
+                table, self.play.bounds, self.role()
+            )
         self.next_turn(table, pause_s)
 
     def _adopt(self, version):
@@ -284,7 +286,7 @@
     def __init__(self, *, seed, bounds, count=40, loss=0.01):
         self.rng = random.Random(seed)
         self.bounds = bounds
-        self.timing = follower.watch_timing(bounds)
+        self.timing = store_timing.watch_timing(bounds)
         self.now = 0.0
         self.store = _Store(self)
         self._loss = loss
