--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from irisshelf.catalog import directory
+from irisshelf.gateway import server_list
 from irisshelf.gateway import settings
 from irisshelf.gateway import store_timing
 from irisshelf.platform.stand_in import store
@@ -288,3 +289,23 @@
     world.wait(lambda: world.ask("/added/1").status == 404)
     assert world.ask("/alarm/1", Authorization="Bearer added").status == 401
     world.close()
+
+
+def test_an_entry_that_ended_is_not_kept_past_the_bound_for_ones_own_outage(
+    world,
+):
+    """A reader without the store hears by its watcher that a server has gone.
+
+    Seen: a request reached a server 3.4 s after its leaving was accepted (bound
+    3 s). The grace for lapsed entries, 2.2 s, does not end before as much time
+    has passed since this instance itself has the store again, however long the
+    store was back by then.
+    """
+    listed = server_list.ServerList(inst=world.inst)
+    name = world.plain[0].server_id
+    gone = directory.Change(entry_id=name, server=None)
+    listed.store_lost()
+    listed.change((gone,), 10**9, 10.0)
+    listed.store_back(11.2)
+    listed.expire(12.9)
+    assert world.inst.directory.get(name) is None
