Lapsed entries end by their own time, also where the store was lost again

Cause: no lapsed entry was dropped before 2.2 s had passed since the instance's latest return to the store; one more short loss put the end off by as much again. Ruled out: the grace of each entry itself, which runs from the store's return.

Tests of what counts as an end, of news and of whose word counts; datagrams of the new kind among the outside bytes.

--- a/irisshelf/gateway/server_list.py
+++ b/irisshelf/gateway/server_list.py
@@ -70,9 +70,13 @@
         return self._changes.update(store_s, now)
 
     def expire(self, now: float) -> None:
-        """Drops servers whose lapsed entries have not come back."""
-        if self._after_outage(now):
-            return
+        """Drops servers whose lapsed entries have not come back.
+
+        Each by its own time: an instance that loses the store once more for a
+        moment, or has it again later than its watcher, does not keep an entry
+        for longer. Requests reached a server 3.4 s after its leaving was
+        accepted, where 3 s are allowed.
+        """
         gone = self._inst.directory.expire(now)
         if gone:
             self._inst.log.instance("lapsed_servers_gone", servers=gone)
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -39,6 +39,7 @@
     Attributes:
         inst: Its state.
         listener: Its listener for callers.
+        follower: What follows the store.
         roster: The instances that it knows.
     """
 
@@ -80,7 +81,7 @@
             log=log,
         )
         self.listener.start()
-        self._follower = follower.Follower(
+        self.follower = follower.Follower(
             inst=self.inst, store=store_feed.StoreFeed(address=store)
         )
         self._datagrams = datagrams.Datagrams(address=_ANY_PORT, log=log)
@@ -97,9 +98,9 @@
             log=log,
         )
         self._greenlets = [
-            gevent.spawn(self._follower.run, table) for table in feed.Table
+            gevent.spawn(self.follower.run, table) for table in feed.Table
         ]
-        self._greenlets.append(gevent.spawn(self._follower.expire_lapsed))
+        self._greenlets.append(gevent.spawn(self.follower.expire_lapsed))
         self._greenlets.append(gevent.spawn(self._datagrams.run))
 
     def meet(self, others: Sequence[Entry]) -> None:
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -91,6 +91,7 @@
         entries: The instances.
         inst: The first of them.
         listener: Its listener for callers.
+        follower: What follows the store for it.
     """
 
     def __init__(
@@ -122,6 +123,7 @@
             entry.meet(self.entries)
         self.inst = self.entries[0].inst
         self.listener = self.entries[0].listener
+        self.follower = self.entries[0].follower
         if configured:
             self.wait(lambda: all(e.inst.ready for e in self.entries))
 
--- /dev/null
+++ b/irisshelf/tests/test_crash_news.py
@@ -0,0 +1,172 @@
+"""What counts as an end under a request, and whose word of it."""
+
+import time
+
+import gevent
+import pytest
+
+from irisshelf.gateway import servers as servers_module
+from irisshelf.gateway import settings
+from irisshelf.platform.stand_in import entry as entry_module
+from irisshelf.platform.stand_in import server as server_module
+from irisshelf.platform.stand_in import world as world_module
+from irisshelf.routing import suspects
+from irisshelf.routing.direct import policy
+
+Fault = server_module.Fault
+_BODY = b"the one"
+_CONTENT = suspects.content_of("blue", "POST", "/alarm/1", _BODY)
+
+
+@pytest.fixture
+def fleet():
+    """Two instances in each of two data centres."""
+    made = world_module.World(servers=8, data_centres=("a", "a", "b", "b"))
+    yield made
+    made.close()
+
+
+def _stages(fleet):
+    now = time.monotonic()
+    return [
+        e.inst.crashes.suspects.judge(_CONTENT, now).stage.value
+        for e in fleet.entries
+    ]
+
+
+def _end_under(fleet, times=1):
+    for one in fleet.plain:
+        one.ends_under = lambda run: run.body == _BODY
+        one.away_s = 60.0
+    for _ in range(times):
+        fleet.ask("/alarm/1", body=_BODY)
+    for one in fleet.plain:
+        one.ends_under = lambda run: False
+
+
+@pytest.mark.parametrize(
+    ("ends", "stage"), [(1, "suspect"), (2, "suspect"), (3, "barred")]
+)
+def test_all_instances_hear_of_an_end(fleet, ends, stage):
+    _end_under(fleet, ends)
+    fleet.wait(lambda: _stages(fleet) == [stage] * 4)
+
+
+def test_a_good_answer_anywhere_clears_it_everywhere(fleet):
+    _end_under(fleet, 2)
+    fleet.wait(lambda: _stages(fleet) == ["suspect"] * 4)
+    assert fleet.ask("/alarm/1", body=_BODY, entry=3).status == 200
+    fleet.wait(lambda: _stages(fleet) == ["clear"] * 4)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        Fault.RESET,
+        Fault.RESET_AFTER_RUN,
+        Fault.GARBAGE,
+        Fault.FAIL,
+        Fault.BARE_503,
+        Fault.UNSIGNED,
+        Fault.CUT,
+        Fault.HANG,
+    ],
+)
+def test_what_is_no_end_of_a_server_is_not_counted(fleet, fault):
+    for one in fleet.plain:
+        one.always = fault
+    for _ in range(4):
+        fleet.ask("/alarm/1", body=_BODY, Deadline_Ms="150")
+    assert not any(e.inst.crashes.suspects for e in fleet.entries)
+
+
+def test_a_server_that_leaves_ends_as_planned(fleet):
+    for one in fleet.plain:
+        fleet.store.put("servers", one.server_id, one.entry("draining"))
+    fleet.wait(
+        lambda: all(
+            server.state.value == "leaving"
+            for server in fleet.inst.directory.of("crew")
+        )
+    )
+    server = fleet.inst.directory.of("crew")[0]
+    fleet.plain[0].close()
+    assert not fleet.inst.crashes.has_ended(server)
+
+
+def test_a_stream_under_way_is_not_blamed(fleet):
+    """What had events was begun long before its server ended."""
+    for one in fleet.engines:
+        one.always = Fault.HANG_MIDWAY
+    asking = gevent.spawn(fleet.ask, "/query/1", body=_BODY)
+    fleet.wait(lambda: any(one.working for one in fleet.engines))
+    gevent.sleep(0.05)
+    (busy,) = [one for one in fleet.engines if one.working]
+    busy.crash()
+    assert not asking.get().whole
+    assert not fleet.inst.crashes.suspects
+
+
+@pytest.mark.parametrize("ended", [0, 2, 3])
+def test_a_datagram_counts_for_servers_that_have_ended_and_no_others(
+    fleet, ended
+):
+    """Whatever it says, an instance sees for itself."""
+    for one in fleet.plain[:ended]:
+        one.close()
+    for one in fleet.plain[:5]:
+        end = suspects.End(
+            server=servers_module.key_of(one.server_id),
+            at_s=time.monotonic(),
+        )
+        fleet.inst.crashes.heard_end(_CONTENT, end)
+    stranger = suspects.End(server=b"stray", at_s=time.monotonic())
+    fleet.inst.crashes.heard_end(_CONTENT, stranger)
+    now = time.monotonic()
+    verdict = fleet.inst.crashes.suspects.judge(_CONTENT, now)
+    assert len(verdict.ends) == ended
+
+
+def test_an_end_of_a_server_that_has_left_the_list_counts(fleet):
+    gone = fleet.plain[0]
+    fleet.store.drop("servers", gone.server_id)
+    fleet.wait(lambda: len(fleet.inst.directory.of("crew")) == 7)
+    end = suspects.End(
+        server=servers_module.key_of(gone.server_id), at_s=time.monotonic()
+    )
+    fleet.inst.crashes.heard_end(_CONTENT, end)
+    assert _stages(fleet)[0] == "suspect"
+
+
+def test_an_instance_that_starts_asks_for_what_is_known(fleet):
+    _end_under(fleet, 3)
+    fresh = entry_module.Entry(
+        name="entry-9",
+        data_centre="a",
+        store=fleet.store.address,
+        bounds=settings.Bounds(),
+        switched=policy.ALL_ON,
+    )
+    fleet.wait(lambda: _stages(fleet) == ["barred"] * 4)
+    answers = [None, fleet.entries[1].crash_news.all()]
+    fresh.crash_news.catch_up(lambda: answers.pop(0))
+    fleet.entries.append(fresh)
+    assert _stages(fleet) == ["barred"] * 5
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x81\x01", b"\x05"])
+def test_an_answer_that_is_none_is_borne(fleet, data):
+    entry = fleet.entries[0]
+    entry.crash_news.catch_up(lambda: data)
+    assert not entry.inst.crashes.suspects
+
+
+def test_two_instances_send_a_suspect_to_the_same_server(fleet):
+    _end_under(fleet, 1)
+    fleet.wait(lambda: _stages(fleet) == ["suspect"] * 4)
+    for one in fleet.plain:
+        one.always = Fault.FAIL
+    for entry in range(4):
+        fleet.ask("/alarm/1", body=_BODY, entry=entry)
+    took = {one.server_id for one in fleet.plain if one.runs and not one.ends}
+    assert len(took) == 1
--- a/irisshelf/tests/test_neighbours.py
+++ b/irisshelf/tests/test_neighbours.py
@@ -143,3 +143,17 @@
     _wait(lambda: alone.counts == [0])
     assert not loop.ready()
     loop.kill()
+
+
+def test_an_instance_asks_whoever_answers():
+    first = _Instance("1")
+    asker = _Instance("2", seeds=(first.address,))
+    assert asker.own.ask_any("/what") is None
+    loop = gevent.spawn(asker.own.run)
+    _wait(lambda: first.names() == ["2"])
+    gone = roster.Member(name="0", address="127.0.0.1:9", data_centre="a")
+    asker.own.roster.heard(gone, time.monotonic())
+    assert asker.own.ask_any("/what") is None
+    first.own.answer_with("/what", lambda: b"this")
+    assert asker.own.ask_any("/what") == b"this"
+    loop.kill()
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -12,14 +12,17 @@
 import json
 import math
 import random
+import time
 
 import cbor2
+import gevent
 import hypothesis
 import pytest
 from hypothesis import strategies
 
 from irisshelf.coordination import roster
 from irisshelf.gateway import board
+from irisshelf.gateway import crash_news
 from irisshelf.gateway import datagrams as datagrams_module
 from irisshelf.gateway import messages
 from irisshelf.gateway import server_list
@@ -376,6 +379,7 @@
     def __init__(self):
         self.updates = []
         self.loads = []
+        self.ends = []
         self._takers = {}
         own = roster.Member(name="1", address="", data_centre="a")
         members = roster.Roster(own=own)
@@ -386,6 +390,9 @@
             on_holds=lambda server, part: None,
             rng=random.Random(1),
         )
+        crash_news.CrashNews(
+            crashes=self, datagrams=self, roster=members, log=None
+        )
         store_updates.Updates(datagrams=self, roster=members, log=None).hand_to(
             self.updates.append
         )
@@ -398,6 +405,16 @@
             self._takers[kind](content)
         except ValueError:
             return
+        gevent.sleep(0)
+
+    def send(self, address, data):
+        """Takes what is passed on."""
+
+    def heard_end(self, content, end):
+        self.ends.append(end)
+
+    def heard_good(self, content):
+        self.ends.append(content)
 
 
 @pytest.mark.parametrize(
@@ -406,12 +423,14 @@
         (datagrams_module.Kind.STORE_UPDATE, ["a", 0, 5.0, 7, 3]),
         (datagrams_module.Kind.STORE_UPDATE, ["a", 1, 5.0, 2**63 - 1, 0]),
         (datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", 7, 1]], {}]),
+        (datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, b"12345", 7, True]),
+        (datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, None, 0, False]),
     ],
 )
 def test_a_sound_datagram_is_taken(kind, content):
     takers = _Takers()
     takers.take(kind, content)
-    assert len(takers.updates) + len(takers.loads) == 1
+    assert len([*takers.updates, *takers.loads, *takers.ends]) == 1
 
 
 @hypothesis.given(
@@ -428,6 +447,12 @@
 @hypothesis.example(
     datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", -7, 1]], {}]
 )
+@hypothesis.example(
+    datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, b"12345", -5000, True]
+)
+@hypothesis.example(
+    datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, b"12345", 2**60, True]
+)
 @hypothesis.settings(max_examples=400, derandomize=True, deadline=None)
 def test_any_datagram_is_taken_or_dropped(kind, content):
     """Whatever it says, no age and no load is out of its range."""
@@ -439,3 +464,5 @@
     for news in takers.loads:
         assert math.isfinite(news.at_s)
         assert 0 <= news.work < 2**63
+    now = time.monotonic()
+    assert all(now - 11 < end.at_s <= now for end in takers.ends)
--- a/irisshelf/tests/test_store_outage.py
+++ b/irisshelf/tests/test_store_outage.py
@@ -47,8 +47,8 @@
 
 def _take_role(world, role):
     updates = _Updates(role)
-    world._follower._updates = updates
-    updates.hand_to(world._follower.take_update)
+    world.follower._updates = updates
+    updates.hand_to(world.follower.take_update)
     return updates
 
 
