Time that counts while the machine sleeps, for all that is kept by time

Cause: ages, windows and deadlines were taken from the steady clock, which stands still while a machine is suspended; six seconds of sleep made keys seem one second old that had been confirmed seven seconds before. A sleep is logged and counted before the next request is admitted. An answer that is there is read though its time is over.

--- a/irisshelf/daemon/node.py
+++ b/irisshelf/daemon/node.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 from typing import TypeVar
 
+from irisshelf import boottime
 from irisshelf.backends import errors
 from irisshelf.backends import pool
 from irisshelf.bundle import schema
@@ -66,7 +67,7 @@
         cfg: settings.Settings,
         platform: interface.Platform,
         rng: random.Random,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = boottime.now,
         wall: Callable[[], float] = time.time,
     ):
         self.cfg = cfg
--- a/irisshelf/gateway/board.py
+++ b/irisshelf/gateway/board.py
@@ -14,7 +14,6 @@
 import enum
 import hashlib
 import random
-import time
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Annotated
@@ -23,6 +22,7 @@
 import gevent
 import msgspec
 
+from irisshelf import boottime
 from irisshelf.coordination import roster as roster_module
 from irisshelf.gateway import datagrams as datagrams_module
 
@@ -96,7 +96,7 @@
 
     def take(self, data_centre: str, way: _Way) -> _Message:
         """Takes what fits into a datagram; the rest waits for the next."""
-        now = time.monotonic()
+        now = boottime.now()
         loads = [
             self.loads.pop(server) for server in list(self.loads)[:_MOST_NEWS]
         ]
@@ -161,7 +161,7 @@
 
     def send(self) -> None:
         """Tells the news since the last time, if there are any."""
-        now = time.monotonic()
+        now = boottime.now()
         first = self._roster.first(now)
         if first is not None:
             self._send_news(self._own, _Way.TO_FIRST, [first])
@@ -186,7 +186,7 @@
         self._apply(news)
         if message.way is _Way.TO_ALL:
             return
-        first = self._roster.first(time.monotonic())
+        first = self._roster.first(boottime.now())
         if first is None:
             (self._own if at_home else self._foreign).add(news)
         elif message.way is _Way.TO_FIRST:
@@ -221,7 +221,7 @@
     def _one_elsewhere(self) -> list[roster_module.Member]:
         """Returns one instance of each other data centre."""
         found: dict[str, list[roster_module.Member]] = {}
-        for member in self._roster.elsewhere(time.monotonic()):
+        for member in self._roster.elsewhere(boottime.now()):
             found.setdefault(member.data_centre, []).append(member)
         return [self._rng.choice(group) for group in found.values()]
 
@@ -238,7 +238,7 @@
 
 def _decode(message: _Message) -> _News:
     news = _News()
-    now = time.monotonic()
+    now = boottime.now()
     for server, work, age_ms in message.loads:
         if 0 <= age_ms <= _OLDEST_MS:
             at_s = now - age_ms / 1000
--- a/irisshelf/gateway/crash_news.py
+++ b/irisshelf/gateway/crash_news.py
@@ -11,7 +11,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Annotated
 from typing import Any
@@ -20,6 +19,7 @@
 import gevent
 import msgspec
 
+from irisshelf import boottime
 from irisshelf.coordination import roster as roster_module
 from irisshelf.gateway import crashes as crashes_module
 from irisshelf.gateway import datagrams as datagrams_module
@@ -107,7 +107,7 @@
 
     def all(self) -> bytes:
         """Returns all that is known, for ``catch_up``."""
-        now = time.monotonic()
+        now = boottime.now()
         rows = [
             (content, end.server, int((now - end.at_s) * 1000))
             for content, ends in self._crashes.suspects.all(now).items()
@@ -116,7 +116,7 @@
         return cbor2.dumps(rows)
 
     def _take_all(self, data: bytes) -> None:
-        now = time.monotonic()
+        now = boottime.now()
         try:
             rows = msgspec.convert(
                 cbor2.loads(data), list[tuple[_Content, _Server, _AgeMs]]
@@ -132,7 +132,7 @@
         if message.server is None:
             self._crashes.heard_good(message.content)
             return
-        at_s = time.monotonic() - message.age_ms / 1000
+        at_s = boottime.now() - message.age_ms / 1000
         end = suspects.End(server=message.server, at_s=at_s)
         self._crashes.heard_end(message.content, end)
 
@@ -140,20 +140,20 @@
         self._tell(content, end.server, end.at_s)
 
     def _tell_good(self, content: bytes) -> None:
-        self._tell(content, None, time.monotonic())
+        self._tell(content, None, boottime.now())
 
     def _tell(self, content: bytes, server: bytes | None, at_s: float) -> None:
         self._send(content, server, at_s)
         gevent.spawn_later(_AGAIN_S, self._send, content, server, at_s)
 
     def _send(self, content: bytes, server: bytes | None, at_s: float) -> None:
-        age_ms = int((time.monotonic() - at_s) * 1000)
+        age_ms = int((boottime.now() - at_s) * 1000)
         message = _Message(content, server, age_ms, relay=False)
         self._send_home(_encode(message))
         message.relay = True
         data = _encode(message)
         told: dict[str, int] = {}
-        for member in self._roster.elsewhere(time.monotonic()):
+        for member in self._roster.elsewhere(boottime.now()):
             count = told.get(member.data_centre, 0)
             if count < _ABROAD:
                 told[member.data_centre] = count + 1
@@ -161,7 +161,7 @@
 
     def _send_home(self, data: bytes) -> None:
         own = self._roster.own.data_centre
-        for member, _ in self._roster.members(own, time.monotonic()):
+        for member, _ in self._roster.members(own, boottime.now()):
             self._datagrams.send(member.address, data)
 
 
--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/follower.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import functools
-import time
 
 import gevent
 import result
 from gevent import event
 
+from irisshelf import boottime
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
@@ -90,7 +90,7 @@
 
     def step(self, table: feed.Table) -> bool:
         """Makes one call; returns whether the store answered it."""
-        sent_s = time.monotonic()
+        sent_s = boottime.now()
         watch = self._watches[table]
         after = watch.revision
         if table is feed.Table.CATALOG and watch.reads_newest_alone(sent_s):
@@ -135,7 +135,7 @@
         self._inst.freshness.vouched(as_of_s)
         self._watches[feed.Table.CATALOG].follows_to(update.revision)
         if self._lost_s is not None and as_of_s > self._lost_s:
-            self._regained(time.monotonic())
+            self._regained(boottime.now())
 
     @take_update.register
     def _(self, update: shared_watch.ServersUpdate) -> None:
@@ -143,7 +143,7 @@
         verdict = shared_watch.judge_servers(update, watch.revision)
         self._note_update(feed.Table.SERVERS, update, verdict)
         if verdict is shared_watch.Verdict.APPLY:
-            now = time.monotonic()
+            now = boottime.now()
             self.server_list.change(update.changes, update.revision, now)
             watch.follows_to(update.revision)
 
@@ -154,7 +154,7 @@
         verdict: shared_watch.Verdict,
     ) -> float:
         """Notes an update; returns its moment in monotonic seconds."""
-        now = time.monotonic()
+        now = boottime.now()
         as_of_s = self._inst.freshness.time_of(update.store_s, now)
         self._watches[table].updated(as_of_s, update.revision, verdict)
         self._updated[table].set()
@@ -174,7 +174,7 @@
         while True:
             timing = store_timing.watch_timing(self._inst.cfg.bounds)
             until_s = watch.rests_until_s(self._role(), timing)
-            left_s = until_s - time.monotonic()
+            left_s = until_s - boottime.now()
             if left_s <= 0:
                 return
             updated.clear()
@@ -192,7 +192,7 @@
             return 0.0
         pause_s = store_timing.gather_s(table, cfg.bounds, self._role())
         if table is feed.Table.CATALOG:
-            pause_s -= self._inst.freshness.age_s(time.monotonic())
+            pause_s -= self._inst.freshness.age_s(boottime.now())
         return max(pause_s, 0.0)
 
     def _wait_s(self, table: feed.Table, now: float) -> float:
@@ -215,12 +215,12 @@
             self._inst.servers.links.expire()
             if not self._up.is_set():
                 continue
-            self.server_list.expire(time.monotonic())
+            self.server_list.expire(boottime.now())
 
     def _answered(
         self, table: feed.Table, batch: feed.Batch, sent_s: float
     ) -> None:
-        now = time.monotonic()
+        now = boottime.now()
         newest = self._watches[table].answered(batch.revision, now)
         if table is feed.Table.CATALOG:
             self._regained(now)
@@ -262,7 +262,7 @@
             complete=batch.complete,
             size_bytes=batch.size_bytes,
             transfer_s=round(batch.transfer_s, 4),
-            call_s=round(time.monotonic() - sent_s, 4),
+            call_s=round(boottime.now() - sent_s, 4),
             as_of_store_s=round(batch.store_s, 3),
         )
 
@@ -296,7 +296,7 @@
 
     def _failed(self, table: feed.Table, failure: feed.Unavailable) -> None:
         if self._lost_s is None:
-            self._lost_s = time.monotonic()
+            self._lost_s = boottime.now()
             self.server_list.store_lost()
             self._inst.metrics.store_up.set(0)
             self._inst.log.problem(
@@ -313,7 +313,7 @@
     def _note_outage(self) -> None:
         """Notes that neither this instance nor its watcher has the store."""
         if self._is_untold(feed.Table.CATALOG):
-            now = time.monotonic()
+            now = boottime.now()
             age_s = self._inst.freshness.age_s(now)
             self._inst.outage_since_s = now - age_s
 
@@ -321,9 +321,7 @@
         """Tells whether this instance reads, and its watcher is silent."""
         timing = store_timing.watch_timing(self._inst.cfg.bounds)
         reads = self._role() is shared_watch.Role.READER
-        return reads and self._watches[table].is_silent(
-            timing, time.monotonic()
-        )
+        return reads and self._watches[table].is_silent(timing, boottime.now())
 
     def _regained(self, now: float) -> None:
         self._up.set()
--- a/irisshelf/gateway/front.py
+++ b/irisshelf/gateway/front.py
@@ -62,6 +62,7 @@
         self, request: caller_side.Request, conn: caller_side.Connection
     ) -> None:
         """Answers one request."""
+        self._inst.note_sleep()
         inbound = messages.Inbound(
             method=request.method,
             target=request.target,
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 
+from irisshelf import boottime
 from irisshelf.catalog import directory
 from irisshelf.catalog import freshness
 from irisshelf.catalog import model
@@ -43,7 +43,7 @@
         dialect: dialect_module.Dialect,
         log: decision_log.DecisionLog,
         rng: random.Random,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = boottime.now,
     ):
         self.cfg = cfg
         self.dialect = dialect
@@ -76,12 +76,32 @@
         self._was_ready = False
         self.stopping_since_s: float | None = None
         self.in_flight = 0
+        self._sleep_meter = boottime.SleepMeter()
 
     def take_settings(self, cfg: settings.Settings) -> None:
         """Takes settings that were read anew."""
         self.cfg = cfg
         self.servers.cfg = cfg
 
+    def note_sleep(self) -> None:
+        """Logs that the machine has slept, if it has since the last time.
+
+        Asked before each request is admitted. What ran out in the sleep has
+        run out by then without a word of this, see ``boottime``.
+        """
+        slept_s = self._sleep_meter.slept_s()
+        if not slept_s:
+            return
+        self.metrics.slept.inc(slept_s)
+        age_s = self.freshness.age_s(self.now())
+        self.log.problem(
+            "slept",
+            for_s=round(slept_s, 3),
+            in_flight=self.in_flight,
+            catalog_age_s=round(age_s, 3) if age_s < 1e9 else None,
+            keys_hold=self.keys_hold(),
+        )
+
     @property
     def knows(self) -> bool:
         """Whether configuration and servers are known."""
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -44,6 +44,11 @@
         self.connects = self._counter(
             "connects", "New connections to servers.", "service"
         )
+        self.slept = prometheus_client.Counter(
+            "irisshelf_slept_seconds_total",
+            "Time that the machine was suspended.",
+            registry=self.registry,
+        )
         self.first_byte = self._histogram(
             "first_byte_seconds", "Time to an answer's first byte.", "kind"
         )
--- a/irisshelf/gateway/neighbours.py
+++ b/irisshelf/gateway/neighbours.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 import urllib.parse
 from collections.abc import Callable
 
@@ -17,6 +16,7 @@
 import msgspec
 import result
 
+from irisshelf import boottime
 from irisshelf.coordination import roster
 from irisshelf.observe import decision_log
 from irisshelf.transport import client
@@ -75,7 +75,7 @@
         asked_seeds_s = float("-inf")
         pauses_s = iter(_ALONE_PAUSES_S)
         while not self._leaving:
-            now = time.monotonic()
+            now = boottime.now()
             if now - asked_seeds_s > _SEEDS_EVERY_S or not self._neighbours():
                 asked_seeds_s = now
                 self._ask_seeds()
@@ -104,7 +104,7 @@
         Returns:
             The answer; None if none has answered.
         """
-        now = time.monotonic()
+        now = boottime.now()
         own = self.roster.own.data_centre
         near = [member for member, _ in self.roster.members(own, now)]
         for member in [*near, *self.roster.elsewhere(now)][:_MOST_ASKED]:
@@ -116,7 +116,7 @@
     def say_goodbye(self) -> None:
         """Tells the others of the data centre that this instance stops."""
         self._leaving = True
-        now = time.monotonic()
+        now = boottime.now()
         members = self.roster.members(self.roster.own.data_centre, now)
         for member, _ in members:
             gevent.spawn(self._get, member.address, "/goodbye")
@@ -135,7 +135,7 @@
             conn.answer(_OK, [], b"")
         elif path == "/members":
             if asker.name and asker.address:
-                self.roster.heard(asker, time.monotonic())
+                self.roster.heard(asker, boottime.now())
             conn.answer(_OK, [], self._members(asker.data_centre))
         elif path in self._answers:
             conn.answer(_OK, [], self._answers[path]())
@@ -145,10 +145,10 @@
     def _neighbours(self) -> int:
         """Returns how many other instances the own data centre has."""
         own = self.roster.own.data_centre
-        return len(self.roster.members(own, time.monotonic()))
+        return len(self.roster.members(own, boottime.now()))
 
     def _members(self, data_centre: str) -> bytes:
-        now = time.monotonic()
+        now = boottime.now()
         rows = [
             (member.name, member.address, member.data_centre, age_s)
             for member, age_s in self.roster.sample(
@@ -171,7 +171,7 @@
                 "members_unreadable", address=address, detail=str(exc)
             )
             return
-        now = time.monotonic()
+        now = boottime.now()
         for name, where, data_centre, age_s in rows:
             member = roster.Member(
                 name=name, address=where, data_centre=data_centre
@@ -205,11 +205,11 @@
 
 def _exchange(conn: client.Connection, target: str) -> tuple[int, bytes]:
     """Asks once; a connection that fails is closed."""
-    until_s = time.monotonic() + _ANSWER_S
+    until_s = boottime.now() + _ANSWER_S
     headers = [(b"Host", conn.address.encode())]
     try:
         conn.send("GET", target, headers, b"", timeout_s=_ANSWER_S)
-        status, _ = conn.read_head(timeout_s=until_s - time.monotonic())
+        status, _ = conn.read_head(timeout_s=until_s - boottime.now())
         return status, _read_all(conn, until_s)
     except errors.TransportError:
         conn.close()
@@ -219,7 +219,7 @@
 def _read_all(conn: client.Connection, until_s: float) -> bytes:
     parts = []
     while True:
-        part = conn.read_data(timeout_s=until_s - time.monotonic())
+        part = conn.read_data(timeout_s=until_s - boottime.now())
         if part is None:
             return b"".join(parts)
         parts.append(part)
--- a/irisshelf/gateway/store_updates.py
+++ b/irisshelf/gateway/store_updates.py
@@ -10,13 +10,13 @@
 import enum
 import functools
 import math
-import time
 from collections.abc import Callable
 from typing import Annotated
 from typing import Any
 
 import msgspec
 
+from irisshelf import boottime
 from irisshelf.catalog import directory
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
@@ -89,7 +89,7 @@
 
     def role(self) -> shared_watch.Role:
         """Returns who asks the store for this instance now."""
-        now = time.monotonic()
+        now = boottime.now()
         role = shared_watch.role(self._roster, now)
         if role is not self._role:
             self._role = role
@@ -105,7 +105,7 @@
         """Sends an update to all other instances of the data centre."""
         data = self._encode(update)
         own = self._roster.own.data_centre
-        for member, _ in self._roster.members(own, time.monotonic()):
+        for member, _ in self._roster.members(own, boottime.now()):
             self._datagrams.send(member.address, data)
 
     def take(self, content: Any) -> None:
--- a/irisshelf/observe/decision_log.py
+++ b/irisshelf/observe/decision_log.py
@@ -19,6 +19,8 @@
 from gevent import socket
 from pythonjsonlogger import json as json_logger
 
+from irisshelf import boottime
+
 MAX_QUEUED = 5000
 _STDOUT = 1
 _WRITE_BYTES = 65536
@@ -31,7 +33,7 @@
     def __init__(self, *, per_s: float):
         self._per_s = per_s
         self._tokens = per_s
-        self._at_s = time.monotonic()
+        self._at_s = boottime.now()
 
     def take(self, now: float) -> bool:
         """Takes a token, if there is one."""
@@ -63,7 +65,7 @@
         self._queue: collections.deque[bytes] = collections.deque()
         self._wake = event.Event()
         self._formatter = json_logger.JsonFormatter("%(message)s")
-        self._told_s = time.monotonic()
+        self._told_s = boottime.now()
         self.dropped = 0
         self._untold = 0
         os.set_blocking(fd, False)
@@ -76,7 +78,7 @@
             request: The request's id.
             **fields: Inputs, their age or version, and the outcome.
         """
-        now = time.monotonic()
+        now = boottime.now()
         if not self._bucket.take(now):
             self._drop()
             return
@@ -126,7 +128,7 @@
         self._untold += 1
 
     def _put(self, name: str, fields: dict[str, Any], level: str) -> None:
-        now = time.monotonic()
+        now = boottime.now()
         if self._untold and now - self._told_s > _DROPPED_EVERY_S:
             untold, self._untold = self._untold, 0
             self._told_s = now
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -4,11 +4,11 @@
 
 import os
 import random
-import time
 from collections.abc import Sequence
 
 import gevent
 
+from irisshelf import boottime
 from irisshelf.coordination import roster
 from irisshelf.gateway import crash_news
 from irisshelf.gateway import datagrams
@@ -106,7 +106,7 @@
     def meet(self, others: Sequence[Entry]) -> None:
         """Makes other instances known to this one."""
         for other in others:
-            self.roster.heard(other.member, time.monotonic())
+            self.roster.heard(other.member, boottime.now())
 
     def close(self) -> None:
         """Ends everything."""
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -6,7 +6,6 @@
 import dataclasses
 import enum
 import json
-import time
 import urllib.parse
 from collections.abc import Callable
 from typing import Any
@@ -16,6 +15,7 @@
 from gevent import server
 from gevent import socket
 
+from irisshelf import boottime
 from irisshelf.transport import server as http
 
 _LIMITS = http.Limits(
@@ -143,13 +143,13 @@
         self, conn: http.Connection, fields: dict[str, str], hold_ms: int
     ) -> None:
         after = int(fields["afterRevision"])
-        until_s = time.monotonic() + hold_ms / 1000
+        until_s = boottime.now() + hold_ms / 1000
         while True:
             if after < self._forgotten:
                 self._answer(conn, 410, {})
                 return
             changed = self._since(fields["table"], after)
-            left_s = until_s - time.monotonic()
+            left_s = until_s - boottime.now()
             if changed or left_s <= 0:
                 break
             self._changed.wait(left_s)
@@ -189,7 +189,7 @@
             return
         if self.mode is Mode.BUSY:
             status, document = 503, {}
-        now_ms = time.monotonic() * 1000
+        now_ms = boottime.now() * 1000
         whole = {"ver": self._ver, "nowMs": now_ms, **document}
         data = json.dumps(whole).encode()
         if self.mode is Mode.TRICKLE:
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -5,13 +5,13 @@
 import dataclasses
 import functools
 import itertools
-import time
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
 
 import gevent
 
+from irisshelf import boottime
 from irisshelf.catalog import directory
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import entry as entry_module
@@ -141,9 +141,9 @@
         Raises:
             TimeoutError: It did not.
         """
-        end_s = time.monotonic() + _WAIT_S
+        end_s = boottime.now() + _WAIT_S
         while not until():
-            if time.monotonic() > end_s:
+            if boottime.now() > end_s:
                 raise TimeoutError("what was waited for did not come")
             gevent.sleep(0.005)
 
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -4,13 +4,13 @@
 
 import base64
 import dataclasses
-import time
 import urllib.parse
 from typing import Any
 
 import msgspec
 import result
 
+from irisshelf import boottime
 from irisshelf.platform import documents
 from irisshelf.store import feed
 from irisshelf.transport import client
@@ -136,8 +136,8 @@
         once keep each other from ever coming to its end.
         """
         pages = self._begun.get(table)
-        if pages is None or time.monotonic() - pages.began_s > _PAGES_S:
-            pages = self._begun[table] = _Pages(began_s=time.monotonic())
+        if pages is None or boottime.now() - pages.began_s > _PAGES_S:
+            pages = self._begun[table] = _Pages(began_s=boottime.now())
         for _ in range(_MAX_PAGES):
             query = _page(table, pages.start)
             read = self._call(table, "rows-get", query, 0.0)
@@ -207,11 +207,11 @@
         headers = [(b"Host", self._address.encode())]
         conn.send("GET", path, headers, b"", timeout_s=timeout_s)
         status, _ = conn.read_head(timeout_s=timeout_s)
-        began_s = time.monotonic()
+        began_s = boottime.now()
         until_s = began_s + _LONGEST_ANSWER_S
         parts = []
         while True:
-            left_s = until_s - time.monotonic()
+            left_s = until_s - boottime.now()
             part = conn.read_data(timeout_s=min(_ANSWER_S, left_s))
             if part is None:
                 break
@@ -221,7 +221,7 @@
         return _Exchange(
             status=status,
             data=b"".join(parts),
-            transfer_s=time.monotonic() - began_s,
+            transfer_s=boottime.now() - began_s,
         )
 
     def _connection(self, table: feed.Table) -> client.Connection:
--- a/irisshelf/testing/demo/__main__.py
+++ b/irisshelf/testing/demo/__main__.py
@@ -8,13 +8,13 @@
 import random
 import subprocess
 import tempfile
-import time
 from typing import Annotated
 from typing import Any
 
 import gevent
 import typer
 
+from irisshelf import boottime
 from irisshelf.testing.demo import callers
 from irisshelf.testing.demo import fleets
 from irisshelf.testing.demo import layout
@@ -78,24 +78,24 @@
 
     def _wait_in_force(self, number: int) -> float:
         """Waits until every instance has a bundle; returns the seconds."""
-        began_s = time.monotonic()
+        began_s = boottime.now()
         waiting = list(self._live)
-        while waiting and time.monotonic() - began_s < _IN_FORCE_LIMIT_S:
+        while waiting and boottime.now() - began_s < _IN_FORCE_LIMIT_S:
             waiting = [i for i in waiting if self._rig.bundle_of(i) < number]
             gevent.sleep(_STEP_S)
-        return time.monotonic() - began_s
+        return boottime.now() - began_s
 
     def _load(self) -> None:
-        until_s = time.monotonic() + LOAD_S
+        until_s = boottime.now() + LOAD_S
         balancer = gevent.spawn(self._watch_ready)
         while not self._ready:
             gevent.sleep(_STEP_S)
         before = {i.name: _control_bytes(i) for i in self._plan.instances}
-        began_s = time.monotonic()
+        began_s = boottime.now()
         playing = self._play(until_s)
         self._faults()
         gevent.joinall(playing)
-        lasted_s = time.monotonic() - began_s
+        lasted_s = boottime.now() - began_s
         for instance in self._live:
             if instance.name in before:
                 grown = _control_bytes(instance) - before[instance.name]
@@ -163,11 +163,11 @@
         submit = gevent.get_hub().threadpool.spawn(
             self._rig.submit, number=2, note="second"
         )
-        began_s = time.monotonic()
+        began_s = boottime.now()
         submit.get()
-        submitted_s = time.monotonic()
+        submitted_s = boottime.now()
         self._wait_in_force(2)
-        self._in_force_s = time.monotonic() - submitted_s
+        self._in_force_s = boottime.now() - submitted_s
         _say(f"bundle 2 submitted in {submitted_s - began_s:.1f} s, in force"
              f" everywhere {self._in_force_s:.1f} s later")  # fmt: skip
 
--- a/irisshelf/testing/demo/callers.py
+++ b/irisshelf/testing/demo/callers.py
@@ -11,7 +11,6 @@
 import enum
 import json
 import random
-import time
 from collections.abc import Callable
 from http import client as http_client
 from typing import Any
@@ -19,6 +18,7 @@
 import gevent
 import geventhttpclient
 
+from irisshelf import boottime
 from irisshelf.testing.demo import layout
 
 _TIMEOUT_S = 30.0
@@ -82,17 +82,17 @@
 
     def chat(self, team: str, until_s: float) -> None:
         """Plays chats of one team that return after pauses."""
-        while time.monotonic() < until_s:
+        while boottime.now() < until_s:
             messages = [self._shared(team)]
             for _ in range(self._rng.randint(3, 6)):
-                if time.monotonic() > until_s:
+                if boottime.now() > until_s:
                     return
                 self._turn(team, messages)
                 gevent.sleep(self._rng.uniform(0.2, 2.0))
 
     def lookups(self, team: str, until_s: float) -> None:
         """Plays calls to the plain service that may be repeated."""
-        while time.monotonic() < until_s:
+        while boottime.now() < until_s:
             path = f"/services/{self._plan.fleet.plain}"
             path += f"{self._plan.fleet.lookup_path}/{self._nonce()}"
             self._plain(team, "GET", path, key="")
@@ -100,7 +100,7 @@
 
     def once(self, team: str, until_s: float) -> None:
         """Plays calls that run at most once; some are asked twice at once."""
-        while time.monotonic() < until_s:
+        while boottime.now() < until_s:
             key = self._nonce()
             path = f"/services/{self._plan.fleet.plain}"
             path += f"{self._plan.fleet.once_path}/{key}"
@@ -131,7 +131,7 @@
             "max_tokens": count,
             "stream": self._rng.random() < 0.7,
         }
-        began_s = time.monotonic()
+        began_s = boottime.now()
         instance, reply = self._send(
             team, "POST", "/v1/chat/completions", json.dumps(body).encode(), {}
         )
@@ -146,7 +146,7 @@
     def _plain(self, team: str, method: str, path: str, *, key: str) -> None:
         nonce = path.rpartition("/")[2]
         headers = {"Idempotency-Key": key} if key else {}
-        began_s = time.monotonic()
+        began_s = boottime.now()
         for _ in range(_TRIES):
             instance, reply = self._send(team, method, path, b"", headers)
             told = _judge_plain(reply, nonce)
@@ -176,7 +176,7 @@
                 instance=instance,
                 told=told,
                 began_s=began_s,
-                ended_s=time.monotonic(),
+                ended_s=boottime.now(),
                 detail=detail,
             )
         )
--- a/irisshelf/testing/demo/processes.py
+++ b/irisshelf/testing/demo/processes.py
@@ -13,6 +13,8 @@
 
 import geventhttpclient
 
+from irisshelf import boottime
+
 _START_S = 20.0
 _STEP_S = 0.05
 
@@ -117,8 +119,8 @@
     Raises:
         TimeoutError: It does not, in time.
     """
-    limit = time.monotonic() + _START_S
-    while time.monotonic() < limit:
+    limit = boottime.now() + _START_S
+    while boottime.now() < limit:
         try:
             call(address, path)
         except (OSError, ValueError):
--- a/irisshelf/testing/demo/rig.py
+++ b/irisshelf/testing/demo/rig.py
@@ -8,6 +8,7 @@
 
 import geventhttpclient
 
+from irisshelf import boottime
 from irisshelf.testing.demo import fleets
 from irisshelf.testing.demo import layout
 from irisshelf.testing.demo import processes
@@ -55,9 +56,9 @@
         self.submit(number=1, note="first")
         for instance in self.plan.instances:
             self.start_instance(instance)
-        limit_s = time.monotonic() + _START_S
+        limit_s = boottime.now() + _START_S
         while not self._owners_agree():
-            if time.monotonic() > limit_s:
+            if boottime.now() > limit_s:
                 raise TimeoutError("instances do not agree on owners")
             time.sleep(_STEP_S)
 
--- a/irisshelf/testing/harness.py
+++ b/irisshelf/testing/harness.py
@@ -10,7 +10,6 @@
 import io
 import json
 import random
-import time
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -18,6 +17,7 @@
 import gevent
 from gevent import pywsgi
 
+from irisshelf import boottime
 from irisshelf.bundle import schema
 from irisshelf.daemon import admit
 from irisshelf.daemon import front
@@ -225,9 +225,9 @@
 
 def wait_for(holds: Callable[[], bool], *, limit_s: float = 5.0) -> bool:
     """Waits until something holds; tells whether it does in time."""
-    until_s = time.monotonic() + limit_s
+    until_s = boottime.now() + limit_s
     while not holds():
-        if time.monotonic() > until_s:
+        if boottime.now() > until_s:
             return False
         gevent.sleep(0.002)
     return True
--- a/irisshelf/testing/stand_in.py
+++ b/irisshelf/testing/stand_in.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from typing import Annotated
 
@@ -12,6 +11,7 @@
 from gevent import pywsgi
 from gevent import socket
 
+from irisshelf import boottime
 from irisshelf.testing import engine
 from irisshelf.testing import platform as fake_platform
 from irisshelf.testing import platform_server
@@ -24,7 +24,7 @@
 def platform(port: int, list_lag_s: float = 1.0, seed: int = 1) -> None:
     """Serves the fake platform on loopback."""
     fake = fake_platform.FakePlatform(
-        clock=time.monotonic, rng=random.Random(seed), sleep=gevent.sleep
+        clock=boottime.now, rng=random.Random(seed), sleep=gevent.sleep
     )
     fake.faults = fake_platform.Faults(list_lag_s=list_lag_s)
     _serve({port: platform_server.PlatformServer(platform=fake)})
--- a/irisshelf/tests/test_board.py
+++ b/irisshelf/tests/test_board.py
@@ -2,12 +2,12 @@
 
 import os
 import random
-import time
 
 import cbor2
 import gevent
 import pytest
 
+from irisshelf import boottime
 from irisshelf.coordination import roster
 from irisshelf.gateway import board as board_module
 from irisshelf.gateway import datagrams
@@ -60,21 +60,21 @@
     ]
     for one in made:
         for other in made:
-            one.roster.heard(other.member, time.monotonic())
+            one.roster.heard(other.member, boottime.now())
     yield made
     for one in made:
         gevent.killall(one.greenlets)
 
 
 def _wait(until):
-    end_s = time.monotonic() + 10
-    while not until() and time.monotonic() < end_s:
+    end_s = boottime.now() + 10
+    while not until() and boottime.now() < end_s:
         gevent.sleep(0.01)
     assert until()
 
 
 def _news():
-    return board_module.LoadNews(server=_KEY, work=7, at_s=time.monotonic())
+    return board_module.LoadNews(server=_KEY, work=7, at_s=boottime.now())
 
 
 @pytest.mark.parametrize("teller", range(4))
--- a/irisshelf/tests/test_calls.py
+++ b/irisshelf/tests/test_calls.py
@@ -2,12 +2,12 @@
 
 import json
 import random
-import time
 
 import gevent
 import pytest
 import result
 
+from irisshelf import boottime
 from irisshelf.bundle import schema
 from irisshelf.coordination import claim
 from irisshelf.store import messages
@@ -41,7 +41,7 @@
         ]
         self.servers = [harness.Server(app=app) for app in self.faulty]
         self.platform = fake_platform.FakePlatform(
-            clock=time.monotonic, rng=random.Random(2), sleep=gevent.sleep
+            clock=boottime.now, rng=random.Random(2), sleep=gevent.sleep
         )
         bundle = self._bundle(service_cfg)
         self.instances = [
--- a/irisshelf/tests/test_catching_up.py
+++ b/irisshelf/tests/test_catching_up.py
@@ -236,10 +236,10 @@
 
     def _patch(self, monkeypatch):
         clock = self.clock
-        times = types.SimpleNamespace(monotonic=clock.monotonic)
+        times = types.SimpleNamespace(now=clock.monotonic)
         sleeps = types.SimpleNamespace(sleep=clock.sleep)
         events = types.SimpleNamespace(Event=lambda: _Event(clock))
-        monkeypatch.setattr(follower, "time", times)
+        monkeypatch.setattr(follower, "boottime", times)
         monkeypatch.setattr(follower, "gevent", sleeps)
         monkeypatch.setattr(follower, "event", events)
 
--- a/irisshelf/tests/test_cli.py
+++ b/irisshelf/tests/test_cli.py
@@ -2,11 +2,11 @@
 
 import json
 import random
-import time
 
 import pytest
 from typer import testing
 
+from irisshelf import boottime
 from irisshelf.cli import main
 from irisshelf.coordination import clock
 from irisshelf.daemon import settings
@@ -25,7 +25,7 @@
     def __init__(self, folder):
         self.folder = folder
         self.platform = fake_platform.FakePlatform(
-            clock=time.monotonic, rng=random.Random(1)
+            clock=boottime.now, rng=random.Random(1)
         )
         self.server = harness.Server(
             app=platform_server.PlatformServer(platform=self.platform)
--- a/irisshelf/tests/test_crash_news.py
+++ b/irisshelf/tests/test_crash_news.py
@@ -1,10 +1,9 @@
 """What counts as an end under a request, and whose word of it."""
 
-import time
-
 import gevent
 import pytest
 
+from irisshelf import boottime
 from irisshelf.gateway import servers as servers_module
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import entry as entry_module
@@ -27,7 +26,7 @@
 
 
 def _stages(fleet):
-    now = time.monotonic()
+    now = boottime.now()
     return [
         e.inst.crashes.suspects.judge(_CONTENT, now).stage.value
         for e in fleet.entries
@@ -117,12 +116,12 @@
     for one in fleet.plain[:5]:
         end = suspects.End(
             server=servers_module.key_of(one.server_id),
-            at_s=time.monotonic(),
+            at_s=boottime.now(),
         )
         fleet.inst.crashes.heard_end(_CONTENT, end)
-    stranger = suspects.End(server=b"stray", at_s=time.monotonic())
+    stranger = suspects.End(server=b"stray", at_s=boottime.now())
     fleet.inst.crashes.heard_end(_CONTENT, stranger)
-    now = time.monotonic()
+    now = boottime.now()
     verdict = fleet.inst.crashes.suspects.judge(_CONTENT, now)
     assert len(verdict.ends) == ended
 
@@ -132,7 +131,7 @@
     fleet.store.drop("servers", gone.server_id)
     fleet.wait(lambda: len(fleet.inst.directory.of("crew")) == 7)
     end = suspects.End(
-        server=servers_module.key_of(gone.server_id), at_s=time.monotonic()
+        server=servers_module.key_of(gone.server_id), at_s=boottime.now()
     )
     fleet.inst.crashes.heard_end(_CONTENT, end)
     assert _stages(fleet)[0] == "suspect"
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -1,9 +1,8 @@
 """The store's troubles: what an instance believes, and for how long."""
 
-import time
-
 import pytest
 
+from irisshelf import boottime
 from irisshelf.catalog import directory
 from irisshelf.gateway import server_list
 from irisshelf.gateway import settings
@@ -168,11 +167,11 @@
     """Not from when the entry is missed: it may be gone for good by then."""
     listed = world.follower.server_list
     leaver = world.plain[0]
-    back_s = time.monotonic() - 1.5
+    back_s = boottime.now() - 1.5
     listed.store_back(back_s)
     gone = feed.Item(key=leaver.server_id, value=None)
     batch = feed.Batch(items=(gone,), revision=99, store_s=0.0, whole=False)
-    listed.take(batch, time.monotonic())
+    listed.take(batch, boottime.now())
     assert world.inst.directory.get(leaver.server_id) is not None
     end_s = back_s + directory.LAPSE_GRACE_S + 0.01
     assert world.inst.directory.expire(end_s) == (leaver.server_id,)
@@ -184,7 +183,7 @@
     leaver = world.plain[0]
     gone = directory.Change(entry_id=leaver.server_id, server=None)
     listed.store_lost()
-    missed_s = time.monotonic()
+    missed_s = boottime.now()
     listed.change((gone,), 99, missed_s)
     assert world.inst.directory.get(leaver.server_id) is not None
     end_s = missed_s + directory.LAPSE_GRACE_S + 0.01
--- a/irisshelf/tests/test_hand_on.py
+++ b/irisshelf/tests/test_hand_on.py
@@ -2,12 +2,12 @@
 
 import json
 import random
-import time
 
 import gevent
 import pytest
 from gevent import server
 
+from irisshelf import boottime
 from irisshelf.bundle import schema
 from irisshelf.routing.owned import ownership
 from irisshelf.store import messages
@@ -73,7 +73,7 @@
     instance = harness.Instance(
         name="i0",
         platform=fake_platform.FakePlatform(
-            clock=time.monotonic, rng=random.Random(1)
+            clock=boottime.now, rng=random.Random(1)
         ),
         bundle=schema.Bundle.model_validate(document),
     )
--- a/irisshelf/tests/test_http.py
+++ b/irisshelf/tests/test_http.py
@@ -2,13 +2,13 @@
 
 import json
 import random
-import time
 
 import gevent
 import pytest
 from gevent import pywsgi
 from gevent import socket
 
+from irisshelf import boottime
 from irisshelf.bundle import schema
 from irisshelf.daemon import http
 from irisshelf.testing import engine
@@ -31,7 +31,7 @@
     instance = harness.Instance(
         name="i0",
         platform=fake_platform.FakePlatform(
-            clock=time.monotonic, rng=random.Random(1)
+            clock=boottime.now, rng=random.Random(1)
         ),
         bundle=schema.Bundle.model_validate(document),
     )
--- a/irisshelf/tests/test_neighbours.py
+++ b/irisshelf/tests/test_neighbours.py
@@ -1,11 +1,11 @@
 """Instances that find each other, and agree on the first of them."""
 
 import os
-import time
 
 import gevent
 import pytest
 
+from irisshelf import boottime
 from irisshelf.coordination import roster
 from irisshelf.gateway import listener
 from irisshelf.gateway import neighbours
@@ -103,13 +103,13 @@
         )
 
     def names(self):
-        now = time.monotonic()
+        now = boottime.now()
         return sorted(m.name for m, _ in self.own.roster.members("a", now))
 
 
 def _wait(until):
-    end_s = time.monotonic() + 10
-    while not until() and time.monotonic() < end_s:
+    end_s = boottime.now() + 10
+    while not until() and boottime.now() < end_s:
         gevent.sleep(0.05)
     assert until()
 
@@ -152,7 +152,7 @@
     loop = gevent.spawn(asker.own.run)
     _wait(lambda: first.names() == ["2"])
     gone = roster.Member(name="0", address="127.0.0.1:9", data_centre="a")
-    asker.own.roster.heard(gone, time.monotonic())
+    asker.own.roster.heard(gone, boottime.now())
     assert asker.own.ask_any("/what") is None
     first.own.answer_with("/what", lambda: b"this")
     assert asker.own.ask_any("/what") == b"this"
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -12,7 +12,6 @@
 import json
 import math
 import random
-import time
 
 import cbor2
 import gevent
@@ -20,6 +19,7 @@
 import pytest
 from hypothesis import strategies
 
+from irisshelf import boottime
 from irisshelf.coordination import roster
 from irisshelf.gateway import board
 from irisshelf.gateway import crash_news
@@ -464,5 +464,5 @@
     for news in takers.loads:
         assert math.isfinite(news.at_s)
         assert 0 <= news.work < 2**63
-    now = time.monotonic()
+    now = boottime.now()
     assert all(now - 11 < end.at_s <= now for end in takers.ends)
--- a/irisshelf/tests/test_store_outage.py
+++ b/irisshelf/tests/test_store_outage.py
@@ -7,10 +7,10 @@
 """
 
 import random
-import time
 
 import pytest
 
+from irisshelf import boottime
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import store
@@ -64,7 +64,7 @@
     short.store.mode = store.Mode.BUSY
     short.wait(lambda: not short.inst.keys_hold())
     # Time enough that the watch of a reader has been silent.
-    short.wait(lambda: short.inst.freshness.age_s(time.monotonic()) > 1.0)
+    short.wait(lambda: short.inst.freshness.age_s(boottime.now()) > 1.0)
     told_s = _refused(short)
     if role is _Role.READER:
         assert 0.7 <= told_s <= 5.0
@@ -88,7 +88,7 @@
 
     def told_of_more():
         update = shared_watch.CatalogUpdate(
-            store_s=time.monotonic(), version=9, revision=99
+            store_s=boottime.now(), version=9, revision=99
         )
         updates.take(update)
         return not short.inst.keys_hold()
--- a/irisshelf/tests/test_store_updates.py
+++ b/irisshelf/tests/test_store_updates.py
@@ -2,12 +2,12 @@
 
 import os
 import random
-import time
 
 import cbor2
 import gevent
 import pytest
 
+from irisshelf import boottime
 from irisshelf.catalog import directory
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
@@ -82,13 +82,13 @@
     for one in everyone:
         for other in everyone:
             # From now on, whatever the test lasts.
-            later_s = time.monotonic() + 60.0
+            later_s = boottime.now() + 60.0
             one.roster.heard(other.member, later_s)
 
 
 def _wait(until):
-    end_s = time.monotonic() + 20
-    while not until() and time.monotonic() < end_s:
+    end_s = boottime.now() + 20
+    while not until() and boottime.now() < end_s:
         gevent.sleep(0.01)
     assert until()
 
@@ -266,7 +266,7 @@
     watcher.stop()
     others = [one for one in everyone if one is not watcher]
     _wait(lambda: not any(one.inst.keys_hold() for one in others))
-    now_s = time.monotonic()
+    now_s = boottime.now()
     for one in others:
         # The stand-in's clock is the machine's.
         one.follower.take_update(
--- a/irisshelf/tests/test_transport.py
+++ b/irisshelf/tests/test_transport.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from gevent import server
 from gevent import socket
 
 from irisshelf.transport import client
@@ -56,3 +57,27 @@
     for one, other in pairs:
         one.close()
         other.close()
+
+
+@pytest.mark.parametrize("late_s", [0.0, -0.5, -60.0])
+def test_an_answer_that_is_there_is_read_though_its_time_is_over(late_s):
+    """A process that stood still finds both: no time left, and the answer."""
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate"
+
+    def answer(sock, peer):
+        sock.recv(65536)
+        sock.sendall(data)
+        gevent.sleep(60)
+
+    listener = server.StreamServer(("127.0.0.1", 0), answer)
+    listener.start()
+    address = f"127.0.0.1:{listener.server_port}"
+    conn = client.connect(address, timeout_s=5.0)
+    conn.send("GET", "/", [(b"Host", b"x")], b"", timeout_s=5.0)
+    with pytest.raises(errors.SilentError):
+        conn.read_head(timeout_s=late_s)
+    gevent.sleep(0.1)
+    assert conn.read_head(timeout_s=late_s)[0] == 200
+    assert conn.read_data(timeout_s=late_s) == b"late"
+    assert conn.read_data(timeout_s=late_s) is None
+    listener.stop()
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import select
-import time
 
 import gevent
 import h11
 from gevent import socket
 
+from irisshelf import boottime
 from irisshelf.transport import errors
 
 _READ_BYTES = 65536
@@ -16,6 +16,8 @@
 # before it has read a body and meanwhile not read on.
 _WRITE_ASIDE_BYTES = 8192
 _MAX_HEAD_BYTES = 65536
+# How long what is there may take to be read.
+_LOOK_S = 0.001
 # A cut says nothing. What the peer does not acknowledge for so long, and two
 # unanswered probes after a rest, end the connection.
 _USER_TIMEOUT_MS = 1500
@@ -111,7 +113,7 @@
             errors.BrokenError: The connection broke, or this is no HTTP.
             errors.SilentError: Nothing came in time.
         """
-        until_s = time.monotonic() + timeout_s
+        until_s = boottime.now() + timeout_s
         while True:
             event = self._next(until_s)
             if isinstance(event, h11.Response):
@@ -126,7 +128,7 @@
             errors.BrokenError: The answer is cut off.
             errors.SilentError: Nothing came in time.
         """
-        event = self._next(time.monotonic() + timeout_s)
+        event = self._next(boottime.now() + timeout_s)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -138,8 +140,8 @@
 
         Afterwards ``read_head`` waits for the answer proper.
         """
-        until_s = time.monotonic() + timeout_s
-        while self.read_data(timeout_s=until_s - time.monotonic()) is not None:
+        until_s = boottime.now() + timeout_s
+        while self.read_data(timeout_s=until_s - boottime.now()) is not None:
             pass
         extra, closed = self._http.trailing_data
         if closed or self._http.their_state is not h11.DONE:
@@ -206,11 +208,13 @@
             return self._sock.recv(_READ_BYTES)
 
     def _receive(self, until_s: float) -> None:
-        left_s = until_s - time.monotonic()
-        if left_s <= 0:
+        left_s = until_s - boottime.now()
+        # An answer that is there is read also late: a process that stood still
+        # finds its time over and the answer waiting.
+        if left_s <= 0 and not _is_ready(self._sock, select.POLLIN):
             raise errors.SilentError("no answer in time")
         try:
-            data = self._recv(left_s)
+            data = self._recv(max(left_s, _LOOK_S))
         except TimeoutError as exc:
             raise errors.SilentError("no answer in time") from exc
         except OSError as exc:
--- a/irisshelf/transport/server.py
+++ b/irisshelf/transport/server.py
@@ -5,13 +5,13 @@
 import dataclasses
 import enum
 import http
-import time
 from collections.abc import Callable
 
 import gevent
 import h11
 from gevent import socket
 
+from irisshelf import boottime
 from irisshelf.transport import errors
 
 _READ_BYTES = 65536
@@ -227,7 +227,7 @@
         head = self._read_head(limits)
         if head is None:
             return None
-        arrived_s = time.monotonic()
+        arrived_s = boottime.now()
         headers = tuple(head.headers.raw_items())
         has_body = _check_framing(headers, limits)
         if self._http.they_are_waiting_for_100_continue:
@@ -246,7 +246,7 @@
         )
 
     def _read_head(self, limits: Limits) -> h11.Request | None:
-        until_s = time.monotonic() + limits.idle_s
+        until_s = boottime.now() + limits.idle_s
         while True:
             try:
                 event = self._http.next_event()
@@ -265,14 +265,14 @@
                 raise _BadRequestError(408, f"no head in {limits.head_s} s")
             if self.idle and data:
                 self._phase = _Phase.READING
-                until_s = time.monotonic() + limits.head_s
+                until_s = boottime.now() + limits.head_s
             self._feed(data)
 
     def _read_body(self, limits: Limits) -> bytes:
         parts = []
         size = 0
         while True:
-            until_s = time.monotonic() + limits.idle_s
+            until_s = boottime.now() + limits.idle_s
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
@@ -299,7 +299,7 @@
             raise _BadRequestError(exc.error_status_hint, str(exc)) from exc
 
     def _receive(self, until_s: float) -> bytes | None:
-        left_s = until_s - time.monotonic()
+        left_s = until_s - boottime.now()
         if left_s <= 0:
             return None
         self._sock.settimeout(left_s)
