--- a/irisshelf/gateway/crashes.py
+++ b/irisshelf/gateway/crashes.py
@@ -181,15 +181,10 @@
         return self._asking[name].get()
 
     def _ask(self, server: directory.BackendServer) -> bool:
-        ended = False
-        self._metrics.connects.labels(server.service).inc()
         try:
-            conn = client.connect(server.address, timeout_s=reach.CONNECT_S)
-        except errors.ConnectError as exc:
-            ended = not exc.silent
-            self._servers.unreachable(server, exc, "")
-        else:
-            self._servers.links.put_new(server, conn)
+            ended = self._refuses(server)
+        finally:
+            del self._asking[server.server_id]
         now = self._now()
         self._asked = {
             name: known
@@ -197,9 +192,19 @@
             if now - known[0] < _ASKED_S
         }
         self._asked[server.server_id] = (now, ended)
-        del self._asking[server.server_id]
         return ended
 
+    def _refuses(self, server: directory.BackendServer) -> bool:
+        """Tells whether nobody listens at a server's address."""
+        self._metrics.connects.labels(server.service).inc()
+        try:
+            conn = client.connect(server.address, timeout_s=reach.CONNECT_S)
+        except errors.ConnectError as exc:
+            self._servers.unreachable(server, exc, "")
+            return not exc.silent
+        self._servers.links.put_new(server, conn)
+        return False
+
     def _take_heard(self, content: bytes, end: suspects.End, name: str) -> None:
         known = any(suspects.content_of(*a) == content for a in self._recent)
         if known:
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -34,6 +34,9 @@
     return dataclasses.replace(asked, **changes)
 
 
+_POISON = _asked(kind=_KIND.STREAM, status=502, body=b"", crashing=True)
+
+
 def _ran(server="s1", request="r1"):
     return checker.Ran(request_id=request, server_id=server, at_s=0.0)
 
@@ -124,6 +127,34 @@
         pytest.param(
             _asked(ended_s=103.0), [_ran()], {}, _PROMISE.TIME, id="too-late"
         ),
+        pytest.param(
+            dataclasses.replace(_POISON, kind=_KIND.RESUMABLE),
+            [_ran(s) for s in "1234"],
+            {"ends_s": (90.0, 95.0, 96.0)},
+            _PROMISE.CRASHES,
+            id="sent-on-after-three-ends",
+        ),
+        pytest.param(
+            dataclasses.replace(_POISON, kind=_KIND.RESUMABLE),
+            [_ran(s) for s in "123"],
+            {"ends_s": (90.0, 95.0, 96.0)},
+            None,
+            id="sent-on-three-times",
+        ),
+        pytest.param(
+            dataclasses.replace(_POISON, kind=_KIND.RESUMABLE),
+            [_ran(s) for s in "1234"],
+            {"ends_s": (90.0, 95.0, 97.1)},
+            None,
+            id="not-known-for-long",
+        ),
+        pytest.param(
+            dataclasses.replace(_POISON, kind=_KIND.RESUMABLE),
+            [_ran(s) for s in "1234"],
+            {"ends_s": (90.0, 95.0, 96.0), "disturbed": _SPAN},
+            None,
+            id="sent-on-out-of-touch",
+        ),
         pytest.param(
             _asked(status=503, calm=True),
             [],
@@ -215,4 +246,5 @@
 def test_real_processes_keep_the_promises(tmp_path, seed):
     verdict = run_module.Run(seed=seed, folder=tmp_path).play()
     assert (verdict.violations, verdict.own_exits) == ((), 0)
+    assert verdict.ends >= 1  # The crashing request was there.
     assert verdict.served > 0
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -10,6 +10,11 @@
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _HANDLED = 0.5  # Seconds that an answer may be late at the caller.
+# Servers that may end under a request, and sends that may follow, later than
+# so many seconds after the last of those ends.
+_ENDS_ALLOWED = 3
+_SENDS_ALLOWED = 3
+_ENDS_KNOWN_S = 3.0
 
 
 class Promise(enum.StrEnum):
@@ -24,6 +29,7 @@
     UNASKED = "only what a caller sent is run"
     SERVED = "after the faults all is served"
     STOP = "a planned stop cuts nothing"
+    CRASHES = "what three servers ended under is sent on three times at most"
 
 
 class RequestKind(enum.StrEnum):
@@ -57,6 +63,7 @@
         body: What came of the body.
         signature: The server's word for it.
         calm: Whether it was sent after the faults.
+        crashing: Whether it ends the servers that run it.
     """
 
     request_id: str
@@ -71,6 +78,7 @@
     body: bytes
     signature: str = ""
     calm: bool = False
+    crashing: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -111,6 +119,7 @@
         disturbed: Spans in which an instance was not in touch.
         stopped: Spans of planned stops of undisturbed instances.
         events: Events of a whole stream.
+        ends_s: When servers ended under the crashing request.
     """
 
     asked: tuple[Asked, ...]
@@ -120,6 +129,7 @@
     disturbed: tuple[Span, ...]
     stopped: tuple[Span, ...]
     events: int
+    ends_s: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -139,6 +149,7 @@
     found = list(_unasked(record, runs))
     for asked in record.asked:
         found += _check_one(record, bounds, asked, runs[asked.request_id])
+    found += _sent_on(record, runs)
     return found
 
 
@@ -150,6 +161,26 @@
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
+def _sent_on(record: Record, runs: dict[str, list[Ran]]) -> Iterable[Violation]:
+    if len(record.ends_s) < _ENDS_ALLOWED:
+        return
+    known_s = sorted(record.ends_s)[_ENDS_ALLOWED - 1] + _ENDS_KNOWN_S
+    late = [
+        asked.request_id
+        for asked in record.asked
+        if asked.crashing
+        and asked.sent_s > known_s
+        and not _touches(record.disturbed, asked)
+        for _ in runs[asked.request_id]
+    ]
+    if len(late) > _SENDS_ALLOWED:
+        yield Violation(
+            promise=Promise.CRASHES,
+            request_id=late[-1],
+            detail=f"{len(late)} sends, {len(record.ends_s)} servers ended",
+        )
+
+
 def _unasked(record: Record, runs: dict[str, list[Ran]]) -> Iterable[Violation]:
     known = {asked.request_id for asked in record.asked}
     for request_id in runs.keys() - known:
--- /dev/null
+++ b/soak/crashing.py
@@ -0,0 +1,90 @@
+"""A request that ends every server that begins to run it.
+
+It is asked again and again, at any instance, with an id of its own each time.
+A server that ends is away for seconds: nobody listens at its address.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+
+from irisshelf.platform.stand_in import server
+from soak import checker
+from soak import proxy
+
+# Runs of every third seed have such a request.
+_EVERY = 3
+_BODY = b"ends whoever runs it"
+_AWAY_S = 2.0
+_PAUSE_S = (0.05, 0.4)
+_KINDS = (
+    checker.RequestKind.UNSAFE,
+    checker.RequestKind.STREAM,
+    checker.RequestKind.RESUMABLE,
+)
+
+
+def is_planned(seed: int) -> bool:
+    """Tells whether a seed's run has such a request."""
+    return seed % _EVERY == 1
+
+
+class CrashingRequest:
+    """Repeats it, and ends the servers that run it.
+
+    Args:
+        seed: Of the run.
+        servers: Backend servers.
+        links: Their proxies, in the same order.
+        list_again: Lists a server that is back, by its number.
+
+    Attributes:
+        ends_s: When servers ended under it, monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        servers: list[server.Server],
+        links: list[proxy.Proxy],
+        list_again: Callable[[int], None],
+    ):
+        # Its own, so that it changes no other draw of a seed.
+        self._rng = random.Random(f"crashing {seed}")
+        self._kind = self._rng.choice(_KINDS)
+        self._links = links
+        self._list_again = list_again
+        self.ends_s: list[float] = []
+        for number, one in enumerate(servers):
+            one.ends_under = lambda run: run.body == _BODY
+            one.away_s = _AWAY_S
+            one.on_end = lambda n=number: self._end(n)
+            one.on_return = lambda n=number: self._return(n)
+
+    def ask_until(
+        self,
+        until_s: float,
+        ask: Callable[[checker.RequestKind, bytes], None],
+    ) -> None:
+        """Repeats the request until a time.
+
+        Args:
+            until_s: Monotonic seconds.
+            ask: Sends it to some instance.
+        """
+        while time.monotonic() < until_s:
+            ask(self._kind, _BODY)
+            gevent.sleep(self._rng.uniform(*_PAUSE_S))
+
+    def _end(self, number: int) -> None:
+        self.ends_s.append(time.monotonic())
+        self._links[number].set_listening(False)
+
+    def _return(self, number: int) -> None:
+        self._links[number].set_listening(True)
+        self._list_again(number)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -211,9 +211,10 @@
         self._crash(fault)
         one = self._servers[fault.target]
         one.born_ms += self._rng.choice((1000, -3_600_000))
-        gevent.spawn_later(fault.for_s, self._list_unless_left, fault.target)
+        gevent.spawn_later(fault.for_s, self.list_unless_left, fault.target)
 
-    def _list_unless_left(self, number: int) -> None:
+    def list_unless_left(self, number: int) -> None:
+        """Lists a server that is back, by its number, unless it has left."""
         if self._servers[number].server_id not in self.left:
             self._list(number, "ready")
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -30,9 +30,7 @@
         self.mode = "pass"
         self._open: set[socket.socket] = set()
         self._mute: set[socket.socket] = set()
-        self._server = server.StreamServer(
-            ("127.0.0.1", 0), self._serve, backlog=256
-        )
+        self._server = self._listener(0)
         self._server.start()
 
     @property
@@ -49,6 +47,21 @@
         if mode == "mute":
             self._mute |= self._open
 
+    def set_listening(self, listens: bool) -> None:
+        """Ends all connections and refuses new ones, or takes them again."""
+        if not listens:
+            self._server.stop(timeout=0)
+            for sock in list(self._open):
+                _reset(sock)
+            return
+        self._server = self._listener(self._server.server_port)
+        self._server.start()
+
+    def _listener(self, port: int) -> server.StreamServer:
+        return server.StreamServer(
+            ("127.0.0.1", port), self._serve, backlog=256
+        )
+
     def close(self) -> None:
         """Stops."""
         self._server.stop(timeout=0)
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from irisshelf.transport import client
 from irisshelf.transport import errors
 from soak import checker
+from soak import crashing
 from soak import faults
 from soak import fleet
 from soak import plan
@@ -42,13 +43,24 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Verdict:
-    """What came of a seed."""
+    """What came of a seed.
+
+    Attributes:
+        seed: The seed.
+        faults: How many were injected.
+        requests: How many were asked.
+        served: How many of these were served whole.
+        own_exits: Processes that ended of themselves.
+        ends: Servers that ended under the crashing request.
+        violations: Promises that were broken.
+    """
 
     seed: int
     faults: int
     requests: int
     served: int
     own_exits: int
+    ends: int
     violations: tuple[checker.Violation, ...]
 
 
@@ -84,6 +96,14 @@
             links=self.links,
         )
         self._injector.prepare()
+        self._crashing: crashing.CrashingRequest | None = None
+        if crashing.is_planned(seed):
+            self._crashing = crashing.CrashingRequest(
+                seed=seed,
+                servers=self.servers,
+                links=self.links,
+                list_again=self._injector.list_unless_left,
+            )
         self._ports = ports.Block()
         peers = [f"127.0.0.1:{self._ports.take()}" for _ in range(instances)]
         self.entries = [
@@ -124,6 +144,11 @@
             raise RuntimeError("the instances did not come up")
         callers = [gevent.spawn(self._call) for _ in range(_CALLERS)]
         began_s = time.monotonic()
+        if self._crashing is not None:
+            until_s = began_s + plan.FAULTS_UNTIL_S
+            callers.append(
+                gevent.spawn(self._crashing.ask_until, until_s, self._crash)
+            )
         for fault in self._faults:
             gevent.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
             self._injector.inject(fault)
@@ -154,6 +179,7 @@
             disturbed=tuple(self._injector.disturbed),
             stopped=tuple(self._injector.stopped),
             events=EVENTS,
+            ends_s=tuple(self._crashing.ends_s if self._crashing else ()),
         )
         return Verdict(
             seed=self._seed,
@@ -161,6 +187,7 @@
             requests=len(self._asked),
             served=sum(a.status == 200 and a.whole for a in self._asked),
             own_exits=sum(entry.own_exits for entry in self.entries),
+            ends=len(record.ends_s),
             violations=tuple(checker.check(record, _BOUNDS)),
         )
 
@@ -209,11 +236,28 @@
             "Prefix-Hash": f"aa:300,b{self._serial % 7}:900,own:9",
         }
 
+    def _crash(self, kind: checker.RequestKind, body: bytes) -> None:
+        """Asks for what ends servers, on a new connection."""
+        entry = self._rng.choice(self.entries)
+        try:
+            address = entry.caller_link.address
+            conn = client.connect(address, timeout_s=0.5)
+        except errors.TransportError:
+            return
+        conn = self._ask(conn, entry.number, kind, body)
+        if conn is not None:
+            conn.close()
+
     def _ask(
-        self, conn: client.Connection, instance: int
+        self,
+        conn: client.Connection,
+        instance: int,
+        crashing_kind: checker.RequestKind | None = None,
+        crashing_body: bytes = b"",
     ) -> client.Connection | None:
-        kind = self._rng.choice(list(_ROUTES))
+        kind = crashing_kind or self._rng.choice(list(_ROUTES))
         method, target, body = _ROUTES[kind]
+        body = crashing_body or body
         self._serial += 1
         request_id = f"s{self._seed}-{self._serial}"
         withdrawn = self._injector.withdrawn
@@ -239,7 +283,8 @@
                 whole=answer.whole,
                 body=answer.body,
                 signature=answer.headers.get("response-signature", ""),
-                calm=calm,
+                calm=calm and not crashing_body,
+                crashing=bool(crashing_body),
             )
         )
         if conn.reusable:
