--- a/bench/main.py
+++ b/bench/main.py
@@ -13,6 +13,7 @@
 from bench import gossip
 from bench import relay
 from bench import rollout
+from bench import suspects
 from bench.routing import decision
 from bench.routing import fleet
 from bench.routing import run
@@ -30,6 +31,7 @@
         "relay": relay.measure,
         "claims": claims.measure,
         "documents": documents.measure,
+        "suspects": suspects.measure,
         "rollout": rollout.measure,
         "routing": _routing,
         "routing at 400": fleet.measure,
--- a/irisshelf/gateway/crashes.py
+++ b/irisshelf/gateway/crashes.py
@@ -76,10 +76,12 @@
     def verdict(self, job: attempt.Job) -> suspects.Verdict | None:
         """Returns what is thought of a request; None if it is clear.
 
-        As long as no content is suspect, which is nearly always, requests have
-        no digest taken: 0.1 microseconds instead of 3 to 4 (bodies of 1 kB).
+        As long as no content is suspect, which is nearly always, a request
+        takes 2 microseconds for all of this, and 5 to 7 otherwise. Bodies are
+        read only where team, path and length are those of a suspect one: 1 MB
+        takes 2 milliseconds of the loop.
         """
-        if not self.suspects:
+        if not self._may_be_suspect(job):
             return None
         found = self.suspects.judge(_content(job), self._now())
         return None if found.stage is suspects.Stage.CLEAR else found
@@ -120,7 +122,7 @@
         """Takes that a request was answered well."""
         if len(job.inbound.body) <= _RECENT_BODY_BYTES:
             self._recent.append(_asked(job))
-        if not self.suspects:
+        if not self._may_be_suspect(job):
             return
         content = _content(job)
         if self._clear(content, job.ask.request_id):
@@ -180,6 +182,15 @@
             self._asking[name] = gevent.spawn(self._ask, server)
         return self._asking[name].get()
 
+    def _may_be_suspect(self, job: attempt.Job) -> bool:
+        if not self.suspects:
+            return False
+        inbound = job.inbound
+        shape = suspects.shape_of(
+            job.team, inbound.method, inbound.target, len(inbound.body)
+        )
+        return self.suspects.has_shape(shape)
+
     def _ask(self, server: directory.BackendServer) -> bool:
         try:
             ended = self._refuses(server)
--- a/irisshelf/routing/suspects.py
+++ b/irisshelf/routing/suspects.py
@@ -23,6 +23,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
 import hashlib
@@ -44,7 +45,7 @@
 # Entries of 300 bytes or so. A flood of contents that end one server each
 # cannot be longer than servers come back.
 _MOST = 2000
-_DIGEST_BYTES = 16
+_HALF_BYTES = 8
 
 
 class Stage(enum.StrEnum):
@@ -86,8 +87,21 @@
 _CLEAR = Verdict(stage=Stage.CLEAR)
 
 
+def shape_of(team: str, method: str, target: str, size: int) -> bytes:
+    """Returns the first half of a content, for which no body is read.
+
+    Args:
+        team: The caller's team; empty on public routes.
+        method: Such as ``POST``.
+        target: Path and query.
+        size: Of the body, in bytes.
+    """
+    text = f"{team}\0{method}\0{target}\0{size}".encode()
+    return hashlib.blake2b(text, digest_size=_HALF_BYTES).digest()
+
+
 def content_of(team: str, method: str, target: str, body: bytes) -> bytes:
-    """Returns what repeats of one request have in common, as a digest.
+    """Returns what repeats of one request have in common, as two digests.
 
     Ids, deadlines and where a stream goes on differ between repeats; the host
     and the service may, after a change of the configuration.
@@ -100,14 +114,10 @@
 
     Example:
         >>> content_of("a", "GET", "/x", b"").hex()
-        'f6cdc266851c3be60c46802a0f57f23a'
+        'a73b3951233db5c5e4a6a0577479b2b4'
     """
-    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    for text in (team, method, target):
-        digest.update(text.encode())
-        digest.update(b"\0")
-    digest.update(body)
-    return digest.digest()
+    shape = shape_of(team, method, target, len(body))
+    return shape + hashlib.blake2b(body, digest_size=_HALF_BYTES).digest()
 
 
 class Suspects:
@@ -117,6 +127,7 @@
         self._most = most
         # Oldest change first.
         self._ends: dict[bytes, tuple[End, ...]] = {}
+        self._shapes: collections.Counter[bytes] = collections.Counter()
 
     def __bool__(self) -> bool:
         """Whether any content is not clear, so that contents matter."""
@@ -135,15 +146,20 @@
         old = now - end.at_s >= _FORGOTTEN_S
         if old or any(_same(end, other) for other in known):
             return False
-        self._ends.pop(content, None)
+        self._drop(content)
         latest = sorted((*known, end), key=lambda e: e.at_s)
         self._ends[content] = tuple(latest[-ENDS_TO_BAR:])
+        self._shapes[content[:_HALF_BYTES]] += 1
         self._make_room()
         return True
 
     def served(self, content: bytes) -> bool:
         """Takes a good answer; returns whether it cleared the content."""
-        return self._ends.pop(content, None) is not None
+        return self._drop(content)
+
+    def has_shape(self, shape: bytes) -> bool:
+        """Tells whether a content of a shape may not be clear."""
+        return shape in self._shapes
 
     def judge(self, content: bytes, now: float) -> Verdict:
         """Returns what is thought of a content."""
@@ -151,7 +167,7 @@
             return _CLEAR
         ends = self._lasting(content, now)
         if not ends:
-            del self._ends[content]
+            self._drop(content)
             return _CLEAR
         left_s = ends[-1].at_s + BARRED_S - now
         if len(ends) < ENDS_TO_BAR or left_s <= 0:
@@ -173,8 +189,17 @@
     def _make_room(self) -> None:
         """Drops the least suspect, of these the one unchanged for longest."""
         while len(self._ends) > self._most:
-            least = min(self._ends, key=lambda c: len(self._ends[c]))
-            del self._ends[least]
+            self._drop(min(self._ends, key=lambda c: len(self._ends[c])))
+
+    def _drop(self, content: bytes) -> bool:
+        """Forgets a content; returns whether it was known."""
+        if self._ends.pop(content, None) is None:
+            return False
+        shape = content[:_HALF_BYTES]
+        self._shapes[shape] -= 1
+        if not self._shapes[shape]:
+            del self._shapes[shape]
+        return True
 
 
 def only_server(
--- a/irisshelf/tests/test_suspects.py
+++ b/irisshelf/tests/test_suspects.py
@@ -154,5 +154,25 @@
         ) == suspects.only_server(content, backwards, ended)
 
 
+@pytest.mark.parametrize("known", [[], ["one"], ["one", "two"]])
+def test_a_shape_is_known_as_long_as_one_of_its_contents_is(known):
+    suspected = suspects.Suspects()
+    contents = [
+        suspects.content_of("blue", "POST", "/x", body)
+        for body in (b"one", b"two")
+    ]
+    for content in contents:
+        end = suspects.End(server=b"1", at_s=0.0)
+        suspected.ended(content, end, 0.0)
+        suspected.ended(content, suspects.End(server=b"2", at_s=5.0), 5.0)
+    for content, name in zip(contents, ("one", "two"), strict=True):
+        if name not in known:
+            assert suspected.served(content)
+    shape = suspects.shape_of("blue", "POST", "/x", 3)
+    assert suspected.has_shape(shape) is bool(known)
+    assert not suspected.has_shape(suspects.shape_of("a", "POST", "/x", 3))
+    assert not suspected.has_shape(suspects.shape_of("blue", "POST", "/x", 4))
+
+
 def test_without_a_server_there_is_none():
     assert suspects.only_server(_CONTENT, [], ()) is None
