What came of a call's sends in a module of its own; two tests for planted faults

Planted in a scratch copy, found by no test before: word not passed on to a data centre, and own second sends after an end.

--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -11,8 +11,8 @@
 from irisshelf.gateway import admission
 from irisshelf.gateway import attempt as attempt_module
 from irisshelf.gateway import instance as instance_module
-from irisshelf.gateway import messages
 from irisshelf.gateway import reach
+from irisshelf.gateway import sends as sends_module
 from irisshelf.routing import outcome
 from irisshelf.routing import suspects
 from irisshelf.routing.direct import server_book
@@ -41,8 +41,6 @@
 # A suspect request finds its server ended: another instance's copy was there
 # first, and its word is on the way.
 _WORD_S = 0.03
-# Why a request is refused that servers ended under, or not sent again.
-_ENDED_UNDER_IT = "servers_ended_under_it"
 _GATEWAY_TIMEOUT = 504
 
 
@@ -69,13 +67,9 @@
         self._policy = inst.cfg.policy
         self._admitted = False
         self._retry_after_s = admission.RETRY_SOON_S
-        # Servers not to be asked again, and those of them that answered.
-        self._avoid: set[str] = set()
-        self._failed: set[str] = set()
-        self._sends = 0
+        self._sends = sends_module.Sends(inst=inst, job=job)
         self._connects = 0
-        self._worst = outcome.Outcome.NOT_RUN
-        self._final: messages.Final | None = None
+        self._events_before = 0
         self._progress = attempt_module.Progress(
             last_event_id=job.ask.last_event_id
         )
@@ -101,12 +95,10 @@
                 if verdict:
                     gevent.sleep(_WORD_S)
                 continue
-            before = self._progress.events
             try:
                 return self._send(choice, conn)
             except attempt_module.SendError as exc:
-                nothing_came = exc.cut and self._progress.events == before
-                stop = self._after(choice, exc, nothing_came=nothing_came)
+                stop = self._after(choice, exc)
             if stop:
                 return self._give_up(stop)
 
@@ -119,13 +111,15 @@
         if self._connects >= _MOST_CONNECTS or self._left_s() <= 0:
             return None
         if verdict:
-            only = self._inst.crashes.may_go_to(self._job, verdict, self._avoid)
+            only = self._inst.crashes.may_go_to(
+                self._job, verdict, self._sends.avoid
+            )
             return self._choose_among(only, set())
         servers = self._inst.directory.of(self._job.service)
-        choice = self._choose_among(servers, self._avoid)
+        choice = self._choose_among(servers, self._sends.avoid)
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
             # One that failed this request lives; another try may do better.
-            failed = [s for s in servers if s.server_id in self._failed]
+            failed = [s for s in servers if s.server_id in self._sends.failed]
             again = self._choose_among(failed, set())
             if again and again.reason is not server_choice.Reason.LAST_RESORT:
                 return again
@@ -173,7 +167,7 @@
             timeout_s = min(reach.CONNECT_S, self._left_s())
             return client.connect(server.address, timeout_s=timeout_s)
         except errors.ConnectError as exc:
-            self._avoid.add(server.server_id)
+            self._sends.avoid.add(server.server_id)
             if choice.reason is server_choice.Reason.LAST_RESORT:
                 # The others are known to be lost as well; the caller should
                 # hear so while there is time to ask another instance.
@@ -188,7 +182,8 @@
     ) -> str:
         server = choice.server
         self._log_send(choice, conn.rested_s)
-        self._sends += 1
+        self._sends.count += 1
+        self._events_before = self._progress.events
         self._inst.servers.sent_prompt(server, self._job.ask.prompt)
         attempt_module.Attempt(
             inst=self._inst,
@@ -231,7 +226,7 @@
         return (
             self._policy.patience
             and route.repeatable
-            and self._sends < route.max_attempts
+            and self._sends.count < route.max_attempts
             and budget.left(self._inst.now()) >= 1
             and self._has_other_fit(running)
         )
@@ -239,40 +234,31 @@
     def _has_other_fit(self, running: directory.BackendServer) -> bool:
         return self._chooser.has_fit(
             self._inst.directory.of(self._job.service),
-            avoid=frozenset(self._avoid | {running.server_id}),
+            avoid=frozenset(self._sends.avoid | {running.server_id}),
             now=self._inst.now(),
         )
 
     def _after(
-        self,
-        choice: server_choice.Choice,
-        exc: attempt_module.SendError,
-        *,
-        nothing_came: bool,
+        self, choice: server_choice.Choice, exc: attempt_module.SendError
     ) -> str:
         """Decides what follows a send that went wrong.
 
-        Args:
-            choice: Where it was sent.
-            exc: What went wrong.
-            nothing_came: Whether the server broke off before any of its answer.
-
         Returns:
             Why the request is given up; empty to send again.
         """
         server = choice.server
+        nothing_came = self._progress.events == self._events_before
+        blamed = (
+            exc.cut
+            and nothing_came
+            and self._inst.crashes.broke(self._job, server)
+        )
         if not exc.excuse:
-            self._avoid.add(server.server_id)
             self._seen(server, exc.seen, str(exc))
         if exc.seen is server_book.Seen.REFUSED:
             self._retry_after_s = admission.retry_after_s(self._inst, choice)
-        if exc.outcome is outcome.Outcome.UNKNOWN:
-            self._worst = outcome.Outcome.UNKNOWN
-        if exc.final is not None:
-            self._final = exc.final
-            self._failed.add(server.server_id)
-        blamed = nothing_came and self._inst.crashes.broke(self._job, server)
-        stop = self._why_stop(exc, blamed=blamed)
+        self._sends.went_wrong(server, exc)
+        stop = self._sends.why_stop(exc, blamed=blamed, left_s=self._left_s())
         self._inst.log.request(
             "send_failed",
             self._job.ask.request_id,
@@ -281,35 +267,11 @@
             outcome=exc.outcome.value,
             detail=str(exc),
             events=self._progress.events,
-            sends=self._sends,
+            sends=self._sends.count,
             then=stop or "send again",
         )
         return stop
 
-    def _why_stop(self, exc: attempt_module.SendError, *, blamed: bool) -> str:
-        route = self._job.route
-        if self._worst is outcome.Outcome.UNKNOWN and not route.repeatable:
-            return "may_have_run"
-        if exc.final is not None and exc.final.status < 500:
-            return "server_says_so"
-        if self._left_s() <= 0:
-            return "timeout"
-        if self._sends >= route.max_attempts or not self._policy.second_sends:
-            return "attempts_used"
-        if blamed:
-            # It would end the next server as well. If it did not do it, its
-            # caller's own repeat serves it.
-            return _ENDED_UNDER_IT
-        if not self._take_retry():
-            return "no_retry_budget"
-        self._inst.metrics.retries.labels(self._job.service).inc()
-        return ""
-
-    def _take_retry(self) -> bool:
-        budget = self._inst.servers.budget(self._job.service)
-        taken = budget.take(self._inst.now())
-        return taken or not self._policy.retry_budget
-
     def _bar(self, verdict: suspects.Verdict) -> str:
         """Refuses a request at once that servers ended under.
 
@@ -318,7 +280,7 @@
         """
         self._retry_after_s = verdict.barred_for_s
         self._inst.crashes.refused(self._job, verdict)
-        return self._give_up(_ENDED_UNDER_IT)
+        return self._give_up(sends_module.ENDED_UNDER_IT)
 
     def _give_up(self, why: str) -> str:
         """Gives the final answer to a request that is not served."""
@@ -326,23 +288,24 @@
         if self._conn.began:
             self._conn.abort()
             return f"cut_{why}"
-        final = self._final
+        final = self._sends.final
         if final is not None and final.status not in _NOT_RUN_STATUSES:
             self._conn.answer(final.status, list(final.headers), final.body)
             return "failed_by_server"
         if self._inst.isolated:
             # The caller's next request is better off elsewhere.
             self._conn.close_after_answer()
-        if self._worst is outcome.Outcome.NOT_RUN:
+        worst = self._sends.worst
+        if worst is outcome.Outcome.NOT_RUN:
             status, retry_after_s = _UNAVAILABLE, self._retry_after_s
         else:
             late = self._left_s() <= 0
             status = _GATEWAY_TIMEOUT if late else _BAD_GATEWAY
             retry_after_s = None
         headers = self._inst.dialect.own_headers(request, retry_after_s)
-        body = f'{{"error": "{why}", "outcome": "{self._worst.value}"}}'
+        body = f'{{"error": "{why}", "outcome": "{worst.value}"}}'
         self._conn.answer(status, headers, body.encode())
-        return f"{self._worst.value}_{why}"
+        return f"{worst.value}_{why}"
 
     def _seen(
         self,
@@ -369,7 +332,7 @@
             subject=self._job.ask.prompt.subject,
             shared_tokens=self._job.ask.prompt.shared_tokens,
             rested_s=round(rested_s, 3),
-            attempt=self._sends + 1,
+            attempt=self._sends.count + 1,
             left_s=round(self._left_s(), 3),
             resume_after=self._progress.last_event_id,
         )
@@ -378,7 +341,7 @@
         """Returns figures for the request's last log line."""
         first_s = self._progress.first_byte_s
         return {
-            "sends": self._sends,
+            "sends": self._sends.count,
             "events": self._progress.events,
             "first_byte_s": (None if first_s is None else round(first_s, 4)),
         }
--- a/irisshelf/gateway/crashes.py
+++ b/irisshelf/gateway/crashes.py
@@ -14,6 +14,7 @@
 
 from irisshelf.catalog import directory
 from irisshelf.gateway import attempt
+from irisshelf.gateway import board
 from irisshelf.gateway import metrics
 from irisshelf.gateway import reach
 from irisshelf.gateway import servers as servers_module
@@ -98,7 +99,7 @@
             and not self._servers.out_of_reach(server)
         }
         keys = {end.server for end in verdict.ends}
-        ended = [n for n in fit if servers_module.key_of(n) in keys]
+        ended = [n for n in fit if board.key_of(n) in keys]
         name = suspects.only_server(_content(job), list(fit), ended)
         return () if name is None else (fit[name],)
 
@@ -111,7 +112,7 @@
         if not self.has_ended(server) or _asked(job) in self._recent:
             return False
         end = suspects.End(
-            server=servers_module.key_of(server.server_id), at_s=self._now()
+            server=board.key_of(server.server_id), at_s=self._now()
         )
         content = _content(job)
         if self._take_end(content, end, job.ask.request_id, server.server_id):
--- a/irisshelf/gateway/servers.py
+++ b/irisshelf/gateway/servers.py
@@ -167,7 +167,9 @@
         servers = self._listed.servers()
         names = frozenset(server.server_id for server in servers)
         before = self._by_key
-        self._by_key = {key_of(server.server_id): server for server in servers}
+        self._by_key = {
+            board_module.key_of(server.server_id): server for server in servers
+        }
         self._note_left(before.keys() - self._by_key.keys())
         for chooser in self._choosers.values():
             chooser.book.keep(names)
@@ -284,8 +286,3 @@
                 request=request,
                 detail=detail,
             )
-
-
-def key_of(server_id: str) -> bytes:
-    """Returns the short key of a server's life in what instances tell."""
-    return board_module.key_of(server_id)
--- a/irisshelf/tests/conftest.py
+++ b/irisshelf/tests/conftest.py
@@ -40,3 +40,17 @@
     made = world_module.World()
     yield made
     made.close()
+
+
+@pytest.fixture
+def make_world():
+    """Makes such worlds with options of their own."""
+    made = []
+
+    def make(**options):
+        made.append(world_module.World(**options))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
--- a/irisshelf/tests/test_crash_news.py
+++ b/irisshelf/tests/test_crash_news.py
@@ -4,7 +4,7 @@
 import pytest
 
 from irisshelf import boottime
-from irisshelf.gateway import servers as servers_module
+from irisshelf.gateway import board
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import entry as entry_module
 from irisshelf.platform.stand_in import server as server_module
@@ -51,6 +51,26 @@
     fleet.wait(lambda: _stages(fleet) == [stage] * 4)
 
 
+def test_word_reaches_instances_that_are_known_to_others_alone(make_world):
+    """In large fleets nobody knows all of the other data centres."""
+    world = make_world(servers=8, data_centres=("a", "b", "b", "b", "b", "b"))
+    first, *others = world.entries
+    for other in others[1:]:
+        first.roster.left(other.member.name)
+    _end_under(world, 1)
+    world.wait(lambda: _stages(world) == ["suspect"] * 6)
+
+
+@pytest.mark.parametrize("target", ["/valve/1", "/digest/1"])
+def test_one_try_ends_one_server(fleet, target):
+    """Though the route allows a second send."""
+    for one in [*fleet.plain, *fleet.engines]:
+        one.ends_under = lambda run: run.body == _BODY
+        one.away_s = 60.0
+    assert fleet.ask(target, body=_BODY, Request_Id="r").status == 502
+    assert fleet.runs("r") == 1
+
+
 def test_a_good_answer_anywhere_clears_it_everywhere(fleet):
     _end_under(fleet, 2)
     fleet.wait(lambda: _stages(fleet) == ["suspect"] * 4)
@@ -115,7 +135,7 @@
         one.close()
     for one in fleet.plain[:5]:
         end = suspects.End(
-            server=servers_module.key_of(one.server_id),
+            server=board.key_of(one.server_id),
             at_s=boottime.now(),
         )
         fleet.inst.crashes.heard_end(_CONTENT, end)
@@ -130,9 +150,7 @@
     gone = fleet.plain[0]
     fleet.store.drop("servers", gone.server_id)
     fleet.wait(lambda: len(fleet.inst.directory.of("crew")) == 7)
-    end = suspects.End(
-        server=servers_module.key_of(gone.server_id), at_s=boottime.now()
-    )
+    end = suspects.End(server=board.key_of(gone.server_id), at_s=boottime.now())
     fleet.inst.crashes.heard_end(_CONTENT, end)
     assert _stages(fleet)[0] == "suspect"
 
--- a/irisshelf/tests/test_crashing_requests.py
+++ b/irisshelf/tests/test_crashing_requests.py
@@ -12,8 +12,6 @@
 import gevent
 import pytest
 
-from irisshelf.platform.stand_in import world as world_module
-
 # So many servers may end under a request before all instances know it.
 _ALLOWED = 3
 _BODY = b'{"prompt": "the one that ends them"}'
@@ -33,19 +31,6 @@
 _PAUSE_S = 0.03
 
 
-@pytest.fixture
-def make_world():
-    made = []
-
-    def make(**options):
-        made.append(world_module.World(**options))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 def _servers(world):
     return [*world.plain, *world.engines]
 
--- a/irisshelf/tests/test_sleep.py
+++ b/irisshelf/tests/test_sleep.py
@@ -41,19 +41,6 @@
     return fall_asleep
 
 
-@pytest.fixture
-def make_world():
-    made = []
-
-    def make(**options):
-        made.append(world_module.World(**options))
-        return made[-1]
-
-    yield make
-    for one in made:
-        one.close()
-
-
 @pytest.mark.parametrize(
     ("bounds", "mode", "slept_s", "status"),
     [
