--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,8 @@
 # An instance counts as in touch again so long after a disturbance.
 _IN_TOUCH_S = 3.0
 _NEXT_KEYS = 40
+# A machine sleeps longer than a process stands still: 1 to 20 s.
+_SLEEP_FACTOR = 5.0
 # What another writer may leave in the list.
 _FOREIGN = (
     None,
@@ -83,6 +85,9 @@
             plan.Kind.KILL: lambda: self._entry(fault).kill(),
             plan.Kind.TERM: lambda: self._entry(fault).term(),
             plan.Kind.PAUSE: lambda: self._entry(fault).pause(fault.for_s),
+            plan.Kind.SLEEP: lambda: self._entry(fault).sleep(
+                _SLEEP_FACTOR * fault.for_s
+            ),
             plan.Kind.HUP: lambda: self._entry(fault).hup(),
             plan.Kind.STORE: lambda: self._store(fault),
             plan.Kind.STORE_FORGETS: self._served.forget_history,
@@ -154,6 +159,7 @@
             plan.Kind.KILL,
             plan.Kind.TERM,
             plan.Kind.PAUSE,
+            plan.Kind.SLEEP,
             plan.Kind.STORE_LINK,
             plan.Kind.CALLER_LINK,
         )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,6 +14,7 @@
 
 from soak import ports
 from soak import proxy
+from soak import sleeper
 
 _RESTART_S = 0.3
 _STEP_S = 0.05
@@ -54,6 +55,9 @@
         self.caller_link = proxy.Proxy(target=self.front)
         self.log = folder / f"{self.name}.log"
         self._settings = folder / f"{self.name}.json"
+        self._sleep = folder / f"{self.name}.sleep"
+        self._slept_s = 0.0
+        self._write_sleep()
         self._process: subprocess.Popen | None = None
         self._keeper: gevent.Greenlet | None = None
         self.starts = 0
@@ -93,6 +97,11 @@
         self._signal(signal.SIGSTOP)
         gevent.spawn_later(for_s, _continue, process)
 
+    def sleep(self, for_s: float) -> None:
+        """Lets the machine sleep: it takes no time, but the process' clock."""
+        self._slept_s += for_s
+        self._write_sleep()
+
     def hup(self) -> None:
         """Changes the settings and says so."""
         self._write_settings(lines_per_s=150 + self.starts)
@@ -124,15 +133,24 @@
     def _run(self) -> None:
         self._told_to_end = False
         self.starts += 1
-        environment = {**os.environ, "IRISSHELF_CONFIG": str(self._settings)}
+        environment = {
+            **os.environ,
+            "IRISSHELF_CONFIG": str(self._settings),
+            sleeper.VARIABLE: str(self._sleep),
+        }
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "irisshelf.platform"],
+                [sys.executable, "-m", "soak.sleeper"],
                 stdout=log,
                 stderr=log,
                 env=environment,
             )
 
+    def _write_sleep(self) -> None:
+        aside = self._sleep.with_suffix(".new-sleep")
+        aside.write_text(str(self._slept_s))
+        aside.rename(self._sleep)
+
     def _write_settings(self, lines_per_s: float = 200) -> None:
         document = {
             "instance": self.name,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -41,6 +41,7 @@
     HALF_SETTINGS = "half_settings"
     SERVER_RESTARTS = "server_restarts"
     FOREIGN_ENTRIES = "foreign_entries"
+    SLEEP = "sleep"
 
 
 _WIDE_KINDS = (
@@ -50,6 +51,7 @@
     Kind.HALF_SETTINGS,
     Kind.SERVER_RESTARTS,
     Kind.FOREIGN_ENTRIES,
+    Kind.SLEEP,
 )
 SMALL_KINDS = tuple(kind for kind in Kind if kind not in _WIDE_KINDS)
 # Share of a wide run's faults of instances that hit the first of them.
