--- a/irisshelf/tests/test_crash_news.py
+++ b/irisshelf/tests/test_crash_news.py
@@ -71,6 +71,26 @@
     assert fleet.runs("r") == 1
 
 
+@pytest.mark.parametrize(
+    ("served_before", "status", "blamed"),
+    [(True, 200, False), (False, 502, True)],
+)
+def test_what_was_served_lately_is_not_blamed(
+    fleet, served_before, status, blamed
+):
+    """It goes on to another server, as it did before."""
+    if served_before:
+        fleet.ask("/valve/1", body=_BODY)
+    for one in fleet.plain:
+        one.always = Fault.SLOW
+    asking = gevent.spawn(fleet.ask, "/valve/1", body=_BODY)
+    fleet.wait(lambda: any(one.working for one in fleet.plain))
+    (busy,) = [one for one in fleet.plain if one.working]
+    busy.crash()
+    assert asking.get().status == status
+    assert bool(fleet.inst.crashes.suspects) is blamed
+
+
 def test_a_good_answer_anywhere_clears_it_everywhere(fleet):
     _end_under(fleet, 2)
     fleet.wait(lambda: _stages(fleet) == ["suspect"] * 4)
