A server that has just been reached may end the next moment

Cause: that a server listens was remembered for a second, so that an end within it was not noticed. Now only an end is. The test failed before.

--- a/irisshelf/gateway/crashes.py
+++ b/irisshelf/gateway/crashes.py
@@ -28,8 +28,9 @@
 # it is not blamed for that.
 _RECENT = 512
 _RECENT_BODY_BYTES = 4096
-# What a server's address has just said of it is not asked again so soon.
-_ASKED_S = 1.0
+# A server that has ended is not asked again so soon: none is back by then. One
+# that listens may end the next moment.
+_ENDED_S = 1.0
 
 _Asked = tuple[str, str, str, bytes]
 
@@ -70,8 +71,8 @@
         self._recent: collections.deque[_Asked] = collections.deque(
             maxlen=_RECENT
         )
-        # By life: when it was asked, and whether it had ended.
-        self._asked: dict[str, tuple[float, bool]] = {}
+        # By life: when it was found to have ended.
+        self._ended_s: dict[str, float] = {}
         self._asking: dict[str, gevent.Greenlet] = {}
 
     def verdict(self, job: attempt.Job) -> suspects.Verdict | None:
@@ -176,9 +177,8 @@
         if listed.server_id != server.server_id:
             return True
         name = server.server_id
-        asked_s, ended = self._asked.get(name, (float("-inf"), False))
-        if self._now() - asked_s < _ASKED_S:
-            return ended
+        if self._now() - self._ended_s.get(name, float("-inf")) < _ENDED_S:
+            return True
         if name not in self._asking:
             self._asking[name] = gevent.spawn(self._ask, server)
         return self._asking[name].get()
@@ -197,13 +197,14 @@
             ended = self._refuses(server)
         finally:
             del self._asking[server.server_id]
-        now = self._now()
-        self._asked = {
-            name: known
-            for name, known in self._asked.items()
-            if now - known[0] < _ASKED_S
-        }
-        self._asked[server.server_id] = (now, ended)
+        if ended:
+            now = self._now()
+            self._ended_s = {
+                name: ended_s
+                for name, ended_s in self._ended_s.items()
+                if now - ended_s < _ENDED_S
+            }
+            self._ended_s[server.server_id] = now
         return ended
 
     def _refuses(self, server: directory.BackendServer) -> bool:
--- a/irisshelf/tests/test_crash_news.py
+++ b/irisshelf/tests/test_crash_news.py
@@ -133,6 +133,15 @@
     assert not fleet.inst.crashes.has_ended(server)
 
 
+def test_a_server_that_has_just_been_reached_may_end(fleet):
+    """A reset, and the end of the same server right after it."""
+    (one,) = fleet.plain[:1]
+    server = fleet.inst.directory.get(one.server_id)
+    assert not fleet.inst.crashes.has_ended(server)
+    one.close()
+    assert fleet.inst.crashes.has_ended(server)
+
+
 def test_a_stream_under_way_is_not_blamed(fleet):
     """What had events was begun long before its server ended."""
     for one in fleet.engines:
