--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -15,6 +15,7 @@
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
+_PORTS = 65536
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -160,6 +161,9 @@
         ipaddress.ip_address(host)
     except ValueError:
         return "an IP number, a colon and a port"
-    if not port.isdigit() or not 0 <= int(port) < 65536:
-        return "a port from 0 to 65535"
+    # To Python a superscript is a digit, and thousands of digits no number.
+    short = len(port) <= len(str(_PORTS))
+    decimal = short and port.isascii() and port.isdigit()
+    if not decimal or not 0 <= int(port) < _PORTS:
+        return f"a port from 0 to {_PORTS - 1}"
     return ""
