--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/call.py
@@ -38,10 +38,10 @@
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
 # A suspect request finds its server ended: another instance's copy was there
 # first, and its word is on the way.
 _WORD_S = 0.03
-_GATEWAY_TIMEOUT = 504
 
 
 class Call:
--- a/soak/run.py
+++ b/soak/run.py
@@ -236,6 +236,13 @@
             "Prefix-Hash": f"aa:300,b{self._serial % 7}:900,own:9",
         }
 
+    def _key(self) -> str:
+        """Returns a key; a caller may not have heard that it is withdrawn."""
+        withdrawn = self._injector.withdrawn
+        if withdrawn and self._rng.random() < 0.2:
+            return self._rng.choice(list(withdrawn))
+        return self._injector.keys[0]
+
     def _crash(self, kind: checker.RequestKind, body: bytes) -> None:
         """Asks for what ends servers, on a new connection."""
         entry = self._rng.choice(self.entries)
@@ -260,12 +267,8 @@
         body = crashing_body or body
         self._serial += 1
         request_id = f"s{self._seed}-{self._serial}"
-        withdrawn = self._injector.withdrawn
-        key = self._injector.keys[0]
-        # A caller may not have heard that its key is withdrawn.
-        if withdrawn and self._rng.random() < 0.2:
-            key = self._rng.choice(list(withdrawn))
-        calm = self._calm and key not in withdrawn
+        key = self._key()
+        calm = self._calm and key not in self._injector.withdrawn
         sent_s = time.monotonic()
         answer = _exchange(
             conn, method, target, body, self._headers(request_id, key)
