--- a/irisshelf/routing/suspects.py
+++ b/irisshelf/routing/suspects.py
@@ -2,13 +2,13 @@
 
 A caller repeats such a request, each time with an id of its own, at any
 instance; each repeat would end one server more, and break off whatever else
-that server works on: in a record of eight ended servers 3.6 requests each. So
+that server works on: in a record of seven ended servers 3.9 requests each. So
 what servers ended under is remembered by the *content* of requests, and told
 among instances.
 
 A server that ends has many requests, and at most one of them did it. Blamed is
 only what nothing had come back of: in that record all 9 sends of the culprit,
-but 5 of 29 others. And a good answer speaks for a content, so that one which
+but 3 of 27 others. And a good answer speaks for a content, so that one which
 many repeat is not blamed for servers that end of themselves.
 
 Stages of a content:
--- a/irisshelf/tests/test_crashing_requests.py
+++ b/irisshelf/tests/test_crashing_requests.py
@@ -1,6 +1,6 @@
 """Incident: requests that end every server that begins to run them.
 
-Seen: eight servers in twelve seconds, then seventeen more, each ended under the
+Seen: seven servers in thirteen seconds, then sixteen more, each ended under the
 same few requests, and beside them every stream that those servers worked on.
 How it came about: a caller repeated the request, with a new id each time, at
 four of six instances; each repeat was sent to a server that was well. Cause:
