--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -1,5 +1,6 @@
 """The store's troubles: what an instance believes, and for how long."""
 
+import gevent
 import pytest
 
 from irisshelf import boottime
@@ -308,3 +309,26 @@
     listed.store_back(11.2)
     listed.expire(12.9)
     assert world.inst.directory.get(name) is None
+
+
+def test_a_leaving_is_known_in_time_though_the_answer_that_tells_it_is_lost(
+    world,
+):
+    """The held call on the servers is answered into nothing, and no other is.
+
+    Seen: requests reached a server ten seconds after its leaving was accepted.
+    The store was silent for 0.4 s just then; it answered the call on the
+    configuration all the while, and the one on the servers is waited for for
+    ten seconds more before it is taken for lost.
+    """
+    one = world.plain[0]
+    held = [("servers", 10_000)]
+    world.wait(lambda: held[0] in world.store.asked)
+    world.store.mode = store.Mode.SILENT
+    world.store.put("servers", one.server_id, one.entry("draining"))
+    gevent.sleep(0.4)
+    world.store.mode = store.Mode.WELL
+    bound_s = world.inst.cfg.bounds.server_leaving_ms / 1000
+    gevent.sleep(bound_s + 0.6)
+    listed = world.inst.directory.get(one.server_id)
+    assert listed.state is directory.ServerState.LEAVING
