gateway/ in three rooms, imports downward only; facts about servers as frozen classes

Cause: 24 files side by side, four of which imported each other in a circle (attempt, crashes, instance, watched). Job stands with the other messages, the short key of a server with the directory, what is told of servers in coordination/facts.py. A test holds the order of the rooms. No behaviour changes.

--- a/bench/suspects.py
+++ b/bench/suspects.py
@@ -12,7 +12,6 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import model
-from irisshelf.gateway import attempt
 from irisshelf.gateway import instance
 from irisshelf.gateway import messages
 from irisshelf.gateway import settings
@@ -52,7 +51,7 @@
     return figures
 
 
-def _serve(inst: instance.Instance, job: attempt.Job) -> None:
+def _serve(inst: instance.Instance, job: messages.Job) -> None:
     inst.note_sleep()
     inst.crashes.verdict(job)
     inst.crashes.served(job)
@@ -73,7 +72,7 @@
     )
 
 
-def _job(body: bytes) -> attempt.Job:
+def _job(body: bytes) -> messages.Job:
     inbound = messages.Inbound(
         method="POST",
         target="/lezi911/2f",
@@ -82,7 +81,7 @@
         has_body=True,
         arrived_s=0.0,
     )
-    return attempt.Job(
+    return messages.Job(
         inbound=inbound,
         ask=messages.Ask(request_id="r", host="h", path="/lezi911/2f"),
         route=model.Route(
--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -18,11 +18,13 @@
 
 import dataclasses
 import enum
+import hashlib
 from collections.abc import Iterable
 
 # Entries of live servers are back about two seconds after the store's return
 # (the users' letter); a tenth more for the way.
 LAPSE_GRACE_S = 2.2
+_KEY_BYTES = 5
 
 
 class ServerState(enum.StrEnum):
@@ -81,6 +83,11 @@
     return entry_id if born_ms is None else f"{entry_id}@{born_ms}"
 
 
+def key_of(server_id: str) -> bytes:
+    """Returns the short name of a life, as instances tell it each other."""
+    return hashlib.blake2b(server_id.encode(), digest_size=_KEY_BYTES).digest()
+
+
 class Directory:
     """The list, kept up to date by changes and, after gaps, whole lists."""
 
--- /dev/null
+++ b/irisshelf/coordination/facts.py
@@ -0,0 +1,40 @@
+"""What instances tell each other of backend servers.
+
+A fact names a server by the short key of its life (``directory.key_of``), so
+that one told of an earlier life under the same id says nothing of a later one.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLoad:
+    """A server's own word on its load.
+
+    Attributes:
+        server: The server's key.
+        work: Requests that run or wait there.
+        at_s: When it said so, monotonic seconds of the reader.
+    """
+
+    server: bytes
+    work: int
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PartHeld:
+    """A server has read a part of a prompt, or is about to.
+
+    Attributes:
+        server: The server's key.
+        part: The part's key, see ``holdings.key_of``.
+    """
+
+    server: bytes
+    part: bytes
+
+
+Fact = ServerLoad | PartHeld
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -12,17 +12,17 @@
 import result
 
 from irisshelf.coordination import roster
-from irisshelf.gateway import board
-from irisshelf.gateway import crash_news
-from irisshelf.gateway import datagrams
 from irisshelf.gateway import dialect
-from irisshelf.gateway import follower
-from irisshelf.gateway import front
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
-from irisshelf.gateway import neighbours
 from irisshelf.gateway import settings
-from irisshelf.gateway import store_updates
+from irisshelf.gateway.knowledge import board
+from irisshelf.gateway.knowledge import crash_news
+from irisshelf.gateway.knowledge import datagrams
+from irisshelf.gateway.knowledge import follower
+from irisshelf.gateway.knowledge import neighbours
+from irisshelf.gateway.knowledge import store_updates
+from irisshelf.gateway.requests import front
 from irisshelf.observe import decision_log
 from irisshelf.store import feed
 from irisshelf.transport import server as caller_side
@@ -150,14 +150,14 @@
         self._log.flush()
 
     def _start_board(self) -> None:
-        self._inst.servers.board = board.Board(
+        news = board.Board(
             datagrams=self._datagrams,
             roster=self._neighbours.roster,
-            on_load=self._inst.servers.heard_load,
-            on_holds=self._inst.servers.heard_holds,
+            on_fact=self._inst.servers.heard_fact,
             rng=self._inst.rng,
         )
-        gevent.spawn(self._inst.servers.board.run)
+        self._inst.servers.tell = news.tell
+        gevent.spawn(news.run)
 
     def _take_members(self, others_here: int) -> None:
         """Takes how many other instances the own data centre has.
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -9,11 +9,11 @@
 from irisshelf.catalog import directory
 from irisshelf.catalog import freshness
 from irisshelf.catalog import model
-from irisshelf.gateway import crashes
 from irisshelf.gateway import dialect as dialect_module
 from irisshelf.gateway import metrics
-from irisshelf.gateway import servers as servers_module
 from irisshelf.gateway import settings
+from irisshelf.gateway.servers import crashes
+from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.observe import decision_log
 
 # Where withdrawals bind strictly, a key holds for so long after the store last
--- a/irisshelf/gateway/board.py
+++ b/irisshelf/gateway/knowledge/board.py
@@ -10,9 +10,8 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
-import hashlib
+import functools
 import random
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -23,36 +22,21 @@
 import msgspec
 
 from irisshelf import boottime
+from irisshelf.coordination import facts
 from irisshelf.coordination import roster as roster_module
-from irisshelf.gateway import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import datagrams as datagrams_module
 
 # Answers last a second or so; what is told is a fraction of that old.
 _TICK_S = 0.25
 _MOST_NEWS = 40
 # News that may wait for the next datagram; the oldest are dropped.
 _MOST_WAITING = 1000
-_ID_BYTES = 5
 # News are older than this only if something is wrong with a clock or a link.
 _OLDEST_MS = 5000
 # A server with less than no work would draw all requests.
 _Work = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class LoadNews:
-    """A server's own word on its load.
-
-    Attributes:
-        server: The server's key, see ``key_of``.
-        work: Requests that run or wait there.
-        at_s: When it said so, monotonic seconds of the reader.
-    """
-
-    server: bytes
-    work: int
-    at_s: float
-
-
 class _Way(enum.IntEnum):
     """How a message has come so far."""
 
@@ -74,25 +58,32 @@
     """News that wait to be sent."""
 
     def __init__(self):
-        self.loads: dict[bytes, LoadNews] = {}
-        self.holds: collections.deque[tuple[bytes, bytes]] = collections.deque(
+        self.loads: dict[bytes, facts.ServerLoad] = {}
+        self.holds: collections.deque[facts.PartHeld] = collections.deque(
             maxlen=_MOST_WAITING
         )
 
     def __bool__(self) -> bool:
         return bool(self.loads or self.holds)
 
-    def load(self, news: LoadNews) -> None:
-        """Takes a load, unless a later one is waiting."""
-        known = self.loads.get(news.server)
-        if known is None or known.at_s < news.at_s:
-            self.loads[news.server] = news
+    @functools.singledispatchmethod
+    def add(self, fact: facts.Fact) -> None:
+        """Takes a fact; of loads the latest of each server."""
+        raise TypeError(f"fact is {fact!r}, allowed: {facts.Fact}")
+
+    @add.register
+    def _(self, fact: facts.ServerLoad) -> None:
+        known = self.loads.get(fact.server)
+        if known is None or known.at_s < fact.at_s:
+            self.loads[fact.server] = fact
 
-    def add(self, news: _News) -> None:
-        """Takes all of another's news."""
-        for load in news.loads.values():
-            self.load(load)
-        self.holds.extend(news.holds)
+    @add.register
+    def _(self, fact: facts.PartHeld) -> None:
+        self.holds.append(fact)
+
+    def all(self) -> list[facts.Fact]:
+        """Returns all facts."""
+        return [*self.loads.values(), *self.holds]
 
     def take(self, data_centre: str, way: _Way) -> _Message:
         """Takes what fits into a datagram; the rest waits for the next."""
@@ -102,8 +93,8 @@
         ]
         holds: dict[bytes, list[bytes]] = {}
         for _ in range(min(_MOST_NEWS, len(self.holds))):
-            server, part = self.holds.popleft()
-            holds.setdefault(server, []).append(part)
+            held = self.holds.popleft()
+            holds.setdefault(held.server, []).append(held.part)
         return _Message(
             data_centre=data_centre,
             way=way,
@@ -121,8 +112,7 @@
     Args:
         datagrams: Carries news.
         roster: The other instances.
-        on_load: Takes a server's load.
-        on_holds: Takes a server's key and that of a part that it has read.
+        on_fact: Takes what another instance tells.
         rng: Chooses whom to tell in other data centres.
     """
 
@@ -131,14 +121,12 @@
         *,
         datagrams: datagrams_module.Datagrams,
         roster: roster_module.Roster,
-        on_load: Callable[[LoadNews], None],
-        on_holds: Callable[[bytes, bytes], None],
+        on_fact: Callable[[facts.Fact], None],
         rng: random.Random,
     ):
         self._datagrams = datagrams
         self._roster = roster
-        self._on_load = on_load
-        self._on_holds = on_holds
+        self._on_fact = on_fact
         self._rng = rng
         # What comes from the own data centre, and what from elsewhere.
         self._own = _News()
@@ -151,13 +139,9 @@
             gevent.sleep(_TICK_S)
             self.send()
 
-    def load(self, news: LoadNews) -> None:
-        """Takes a load that this instance has just been told."""
-        self._own.load(news)
-
-    def holds(self, server: bytes, part: bytes) -> None:
-        """Takes that this instance has sent a part of a prompt to a server."""
-        self._own.holds.append((server, part))
+    def tell(self, fact: facts.Fact) -> None:
+        """Takes what this instance has just learnt."""
+        self._own.add(fact)
 
     def send(self) -> None:
         """Tells the news since the last time, if there are any."""
@@ -182,23 +166,20 @@
         """
         message = msgspec.convert(content, _Message)
         at_home = message.data_centre == self._roster.own.data_centre
-        news = _decode(message)
-        self._apply(news)
+        told = _decode(message)
+        for fact in told:
+            self._on_fact(fact)
         if message.way is _Way.TO_ALL:
             return
         first = self._roster.first(boottime.now())
         if first is None:
-            (self._own if at_home else self._foreign).add(news)
+            news = self._own if at_home else self._foreign
+            for fact in told:
+                news.add(fact)
         elif message.way is _Way.TO_FIRST:
             message.way = _Way.FORWARDED
             self._datagrams.send(first.address, _encode(message))
 
-    def _apply(self, news: _News) -> None:
-        for load in news.loads.values():
-            self._on_load(load)
-        for server, part in news.holds:
-            self._on_holds(server, part)
-
     def _send_news(
         self,
         news: _News,
@@ -226,23 +207,19 @@
         return [self._rng.choice(group) for group in found.values()]
 
 
-def key_of(server_id: str) -> bytes:
-    """Returns the short name of a server in datagrams."""
-    return hashlib.blake2b(server_id.encode(), digest_size=_ID_BYTES).digest()
-
-
 def _encode(message: _Message) -> bytes:
     content = msgspec.to_builtins(message, builtin_types=(bytes,))
     return datagrams_module.encode(datagrams_module.Kind.SERVER_NEWS, content)
 
 
-def _decode(message: _Message) -> _News:
+def _decode(message: _Message) -> list[facts.Fact]:
     news = _News()
     now = boottime.now()
     for server, work, age_ms in message.loads:
         if 0 <= age_ms <= _OLDEST_MS:
             at_s = now - age_ms / 1000
-            news.load(LoadNews(server=server, work=work, at_s=at_s))
+            news.add(facts.ServerLoad(server=server, work=work, at_s=at_s))
     for server, parts in message.holds.items():
-        news.holds.extend((server, part) for part in parts)
-    return news
+        for part in parts:
+            news.add(facts.PartHeld(server=server, part=part))
+    return news.all()
--- a/irisshelf/gateway/crash_news.py
+++ b/irisshelf/gateway/knowledge/crash_news.py
@@ -21,8 +21,8 @@
 
 from irisshelf import boottime
 from irisshelf.coordination import roster as roster_module
-from irisshelf.gateway import crashes as crashes_module
-from irisshelf.gateway import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.servers import crashes as crashes_module
 from irisshelf.observe import decision_log
 from irisshelf.routing import suspects
 
--- a/irisshelf/gateway/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -16,9 +16,9 @@
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
-from irisshelf.gateway import server_list
-from irisshelf.gateway import store_timing
-from irisshelf.gateway import store_updates
+from irisshelf.gateway.knowledge import server_list
+from irisshelf.gateway.knowledge import store_timing
+from irisshelf.gateway.knowledge import store_updates
 from irisshelf.store import feed
 
 # Each try costs money, and an instance is to be back soon after the store.
--- a/irisshelf/gateway/store_updates.py
+++ b/irisshelf/gateway/knowledge/store_updates.py
@@ -20,7 +20,7 @@
 from irisshelf.catalog import directory
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
-from irisshelf.gateway import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import datagrams as datagrams_module
 from irisshelf.observe import decision_log
 
 _KIND = datagrams_module.Kind.STORE_UPDATE
--- a/irisshelf/gateway/messages.py
+++ b/irisshelf/gateway/messages.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from irisshelf.catalog import model
 from irisshelf.routing.direct import prompt
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -55,6 +56,31 @@
     last_event_id: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Job:
+    """A request that has been admitted.
+
+    Attributes:
+        inbound: As it came in.
+        ask: What its headers say.
+        route: Its route.
+        service: The service that takes it.
+        team: The team that its key belongs to.
+        priority: Its rank.
+        version: Version of the configuration that admitted it.
+        until_s: When it has to be answered, monotonic seconds.
+    """
+
+    inbound: Inbound
+    ask: Ask
+    route: model.Route
+    service: str
+    team: str
+    priority: int
+    version: int
+    until_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Send:
     """What a backend server is told beside the caller's own headers.
--- /dev/null
+++ b/irisshelf/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers: admission, sends to backend servers, answers."""
--- a/irisshelf/gateway/admission.py
+++ b/irisshelf/gateway/requests/admission.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from irisshelf.gateway import attempt
 from irisshelf.gateway import instance
+from irisshelf.gateway import messages
 from irisshelf.routing.direct import overload
 from irisshelf.routing.direct import server_choice
 
@@ -14,7 +14,7 @@
 
 def refuse(
     inst: instance.Instance,
-    job: attempt.Job,
+    job: messages.Job,
     choice: server_choice.Choice,
 ) -> overload.Refusal | None:
     """Decides on a request that was not sent yet.
@@ -61,7 +61,7 @@
 
 def _log(
     inst: instance.Instance,
-    job: attempt.Job,
+    job: messages.Job,
     choice: server_choice.Choice,
     refusal: overload.Refusal,
 ) -> None:
--- a/irisshelf/gateway/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -9,7 +9,7 @@
 from irisshelf.catalog import model
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
-from irisshelf.gateway import watched
+from irisshelf.gateway.requests import watched
 from irisshelf.routing import outcome
 from irisshelf.routing.direct import event_stream
 from irisshelf.routing.direct import server_book
@@ -23,31 +23,6 @@
 _MAY_BE_STALE_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Job:
-    """A request that has been admitted.
-
-    Attributes:
-        inbound: As it came in.
-        ask: What its headers say.
-        route: Its route.
-        service: The service that takes it.
-        team: The team that its key belongs to.
-        priority: Its rank.
-        version: Version of the configuration that admitted it.
-        until_s: When it has to be answered, monotonic seconds.
-    """
-
-    inbound: messages.Inbound
-    ask: messages.Ask
-    route: model.Route
-    service: str
-    team: str
-    priority: int
-    version: int
-    until_s: float
-
-
 class SendError(Exception):
     """A send that went wrong.
 
@@ -112,7 +87,7 @@
         self,
         *,
         inst: instance_module.Instance,
-        job: Job,
+        job: messages.Job,
         caller: caller_side.Connection,
         progress: Progress,
         choice: server_choice.Choice,
--- a/irisshelf/gateway/call.py
+++ b/irisshelf/gateway/requests/call.py
@@ -8,11 +8,12 @@
 
 from irisshelf.catalog import directory
 from irisshelf.catalog import model
-from irisshelf.gateway import admission
-from irisshelf.gateway import attempt as attempt_module
 from irisshelf.gateway import instance as instance_module
-from irisshelf.gateway import reach
-from irisshelf.gateway import sends as sends_module
+from irisshelf.gateway import messages
+from irisshelf.gateway.requests import admission
+from irisshelf.gateway.requests import attempt as attempt_module
+from irisshelf.gateway.requests import sends as sends_module
+from irisshelf.gateway.servers import reach
 from irisshelf.routing import outcome
 from irisshelf.routing import suspects
 from irisshelf.routing.direct import server_book
@@ -57,7 +58,7 @@
         self,
         *,
         inst: instance_module.Instance,
-        job: attempt_module.Job,
+        job: messages.Job,
         conn: caller_side.Connection,
     ):
         self._inst = inst
--- a/irisshelf/gateway/front.py
+++ b/irisshelf/gateway/requests/front.py
@@ -8,11 +8,10 @@
 import result
 
 from irisshelf.catalog import model
-from irisshelf.gateway import admission
-from irisshelf.gateway import attempt
-from irisshelf.gateway import call as call_module
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
+from irisshelf.gateway.requests import admission
+from irisshelf.gateway.requests import call as call_module
 from irisshelf.routing.direct import outage
 from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
@@ -82,7 +81,7 @@
         if job is not None:
             self._serve(job, conn)
 
-    def _serve(self, job: attempt.Job, conn: caller_side.Connection) -> None:
+    def _serve(self, job: messages.Job, conn: caller_side.Connection) -> None:
         call = call_module.Call(inst=self._inst, job=job, conn=conn)
         self._inst.in_flight += 1
         self._inst.metrics.in_flight.set(self._inst.in_flight)
@@ -101,7 +100,7 @@
             self._count(job, ended, call)
 
     def _count(
-        self, job: attempt.Job, ended: str, call: call_module.Call
+        self, job: messages.Job, ended: str, call: call_module.Call
     ) -> None:
         kind = job.route.kind.value
         lasted_s = self._inst.now() - job.inbound.arrived_s
@@ -123,7 +122,7 @@
         inbound: messages.Inbound,
         ask: messages.Ask,
         conn: caller_side.Connection,
-    ) -> attempt.Job | None:
+    ) -> messages.Job | None:
         """Checks what a request needs; answers those that may not go on."""
         inst = self._inst
         if not inst.knows:
@@ -159,14 +158,14 @@
         version: int,
         route: model.Route,
         team: model.Team | None,
-    ) -> attempt.Job:
+    ) -> messages.Job:
         time_s = route.timeout_s
         if ask.deadline_s is not None:
             time_s = min(time_s, ask.deadline_s)
         priority = route.priority
         if team is not None and team.priority is not None:
             priority = team.priority
-        return attempt.Job(
+        return messages.Job(
             inbound=inbound,
             ask=ask,
             route=route,
--- a/irisshelf/gateway/sends.py
+++ b/irisshelf/gateway/requests/sends.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import attempt
 from irisshelf.gateway import instance
 from irisshelf.gateway import messages
+from irisshelf.gateway.requests import attempt
 from irisshelf.routing import outcome
 
 # Why a request is refused that servers ended under, or not sent again.
@@ -27,7 +27,7 @@
         final: The latest whole answer of a server that failed it.
     """
 
-    def __init__(self, *, inst: instance.Instance, job: attempt.Job):
+    def __init__(self, *, inst: instance.Instance, job: messages.Job):
         self.avoid: set[str] = set()
         self.failed: set[str] = set()
         self.count = 0
--- a/irisshelf/gateway/watched.py
+++ b/irisshelf/gateway/requests/watched.py
@@ -7,7 +7,7 @@
 
 from irisshelf.catalog import directory
 from irisshelf.gateway import instance as instance_module
-from irisshelf.gateway import reach
+from irisshelf.gateway.servers import reach
 from irisshelf.transport import client
 from irisshelf.transport import errors
 
--- /dev/null
+++ b/irisshelf/gateway/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers as one instance sees and reaches them."""
--- a/irisshelf/gateway/crashes.py
+++ b/irisshelf/gateway/servers/crashes.py
@@ -13,11 +13,10 @@
 import gevent
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import attempt
-from irisshelf.gateway import board
+from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
-from irisshelf.gateway import reach
-from irisshelf.gateway import servers as servers_module
+from irisshelf.gateway.servers import reach
+from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.observe import decision_log
 from irisshelf.routing import suspects
 from irisshelf.transport import client
@@ -75,7 +74,7 @@
         self._ended_s: dict[str, float] = {}
         self._asking: dict[str, gevent.Greenlet] = {}
 
-    def verdict(self, job: attempt.Job) -> suspects.Verdict | None:
+    def verdict(self, job: messages.Job) -> suspects.Verdict | None:
         """Returns what is thought of a request; None if it is clear.
 
         As long as no content is suspect, which is nearly always, a request
@@ -89,7 +88,7 @@
         return None if found.stage is suspects.Stage.CLEAR else found
 
     def may_go_to(
-        self, job: attempt.Job, verdict: suspects.Verdict, avoid: set[str]
+        self, job: messages.Job, verdict: suspects.Verdict, avoid: set[str]
     ) -> tuple[directory.BackendServer, ...]:
         """Returns the one server that a suspect request may go to, if any."""
         fit = {
@@ -100,11 +99,11 @@
             and not self._servers.out_of_reach(server)
         }
         keys = {end.server for end in verdict.ends}
-        ended = [n for n in fit if board.key_of(n) in keys]
+        ended = [n for n in fit if directory.key_of(n) in keys]
         name = suspects.only_server(_content(job), list(fit), ended)
         return () if name is None else (fit[name],)
 
-    def broke(self, job: attempt.Job, server: directory.BackendServer) -> bool:
+    def broke(self, job: messages.Job, server: directory.BackendServer) -> bool:
         """Takes that a connection broke before anything of an answer came.
 
         Returns:
@@ -113,14 +112,14 @@
         if not self.has_ended(server) or _asked(job) in self._recent:
             return False
         end = suspects.End(
-            server=board.key_of(server.server_id), at_s=self._now()
+            server=directory.key_of(server.server_id), at_s=self._now()
         )
         content = _content(job)
         if self._take_end(content, end, job.ask.request_id, server.server_id):
             self.on_end(content, end)
         return True
 
-    def served(self, job: attempt.Job) -> None:
+    def served(self, job: messages.Job) -> None:
         """Takes that a request was answered well."""
         if len(job.inbound.body) <= _RECENT_BODY_BYTES:
             self._recent.append(_asked(job))
@@ -130,7 +129,7 @@
         if self._clear(content, job.ask.request_id):
             self.on_good(content)
 
-    def refused(self, job: attempt.Job, verdict: suspects.Verdict) -> None:
+    def refused(self, job: messages.Job, verdict: suspects.Verdict) -> None:
         """Takes that a request is refused for what servers ended under."""
         self._metrics.crashes.labels("refused").inc()
         self._log.request(
@@ -183,7 +182,7 @@
             self._asking[name] = gevent.spawn(self._ask, server)
         return self._asking[name].get()
 
-    def _may_be_suspect(self, job: attempt.Job) -> bool:
+    def _may_be_suspect(self, job: messages.Job) -> bool:
         if not self.suspects:
             return False
         inbound = job.inbound
@@ -253,12 +252,12 @@
         return True
 
 
-def _asked(job: attempt.Job) -> _Asked:
+def _asked(job: messages.Job) -> _Asked:
     inbound = job.inbound
     return (job.team, inbound.method, inbound.target, inbound.body)
 
 
-def _content(job: attempt.Job) -> bytes:
+def _content(job: messages.Job) -> bytes:
     return suspects.content_of(*_asked(job))
 
 
--- a/irisshelf/gateway/reach.py
+++ b/irisshelf/gateway/servers/reach.py
@@ -18,7 +18,7 @@
 import gevent
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import links as links_module
+from irisshelf.gateway.servers import links as links_module
 from irisshelf.transport import client
 from irisshelf.transport import errors
 
--- a/irisshelf/gateway/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import collections
+import functools
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import board as board_module
-from irisshelf.gateway import links
+from irisshelf.coordination import facts
 from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
-from irisshelf.gateway import reach
 from irisshelf.gateway import settings
+from irisshelf.gateway.servers import links
+from irisshelf.gateway.servers import reach
 from irisshelf.observe import decision_log
 from irisshelf.routing import retry_budget
 from irisshelf.routing.direct import overload
@@ -61,7 +62,7 @@
             asks=cfg.policy.reach,
         )
         self.fleet = retry_budget.FleetSize(alone=not cfg.seeds)
-        self.board: board_module.Board | None = None
+        self.tell: Callable[[facts.Fact], None] = _tell_nobody
         self._listed = listed
         self._log = log
         self._metrics = counts
@@ -128,14 +129,8 @@
         work = load.running + load.waiting
         book = self.chooser(server.service).book
         book.told(server.server_id, work=work, at_s=now)
-        if self.board is not None:
-            self.board.load(
-                board_module.LoadNews(
-                    server=board_module.key_of(server.server_id),
-                    work=work,
-                    at_s=now,
-                )
-            )
+        key = directory.key_of(server.server_id)
+        self.tell(facts.ServerLoad(server=key, work=work, at_s=now))
 
     def sent_prompt(
         self, server: directory.BackendServer, asked: prompt.Prompt
@@ -143,24 +138,28 @@
         """Notes what a server has read by now, and tells other instances."""
         chooser = self.chooser(server.service)
         news = chooser.sent(asked, server.server_id, self._now())
-        if self.board is not None:
-            key = board_module.key_of(server.server_id)
-            for part in news:
-                self.board.holds(key, part)
-
-    def heard_holds(self, key: bytes, part: bytes) -> None:
-        """Takes that another instance has sent a server a part."""
-        server = self._by_key.get(key)
+        key = directory.key_of(server.server_id)
+        for part in news:
+            self.tell(facts.PartHeld(server=key, part=part))
+
+    @functools.singledispatchmethod
+    def heard_fact(self, fact: facts.Fact) -> None:
+        """Takes what another instance tells of a server."""
+        raise TypeError(f"fact is {fact!r}, allowed: {facts.Fact}")
+
+    @heard_fact.register
+    def _(self, fact: facts.PartHeld) -> None:
+        server = self._by_key.get(fact.server)
         if server is not None:
             held = self.chooser(server.service).holdings
-            held.heard(part, server.server_id, self._now())
+            held.heard(fact.part, server.server_id, self._now())
 
-    def heard_load(self, news: board_module.LoadNews) -> None:
-        """Takes what another instance was told of a server's load."""
-        server = self._by_key.get(news.server)
+    @heard_fact.register
+    def _(self, fact: facts.ServerLoad) -> None:
+        server = self._by_key.get(fact.server)
         if server is not None:
             book = self.chooser(server.service).book
-            book.told(server.server_id, work=news.work, at_s=news.at_s)
+            book.told(server.server_id, work=fact.work, at_s=fact.at_s)
 
     def list_changed(self) -> None:
         """Forgets what is known of servers that are not listed any more."""
@@ -168,7 +167,7 @@
         names = frozenset(server.server_id for server in servers)
         before = self._by_key
         self._by_key = {
-            board_module.key_of(server.server_id): server for server in servers
+            directory.key_of(server.server_id): server for server in servers
         }
         self._note_left(before.keys() - self._by_key.keys())
         for chooser in self._choosers.values():
@@ -286,3 +285,7 @@
                 request=request,
                 detail=detail,
             )
+
+
+def _tell_nobody(fact: facts.Fact) -> None:
+    """Stands in until there are others to tell."""
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -10,13 +10,13 @@
 
 from irisshelf import boottime
 from irisshelf.coordination import roster
-from irisshelf.gateway import crash_news
-from irisshelf.gateway import datagrams
-from irisshelf.gateway import follower
-from irisshelf.gateway import front
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
 from irisshelf.gateway import settings
+from irisshelf.gateway.knowledge import crash_news
+from irisshelf.gateway.knowledge import datagrams
+from irisshelf.gateway.knowledge import follower
+from irisshelf.gateway.requests import front
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
--- a/irisshelf/tests/test_board.py
+++ b/irisshelf/tests/test_board.py
@@ -8,12 +8,14 @@
 import pytest
 
 from irisshelf import boottime
+from irisshelf.catalog import directory
+from irisshelf.coordination import facts
 from irisshelf.coordination import roster
-from irisshelf.gateway import board as board_module
-from irisshelf.gateway import datagrams
+from irisshelf.gateway.knowledge import board as board_module
+from irisshelf.gateway.knowledge import datagrams
 from irisshelf.observe import decision_log
 
-_KEY = board_module.key_of("s1")
+_KEY = directory.key_of("s1")
 _NEWS = bytes([datagrams.Kind.SERVER_NEWS])
 
 
@@ -33,8 +35,7 @@
         self.board = board_module.Board(
             datagrams=self.datagrams,
             roster=self.roster,
-            on_load=self.loads.append,
-            on_holds=lambda server, part: self.holds.append((server, part)),
+            on_fact=self._take,
             rng=random.Random(1),
         )
         self.member = roster.Member(
@@ -45,6 +46,12 @@
             gevent.spawn(self.datagrams.run),
         ]
 
+    def _take(self, fact):
+        if isinstance(fact, facts.ServerLoad):
+            self.loads.append(fact)
+        else:
+            self.holds.append((fact.server, fact.part))
+
 
 @pytest.fixture
 def four():
@@ -74,12 +81,12 @@
 
 
 def _news():
-    return board_module.LoadNews(server=_KEY, work=7, at_s=boottime.now())
+    return facts.ServerLoad(server=_KEY, work=7, at_s=boottime.now())
 
 
 @pytest.mark.parametrize("teller", range(4))
 def test_a_load_is_told_everywhere(four, teller):
-    four[teller].board.load(_news())
+    four[teller].board.tell(_news())
     others = [one for one in four if one is not four[teller]]
     _wait(lambda: all(one.loads for one in others))
     assert {(n.server, n.work) for one in four for n in one.loads} == {
@@ -88,7 +95,7 @@
 
 
 def test_news_end(four):
-    four[0].board.load(_news())
+    four[0].board.tell(_news())
     _wait(lambda: all(one.loads for one in four[1:]))
     gevent.sleep(1.0)
     before = [len(one.loads) for one in four]
@@ -99,7 +106,8 @@
 def test_what_a_server_has_read_is_told_everywhere(four):
     pairs = [(_KEY, bytes([n])) for n in range(100)]
     for pair in pairs:
-        four[0].board.holds(*pair)
+        server, part = pair
+        four[0].board.tell(facts.PartHeld(server=server, part=part))
     _wait(lambda: all(len(set(one.holds)) == 100 for one in four[1:]))
     assert all(sorted(set(one.holds)) == pairs for one in four[1:])
 
--- a/irisshelf/tests/test_catching_up.py
+++ b/irisshelf/tests/test_catching_up.py
@@ -32,9 +32,9 @@
 from irisshelf.catalog import model
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
-from irisshelf.gateway import follower
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import settings
+from irisshelf.gateway.knowledge import follower
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
 from irisshelf.store import feed
--- a/irisshelf/tests/test_crash_news.py
+++ b/irisshelf/tests/test_crash_news.py
@@ -4,7 +4,7 @@
 import pytest
 
 from irisshelf import boottime
-from irisshelf.gateway import board
+from irisshelf.catalog import directory
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import entry as entry_module
 from irisshelf.platform.stand_in import server as server_module
@@ -164,7 +164,7 @@
         one.close()
     for one in fleet.plain[:5]:
         end = suspects.End(
-            server=board.key_of(one.server_id),
+            server=directory.key_of(one.server_id),
             at_s=boottime.now(),
         )
         fleet.inst.crashes.heard_end(_CONTENT, end)
@@ -179,7 +179,9 @@
     gone = fleet.plain[0]
     fleet.store.drop("servers", gone.server_id)
     fleet.wait(lambda: len(fleet.inst.directory.of("crew")) == 7)
-    end = suspects.End(server=board.key_of(gone.server_id), at_s=boottime.now())
+    end = suspects.End(
+        server=directory.key_of(gone.server_id), at_s=boottime.now()
+    )
     fleet.inst.crashes.heard_end(_CONTENT, end)
     assert _stages(fleet)[0] == "suspect"
 
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -5,9 +5,9 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import directory
-from irisshelf.gateway import server_list
 from irisshelf.gateway import settings
-from irisshelf.gateway import store_timing
+from irisshelf.gateway.knowledge import server_list
+from irisshelf.gateway.knowledge import store_timing
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.store import feed
--- a/irisshelf/tests/test_layers.py
+++ b/irisshelf/tests/test_layers.py
@@ -71,3 +71,42 @@
     assert paths
     for path in paths:
         assert f"routing.{other} " not in path.read_text()
+
+
+# From the bottom up; see ``irisshelf.gateway``.
+_GATEWAY = (
+    ("settings", "messages", "dialect", "metrics", "listener"),
+    ("servers",),
+    ("instance",),
+    ("knowledge",),
+    ("requests",),
+    ("daemon",),
+)
+_LAYER = {name: n for n, names in enumerate(_GATEWAY) for name in names}
+
+
+def _gateway_parts(path: pathlib.Path) -> set[str]:
+    """Returns the parts of the gateway that a module imports."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.ImportFrom) or not node.module:
+            continue
+        names = [*node.module.split("."), *(a.name for a in node.names)]
+        if names[:2] == ["irisshelf", "gateway"]:
+            found.add(names[2])
+    return found
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        pytest.param(path, id=str(path.relative_to(_ROOT)))
+        for path in sorted((_ROOT / "gateway").rglob("*.py"))
+        if path != _ROOT / "gateway" / "__init__.py"
+    ],
+)
+def test_the_gateway_imports_downward_only(path):
+    own = path.relative_to(_ROOT / "gateway").parts[0].removesuffix(".py")
+    parts = _gateway_parts(path)
+    assert parts <= _LAYER.keys()
+    assert all(_LAYER[part] <= _LAYER[own] for part in parts)
--- a/irisshelf/tests/test_neighbours.py
+++ b/irisshelf/tests/test_neighbours.py
@@ -8,7 +8,7 @@
 from irisshelf import boottime
 from irisshelf.coordination import roster
 from irisshelf.gateway import listener
-from irisshelf.gateway import neighbours
+from irisshelf.gateway.knowledge import neighbours
 from irisshelf.observe import decision_log
 from irisshelf.transport import server as http
 
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -20,13 +20,14 @@
 from hypothesis import strategies
 
 from irisshelf import boottime
+from irisshelf.coordination import facts
 from irisshelf.coordination import roster
-from irisshelf.gateway import board
-from irisshelf.gateway import crash_news
-from irisshelf.gateway import datagrams as datagrams_module
 from irisshelf.gateway import messages
-from irisshelf.gateway import server_list
-from irisshelf.gateway import store_updates
+from irisshelf.gateway.knowledge import board
+from irisshelf.gateway.knowledge import crash_news
+from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import server_list
+from irisshelf.gateway.knowledge import store_updates
 from irisshelf.platform import documents
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
@@ -386,8 +387,7 @@
         board.Board(
             datagrams=self,
             roster=members,
-            on_load=self.loads.append,
-            on_holds=lambda server, part: None,
+            on_fact=self._take_fact,
             rng=random.Random(1),
         )
         crash_news.CrashNews(
@@ -397,6 +397,10 @@
             self.updates.append
         )
 
+    def _take_fact(self, fact):
+        if isinstance(fact, facts.ServerLoad):
+            self.loads.append(fact)
+
     def hand_to(self, kind, taker):
         self._takers[kind] = taker
 
--- a/irisshelf/tests/test_reach.py
+++ b/irisshelf/tests/test_reach.py
@@ -7,8 +7,8 @@
 from gevent import socket
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import links
-from irisshelf.gateway import reach
+from irisshelf.gateway.servers import links
+from irisshelf.gateway.servers import reach
 from irisshelf.testing import clock as clock_module
 from irisshelf.transport import client
 from irisshelf.transport import errors
--- a/irisshelf/tests/test_server_lives.py
+++ b/irisshelf/tests/test_server_lives.py
@@ -12,9 +12,9 @@
 import pytest
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import board
-from irisshelf.gateway import links as links_module
+from irisshelf.coordination import facts
 from irisshelf.gateway import messages
+from irisshelf.gateway.servers import links as links_module
 from irisshelf.platform import documents
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.routing.direct import prompt
@@ -60,9 +60,9 @@
 
 
 def _told_by_others(world, life):
-    key = board.key_of(life.server_id)
-    news = board.LoadNews(server=key, work=18, at_s=world.inst.now())
-    world.inst.servers.heard_load(news)
+    key = directory.key_of(life.server_id)
+    news = facts.ServerLoad(server=key, work=18, at_s=world.inst.now())
+    world.inst.servers.heard_fact(news)
     return lambda of: _book(world).load(of.server_id, world.inst.now()) > 5
 
 
@@ -91,10 +91,10 @@
 
 
 def _prompt_held_by_others_word(world, life):
-    key = board.key_of(life.server_id)
+    key = directory.key_of(life.server_id)
     chooser = world.inst.servers.chooser("crew")
     for part in chooser.sent(_PROMPT, "another", world.inst.now()):
-        world.inst.servers.heard_holds(key, part)
+        world.inst.servers.heard_fact(facts.PartHeld(server=key, part=part))
     return lambda of: _holds(world, of)
 
 
--- a/irisshelf/tests/test_shared_watch.py
+++ b/irisshelf/tests/test_shared_watch.py
@@ -20,7 +20,7 @@
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import settings
-from irisshelf.gateway import store_timing
+from irisshelf.gateway.knowledge import store_timing
 from irisshelf.store import feed
 
 _CATALOG, _SERVERS = feed.Table.CATALOG, feed.Table.SERVERS
--- a/irisshelf/tests/test_silent_connections.py
+++ b/irisshelf/tests/test_silent_connections.py
@@ -3,8 +3,8 @@
 import pytest
 
 from irisshelf.catalog import directory
-from irisshelf.gateway import links as links_module
-from irisshelf.gateway import watched
+from irisshelf.gateway.requests import watched
+from irisshelf.gateway.servers import links as links_module
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.testing import clock as clock_module
 
--- a/irisshelf/tests/test_store_updates.py
+++ b/irisshelf/tests/test_store_updates.py
@@ -11,11 +11,11 @@
 from irisshelf.catalog import directory
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
-from irisshelf.gateway import datagrams as datagrams_module
-from irisshelf.gateway import follower
 from irisshelf.gateway import instance
 from irisshelf.gateway import settings
-from irisshelf.gateway import store_updates
+from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import follower
+from irisshelf.gateway.knowledge import store_updates
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
