A silent server is left only once a connection to another stands

Ruled out: the new idle time (it counts between requests), the server's end. Change: another server is connected to first; the silent one is left if that came about, nothing has come from it meanwhile, and the retry budget has a send left.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -80,7 +80,8 @@
         conn: The connection to it.
         patience_s: Tells how long to wait for a sign of life; takes whether
             it would be the first one.
-        may_send_again: Tells whether another send may follow this one.
+        leave: Asked when the server is silent: decides whether it is left, and
+            has prepared the next send if so.
     """
 
     def __init__(
@@ -93,7 +94,7 @@
         choice: server_choice.Choice,
         conn: client.Connection,
         patience_s: Callable[[bool], float],
-        may_send_again: Callable[[], bool],
+        leave: Callable[[], bool],
     ):
         self._inst = inst
         self._job = job
@@ -106,7 +107,7 @@
             inst=inst,
             server=choice.server,
             conn=conn,
-            may_leave=may_send_again,
+            leave=leave,
             end_s=job.until_s,
         )
 
--- a/irisshelf/gateway/requests/call.py
+++ b/irisshelf/gateway/requests/call.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
 import gevent
 
 from irisshelf.catalog import directory
@@ -12,22 +10,15 @@
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import attempt as attempt_module
+from irisshelf.gateway.requests import placement as placement_module
 from irisshelf.gateway.requests import sends as sends_module
-from irisshelf.gateway.servers import reach
 from irisshelf.routing import outcome
 from irisshelf.routing import suspects
 from irisshelf.routing.direct import server_book
 from irisshelf.routing.direct import server_choice
 from irisshelf.transport import client
-from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
 
-_MOST_CONNECTS = 5
-# A request that must not run twice goes only on a connection that was in use
-# just now: whether one that died at rest took the request cannot be known.
-# Measured with 85 instances under faults: of connections at rest for 1 to 2 s
-# 1.3 in 100 broke, of new ones 1.5, of those at rest for longer more.
-_REST_FOR_ONCE_S = 2.0
 # How long a silent server is waited for when another may still be asked: a
 # share of the objective, for safe requests; a multiple of it for the first
 # event of a stream; a multiple of the longest pause for the next ones.
@@ -64,12 +55,11 @@
         self._inst = inst
         self._job = job
         self._conn = conn
-        self._chooser = inst.servers.chooser(job.service)
-        self._policy = inst.cfg.policy
-        self._admitted = False
         self._retry_after_s = admission.RETRY_SOON_S
         self._sends = sends_module.Sends(inst=inst, job=job)
-        self._connects = 0
+        self._placement = placement_module.Placement(
+            inst=inst, job=job, sends=self._sends
+        )
         self._events_before = 0
         self._progress = attempt_module.Progress(
             last_event_id=job.ask.last_event_id
@@ -82,102 +72,36 @@
             How it ended, a word for logs and metrics.
         """
         self._inst.servers.budget(self._job.service).arrived(self._inst.now())
+        try:
+            return self._run()
+        finally:
+            self._placement.close()
+
+    def _run(self) -> str:
         while True:
             verdict = self._inst.crashes.verdict(self._job)
             if verdict and verdict.stage is suspects.Stage.BARRED:
                 return self._bar(verdict)
-            choice = self._choose(verdict)
-            if choice is None:
-                return self._give_up("no_server")
-            if not self._admit(choice):
-                return self._give_up("overloaded")
-            conn = self._connect(choice)
-            if conn is None:
+            placed = self._placement.next(verdict)
+            if placed is None:
                 if verdict:
                     gevent.sleep(_WORD_S)
                 continue
+            if isinstance(placed, placement_module.Refused):
+                self._retry_after_s = (
+                    placed.retry_after_s or self._retry_after_s
+                )
+                return self._give_up(placed.why)
             try:
-                return self._send(choice, conn)
+                return self._send(placed.choice, placed.conn)
             except attempt_module.SendError as exc:
-                stop = self._after(choice, exc)
+                stop = self._after(placed.choice, exc)
             if stop:
                 return self._give_up(stop)
 
     def _left_s(self) -> float:
         return self._job.until_s - self._inst.now()
 
-    def _choose(
-        self, verdict: suspects.Verdict | None
-    ) -> server_choice.Choice | None:
-        if self._connects >= _MOST_CONNECTS or self._left_s() <= 0:
-            return None
-        if verdict:
-            only = self._inst.crashes.may_go_to(
-                self._job, verdict, self._sends.avoid
-            )
-            return self._choose_among(only, set())
-        servers = self._inst.directory.of(self._job.service)
-        choice = self._choose_among(servers, self._sends.avoid)
-        if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
-            # One that failed this request lives; another try may do better.
-            failed = [s for s in servers if s.server_id in self._sends.failed]
-            again = self._choose_among(failed, set())
-            if again and again.reason is not server_choice.Reason.LAST_RESORT:
-                return again
-        return choice
-
-    def _admit(self, choice: server_choice.Choice) -> bool:
-        """Decides once whether a request that would have to wait is sent."""
-        if self._admitted:
-            return True
-        refusal = admission.refuse(self._inst, self._job, choice)
-        if refusal is not None:
-            self._retry_after_s = refusal.retry_after_s
-            return False
-        self._admitted = True
-        return True
-
-    def _choose_among(
-        self, servers: Sequence[directory.BackendServer], avoid: set[str]
-    ) -> server_choice.Choice | None:
-        return self._chooser.choose(
-            servers,
-            self._job.ask.prompt,
-            avoid=frozenset(avoid),
-            now=self._inst.now(),
-        )
-
-    def _connect(
-        self, choice: server_choice.Choice
-    ) -> client.Connection | None:
-        """Returns a connection, or None if the server cannot be reached."""
-        server = choice.server
-        rest_s = float("inf")
-        once = not self._job.route.repeatable
-        if once and self._policy.fresh_connections:
-            rest_s = _REST_FOR_ONCE_S
-        # A connection to a lost server rests in vain: it swallows requests.
-        kept = None
-        if not self._inst.servers.out_of_reach(server):
-            kept = self._inst.servers.links.take(server, most_idle_s=rest_s)
-        if kept is not None:
-            return kept
-        self._connects += 1
-        self._inst.metrics.connects.labels(server.service).inc()
-        try:
-            timeout_s = min(reach.CONNECT_S, self._left_s())
-            return client.connect(server.address, timeout_s=timeout_s)
-        except errors.ConnectError as exc:
-            self._sends.avoid.add(server.server_id)
-            if choice.reason is server_choice.Reason.LAST_RESORT:
-                # The others are known to be lost as well; the caller should
-                # hear so while there is time to ask another instance.
-                self._connects = _MOST_CONNECTS
-            self._inst.servers.unreachable(
-                server, exc, self._job.ask.request_id
-            )
-            return None
-
     def _send(
         self, choice: server_choice.Choice, conn: client.Connection
     ) -> str:
@@ -194,7 +118,7 @@
             choice=choice,
             conn=conn,
             patience_s=self._patience_s,
-            may_send_again=lambda: self._may_send_again(server),
+            leave=lambda: self._placement.replace(server, conn),
         ).run()
         self._seen(server, server_book.Seen.WELL)
         self._inst.crashes.served(self._job)
@@ -216,29 +140,6 @@
             patience_s = route.target_gap_s * _PAUSE_PATIENCE
         return min(left_s, max(_SHORTEST_PATIENCE_S, patience_s))
 
-    def _may_send_again(self, running: directory.BackendServer) -> bool:
-        """Tells whether another send may follow the one that runs.
-
-        It needs a server that is fit: what is gained by leaving a silent one
-        for one that nobody can reach?
-        """
-        route = self._job.route
-        budget = self._inst.servers.budget(self._job.service)
-        return (
-            self._policy.patience
-            and route.repeatable
-            and self._sends.count < route.max_attempts
-            and budget.left(self._inst.now()) >= 1
-            and self._has_other_fit(running)
-        )
-
-    def _has_other_fit(self, running: directory.BackendServer) -> bool:
-        return self._chooser.has_fit(
-            self._inst.directory.of(self._job.service),
-            avoid=frozenset(self._sends.avoid | {running.server_id}),
-            now=self._inst.now(),
-        )
-
     def _after(
         self, choice: server_choice.Choice, exc: attempt_module.SendError
     ) -> str:
--- /dev/null
+++ b/irisshelf/gateway/requests/placement.py
@@ -0,0 +1,234 @@
+"""Finds a backend server for each send of a request, and connects to it."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+
+from irisshelf.catalog import directory
+from irisshelf.gateway import instance as instance_module
+from irisshelf.gateway import messages
+from irisshelf.gateway.requests import admission
+from irisshelf.gateway.requests import sends as sends_module
+from irisshelf.gateway.servers import reach
+from irisshelf.routing import suspects
+from irisshelf.routing.direct import server_choice
+from irisshelf.transport import client
+from irisshelf.transport import errors
+
+# Each takes a tenth of a second at the most, which is the caller's time.
+_MOST_CONNECTS = 5
+# A request that must not run twice goes only on a connection that was in use
+# just now: whether one that died at rest took the request cannot be known.
+_REST_FOR_ONCE_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Placed:
+    """A server that is chosen, and a connection to it."""
+
+    choice: server_choice.Choice
+    conn: client.Connection
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refused:
+    """The request is not sent.
+
+    Attributes:
+        why: A word for logs.
+        retry_after_s: When its caller should come back; None if that does not
+            follow from why.
+    """
+
+    why: str
+    retry_after_s: float | None = None
+
+
+class Placement:
+    """Places the sends of one request.
+
+    Args:
+        inst: The instance.
+        job: The request.
+        sends: Its sends so far; servers out of reach are avoided from then on.
+    """
+
+    def __init__(
+        self,
+        *,
+        inst: instance_module.Instance,
+        job: messages.Job,
+        sends: sends_module.Sends,
+    ):
+        self._inst = inst
+        self._job = job
+        self._sends = sends
+        self._chooser = inst.servers.chooser(job.service)
+        self._admitted = False
+        self._connects = 0
+        self._replacement: Placed | None = None
+
+    def next(self, verdict: suspects.Verdict | None) -> Placed | Refused | None:
+        """Places the next send.
+
+        Args:
+            verdict: What is thought of the request; None if it is clear.
+
+        Returns:
+            None if the server that was chosen could not be reached.
+        """
+        replacement, self._replacement = self._replacement, None
+        if replacement is not None:
+            return replacement
+        choice = self._choose(verdict)
+        if choice is None:
+            return Refused(why="no_server")
+        refusal = self._refuse(choice)
+        if refusal is not None:
+            return refusal
+        return self._connect(choice)
+
+    def replace(
+        self, running: directory.BackendServer, conn: client.Connection
+    ) -> bool:
+        """Decides whether a silent server is left for another.
+
+        Not before a connection to the other one stands, and only if nothing
+        has come from the silent one meanwhile: when this instance's own link is
+        full, every server seems silent and out of reach, while the answer is
+        on its way. An answer given up then was lost to its caller.
+
+        Args:
+            running: The silent server.
+            conn: The connection to it.
+
+        Returns:
+            Whether it is left; ``next`` then returns the other one.
+        """
+        if not self._may_send_again():
+            return False
+        found = self._connect_to_other(running)
+        if found is None:
+            return False
+        if conn.has_input() or not self._sends.take_retry():
+            self._keep(found)
+            return False
+        self._replacement = found
+        return True
+
+    def close(self) -> None:
+        """Takes that nothing more is sent."""
+        if self._replacement is not None:
+            self._keep(self._replacement)
+            self._replacement = None
+
+    def _keep(self, placed: Placed) -> None:
+        self._inst.servers.links.put_new(placed.choice.server, placed.conn)
+
+    def _left_s(self) -> float:
+        return self._job.until_s - self._inst.now()
+
+    def _choose(
+        self, verdict: suspects.Verdict | None
+    ) -> server_choice.Choice | None:
+        if self._connects >= _MOST_CONNECTS or self._left_s() <= 0:
+            return None
+        if verdict:
+            only = self._inst.crashes.may_go_to(
+                self._job, verdict, self._sends.avoid
+            )
+            return self._choose_among(only, set())
+        servers = self._inst.directory.of(self._job.service)
+        choice = self._choose_among(servers, self._sends.avoid)
+        if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
+            # One that failed this request lives; another try may do better.
+            failed = [s for s in servers if s.server_id in self._sends.failed]
+            again = self._choose_among(failed, set())
+            if again and again.reason is not server_choice.Reason.LAST_RESORT:
+                return again
+        return choice
+
+    def _choose_among(
+        self, servers: Sequence[directory.BackendServer], avoid: set[str]
+    ) -> server_choice.Choice | None:
+        return self._chooser.choose(
+            servers,
+            self._job.ask.prompt,
+            avoid=frozenset(avoid),
+            now=self._inst.now(),
+        )
+
+    def _refuse(self, choice: server_choice.Choice) -> Refused | None:
+        """Decides once whether a request that would have to wait is sent."""
+        if self._admitted:
+            return None
+        refusal = admission.refuse(self._inst, self._job, choice)
+        if refusal is not None:
+            return Refused(
+                why="overloaded", retry_after_s=refusal.retry_after_s
+            )
+        self._admitted = True
+        return None
+
+    def _may_send_again(self) -> bool:
+        """Tells whether another send may follow the one that runs."""
+        route = self._job.route
+        budget = self._inst.servers.budget(self._job.service)
+        return (
+            self._inst.cfg.policy.patience
+            and route.repeatable
+            and self._sends.count < route.max_attempts
+            and budget.left(self._inst.now()) >= 1
+            and not self._inst.crashes.verdict(self._job)
+        )
+
+    def _connect_to_other(
+        self, running: directory.BackendServer
+    ) -> Placed | None:
+        """Connects to a fit server other than the one that runs."""
+        if self._connects >= _MOST_CONNECTS:
+            return None
+        choice = self._choose_among(
+            self._inst.directory.of(self._job.service),
+            self._sends.avoid | {running.server_id},
+        )
+        if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
+            return None
+        return self._connect(choice)
+
+    def _connect(self, choice: server_choice.Choice) -> Placed | None:
+        """Returns None if the server cannot be reached."""
+        server = choice.server
+        # A connection to a lost server rests in vain: it swallows requests.
+        if not self._inst.servers.out_of_reach(server):
+            rest_s = self._longest_rest_s()
+            kept = self._inst.servers.links.take(server, most_idle_s=rest_s)
+            if kept is not None:
+                return Placed(choice=choice, conn=kept)
+        self._connects += 1
+        self._inst.metrics.connects.labels(server.service).inc()
+        timeout_s = min(reach.CONNECT_S, self._left_s())
+        try:
+            conn = client.connect(server.address, timeout_s=timeout_s)
+        except errors.ConnectError as exc:
+            self._not_reached(choice, exc)
+            return None
+        return Placed(choice=choice, conn=conn)
+
+    def _longest_rest_s(self) -> float:
+        once = not self._job.route.repeatable
+        if once and self._inst.cfg.policy.fresh_connections:
+            return _REST_FOR_ONCE_S
+        return float("inf")
+
+    def _not_reached(
+        self, choice: server_choice.Choice, exc: errors.ConnectError
+    ) -> None:
+        server = choice.server
+        self._sends.avoid.add(server.server_id)
+        if choice.reason is server_choice.Reason.LAST_RESORT:
+            # The others are known to be lost as well; the caller should hear
+            # so while there is time to ask another instance.
+            self._connects = _MOST_CONNECTS
+        self._inst.servers.unreachable(server, exc, self._job.ask.request_id)
--- a/irisshelf/gateway/requests/sends.py
+++ b/irisshelf/gateway/requests/sends.py
@@ -35,6 +35,7 @@
         self.final: messages.Final | None = None
         self._inst = inst
         self._job = job
+        self._retry_taken = False
 
     def went_wrong(
         self, server: directory.BackendServer, exc: attempt.SendError
@@ -74,12 +75,21 @@
             # It would end the next server as well. If it did not do it, its
             # caller's own repeat serves it.
             return ENDED_UNDER_IT
-        if not self._take_retry():
+        if not self.take_retry():
             return "no_retry_budget"
+        self._retry_taken = False
         self._inst.metrics.retries.labels(self._job.service).inc()
         return ""
 
-    def _take_retry(self) -> bool:
-        budget = self._inst.servers.budget(self._job.service)
-        taken = budget.take(self._inst.now())
-        return taken or not self._inst.cfg.policy.retry_budget
+    def take_retry(self) -> bool:
+        """Takes the next send from the retry budget, once.
+
+        Returns:
+            Whether the budget has left it.
+        """
+        if not self._retry_taken:
+            budget = self._inst.servers.budget(self._job.service)
+            taken = budget.take(self._inst.now())
+            bounded = self._inst.cfg.policy.retry_budget
+            self._retry_taken = taken or not bounded
+        return self._retry_taken
--- a/irisshelf/gateway/requests/watched.py
+++ b/irisshelf/gateway/requests/watched.py
@@ -26,8 +26,8 @@
         inst: The instance.
         server: The server.
         conn: The connection to it.
-        may_leave: Tells whether the request may be sent to another server; if
-            not, a silent one is waited for, as its answer may still come.
+        leave: Decides whether a silent server is left for another; if not, it
+            is waited for, as its answer may still come.
         end_s: When the request has to be answered, monotonic seconds.
     """
 
@@ -37,13 +37,13 @@
         inst: instance_module.Instance,
         server: directory.BackendServer,
         conn: client.Connection,
-        may_leave: Callable[[], bool],
+        leave: Callable[[], bool],
         end_s: float,
     ):
         self._conn = conn
         self._inst = inst
         self._server = server
-        self._may_leave = may_leave
+        self._leave = leave
         self._end_s = end_s
 
     def read_head(self, until_s: float) -> tuple[int, client.Headers]:
@@ -76,9 +76,10 @@
                 found = read(min(wait_s, left_s))
             except errors.SilentError:
                 if left_s <= wait_s:
-                    if until_s >= self._end_s or self._may_leave():
+                    if until_s >= self._end_s or self._leave():
                         raise
-                    until_s = self._end_s
+                    patience_s = self._inst.now() - began_s
+                    until_s = min(self._end_s, until_s + patience_s)
                 self._look()
                 if not doubted and self._is_doubtful(began_s):
                     doubted = True
@@ -98,5 +99,5 @@
             errors.OutOfReachError: It cannot be reached.
         """
         self._inst.servers.reach.doubt(self._server)
-        if self._inst.servers.out_of_reach(self._server) and self._may_leave():
+        if self._inst.servers.out_of_reach(self._server) and self._leave():
             raise errors.OutOfReachError("silent and out of reach")
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -31,6 +31,7 @@
     RESET_AFTER_RUN = "reset_after_run"
     HANG = "hang"
     HANG_MIDWAY = "hang_midway"
+    PAUSE_MIDWAY = "pause_midway"
     GARBAGE = "garbage"
     UNSIGNED = "unsigned"
     OTHER_ID = "other_id"
@@ -94,6 +95,8 @@
         self.ends_under: Callable[[Run], bool] = lambda run: False
         # How long it is away after that.
         self.away_s = 0.2
+        # How long a slow answer, or one with a pause, stands still.
+        self.pause_s = 0.2
         self.on_end: Callable[[], None] = lambda: None
         self.on_return: Callable[[], None] = lambda: None
         self.ends = 0
@@ -251,7 +254,7 @@
         if fault is Fault.HANG:
             gevent.sleep(3600)
         if fault is Fault.SLOW:
-            gevent.sleep(0.2)
+            gevent.sleep(self._owner.pause_s)
         if fault is Fault.RESET_AFTER_RUN:
             conn.abort()
         elif fault is Fault.GARBAGE:
@@ -310,6 +313,8 @@
             half = self._owner._events // 2
             if fault is Fault.HANG_MIDWAY and number > half:
                 gevent.sleep(3600)
+            if fault is Fault.PAUSE_MIDWAY and number == half + 1:
+                gevent.sleep(self._owner.pause_s)
             if fault is Fault.CUT and number > half:
                 conn.abort()
                 return
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -153,16 +153,6 @@
             source=self._source(servers, server, asked, now),
         )
 
-    def has_fit(
-        self,
-        servers: Sequence[directory.BackendServer],
-        *,
-        avoid: frozenset[str],
-        now: float,
-    ) -> bool:
-        """Tells whether ``choose`` would find a server that is fit."""
-        return bool(self._fit(_ready(servers, avoid), now))
-
     def _fit(
         self, servers: Sequence[directory.BackendServer], now: float
     ) -> list[directory.BackendServer]:
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -151,6 +151,10 @@
         if extra:
             self._http.receive_data(extra)
 
+    def has_input(self) -> bool:
+        """Tells whether something has come that was not read yet."""
+        return self._open and _is_ready(self._sock, select.POLLIN)
+
     def break_off(self) -> None:
         """Ends the connection under whoever waits on it.
 
