--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -12,10 +12,15 @@
 exception: entries also lapse while the store is away. What is missing in the
 first list after such a time is kept as lapsed for ``LAPSE_GRACE_S``, since
 the entry of a live server comes back within about two seconds.
+
+A store that has come back from a copy lists servers as they were some seconds
+before. A life that has left meanwhile stays gone, and one that is leaving stays
+so, until a change of its entry says more than the copy did.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
 import hashlib
@@ -25,6 +30,9 @@
 # (the users' letter); a tenth more for the way.
 LAPSE_GRACE_S = 2.2
 _KEY_BYTES = 5
+# Lives that have left and are remembered, the latest ones. A copy is seconds
+# old, in which few servers leave.
+_MOST_LEFT = 2000
 
 
 class ServerState(enum.StrEnum):
@@ -95,6 +103,9 @@
         self._servers: dict[str, BackendServer] = {}
         self._lapsed: dict[str, float] = {}
         self._by_service: dict[str, tuple[BackendServer, ...]] = {}
+        self._left: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def get(self, entry_id: str) -> BackendServer | None:
         """Returns the life that is listed under an id."""
@@ -113,9 +124,10 @@
         for change in changes:
             self._lapsed.pop(change.entry_id, None)
             if change.server is None:
-                self._servers.pop(change.entry_id, None)
+                self._drop(change.entry_id)
             else:
                 self._servers[change.entry_id] = change.server
+                self._left.pop(change.server.server_id, None)
         self._index()
 
     def replace(
@@ -124,6 +136,7 @@
         *,
         back_s: float,
         after_outage: bool,
+        from_copy: bool = False,
     ) -> None:
         """Takes a whole list.
 
@@ -132,13 +145,22 @@
             back_s: When the store came back, if it was away.
             after_outage: Whether the store may have been away before, so that
                 missing entries may only have lapsed.
+            from_copy: Whether the store has come back from a copy since.
         """
+        if from_copy:
+            servers = [s for s in servers if s.server_id not in self._left]
         listed = {server.entry_id: server for server in servers}
+        if from_copy:
+            listed |= self._leaving_among(listed)
         missing = [name for name in self._servers if name not in listed]
         for name in missing:
             if after_outage:
                 listed[name] = self._servers[name]
                 self._lapsed.setdefault(name, back_s)
+            else:
+                self._remember_left(self._servers[name])
+        for server in listed.values():
+            self._left.pop(server.server_id, None)
         self._lapsed = {n: t for n, t in self._lapsed.items() if n in missing}
         self._servers = listed
         self._index()
@@ -166,11 +188,33 @@
         )
         for name in gone:
             del self._lapsed[name]
-            self._servers.pop(name, None)
+            self._drop(name)
         if gone:
             self._index()
         return gone
 
+    def _leaving_among(
+        self, listed: dict[str, BackendServer]
+    ) -> dict[str, BackendServer]:
+        """Returns the lives known to leave that a list has as well."""
+        return {
+            name: server
+            for name, server in self._servers.items()
+            if server.state is ServerState.LEAVING
+            and name in listed
+            and listed[name].server_id == server.server_id
+        }
+
+    def _drop(self, entry_id: str) -> None:
+        server = self._servers.pop(entry_id, None)
+        if server is not None:
+            self._remember_left(server)
+
+    def _remember_left(self, server: BackendServer) -> None:
+        self._left[server.server_id] = None
+        while len(self._left) > _MOST_LEFT:
+            self._left.popitem(last=False)
+
     def _index(self) -> None:
         found: dict[str, list[BackendServer]] = {}
         for server in self._servers.values():
--- a/irisshelf/coordination/shared_watch.py
+++ b/irisshelf/coordination/shared_watch.py
@@ -26,6 +26,7 @@
 import enum
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import position as position_module
 from irisshelf.coordination import roster as roster_module
 
 # A watcher's call is held for this part of the tightest bound, so that two
@@ -56,11 +57,13 @@
     """What an update is to the instance that reads it.
 
     Attributes:
+        STALE: It is of an earlier era of the store, and says nothing.
         CURRENT: It says nothing that the instance does not know.
         APPLY: Its changes follow what the instance knows.
         FETCH: There is more than it tells: the store has to be asked.
     """
 
+    STALE = enum.auto()
     CURRENT = enum.auto()
     APPLY = enum.auto()
     FETCH = enum.auto()
@@ -81,17 +84,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class CatalogUpdate:
-    """Which configuration was the newest.
+    """Which configuration was the newest in the store.
 
     Attributes:
         store_s: The moment, by the store's clock.
         version: Of the configuration.
-        revision: The store's revision; changes may be asked for after it.
+        position: Of the answer; changes may be asked for after it.
     """
 
     store_s: float
     version: int
-    revision: int
+    position: position_module.Position
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -100,14 +103,14 @@
 
     Attributes:
         store_s: The moment up to which all changes are told, store's clock.
-        since: Revision after which changes are told.
-        revision: Revision up to which they are told.
+        since: Position after which changes are told.
+        position: Position up to which they are told.
         changes: In their order.
     """
 
     store_s: float
-    since: int
-    revision: int
+    since: position_module.Position
+    position: position_module.Position
     changes: tuple[directory.Change, ...] = ()
 
 
@@ -145,20 +148,39 @@
     return Role.READER
 
 
-def judge_catalog(update: CatalogUpdate, version: int | None) -> Verdict:
-    """Judges an update by the version in force; None if there is none."""
+def judge_catalog(
+    update: CatalogUpdate,
+    known: position_module.Position | None,
+    version: int | None,
+) -> Verdict:
+    """Judges an update.
+
+    Args:
+        update: The update.
+        known: The position known; None if there is none.
+        version: Of the newest configuration that the store is known to have in
+            this era; None if that is not known.
+    """
+    if known is not None and update.position.era < known.era:
+        return Verdict.STALE
+    if known is not None and update.position.era > known.era:
+        return Verdict.FETCH
     if version is None or update.version > version:
         return Verdict.FETCH
     return Verdict.CURRENT
 
 
-def judge_servers(update: ServersUpdate, revision: int | None) -> Verdict:
-    """Judges an update by the revision known; None if there is none."""
-    if revision is None:
+def judge_servers(
+    update: ServersUpdate, known: position_module.Position | None
+) -> Verdict:
+    """Judges an update by the position known; None if there is none."""
+    if known is None:
         return Verdict.FETCH
-    if update.revision <= revision:
+    if update.position.era < known.era:
+        return Verdict.STALE
+    if update.position <= known:
         return Verdict.CURRENT
-    if update.since <= revision:
+    if position_module.follows(known, update.since):
         return Verdict.APPLY
     return Verdict.FETCH
 
@@ -166,7 +188,7 @@
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Entry:
     at_s: float
-    since: int
+    since: position_module.Position
     changes: tuple[directory.Change, ...]
 
 
@@ -175,27 +197,30 @@
 
     def __init__(self):
         self._entries: collections.deque[_Entry] = collections.deque()
-        self._revision = 0
+        self._position = position_module.Position(era=0, revision=0)
 
-    def restart(self, revision: int) -> None:
+    def restart(self, position: position_module.Position) -> None:
         """Takes that the whole list was read: what came before is unknown."""
         self._entries.clear()
-        self._revision = revision
+        self._position = position
 
     def add(
-        self, changes: tuple[directory.Change, ...], revision: int, now: float
+        self,
+        changes: tuple[directory.Change, ...],
+        position: position_module.Position,
+        now: float,
     ) -> None:
-        """Takes all changes since the revision known, up to a later one."""
+        """Takes all changes since the position known, up to a later one."""
         if changes:
-            since = self._revision
+            since = self._position
             self._entries.append(_Entry(at_s=now, since=since, changes=changes))
-        self._revision = revision
+        self._position = position
 
     def update(self, store_s: float, now: float) -> ServersUpdate:
         """Returns what readers are told.
 
         Args:
-            store_s: When the revision known was the newest, store's clock.
+            store_s: When the position known was the newest, store's clock.
             now: Monotonic seconds.
         """
         entries = self._entries
@@ -205,7 +230,7 @@
             entries.popleft()
         return ServersUpdate(
             store_s=store_s,
-            since=entries[0].since if entries else self._revision,
-            revision=self._revision,
+            since=entries[0].since if entries else self._position,
+            position=self._position,
             changes=tuple(c for entry in entries for c in entry.changes),
         )
--- a/irisshelf/coordination/table_watch.py
+++ b/irisshelf/coordination/table_watch.py
@@ -9,6 +9,7 @@
 
 import math
 
+from irisshelf.catalog import position as position_module
 from irisshelf.coordination import shared_watch
 
 # A call that follows the answer before by so much may be behind by several
@@ -20,15 +21,16 @@
     """One table as one instance sees it.
 
     Attributes:
-        revision: The store's revision known; None before the first, and when
-            the store has forgotten what came after it.
+        position: The store's position known; None before the first, and when
+            the whole table has to be read.
     """
 
     def __init__(self):
-        self.revision: int | None = None
+        self.position: position_module.Position | None = None
+        self._era = 0
         self._answered_s = -math.inf
         self._told_s = -math.inf
-        self._told_revision = -math.inf
+        self._told: position_module.Position | None = None
         self._caught_up_s = -math.inf
         self._behind = False
 
@@ -36,7 +38,7 @@
         self, role: shared_watch.Role, timing: shared_watch.Timing
     ) -> float:
         """Returns until when updates suffice; minus infinity if never."""
-        if self.revision is None or self._behind:
+        if self.position is None or self._behind:
             return -math.inf
         if role is not shared_watch.Role.READER:
             return -math.inf
@@ -86,7 +88,9 @@
         Args:
             now: Monotonic seconds.
         """
-        if self.revision is None or self._told_revision > self.revision:
+        if self.position is None:
+            return True
+        if self._told is not None and self._told > self.position:
             return True
         return now - self._caught_up_s > _SEVERAL_S
 
@@ -98,17 +102,28 @@
         """Takes that the store is asked for all there is now."""
         self._behind = False
 
-    def answered(self, revision: int, now: float) -> bool:
+    def answered(
+        self, position: position_module.Position, now: float, *, whole: bool
+    ) -> bool:
         """Takes an answer of the store.
 
+        Args:
+            position: Its position.
+            now: Monotonic seconds.
+            whole: Whether it is the whole table.
+
         Returns:
-            Whether it tells the newest state; if not, an update has come
-            before it that tells more.
+            Whether it tells the newest state. If not, an update has come
+            before it that tells more, or it is of an earlier era, or it tells
+            changes to what is not known any more.
         """
         self._answered_s = now
-        newest = self.revision is None or revision >= self.revision
+        if position.era < self._era or (self.position is None and not whole):
+            return False
+        newest = self.position is None or position >= self.position
         if newest:
-            self.revision = revision
+            self.position = position
+            self._era = position.era
         return newest
 
     def failed(self) -> None:
@@ -117,29 +132,39 @@
 
     def forgotten(self) -> None:
         """Takes that the store has no such history any more."""
-        self.revision = None
+        self.position = None
 
     def updated(
-        self, as_of_s: float, revision: int, verdict: shared_watch.Verdict
+        self,
+        as_of_s: float,
+        position: position_module.Position,
+        verdict: shared_watch.Verdict,
     ) -> None:
         """Takes an update of the watcher.
 
         Args:
             as_of_s: Its moment, monotonic seconds.
-            revision: The store's revision that it speaks of.
+            position: The store's position that it speaks of.
             verdict: What it is to this instance.
         """
+        if verdict is shared_watch.Verdict.STALE or position.era < self._era:
+            return
         self._told_s = max(self._told_s, as_of_s)
         if verdict is not shared_watch.Verdict.FETCH:
             self.caught_up(as_of_s)
             return
         self._behind = True
-        self._told_revision = max(self._told_revision, revision)
-        if self.revision is not None and revision <= self.revision:
+        self._told = max(self._told or position, position)
+        known = self.position
+        if position.era > self._era:
+            # Changes do not lead from one era to the next.
+            self._era = position.era
+            self.position = None
+        elif known is not None and position <= known:
             # Something was left out of an answer: changes do not bring it.
-            self.revision = None
+            self.position = None
 
-    def follows_to(self, revision: int) -> None:
-        """Takes that all is known up to a revision, by an update."""
-        if self.revision is not None:
-            self.revision = max(self.revision, revision)
+    def follows_to(self, position: position_module.Position) -> None:
+        """Takes that all is known up to a position, by an update."""
+        if self.position is not None:
+            self.position = max(self.position, position)
--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -13,6 +13,7 @@
 from gevent import event
 
 from irisshelf import boottime
+from irisshelf.catalog import position as position_module
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
@@ -57,6 +58,8 @@
         self._watches = {t: table_watch.TableWatch() for t in feed.Table}
         self._updated = {table: event.Event() for table in feed.Table}
         self.changes_seen = dict.fromkeys(feed.Table, 0)
+        # Of the newest configuration that the store is known to have.
+        self._stored_version: int | None = None
         self.server_list = server_list.ServerList(inst=inst)
         if updates is not None:
             updates.hand_to(self.take_update)
@@ -92,7 +95,7 @@
         """Makes one call; returns whether the store answered it."""
         sent_s = boottime.now()
         watch = self._watches[table]
-        after = watch.revision
+        after = watch.position
         if table is feed.Table.CATALOG and watch.reads_newest_alone(sent_s):
             after = None
         wait_s = self._wait_s(table, sent_s)
@@ -110,7 +113,7 @@
             return True
         if isinstance(answer.err_value, feed.HistoryLost):
             self._inst.log.problem(
-                "store_history_lost", table=table.value, after=after
+                "store_history_lost", table=table.value, after=str(after)
             )
             watch.forgotten()
             return True
@@ -125,27 +128,28 @@
 
     @take_update.register
     def _(self, update: shared_watch.CatalogUpdate) -> None:
-        catalog = self._inst.catalog
+        watch = self._watches[feed.Table.CATALOG]
         verdict = shared_watch.judge_catalog(
-            update, catalog.version if catalog else None
+            update, watch.position, self._stored_version
         )
         as_of_s = self._note_update(feed.Table.CATALOG, update, verdict)
-        if verdict is shared_watch.Verdict.FETCH:
+        if verdict is not shared_watch.Verdict.CURRENT:
             return
-        self._inst.freshness.vouched(as_of_s)
-        self._watches[feed.Table.CATALOG].follows_to(update.revision)
+        if not self._store_is_behind():
+            self._inst.freshness.vouched(as_of_s)
+        watch.follows_to(update.position)
         if self._lost_s is not None and as_of_s > self._lost_s:
             self._regained(boottime.now())
 
     @take_update.register
     def _(self, update: shared_watch.ServersUpdate) -> None:
         watch = self._watches[feed.Table.SERVERS]
-        verdict = shared_watch.judge_servers(update, watch.revision)
+        verdict = shared_watch.judge_servers(update, watch.position)
         self._note_update(feed.Table.SERVERS, update, verdict)
         if verdict is shared_watch.Verdict.APPLY:
             now = boottime.now()
-            self.server_list.change(update.changes, update.revision, now)
-            watch.follows_to(update.revision)
+            self.server_list.change(update.changes, update.position, now)
+            watch.follows_to(update.position)
 
     def _note_update(
         self,
@@ -155,8 +159,10 @@
     ) -> float:
         """Notes an update; returns its moment in monotonic seconds."""
         now = boottime.now()
-        as_of_s = self._inst.freshness.time_of(update.store_s, now)
-        self._watches[table].updated(as_of_s, update.revision, verdict)
+        as_of_s = self._inst.freshness.time_of(
+            update.store_s, now, update.position.era
+        )
+        self._watches[table].updated(as_of_s, update.position, verdict)
         self._updated[table].set()
         self._inst.metrics.store_updates.labels(verdict.name.lower()).inc()
         return as_of_s
@@ -221,11 +227,13 @@
         self, table: feed.Table, batch: feed.Batch, sent_s: float
     ) -> None:
         now = boottime.now()
-        newest = self._watches[table].answered(batch.revision, now)
+        newest = self._watches[table].answered(
+            batch.position, now, whole=batch.whole
+        )
         if table is feed.Table.CATALOG:
             self._regained(now)
-            brought = self._take_catalog(batch)
-            if batch.complete:
+            brought = newest and self._take_catalog(batch)
+            if newest and batch.complete:
                 self._vouch(batch, sent_s, now, brought=brought)
         elif newest:
             self.server_list.take(batch, now)
@@ -241,23 +249,38 @@
         self, batch: feed.Batch, sent_s: float, now: float, *, brought: bool
     ) -> None:
         """Notes as of when the configuration in force was the newest."""
+        if self._store_is_behind():
+            self._inst.log.problem(
+                "store_behind",
+                stored=self._stored_version,
+                in_force=self._inst.catalog.version,
+                era=batch.position.era,
+            )
+            return
         fresh = self._inst.freshness
-        fresh.told(sent_s=sent_s, received_s=now, store_s=batch.store_s)
+        era = batch.position.era
+        fresh.told(
+            sent_s=sent_s, received_s=now, store_s=batch.store_s, era=era
+        )
         # One that was known need not be transferred again, so that its transfer
         # is no reason to read the newest alone the next time.
-        as_of_s = fresh.time_of(batch.store_s, now) if brought else now
+        as_of_s = fresh.time_of(batch.store_s, now, era) if brought else now
         self._watches[feed.Table.CATALOG].caught_up(as_of_s)
 
     def _log_catalog_answer(
-        self, after: int | None, batch: feed.Batch, sent_s: float
+        self,
+        after: position_module.Position | None,
+        batch: feed.Batch,
+        sent_s: float,
     ) -> None:
         """Logs what a new configuration took to get here."""
         if not batch.items:
             return
         self._inst.log.instance(
             "catalog_answer",
-            after=after,
-            revision=batch.revision,
+            after=after.revision if after else None,
+            era=batch.position.era,
+            revision=batch.position.revision,
             versions=len(batch.items),
             complete=batch.complete,
             size_bytes=batch.size_bytes,
@@ -270,12 +293,12 @@
         """Tells the readers what the store has just answered."""
         if table is feed.Table.SERVERS:
             self._updates.tell(self.server_list.update(batch.store_s, now))
-        elif self._inst.catalog is not None:
+        elif self._stored_version is not None:
             self._updates.tell(
                 shared_watch.CatalogUpdate(
                     store_s=batch.store_s,
-                    version=self._inst.catalog.version,
-                    revision=batch.revision,
+                    version=self._stored_version,
+                    position=batch.position,
                 )
             )
 
@@ -283,6 +306,8 @@
         """Returns whether one has come into force in place of another."""
         catalog = self._inst.catalog
         brought = False
+        if batch.whole:
+            self._stored_version = None
         for item in batch.items:
             if item.problem:
                 self._inst.log.problem(
@@ -290,10 +315,27 @@
                     problem=item.problem,
                     kept=catalog.version if catalog else None,
                 )
+                if self._stored_version is None and catalog is not None:
+                    # It is none that is older than the one in force.
+                    self._stored_version = catalog.version
             elif item.value is not None:
+                self._stored_version = item.value.version
                 brought |= self._inst.adopt(item.value)
         return brought and catalog is not None
 
+    def _store_is_behind(self) -> bool:
+        """Tells whether the store lacks the configuration in force.
+
+        It has come back from a copy that is older. Until the operators have
+        written the newest again, what it says vouches for nothing: keys may
+        have been withdrawn since the copy, and they stay withdrawn.
+        """
+        catalog = self._inst.catalog
+        if catalog is None:
+            return False
+        stored = self._stored_version
+        return stored is None or stored < catalog.version
+
     def _failed(self, table: feed.Table, failure: feed.Unavailable) -> None:
         if self._lost_s is None:
             self._lost_s = boottime.now()
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -5,6 +5,7 @@
 import math
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import position as position_module
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway import instance as instance_module
 from irisshelf.store import feed
@@ -27,6 +28,7 @@
         self._changes = shared_watch.ChangeLog()
         self._away = False
         self._back_s = -math.inf
+        self._era: int | None = None
 
     def store_lost(self) -> None:
         """Takes that the store does not answer this instance."""
@@ -49,21 +51,24 @@
             self._inst.directory.apply(map(_change, unreadable))
         changes = tuple(map(_change, batch.items))
         if batch.whole:
-            self._replace(changes, batch.revision, now)
+            self._replace(changes, batch.position, now)
         else:
-            self.change(changes, batch.revision, now)
+            self.change(changes, batch.position, now)
 
     def change(
-        self, changes: tuple[directory.Change, ...], revision: int, now: float
+        self,
+        changes: tuple[directory.Change, ...],
+        position: position_module.Position,
+        now: float,
     ) -> None:
         """Takes what changed since the list known."""
         if self._after_outage(now):
             self._inst.directory.lapse(changes, back_s=self._returned_s(now))
         else:
             self._inst.directory.apply(changes)
-        self._changes.add(changes, revision, now)
+        self._changes.add(changes, position, now)
         self._inst.server_list_taken()
-        self._log_changes(changes, revision, now, whole=False)
+        self._log_changes(changes, position, now, whole=False)
 
     def update(self, store_s: float, now: float) -> shared_watch.ServersUpdate:
         """Returns what readers are told; see ``ChangeLog.update``."""
@@ -83,16 +88,25 @@
             self._inst.servers.list_changed()
 
     def _replace(
-        self, entries: tuple[directory.Change, ...], revision: int, now: float
+        self,
+        entries: tuple[directory.Change, ...],
+        position: position_module.Position,
+        now: float,
     ) -> None:
+        from_copy = self._era is not None and position.era > self._era
+        self._era = position.era
+        if from_copy:
+            # Entries that the copy lacks may be written again in a moment.
+            self._back_s = now
         self._inst.directory.replace(
             [entry.server for entry in entries if entry.server],
             back_s=self._returned_s(now),
             after_outage=self._after_outage(now),
+            from_copy=from_copy,
         )
-        self._changes.restart(revision)
+        self._changes.restart(position)
         self._inst.server_list_taken()
-        self._log_changes(entries, revision, now, whole=True)
+        self._log_changes(entries, position, now, whole=True)
 
     def _log_unreadable(self, items: list[feed.Item]) -> None:
         told = items[:_MOST_PROBLEMS_TOLD]
@@ -113,7 +127,7 @@
     def _log_changes(
         self,
         changes: tuple[directory.Change, ...],
-        revision: int,
+        position: position_module.Position,
         now: float,
         *,
         whole: bool,
@@ -123,7 +137,8 @@
         told = changes[:_MOST_CHANGES_TOLD]
         self._inst.log.instance(
             "servers_changed",
-            revision=revision,
+            era=position.era,
+            revision=position.revision,
             whole=whole,
             after_outage=self._after_outage(now),
             count=len(changes),
--- a/irisshelf/gateway/knowledge/store_updates.py
+++ b/irisshelf/gateway/knowledge/store_updates.py
@@ -18,6 +18,7 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import directory
+from irisshelf.catalog import position as position_module
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
@@ -49,6 +50,7 @@
     table: _Table
     # In seconds; see the fields of the two kinds of update.
     store_s: float
+    era: _Revision
     revision: _Revision
     # Version of the configuration, or the revision that changes follow.
     base: _Revision
@@ -125,7 +127,7 @@
         if len(data) <= datagrams_module.MOST_BYTES:
             return data
         # Readers see that there is more, and ask the store for it.
-        short = dataclasses.replace(update, since=update.revision, changes=())
+        short = dataclasses.replace(update, since=update.position, changes=())
         return self._pack(_message(short, self._roster.own.data_centre))
 
     def _pack(self, message: _Message) -> bytes:
@@ -143,7 +145,8 @@
         data_centre=data_centre,
         table=_Table.CATALOG,
         store_s=update.store_s,
-        revision=update.revision,
+        era=update.position.era,
+        revision=update.position.revision,
         base=update.version,
     )
 
@@ -154,8 +157,9 @@
         data_centre=data_centre,
         table=_Table.SERVERS,
         store_s=update.store_s,
-        revision=update.revision,
-        base=update.since,
+        era=update.position.era,
+        revision=update.position.revision,
+        base=update.since.revision,
         servers=[_entry(change) for change in update.changes],
     )
 
@@ -192,15 +196,18 @@
 
 
 def _decode(message: _Message) -> shared_watch.Update:
+    position = position_module.Position(
+        era=message.era, revision=message.revision
+    )
     if message.table is _Table.CATALOG:
         return shared_watch.CatalogUpdate(
             store_s=message.store_s,
             version=message.base,
-            revision=message.revision,
+            position=position,
         )
     return shared_watch.ServersUpdate(
         store_s=message.store_s,
-        since=message.base,
-        revision=message.revision,
+        since=position_module.Position(era=message.era, revision=message.base),
+        position=position,
         changes=tuple(_change(entry) for entry in message.servers),
     )
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -46,6 +46,15 @@
     deleted: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Copy:
+    """All tables as of one moment."""
+
+    ver: int
+    tables: dict[str, dict[str, _Row]]
+    history: dict[str, list[tuple[str, _Row]]]
+
+
 class Store:
     """Serves rows on loopback.
 
@@ -59,6 +68,7 @@
         self._history: dict[str, list[tuple[str, _Row]]] = {}
         self._ver = 0
         self._forgotten = 0
+        self._era = 0
         self._changed = event.Event()
         self._server = server.StreamServer(
             ("127.0.0.1", port), self._serve, backlog=256
@@ -77,6 +87,11 @@
         """Where it listens."""
         return f"127.0.0.1:{self._server.server_port}"
 
+    @property
+    def ver(self) -> int:
+        """The newest revision."""
+        return self._ver
+
     def start(self) -> Store:
         """Begins to listen."""
         self._server.start()
@@ -104,6 +119,23 @@
         self._forgotten = self._ver
         self._wake()
 
+    def copy(self) -> Copy:
+        """Returns a copy of all tables, to come back from."""
+        return Copy(
+            ver=self._ver,
+            tables={name: dict(rows) for name, rows in self._tables.items()},
+            history={name: list(rows) for name, rows in self._history.items()},
+        )
+
+    def come_back_from(self, copy: Copy) -> None:
+        """Loses what was accepted since a copy was made, and begins an era."""
+        self._ver = copy.ver
+        self._tables = {n: dict(rows) for n, rows in copy.tables.items()}
+        self._history = {n: list(rows) for n, rows in copy.history.items()}
+        self._forgotten = min(self._forgotten, copy.ver)
+        self._era += 1
+        self._wake()
+
     def _write(self, table: str, key: str, value: Any, *, deleted: bool) -> int:
         self._ver += 1
         row = _Row(value=value, ver=self._ver, deleted=deleted)
@@ -145,7 +177,7 @@
         after = int(fields["afterRevision"])
         until_s = boottime.now() + hold_ms / 1000
         while True:
-            if after < self._forgotten:
+            if after < self._forgotten or after > self._ver:
                 self._answer(conn, 410, {})
                 return
             changed = self._since(fields["table"], after)
@@ -192,10 +224,11 @@
         now_ms = boottime.now() * 1000
         whole = {"ver": self._ver, "nowMs": now_ms, **document}
         data = json.dumps(whole).encode()
+        headers = [(b"Store-Era", str(self._era).encode())]
         if self.mode is Mode.TRICKLE:
-            _trickle(conn, status, data)
+            _trickle(conn, status, headers, data)
         else:
-            conn.answer(status, [], data)
+            conn.answer(status, headers, data)
 
 
 def _cut_off(changed: list[tuple[str, _Row]]) -> list[tuple[str, _Row]]:
@@ -208,9 +241,14 @@
     return changed
 
 
-def _trickle(conn: http.Connection, status: int, data: bytes) -> None:
+def _trickle(
+    conn: http.Connection,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    data: bytes,
+) -> None:
     """Answers as over a slow link: a long while, but without a long pause."""
-    conn.begin(status, [])
+    conn.begin(status, headers)
     step = len(data) // _TRICKLE_PIECES + 1
     for start in range(0, len(data), step):
         gevent.sleep(_TRICKLE_S)
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -11,6 +11,7 @@
 import result
 
 from irisshelf import boottime
+from irisshelf.catalog import position as position_module
 from irisshelf.platform import documents
 from irisshelf.store import feed
 from irisshelf.transport import client
@@ -39,6 +40,10 @@
 _SURELY_COMPLETE_ROWS = 250
 _LONGEST_ANSWER_S = 8.0
 _CONNECT_S = 0.4
+# Rises by one each time that the store comes back from a copy; a store that
+# never has says nothing.
+_ERA = b"store-era"
+_ERA_DIGITS = 15
 
 
 class _Row(msgspec.Struct):
@@ -65,9 +70,11 @@
         status: HTTP status.
         data: The body.
         transfer_s: From the head to the body's end, in seconds.
+        era: See ``position.Position``.
     """
 
     status: int
+    era: int
     data: bytes
     transfer_s: float
 
@@ -77,6 +84,7 @@
     """A decoded answer, and what it took to transfer it."""
 
     answer: _Answer
+    era: int
     size_bytes: int
     transfer_s: float
 
@@ -90,7 +98,7 @@
     Attributes:
         rows: Of all pages so far.
         start: The key that the next page begins at; empty for the first.
-        first: The first page, whose revision holds for all.
+        first: The first page, whose position holds for all.
         complete: Whether there are no more pages.
     """
 
@@ -101,6 +109,10 @@
         self.first: _Read | None = None
         self.complete = False
 
+    def may_add(self, page: _Read) -> bool:
+        """Tells whether a page goes on where the others ended."""
+        return self.first is None or page.era == self.first.era
+
     def add(self, page: _Read) -> None:
         """Takes the next page."""
         self.first = self.first or page
@@ -143,6 +155,10 @@
             read = self._call(table, "rows-get", query, 0.0)
             if isinstance(read, result.Err):
                 return result.Err(_unavailable(read.err_value))
+            if not pages.may_add(read.ok_value):
+                # The store came back from a copy between two pages.
+                pages = self._begun[table] = _Pages(began_s=boottime.now())
+                continue
             pages.add(read.ok_value)
             if pages.complete:
                 del self._begun[table]
@@ -152,18 +168,26 @@
         return result.Err(feed.Unavailable(detail="the list has no end"))
 
     def changes(
-        self, table: feed.Table, *, after: int, wait_s: float
+        self,
+        table: feed.Table,
+        *,
+        after: position_module.Position,
+        wait_s: float,
     ) -> result.Result[feed.Batch, feed.Failure]:
         """See ``feed.Feed.changes``."""
         query = {
             "table": _TABLES[table],
-            "afterRevision": after,
+            "afterRevision": after.revision,
             "waitMs": int(wait_s * _MS),
         }
         read = self._call(table, "rows-feed", query, wait_s)
-        return read.map(
-            lambda read: _batch(table, read, read.answer.rows, whole=False)
-        )
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value.era != after.era:
+            # What it tells comes after a revision of another history.
+            return result.Err(feed.HistoryLost())
+        rows = read.ok_value.answer.rows
+        return result.Ok(_batch(table, read.ok_value, rows, whole=False))
 
     def reset(self, table: feed.Table) -> None:
         """See ``feed.Feed.reset``."""
@@ -195,6 +219,7 @@
         return result.Ok(
             _Read(
                 answer=answer,
+                era=got.era,
                 size_bytes=len(got.data),
                 transfer_s=got.transfer_s,
             )
@@ -206,7 +231,7 @@
         conn = self._connection(table)
         headers = [(b"Host", self._address.encode())]
         conn.send("GET", path, headers, b"", timeout_s=timeout_s)
-        status, _ = conn.read_head(timeout_s=timeout_s)
+        status, headers = conn.read_head(timeout_s=timeout_s)
         began_s = boottime.now()
         until_s = began_s + _LONGEST_ANSWER_S
         parts = []
@@ -220,6 +245,7 @@
             self.reset(table)
         return _Exchange(
             status=status,
+            era=_era(headers),
             data=b"".join(parts),
             transfer_s=boottime.now() - began_s,
         )
@@ -235,6 +261,14 @@
         return conn
 
 
+def _era(headers: client.Headers) -> int:
+    """Reads the store's era; one that is no number counts as the first."""
+    for name, value in headers:
+        if name.lower() == _ERA and value.isdigit():
+            return int(value[:_ERA_DIGITS])
+    return 0
+
+
 def _page(table: feed.Table, start: str) -> dict[str, Any]:
     query = {"table": _TABLES[table], "part": "", "limit": _PAGE_ROWS}
     if start:
@@ -257,7 +291,9 @@
             for row in rows
             if table is not feed.Table.CATALOG or row.key == _CATALOG_KEY
         ),
-        revision=read.answer.ver,
+        position=position_module.Position(
+            era=read.era, revision=read.answer.ver
+        ),
         store_s=read.answer.now_ms / _MS,
         whole=whole,
         complete=whole or _is_complete(read),
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -1,6 +1,6 @@
 """The one entry point for following a table of the shared store.
 
-A backend answers whole tables and changes since a revision. Rows are decoded
+A backend answers whole tables and changes since a position. Rows are decoded
 by the backend; nothing else knows how they are written down.
 """
 
@@ -14,6 +14,8 @@
 
 import result
 
+from irisshelf.catalog import position as position_module
+
 _T = TypeVar("_T")
 
 
@@ -46,17 +48,17 @@
 
     Attributes:
         items: The rows.
-        revision: Ask for changes after this one next time.
+        position: Ask for changes after this one next time.
         store_s: The store's steady clock when it answered.
         whole: Whether these are all rows there are.
         complete: Whether these are all changes up to ``store_s``; if not, the
-            store has cut the answer off, and more come after ``revision``.
+            store has cut the answer off, and more come after ``position``.
         size_bytes: Of the answer, or of its last page, as it was transferred.
         transfer_s: From its first byte to its last one, in seconds.
     """
 
     items: tuple[Item[_T], ...]
-    revision: int
+    position: position_module.Position
     store_s: float
     whole: bool
     complete: bool = True
@@ -73,7 +75,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HistoryLost:
-    """The store has forgotten what came after the revision asked for."""
+    """The store does not know what came after the position asked for.
+
+    It has dropped its history, or come back from a copy.
+    """
 
 
 Failure = Unavailable | HistoryLost
@@ -88,13 +93,17 @@
 
     @abc.abstractmethod
     def changes(
-        self, table: Table, *, after: int, wait_s: float
+        self,
+        table: Table,
+        *,
+        after: position_module.Position,
+        wait_s: float,
     ) -> result.Result[Batch, Failure]:
-        """Waits for changes after a revision.
+        """Waits for changes after a position.
 
         Args:
             table: What to follow.
-            after: The revision known.
+            after: The position known.
             wait_s: How long the store may hold the call if nothing changes.
         """
 
--- a/irisshelf/tests/test_catching_up.py
+++ b/irisshelf/tests/test_catching_up.py
@@ -30,6 +30,7 @@
 import result
 
 from irisshelf.catalog import model
+from irisshelf.catalog import position
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
@@ -50,6 +51,10 @@
 _CONNECT_S = 0.4
 
 
+def _at(revision):
+    return position.Position(era=0, revision=revision)
+
+
 class _EndError(Exception):
     """The play is over."""
 
@@ -133,10 +138,11 @@
     def changes(self, table, *, after, wait_s):
         if self.is_away():
             return self._unavailable()
-        changed = lambda: self.version > after  # noqa: E731
+        changed = lambda: self.version > after.revision  # noqa: E731
         self._clock.until(self._clock.now + wait_s, woken=changed)
         if self.is_away():
             return self._unavailable()
+        after = after.revision
         versions = [v for _, v in self.accepted if v > after]
         most = max(1, _ANSWER_BYTES // self._body_bytes)
         told = versions[:most]
@@ -162,7 +168,7 @@
         return result.Ok(
             feed.Batch(
                 items=items,
-                revision=revision,
+                position=_at(revision),
                 store_s=store_s,
                 whole=whole,
                 complete=whole or size_bytes < _SURELY_COMPLETE_BYTES,
@@ -200,7 +206,7 @@
                 shared_watch.CatalogUpdate(
                     store_s=self._clock.now + _STORE_CLOCK_S,
                     version=version,
-                    revision=version,
+                    position=_at(version),
                 )
             )
         self._clock.at(self._clock.now + 0.5, self._beat)
@@ -346,13 +352,13 @@
 def test_when_the_newest_is_read_alone(told_revision, since_s, alone):
     watch = table_watch.TableWatch()
     assert watch.reads_newest_alone(0.0)
-    watch.answered(5, 10.0)
+    watch.answered(_at(5), 10.0, whole=True)
     watch.caught_up(10.0)
     if told_revision is not None:
         verdict = shared_watch.Verdict.FETCH
         if told_revision == 5:
             verdict = shared_watch.Verdict.CURRENT
-        watch.updated(10.0, told_revision, verdict)
+        watch.updated(10.0, _at(told_revision), verdict)
     assert watch.reads_newest_alone(10.0 + since_s) is alone
 
 
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -5,6 +5,7 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import directory
+from irisshelf.catalog import position
 from irisshelf.gateway import settings
 from irisshelf.gateway.knowledge import server_list
 from irisshelf.gateway.knowledge import store_timing
@@ -15,6 +16,10 @@
 Mode = store.Mode
 
 
+def _at(revision):
+    return position.Position(era=0, revision=revision)
+
+
 def _put(world, version, **more):
     world.store.put("op", "config", world_module.config(version, **more))
 
@@ -171,7 +176,9 @@
     back_s = boottime.now() - 1.5
     listed.store_back(back_s)
     gone = feed.Item(key=leaver.server_id, value=None)
-    batch = feed.Batch(items=(gone,), revision=99, store_s=0.0, whole=False)
+    batch = feed.Batch(
+        items=(gone,), position=_at(99), store_s=0.0, whole=False
+    )
     listed.take(batch, boottime.now())
     assert world.inst.directory.get(leaver.server_id) is not None
     end_s = back_s + directory.LAPSE_GRACE_S + 0.01
@@ -185,7 +192,7 @@
     gone = directory.Change(entry_id=leaver.server_id, server=None)
     listed.store_lost()
     missed_s = boottime.now()
-    listed.change((gone,), 99, missed_s)
+    listed.change((gone,), _at(99), missed_s)
     assert world.inst.directory.get(leaver.server_id) is not None
     end_s = missed_s + directory.LAPSE_GRACE_S + 0.01
     assert world.inst.directory.expire(end_s) == (leaver.server_id,)
@@ -311,7 +318,7 @@
     name = world.plain[0].server_id
     gone = directory.Change(entry_id=name, server=None)
     listed.store_lost()
-    listed.change((gone,), 10**9, 10.0)
+    listed.change((gone,), _at(10**9), 10.0)
     listed.store_back(11.2)
     listed.expire(12.9)
     assert world.inst.directory.get(name) is None
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -20,6 +20,7 @@
 from hypothesis import strategies
 
 from irisshelf import boottime
+from irisshelf.catalog import position
 from irisshelf.coordination import facts
 from irisshelf.coordination import roster
 from irisshelf.gateway import messages
@@ -36,6 +37,8 @@
 from irisshelf.store import feed
 from irisshelf.transport import errors
 
+_FAR = position.Position(era=0, revision=10**9)
+
 _GOOD = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -130,7 +133,11 @@
     reader = store_feed.StoreFeed(address=store.address)
     for read in (
         reader.whole(feed.Table.SERVERS),
-        reader.changes(feed.Table.SERVERS, after=0, wait_s=0.0),
+        reader.changes(
+            feed.Table.SERVERS,
+            after=position.Position(era=0, revision=0),
+            wait_s=0.0,
+        ),
     ):
         items = {item.key: item for item in read.ok_value.items}
         assert items["good-1"].value and items["good-2"].value
@@ -168,7 +175,7 @@
             if one.server_id != server.server_id
         ]
     batch = feed.Batch(
-        items=tuple(rows), revision=10**9, store_s=0.0, whole=whole
+        items=tuple(rows), position=_FAR, store_s=0.0, whole=whole
     )
     listed.take(batch, world.inst.now())
     assert world.inst.directory.get(server.server_id) is None
@@ -424,8 +431,8 @@
 @pytest.mark.parametrize(
     ("kind", "content"),
     [
-        (datagrams_module.Kind.STORE_UPDATE, ["a", 0, 5.0, 7, 3]),
-        (datagrams_module.Kind.STORE_UPDATE, ["a", 1, 5.0, 2**63 - 1, 0]),
+        (datagrams_module.Kind.STORE_UPDATE, ["a", 0, 5.0, 1, 7, 3]),
+        (datagrams_module.Kind.STORE_UPDATE, ["a", 1, 5.0, 0, 2**63 - 1, 0]),
         (datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", 7, 1]], {}]),
         (datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, b"12345", 7, True]),
         (datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, None, 0, False]),
@@ -441,13 +448,16 @@
     kind=strategies.sampled_from(list(datagrams_module.Kind)), content=_CONTENTS
 )
 @hypothesis.example(
-    datagrams_module.Kind.STORE_UPDATE, ["a", 0, math.nan, 1, 1]
+    datagrams_module.Kind.STORE_UPDATE, ["a", 0, math.nan, 0, 1, 1]
+)
+@hypothesis.example(
+    datagrams_module.Kind.STORE_UPDATE, ["a", 0, math.inf, 0, 1, 1]
 )
+@hypothesis.example(datagrams_module.Kind.STORE_UPDATE, ["a", 0, 1.0, 0, -1, 1])
+@hypothesis.example(datagrams_module.Kind.STORE_UPDATE, ["a", 0, 1.0, -1, 1, 1])
 @hypothesis.example(
-    datagrams_module.Kind.STORE_UPDATE, ["a", 0, math.inf, 1, 1]
+    datagrams_module.Kind.STORE_UPDATE, ["a", 1, 1.0, 0, 2**70, 1]
 )
-@hypothesis.example(datagrams_module.Kind.STORE_UPDATE, ["a", 0, 1.0, -1, 1])
-@hypothesis.example(datagrams_module.Kind.STORE_UPDATE, ["a", 1, 1.0, 2**70, 1])
 @hypothesis.example(
     datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", -7, 1]], {}]
 )
@@ -464,7 +474,8 @@
     takers.take(kind, content)
     for update in takers.updates:
         assert 0 <= update.store_s < math.inf
-        assert 0 <= update.revision < 2**63
+        assert 0 <= update.position.revision < 2**63
+        assert 0 <= update.position.era < 2**63
     for news in takers.loads:
         assert math.isfinite(news.at_s)
         assert 0 <= news.work < 2**63
--- a/irisshelf/tests/test_shared_watch.py
+++ b/irisshelf/tests/test_shared_watch.py
@@ -4,8 +4,9 @@
 with the real decisions. The pattern: forty instances of a data centre, changes
 of configuration and servers at any moment, while instances freeze, are killed
 or cut off (the watcher first), datagrams are late, doubled or lost, and the
-store is away or has forgotten its history. What an instance has to know, and
-when, follows from the bounds in ``settings.Bounds``; calls are counted.
+store is away, has forgotten its history, or comes back from a copy. What an
+instance has to know, and when, follows from the bounds in ``settings.Bounds``;
+calls are counted.
 """
 
 import heapq
@@ -16,6 +17,7 @@
 
 from irisshelf.catalog import directory
 from irisshelf.catalog import freshness
+from irisshelf.catalog import position
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
@@ -35,6 +37,10 @@
 _BACKOFF_S = 0.6
 
 
+def _at(revision, *, era=1):
+    return position.Position(era=era, revision=revision)
+
+
 class _Store:
     def __init__(self, play):
         self._play = play
@@ -45,6 +51,9 @@
         # Accepted configurations and changes of servers: (time, ver, what).
         self.versions = [(0.0, 1, 1)]
         self.changes = []
+        self.era = 0
+        self.back_s = 0.0
+        self._clock_s = _STORE_CLOCK_S
         self._held = []
 
     def write(self, table, what):
@@ -55,6 +64,24 @@
         for call in held:
             self._serve(*call)
 
+    def come_back_from_copy(self, age_s):
+        """Loses what it took in the last seconds; returns that."""
+        begin_s = self._play.now - age_s
+        lost_versions = [r for r in self.versions[1:] if r[0] > begin_s]
+        lost_changes = [r for r in self.changes if r[0] > begin_s]
+        self.versions = [r for r in self.versions if r not in lost_versions]
+        self.changes = [r for r in self.changes if r not in lost_changes]
+        kept = self.versions + self.changes
+        self.ver = max(ver for _, ver, _ in kept)
+        self.forgotten = min(self.forgotten, self.ver)
+        self.era += 1
+        self.back_s = self._play.now
+        self._clock_s = self._play.rng.uniform(0.0, 5000.0)
+        held, self._held = self._held, []
+        for call in held:
+            self._serve(*call)
+        return lost_versions, lost_changes
+
     def ask(self, node, table, after, until_s, reply):
         self.calls += 1
         if self._unreachable(node):
@@ -65,13 +92,14 @@
     def _serve(self, node, table, after, until_s, reply):
         if self._unreachable(node):
             return
-        if after is not None and after < self.forgotten:
+        if after is not None and not self.forgotten <= after <= self.ver:
             reply(None)
             return
         rows = self.versions if table is _CATALOG else self.changes
         news = [row for row in rows if after is None or row[1] > after]
         if news or after is None or self._play.now >= until_s:
-            reply((news, self.ver, self._play.now + _STORE_CLOCK_S))
+            where = position.Position(era=self.era, revision=self.ver)
+            reply((news, where, self._play.now + self._clock_s))
             return
         call = (node, table, after, until_s, reply)
         self._held.append(call)
@@ -103,6 +131,7 @@
         self.watches = {t: table_watch.TableWatch() for t in feed.Table}
         self.log = shared_watch.ChangeLog()
         self.version = None
+        self.stored = None
         self.servers = {}
         self.born_s = self.troubled_s = play.now
         self.frozen_until_s = 0.0
@@ -170,19 +199,21 @@
         self._turn[table] += 1
         number = self._turn[table]
         sent_s = self.clock_s
-        after = watch.revision
+        after = watch.position
         if table is _CATALOG and watch.reads_newest_alone(sent_s):
             after = None
 
         def reply(answer):
             way_s = self.play.way_s()
             self.later(
-                way_s, lambda: self._answer(table, number, sent_s, answer)
+                way_s,
+                lambda: self._answer(table, number, sent_s, after, answer),
             )
 
         def sent():
             until_s = self.play.now + hold_s
-            self.play.store.ask(self, table, after, until_s, reply)
+            asked = None if after is None else after.revision
+            self.play.store.ask(self, table, asked, until_s, reply)
 
         self.play.at(self.play.now + self.play.way_s(), sent)
         self.later(hold_s + _ANSWER_S, lambda: self._fail(table, number))
@@ -196,33 +227,26 @@
             # Its connection is reset, as it may be as dead.
             self._fail(_SERVERS, self._turn[_SERVERS])
 
-    def _answer(self, table, number, sent_s, answer):
+    def _answer(self, table, number, sent_s, after, answer):
         if number != self._turn[table]:
             return
         watch = self.watches[table]
-        if answer is None:
+        if answer is None or (after and after.era != answer[1].era):
             watch.forgotten()
             self.next_turn(table)
             return
-        news, ver, store_s = answer
-        whole = watch.revision is None
-        newest = watch.answered(ver, self.clock_s)
-        if table is _CATALOG:
-            before = self.version
-            self._adopt(max((row[2] for row in news), default=0))
-            self.fresh.told(
-                sent_s=sent_s, received_s=self.clock_s, store_s=store_s
-            )
-            brought = before is not None and self.version > before
-            as_of_s = self.fresh.time_of(store_s, self.clock_s)
-            watch.caught_up(as_of_s if brought else self.clock_s)
+        news, where, store_s = answer
+        whole = after is None
+        newest = watch.answered(where, self.clock_s, whole=whole)
+        if table is _CATALOG and newest:
+            self._take_versions(news, where, sent_s, store_s, whole)
         elif newest:
             if whole:
                 self.servers = {}
-                self.log.restart(ver)
-            self._change(news, ver, logged=not whole)
-        if self.role() is _Role.WATCHER:
-            self._tell(table, ver, store_s)
+                self.log.restart(where)
+            self._change(news, where, logged=not whole)
+        if self.role() is _Role.WATCHER and newest:
+            self._tell(table, where, store_s)
         pause_s = 0.0
         if news:
             pause_s = store_timing.gather_s(
@@ -230,44 +254,70 @@
             )
         self.next_turn(table, pause_s)
 
-    def _adopt(self, version):
-        self.version = max(self.version or 0, version)
+    def _take_versions(self, news, where, sent_s, store_s, whole):
+        before = self.version
+        if whole:
+            self.stored = None
+        if news:
+            self.stored = news[-1][2]
+            self.version = max(self.version or 0, self.stored)
+        if self.behind():
+            return
+        self.fresh.told(
+            sent_s=sent_s,
+            received_s=self.clock_s,
+            store_s=store_s,
+            era=where.era,
+        )
+        brought = before is not None and self.version > before
+        as_of_s = self.fresh.time_of(store_s, self.clock_s, where.era)
+        self.watches[_CATALOG].caught_up(as_of_s if brought else self.clock_s)
 
-    def _change(self, rows, ver, *, logged=True):
+    def behind(self):
+        """Whether the store lacks the configuration in force."""
+        return self.stored is None or self.stored < self.version
+
+    def _change(self, rows, where, *, logged=True):
         for _, _, (name, there) in rows:
             self.servers[name] = there
         if logged:
             changes = tuple(_change(*row[2]) for row in rows)
-            self.log.add(changes, ver, self.clock_s)
+            self.log.add(changes, where, self.clock_s)
 
-    def _tell(self, table, ver, store_s):
+    def _tell(self, table, where, store_s):
         update = self.log.update(store_s, self.clock_s)
         if table is _CATALOG:
             update = shared_watch.CatalogUpdate(
-                store_s=store_s, version=self.version, revision=ver
+                store_s=store_s, version=self.stored, position=where
             )
         for other in self.play.nodes.values():
             if other is not self and not other.deaf and not self.deaf:
                 self.play.datagram(other, update)
 
     def take(self, update):
-        as_of_s = self.fresh.time_of(update.store_s, self.clock_s)
+        as_of_s = self.fresh.time_of(
+            update.store_s, self.clock_s, update.position.era
+        )
         if isinstance(update, shared_watch.CatalogUpdate):
             table = _CATALOG
-            verdict = shared_watch.judge_catalog(update, self.version)
-            if verdict is not _Verdict.FETCH:
-                self.fresh.vouched(as_of_s)
-                self.watches[table].follows_to(update.revision)
+            watch = self.watches[table]
+            verdict = shared_watch.judge_catalog(
+                update, watch.position, self.stored
+            )
+            if verdict is _Verdict.CURRENT:
+                if not self.behind():
+                    self.fresh.vouched(as_of_s)
+                watch.follows_to(update.position)
         else:
             table = _SERVERS
             watch = self.watches[table]
-            verdict = shared_watch.judge_servers(update, watch.revision)
+            verdict = shared_watch.judge_servers(update, watch.position)
             if verdict is _Verdict.APPLY:
                 for change in update.changes:
                     self.servers[change.entry_id] = change.server is not None
-                self.log.add(update.changes, update.revision, self.clock_s)
-                watch.follows_to(update.revision)
-        self.watches[table].updated(as_of_s, update.revision, verdict)
+                self.log.add(update.changes, update.position, self.clock_s)
+                watch.follows_to(update.position)
+        self.watches[table].updated(as_of_s, update.position, verdict)
         if self._resting[table]:
             self._resting[table] = False
             self.next_turn(table)
@@ -378,6 +428,10 @@
             if known and later:
                 age_s = node.fresh.age_s(node.clock_s)
                 assert age_s >= self.now - later[0] - 1e-6, node.name
+            if known > self.store.versions[-1][2]:
+                # Nothing vouches for it until it is written again.
+                age_s = node.fresh.age_s(node.clock_s)
+                assert age_s >= self.now - self.store.back_s - 1e-6, node.name
 
     # Troubles.
 
@@ -386,7 +440,7 @@
         if self.rng.random() < 0.4:
             node = self.rng.choice(list(self.nodes.values()))
         span_s = self.rng.uniform(0.3, 6.0)
-        kinds = ("freeze", "kill", "cut", "deafen", "away", "forget")
+        kinds = ("freeze", "kill", "cut", "deafen", "away", "forget", "copy")
         getattr(self, f"_{self.rng.choice(kinds)}")(node, span_s)
 
     def _freeze(self, node, span_s):
@@ -416,6 +470,27 @@
     def _forget(self, node, span_s):
         self.store.forgotten = self.store.ver
 
+    def _copy(self, node, span_s):
+        """The store is away for a moment and comes back from a copy.
+
+        What it lost is written again: servers' entries within two seconds.
+        """
+        away_s = self.rng.uniform(0.1, 2.0)
+        self._away(node, away_s)
+
+        def back():
+            lost = self.store.come_back_from_copy(span_s)
+            for table, rows in zip(feed.Table, lost, strict=True):
+                for _, _, what in rows:
+                    later_s = self.now + self.rng.uniform(0.0, 1.8)
+                    self.at(later_s, lambda t=table, w=what: self._again(t, w))
+
+        self.at(self.now + away_s, back)
+
+    def _again(self, table, what):
+        if table is _SERVERS or what > self.store.versions[-1][2]:
+            self.store.write(table, what)
+
     def _mark(self, node, span_s):
         node.troubled_s = max(node.troubled_s, self.now + span_s)
 
@@ -489,35 +564,92 @@
 
 
 @pytest.mark.parametrize(
-    ("revision", "verdict"),
+    ("known", "verdict"),
     [
         (None, _Verdict.FETCH),
-        (9, _Verdict.FETCH),
-        (10, _Verdict.APPLY),
-        (15, _Verdict.APPLY),
-        (20, _Verdict.CURRENT),
-        (25, _Verdict.CURRENT),
+        (_at(9), _Verdict.FETCH),
+        (_at(10), _Verdict.APPLY),
+        (_at(15), _Verdict.APPLY),
+        (_at(20), _Verdict.CURRENT),
+        (_at(25), _Verdict.CURRENT),
+        # An update of era 1, before and after a copy came back.
+        (_at(9, era=0), _Verdict.FETCH),
+        (_at(15, era=0), _Verdict.FETCH),
+        (_at(20, era=0), _Verdict.FETCH),
+        (_at(25, era=0), _Verdict.FETCH),
+        (_at(9, era=2), _Verdict.STALE),
+        (_at(20, era=2), _Verdict.STALE),
+        (_at(25, era=2), _Verdict.STALE),
+    ],
+)
+def test_changes_are_applied_only_without_a_gap(known, verdict):
+    update = shared_watch.ServersUpdate(
+        store_s=1.0, since=_at(10), position=_at(20)
+    )
+    assert shared_watch.judge_servers(update, known) is verdict
+
+
+@pytest.mark.parametrize(
+    ("known", "stored", "verdict"),
+    [
+        (None, None, _Verdict.FETCH),
+        (_at(20), 6, _Verdict.FETCH),
+        (_at(20), 7, _Verdict.CURRENT),
+        (_at(15), 7, _Verdict.CURRENT),
+        (_at(25), 8, _Verdict.CURRENT),
+        (_at(20), None, _Verdict.FETCH),
+        (_at(20, era=0), 7, _Verdict.FETCH),
+        (_at(25, era=0), 8, _Verdict.FETCH),
+        (_at(9, era=2), 7, _Verdict.STALE),
+        (_at(9, era=2), 6, _Verdict.STALE),
     ],
 )
-def test_changes_are_applied_only_without_a_gap(revision, verdict):
-    update = shared_watch.ServersUpdate(store_s=1.0, since=10, revision=20)
-    assert shared_watch.judge_servers(update, revision) is verdict
+def test_what_an_update_of_the_configuration_is(known, stored, verdict):
+    update = shared_watch.CatalogUpdate(
+        store_s=1.0, version=7, position=_at(20)
+    )
+    assert shared_watch.judge_catalog(update, known, stored) is verdict
 
 
 def test_the_log_of_changes_is_bounded_and_says_where_it_begins():
     log = shared_watch.ChangeLog()
-    log.restart(5)
+    log.restart(_at(5))
     for number in range(30):
-        log.add((_change(f"s{number}", True),), 6 + number, float(number) / 10)
+        change = _change(f"s{number}", True)
+        log.add((change,), _at(6 + number), float(number) / 10)
     update = log.update(1.0, 3.0)
-    assert (update.since, update.revision) == (35 - len(update.changes), 35)
+    since = _at(35 - len(update.changes))
+    assert (update.since, update.position) == (since, _at(35))
     assert 0 < len(update.changes) <= 16
     assert log.update(1.0, 60.0).changes == ()
-    assert log.update(1.0, 60.0).since == 35
+    assert log.update(1.0, 60.0).since == _at(35)
 
 
 def test_a_version_left_out_of_an_answer_is_read_anew():
     watch = table_watch.TableWatch()
-    watch.answered(30, 1.0)
-    watch.updated(2.0, 29, _Verdict.FETCH)
-    assert watch.revision is None
+    watch.answered(_at(30), 1.0, whole=True)
+    watch.updated(2.0, _at(29), _Verdict.FETCH)
+    assert watch.position is None
+
+
+@pytest.mark.parametrize("revision", [10, 30, 50])
+def test_in_a_new_era_the_whole_table_is_read(revision):
+    watch = table_watch.TableWatch()
+    watch.answered(_at(30, era=0), 1.0, whole=True)
+    watch.updated(2.0, _at(revision, era=1), _Verdict.FETCH)
+    assert watch.position is None
+    # The call that was under way brings changes of the era before.
+    assert not watch.answered(_at(60, era=0), 2.1, whole=False)
+    assert not watch.answered(_at(60, era=0), 2.2, whole=True)
+    assert watch.position is None
+    assert watch.answered(_at(revision, era=1), 2.3, whole=True)
+    watch.updated(2.4, _at(70, era=0), _Verdict.FETCH)
+    assert watch.position == _at(revision, era=1)
+
+
+def test_changes_of_what_is_not_known_any_more_are_left():
+    watch = table_watch.TableWatch()
+    watch.answered(_at(30), 1.0, whole=True)
+    watch.forgotten()
+    assert not watch.answered(_at(31), 1.1, whole=False)
+    assert watch.position is None
--- a/irisshelf/tests/test_store_outage.py
+++ b/irisshelf/tests/test_store_outage.py
@@ -11,6 +11,7 @@
 import pytest
 
 from irisshelf import boottime
+from irisshelf.catalog import position
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import store
@@ -88,7 +89,9 @@
 
     def told_of_more():
         update = shared_watch.CatalogUpdate(
-            store_s=boottime.now(), version=9, revision=99
+            store_s=boottime.now(),
+            version=9,
+            position=position.Position(era=0, revision=99),
         )
         updates.take(update)
         return not short.inst.keys_hold()
--- a/irisshelf/tests/test_store_pages.py
+++ b/irisshelf/tests/test_store_pages.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from irisshelf.catalog import position
 from irisshelf.platform import store_feed
 from irisshelf.platform.stand_in import store as store_module
 from irisshelf.store import feed
@@ -43,7 +44,7 @@
     whole = reader.whole(feed.Table.SERVERS).ok_value
     assert [item.key for item in whole.items] == _NAMES
     later = reader.changes(
-        feed.Table.SERVERS, after=whole.revision, wait_s=0.0
+        feed.Table.SERVERS, after=whole.position, wait_s=0.0
     ).ok_value
     assert [item.key for item in later.items] == [changed]
 
@@ -91,15 +92,15 @@
     for number in range(versions):
         document = {"version": number + 1, "note": "x" * document_bytes}
         last = store.put("op", "config", document)
-    after = last - versions
+    after = position.Position(era=0, revision=last - versions)
     batch = reader.changes(feed.Table.CATALOG, after=after, wait_s=0.0).ok_value
     assert batch.complete is complete
     whole = reader.whole(feed.Table.CATALOG).ok_value
     assert (len(whole.items), whole.complete) == (1, True)
     brought = len(batch.items)
-    while not batch.complete and batch.revision < last:
+    while not batch.complete and batch.position.revision < last:
         batch = reader.changes(
-            feed.Table.CATALOG, after=batch.revision, wait_s=0.0
+            feed.Table.CATALOG, after=batch.position, wait_s=0.0
         ).ok_value
         brought += len(batch.items)
     assert brought == versions
--- a/irisshelf/tests/test_store_updates.py
+++ b/irisshelf/tests/test_store_updates.py
@@ -9,6 +9,7 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import directory
+from irisshelf.catalog import position
 from irisshelf.coordination import roster as roster_module
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway import instance
@@ -113,6 +114,10 @@
     )
 
 
+def _at(revision, *, era=3):
+    return position.Position(era=era, revision=revision)
+
+
 def _changes(count):
     return tuple(
         directory.Change(entry_id=f"i-{n:08x}", server=_server(n))
@@ -123,12 +128,14 @@
 @pytest.mark.parametrize(
     "update",
     [
-        shared_watch.CatalogUpdate(store_s=5.25, version=7, revision=90),
-        shared_watch.ServersUpdate(store_s=5.25, since=80, revision=80),
+        shared_watch.CatalogUpdate(store_s=5.25, version=7, position=_at(90)),
+        shared_watch.ServersUpdate(
+            store_s=5.25, since=_at(80), position=_at(80)
+        ),
         shared_watch.ServersUpdate(
             store_s=5.25,
-            since=80,
-            revision=90,
+            since=_at(80),
+            position=_at(90),
             changes=(
                 *_changes(10),
                 directory.Change(entry_id="gone", server=None),
@@ -152,11 +159,11 @@
     taken = []
     pair[1].updates.hand_to(taken.append)
     update = shared_watch.ServersUpdate(
-        store_s=1.0, since=80, revision=90, changes=_changes(60)
+        store_s=1.0, since=_at(80), position=_at(90), changes=_changes(60)
     )
     pair[0].updates.tell(update)
     _wait(lambda: taken)
-    verdict = shared_watch.judge_servers(taken[0], 85)
+    verdict = shared_watch.judge_servers(taken[0], _at(85))
     assert verdict is shared_watch.Verdict.FETCH
 
 
@@ -165,9 +172,10 @@
     [
         {"a": 1},
         ["a"],
-        ["a", 5, 1.0, 1, 1],
-        ["a", 0, "now", 1, 1],
-        ["a", 1, 1.0, 9, 1, [["s", "x", "y", "z", 1, "tired"]]],
+        ["a", 5, 1.0, 0, 1, 1],
+        ["a", 0, "now", 0, 1, 1],
+        ["a", 0, 1.0, -1, 1, 1],
+        ["a", 1, 1.0, 0, 9, 1, [["s", "x", "y", "z", 1, "tired"]]],
     ],
 )
 def test_garbage_is_told_once_and_left(pair, content):
@@ -181,7 +189,7 @@
 def test_updates_of_another_data_centre_are_left(pair):
     taken = []
     pair[1].updates.hand_to(taken.append)
-    pair[1].datagrams.take(_KIND + cbor2.dumps(["b", 0, 1.0, 1, 1]))
+    pair[1].datagrams.take(_KIND + cbor2.dumps(["b", 0, 1.0, 0, 1, 1]))
     assert (taken, pair[1].problems) == ([], [])
 
 
@@ -270,7 +278,9 @@
     for one in others:
         # The stand-in's clock is the machine's.
         one.follower.take_update(
-            shared_watch.CatalogUpdate(store_s=now_s, version=1, revision=10**6)
+            shared_watch.CatalogUpdate(
+                store_s=now_s, version=1, position=_at(10**6, era=0)
+            )
         )
     assert all(one.inst.keys_hold() for one in others)
     for one in others:
