Evacuated data centres: their servers get nothing new

Change: the rows are read with the configuration, at its ages, hand-on and order (catalog/evacuations.py, knowledge/operators_word.py); updates to readers bear the evacuated data centres. All evacuated: 503 at once, to come back after as long again as it has lasted. The load bound is a multiple of the mean of all servers, those that get nothing included. After a return of the store from a copy evacuations stay until the operators have written again.

--- a/irisshelf/coordination/shared_watch.py
+++ b/irisshelf/coordination/shared_watch.py
@@ -90,11 +90,13 @@
         store_s: The moment, by the store's clock.
         version: Of the configuration.
         position: Of the answer; changes may be asked for after it.
+        evacuated: The data centres that are evacuated then.
     """
 
     store_s: float
     version: int
     position: position_module.Position
+    evacuated: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -7,6 +7,7 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import directory
+from irisshelf.catalog import evacuations
 from irisshelf.catalog import freshness
 from irisshelf.catalog import model
 from irisshelf.gateway import dialect as dialect_module
@@ -54,9 +55,11 @@
         self.catalog: model.Catalog | None = None
         self.directory = directory.Directory()
         self.freshness = freshness.Freshness()
+        self.evacuations = evacuations.Evacuations()
         self.servers = servers_module.Servers(
             cfg=cfg,
             listed=self.directory,
+            evacuations=self.evacuations,
             log=log,
             counts=self.metrics,
             rng=rng,
@@ -187,6 +190,19 @@
         )
         return True
 
+    def evacuations_changed(self, changed: evacuations.Changed) -> None:
+        """Takes that data centres are evacuated, or are not any more."""
+        if not changed:
+            return
+        evacuated = sorted(self.evacuations.now())
+        self.metrics.evacuated.set(len(evacuated))
+        self.log.instance(
+            "evacuations",
+            begun=sorted(changed.begun),
+            lifted=sorted(changed.lifted),
+            in_force=evacuated,
+        )
+
     def server_list_taken(self) -> None:
         """Notes that the store's list has been read."""
         self._listed = True
--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -17,6 +17,7 @@
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
+from irisshelf.gateway.knowledge import operators_word
 from irisshelf.gateway.knowledge import server_list
 from irisshelf.gateway.knowledge import store_timing
 from irisshelf.gateway.knowledge import store_updates
@@ -58,8 +59,7 @@
         self._watches = {t: table_watch.TableWatch() for t in feed.Table}
         self._updated = {table: event.Event() for table in feed.Table}
         self.changes_seen = dict.fromkeys(feed.Table, 0)
-        # Of the newest configuration that the store is known to have.
-        self._stored_version: int | None = None
+        self._operators = operators_word.OperatorsWord(inst=inst)
         self.server_list = server_list.ServerList(inst=inst)
         if updates is not None:
             updates.hand_to(self.take_update)
@@ -130,12 +130,14 @@
     def _(self, update: shared_watch.CatalogUpdate) -> None:
         watch = self._watches[feed.Table.CATALOG]
         verdict = shared_watch.judge_catalog(
-            update, watch.position, self._stored_version
+            update, watch.position, self._operators.stored_version
         )
         as_of_s = self._note_update(feed.Table.CATALOG, update, verdict)
+        if verdict is not shared_watch.Verdict.STALE:
+            self._operators.hear(update, boottime.now())
         if verdict is not shared_watch.Verdict.CURRENT:
             return
-        if not self._store_is_behind():
+        if not self._operators.store_is_behind:
             self._inst.freshness.vouched(as_of_s)
         watch.follows_to(update.position)
         if self._lost_s is not None and as_of_s > self._lost_s:
@@ -221,7 +223,9 @@
             self._inst.servers.links.expire()
             if not self._up.is_set():
                 continue
-            self.server_list.expire(boottime.now())
+            now = boottime.now()
+            self.server_list.expire(now)
+            self._operators.expire(now)
 
     def _answered(
         self, table: feed.Table, batch: feed.Batch, sent_s: float
@@ -232,7 +236,7 @@
         )
         if table is feed.Table.CATALOG:
             self._regained(now)
-            brought = newest and self._take_catalog(batch)
+            brought = newest and self._operators.take(batch, now)
             if newest and batch.complete:
                 self._vouch(batch, sent_s, now, brought=brought)
         elif newest:
@@ -242,17 +246,17 @@
             # all: keys would hold by the age of what has not been read.
             return
         self.changes_seen[table] += bool(batch.items)
-        if self._role() is shared_watch.Role.WATCHER:
+        if newest and self._role() is shared_watch.Role.WATCHER:
             self._tell(table, batch, now)
 
     def _vouch(
         self, batch: feed.Batch, sent_s: float, now: float, *, brought: bool
     ) -> None:
         """Notes as of when the configuration in force was the newest."""
-        if self._store_is_behind():
+        if self._operators.store_is_behind:
             self._inst.log.problem(
                 "store_behind",
-                stored=self._stored_version,
+                stored=self._operators.stored_version,
                 in_force=self._inst.catalog.version,
                 era=batch.position.era,
             )
@@ -293,48 +297,10 @@
         """Tells the readers what the store has just answered."""
         if table is feed.Table.SERVERS:
             self._updates.tell(self.server_list.update(batch.store_s, now))
-        elif self._stored_version is not None:
-            self._updates.tell(
-                shared_watch.CatalogUpdate(
-                    store_s=batch.store_s,
-                    version=self._stored_version,
-                    position=batch.position,
-                )
-            )
-
-    def _take_catalog(self, batch: feed.Batch) -> bool:
-        """Returns whether one has come into force in place of another."""
-        catalog = self._inst.catalog
-        brought = False
-        if batch.whole:
-            self._stored_version = None
-        for item in batch.items:
-            if item.problem:
-                self._inst.log.problem(
-                    "catalog_unreadable",
-                    problem=item.problem,
-                    kept=catalog.version if catalog else None,
-                )
-                if self._stored_version is None and catalog is not None:
-                    # It is none that is older than the one in force.
-                    self._stored_version = catalog.version
-            elif item.value is not None:
-                self._stored_version = item.value.version
-                brought |= self._inst.adopt(item.value)
-        return brought and catalog is not None
-
-    def _store_is_behind(self) -> bool:
-        """Tells whether the store lacks the configuration in force.
-
-        It has come back from a copy that is older. Until the operators have
-        written the newest again, what it says vouches for nothing: keys may
-        have been withdrawn since the copy, and they stay withdrawn.
-        """
-        catalog = self._inst.catalog
-        if catalog is None:
-            return False
-        stored = self._stored_version
-        return stored is None or stored < catalog.version
+            return
+        update = self._operators.update(batch)
+        if update is not None:
+            self._updates.tell(update)
 
     def _failed(self, table: feed.Table, failure: feed.Unavailable) -> None:
         if self._lost_s is None:
--- a/irisshelf/gateway/knowledge/store_timing.py
+++ b/irisshelf/gateway/knowledge/store_timing.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import settings
@@ -21,6 +23,9 @@
 # shows it, so that a call on the servers is held no longer than for this part
 # of the time that a leaving server still takes requests.
 _HOLD_OF_LEAVING = 0.9
+# An evacuation whose answer is lost is known by the next call, in two thirds of
+# the bound with that call's own time.
+_HOLD_OF_EVACUATION = 0.5
 # Changes come in bursts, and each call is paid for: after one, the next call
 # waits. The configuration's wait is short, as keys age meanwhile: with 0.8 s an
 # instance that was cut off refused its callers half a second sooner; in one
@@ -48,6 +53,9 @@
         leaving_s = bounds.server_leaving_ms / 1000
         return min(_HOLD_OF_LEAVING * leaving_s, _LONGEST_HOLD_S)
     longest_s = bounds.catalog_in_force_ms / 1000
+    if bounds.evacuated_ms is not None:
+        evacuated_s = bounds.evacuated_ms / 1000
+        longest_s = min(longest_s, _HOLD_OF_EVACUATION * evacuated_s)
     if bounds.keys_strict:
         keys_s = bounds.key_withdrawn_ms / 1000
         longest_s = min(longest_s, _HOLD_OF_KEY_BOUND * keys_s)
@@ -71,7 +79,11 @@
 
 def watch_timing(bounds: settings.Bounds) -> shared_watch.Timing:
     """Returns when the store is asked where a watch is shared."""
-    tightest_ms = min(bounds.catalog_in_force_ms, bounds.server_leaving_ms)
+    tightest_ms = min(
+        bounds.catalog_in_force_ms,
+        bounds.server_leaving_ms,
+        bounds.evacuated_ms or math.inf,
+    )
     if bounds.keys_strict:
         keys_ms = instance_module.KEY_SHARE * bounds.key_withdrawn_ms
         tightest_ms = min(tightest_ms, keys_ms)
--- a/irisshelf/gateway/knowledge/store_updates.py
+++ b/irisshelf/gateway/knowledge/store_updates.py
@@ -55,6 +55,8 @@
     # Version of the configuration, or the revision that changes follow.
     base: _Revision
     servers: list[_Server] = []
+    # Names of data centres.
+    evacuated: list[str] = []
 
     def __post_init__(self):
         # No number compares with it, so that ages would come out as none.
@@ -148,6 +150,7 @@
         era=update.position.era,
         revision=update.position.revision,
         base=update.version,
+        evacuated=sorted(update.evacuated),
     )
 
 
@@ -204,6 +207,7 @@
             store_s=message.store_s,
             version=message.base,
             position=position,
+            evacuated=frozenset(message.evacuated),
         )
     return shared_watch.ServersUpdate(
         store_s=message.store_s,
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -55,6 +55,9 @@
         self.duration = self._histogram(
             "duration_seconds", "Time to an answer's end.", "kind"
         )
+        self.evacuated = self._gauge(
+            "evacuated_data_centres", "Data centres under evacuation."
+        )
         self.in_flight = self._gauge("requests_in_flight", "Requests now.")
         self.catalog_version = self._gauge(
             "catalog_version", "Version of the configuration in force."
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -12,6 +12,7 @@
 from irisshelf.gateway.requests import sends as sends_module
 from irisshelf.gateway.servers import reach
 from irisshelf.routing import suspects
+from irisshelf.routing.direct import outage
 from irisshelf.routing.direct import server_choice
 from irisshelf.transport import client
 from irisshelf.transport import errors
@@ -83,12 +84,23 @@
             return replacement
         choice = self._choose(verdict)
         if choice is None:
-            return Refused(why="no_server")
+            return self._no_server()
         refusal = self._refuse(choice)
         if refusal is not None:
             return refusal
         return self._connect(choice)
 
+    def _no_server(self) -> Refused:
+        """Says why there is no server, and when that may have changed."""
+        inst = self._inst
+        evacuated_s = inst.servers.all_evacuated_for_s(self._job.service)
+        if evacuated_s is None:
+            return Refused(why="no_server")
+        return Refused(
+            why="evacuated",
+            retry_after_s=outage.retry_after_s(evacuated_s, inst.rng),
+        )
+
     def replace(
         self, running: directory.BackendServer, conn: client.Connection
     ) -> bool:
@@ -139,7 +151,7 @@
                 self._job, verdict, self._sends.avoid
             )
             return self._choose_among(only, set())
-        servers = self._inst.directory.of(self._job.service)
+        servers = self._inst.servers.usable(self._job.service)
         choice = self._choose_among(servers, self._sends.avoid)
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
             # One that failed this request lives; another try may do better.
@@ -157,6 +169,8 @@
             self._job.ask.prompt,
             avoid=frozenset(avoid),
             now=self._inst.now(),
+            sources=self._inst.servers.sources(self._job.service),
+            idle=self._inst.servers.evacuated(self._job.service),
         )
 
     def _refuse(self, choice: server_choice.Choice) -> Refused | None:
@@ -190,7 +204,7 @@
         if self._connects >= _MOST_CONNECTS:
             return None
         choice = self._choose_among(
-            self._inst.directory.of(self._job.service),
+            self._inst.servers.usable(self._job.service),
             self._sends.avoid | {running.server_id},
         )
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import evacuations as evacuations_module
 from irisshelf.coordination import facts
 from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
@@ -33,6 +34,7 @@
     Args:
         cfg: The settings; replaced when they are read anew.
         listed: The servers that the store lists.
+        evacuations: Data centres whose servers get nothing.
         log: Takes decisions.
         counts: Metrics.
         rng: For weights and ties.
@@ -44,6 +46,7 @@
         *,
         cfg: settings.Settings,
         listed: directory.Directory,
+        evacuations: evacuations_module.Evacuations,
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
         rng: random.Random,
@@ -53,7 +56,7 @@
         self.links = links.Links(now=now)
         self.reach = reach.Reach(
             links=self.links,
-            listed=listed.servers,
+            listed=self._askable,
             heard_s=self._heard_s,
             on_reached=self._reached,
             on_lost=self._lost,
@@ -64,6 +67,7 @@
         self.fleet = retry_budget.FleetSize(alone=not cfg.seeds)
         self.tell: Callable[[facts.Fact], None] = _tell_nobody
         self._listed = listed
+        self._evacuations = evacuations
         self._log = log
         self._metrics = counts
         self._rng = rng
@@ -87,9 +91,51 @@
                 is another writer's; nobody tries it, so that it never is out
                 of reach.
         """
-        servers = [s for name in services for s in self._listed.of(name)]
+        servers = [s for name in services for s in self.usable(name)]
         return bool(servers) and all(map(self.out_of_reach, servers))
 
+    def usable(self, service: str) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers of a service that may get requests."""
+        return self._not_evacuated(self._listed.of(service))
+
+    def evacuated(self, service: str) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers that stand in evacuated places."""
+        names = self._evacuations.now()
+        if not names:
+            return ()
+        listed = self._listed.of(service)
+        return tuple(s for s in listed if s.data_centre in names)
+
+    def sources(self, service: str) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers that may hand on parts of prompts."""
+        now = self._now()
+        return tuple(
+            server
+            for server in self._listed.of(service)
+            if self._evacuations.hands_on(server.data_centre, now)
+        )
+
+    def all_evacuated_for_s(self, service: str) -> float | None:
+        """Returns for how long no server may get requests for evacuations.
+
+        None if that is not why there is none.
+        """
+        if self.usable(service) or not self._listed.of(service):
+            return None
+        return self._evacuations.lasted_s(self._now())
+
+    def _askable(self) -> tuple[directory.BackendServer, ...]:
+        """Returns the servers that may be asked for a connection."""
+        return self._not_evacuated(self._listed.servers())
+
+    def _not_evacuated(
+        self, servers: tuple[directory.BackendServer, ...]
+    ) -> tuple[directory.BackendServer, ...]:
+        evacuated = self._evacuations.now()
+        if not evacuated:
+            return servers
+        return tuple(s for s in servers if s.data_centre not in evacuated)
+
     def chooser(self, service: str) -> server_choice.Chooser:
         """Returns what chooses the servers of a service."""
         found = self._choosers.get(service)
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -53,6 +53,8 @@
             instance that is cut off for good.
         server_leaving_ms: From the acceptance of a server's leaving until no
             request may reach it.
+        evacuated_ms: From the acceptance of a data centre's evacuation until
+            no request may reach its servers; None where there are none.
         stop_s: From the signal to stop until the process is killed.
         retry_share: Retries a service may get for each request.
         retry_slack: Retries beside those, of all instances, in a window.
@@ -64,6 +66,7 @@
     keys_strict: bool = True
     keys_unconfirmed_s: _Positive = 300.0
     server_leaving_ms: _Positive = 2000.0
+    evacuated_ms: _Positive | None = None
     stop_s: _Positive = 8.0
     retry_share: _Share = 0.2
     retry_slack: _Positive = 50.0
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import evacuations
 from irisshelf.catalog import model
 
 _MS = 1000.0
@@ -95,8 +96,13 @@
     born: Annotated[int, msgspec.Meta(ge=0, le=_LATEST_MS)] | None = None
 
 
+class _Evacuation(msgspec.Struct):
+    """Has no fields: that the row is there says it."""
+
+
 _CONFIG = msgspec.json.Decoder(_Config)
 _SERVER = msgspec.json.Decoder(_Server)
+_EVACUATION = msgspec.json.Decoder(_Evacuation)
 
 
 def catalog(data: bytes) -> model.Catalog:
@@ -127,6 +133,18 @@
     )
 
 
+def evacuation(data_centre: str, data: bytes) -> evacuations.Evacuation:
+    """Decodes the row by which operators evacuate a data centre.
+
+    Raises:
+        ValueError: It is no such row.
+    """
+    if not data_centre:
+        raise _not_allowed("key", data_centre, "a data centre's name")
+    _decode(data, _EVACUATION)
+    return evacuations.Evacuation(data_centre=data_centre, in_force=True)
+
+
 def server(entry_id: str, data: bytes) -> directory.BackendServer:
     """Decodes a backend server's entry, which any writer may have made.
 
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -35,6 +35,7 @@
         store: The store's address.
         bounds: Bounds of its settings.
         switched: Mechanisms that it uses.
+        known_places: All data centres that it knows by settings.
 
     Attributes:
         inst: Its state.
@@ -51,6 +52,7 @@
         store: str,
         bounds: settings.Bounds,
         switched: policy.Policy,
+        known_places: Sequence[str] = (),
     ):
         self._log_fd = os.open(os.devnull, os.O_WRONLY)
         log = decision_log.DecisionLog(instance=name, fd=self._log_fd)
@@ -58,6 +60,7 @@
             cfg=settings.Settings(
                 instance=name,
                 data_centre=data_centre,
+                data_centres=tuple(known_places),
                 listen=settings.Listen(
                     front=_ANY_PORT,
                     ready=_ANY_PORT,
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -71,6 +71,7 @@
         work_s: Time that a plain request takes.
         port: To listen on; 0 for any.
         born_ms: Its start, as its entry tells it; None if it does not.
+        data_centre: Where it stands.
     """
 
     def __init__(
@@ -84,7 +85,11 @@
         work_s: float = 0.0,
         port: int = 0,
         born_ms: int | None = None,
+        data_centre: str = "a",
     ):
+        self.data_centre = data_centre
+        # Connections that were made to it.
+        self.accepted = 0
         self.server_id = server_id
         self.service = service
         self.born_ms = born_ms
@@ -162,7 +167,7 @@
             **born,
             "service": self.service,
             "address": self.address,
-            "zone": "a",
+            "zone": self.data_centre,
             "version": "v1",
             "slots": 64,
             "state": state,
@@ -175,6 +180,7 @@
         return sum(run.request_id == request_id for run in self.runs)
 
     def _serve(self, sock: socket.socket, peer: object) -> None:
+        self.accepted += 1
         exchange = _Exchange(owner=self, sock=sock)
         self._socks.add(sock)
         try:
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -86,6 +86,8 @@
         configured: Whether a configuration is there from the start.
         switched: Mechanisms that the instances use.
         data_centres: Where the instances stand, one each.
+        places: Where the servers of each service stand, by turns.
+        known_places: All data centres that the instances know by settings.
 
     Attributes:
         entries: The instances.
@@ -102,7 +104,10 @@
         configured: bool = True,
         switched: policy.Policy = policy.ALL_ON,
         data_centres: Sequence[str] = ("a",),
+        places: Sequence[str] = ("a",),
+        known_places: Sequence[str] = (),
     ):
+        self._places = places
         self.store = store.Store().start()
         self.plain = self._servers("crew", servers, streaming=False)
         self.engines = self._servers("lm", servers, streaming=True)
@@ -116,6 +121,7 @@
                 store=self.store.address,
                 bounds=bounds or settings.Bounds(),
                 switched=switched,
+                known_places=known_places,
             )
             for number, data_centre in enumerate(data_centres, start=1)
         ]
@@ -210,6 +216,7 @@
                 server_id=f"{service}-{number}",
                 service=service,
                 streaming=streaming,
+                data_centre=self._places[number % len(self._places)],
             ).start()
             for number in range(count)
         ]
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -11,6 +11,7 @@
 import result
 
 from irisshelf import boottime
+from irisshelf.catalog import evacuations
 from irisshelf.catalog import position as position_module
 from irisshelf.platform import documents
 from irisshelf.store import feed
@@ -22,6 +23,8 @@
 _MS = 1000.0
 # The newest configuration's key in its table.
 _CATALOG_KEY = "config"
+# Before a data centre's name, in the same table.
+_EVACUATION_PREFIX = "evacuate/"
 _TABLES = {feed.Table.CATALOG: "op", feed.Table.SERVERS: "servers"}
 _PAGE_ROWS = 500  # The store returns no more at a time.
 _MAX_PAGES = 1000
@@ -289,7 +292,7 @@
         items=tuple(
             _item(table, row)
             for row in rows
-            if table is not feed.Table.CATALOG or row.key == _CATALOG_KEY
+            if table is not feed.Table.CATALOG or _is_ours(row.key)
         ),
         position=position_module.Position(
             era=read.era, revision=read.answer.ver
@@ -308,6 +311,10 @@
     return few and read.size_bytes < _SURELY_COMPLETE_BYTES
 
 
+def _is_ours(key: str) -> bool:
+    return key == _CATALOG_KEY or key.startswith(_EVACUATION_PREFIX)
+
+
 def _content(value: Any) -> bytes:
     if not isinstance(value, str):
         kind = type(value).__name__
@@ -315,13 +322,26 @@
     return base64.b64decode(value, validate=True)
 
 
+def _evacuated(key: str) -> str | None:
+    """Returns the data centre that a row evacuates; None if it is none."""
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(_EVACUATION_PREFIX)
+
+
 def _item(table: feed.Table, row: _Row) -> feed.Item:
+    evacuated = _evacuated(row.key) if table is feed.Table.CATALOG else None
+    if row.deleted and evacuated is not None:
+        lifted = evacuations.Evacuation(data_centre=evacuated, in_force=False)
+        return feed.Item(key=row.key, value=lifted)
     if row.deleted:
         return feed.Item(key=row.key, value=None)
     try:
         data = _content(row.value)
         if table is feed.Table.SERVERS:
             value = documents.server(row.key, data)
+        elif evacuated is not None:
+            value = documents.evacuation(evacuated, data)
         else:
             value = documents.catalog(data)
     except ValueError as exc:
--- a/irisshelf/routing/direct/outage.py
+++ b/irisshelf/routing/direct/outage.py
@@ -1,4 +1,7 @@
-"""When callers come back who are refused while the store is away."""
+"""When callers come back who are refused for something of unknown length.
+
+The store is away, or all servers are evacuated.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +10,7 @@
 # Callers hardly wait longer, whatever they are told: a third of the 12 s that
 # the most patient ones have.
 _LONGEST_S = 4.0
+_SHORTEST_S = 0.1
 # So that they do not all come back at once.
 _SPREAD = (0.75, 1.25)
 
@@ -19,7 +23,7 @@
     some time end before they have lasted twice as long.
 
     Args:
-        lasted_s: How long the store has been away.
+        lasted_s: How long it has lasted.
         rng: Spreads callers.
     """
-    return min(lasted_s, _LONGEST_S) * rng.uniform(*_SPREAD)
+    return min(max(lasted_s, _SHORTEST_S), _LONGEST_S) * rng.uniform(*_SPREAD)
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -36,6 +36,9 @@
 LONG_LOAD_FACTOR = 1.75
 LONG_LOAD_EXTRA = 2.5
 LONG_TOKENS = 2000
+# Where few servers take all, each is above a bound by the mean of all; they
+# keep to what is even among them, so that prompts still find their homes.
+_EVEN = 1.1
 # Shared parts below so many tokens are read again rather than fetched: a
 # fetch takes the engine 2.5 ms to set up, in which it reads 120; but reading
 # costs the users seven times as much as fetching.
@@ -120,27 +123,36 @@
         *,
         avoid: frozenset[str],
         now: float,
+        sources: Sequence[directory.BackendServer] | None = None,
+        idle: Sequence[directory.BackendServer] = (),
     ) -> Choice | None:
         """Chooses a server, or None if there is none.
 
         Args:
-            servers: All listed servers of the service.
+            servers: Servers of the service that may get the request.
             asked: The request's prompt.
             avoid: Servers that have failed this request.
             now: Time in seconds.
+            sources: Servers that may hand on the prompt's shared parts; the
+                same as ``servers`` without.
+            idle: Further servers of the service that get nothing now; the
+                load bound is a multiple of the mean of all.
         """
+        sources = servers if sources is None else sources
         ready = _ready(servers, avoid)
         if not ready:
             return None
         fit = self._fit(ready, now)
         pool = fit or ready
         loads = self.book.loads([s.server_id for s in pool], now)
-        mean = sum(loads.values()) / len(loads)
+        total = sum(loads.values())
+        total += sum(self.book.load(s.server_id, now) for s in idle)
+        mean = total / (len(loads) + len(idle))
         if not asked.subject:
             server = self._fastest(pool, loads)
             reason = Reason.FASTEST if fit else Reason.LAST_RESORT
             return self._choice(server, reason, loads, mean, now)
-        held = self._reachable_holders(servers, asked.subject, now)
+        held = self._reachable_holders(sources, asked.subject, now)
         server, reason = self._by_subject(pool, asked, held, loads, mean, now)
         if not fit:
             reason = Reason.LAST_RESORT
@@ -150,7 +162,7 @@
             loads,
             mean,
             now,
-            source=self._source(servers, server, asked, now),
+            source=self._source(sources, server, asked, now),
         )
 
     def _fit(
@@ -201,7 +213,10 @@
         mean: float,
         now: float,
     ) -> tuple[directory.BackendServer, Reason]:
-        bound = _bound(asked, mean) if self._policy.load_bound else math.inf
+        bound = math.inf
+        if self._policy.load_bound:
+            own_mean = sum(loads.values()) / len(loads)
+            bound = max(_bound(asked, mean), _EVEN * own_mean + LOAD_EXTRA)
         ranked = self._by_preference(pool, asked, held, now)
         for place, server in enumerate(ranked):
             if loads[server.server_id] + 1 <= bound:
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -20,7 +20,13 @@
 
 
 class Table(enum.StrEnum):
-    """What can be followed."""
+    """What can be followed.
+
+    Attributes:
+        CATALOG: The operators' word: configurations (``model.Catalog``) and
+            evacuations (``evacuations.Evacuation``).
+        SERVERS: Entries of backend servers (``directory.BackendServer``).
+    """
 
     CATALOG = "catalog"
     SERVERS = "servers"
--- a/irisshelf/tests/test_deploy.py
+++ b/irisshelf/tests/test_deploy.py
@@ -30,6 +30,7 @@
         "retryBudgetRatio": 0.2,
         "budgetSlack": 54,
         "budgetWindowS": 10,
+        "evacuationMs": 5000,
     },
     "platform": {"address": "10.200.1.7:8223"},
 }
@@ -79,6 +80,17 @@
     assert cfg.listen.metrics == "10.1.0.40:7340"
     assert (cfg.bounds.stop_s, cfg.bounds.retry_slack) == (8.0, 54.0)
     assert cfg.bounds.server_leaving_ms == 3000.0
+    assert cfg.bounds.evacuated_ms == 5000.0
+
+
+@pytest.mark.parametrize(("name", "own"), [("evacuationMs", "evacuated_ms")])
+def test_a_bound_that_a_deployment_does_not_have_is_none(name, own):
+    """The platform fills in null."""
+    text = (_DEPLOY / "settings.json.tmpl").read_text()
+    bounds = _FIELDS["bounds"] | {name: None}
+    filled = _render(text, _FIELDS | {"bounds": bounds})
+    bounds = settings.decode(filled.encode()).unwrap().bounds
+    assert getattr(bounds, own) is None
 
 
 @pytest.mark.parametrize(
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -73,6 +73,31 @@
     assert (choice.server != home, choice.source) == (True, home)
 
 
+@pytest.mark.parametrize(
+    ("own", "reason"),
+    [
+        # Loads of the home, beside 4 at each of two others that take work.
+        (7, server_choice.Reason.HELD),
+        (8, server_choice.Reason.SPILL),
+    ],
+)
+def test_the_bound_is_a_multiple_of_the_mean_of_all(own, reason):
+    """Two of four servers get nothing: 8 is more than even, 7 is not."""
+    chooser = _chooser()
+    taking, idle = _SERVERS[:2], _SERVERS[2:]
+    home = server_choice.rank(taking, "bb")[0]
+    chooser.sent(_prompt(), home.server_id, 0.0)
+    for server in taking:
+        work = own if server is home else 4
+        chooser.book.told(server.server_id, work=work, at_s=1.0)
+    for server in idle:
+        chooser.book.told(server.server_id, work=0, at_s=1.0)
+    choice = chooser.choose(
+        taking, _prompt(), avoid=frozenset(), now=1.0, idle=idle
+    )
+    assert choice.reason is reason
+
+
 @pytest.mark.parametrize(
     ("first", "tokens", "fetched"), [(100, 1000, True), (10, 10, False)]
 )
