Routes and teams that may be served in some regions only

Cause: allowedRegions of routes and tenants was not decoded. Change: a request's regions are those that route and team both allow; first and second sends, suspects' only server and sources of shared parts keep to servers there; a data centre whose region no setting names is in none. No server there: 503 at once.

--- a/irisshelf/catalog/model.py
+++ b/irisshelf/catalog/model.py
@@ -45,6 +45,7 @@
         max_attempts: Most backend servers that one request may be sent to.
         public: Whether requests need no key.
         resumable: Whether a stream may go on at another backend server.
+        regions: Where its requests may be served; empty for anywhere.
     """
 
     name: str
@@ -59,6 +60,7 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -85,10 +87,32 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Team:
-    """A team; its priority, if any, goes before a route's."""
+    """A team.
+
+    Attributes:
+        name: Its name.
+        priority: Goes before a route's, if there is one.
+        regions: Where its requests may be served; empty for anywhere.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
+
+
+def common_regions(*allowed: frozenset[str]) -> frozenset[str] | None:
+    """Returns the regions that all sets allow; None for anywhere.
+
+    An empty set allows all, so that what nothing allows is told apart.
+
+    Example:
+        >>> common_regions(frozenset({"north", "south"}), frozenset({"south"}))
+        frozenset({'south'})
+        >>> common_regions(frozenset(), frozenset()) is None
+        True
+    """
+    binding = [regions for regions in allowed if regions]
+    return frozenset.intersection(*binding) if binding else None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/irisshelf/gateway/messages.py
+++ b/irisshelf/gateway/messages.py
@@ -69,6 +69,7 @@
         priority: Its rank.
         version: Version of the configuration that admitted it.
         until_s: When it has to be answered, monotonic seconds.
+        regions: Where it may be served; None for anywhere.
     """
 
     inbound: Inbound
@@ -79,6 +80,7 @@
     priority: int
     version: int
     until_s: float
+    regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/irisshelf/gateway/requests/front.py
+++ b/irisshelf/gateway/requests/front.py
@@ -174,6 +174,9 @@
             priority=priority,
             version=version,
             until_s=inbound.arrived_s + time_s,
+            regions=model.common_regions(
+                route.regions, team.regions if team else frozenset()
+            ),
         )
 
     def _too_busy(self, route: model.Route, arrived_s: float) -> str:
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -19,6 +19,8 @@
 
 # Each takes a tenth of a second at the most, which is the caller's time.
 _MOST_CONNECTS = 5
+# Servers of a region come back after seconds, if at all.
+_NO_REGION_RETRY_S = 2.0
 # A request that must not run twice goes only on a connection that was in use
 # just now: whether one that died at rest took the request cannot be known.
 _REST_FOR_ONCE_S = 2.0
@@ -93,6 +95,9 @@
     def _no_server(self) -> Refused:
         """Says why there is no server, and when that may have changed."""
         inst = self._inst
+        if self._job.regions is not None and not self._usable():
+            # Another instance knows no other servers.
+            return Refused(why="no_region", retry_after_s=_NO_REGION_RETRY_S)
         evacuated_s = inst.servers.all_evacuated_for_s(self._job.service)
         if evacuated_s is None:
             return Refused(why="no_server")
@@ -151,7 +156,7 @@
                 self._job, verdict, self._sends.avoid
             )
             return self._choose_among(only, set())
-        servers = self._inst.servers.usable(self._job.service)
+        servers = self._usable()
         choice = self._choose_among(servers, self._sends.avoid)
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
             # One that failed this request lives; another try may do better.
@@ -161,6 +166,9 @@
                 return again
         return choice
 
+    def _usable(self) -> tuple[directory.BackendServer, ...]:
+        return self._inst.servers.usable(self._job.service, self._job.regions)
+
     def _choose_among(
         self, servers: Sequence[directory.BackendServer], avoid: set[str]
     ) -> server_choice.Choice | None:
@@ -169,7 +177,9 @@
             self._job.ask.prompt,
             avoid=frozenset(avoid),
             now=self._inst.now(),
-            sources=self._inst.servers.sources(self._job.service),
+            sources=self._inst.servers.sources(
+                self._job.service, self._job.regions
+            ),
             idle=self._inst.servers.evacuated(self._job.service),
         )
 
@@ -204,7 +214,7 @@
         if self._connects >= _MOST_CONNECTS:
             return None
         choice = self._choose_among(
-            self._inst.servers.usable(self._job.service),
+            self._usable(),
             self._sends.avoid | {running.server_id},
         )
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -94,9 +94,17 @@
         servers = [s for name in services for s in self.usable(name)]
         return bool(servers) and all(map(self.out_of_reach, servers))
 
-    def usable(self, service: str) -> tuple[directory.BackendServer, ...]:
-        """Returns the listed servers of a service that may get requests."""
-        return self._not_evacuated(self._listed.of(service))
+    def usable(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers of a service that may get requests.
+
+        Args:
+            service: The service.
+            regions: Where the request may be served; None for anywhere.
+        """
+        servers = self._not_evacuated(self._listed.of(service))
+        return self._in_regions(servers, regions)
 
     def evacuated(self, service: str) -> tuple[directory.BackendServer, ...]:
         """Returns the listed servers that stand in evacuated places."""
@@ -106,14 +114,32 @@
         listed = self._listed.of(service)
         return tuple(s for s in listed if s.data_centre in names)
 
-    def sources(self, service: str) -> tuple[directory.BackendServer, ...]:
-        """Returns the listed servers that may hand on parts of prompts."""
+    def sources(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers that may hand on parts of prompts.
+
+        Args:
+            service: The service.
+            regions: Where the prompt may be; None for anywhere.
+        """
         now = self._now()
-        return tuple(
+        servers = tuple(
             server
             for server in self._listed.of(service)
             if self._evacuations.hands_on(server.data_centre, now)
         )
+        return self._in_regions(servers, regions)
+
+    def _in_regions(
+        self,
+        servers: tuple[directory.BackendServer, ...],
+        regions: frozenset[str] | None,
+    ) -> tuple[directory.BackendServer, ...]:
+        if regions is None:
+            return servers
+        where = self.cfg.regions
+        return tuple(s for s in servers if where.get(s.data_centre) in regions)
 
     def all_evacuated_for_s(self, service: str) -> float | None:
         """Returns for how long no server may get requests for evacuations.
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -81,6 +81,8 @@
         instance: This instance's name.
         data_centre: Where it stands.
         data_centres: Names of all data centres.
+        regions: The region of each data centre; one that is not named here is
+            in none.
         listen: Addresses to listen on.
         store: The shared store's address.
         seeds: Addresses of other instances, some of which may be there; without
@@ -96,6 +98,7 @@
     listen: Listen
     store: str
     data_centres: tuple[str, ...] = ()
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     log_lines_per_s: _Positive = 200.0
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -52,6 +52,8 @@
     public: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
+    # None and an empty list say the same: any region.
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -68,6 +70,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -210,12 +213,17 @@
         max_attempts=doc.max_attempts,
         public=doc.public,
         resumable=doc.resumable,
+        regions=frozenset(doc.allowed_regions or ()),
     )
 
 
 def _teams(tenants: list[_Tenant]) -> dict[str, model.Team]:
     found = {}
     for tenant in tenants:
-        team = model.Team(name=tenant.name, priority=tenant.priority)
+        team = model.Team(
+            name=tenant.name,
+            priority=tenant.priority,
+            regions=frozenset(tenant.allowed_regions or ()),
+        )
         found.update(dict.fromkeys(tenant.api_keys, team))
     return found
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 import gevent
@@ -36,6 +37,7 @@
         bounds: Bounds of its settings.
         switched: Mechanisms that it uses.
         known_places: All data centres that it knows by settings.
+        regions: The region of each data centre, by settings.
 
     Attributes:
         inst: Its state.
@@ -53,6 +55,7 @@
         bounds: settings.Bounds,
         switched: policy.Policy,
         known_places: Sequence[str] = (),
+        regions: Mapping[str, str],
     ):
         self._log_fd = os.open(os.devnull, os.O_WRONLY)
         log = decision_log.DecisionLog(instance=name, fd=self._log_fd)
@@ -61,6 +64,7 @@
                 instance=name,
                 data_centre=data_centre,
                 data_centres=tuple(known_places),
+                regions=dict(regions),
                 listen=settings.Listen(
                     front=_ANY_PORT,
                     ready=_ANY_PORT,
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -5,7 +5,9 @@
 import dataclasses
 import functools
 import itertools
+import json
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Any
 
@@ -13,6 +15,7 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import directory
+from irisshelf.gateway import messages
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import entry as entry_module
 from irisshelf.platform.stand_in import server
@@ -77,6 +80,25 @@
     }
 
 
+def encode(document: dict[str, Any]) -> bytes:
+    """Returns a document as its writer puts it into the store."""
+    return json.dumps(document).encode()
+
+
+def inbound(
+    target: str, headers: list[tuple[bytes, bytes]]
+) -> messages.Inbound:
+    """Returns a request as an instance reads it."""
+    return messages.Inbound(
+        method="POST",
+        target=target,
+        headers=tuple(headers),
+        body=b"{}",
+        has_body=True,
+        arrived_s=boottime.now(),
+    )
+
+
 class World:
     """Runs everything in this process until closed.
 
@@ -88,6 +110,7 @@
         data_centres: Where the instances stand, one each.
         places: Where the servers of each service stand, by turns.
         known_places: All data centres that the instances know by settings.
+        regions: The region of each data centre, by settings.
 
     Attributes:
         entries: The instances.
@@ -106,6 +129,7 @@
         data_centres: Sequence[str] = ("a",),
         places: Sequence[str] = ("a",),
         known_places: Sequence[str] = (),
+        regions: Mapping[str, str] | None = None,
     ):
         self._places = places
         self.store = store.Store().start()
@@ -122,6 +146,7 @@
                 bounds=bounds or settings.Bounds(),
                 switched=switched,
                 known_places=known_places,
+                regions=regions or {},
             )
             for number, data_centre in enumerate(data_centres, start=1)
         ]
--- a/irisshelf/tests/test_deploy.py
+++ b/irisshelf/tests/test_deploy.py
@@ -59,7 +59,10 @@
         parts = []
         for number, key in enumerate(keys):
             comma = "," if number < len(keys) - 1 else ""
-            parts.append(inner.replace("{{@}}", key).replace("{{,}}", comma))
+            entry = inner.replace("{{@}}", key).replace("{{,}}", comma)
+            if isinstance(value, dict):
+                entry = entry.replace("{{.|json}}", json.dumps(value[key]))
+            parts.append(entry)
         return "".join(parts)
 
     def gap(match):
@@ -76,6 +79,7 @@
     cfg = settings.decode(_render(text, _FIELDS).encode()).unwrap()
     assert cfg.instance == "front-espoo-a-1"
     assert cfg.data_centres == ("espoo-a", "vantaa-c")
+    assert cfg.regions == {"espoo-a": "fi-south", "vantaa-c": "fi-south"}
     assert cfg.seeds == ("10.1.0.40:8229", "10.2.0.29:8229")
     assert cfg.listen.metrics == "10.1.0.40:7340"
     assert (cfg.bounds.stop_s, cfg.bounds.retry_slack) == (8.0, 54.0)
--- a/irisshelf/tests/test_evacuation.py
+++ b/irisshelf/tests/test_evacuation.py
@@ -55,7 +55,7 @@
 ):
     _evacuate(places, place)
     for number in range(8):
-        parts = f"aa:500,s{number}:900"
+        parts = f"s{number}:900,own:9"
         assert places.ask(target, Prefix_Hash=parts).status == 200
     assert _ran(_of(places, place)) == 0
     _lift(places, place)
@@ -109,7 +109,7 @@
     places, monkeypatch
 ):
     """Requests that come in time bring them over; later ones do not ask."""
-    parts = "aa:500,bb:2500"
+    parts = "aa:500,bb:2500,own:9"
     assert places.ask("/digest/1", Prefix_Hash=parts).status == 200
     (holder,) = [one for one in places.engines if one.runs]
     _evacuate(places, holder.data_centre)
@@ -117,12 +117,12 @@
     taker = next(one for one in places.engines if one.runs and one != holder)
     assert taker.runs[-1].headers["kv-fetch"] == holder.address
     monkeypatch.setattr(evacuations, "HAND_ON_S", 0.0)
-    assert places.ask("/digest/1", Prefix_Hash="cc:2500").status == 200
+    assert places.ask("/digest/1", Prefix_Hash="cc:2500,own:9").status == 200
     sources = [
         run.headers.get("kv-fetch")
         for one in places.engines
         for run in one.runs[-1:]
-        if run.headers["prefix-hash"] == "cc:2500"
+        if run.headers["prefix-hash"] == "cc:2500,own:9"
     ]
     there = {one.address for one in _of(places, holder.data_centre)}
     assert not there & set(sources)
