Cold servers get what they bear, of all instances together

Ruled out, in virtual time (testing/cold_fleet.py, test_cold_start.py): shares of the rate by members known (73 instances begin with one request each), a share that rises while the server warms up (no bound under a hot prompt). Change: entries tell how long a server stays cold; for each cold server the first of its own data centre's instances by a ranking are its senders and send at intervals, half of the bound by one list of members, so that two lists without a sender in common hold it. Who has just started or lost sight of most others does not count itself. Cold servers get requests only while warm ones have no place free. All cold: refused at once, to come back when it is this instance's turn or a server has warmed up. After an evacuation, and when a server's process was gone, servers are taken for cold until an entry says otherwise. Held in every view tried (1 to 300 instances; split, a third cut off alone, all or most just started, lists that differ) at 8.9 and 2 a second.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -57,6 +57,7 @@
             of the life if none is named.
         born_ms: Its start in Unix milliseconds, by its own clock; None if it
             does not tell.
+        cold_s: How long it was to stay cold when its entry was written.
     """
 
     server_id: str
@@ -67,6 +68,7 @@
     state: ServerState = ServerState.READY
     entry_id: str = ""
     born_ms: int | None = None
+    cold_s: float = 0.0
 
     def __post_init__(self):
         if not self.entry_id:
--- a/irisshelf/catalog/model.py
+++ b/irisshelf/catalog/model.py
@@ -78,11 +78,16 @@
         name: Its name.
         max_connections: Connections one server takes, from all callers.
         engine_slots: Requests a model engine batches; 0 for plain services.
+        cold_start_s: How long a server is cold after its start.
+        cold_per_s: Requests a second that a cold server bears; 0 if a cold one
+            bears as many as others.
     """
 
     name: str
     max_connections: int = 0
     engine_slots: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -11,6 +11,7 @@
 import gevent
 import result
 
+from irisshelf.coordination import data_centre
 from irisshelf.coordination import roster
 from irisshelf.gateway import dialect
 from irisshelf.gateway import instance
@@ -84,6 +85,12 @@
             log=self._log,
             on_members=self._take_members,
         )
+        self._members = data_centre.Members(
+            roster=self._neighbours.roster,
+            alone=not cfg.seeds,
+            began_s=self._inst.now(),
+        )
+        self._inst.eligible.members = self._names_here
         self._datagrams = datagrams.Datagrams(
             address=cfg.listen.peers, log=self._log
         )
@@ -170,6 +177,11 @@
             places = max(1, len(self._inst.cfg.data_centres))
             count = (others_here + 1) * places
         self._inst.servers.fleet.heard(count, self._inst.now())
+        # What is known now counts for a minute, see ``data_centre.Members``.
+        self._names_here()
+
+    def _names_here(self) -> tuple[str, ...]:
+        return self._members.names(self._inst.now())
 
     def _listener(self, address, limits, handle) -> listener.Listener:
         return listener.Listener(
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -14,6 +14,7 @@
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
 from irisshelf.gateway.servers import crashes
+from irisshelf.gateway.servers import eligibility
 from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.observe import decision_log
 
@@ -56,10 +57,16 @@
         self.directory = directory.Directory()
         self.freshness = freshness.Freshness()
         self.evacuations = evacuations.Evacuations()
-        self.servers = servers_module.Servers(
+        self.eligible = eligibility.Eligibility(
             cfg=cfg,
             listed=self.directory,
             evacuations=self.evacuations,
+            now=now,
+        )
+        self.servers = servers_module.Servers(
+            cfg=cfg,
+            listed=self.directory,
+            eligible=self.eligible,
             log=log,
             counts=self.metrics,
             rng=rng,
@@ -85,6 +92,7 @@
         """Takes settings that were read anew."""
         self.cfg = cfg
         self.servers.cfg = cfg
+        self.eligible.cfg = cfg
 
     def note_sleep(self) -> None:
         """Logs that the machine has slept, if it has since the last time.
@@ -180,6 +188,7 @@
             return False
         before = self.catalog.version if self.catalog else 0
         self.catalog = catalog
+        self.eligible.services = catalog.services
         self.metrics.catalog_version.set(catalog.version)
         self.log.instance(
             "catalog_in_force",
@@ -202,6 +211,8 @@
             lifted=sorted(changed.lifted),
             in_force=evacuated,
         )
+        for data_centre in changed.lifted:
+            self.eligible.evacuation_lifted(data_centre)
 
     def server_list_taken(self) -> None:
         """Notes that the store's list has been read."""
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -68,6 +68,7 @@
             self._inst.directory.apply(changes)
         self._changes.add(changes, position, now)
         self._inst.server_list_taken()
+        self._inst.eligible.entries_told(changes)
         self._log_changes(changes, position, now, whole=False)
 
     def update(self, store_s: float, now: float) -> shared_watch.ServersUpdate:
@@ -106,6 +107,7 @@
         )
         self._changes.restart(position)
         self._inst.server_list_taken()
+        self._inst.eligible.entries_told(entries)
         self._log_changes(entries, position, now, whole=True)
 
     def _log_unreadable(self, items: list[feed.Item]) -> None:
--- a/irisshelf/gateway/knowledge/store_updates.py
+++ b/irisshelf/gateway/knowledge/store_updates.py
@@ -25,6 +25,7 @@
 from irisshelf.observe import decision_log
 
 _KIND = datagrams_module.Kind.STORE_UPDATE
+_ColdS = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
 _Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
@@ -43,6 +44,7 @@
     slots: int = 0
     state: directory.ServerState | None = None
     born_ms: int | None = None
+    cold_s: _ColdS = 0.0
 
 
 class _Message(msgspec.Struct, array_like=True):
@@ -179,6 +181,7 @@
         slots=server.slots,
         state=server.state,
         born_ms=server.born_ms,
+        cold_s=server.cold_s,
     )
 
 
@@ -194,6 +197,7 @@
         data_centre=entry.data_centre,
         slots=entry.slots,
         state=entry.state,
+        cold_s=entry.cold_s,
     )
     return directory.Change(entry_id=entry.entry_id, server=server)
 
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -19,6 +19,8 @@
 
 # Each takes a tenth of a second at the most, which is the caller's time.
 _MOST_CONNECTS = 5
+# Callers who wait for cold servers come back one after the other.
+_COLD_SPREAD = 1.3
 # Servers of a region come back after seconds, if at all.
 _NO_REGION_RETRY_S = 2.0
 # A request that must not run twice goes only on a connection that was in use
@@ -98,13 +100,19 @@
         if self._job.regions is not None and not self._usable():
             # Another instance knows no other servers.
             return Refused(why="no_region", retry_after_s=_NO_REGION_RETRY_S)
-        evacuated_s = inst.servers.all_evacuated_for_s(self._job.service)
-        if evacuated_s is None:
-            return Refused(why="no_server")
-        return Refused(
-            why="evacuated",
-            retry_after_s=outage.retry_after_s(evacuated_s, inst.rng),
+        evacuated_s = inst.eligible.all_evacuated_for_s(self._job.service)
+        if evacuated_s is not None:
+            return Refused(
+                why="evacuated",
+                retry_after_s=outage.retry_after_s(evacuated_s, inst.rng),
+            )
+        cold_s = min(
+            map(inst.eligible.cold_wait_s, self._usable()), default=0.0
         )
+        if cold_s:
+            spread = inst.rng.uniform(1.0, _COLD_SPREAD)
+            return Refused(why="cold", retry_after_s=cold_s * spread)
+        return Refused(why="no_server")
 
     def replace(
         self, running: directory.BackendServer, conn: client.Connection
@@ -167,20 +175,39 @@
         return choice
 
     def _usable(self) -> tuple[directory.BackendServer, ...]:
-        return self._inst.servers.usable(self._job.service, self._job.regions)
+        return self._inst.eligible.usable(self._job.service, self._job.regions)
 
     def _choose_among(
         self, servers: Sequence[directory.BackendServer], avoid: set[str]
+    ) -> server_choice.Choice | None:
+        known = self._inst.eligible
+        warm, cold = known.split(self._job.service, servers)
+        idle = known.evacuated(self._job.service)
+        choice = self._choose_of(warm, avoid, [*idle, *cold])
+        if not cold or not _is_short(choice):
+            return choice
+        turn = [s for s in cold if not known.cold_wait_s(s)]
+        other = self._choose_of(turn, avoid, [*idle, *warm])
+        if other is None or other.reason is server_choice.Reason.LAST_RESORT:
+            return choice
+        known.sent_to_cold(other.server)
+        return other
+
+    def _choose_of(
+        self,
+        servers: Sequence[directory.BackendServer],
+        avoid: set[str],
+        idle: Sequence[directory.BackendServer],
     ) -> server_choice.Choice | None:
         return self._chooser.choose(
             servers,
             self._job.ask.prompt,
             avoid=frozenset(avoid),
             now=self._inst.now(),
-            sources=self._inst.servers.sources(
+            sources=self._inst.eligible.sources(
                 self._job.service, self._job.regions
             ),
-            idle=self._inst.servers.evacuated(self._job.service),
+            idle=idle,
         )
 
     def _refuse(self, choice: server_choice.Choice) -> Refused | None:
@@ -256,3 +283,10 @@
             # so while there is time to ask another instance.
             self._connects = _MOST_CONNECTS
         self._inst.servers.unreachable(server, exc, self._job.ask.request_id)
+
+
+def _is_short(choice: server_choice.Choice | None) -> bool:
+    """Tells whether warm servers cannot take a request at once."""
+    if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
+        return True
+    return choice.load >= choice.server.slots
--- a/irisshelf/gateway/servers/crashes.py
+++ b/irisshelf/gateway/servers/crashes.py
@@ -93,7 +93,9 @@
         """Returns the one server that a suspect request may go to, if any."""
         fit = {
             server.server_id: server
-            for server in self._servers.usable(job.service, job.regions)
+            for server in self._servers.eligible.usable(
+                job.service, job.regions
+            )
             if server.state is directory.ServerState.READY
             and server.server_id not in avoid
             and not self._servers.out_of_reach(server)
--- /dev/null
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -0,0 +1,189 @@
+"""Which backend servers may get a request, whatever their load and health.
+
+Servers of evacuated data centres get nothing, requests keep to their regions,
+and cold servers get few, see ``routing.direct.cold_start``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+
+from irisshelf.catalog import directory
+from irisshelf.catalog import evacuations as evacuations_module
+from irisshelf.catalog import model
+from irisshelf.gateway import settings
+from irisshelf.routing.direct import cold_start
+
+
+class Eligibility:
+    """Tells which servers may get requests.
+
+    Args:
+        cfg: The settings; replaced when they are read anew.
+        listed: The servers that the store lists.
+        evacuations: Data centres whose servers get nothing.
+        now: Monotonic seconds.
+
+    Attributes:
+        services: Of the configuration in force, by name.
+        members: Names of the instances of the own data centre; none if they
+            are not known well enough.
+        cold: Which servers are cold.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: settings.Settings,
+        listed: directory.Directory,
+        evacuations: evacuations_module.Evacuations,
+        now: Callable[[], float],
+    ):
+        self.cfg = cfg
+        self.services: Mapping[str, model.Service] = {}
+        self.members: Callable[[], tuple[str, ...]] = lambda: (cfg.instance,)
+        self.cold = cold_start.ColdStarts(own=cfg.instance)
+        self._listed = listed
+        self._evacuations = evacuations
+        self._now = now
+
+    def usable(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers of a service that may get requests.
+
+        Args:
+            service: The service.
+            regions: Where the request may be served; None for anywhere.
+        """
+        servers = self._not_evacuated(self._listed.of(service))
+        return self._in_regions(servers, regions)
+
+    def evacuated(self, service: str) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers that stand in evacuated places."""
+        names = self._evacuations.now()
+        if not names:
+            return ()
+        listed = self._listed.of(service)
+        return tuple(s for s in listed if s.data_centre in names)
+
+    def sources(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> tuple[directory.BackendServer, ...]:
+        """Returns the listed servers that may hand on parts of prompts.
+
+        Args:
+            service: The service.
+            regions: Where the prompt may be; None for anywhere.
+        """
+        now = self._now()
+        servers = tuple(
+            server
+            for server in self._listed.of(service)
+            if self._evacuations.hands_on(server.data_centre, now)
+        )
+        return self._in_regions(servers, regions)
+
+    def all_evacuated_for_s(self, service: str) -> float | None:
+        """Returns for how long no server may get requests for evacuations.
+
+        None if that is not why there is none.
+        """
+        if self.usable(service) or not self._listed.of(service):
+            return None
+        return self._evacuations.lasted_s(self._now())
+
+    def askable(self) -> tuple[directory.BackendServer, ...]:
+        """Returns the servers that may be asked for a connection."""
+        return self._not_evacuated(self._listed.servers())
+
+    def entries_told(self, changes: Iterable[directory.Change]) -> None:
+        """Takes what servers' entries say of coldness."""
+        now = self._now()
+        for change in changes:
+            server = change.server
+            if server is not None:
+                self.cold.told(server.server_id, server.cold_s, now)
+
+    def evacuation_lifted(self, data_centre: str) -> None:
+        """Takes that a data centre's servers may get requests again.
+
+        They may have gone cold just before, of which no entry has told yet.
+        """
+        for server in self._listed.servers():
+            if server.data_centre == data_centre:
+                self.assume_cold(server)
+
+    def cold_bounds(self, service: str) -> cold_start.Bounds | None:
+        """Returns what a cold server may get; None for as much as others."""
+        known = self.services.get(service)
+        if known is None or not known.cold_per_s:
+            return None
+        bounds = self.cfg.bounds
+        overage = bounds.cold_overage or 1.0
+        return cold_start.Bounds(
+            per_s=known.cold_per_s,
+            most_in_a_second=(
+                known.cold_per_s * overage + (bounds.cold_slack or 0.0)
+            ),
+        )
+
+    def split(
+        self, service: str, servers: Sequence[directory.BackendServer]
+    ) -> tuple[
+        Sequence[directory.BackendServer], Sequence[directory.BackendServer]
+    ]:
+        """Returns a service's servers that are warm and those that are cold."""
+        if self.cold_bounds(service) is None:
+            return servers, ()
+        return self.cold.split(servers, self._now())
+
+    def cold_wait_s(self, server: directory.BackendServer) -> float:
+        """Returns when a cold server may get a request from here, in seconds.
+
+        Then it has become warm, or it is the turn of this instance.
+        """
+        now = self._now()
+        left_s = self.cold.left_s(server.server_id, now)
+        bounds = self.cold_bounds(server.service)
+        if bounds is None or not left_s:
+            return 0.0
+        if server.data_centre != self.cfg.data_centre:
+            return left_s
+        turn_s = self.cold.turn_s(server.server_id, bounds, self.members(), now)
+        return min(left_s, turn_s)
+
+    def sent_to_cold(self, server: directory.BackendServer) -> None:
+        """Takes that a server that is cold gets a request from here."""
+        bounds = self.cold_bounds(server.service)
+        if bounds is not None:
+            count = len(self.members())
+            self.cold.sent(server.server_id, bounds, count, self._now())
+
+    def assume_cold(self, server: directory.BackendServer) -> None:
+        """Takes that a server may be cold, though it has not said so."""
+        service = self.services.get(server.service)
+        if service is not None:
+            now = self._now()
+            self.cold.assume(server.server_id, service.cold_start_s, now)
+
+    def _in_regions(
+        self,
+        servers: tuple[directory.BackendServer, ...],
+        regions: frozenset[str] | None,
+    ) -> tuple[directory.BackendServer, ...]:
+        if regions is None:
+            return servers
+        where = self.cfg.regions
+        return tuple(s for s in servers if where.get(s.data_centre) in regions)
+
+    def _not_evacuated(
+        self, servers: tuple[directory.BackendServer, ...]
+    ) -> tuple[directory.BackendServer, ...]:
+        evacuated = self._evacuations.now()
+        if not evacuated:
+            return servers
+        return tuple(s for s in servers if s.data_centre not in evacuated)
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -9,11 +9,12 @@
 from collections.abc import Iterable
 
 from irisshelf.catalog import directory
-from irisshelf.catalog import evacuations as evacuations_module
 from irisshelf.coordination import facts
+from irisshelf.coordination import fleet_size
 from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
+from irisshelf.gateway.servers import eligibility
 from irisshelf.gateway.servers import links
 from irisshelf.gateway.servers import reach
 from irisshelf.observe import decision_log
@@ -34,7 +35,7 @@
     Args:
         cfg: The settings; replaced when they are read anew.
         listed: The servers that the store lists.
-        evacuations: Data centres whose servers get nothing.
+        eligible: Which of them may get requests.
         log: Takes decisions.
         counts: Metrics.
         rng: For weights and ties.
@@ -46,17 +47,18 @@
         *,
         cfg: settings.Settings,
         listed: directory.Directory,
-        evacuations: evacuations_module.Evacuations,
+        eligible: eligibility.Eligibility,
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
         rng: random.Random,
         now: Callable[[], float],
     ):
         self.cfg = cfg
+        self.eligible = eligible
         self.links = links.Links(now=now)
         self.reach = reach.Reach(
             links=self.links,
-            listed=self._askable,
+            listed=eligible.askable,
             heard_s=self._heard_s,
             on_reached=self._reached,
             on_lost=self._lost,
@@ -64,10 +66,11 @@
             now=now,
             asks=cfg.policy.reach,
         )
-        self.fleet = retry_budget.FleetSize(alone=not cfg.seeds)
+        self.fleet = fleet_size.FleetSize(alone=not cfg.seeds)
+        # Servers whose process was found to have ended.
+        self._ended: set[str] = set()
         self.tell: Callable[[facts.Fact], None] = _tell_nobody
         self._listed = listed
-        self._evacuations = evacuations
         self._log = log
         self._metrics = counts
         self._rng = rng
@@ -91,77 +94,9 @@
                 is another writer's; nobody tries it, so that it never is out
                 of reach.
         """
-        servers = [s for name in services for s in self.usable(name)]
+        servers = [s for name in services for s in self.eligible.usable(name)]
         return bool(servers) and all(map(self.out_of_reach, servers))
 
-    def usable(
-        self, service: str, regions: frozenset[str] | None = None
-    ) -> tuple[directory.BackendServer, ...]:
-        """Returns the listed servers of a service that may get requests.
-
-        Args:
-            service: The service.
-            regions: Where the request may be served; None for anywhere.
-        """
-        servers = self._not_evacuated(self._listed.of(service))
-        return self._in_regions(servers, regions)
-
-    def evacuated(self, service: str) -> tuple[directory.BackendServer, ...]:
-        """Returns the listed servers that stand in evacuated places."""
-        names = self._evacuations.now()
-        if not names:
-            return ()
-        listed = self._listed.of(service)
-        return tuple(s for s in listed if s.data_centre in names)
-
-    def sources(
-        self, service: str, regions: frozenset[str] | None = None
-    ) -> tuple[directory.BackendServer, ...]:
-        """Returns the listed servers that may hand on parts of prompts.
-
-        Args:
-            service: The service.
-            regions: Where the prompt may be; None for anywhere.
-        """
-        now = self._now()
-        servers = tuple(
-            server
-            for server in self._listed.of(service)
-            if self._evacuations.hands_on(server.data_centre, now)
-        )
-        return self._in_regions(servers, regions)
-
-    def _in_regions(
-        self,
-        servers: tuple[directory.BackendServer, ...],
-        regions: frozenset[str] | None,
-    ) -> tuple[directory.BackendServer, ...]:
-        if regions is None:
-            return servers
-        where = self.cfg.regions
-        return tuple(s for s in servers if where.get(s.data_centre) in regions)
-
-    def all_evacuated_for_s(self, service: str) -> float | None:
-        """Returns for how long no server may get requests for evacuations.
-
-        None if that is not why there is none.
-        """
-        if self.usable(service) or not self._listed.of(service):
-            return None
-        return self._evacuations.lasted_s(self._now())
-
-    def _askable(self) -> tuple[directory.BackendServer, ...]:
-        """Returns the servers that may be asked for a connection."""
-        return self._not_evacuated(self._listed.servers())
-
-    def _not_evacuated(
-        self, servers: tuple[directory.BackendServer, ...]
-    ) -> tuple[directory.BackendServer, ...]:
-        evacuated = self._evacuations.now()
-        if not evacuated:
-            return servers
-        return tuple(s for s in servers if s.data_centre not in evacuated)
-
     def chooser(self, service: str) -> server_choice.Chooser:
         """Returns what chooses the servers of a service."""
         found = self._choosers.get(service)
@@ -246,6 +181,8 @@
             chooser.book.keep(names)
         self.links.keep(names)
         self.reach.keep(names)
+        self.eligible.cold.keep(names)
+        self._ended &= names
         self._break_off_ended(servers)
         self._metrics.servers.set(len(servers))
 
@@ -293,6 +230,8 @@
         """Takes that no connection came about; asks for one from now on."""
         what = server_book.Seen.UNREACHABLE
         self.seen(server, what, request, str(exc))
+        if not exc.silent:
+            self._ended.add(server.server_id)
         self.reach.lost(server, silent=exc.silent)
 
     def doubt_connections(
@@ -325,6 +264,10 @@
                 address=server.address,
                 service=server.service,
             )
+        if server.server_id in self._ended:
+            # Its process has started anew; its entry tells so a little later.
+            self._ended.discard(server.server_id)
+            self.eligible.assume_cold(server)
         book = self.chooser(server.service).book
         book.reached(server.server_id, self._now())
 
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -13,6 +13,7 @@
 from irisshelf.routing.direct import policy
 
 _Positive = Annotated[float, msgspec.Meta(gt=0)]
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 _PORTS = 65536
@@ -56,6 +57,9 @@
         evacuated_ms: From the acceptance of a data centre's evacuation until
             no request may reach its servers; None where there are none.
         stop_s: From the signal to stop until the process is killed.
+        cold_overage: What a cold server may get in any second, of all
+            instances, as a multiple of what it bears.
+        cold_slack: Requests beside those.
         retry_share: Retries a service may get for each request.
         retry_slack: Retries beside those, of all instances, in a window.
         retry_window_s: Window that retries are counted in.
@@ -68,6 +72,8 @@
     server_leaving_ms: _Positive = 2000.0
     evacuated_ms: _Positive | None = None
     stop_s: _Positive = 8.0
+    cold_overage: _Positive | None = None
+    cold_slack: _NotNegative | None = None
     retry_share: _Share = 0.2
     retry_slack: _Positive = 50.0
     retry_window_s: _Positive = 10.0
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -27,6 +27,8 @@
 _MOST_SLOTS = 1_000_000
 # The year 5138: a clock that jumped is still before it.
 _LATEST_MS = 10**14
+# A day; a server that is cold for longer is a mistake.
+_LONGEST_COLD_MS = 86_400_000
 # What an error shows of a value: enough to find it in the store.
 _SHOWN = 60
 _Document = TypeVar("_Document")
@@ -63,6 +65,8 @@
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     max_connections: int = 0
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     engine: _Engine | None = None
 
 
@@ -97,6 +101,10 @@
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
     # The start of this life, in Unix milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=_LATEST_MS)] | None = None
+    # How much longer it is cold, as of when the entry was written.
+    cold_ms: Annotated[float, msgspec.Meta(ge=0, le=_LONGEST_COLD_MS)] = (
+        msgspec.field(name="coldRemainingMs", default=0.0)
+    )
 
 
 class _Evacuation(msgspec.Struct):
@@ -123,6 +131,8 @@
                 name=item.name,
                 max_connections=item.max_connections,
                 engine_slots=item.engine.slots if item.engine else 0,
+                cold_start_s=item.cold_start_s,
+                cold_per_s=item.cold_per_s,
             )
             for item in doc.services
         },
@@ -172,6 +182,7 @@
         data_centre=doc.zone,
         slots=doc.slots,
         state=state,
+        cold_s=doc.cold_ms / _MS,
     )
 
 
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -88,6 +88,8 @@
         data_centre: str = "a",
     ):
         self.data_centre = data_centre
+        # What its entry tells of coldness.
+        self.cold_ms = 0
         # Connections that were made to it.
         self.accepted = 0
         self.server_id = server_id
@@ -171,7 +173,7 @@
             "version": "v1",
             "slots": 64,
             "state": state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.cold_ms,
             "sequence": 1,
         }
 
--- /dev/null
+++ b/irisshelf/tests/test_cold_start.py
@@ -0,0 +1,359 @@
+"""Cold servers get what they bear, of all instances together.
+
+The pattern: the servers of a data centre come back at once, or one joins that
+owns a hot prompt. Instances that know each other only by datagrams ask for it
+at the same moment, some of them cut off, started a moment ago, or with another
+list of members.
+"""
+
+import math
+import random
+
+import gevent
+import pytest
+
+from irisshelf.catalog import directory
+from irisshelf.coordination import data_centre
+from irisshelf.coordination import roster as roster_module
+from irisshelf.gateway import settings
+from irisshelf.platform.stand_in import server
+from irisshelf.platform.stand_in import world as world_module
+from irisshelf.routing.direct import cold_start
+from irisshelf.testing import cold_fleet
+
+Fault = server.Fault
+# What servers bear, and what may reach them in any second.
+_FAST = cold_start.Bounds(per_s=8.9, most_in_a_second=18.35)
+_SLOW = cold_start.Bounds(per_s=2.0, most_in_a_second=8.0)
+_BOUNDS = [pytest.param(_FAST, id="8.9"), pytest.param(_SLOW, id="2")]
+_HOT = cold_fleet.Load(per_s=60.0, cold_s=8.0)
+
+
+def _calm(fleet):
+    del fleet
+
+
+def _half_split(fleet):
+    half = len(fleet.names) // 2
+    fleet.split(fleet.names[:half], fleet.names[half:])
+    fleet.hear(-30.0, 0.0)
+
+
+def _many_cut_off_alone(fleet):
+    """A third of the instances see nobody any more, each by itself."""
+    third = len(fleet.names) // 3
+    alone = [[name] for name in fleet.names[:third]]
+    fleet.split(*alone, fleet.names[third:])
+    fleet.hear(-30.0, 0.0)
+
+
+def _all_started_a_moment_ago(fleet):
+    fleet.start_anew(fleet.names, -0.5)
+    fleet.hear(-0.4, 0.0)
+
+
+def _most_started_a_moment_ago(fleet):
+    most = fleet.names[: 2 * len(fleet.names) // 3]
+    fleet.start_anew(most, -1.0)
+    fleet.hear(-0.9, 0.0)
+
+
+def _some_have_not_heard_of_the_newest(fleet):
+    """The list of a half lacks the others, which know all."""
+    half = fleet.names[: len(fleet.names) // 2]
+    fleet.start_anew(half, -20.0)
+    fleet.hear(-20.0, 0.0)
+    rest = fleet.names[len(fleet.names) // 2 :]
+    fleet.split(fleet.names, rest)
+
+
+_VIEWS = [
+    _calm,
+    _half_split,
+    _many_cut_off_alone,
+    _all_started_a_moment_ago,
+    _most_started_a_moment_ago,
+    _some_have_not_heard_of_the_newest,
+]
+
+
+@pytest.mark.parametrize("bounds", _BOUNDS)
+@pytest.mark.parametrize("view", _VIEWS)
+@pytest.mark.parametrize("count", [1, 2, 3, 8, 24, 73, 300])
+def test_no_second_has_more_than_it_bears(count, view, bounds):
+    rng = random.Random(count)
+    fleet = cold_fleet.Fleet(count=count, rng=rng, alone=count == 1)
+    view(fleet)
+    ways = {
+        name: cold_fleet.Senders(own=name, bounds=bounds)
+        for name in fleet.names
+    }
+    outcome = fleet.play(ways, _HOT)
+    assert outcome.worst_second <= bounds.most_in_a_second
+
+
+@pytest.mark.parametrize("bounds", _BOUNDS)
+@pytest.mark.parametrize("count", [2, 8, 24, 73, 300])
+def test_what_it_bears_is_used(count, bounds):
+    """Half of it at least, where all know each other."""
+    fleet = cold_fleet.Fleet(count=count, rng=random.Random(count))
+    ways = {
+        name: cold_fleet.Senders(own=name, bounds=bounds)
+        for name in fleet.names
+    }
+    # So many that each sender is asked whenever it is its turn.
+    load = cold_fleet.Load(per_s=20.0 * count, cold_s=8.0)
+    outcome = fleet.play(ways, load)
+    assert outcome.served * load.per_s >= 0.5 * bounds.per_s
+
+
+@pytest.mark.parametrize(
+    ("make", "view"),
+    [
+        (cold_fleet.Shares, _calm),
+        (
+            lambda own, bounds: cold_fleet.SlowStart(
+                own=own, bounds=bounds, cold_s=_HOT.cold_s
+            ),
+            _calm,
+        ),
+    ],
+    ids=["shares", "slow-start"],
+)
+@pytest.mark.parametrize("bounds", _BOUNDS)
+def test_other_ways_do_not_hold(make, view, bounds):
+    """Kept with the way that stands, so that the reason for it is shown."""
+    fleet = cold_fleet.Fleet(count=73, rng=random.Random(1))
+    view(fleet)
+    ways = {name: make(own=name, bounds=bounds) for name in fleet.names}
+    outcome = fleet.play(ways, _HOT)
+    assert outcome.worst_second > bounds.most_in_a_second
+
+
+@pytest.mark.parametrize("bounds", _BOUNDS)
+@pytest.mark.parametrize("members", range(40))
+def test_a_share_keeps_half_of_the_bound_in_any_second(members, bounds):
+    share = cold_start.share(bounds, members)
+    assert share.senders <= members
+    if share.senders:
+        in_a_second = math.ceil(1.0 / share.interval_s)
+        assert 2 * share.senders * in_a_second <= bounds.most_in_a_second
+        rate = share.senders / share.interval_s
+        assert rate <= bounds.per_s + 1e-9
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [
+        cold_start.Bounds(per_s=0.0, most_in_a_second=0.0),
+        cold_start.Bounds(per_s=1.0, most_in_a_second=1.0),
+    ],
+)
+def test_a_bound_that_leaves_nothing_to_share_out_gets_nothing(bounds):
+    assert cold_start.share(bounds, 9).senders == 0
+    starts = cold_start.ColdStarts(own="n1")
+    assert starts.turn_s("s", bounds, ("n1",), 0.0) == math.inf
+
+
+def test_the_first_waits_for_what_was_sent_while_the_server_was_warm():
+    starts = cold_start.ColdStarts(own="n1")
+    starts.told("s", 3.0, 10.0)
+    assert starts.turn_s("s", _FAST, ("n1",), 10.0) > 1.0
+    starts.told("s", 1.9, 11.1)
+    assert starts.turn_s("s", _FAST, ("n1",), 11.2) == 0.0
+
+
+@pytest.mark.parametrize(
+    ("words", "left_s"),
+    [
+        ([("told", 3.0, 0.0)], 2.0),
+        ([("told", 0.0, 0.0)], 0.0),
+        ([("told", 3.0, 0.0), ("told", 0.0, 0.5)], 0.0),
+        ([("assume", 3.0, 0.0)], 2.0),
+        ([("told", 4.0, 0.0), ("assume", 1.0, 0.0)], 3.0),
+        ([("assume", 9.0, 0.0), ("told", 2.0, 0.5)], 1.5),
+        ([("told", 1.0, 0.0)], 0.0),
+    ],
+)
+def test_how_long_a_server_is_cold(words, left_s):
+    starts = cold_start.ColdStarts(own="n1")
+    for what, given_s, now in words:
+        getattr(starts, what)("s", given_s, now)
+    assert starts.left_s("s", 1.0) == left_s
+
+
+# Whether an instance counts itself among those that share something out.
+
+
+def _members(*, alone=False, began_s=-100.0, elsewhere=True):
+    own = roster_module.Member(name="n0", address="", data_centre="a")
+    roster = roster_module.Roster(own=own)
+    if elsewhere:
+        far = roster_module.Member(name="far", address="", data_centre="b")
+        roster.heard(far, 10.0)
+    found = data_centre.Members(roster=roster, alone=alone, began_s=began_s)
+    return roster, found
+
+
+def _near(name):
+    return roster_module.Member(name=name, address="", data_centre="a")
+
+
+@pytest.mark.parametrize(
+    ("options", "others", "now", "known"),
+    [
+        ({"alone": True, "began_s": 9.9, "elsewhere": False}, 0, 10.0, 1),
+        ({"elsewhere": False}, 0, 10.0, 0),
+        ({}, 0, 10.0, 1),
+        ({}, 5, 10.0, 6),
+        ({"began_s": 8.0}, 5, 10.0, 0),
+    ],
+)
+def test_who_knows_the_others_well_enough(options, others, now, known):
+    roster, members = _members(**options)
+    for number in range(others):
+        roster.heard(_near(f"n{number + 1}"), now)
+    assert len(members.names(now)) == known
+
+
+def test_who_has_lost_sight_of_most_does_not_count_itself():
+    """It slept, or is cut off: it would take all shares on."""
+    roster, members = _members()
+    for number in range(9):
+        roster.heard(_near(f"n{number + 1}"), 10.0)
+    assert len(members.names(10.0)) == 10
+    # Nobody was heard for seven seconds but three.
+    for number in range(3):
+        roster.heard(_near(f"n{number + 1}"), 17.0)
+    assert members.names(17.0) == ()
+    roster.heard(_near("n4"), 17.1)
+    assert len(members.names(17.1)) == 5
+
+
+# The whole path.
+
+_COLD = settings.Bounds(cold_overage=1.5, cold_slack=5.0)
+
+
+@pytest.fixture
+def cold_world(make_world):
+    world = make_world(bounds=_COLD, servers=3)
+    document = world_module.config(2)
+    for one in document["services"]:
+        one |= {"coldStartS": 3.0, "coldPerS": 2.0}
+    world.store.put("op", "config", document)
+    world.wait(lambda: world.inst.catalog.version == 2)
+    return world
+
+
+def _cool(world, *servers, ms=60_000):
+    for one in servers:
+        one.cold_ms = ms
+        world.store.put("servers", one.server_id, one.entry())
+    cold = world.inst.eligible.cold
+    world.wait(
+        lambda: all(
+            bool(cold.left_s(one.server_id, world.inst.now())) is bool(ms)
+            for one in servers
+        )
+    )
+
+
+@pytest.mark.parametrize("target", ["/digest/1", "/alarm/1", "/valve/1"])
+def test_requests_go_to_warm_servers(cold_world, target):
+    cold = [cold_world.plain[0], cold_world.engines[0]]
+    _cool(cold_world, *cold)
+    for number in range(12):
+        answer = cold_world.ask(target, Prefix_Hash=f"s{number}:900,own:9")
+        assert answer.status == 200
+    assert not any(one.runs for one in cold)
+
+
+def test_a_second_send_does_not_go_to_a_cold_server(cold_world):
+    one, *others = cold_world.plain
+    _cool(cold_world, one)
+    for other in others:
+        other.always = Fault.FAIL
+    assert cold_world.ask("/valve/1").status == 500
+    assert not one.runs
+
+
+def test_a_service_of_cold_servers_gets_what_it_bears_and_refuses_the_rest(
+    cold_world,
+):
+    _cool(cold_world, *cold_world.plain)
+    # What was sent to them while they were warm passes first.
+    gevent.sleep(1.2)
+    answers = [cold_world.ask("/alarm/1") for _ in range(40)]
+    served = [a for a in answers if a.status == 200]
+    refused = [a for a in answers if a.status == 503]
+    assert len(served) + len(refused) == 40
+    # One instance: four a second for each of three servers, two on average.
+    assert 3 <= len(served) <= 3 * 8
+    for answer in refused:
+        assert 0 < float(answer.headers["retry-after"]) <= 60 * 1.3
+    for one in cold_world.plain:
+        assert len(one.runs) <= 8
+
+
+def test_a_server_that_has_warmed_up_takes_its_own_again(cold_world):
+    _cool(cold_world, *cold_world.plain)
+    assert cold_world.ask("/alarm/1").status == 503
+    _cool(cold_world, *cold_world.plain, ms=0)
+    assert cold_world.ask("/alarm/1").status == 200
+
+
+def test_after_an_evacuation_servers_are_taken_for_cold(make_world):
+    world = make_world(bounds=_COLD, places=("a", "b"))
+    document = world_module.config(2)
+    for one in document["services"]:
+        one |= {"coldStartS": 3.0, "coldPerS": 2.0}
+    world.store.put("op", "config", document)
+    world.wait(lambda: world.inst.catalog.version == 2)
+    world.store.put("op", "evacuate/a", {})
+    world.wait(lambda: world.inst.evacuations.now() == {"a"})
+    world.store.drop("op", "evacuate/a")
+    world.wait(lambda: not world.inst.evacuations.now())
+    cold = world.inst.eligible.cold
+    for one in world.inst.directory.servers():
+        left_s = cold.left_s(one.server_id, world.inst.now())
+        assert (left_s > 2.0) is (one.data_centre == "a")
+
+
+def test_a_server_whose_process_was_gone_is_taken_for_cold(cold_world):
+    """It may be back under its id before its entry says that it is cold."""
+    one = cold_world.plain[0]
+    listed = cold_world.inst.directory.get(one.server_id)
+    one.away_s = 0.5
+    one.on_return = lambda: None
+    one.crash()
+    while not cold_world.inst.servers.out_of_reach(listed):
+        cold_world.ask("/alarm/1")
+    cold_world.wait(lambda: not cold_world.inst.servers.out_of_reach(listed))
+    cold = cold_world.inst.eligible.cold
+    assert cold.left_s(one.server_id, cold_world.inst.now()) > 2.0
+
+
+@pytest.mark.parametrize("cold_ms", [-1, "soon", 10**9])
+def test_an_entry_with_no_time_names_no_server(cold_world, cold_ms):
+    one = cold_world.plain[0]
+    entry = one.entry() | {"coldRemainingMs": cold_ms}
+    cold_world.store.put("servers", one.server_id, entry)
+    cold_world.wait(
+        lambda: cold_world.inst.directory.get(one.server_id) is None
+    )
+
+
+def test_without_a_bound_a_cold_server_is_as_good_as_others(make_world):
+    world = make_world(bounds=_COLD)
+    for one in world.plain:
+        one.cold_ms = 60_000
+        world.store.put("servers", one.server_id, one.entry())
+    world.wait(
+        lambda: all(
+            s.cold_s
+            for s in world.inst.directory.of("crew")
+            if s.state is directory.ServerState.READY
+        )
+    )
+    assert world.ask("/alarm/1").status == 200
--- a/irisshelf/tests/test_deploy.py
+++ b/irisshelf/tests/test_deploy.py
@@ -31,6 +31,8 @@
         "budgetSlack": 54,
         "budgetWindowS": 10,
         "evacuationMs": 5000,
+        "coldOverage": 1.5,
+        "coldSlack": 5,
     },
     "platform": {"address": "10.200.1.7:8223"},
 }
@@ -85,6 +87,7 @@
     assert (cfg.bounds.stop_s, cfg.bounds.retry_slack) == (8.0, 54.0)
     assert cfg.bounds.server_leaving_ms == 3000.0
     assert cfg.bounds.evacuated_ms == 5000.0
+    assert (cfg.bounds.cold_overage, cfg.bounds.cold_slack) == (1.5, 5.0)
 
 
 @pytest.mark.parametrize(("name", "own"), [("evacuationMs", "evacuated_ms")])
--- a/irisshelf/tests/test_evacuation.py
+++ b/irisshelf/tests/test_evacuation.py
@@ -286,6 +286,6 @@
 def test_evacuated_servers_count_in_the_mean_load(places):
     """Else those that take all would go up to the bound of a mean of theirs."""
     _evacuate(places, "a")
-    assert {s.data_centre for s in places.inst.servers.usable("lm")} == {"b"}
-    idle = places.inst.servers.evacuated("lm")
+    assert {s.data_centre for s in places.inst.eligible.usable("lm")} == {"b"}
+    idle = places.inst.eligible.evacuated("lm")
     assert {s.data_centre for s in idle} == {"a"}
--- a/irisshelf/tests/test_retry_budget.py
+++ b/irisshelf/tests/test_retry_budget.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from irisshelf.coordination import fleet_size
 from irisshelf.routing import retry_budget
 
 
@@ -43,7 +44,7 @@
     size, cut_share
 ):
     """A third of a fleet, or all, lose sight of the others for 12 s."""
-    sizes = [retry_budget.FleetSize(alone=False) for _ in range(size)]
+    sizes = [fleet_size.FleetSize(alone=False) for _ in range(size)]
     for one in sizes:
         one.heard(size, 100.0)
     for one in sizes[: int(cut_share * size)]:
@@ -67,14 +68,14 @@
     ],
 )
 def test_the_largest_count_of_the_last_minute_holds(heard, now, count):
-    size = retry_budget.FleetSize(alone=False)
+    size = fleet_size.FleetSize(alone=False)
     for at_s, instances in heard:
         size.heard(instances, at_s)
     assert size.count(now) == count
 
 
 def test_an_instance_that_has_nobody_to_ask_is_alone_until_one_is_heard_of():
-    size = retry_budget.FleetSize(alone=True)
+    size = fleet_size.FleetSize(alone=True)
     assert size.count(0.0) == 1
     size.heard(3, 1.0)
     assert size.count(2.0) == 3
