--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -36,6 +36,9 @@
 # Kept of the time to stop, for the process to end by itself.
 _STOP_MARGIN_S = 0.5
 _STEP_S = 0.05
+# Of the process' descriptors, those for callers' connections; others go to
+# servers, instances, the store and files.
+_CALLERS_SHARE = 0.5
 # The settings file may change without a signal; how often it is looked at.
 _SETTINGS_EVERY_S = 2.0
 _ADMIN_LIMITS = caller_side.Limits(
@@ -190,6 +193,7 @@
             handle=handle,
             refuse=self._front.refuse,
             log=self._log,
+            most=max(1, int(_CALLERS_SHARE * self._inst.cfg.descriptors)),
         )
 
     def _on_stop(self) -> None:
--- a/irisshelf/gateway/listener.py
+++ b/irisshelf/gateway/listener.py
@@ -1,4 +1,10 @@
-"""Listens for connections and serves each in a greenlet of its own."""
+"""Listens for connections and serves each in a greenlet of its own.
+
+Connections are bounded below the process' descriptors: once those run out no
+new connection is accepted, and callers hang that another instance would serve.
+At the bound the connection that has rested longest makes room; where all are
+busy, a new one is told so at once.
+"""
 
 from __future__ import annotations
 
@@ -23,6 +29,7 @@
         handle: Answers a request.
         refuse: Builds answers to what cannot be read.
         log: Takes what goes wrong.
+        most: Connections that are open at a time; None for any number.
     """
 
     def __init__(
@@ -33,13 +40,16 @@
         handle: Callable[[caller_side.Request, caller_side.Connection], None],
         refuse: Callable[[int, str], tuple[list[tuple[bytes, bytes]], bytes]],
         log: decision_log.DecisionLog,
+        most: int | None = None,
     ):
         host, _, port = address.rpartition(":")
         self._limits = limits
         self._handle = handle
         self._refuse = refuse
         self._log = log
-        self._conns: set[caller_side.Connection] = set()
+        self._most = most
+        # The one that has been open longest first.
+        self._conns: dict[caller_side.Connection, None] = {}
         self._server = server.StreamServer(
             (host, int(port)), self._serve, backlog=_BACKLOG
         )
@@ -78,7 +88,9 @@
             handle=self._handle,
             refuse=self._refuse,
         )
-        self._conns.add(conn)
+        self._conns[conn] = None
+        if self._most is not None and len(self._conns) > self._most:
+            self._make_room(conn)
         try:
             conn.serve()
         except gevent.GreenletExit:
@@ -92,7 +104,15 @@
                 place=_place(exc),
             )
         finally:
-            self._conns.discard(conn)
+            self._conns.pop(conn, None)
+
+    def _make_room(self, newest: caller_side.Connection) -> None:
+        """Closes a connection at rest, or the newest after its answer."""
+        for conn in self._conns:
+            if conn.idle and conn is not newest:
+                conn.close_if_idle()
+                return
+        newest.turn_down()
 
 
 def _place(exc: BaseException) -> str:
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -96,6 +96,7 @@
         bounds: What the operators' rules allow.
         log_lines_per_s: Most log lines about requests in a second.
         max_requests: Most requests in flight; more are refused.
+        descriptors: Files and sockets that the process may open.
         policy: Mechanisms that are switched on.
     """
 
@@ -109,6 +110,7 @@
     bounds: Bounds = Bounds()
     log_lines_per_s: _Positive = 200.0
     max_requests: _Count = 1000
+    descriptors: _Count = 4096
     policy: policy.Policy = policy.ALL_ON
 
 
--- a/irisshelf/transport/server.py
+++ b/irisshelf/transport/server.py
@@ -22,6 +22,9 @@
 # A closed connection is read this long, so that no reset destroys an answer
 # that the caller has not read yet.
 _LINGER_S = 0.5
+_UNAVAILABLE = 503
+# Seconds; another instance may have room at once.
+_FULL_RETRY = b"0.1"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,6 +132,17 @@
             self._stop_watching()
             self._end()
 
+    def turn_down(self) -> None:
+        """Answers the first request that it may not be served here."""
+        self._handle = self._answer_full
+
+    def _answer_full(self, request: Request, conn: Connection) -> None:
+        self._close_after = True
+        text = "too many connections"
+        headers, body = self._refuse(_UNAVAILABLE, text)
+        headers = [*headers, (b"Retry-After", _FULL_RETRY)]
+        self.answer(_UNAVAILABLE, headers, body)
+
     def close_after_answer(self) -> None:
         """Announces that the connection ends with its next answer."""
         self._close_after = True
