Changes of the servers that an update cannot hold are handed on as well

Cause, at 300 instances: a data centre's 1,000 servers come back at once, and each instance reads the changes from the store, 430 bytes a server. The whole list, packed, has 15 bytes a server.

--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -172,8 +172,9 @@
     def _take_handed(self, table: feed.Table) -> bool:
         """Takes a whole table from another instance, if one has it.
 
-        Asked for are configurations that the watcher has told of, and what an
-        instance lacks that has just begun, or finds the store in a new era.
+        Asked for is what the watcher has told of, and what an instance lacks
+        that has just begun. A whole list of servers, packed, is shorter than a
+        data centre's changes as the store tells them.
         """
         wanted = self.tables.take_wanted(table)
         reads = self._role() is shared_watch.Role.READER
@@ -181,9 +182,7 @@
             return False
         watch = self.tables.watches[table]
         begins = self.tables.as_of(table) is None
-        # Changes of a list that is known are short; the store tells them.
-        whole = table is feed.Table.CATALOG or watch.position is None
-        if not begins and (wanted is None or not whole):
+        if not begins and wanted is None:
             return False
         within_s = store_timing.hand_on_s(self._inst.cfg.bounds, begins=begins)
         watch.asked()
--- a/irisshelf/tests/test_hand_on_tables.py
+++ b/irisshelf/tests/test_hand_on_tables.py
@@ -228,6 +228,19 @@
     assert all(one.inst.keys_hold() for one in everyone)
 
 
+def test_many_changes_at_once_are_read_once(make_fleet, served, one_server):
+    """A data centre's servers return: no update can hold them all."""
+    everyone = make_fleet()
+    _start(everyone)
+    calls = served.calls
+    names = [f"back-{number}" for number in range(200)]
+    for name in names:
+        served.put("servers", name, one_server.entry())
+    _wait(lambda: all(one.inst.directory.get(names[-1]) for one in everyone))
+    assert all(len(one.inst.directory.servers()) == 201 for one in everyone)
+    assert served.calls - calls < len(everyone)
+
+
 @pytest.mark.parametrize("lost", ["dead", "silent", "behind", "garbled"])
 def test_who_is_not_handed_on_reads_from_the_store(
     make_fleet, served, lost, monkeypatch
