Servers that have answered nothing: as fast as the fastest neighbour, for one request

Cause: 20 ms were assumed, ten times what neighbours that answer in 2 ms show, so that a server added beside them got none of the requests of 10 s. Both ways stand behind policy.unknown_speed.

--- a/irisshelf/routing/direct/policy.py
+++ b/irisshelf/routing/direct/policy.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from irisshelf.routing.direct import sources
+from irisshelf.routing.direct import unknown_speed
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,6 +31,7 @@
         fresh_connections: Requests that may run once go only on connections
             that were in use just now.
         sources: How a server is found that hands on shared parts.
+        unknown_speed: What is assumed of servers that have answered nothing.
     """
 
     near_homes: bool = True
@@ -46,6 +48,7 @@
     shared_watch: bool = True
     fresh_connections: bool = True
     sources: sources.Way = sources.Way.LIKELY
+    unknown_speed: unknown_speed.Way = unknown_speed.Way.FASTEST
 
 
 ALL_ON = Policy()
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -28,6 +28,7 @@
 from irisshelf.routing.direct import ranking
 from irisshelf.routing.direct import server_book
 from irisshelf.routing.direct import sources as sources_module
+from irisshelf.routing.direct import unknown_speed
 
 # A server takes requests up to a multiple of the mean load, and so many more,
 # since small loads are lumpy; the users' bound is 2 times and 3. Prompts whose
@@ -51,8 +52,6 @@
 # served, counted by their worth; with a second home for long parts as well 0.1
 # to 0.6 in 100 more, for 2.3 times as many bytes moved.
 _COPIED_PER_ANSWER_TOKEN = 4
-# Assumed time to answer of a server that has shown nothing yet.
-_UNKNOWN_S = 0.02
 # Another data centre costs the way there and back, and bytes.
 _FAR_S = 0.001
 _FAILURE_WEIGHT = 4.0
@@ -272,9 +271,16 @@
         pool: Sequence[directory.BackendServer],
         loads: dict[str, float],
     ) -> directory.BackendServer:
+        names = [server.server_id for server in pool]
+        times_s = unknown_speed.fill_in(
+            self._policy.unknown_speed,
+            {name: self.book.duration_s(name) for name in names},
+            {name: self.book.own(name) for name in names},
+        )
+
         def expected_s(server: directory.BackendServer) -> float:
             name = server.server_id
-            each_s = self.book.duration_s(name) or _UNKNOWN_S
+            each_s = times_s[name]
             queued = (loads[name] + 1) / max(1, server.slots)
             penalty = 1 + _FAILURE_WEIGHT * self.book.bad_share(name)
             far = server.data_centre != self._data_centre
