--- a/irisshelf/boottime.py
+++ b/irisshelf/boottime.py
@@ -3,8 +3,7 @@
 All that is kept by time goes by it: the age of what the store told, leases,
 rests, windows, deadlines, connections at rest. The steady clock stands still
 while a machine is suspended, so that what was known before seems as young as it
-was: an instance that slept for six seconds ran requests under keys that had
-last been confirmed seven seconds before, where five are allowed.
+was, and keys hold that nobody has confirmed for too long.
 
 Timers of the event loop go by the steady clock and come late by a sleep. So
 nothing is decided by a timer having fired or not, but by this clock.
--- a/irisshelf/coordination/shared_watch.py
+++ b/irisshelf/coordination/shared_watch.py
@@ -13,10 +13,6 @@
 ``Timing.silence_s``, it asks the store by itself. An update that it cannot
 apply, as one before it was lost, makes it ask at once: for whole tables the
 instances above it in the data centre, for all else the store.
-
-In a minute of faults, 195 instances in five data centres made 13,000 to 16,000
-calls when each watched by itself, and make 3,500 to 6,300 so: 0.03 to 0.06 of
-what their requests are worth, instead of 0.12 to 0.15.
 """
 
 from __future__ import annotations
--- a/irisshelf/coordination/table_watch.py
+++ b/irisshelf/coordination/table_watch.py
@@ -80,10 +80,9 @@
 
         For a table that is one document, of which only the newest version
         counts: its changes are whole documents, and an instance that was away
-        would bring each that it missed. After a cut of 12 s under three changes
-        a second, 36 of 80 kB are 4.6 s on a link of 5 Mbit/s, in which 14 more
-        are written; the newest alone is 0.13 s, however long it was away. Where
-        nothing has changed, it costs one document that was known.
+        would bring each that it missed, while further ones are written. The
+        newest alone takes as long however long it was away. Where nothing has
+        changed, it costs one document that was known.
 
         Args:
             now: Monotonic seconds.
--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -96,8 +96,8 @@
             failures += 1
             pause_s *= self._inst.rng.uniform(*_JITTER)
             if untold:
-                # The watcher's first word says that the store is back. Without
-                # it readers slept up to 2.2 s longer and refused callers.
+                # The watcher's first word says that the store is back; who
+                # sleeps on refuses callers.
                 self._updated[table].wait(pause_s)
             else:
                 gevent.sleep(pause_s)
@@ -217,8 +217,7 @@
         """Returns how long to wait after changes, in seconds.
 
         Counted from the moment that the store spoke of: what a long
-        configuration took to transfer has been waited for. Of 630 kB, on a link
-        of 5 Mbit/s, versions are in force a second earlier so.
+        configuration took to transfer has been waited for.
         """
         cfg = self._inst.cfg
         if not cfg.policy.gathering:
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -80,8 +80,7 @@
 
         Each by its own time: an instance that loses the store once more for a
         moment, or has it again later than its watcher, does not keep an entry
-        for longer. Requests reached a server 3.4 s after its leaving was
-        accepted, where 3 s are allowed.
+        for longer, and past the bound on servers that leave.
         """
         gone = self._inst.directory.expire(now)
         if gone:
--- a/irisshelf/gateway/knowledge/store_timing.py
+++ b/irisshelf/gateway/knowledge/store_timing.py
@@ -31,9 +31,8 @@
 _HAND_ON_OF_CATALOG = 0.25
 _HAND_ON_AT_START_S = 2.5
 # Changes come in bursts, and each call is paid for: after one, the next call
-# waits. The configuration's wait is short, as keys age meanwhile: with 0.8 s an
-# instance that was cut off refused its callers half a second sooner; in one
-# outage 12 callers more were refused for it.
+# waits. The configuration's wait is short, as keys age meanwhile, and an
+# instance that is then cut off refuses its callers sooner.
 _GATHER_CATALOG_S = 0.3
 # Part of the time that a leaving server still takes requests; the rest is for
 # the answer's way and for requests that were sent just before it.
@@ -49,9 +48,7 @@
     """Returns how long the store may hold a call, in seconds.
 
     The one on the configuration is also how an instance learns that it is cut
-    off: within the time that a configuration has to come into force. With 87
-    instances, 3 s instead of 2, and changes of servers gathered for 1.5 s
-    instead of 1, made 5,416 calls of 7,409 in a minute of faults.
+    off: within the time that a configuration has to come into force.
     """
     if table is feed.Table.SERVERS:
         leaving_s = bounds.server_leaving_ms / 1000
--- a/irisshelf/gateway/requests/front.py
+++ b/irisshelf/gateway/requests/front.py
@@ -227,8 +227,8 @@
         """Refuses a route or key that the configuration does not have.
 
         For good only if it surely has to have it: a caller does not come back
-        after 401 or 404, and an instance that was away for seconds refused keys
-        and routes that had been accepted up to ten seconds before.
+        after 401 or 404, and an instance that was away for seconds lacks keys
+        and routes that have been accepted meanwhile.
         """
         if self._inst.may_be_out_of_date():
             self._send_elsewhere(conn, ask, f"may be out of date: {why}")
--- a/irisshelf/gateway/servers/crashes.py
+++ b/irisshelf/gateway/servers/crashes.py
@@ -77,10 +77,9 @@
     def verdict(self, job: messages.Job) -> suspects.Verdict | None:
         """Returns what is thought of a request; None if it is clear.
 
-        As long as no content is suspect, which is nearly always, a request
-        takes 2 microseconds for all of this, and 5 to 7 otherwise. Bodies are
-        read only where team, path and length are those of a suspect one: 1 MB
-        takes 2 milliseconds of the loop.
+        As long as no content is suspect, which is nearly always, this is one
+        look. Bodies are read only where team, path and length are those of a
+        suspect one, as a long one holds up the loop.
         """
         if not self._may_be_suspect(job):
             return None
--- a/irisshelf/routing/direct/overload.py
+++ b/irisshelf/routing/direct/overload.py
@@ -30,9 +30,7 @@
 # leaves the order of priorities visible and is twice what the users' rule on
 # starved kinds and teams asks for.
 FLOOR = 0.5
-# A team may bring three times its share before it gets free places only. Where
-# one of ten teams brings two thirds of 2.9 times the ordinary load, 84 to 87 in
-# 100 requests of the others begin in time instead of 68 to 70 (simulated).
+# A team may bring so many times its share before it gets free places only.
 SURGE = 3.0
 # A team's share is an equal one at first; what it usually brings, if that is
 # more, counts fully after so many seconds.
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -47,10 +47,7 @@
 # A home in the caller's own data centre protects the answer in the making from
 # a cut between data centres, the more the longer the answer; it costs a copy of
 # the shared parts. It is made where a token of the answer protects no more than
-# so many shared tokens. Measured on three deployments over the same five days
-# with faults each: without near homes 0.3 to 0.8 in 100 requests fewer were
-# served, counted by their worth; with a second home for long parts as well 0.1
-# to 0.6 in 100 more, for 2.3 times as many bytes moved.
+# so many shared tokens.
 _COPIED_PER_ANSWER_TOKEN = 4
 # Another data centre costs the way there and back, and bytes.
 _FAR_S = 0.001
--- a/irisshelf/routing/retry_budget.py
+++ b/irisshelf/routing/retry_budget.py
@@ -21,7 +21,7 @@
 _DEALT = 0.6
 # An instance that has heard of no other assumes the largest fleet that is
 # built for: it may be one of as many that start at once, or that are cut off
-# from each other. With 30 assumed, 195 dealt out 3.9 times the slack.
+# from each other.
 _ASSUMED = 400
 # Nobody gets more than if there were this few.
 _FEWEST = 6
--- a/irisshelf/routing/suspects.py
+++ b/irisshelf/routing/suspects.py
@@ -2,14 +2,13 @@
 
 A caller repeats such a request, each time with an id of its own, at any
 instance; each repeat would end one server more, and break off whatever else
-that server works on: in a record of seven ended servers 3.9 requests each. So
-what servers ended under is remembered by the *content* of requests, and told
-among instances.
+that server works on. So what servers ended under is remembered by the *content*
+of requests, and told among instances.
 
 A server that ends has many requests, and at most one of them did it. Blamed is
-only what nothing had come back of: in that record all 9 sends of the culprit,
-but 3 of 27 others. And a good answer speaks for a content, so that one which
-many repeat is not blamed for servers that end of themselves.
+only what nothing had come back of, as of the culprit, and of few others. And a
+good answer speaks for a content, so that one which many repeat is not blamed
+for servers that end of themselves.
 
 Stages of a content:
 
