--- a/irisshelf/catalog/evacuations.py
+++ b/irisshelf/catalog/evacuations.py
@@ -57,13 +57,14 @@
 
     def __init__(self):
         self._since_s: dict[str, float] = {}
+        self._names: frozenset[str] = frozenset()
         self._position: position_module.Position | None = None
         # Of an earlier era, with when each is lifted if nobody writes it again.
         self._kept_until_s: dict[str, float] = {}
 
     def now(self) -> frozenset[str]:
         """Returns the evacuated data centres."""
-        return frozenset(self._since_s)
+        return self._names
 
     def hands_on(self, data_centre: str, now: float) -> bool:
         """Tells whether a data centre's servers may still hand on parts."""
@@ -139,6 +140,6 @@
 
     def _set(self, names: Iterable[str], now: float) -> Changed:
         after = frozenset(names)
-        before = frozenset(self._since_s)
+        before, self._names = self._names, after
         self._since_s = {n: self._since_s.get(n, now) for n in after}
         return Changed(begun=after - before, lifted=before - after)
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -79,12 +79,14 @@
             service: The service.
             regions: Where the prompt may be; None for anywhere.
         """
-        now = self._now()
-        servers = tuple(
-            server
-            for server in self._listed.of(service)
-            if self._evacuations.hands_on(server.data_centre, now)
-        )
+        servers = self._listed.of(service)
+        if self._evacuations.now():
+            now = self._now()
+            servers = tuple(
+                server
+                for server in servers
+                if self._evacuations.hands_on(server.data_centre, now)
+            )
         return self._in_regions(servers, regions)
 
     def all_evacuated_for_s(self, service: str) -> float | None:
--- a/irisshelf/routing/direct/cold_start.py
+++ b/irisshelf/routing/direct/cold_start.py
@@ -130,6 +130,7 @@
             return servers, ()
         cold = [s for s in servers if self.left_s(s.server_id, now) > 0]
         if not cold:
+            self._forget_warm(now)
             return servers, ()
         names = {server.server_id for server in cold}
         return [s for s in servers if s.server_id not in names], cold
@@ -170,6 +171,10 @@
         if not self.left_s(server_id, now):
             self._next_s[server_id] = now + _APART_S
 
+    def _forget_warm(self, now: float) -> None:
+        for name in [n for n, t in self._until_s.items() if t <= now]:
+            self._forget(name)
+
     def _forget(self, server_id: str) -> None:
         self._until_s.pop(server_id, None)
         self._next_s.pop(server_id, None)
