Cold servers and the store's return from a copy: told by instances, kept by what is known; the soak plays them

Change: entries of a new era that are no newer than what is known tell nothing new; the list is read once more when all servers have written theirs, since a new era gives revisions out again. Instances that hear from the store that a server is cold tell the others on the board.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -14,8 +14,8 @@
 the entry of a live server comes back within about two seconds.
 
 A store that has come back from a copy lists servers as they were some seconds
-before. A life that has left meanwhile stays gone, and one that is leaving stays
-so, until a change of its entry says more than the copy did.
+before. What an instance knew of an entry before holds on, and a life that has
+left stays gone, until the store says more than its copy did.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 import collections
 import dataclasses
 import enum
+import functools
 import hashlib
 from collections.abc import Iterable
 
@@ -93,6 +94,7 @@
     return entry_id if born_ms is None else f"{entry_id}@{born_ms}"
 
 
+@functools.lru_cache(maxsize=8192)
 def key_of(server_id: str) -> bytes:
     """Returns the short name of a life, as instances tell it each other."""
     return hashlib.blake2b(server_id.encode(), digest_size=_KEY_BYTES).digest()
@@ -146,7 +148,7 @@
         *,
         back_s: float,
         after_outage: bool,
-        from_copy: bool = False,
+        copied: frozenset[str] = frozenset(),
     ) -> None:
         """Takes a whole list.
 
@@ -155,13 +157,16 @@
             back_s: When the store came back, if it was away.
             after_outage: Whether the store may have been away before, so that
                 missing entries may only have lapsed.
-            from_copy: Whether the store has come back from a copy since.
+            copied: Entries that tell no more than was known, as the store has
+                come back from a copy that is older.
         """
-        if from_copy:
-            servers = [s for s in servers if s.server_id not in self._left]
-        listed = {server.entry_id: server for server in servers}
-        if from_copy:
-            listed |= self._leaving_among(listed)
+        listed = {
+            server.entry_id: self._servers.get(server.entry_id, server)
+            if server.entry_id in copied
+            else server
+            for server in servers
+            if not (server.entry_id in copied and self._has_left(server))
+        }
         missing = [name for name in self._servers if name not in listed]
         for name in missing:
             if after_outage:
@@ -203,17 +208,8 @@
             self._index()
         return gone
 
-    def _leaving_among(
-        self, listed: dict[str, BackendServer]
-    ) -> dict[str, BackendServer]:
-        """Returns the lives known to leave that a list has as well."""
-        return {
-            name: server
-            for name, server in self._servers.items()
-            if server.state is ServerState.LEAVING
-            and name in listed
-            and listed[name].server_id == server.server_id
-        }
+    def _has_left(self, server: BackendServer) -> bool:
+        return server.server_id in self._left
 
     def _drop(self, entry_id: str) -> None:
         server = self._servers.pop(entry_id, None)
--- a/irisshelf/coordination/facts.py
+++ b/irisshelf/coordination/facts.py
@@ -1,7 +1,8 @@
 """What instances tell each other of backend servers.
 
 A fact names a server by the short key of its life (``directory.key_of``), so
-that one told of an earlier life under the same id says nothing of a later one.
+that one told of an earlier life under the same id says nothing of a later one;
+but for coldness, which is told just where the later life is not known yet.
 """
 
 from __future__ import annotations
@@ -37,4 +38,20 @@
     part: bytes
 
 
-Fact = ServerLoad | PartHeld
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerCold:
+    """A server is cold, as the store says.
+
+    Instances that have not heard it from the store send to it meanwhile; it may
+    be back under its id, of which they know the earlier life.
+
+    Attributes:
+        server: The key of the id in the list, not of a life.
+        until_s: When it is warm again, monotonic seconds of the reader.
+    """
+
+    server: bytes
+    until_s: float
+
+
+Fact = ServerLoad | PartHeld | ServerCold
--- a/irisshelf/gateway/knowledge/board.py
+++ b/irisshelf/gateway/knowledge/board.py
@@ -29,6 +29,7 @@
 # Answers last a second or so; what is told is a fraction of that old.
 _TICK_S = 0.25
 _MOST_LOADS = 40
+_MOST_COLDS = 20
 # Bytes of a datagram by what it holds, at the most: its head, a load, a part of
 # a prompt, and its server's key where that is the first of the server's.
 _HEAD_BYTES = 60
@@ -41,6 +42,7 @@
 _OLDEST_MS = 5000
 # A server with less than no work would draw all requests.
 _Work = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Ms = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 
 
 class _Way(enum.IntEnum):
@@ -58,6 +60,8 @@
     loads: list[tuple[bytes, _Work, int]] = []
     # Server's key and the keys of the parts of prompts that it has read.
     holds: dict[bytes, list[bytes]] = {}
+    # Server's key, and how long it stays cold in ms.
+    colds: list[tuple[bytes, _Ms]] = []
 
 
 class _News:
@@ -68,9 +72,10 @@
         self.holds: collections.deque[facts.PartHeld] = collections.deque(
             maxlen=_MOST_WAITING
         )
+        self.colds: dict[bytes, facts.ServerCold] = {}
 
     def __bool__(self) -> bool:
-        return bool(self.loads or self.holds)
+        return bool(self.loads or self.holds or self.colds)
 
     @functools.singledispatchmethod
     def add(self, fact: facts.Fact) -> None:
@@ -87,9 +92,13 @@
     def _(self, fact: facts.PartHeld) -> None:
         self.holds.append(fact)
 
+    @add.register
+    def _(self, fact: facts.ServerCold) -> None:
+        self.colds[fact.server] = fact
+
     def all(self) -> list[facts.Fact]:
         """Returns all facts."""
-        return [*self.loads.values(), *self.holds]
+        return [*self.loads.values(), *self.holds, *self.colds.values()]
 
     def take(self, data_centre: str, way: _Way) -> _Message:
         """Takes what fits into a datagram; the rest waits for the next."""
@@ -97,8 +106,11 @@
         loads = [
             self.loads.pop(server) for server in list(self.loads)[:_MOST_LOADS]
         ]
+        colds = [
+            self.colds.pop(server) for server in list(self.colds)[:_MOST_COLDS]
+        ]
         left_bytes = datagrams_module.MOST_BYTES - _HEAD_BYTES
-        left_bytes -= _LOAD_BYTES * len(loads)
+        left_bytes -= _LOAD_BYTES * (len(loads) + len(colds))
         holds: dict[bytes, list[bytes]] = {}
         while self.holds and left_bytes >= _PART_BYTES + _SERVER_BYTES:
             held = self.holds.popleft()
@@ -114,6 +126,9 @@
                 for n in loads
             ],
             holds=holds,
+            colds=[
+                (c.server, max(0, int((c.until_s - now) * 1000))) for c in colds
+            ],
         )
 
 
@@ -233,4 +248,7 @@
     for server, parts in message.holds.items():
         for part in parts:
             news.add(facts.PartHeld(server=server, part=part))
+    for server, left_ms in message.colds:
+        until_s = now + left_ms / 1000
+        news.add(facts.ServerCold(server=server, until_s=until_s))
     return news.all()
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -14,6 +14,9 @@
 _MOST_CHANGES_TOLD = 40
 # Other writers may leave thousands of entries that name no server.
 _MOST_PROBLEMS_TOLD = 5
+# Servers write their entries every second or so, and after three times without
+# it the store drops an entry; as long after a return from a copy, and a margin.
+_SETTLED_S = 6.0
 
 
 class ServerList:
@@ -28,7 +31,8 @@
         self._changes = shared_watch.ChangeLog()
         self._away = False
         self._back_s = -math.inf
-        self._era: int | None = None
+        self._position: position_module.Position | None = None
+        self._settles_s = math.inf
 
     def store_lost(self) -> None:
         """Takes that the store does not answer this instance."""
@@ -50,8 +54,10 @@
             self._log_unreadable(unreadable)
             self._inst.directory.apply(map(_change, unreadable))
         changes = tuple(map(_change, batch.items))
+        self._inst.servers.tell_cold(changes)
         if batch.whole:
-            self._replace(changes, batch.position, now)
+            copied = self._copied(batch, now)
+            self._replace(changes, batch.position, now, copied)
         else:
             self.change(changes, batch.position, now)
 
@@ -66,6 +72,7 @@
             self._inst.directory.lapse(changes, back_s=self._returned_s(now))
         else:
             self._inst.directory.apply(changes)
+        self._position = position
         self._changes.add(changes, position, now)
         self._inst.server_list_taken()
         self._inst.eligible.entries_told(changes)
@@ -92,23 +99,44 @@
         entries: tuple[directory.Change, ...],
         position: position_module.Position,
         now: float,
+        copied: frozenset[str],
     ) -> None:
-        from_copy = self._era is not None and position.era > self._era
-        self._era = position.era
-        if from_copy:
-            # Entries that the copy lacks may be written again in a moment.
-            self._back_s = now
+        self._position = position
         self._inst.directory.replace(
             [entry.server for entry in entries if entry.server],
             back_s=self._returned_s(now),
             after_outage=self._after_outage(now),
-            from_copy=from_copy,
+            copied=copied,
         )
         self._changes.restart(position)
         self._inst.server_list_taken()
         self._inst.eligible.entries_told(entries)
         self._log_changes(entries, position, now, whole=True)
 
+    def _copied(self, batch: feed.Batch, now: float) -> frozenset[str]:
+        """Returns the entries of a new era that may be older than known ones.
+
+        The revisions of a new era are given out again, so that an entry that
+        was written since may seem as old. So the list is read once more when
+        all servers have written theirs, and the store has dropped the others.
+        """
+        known = self._position
+        if known is None or batch.position.era <= known.era:
+            return frozenset()
+        # Entries that the copy lacks may be written again in a moment.
+        self._back_s = now
+        self._settles_s = now + _SETTLED_S
+        return frozenset(
+            item.key for item in batch.items if item.revision <= known.revision
+        )
+
+    def settles(self, now: float) -> bool:
+        """Tells, once, that the list of a new era has to be read again."""
+        if now < self._settles_s:
+            return False
+        self._settles_s = math.inf
+        return True
+
     def _log_unreadable(self, items: list[feed.Item]) -> None:
         told = items[:_MOST_PROBLEMS_TOLD]
         self._inst.log.problem(
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -175,6 +175,8 @@
     def expire(self, now: float) -> None:
         """Drops what has lapsed and did not come back."""
         self.servers.expire(now)
+        if self.servers.settles(now):
+            self.watches[_SERVERS].forgotten()
         self.operators.expire(now)
 
     def _vouch(
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -76,6 +76,8 @@
         self._rng = rng
         self._now = now
         self._by_key: dict[bytes, directory.BackendServer] = {}
+        # Ids in the list by their keys; those of lives differ.
+        self._ids: dict[bytes, str] = {}
         self._left_s: dict[bytes, float] = {}
         self._choosers: dict[str, server_choice.Chooser] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
@@ -161,6 +163,15 @@
             held = self.chooser(server.service).holdings
             held.heard(fact.part, server.server_id, self._now())
 
+    @heard_fact.register
+    def _(self, fact: facts.ServerCold) -> None:
+        entry_id = self._ids.get(fact.server)
+        server = None if entry_id is None else self._listed.get(entry_id)
+        if server is not None:
+            now = self._now()
+            left_s = fact.until_s - now
+            self.eligible.cold.assume(server.server_id, left_s, now)
+
     @heard_fact.register
     def _(self, fact: facts.ServerLoad) -> None:
         server = self._by_key.get(fact.server)
@@ -168,6 +179,15 @@
             book = self.chooser(server.service).book
             book.told(server.server_id, work=fact.work, at_s=fact.at_s)
 
+    def tell_cold(self, changes: Iterable[directory.Change]) -> None:
+        """Tells other instances of servers that the store says are cold."""
+        now = self._now()
+        for change in changes:
+            if change.server is not None and change.server.cold_s:
+                key = directory.key_of(change.entry_id)
+                until_s = now + change.server.cold_s
+                self.tell(facts.ServerCold(server=key, until_s=until_s))
+
     def list_changed(self) -> None:
         """Forgets what is known of servers that are not listed any more."""
         servers = self._listed.servers()
@@ -176,6 +196,10 @@
         self._by_key = {
             directory.key_of(server.server_id): server for server in servers
         }
+        self._ids = {
+            directory.key_of(server.entry_id): server.entry_id
+            for server in servers
+        }
         self._note_left(before.keys() - self._by_key.keys())
         for chooser in self._choosers.values():
             chooser.book.keep(names)
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -12,6 +12,7 @@
 from gevent import server
 from gevent import socket
 
+from irisshelf import boottime
 from irisshelf.transport import server as http
 
 _LIMITS = http.Limits(
@@ -56,6 +57,7 @@
     body: bytes
     server_id: str
     after_event: int
+    at_s: float = 0.0
     whole: bool = False
 
 
@@ -231,6 +233,7 @@
             body=request.body,
             server_id=owner.server_id,
             after_event=after,
+            at_s=boottime.now(),
         )
         owner.runs.append(run)
         if owner.ends_under(run):
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -55,6 +55,7 @@
     # A text, but any writer may have left something else.
     value: Any = ""
     deleted: bool = False
+    ver: int = 0
 
 
 class _Answer(msgspec.Struct, rename="camel"):
@@ -358,4 +359,4 @@
             return _catalog_item(data)
     except ValueError as exc:
         return feed.Item(key=row.key, value=None, problem=str(exc))
-    return feed.Item(key=row.key, value=value)
+    return feed.Item(key=row.key, value=value, revision=row.ver)
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -42,12 +42,14 @@
         problem: Why a row that is there could not be decoded; empty if it
             could.
         raw: A configuration as the store has it; empty for other rows.
+        revision: The store's count when the row was written; 0 if not known.
     """
 
     key: str
     value: _T | None
     problem: str = ""
     raw: bytes = b""
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/irisshelf/tests/test_board.py
+++ b/irisshelf/tests/test_board.py
@@ -23,6 +23,7 @@
     def __init__(self, name, data_centre):
         self.loads = []
         self.holds = []
+        self.colds = []
         self._fd = os.open(os.devnull, os.O_WRONLY)
         self.log = decision_log.DecisionLog(instance=name, fd=self._fd)
         self.problems = []
@@ -49,6 +50,8 @@
     def _take(self, fact):
         if isinstance(fact, facts.ServerLoad):
             self.loads.append(fact)
+        elif isinstance(fact, facts.ServerCold):
+            self.colds.append(fact)
         else:
             self.holds.append((fact.server, fact.part))
 
@@ -161,3 +164,12 @@
     longest = max(map(len, sent))
     assert longest <= datagrams.MOST_BYTES
     assert longest >= 0.75 * datagrams.MOST_BYTES
+
+
+def test_coldness_is_told_everywhere_with_what_is_left(four):
+    until_s = boottime.now() + 3.0
+    four[0].board.tell(facts.ServerCold(server=_KEY, until_s=until_s))
+    _wait(lambda: all(one.colds for one in four[1:]))
+    for one in four[1:]:
+        # On one machine all have one clock; what is left is in whole ms.
+        assert until_s - 0.01 <= one.colds[0].until_s <= until_s + 1.0
--- a/irisshelf/tests/test_cold_start.py
+++ b/irisshelf/tests/test_cold_start.py
@@ -14,6 +14,7 @@
 
 from irisshelf.catalog import directory
 from irisshelf.coordination import data_centre
+from irisshelf.coordination import facts
 from irisshelf.coordination import roster as roster_module
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import server
@@ -357,3 +358,35 @@
         )
     )
     assert world.ask("/alarm/1").status == 200
+
+
+@pytest.mark.parametrize("known", ["this-life", "the-life-before"])
+def test_another_instances_word_holds_where_the_store_is_silent(
+    cold_world, known
+):
+    """The server is back under its id; here the earlier life is known."""
+    one = cold_world.plain[0]
+    if known == "the-life-before":
+        one.born_ms = 1_700_000_000_000
+        cold_world.store.put("servers", one.server_id, one.entry())
+        cold_world.wait(
+            lambda: cold_world.inst.directory.get(one.server_id).born_ms
+        )
+    listed = cold_world.inst.directory.get(one.server_id)
+    fact = facts.ServerCold(
+        server=directory.key_of(one.server_id),
+        until_s=cold_world.inst.now() + 2.0,
+    )
+    cold_world.inst.servers.heard_fact(fact)
+    cold = cold_world.inst.eligible.cold
+    left_s = cold.left_s(listed.server_id, cold_world.inst.now())
+    assert 1.9 < left_s <= 2.0
+
+
+def test_what_the_store_says_of_coldness_is_told(cold_world):
+    told = []
+    cold_world.inst.servers.tell = told.append
+    _cool(cold_world, cold_world.plain[0])
+    colds = [fact for fact in told if isinstance(fact, facts.ServerCold)]
+    key = directory.key_of(cold_world.plain[0].server_id)
+    assert {fact.server for fact in colds} == {key}
--- a/irisshelf/tests/test_store_copy.py
+++ b/irisshelf/tests/test_store_copy.py
@@ -13,6 +13,7 @@
 from irisshelf.catalog import directory
 from irisshelf.catalog import position
 from irisshelf.gateway import settings
+from irisshelf.gateway.knowledge import server_list
 from irisshelf.platform import store_feed
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.platform.stand_in import store as store_module
@@ -165,6 +166,42 @@
     assert world.inst.keys_hold()
 
 
+@pytest.mark.parametrize("more", _PLACES)
+def test_a_later_life_is_not_replaced_by_one_of_the_copy(world, more):
+    """What is known of it, such as that it is cold, holds on."""
+    one = world.plain[0]
+    one.born_ms = 1_700_000_000_000
+    world.store.put("servers", one.server_id, one.entry())
+    world.wait(lambda: _listed(world, one.server_id).born_ms == one.born_ms)
+    copy = world.store.copy()
+    one.born_ms += 1000
+    one.cold_ms = 60_000
+    world.store.put("servers", one.server_id, one.entry())
+    world.wait(lambda: _listed(world, one.server_id).born_ms == one.born_ms)
+    _come_back(world.store, copy, more)
+    _wait_era(world, 1)
+    assert _listed(world, one.server_id).born_ms == one.born_ms
+    assert _listed(world, one.server_id).cold_s > 50
+
+
+def test_what_the_store_says_when_all_have_written_again_holds(
+    world, monkeypatch
+):
+    """An entry that was written since may have a revision seen before."""
+    monkeypatch.setattr(server_list, "_SETTLED_S", 1.0)
+    one = world.plain[0]
+    copy = world.store.copy()
+    for _ in range(5):
+        world.store.put("servers", one.server_id, one.entry("draining"))
+    world.wait(lambda: not _takes_work(world, one))
+    world.store.mode = store_module.Mode.BUSY
+    world.store.come_back_from(copy)
+    world.store.put("servers", one.server_id, one.entry())
+    world.store.mode = store_module.Mode.WELL
+    _wait_era(world, 1)
+    world.wait(lambda: _takes_work(world, one))
+
+
 def test_two_returns_within_a_second(world, newcomer):
     first = world.store.copy()
     world.store.put("servers", newcomer.server_id, newcomer.entry())
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -29,6 +29,8 @@
     UNASKED = "only what a caller sent is run"
     SERVED = "after the faults all is served"
     STOP = "a planned stop cuts nothing"
+    EVACUATED = "no run in a data centre that was evacuated before the bound"
+    COLD = "no cold server gets more in a second than it may"
     CRASHES = "what three servers ended under is sent on three times at most"
 
 
@@ -83,11 +85,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ran:
-    """A request that a server began to work on."""
+    """A request that a server began to work on.
+
+    Attributes:
+        request_id: Its id.
+        server_id: The server's.
+        at_s: When it began, monotonic seconds.
+        server: The server's number.
+        far: Whether the server stands in the far data centre.
+    """
 
     request_id: str
     server_id: str
     at_s: float
+    server: int = 0
+    far: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -105,6 +117,8 @@
 
     key_s: float
     left_s: float
+    evacuated_s: float = 2.5
+    cold_in_a_second: float = 8.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -120,6 +134,9 @@
         stopped: Spans of planned stops of undisturbed instances.
         events: Events of a whole stream.
         ends_s: When servers ended under the crashing request.
+        evacuated: Spans in which the far data centre was evacuated.
+        cold: Spans in which a server was cold.
+        unlisted: Spans in which the store lacked what it had lost.
     """
 
     asked: tuple[Asked, ...]
@@ -130,6 +147,9 @@
     stopped: tuple[Span, ...]
     events: int
     ends_s: tuple[float, ...] = ()
+    evacuated: tuple[Span, ...] = ()
+    cold: tuple[Span, ...] = ()
+    unlisted: tuple[Span, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -150,6 +170,7 @@
     for asked in record.asked:
         found += _check_one(record, bounds, asked, runs[asked.request_id])
     found += _sent_on(record, runs)
+    found += _too_many_while_cold(record, bounds)
     return found
 
 
@@ -181,6 +202,34 @@
         )
 
 
+def _too_many_while_cold(record: Record, bounds: Bounds) -> Iterable[Violation]:
+    """Counts every second, of all instances, whatever disturbed them.
+
+    But for the time in which the store had lost that a server is cold: an
+    instance that starts then has nobody to hear it from.
+    """
+    for span in record.cold:
+        runs = sorted(
+            (ran.at_s, ran.request_id)
+            for ran in record.ran
+            if ran.server == span.target
+            and span.from_s <= ran.at_s <= span.to_s
+            and not any(
+                lost.from_s <= ran.at_s <= lost.to_s for lost in record.unlisted
+            )
+        )
+        times_s = [at_s for at_s, _ in runs]
+        for at_s, request_id in runs:
+            count = sum(at_s - 1.0 < other_s <= at_s for other_s in times_s)
+            if count > bounds.cold_in_a_second:
+                yield Violation(
+                    promise=Promise.COLD,
+                    request_id=request_id,
+                    detail=f"{count} in a second at server {span.target}",
+                )
+                break
+
+
 def _unasked(record: Record, runs: dict[str, list[Ran]]) -> Iterable[Violation]:
     known = {asked.request_id for asked in record.asked}
     for request_id in runs.keys() - known:
@@ -212,6 +261,7 @@
     in_touch = not _touches(record.disturbed, asked)
     if in_touch:
         broken += _left_late(record, bounds, asked, runs)
+        broken += _sent_far(record, bounds, asked, runs)
         took_s = asked.ended_s - asked.sent_s
         if took_s > asked.deadline_s + _HANDLED:
             broken.append((Promise.TIME, f"took {took_s:.2f} s"))
@@ -237,6 +287,21 @@
     return late
 
 
+def _sent_far(
+    record: Record, bounds: Bounds, asked: Asked, runs: list[Ran]
+) -> list[tuple[Promise, str]]:
+    evacuated = any(
+        span.from_s + bounds.evacuated_s < asked.sent_s
+        and asked.ended_s < span.to_s
+        for span in record.evacuated
+    )
+    if not evacuated:
+        return []
+    return [
+        (Promise.EVACUATED, f"at {ran.server_id}") for ran in runs if ran.far
+    ]
+
+
 def _touches(spans: tuple[Span, ...], asked: Asked) -> bool:
     return any(
         span.target == asked.instance
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,18 @@
 # An instance counts as in touch again so long after a disturbance.
 _IN_TOUCH_S = 3.0
 _NEXT_KEYS = 40
+# How long the store is away before it comes back from a copy, and until what it
+# lost is written again, at the most.
+_COPY_AWAY_S = 0.3
+_WRITTEN_AGAIN_S = 1.8
+# The row that evacuates the data centre in which every second server stands.
+FAR = "b"
+_EVACUATION = f"evacuate/{FAR}"
+_EVACUATED_FOR_S = 5.0
+COLD_PER_S = 2.0
+_COLD_S = 5.0
+_COLD_DOWN_S = 0.3
+_COLD_KNOWN_S = 1.5
 # A machine sleeps longer than a process stands still: 1 to 20 s.
 _SLEEP_FACTOR = 5.0
 # What another writer may leave in the list.
@@ -49,6 +61,9 @@
         left: When each server's leaving was accepted by the store.
         disturbed: Spans in which an instance was not in touch.
         stopped: Spans of planned stops.
+        evacuated: Spans in which the far data centre was evacuated.
+        cold: Spans in which a server, by its number, was cold.
+        unlisted: Spans in which the store lacked what it had lost.
     """
 
     def __init__(
@@ -71,6 +86,10 @@
         self.left: dict[str, float] = {}
         self.disturbed: list[checker.Span] = []
         self.stopped: list[checker.Span] = []
+        self.evacuated: list[checker.Span] = []
+        self.cold: list[checker.Span] = []
+        self.unlisted: list[checker.Span] = []
+        self._cold_until_s: dict[int, float] = {}
 
     def prepare(self) -> None:
         """Writes the list of servers and the first configuration."""
@@ -113,6 +132,9 @@
             plan.Kind.HALF_SETTINGS: lambda: self._entry(fault).half_settings(
                 fault.for_s
             ),
+            plan.Kind.STORE_COPY: lambda: self._copy(fault),
+            plan.Kind.EVACUATION: lambda: self._evacuate(fault),
+            plan.Kind.SERVER_COLD: lambda: gevent.spawn(self._cool, fault),
         }
         actions[fault.kind]()
         self._note(fault)
@@ -151,6 +173,8 @@
         everywhere = fault.kind in (
             plan.Kind.STORE,
             plan.Kind.STORE_FORGETS,
+            plan.Kind.STORE_COPY,
+            plan.Kind.SERVER_COLD,
             plan.Kind.SERVER_LINK,
             plan.Kind.SERVER_CRASH,
             plan.Kind.SERVER_RESTARTS,
@@ -187,6 +211,65 @@
     def _store_back(self) -> None:
         self._served.mode = store.Mode.WELL
 
+    def _copy(self, fault: plan.Fault) -> None:
+        """The store comes back from a copy; what it lost is written again."""
+        copy = self._served.copy()
+        gevent.spawn_later(fault.for_s, self._come_back, copy)
+
+    def _come_back(self, copy: store.Copy) -> None:
+        self._served.mode = store.Mode.RESET
+        gevent.sleep(_COPY_AWAY_S)
+        self._served.come_back_from(copy)
+        back_s = time.monotonic()
+        self._served.mode = store.Mode.WELL
+        gevent.sleep(self._rng.uniform(0.0, _WRITTEN_AGAIN_S))
+        for number, one in enumerate(self._servers):
+            left = one.server_id in self.left
+            self._list(number, "draining" if left else "ready")
+        if self.evacuated and self.evacuated[-1].to_s > time.monotonic():
+            self._served.put("op", _EVACUATION, {})
+        else:
+            self._served.drop("op", _EVACUATION)
+        self._write_configuration()
+        known_s = time.monotonic() + _COLD_KNOWN_S
+        self.unlisted.append(
+            checker.Span(target=0, from_s=back_s, to_s=known_s)
+        )
+
+    def _evacuate(self, fault: plan.Fault) -> None:
+        """The far data centre is evacuated, and that is lifted again."""
+        now = time.monotonic()
+        if self.evacuated and self.evacuated[-1].to_s > now:
+            return
+        span = checker.Span(
+            target=0, from_s=now, to_s=now + _EVACUATED_FOR_S + fault.for_s
+        )
+        self._served.put("op", _EVACUATION, {})
+        self.evacuated.append(span)
+        gevent.spawn_later(
+            span.to_s - now, self._served.drop, "op", _EVACUATION
+        )
+
+    def _cool(self, fault: plan.Fault) -> None:
+        """A server comes back cold; its entry says so just before."""
+        number = fault.target
+        one = self._servers[number]
+        link = self._links[number]
+        if one.server_id in self.left:
+            return
+        link.set_mode("reset")
+        gevent.sleep(_COLD_DOWN_S)
+        one.born_ms += 1000
+        until_s = time.monotonic() + _COLD_S
+        self._cold_until_s[number] = until_s
+        self._list(number, "ready")
+        gevent.sleep(_COLD_KNOWN_S)
+        span = checker.Span(
+            target=number, from_s=time.monotonic(), to_s=until_s
+        )
+        self.cold.append(span)
+        link.set_mode("pass")
+
     def _link(self, link: proxy.Proxy, fault: plan.Fault) -> None:
         link.set_mode(fault.variant)
         gevent.spawn_later(fault.for_s, link.set_mode, "pass")
@@ -250,13 +333,21 @@
 
     def _list(self, number: int, state: str) -> None:
         one = self._servers[number]
+        left_s = self._cold_until_s.get(number, 0.0) - time.monotonic()
+        one.cold_ms = max(0, int(1000 * left_s))
         entry = {**one.entry(state), "address": self._links[number].address}
         self._served.put("servers", one.server_id, entry)
 
     def _configure(self) -> None:
         self._version += self._rng.randint(1, 3)
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
         teams = [{"name": "blue", "apiKeys": self.keys}]
         document = world.config(self._version, tenants=teams)
+        if plan.is_further(self._seed):
+            for service in document["services"]:
+                service |= {"coldStartS": _COLD_S, "coldPerS": COLD_PER_S}
         self._served.put("op", "config", document)
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -163,7 +163,12 @@
             },
             "seeds": self._seeds,
             _STORE: self.store_link.address,
-            "bounds": {"stop_s": STOP_S},
+            "bounds": {
+                "stop_s": STOP_S,
+                "evacuated_ms": 2500,
+                "cold_overage": 1.5,
+                "cold_slack": 5.0,
+            },
             "log_lines_per_s": lines_per_s,
         }
         aside = self._settings.with_suffix(".new")
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -42,9 +42,13 @@
     SERVER_RESTARTS = "server_restarts"
     FOREIGN_ENTRIES = "foreign_entries"
     SLEEP = "sleep"
+    # Of further seeds alone.
+    STORE_COPY = "store_copy"
+    EVACUATION = "evacuation"
+    SERVER_COLD = "server_cold"
 
 
-_WIDE_KINDS = (
+WIDE_KINDS = (
     Kind.STORE_TURNS_AWAY,
     Kind.STORE_MUTE,
     Kind.SERVER_MUTE,
@@ -53,7 +57,13 @@
     Kind.FOREIGN_ENTRIES,
     Kind.SLEEP,
 )
-SMALL_KINDS = tuple(kind for kind in Kind if kind not in _WIDE_KINDS)
+_FURTHER_KINDS = (Kind.STORE_COPY, Kind.EVACUATION, Kind.SERVER_COLD)
+# Seeds from this one on have further kinds; those before draw as they always
+# did.
+FURTHER_FROM = 1000
+SMALL_KINDS = tuple(
+    kind for kind in Kind if kind not in (*WIDE_KINDS, *_FURTHER_KINDS)
+)
 # Share of a wide run's faults of instances that hit the first of them.
 _FIRST_SHARE = 0.5
 
@@ -100,6 +110,7 @@
     Kind.SERVER_LEAVES: 2 * SERVERS,
     Kind.SERVER_MUTE: 2 * SERVERS,
     Kind.SERVER_RESTARTS: 2 * SERVERS,
+    Kind.SERVER_COLD: 2 * SERVERS,
 }
 
 
@@ -132,6 +143,11 @@
     return seed % _PLANNED_EVERY == 0
 
 
+def is_further(seed: int) -> bool:
+    """Tells whether a seed's run has evacuations, cold servers and copies."""
+    return seed >= FURTHER_FROM
+
+
 def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
     """Returns the faults of a seed, by time; several come together or twice.
 
@@ -140,7 +156,12 @@
         instances: How many instances there are.
     """
     rng = random.Random(seed)
-    kinds = tuple(Kind) if instances >= WIDE else SMALL_KINDS
+    kinds = SMALL_KINDS
+    if instances >= WIDE:
+        kinds = tuple(kind for kind in Kind if kind not in _FURTHER_KINDS)
+    if is_further(seed):
+        # So often that most runs have each of them.
+        kinds = (*kinds, *(3 * _FURTHER_KINDS))
     if is_planned(seed):
         kinds = _PLANNED
     count = rng.randint(8, 16)
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from irisshelf import boottime
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
@@ -163,15 +164,19 @@
         return self._verdict()
 
     def _verdict(self) -> Verdict:
+        # Servers note the time that counts while a machine sleeps.
+        apart_s = boottime.now() - time.monotonic()
         record = checker.Record(
             asked=tuple(self._asked),
             ran=tuple(
                 checker.Ran(
                     request_id=run.request_id,
                     server_id=run.server_id,
-                    at_s=0.0,
+                    at_s=run.at_s - apart_s,
+                    server=number,
+                    far=one.data_centre == faults.FAR,
                 )
-                for one in self.servers
+                for number, one in enumerate(self.servers)
                 for run in one.runs
             ),
             withdrawn=self._injector.withdrawn,
@@ -180,6 +185,9 @@
             stopped=tuple(self._injector.stopped),
             events=EVENTS,
             ends_s=tuple(self._crashing.ends_s if self._crashing else ()),
+            evacuated=tuple(self._injector.evacuated),
+            cold=tuple(self._injector.cold),
+            unlisted=tuple(self._injector.unlisted),
         )
         return Verdict(
             seed=self._seed,
@@ -203,10 +211,16 @@
                 event_s=0.01,
                 work_s=0.01,
                 born_ms=_BORN_MS,
+                data_centre=self._place(number),
             ).start()
             for number in range(plan.SERVERS)
         ]
 
+    def _place(self, number: int) -> str:
+        """Returns where a server stands."""
+        far = plan.is_further(self._seed) and number % 2
+        return faults.FAR if far else "a"
+
     def _all_serve(self, until_s: float) -> bool:
         return all(
             fleet.wait_until(lambda e=entry: _is_ready(e), until_s)
