A reader out of its watcher's reach reads a configuration once, not each 0.75 s

Cause: what is read whole counted as a change even where it was the one in force; after a change a reader waits 0.75 s to gather more, and so long after an answer the newest is read alone, which brings the same again.

Ruled out: the long poll (it was never reached), the hand-on (it had nothing to ask for).

--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -256,13 +256,18 @@
         now = boottime.now()
         if table is feed.Table.CATALOG:
             self._regained(now)
+        before = self._inst.catalog
         newest = self.tables.answered(table, batch, sent_s, now)
         self._wake_askers()
         if not batch.complete:
             # The rest is asked for at once, and nobody is told that this was
             # all: keys would hold by the age of what has not been read.
             return
-        self.changes_seen[table] += bool(batch.items)
+        # A configuration that was in force may come again; it is no change that
+        # others may follow.
+        again = batch.whole and table is feed.Table.CATALOG
+        if batch.items and not (again and self._inst.catalog is before):
+            self.changes_seen[table] += 1
         if newest and self._role() is shared_watch.Role.WATCHER:
             self._tell(table, batch, now)
 
--- a/irisshelf/tests/test_catching_up.py
+++ b/irisshelf/tests/test_catching_up.py
@@ -22,6 +22,7 @@
 
 import heapq
 import itertools
+import math
 import os
 import random
 import types
@@ -190,6 +191,8 @@
         self._role = role
         # Whether the store is away for the watcher as well.
         self.shares_cut = False
+        # From when on its updates are lost.
+        self.lost_from_s = math.inf
 
     def hand_to(self, taker):
         self._take = taker
@@ -203,6 +206,7 @@
 
     def _beat(self):
         silent = self.shares_cut and self._store.is_away()
+        silent |= self._clock.now >= self.lost_from_s
         if self._role is _Role.READER and not silent:
             version = self._store.version
             self._take(
@@ -377,6 +381,33 @@
     assert play.store.brought_bytes <= 2 * body_bytes
 
 
+@pytest.mark.parametrize("changes", [0, 3])
+@pytest.mark.parametrize("body_bytes", [80_000, 630_000])
+def test_a_reader_out_of_its_watchers_reach_brings_nothing_again(
+    monkeypatch, body_bytes, changes
+):
+    """It read the same configuration over and over, a tenth of its link.
+
+    The pattern: instances are cut off from each other and have the store, or
+    the store turns the watcher away. What was read again counted as a change,
+    after which a reader waits to gather more, and so long after an answer the
+    newest is read alone, which brings it again.
+    """
+    play = _Play(
+        monkeypatch,
+        role=_Role.READER,
+        bound_s=3.0,
+        body_bytes=body_bytes,
+        end_s=60.0,
+    )
+    play.watcher.lost_from_s = 5.0
+    play.change_every(10.0, begin_s=20.0, end_s=20.0 + 10.0 * changes)
+    play.run()
+    assert (play.late, play.understated) == ([], [])
+    # The first, one as the updates end, and twice each that has changed.
+    assert play.store.brought_bytes <= 2 * (1 + changes) * body_bytes
+
+
 @pytest.mark.parametrize("end_s", [18.0, 18.4, 18.8, 19.2, 19.6, 20.0])
 def test_a_reader_between_two_tries_is_woken_by_its_watcher(monkeypatch, end_s):
     """Else it sleeps on for up to 2.2 s while callers are refused.
