--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -94,6 +94,12 @@
         self.cold_ms = 0
         # Connections that were made to it.
         self.accepted = 0
+        # Requests that have come, with those that it turns away.
+        self.arrivals: list[str] = []
+        # Headers that all its answers bear.
+        self.says: list[tuple[bytes, bytes]] = []
+        # Whether it turns all requests away.
+        self.refuses = False
         self.server_id = server_id
         self.service = service
         self.born_ms = born_ms
@@ -219,8 +225,10 @@
             for name, value in request.headers
         }
         if headers.get("expect-instance") != owner.server_id:
-            conn.answer(421, [(b"Instance-Id", owner.server_id.encode())], b"")
+            named = [(b"Instance-Id", owner.server_id.encode()), *owner.says]
+            conn.answer(421, named, b"")
             return
+        owner.arrivals.append(headers.get("request-id", ""))
         fault = owner.next_fault()
         if self._turned_down(fault, conn):
             return
@@ -250,8 +258,9 @@
             owner.working -= 1
 
     def _turned_down(self, fault: Fault, conn: http.Connection) -> bool:
-        if fault is Fault.REFUSE:
-            conn.answer(503, [(b"Not-Executed", b"1")], b"")
+        if fault is Fault.REFUSE or self._owner.refuses:
+            says = self._owner.says
+            conn.answer(503, [(b"Not-Executed", b"1"), *says], b"")
         elif fault is Fault.NOT_ME:
             conn.answer(421, [(b"Instance-Id", b"i-other")], b"")
         elif fault is Fault.RESET:
@@ -288,6 +297,7 @@
         headers = [
             (b"Request-Id", request_id.encode()),
             (b"Server-Load", f"{self._owner.working},0,64".encode()),
+            *self._owner.says,
         ]
         if fault is not Fault.UNSIGNED:
             headers.append((_SIGNATURE, signature.encode()))
--- /dev/null
+++ b/irisshelf/tests/test_leaving_and_resting.py
@@ -0,0 +1,196 @@
+"""Incident: requests sent to servers that had said in answers not to send any.
+
+Seen: a server that was leaving got eleven requests of five instances, 12 to 14
+seconds after two of them had passed on answers in which it said so; two engines
+that turned requests away with 503 and ``Retry-After: 3`` got 130 more in five
+seconds, up to 23 of them from one instance in one rest. How it came about: the
+store was away as the first server left, so that its entry could not tell; the
+others' entries have no word for a rest. Cause: whether a server takes requests
+was read from the store's list alone, and nothing that an answer's head says of
+its server was kept beyond the request. Proof: the same answers, given here
+while the list stays as it is, are followed by further requests on every path.
+"""
+
+import gevent
+import pytest
+
+from irisshelf.platform.stand_in import server as server_module
+
+_LEAVING = (b"Server-Leaving", b"1")
+_KINDS = [
+    pytest.param("/query/1", id="stream-once"),
+    pytest.param("/digest/1", id="stream-resumable"),
+    pytest.param("/alarm/1", id="at-most-once"),
+    pytest.param("/valve/1", id="idempotent"),
+]
+_REQUESTS = 12
+# So many requests may reach a server from an instance in one rest.
+_ALLOWED_IN_A_REST = 2
+_REST_S = 30
+
+
+def _group(world, target):
+    stream = target.startswith(("/query", "/digest"))
+    return world.engines if stream else world.plain
+
+
+def _ask_until_reached(world, one, target, **options):
+    """Asks until one server has answered; it says what it says."""
+    for _ in range(50):
+        before = len(one.arrivals)
+        world.ask(target, **options)
+        if len(one.arrivals) > before:
+            return
+    raise AssertionError(f"{one.server_id} got none of 50 requests")
+
+
+def _arrivals_after(world, one, target, **options):
+    """Returns how many of further requests reach a server, and the answers."""
+    before = len(one.arrivals)
+    answers = [world.ask(target, **options) for _ in range(_REQUESTS)]
+    return len(one.arrivals) - before, answers
+
+
+@pytest.mark.parametrize("target", _KINDS)
+@pytest.mark.parametrize(
+    "fault",
+    [
+        pytest.param(server_module.Fault.NONE, id="success"),
+        pytest.param(server_module.Fault.FAIL, id="failure"),
+        pytest.param(server_module.Fault.REFUSE, id="turned-down"),
+    ],
+)
+def test_a_server_that_says_it_leaves_gets_nothing_more(
+    make_world, target, fault
+):
+    world = make_world(servers=3)
+    leaving = _group(world, target)[0]
+    leaving.says = [_LEAVING]
+    leaving.always = fault
+    _ask_until_reached(world, leaving, target)
+    leaving.always = server_module.Fault.NONE
+    count, answers = _arrivals_after(world, leaving, target)
+    assert count == 0
+    assert [a.status for a in answers] == [200] * _REQUESTS
+
+
+@pytest.mark.parametrize("target", _KINDS)
+@pytest.mark.parametrize(
+    "entries",
+    [
+        pytest.param(("ready",), id="written-again"),
+        pytest.param((None, "ready"), id="gone-and-back"),
+        pytest.param(("draining", "ready"), id="leaving-and-ready"),
+    ],
+)
+def test_no_entry_of_the_same_life_takes_it_back(make_world, target, entries):
+    world = make_world(servers=3)
+    leaving = _group(world, target)[0]
+    leaving.says = [_LEAVING]
+    _ask_until_reached(world, leaving, target)
+    for state in entries:
+        if state is None:
+            world.store.drop("servers", leaving.server_id)
+        else:
+            entry = leaving.entry(state)
+            world.store.put("servers", leaving.server_id, entry | {"slots": 9})
+        gevent.sleep(0.1)
+    count, _ = _arrivals_after(world, leaving, target)
+    assert count == 0
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_new_life_of_it_gets_requests(make_world, target):
+    world = make_world(servers=2)
+    first, second = _group(world, target)
+    for one in (first, second):
+        one.born_ms = 1000
+        world.store.put("servers", one.server_id, one.entry())
+    gevent.sleep(0.1)
+    first.says = [_LEAVING]
+    _ask_until_reached(world, first, target)
+    first.says = []
+    first.born_ms = 2000
+    world.store.put("servers", first.server_id, first.entry())
+    gevent.sleep(0.1)
+    second.refuses = True
+    _ask_until_reached(world, first, target)
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_when_all_leave_callers_hear_so_at_once(make_world, target):
+    world = make_world(servers=2)
+    group = _group(world, target)
+    for one in group:
+        one.says = [_LEAVING]
+    for one in group:
+        _ask_until_reached(world, one, target)
+    before = sum(len(one.arrivals) for one in group)
+    answer = world.ask(target)
+    assert (answer.status, answer.whole) == (503, True)
+    assert float(answer.headers["retry-after"]) > 0
+    assert sum(len(one.arrivals) for one in group) == before
+
+
+@pytest.mark.parametrize("target", _KINDS)
+@pytest.mark.parametrize(
+    "fault",
+    [
+        pytest.param(server_module.Fault.REFUSE, id="says-not-run"),
+        pytest.param(server_module.Fault.BARE_503, id="plain-503"),
+    ],
+)
+def test_a_server_that_wants_rest_gets_two_at_the_most(
+    make_world, target, fault
+):
+    world = make_world(servers=3)
+    resting = _group(world, target)[0]
+    resting.always = fault
+    resting.says = [(b"Retry-After", str(_REST_S).encode())]
+    _ask_until_reached(world, resting, target)
+    count, answers = _arrivals_after(world, resting, target)
+    assert count <= _ALLOWED_IN_A_REST
+    assert [a.status for a in answers] == [200] * _REQUESTS
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_second_sends_are_no_way_round_a_rest(make_world, target):
+    """Another server fails requests, which are sent again where they may."""
+    world = make_world(servers=3)
+    resting, failing, _ = _group(world, target)
+    resting.refuses = True
+    resting.says = [(b"Retry-After", str(_REST_S).encode())]
+    _ask_until_reached(world, resting, target)
+    failing.always = server_module.Fault.FAIL
+    count, _ = _arrivals_after(world, resting, target)
+    assert count <= _ALLOWED_IN_A_REST
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_when_all_rest_callers_are_told_when_to_return(make_world, target):
+    world = make_world(servers=2)
+    group = _group(world, target)
+    for one in group:
+        one.refuses = True
+        one.says = [(b"Retry-After", str(_REST_S).encode())]
+    for one in group:
+        _ask_until_reached(world, one, target)
+    before = sum(len(one.arrivals) for one in group)
+    answer = world.ask(target)
+    assert (answer.status, answer.whole) == (503, True)
+    assert float(answer.headers["retry-after"]) >= _REST_S - 1
+    assert sum(len(one.arrivals) for one in group) == before
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_server_has_requests_again_after_its_rest(make_world, target):
+    world = make_world(servers=2)
+    first, second = _group(world, target)
+    first.refuses = True
+    first.says = [(b"Retry-After", b"0.3")]
+    _ask_until_reached(world, first, target)
+    first.refuses = False
+    first.says = []
+    gevent.sleep(0.6)
+    second.refuses = True
+    _ask_until_reached(world, first, target)
