Sight: what an answer says of its server is decoded, kept and logged

Cause for it: the logs of both incidents held nothing of an answer's head beside its status, so that they could not tell whether a server's statement was unread or read and overridden. The adapter decodes one typed report a head (load, leaving, rest, absent, keep-alive, values that say nothing), routing.direct. availability keeps it, server_accepts_nothing and unreadable_header are logged and counted by irisshelf_server_reports_total.

A report in a 421 is another server's: its load is not taken for the load of the server that was meant any more.

Tests of the incident corrected: they write entries and wait until the instance has them (0.1 s was too short beside the pause after a change, so that two tables tested nothing), the server in question is the fastest, and servers that second sends have reached count as reached.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -61,6 +61,7 @@
             cfg=cfg,
             listed=self.directory,
             evacuations=self.evacuations,
+            rng=rng,
             now=now,
         )
         self.servers = servers_module.Servers(
--- a/irisshelf/gateway/messages.py
+++ b/irisshelf/gateway/messages.py
@@ -107,13 +107,36 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Load:
-    """A server's own word on its load."""
+    """A server's load, as it says itself."""
 
     running: int
     waiting: int
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerReport:
+    """What a backend server says of itself in an answer's head.
+
+    Attributes:
+        load: Its load, if told.
+        leaving: Whether it is about to end and wants nothing more.
+        rest_s: For how long it wants nothing from this instance; 0 if it does
+            not say so.
+        absent: Whether the address belongs to another server, whose report
+            the rest of this is.
+        keep_alive_s: How long it keeps an idle connection, if told.
+        unreadable: Names of headers whose values say nothing.
+    """
+
+    load: Load | None = None
+    leaving: bool = False
+    rest_s: float = 0.0
+    absent: bool = False
+    keep_alive_s: float | None = None
+    unreadable: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AnswerHead:
     """The head of a backend server's answer, understood.
@@ -122,13 +145,10 @@
         status: HTTP status.
         headers: What goes to the caller.
         request_id: Whose answer it is; empty if not said.
-        signed: Whether the server vouches for it.
+        signed: Whether the answer bears the server's signature.
         not_run: Whether the server says that the request did not run.
-        wrong_server: Whether another server now has the address.
         encoded: Whether the body is not as the server made it.
-        load: The server's load, if told.
-        keep_alive_s: How long the server keeps an idle connection.
-        closing: Whether the server closes the connection afterwards.
+        report: What the server says of itself.
     """
 
     status: int
@@ -136,11 +156,8 @@
     request_id: str
     signed: bool
     not_run: bool
-    wrong_server: bool
     encoded: bool
-    load: Load | None
-    keep_alive_s: float | None
-    closing: bool
+    report: ServerReport
 
     @property
     def success(self) -> bool:
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -25,6 +25,11 @@
         self.rests = self._counter(
             "server_rests", "Servers left alone for a while.", "service"
         )
+        self.reports = self._counter(
+            "server_reports",
+            "Servers that want no requests, by what their answers say.",
+            "says",
+        )
         self.store_calls = self._counter(
             "store_calls",
             "Calls to the store for a table.",
--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -5,7 +5,6 @@
 import dataclasses
 from collections.abc import Callable
 
-from irisshelf.catalog import directory
 from irisshelf.catalog import model
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
@@ -126,8 +125,9 @@
         try:
             sent_s = self._inst.now()
             head = self._exchange_head()
-            keep_alive_s = head.keep_alive_s
-            self._told(server, head)
+            keep_alive_s = head.report.keep_alive_s
+            if not head.not_run:
+                self._inst.servers.answered(server, sent_s)
             self._check(head)
             head_s = self._inst.now()
             book.lasted(server.server_id, head_s - sent_s)
@@ -182,6 +182,9 @@
             while True:
                 status, raw = self._watched.read_head(until_s)
                 head = self._inst.dialect.answer_head(status, raw)
+                self._inst.servers.reported(
+                    self._choice.server, head.report, self._job.ask.request_id
+                )
                 if head.request_id in ("", self._job.ask.request_id):
                     return head
                 self._inst.log.request(
@@ -193,12 +196,6 @@
         except errors.TransportError as exc:
             raise _broken(exc, self._conn) from exc
 
-    def _told(
-        self, server: directory.BackendServer, head: messages.AnswerHead
-    ) -> None:
-        if head.load is not None:
-            self._inst.servers.told_load(server, head.load)
-
     def _check(self, head: messages.AnswerHead) -> None:
         """Lets successes pass; raises for everything else."""
         if head.success and head.request_id:
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -15,6 +16,7 @@
 from irisshelf.catalog import evacuations as evacuations_module
 from irisshelf.catalog import model
 from irisshelf.gateway import settings
+from irisshelf.routing.direct import availability as availability_module
 from irisshelf.routing.direct import cold_start
 
 
@@ -25,9 +27,11 @@
         cfg: The settings; replaced when they are read anew.
         listed: The servers that the store lists.
         evacuations: Data centres whose servers get nothing.
+        rng: Spreads the ends of rests.
         now: Monotonic seconds.
 
     Attributes:
+        availability: What servers say of themselves.
         services: Of the configuration in force, by name.
         members: Names of the instances of the own data centre; none if they
             are not known well enough.
@@ -40,9 +44,11 @@
         cfg: settings.Settings,
         listed: directory.Directory,
         evacuations: evacuations_module.Evacuations,
+        rng: random.Random,
         now: Callable[[], float],
     ):
         self.cfg = cfg
+        self.availability = availability_module.Availability(rng=rng)
         self.services: Mapping[str, model.Service] = {}
         self.members: Callable[[], tuple[str, ...]] = lambda: (cfg.instance,)
         self.cold = cold_start.ColdStarts(own=cfg.instance)
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -130,10 +130,86 @@
         )
         return found
 
+    def reported(
+        self,
+        server: directory.BackendServer,
+        report: messages.ServerReport,
+        request: str,
+    ) -> None:
+        """Takes what a server says of itself in an answer.
+
+        Args:
+            server: Whom the request was sent to.
+            report: What the answer says.
+            request: The request's id.
+        """
+        self._count_unreadable(server, report, request)
+        known = self.eligible.availability
+        now = self._now()
+        if report.absent:
+            # The report is another server's.
+            if known.is_absent(server.server_id, now):
+                self._log_pause(server, "absent", request, 0.0)
+            return
+        if report.load is not None:
+            self.told_load(server, report.load)
+        if report.leaving and known.leaves(server.server_id):
+            self._log_pause(server, "leaving", request, 0.0)
+        if report.rest_s and known.rests(server.server_id, report.rest_s, now):
+            self._log_pause(server, "resting", request, report.rest_s)
+
+    def answered(self, server: directory.BackendServer, sent_s: float) -> None:
+        """Takes that a server has taken a request and answered it.
+
+        Args:
+            server: The server.
+            sent_s: When the request was sent, monotonic seconds.
+        """
+        if self.eligible.availability.answered(server.server_id, sent_s):
+            self._log.instance(
+                "server_accepts_again",
+                server=server.server_id,
+                service=server.service,
+            )
+
+    def _count_unreadable(
+        self,
+        server: directory.BackendServer,
+        report: messages.ServerReport,
+        request: str,
+    ) -> None:
+        for header in report.unreadable:
+            self._metrics.reports.labels("unreadable").inc()
+            self._log.request(
+                "unreadable_header",
+                request,
+                server=server.server_id,
+                header=header,
+            )
+
+    def _log_pause(
+        self,
+        server: directory.BackendServer,
+        says: str,
+        request: str,
+        rest_s: float,
+    ) -> None:
+        self._metrics.reports.labels(says).inc()
+        self._log.problem(
+            "server_accepts_nothing",
+            server=server.server_id,
+            address=server.address,
+            service=server.service,
+            why=says,
+            rest_s=rest_s,
+            listed=server.state.value,
+            request=request,
+        )
+
     def told_load(
         self, server: directory.BackendServer, load: messages.Load
     ) -> None:
-        """Takes a server's word on its load, and tells other instances."""
+        """Takes a server's load, and tells other instances."""
         now = self._now()
         work = load.running + load.waiting
         book = self.chooser(server.service).book
@@ -206,6 +282,7 @@
         self.links.keep(names)
         self.reach.keep(names)
         self.eligible.cold.keep(names)
+        self.eligible.availability.keep(names, self._now())
         self._ended &= names
         self._break_off_ended(servers)
         self._metrics.servers.set(len(servers))
--- a/irisshelf/platform/http_dialect.py
+++ b/irisshelf/platform/http_dialect.py
@@ -15,8 +15,13 @@
 _DEADLINE = b"deadline-ms"
 _KEEP_ALIVE = b"keep-alive"
 _CONNECTION = b"connection"
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _BEARER = "bearer "
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
+# A server that asks for more makes a mistake.
+_LONGEST_REST_S = 3600.0
 # Fifteen digits are exact in any number format; a count has fewer.
 _MOST_DIGITS = 15
 _LONGEST_KEEP_ALIVE_S = 86400
@@ -54,8 +59,8 @@
         b"pin-ms",
     }
 )
-# Of an answer these are the server's word to irisshelf, not to its caller.
-_INTERNAL = frozenset({_LOAD, _NOT_RUN})
+# Of an answer these are meant for irisshelf, not for its caller.
+_INTERNAL = frozenset({_LOAD, _NOT_RUN, _LEAVING})
 
 
 class HttpDialect(dialect.Dialect):
@@ -99,7 +104,6 @@
             for name, value in headers
         }
         dropped = _HOP | _INTERNAL | _named_in_connection(headers)
-        wrong_server = status == _MISDIRECTED
         return messages.AnswerHead(
             status=status,
             headers=tuple(
@@ -109,12 +113,9 @@
             ),
             request_id=found.get(_REQUEST_ID, ""),
             signed=bool(found.get(_SIGNATURE)),
-            not_run=_NOT_RUN in found or wrong_server,
-            wrong_server=wrong_server,
+            not_run=_NOT_RUN in found or status == _MISDIRECTED,
             encoded=b"content-encoding" in found,
-            load=_load(found.get(_LOAD, "")),
-            keep_alive_s=_keep_alive_s(found.get(_KEEP_ALIVE, "")),
-            closing="close" in found.get(_CONNECTION, "").lower(),
+            report=_report(status, headers),
         )
 
     def own_headers(
@@ -129,6 +130,57 @@
         return headers
 
 
+def _report(status: int, headers: messages.Headers) -> messages.ServerReport:
+    """Reads what the server says of itself.
+
+    A header that comes twice is one with a list of values (RFC 9110, 5.3).
+    """
+    found: dict[bytes, str] = {}
+    for name, value in headers:
+        name = name.lower()
+        text = value.decode("latin-1").strip()
+        found[name] = f"{found[name]},{text}" if name in found else text
+    unreadable = []
+    leaving = _flag(found.get(_LEAVING, ""))
+    if _LEAVING in found and leaving is None:
+        unreadable.append("Server-Leaving")
+    rest_s: float | None = 0.0
+    if status == _UNAVAILABLE and _RETRY_AFTER in found:
+        rest_s = _rest_s(found[_RETRY_AFTER])
+        if rest_s is None:
+            unreadable.append("Retry-After")
+    return messages.ServerReport(
+        load=_load(found.get(_LOAD, "")),
+        leaving=bool(leaving),
+        rest_s=rest_s or 0.0,
+        absent=status == _MISDIRECTED,
+        keep_alive_s=_keep_alive_s(found.get(_KEEP_ALIVE, "")),
+        unreadable=tuple(unreadable),
+    )
+
+
+def _flag(text: str) -> bool | None:
+    """Reads a header that is there, as 1, or not; None for other values."""
+    values = {item.strip() for item in text.split(",")}
+    return True if "1" in values else None
+
+
+def _rest_s(text: str) -> float | None:
+    """Reads seconds, fractions included; the longest of several."""
+    rests_s = [_plain_seconds(item.strip()) for item in text.split(",")]
+    known_s = [rest_s for rest_s in rests_s if rest_s is not None]
+    return min(max(known_s), _LONGEST_REST_S) if known_s else None
+
+
+def _plain_seconds(text: str) -> float | None:
+    """Reads digits with at most one point among them."""
+    whole, _, part = text.partition(".")
+    digits = whole + part
+    if not (digits.isascii() and digits.isdigit()):
+        return None
+    return float(text) if len(digits) <= _MOST_DIGITS else _LONGEST_REST_S
+
+
 def _ask(target: str, found: dict[bytes, str]) -> messages.Ask:
     request_id = found.get(_REQUEST_ID, "")
     if not request_id:
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -122,7 +122,7 @@
         self._streaming = streaming
         self._events = events
         self._event_s = event_s
-        self._work_s = work_s
+        self.work_s = work_s
         self._serial = itertools.count()
         self._socks: set[socket.socket] = set()
         self._server = self._listener(port)
@@ -270,7 +270,7 @@
         return True
 
     def _answer(self, fault: Fault, run: Run, conn: http.Connection) -> None:
-        gevent.sleep(self._owner._work_s)
+        gevent.sleep(self._owner.work_s)
         if fault is Fault.HANG:
             gevent.sleep(3600)
         if fault is Fault.SLOW:
--- a/irisshelf/tests/test_leaving_and_resting.py
+++ b/irisshelf/tests/test_leaving_and_resting.py
@@ -34,6 +34,30 @@
     return world.engines if stream else world.plain
 
 
+def _fastest(world, target):
+    """Returns a server that all requests prefer, as the others are slow."""
+    first, *others = _group(world, target)
+    for one in others:
+        one.work_s = 0.02
+    return first
+
+
+def _listed(world, one):
+    return world.inst.directory.get(one.server_id)
+
+
+def _write(world, one, entry):
+    """Writes an entry; the instance has it afterwards."""
+    world.store.put("servers", one.server_id, entry)
+    known = (entry.get("born"), entry["slots"])
+    world.wait(
+        lambda: (
+            (listed := _listed(world, one))
+            and (listed.born_ms, listed.slots) == known
+        )
+    )
+
+
 def _ask_until_reached(world, one, target, **options):
     """Asks until one server has answered; it says what it says."""
     for _ in range(50):
@@ -44,6 +68,15 @@
     raise AssertionError(f"{one.server_id} got none of 50 requests")
 
 
+def _ask_until_all_reached(world, group, target):
+    """Asks until each server has answered, be it to a second send."""
+    for _ in range(50):
+        if all(one.arrivals for one in group):
+            return
+        world.ask(target)
+    raise AssertionError("a server got none of 50 requests")
+
+
 def _arrivals_after(world, one, target, **options):
     """Returns how many of further requests reach a server, and the answers."""
     before = len(one.arrivals)
@@ -64,7 +97,7 @@
     make_world, target, fault
 ):
     world = make_world(servers=3)
-    leaving = _group(world, target)[0]
+    leaving = _fastest(world, target)
     leaving.says = [_LEAVING]
     leaving.always = fault
     _ask_until_reached(world, leaving, target)
@@ -85,16 +118,16 @@
 )
 def test_no_entry_of_the_same_life_takes_it_back(make_world, target, entries):
     world = make_world(servers=3)
-    leaving = _group(world, target)[0]
+    leaving = _fastest(world, target)
     leaving.says = [_LEAVING]
     _ask_until_reached(world, leaving, target)
-    for state in entries:
+    for slots, state in enumerate(entries, start=9):
         if state is None:
             world.store.drop("servers", leaving.server_id)
+            world.wait(lambda: not _listed(world, leaving))
         else:
-            entry = leaving.entry(state)
-            world.store.put("servers", leaving.server_id, entry | {"slots": 9})
-        gevent.sleep(0.1)
+            entry = leaving.entry(state) | {"slots": slots}
+            _write(world, leaving, entry)
     count, _ = _arrivals_after(world, leaving, target)
     assert count == 0
 
@@ -105,15 +138,14 @@
     first, second = _group(world, target)
     for one in (first, second):
         one.born_ms = 1000
-        world.store.put("servers", one.server_id, one.entry())
-    gevent.sleep(0.1)
+        _write(world, one, one.entry())
     first.says = [_LEAVING]
     _ask_until_reached(world, first, target)
     first.says = []
     first.born_ms = 2000
-    world.store.put("servers", first.server_id, first.entry())
-    gevent.sleep(0.1)
-    second.refuses = True
+    _write(world, first, first.entry())
+    second.says = [_LEAVING]
+    _ask_until_reached(world, second, target)
     _ask_until_reached(world, first, target)
 
 
@@ -123,8 +155,7 @@
     group = _group(world, target)
     for one in group:
         one.says = [_LEAVING]
-    for one in group:
-        _ask_until_reached(world, one, target)
+    _ask_until_all_reached(world, group, target)
     before = sum(len(one.arrivals) for one in group)
     answer = world.ask(target)
     assert (answer.status, answer.whole) == (503, True)
@@ -144,7 +175,7 @@
     make_world, target, fault
 ):
     world = make_world(servers=3)
-    resting = _group(world, target)[0]
+    resting = _fastest(world, target)
     resting.always = fault
     resting.says = [(b"Retry-After", str(_REST_S).encode())]
     _ask_until_reached(world, resting, target)
@@ -173,8 +204,7 @@
     for one in group:
         one.refuses = True
         one.says = [(b"Retry-After", str(_REST_S).encode())]
-    for one in group:
-        _ask_until_reached(world, one, target)
+    _ask_until_all_reached(world, group, target)
     before = sum(len(one.arrivals) for one in group)
     answer = world.ask(target)
     assert (answer.status, answer.whole) == (503, True)
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -235,8 +235,8 @@
 def test_a_header_that_says_nothing_does_not_end_the_answer(name, text):
     headers = ((name.encode(), text.encode("latin-1")),)
     head = http_dialect.HttpDialect().answer_head(200, headers)
-    assert head.load is None
-    assert head.keep_alive_s is None or head.keep_alive_s <= 86400
+    assert head.report.load is None
+    assert head.report.keep_alive_s is None or head.report.keep_alive_s <= 86400
 
 
 _NAMES = strategies.sampled_from(
@@ -255,10 +255,14 @@
 @hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
 def test_any_answer_head_is_read(headers):
     head = http_dialect.HttpDialect().answer_head(200, tuple(headers))
-    if head.keep_alive_s is not None:
-        assert 0 <= head.keep_alive_s <= 86400
-    if head.load is not None:
-        for count in (head.load.running, head.load.waiting, head.load.slots):
+    if head.report.keep_alive_s is not None:
+        assert 0 <= head.report.keep_alive_s <= 86400
+    if head.report.load is not None:
+        for count in (
+            head.report.load.running,
+            head.report.load.waiting,
+            head.report.load.slots,
+        ):
             assert 0 <= count <= _MOST
 
 
