A server that says in an answer that it leaves gets nothing more, on any path

Callers saw: requests that were sent to a server twelve seconds and more after an answer had said that it leaves; those that it cannot finish before it ends are lost.

Cause: whether a server takes requests was read from the store's list alone. In the incident the store was away when the server began to leave; its entry disappeared at the store's return without a word, and was kept as lapsed for 2.2 s like the entries of live servers.

Why it works: Eligibility.accepts is the one gate. First sends, second sends, replacements of silent servers, the last resort, servers asked again and a suspect request's one server are all chosen from accepting(), and Placement asks once more when a request goes out, since the answer may come while a connection does. Only another life lifts it: no entry, no time. Work under way ends as before. A server that leaves is not blamed on the request that it ends under. When all leave: 503 at once.

--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -81,18 +81,29 @@
             verdict: What is thought of the request; None if it is clear.
 
         Returns:
-            None if the server that was chosen could not be reached.
+            None if the server that was chosen could not be reached, or takes
+            no request any more.
         """
-        replacement, self._replacement = self._replacement, None
-        if replacement is not None:
-            return replacement
-        choice = self._choose(verdict)
-        if choice is None:
-            return self._no_server()
-        refusal = self._refuse(choice)
-        if refusal is not None:
-            return refusal
-        return self._connect(choice)
+        placed, self._replacement = self._replacement, None
+        if placed is None:
+            choice = self._choose(verdict)
+            if choice is None:
+                return self._no_server()
+            refusal = self._refuse(choice)
+            if refusal is not None:
+                return refusal
+            placed = self._connect(choice)
+        if placed is None or self._begin(placed.choice.server):
+            return placed
+        self._keep(placed)
+        return None
+
+    def _begin(self, server: directory.BackendServer) -> bool:
+        """Takes that a request goes to a server now, if it still may.
+
+        The server may have said otherwise while a connection came about.
+        """
+        return self._inst.eligible.accepts(server)
 
     def _no_server(self) -> Refused:
         """Says why there is no server, and when that may have changed."""
@@ -107,7 +118,7 @@
                 retry_after_s=outage.retry_after_s(evacuated_s, inst.rng),
             )
         cold_s = min(
-            map(inst.eligible.cold_wait_s, self._usable()), default=0.0
+            map(inst.eligible.cold_wait_s, self._accepting()), default=0.0
         )
         if cold_s:
             spread = inst.rng.uniform(1.0, _COLD_SPREAD)
@@ -164,7 +175,7 @@
                 self._job, verdict, self._sends.avoid
             )
             return self._choose_among(only, set())
-        servers = self._usable()
+        servers = self._accepting()
         choice = self._choose_among(servers, self._sends.avoid)
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
             # One that failed this request lives; another try may do better.
@@ -177,6 +188,11 @@
     def _usable(self) -> tuple[directory.BackendServer, ...]:
         return self._inst.eligible.usable(self._job.service, self._job.regions)
 
+    def _accepting(self) -> tuple[directory.BackendServer, ...]:
+        return self._inst.eligible.accepting(
+            self._job.service, self._job.regions
+        )
+
     def _choose_among(
         self, servers: Sequence[directory.BackendServer], avoid: set[str]
     ) -> server_choice.Choice | None:
@@ -241,7 +257,7 @@
         if self._connects >= _MOST_CONNECTS:
             return None
         choice = self._choose_among(
-            self._usable(),
+            self._accepting(),
             self._sends.avoid | {running.server_id},
         )
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
--- a/irisshelf/gateway/servers/crashes.py
+++ b/irisshelf/gateway/servers/crashes.py
@@ -92,11 +92,10 @@
         """Returns the one server that a suspect request may go to, if any."""
         fit = {
             server.server_id: server
-            for server in self._servers.eligible.usable(
+            for server in self._servers.eligible.accepting(
                 job.service, job.regions
             )
-            if server.state is directory.ServerState.READY
-            and server.server_id not in avoid
+            if server.server_id not in avoid
             and not self._servers.out_of_reach(server)
         }
         keys = {end.server for end in verdict.ends}
@@ -172,7 +171,7 @@
         which no request brings about; one that leaves ends as planned.
         """
         listed = self._listed.get(server.entry_id)
-        if listed is None or listed.state is directory.ServerState.LEAVING:
+        if listed is None or self._servers.eligible.is_leaving(server):
             return False
         if listed.server_id != server.server_id:
             return True
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -1,7 +1,8 @@
 """Which backend servers may get a request, whatever their load and health.
 
-Servers of evacuated data centres get nothing, requests keep to their regions,
-and cold servers get few, see ``routing.direct.cold_start``.
+Servers of evacuated data centres get nothing, nor do those that say that they
+want nothing, see ``routing.direct.availability``. Requests keep to their
+regions, and cold servers get few, see ``routing.direct.cold_start``.
 """
 
 from __future__ import annotations
@@ -59,7 +60,9 @@
     def usable(
         self, service: str, regions: frozenset[str] | None = None
     ) -> tuple[directory.BackendServer, ...]:
-        """Returns the listed servers of a service that may get requests.
+        """Returns the listed servers of a service that stand where they may.
+
+        Some of them may take no request now, see ``accepting``.
 
         Args:
             service: The service.
@@ -68,6 +71,30 @@
         servers = self._not_evacuated(self._listed.of(service))
         return self._in_regions(servers, regions)
 
+    def accepting(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> tuple[directory.BackendServer, ...]:
+        """Returns the servers of a service that take requests now.
+
+        Args:
+            service: The service.
+            regions: Where the request may be served; None for anywhere.
+        """
+        return tuple(filter(self.accepts, self.usable(service, regions)))
+
+    def accepts(self, server: directory.BackendServer) -> bool:
+        """Tells whether a request may be sent to a server now."""
+        if server.state is not directory.ServerState.READY:
+            return False
+        return not self.availability.is_leaving(server.server_id)
+
+    def is_leaving(self, server: directory.BackendServer) -> bool:
+        """Tells whether a server leaves, as it or its entry says."""
+        listed = self._listed.get(server.entry_id)
+        return (
+            listed is not None and listed.state is directory.ServerState.LEAVING
+        ) or self.availability.is_leaving(server.server_id)
+
     def evacuated(self, service: str) -> tuple[directory.BackendServer, ...]:
         """Returns the listed servers that stand in evacuated places."""
         names = self._evacuations.now()
