A server that turns requests away with Retry-After gets none until its rest is over

Cause: Retry-After of a server was not read, and being turned away had no effect on the next choice. A server that turns work away at once even looks idle and quick, so that it draws more than its share.

Where all servers rest, callers hear 503 at once with the time at which the first takes work again, spread over a second; resting servers count in the mean that bounds a server's load.

--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -19,6 +19,9 @@
 
 # Each takes a tenth of a second at the most, which is the caller's time.
 _MOST_CONNECTS = 5
+# Callers who wait for servers to take requests again come back spread over so
+# much time: at first these take one request at a time.
+_RESTED_SPREAD_S = 1.0
 # Callers who wait for cold servers come back one after the other.
 _COLD_SPREAD = 1.3
 # Servers of a region come back after seconds, if at all.
@@ -103,7 +106,12 @@
 
         The server may have said otherwise while a connection came about.
         """
-        return self._inst.eligible.accepts(server)
+        if not self._inst.eligible.accepts(server):
+            return False
+        self._inst.eligible.availability.sent(
+            server.server_id, self._inst.now()
+        )
+        return True
 
     def _no_server(self) -> Refused:
         """Says why there is no server, and when that may have changed."""
@@ -117,6 +125,12 @@
                 why="evacuated",
                 retry_after_s=outage.retry_after_s(evacuated_s, inst.rng),
             )
+        pause_s = inst.eligible.accepting_in_s(
+            self._job.service, self._job.regions
+        )
+        if pause_s is not None:
+            spread_s = inst.rng.uniform(0.0, _RESTED_SPREAD_S)
+            return Refused(why="resting", retry_after_s=pause_s + spread_s)
         cold_s = min(
             map(inst.eligible.cold_wait_s, self._accepting()), default=0.0
         )
@@ -198,7 +212,8 @@
     ) -> server_choice.Choice | None:
         known = self._inst.eligible
         warm, cold = known.split(self._job.service, servers)
-        idle = known.evacuated(self._job.service)
+        service = self._job.service
+        idle = (*known.evacuated(service), *known.pausing(service))
         choice = self._choose_of(warm, avoid, [*idle, *cold])
         if not cold or not _is_short(choice):
             return choice
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -86,7 +87,7 @@
         """Tells whether a request may be sent to a server now."""
         if server.state is not directory.ServerState.READY:
             return False
-        return not self.availability.is_leaving(server.server_id)
+        return self._block(server) is None
 
     def is_leaving(self, server: directory.BackendServer) -> bool:
         """Tells whether a server leaves, as it or its entry says."""
@@ -95,6 +96,31 @@
             listed is not None and listed.state is directory.ServerState.LEAVING
         ) or self.availability.is_leaving(server.server_id)
 
+    def pausing(self, service: str) -> tuple[directory.BackendServer, ...]:
+        """Returns the servers of a service that take no request for a while."""
+        return tuple(
+            server
+            for server in self.usable(service)
+            if self._pause_s(server) is not None
+        )
+
+    def accepting_in_s(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> float | None:
+        """Returns when the first server of a service takes requests again.
+
+        None if one takes them now, or if none will as far as is known.
+
+        Args:
+            service: The service.
+            regions: Where the request may be served; None for anywhere.
+        """
+        servers = self.usable(service, regions)
+        if any(map(self.accepts, servers)):
+            return None
+        pauses_s = [p for p in map(self._pause_s, servers) if p is not None]
+        return min(pauses_s, default=None)
+
     def evacuated(self, service: str) -> tuple[directory.BackendServer, ...]:
         """Returns the listed servers that stand in evacuated places."""
         names = self._evacuations.now()
@@ -205,6 +231,18 @@
             now = self._now()
             self.cold.assume(server.server_id, service.cold_start_s, now)
 
+    def _block(
+        self, server: directory.BackendServer
+    ) -> availability_module.Block | None:
+        return self.availability.block(server.server_id, self._now())
+
+    def _pause_s(self, server: directory.BackendServer) -> float | None:
+        block = self._block(server)
+        ready = server.state is directory.ServerState.READY
+        if not ready or block is None or math.isinf(block.left_s):
+            return None
+        return block.left_s
+
     def _in_regions(
         self,
         servers: tuple[directory.BackendServer, ...],
