Instances are told of servers that leave or rest; reports of servers in a module of their own

One fact kind more (ServerPause), 16 bytes a server that begins to leave or to rest, told once. It holds two seconds at the most, as a datagram may be wrong; then an instance sends one request, whose answer tells by itself. So callers of other instances meet the server's refusal at most once an instance.

--- a/irisshelf/coordination/facts.py
+++ b/irisshelf/coordination/facts.py
@@ -54,4 +54,17 @@
     until_s: float
 
 
-Fact = ServerLoad | PartHeld | ServerCold
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerPause:
+    """A server has told an instance that it takes no requests.
+
+    Attributes:
+        server: The server's key.
+        until_s: Until when, monotonic seconds of the reader.
+    """
+
+    server: bytes
+    until_s: float
+
+
+Fact = ServerLoad | PartHeld | ServerCold | ServerPause
--- a/irisshelf/gateway/knowledge/board.py
+++ b/irisshelf/gateway/knowledge/board.py
@@ -17,6 +17,7 @@
 from collections.abc import Sequence
 from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
 import gevent
 import msgspec
@@ -30,6 +31,7 @@
 _TICK_S = 0.25
 _MOST_LOADS = 40
 _MOST_COLDS = 20
+_MOST_PAUSES = 20
 # Bytes of a datagram by what it holds, at the most: its head, a load, a part of
 # a prompt, and its server's key where that is the first of the server's.
 _HEAD_BYTES = 60
@@ -44,6 +46,8 @@
 _Work = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Ms = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 
+_T = TypeVar("_T")
+
 
 class _Way(enum.IntEnum):
     """How a message has come so far."""
@@ -62,6 +66,8 @@
     holds: dict[bytes, list[bytes]] = {}
     # Server's key, and how long it stays cold in ms.
     colds: list[tuple[bytes, _Ms]] = []
+    # Server's key, and for how long it takes no requests in ms.
+    pauses: list[tuple[bytes, _Ms]] = []
 
 
 class _News:
@@ -73,9 +79,10 @@
             maxlen=_MOST_WAITING
         )
         self.colds: dict[bytes, facts.ServerCold] = {}
+        self.pauses: dict[bytes, facts.ServerPause] = {}
 
     def __bool__(self) -> bool:
-        return bool(self.loads or self.holds or self.colds)
+        return bool(self.loads or self.holds or self.colds or self.pauses)
 
     @functools.singledispatchmethod
     def add(self, fact: facts.Fact) -> None:
@@ -96,21 +103,28 @@
     def _(self, fact: facts.ServerCold) -> None:
         self.colds[fact.server] = fact
 
+    @add.register
+    def _(self, fact: facts.ServerPause) -> None:
+        self.pauses[fact.server] = fact
+
     def all(self) -> list[facts.Fact]:
         """Returns all facts."""
-        return [*self.loads.values(), *self.holds, *self.colds.values()]
+        return [
+            *self.loads.values(),
+            *self.holds,
+            *self.colds.values(),
+            *self.pauses.values(),
+        ]
 
     def take(self, data_centre: str, way: _Way) -> _Message:
         """Takes what fits into a datagram; the rest waits for the next."""
         now = boottime.now()
-        loads = [
-            self.loads.pop(server) for server in list(self.loads)[:_MOST_LOADS]
-        ]
-        colds = [
-            self.colds.pop(server) for server in list(self.colds)[:_MOST_COLDS]
-        ]
+        loads = _take(self.loads, _MOST_LOADS)
+        colds = _take(self.colds, _MOST_COLDS)
+        pauses = _take(self.pauses, _MOST_PAUSES)
+        count = len(loads) + len(colds) + len(pauses)
         left_bytes = datagrams_module.MOST_BYTES - _HEAD_BYTES
-        left_bytes -= _LOAD_BYTES * (len(loads) + len(colds))
+        left_bytes -= _LOAD_BYTES * count
         holds: dict[bytes, list[bytes]] = {}
         while self.holds and left_bytes >= _PART_BYTES + _SERVER_BYTES:
             held = self.holds.popleft()
@@ -126,9 +140,8 @@
                 for n in loads
             ],
             holds=holds,
-            colds=[
-                (c.server, max(0, int((c.until_s - now) * 1000))) for c in colds
-            ],
+            colds=[(c.server, _left_ms(c.until_s, now)) for c in colds],
+            pauses=[(p.server, _left_ms(p.until_s, now)) for p in pauses],
         )
 
 
@@ -233,6 +246,15 @@
         return [self._rng.choice(group) for group in found.values()]
 
 
+def _take(waiting: dict[bytes, _T], most: int) -> list[_T]:
+    """Removes the oldest facts, so many at the most."""
+    return [waiting.pop(server) for server in list(waiting)[:most]]
+
+
+def _left_ms(until_s: float, now: float) -> int:
+    return max(0, int((until_s - now) * 1000))
+
+
 def _encode(message: _Message) -> bytes:
     content = msgspec.to_builtins(message, builtin_types=(bytes,))
     return datagrams_module.encode(datagrams_module.Kind.SERVER_NEWS, content)
@@ -251,4 +273,7 @@
     for server, left_ms in message.colds:
         until_s = now + left_ms / 1000
         news.add(facts.ServerCold(server=server, until_s=until_s))
+    for server, left_ms in message.pauses:
+        until_s = now + left_ms / 1000
+        news.add(facts.ServerPause(server=server, until_s=until_s))
     return news.all()
--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -127,7 +127,7 @@
             head = self._exchange_head()
             keep_alive_s = head.report.keep_alive_s
             if not head.not_run:
-                self._inst.servers.answered(server, sent_s)
+                self._inst.servers.reports.answered(server, sent_s)
             self._check(head)
             head_s = self._inst.now()
             book.lasted(server.server_id, head_s - sent_s)
@@ -182,7 +182,7 @@
             while True:
                 status, raw = self._watched.read_head(until_s)
                 head = self._inst.dialect.answer_head(status, raw)
-                self._inst.servers.reported(
+                self._inst.servers.reports.take(
                     self._choice.server, head.report, self._job.ask.request_id
                 )
                 if head.request_id in ("", self._job.ask.request_id):
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -17,6 +17,7 @@
 from irisshelf.gateway.servers import eligibility
 from irisshelf.gateway.servers import links
 from irisshelf.gateway.servers import reach
+from irisshelf.gateway.servers import reports
 from irisshelf.observe import decision_log
 from irisshelf.routing import retry_budget
 from irisshelf.routing.direct import overload
@@ -66,10 +67,18 @@
             now=now,
             asks=cfg.policy.reach,
         )
+        self.tell: Callable[[facts.Fact], None] = _tell_nobody
+        self.reports = reports.Reports(
+            availability=eligible.availability,
+            on_load=self.told_load,
+            tell=lambda fact: self.tell(fact),
+            log=log,
+            counts=counts,
+            now=now,
+        )
         self.fleet = fleet_size.FleetSize(alone=not cfg.seeds)
         # Servers whose process was found to have ended.
         self._ended: set[str] = set()
-        self.tell: Callable[[facts.Fact], None] = _tell_nobody
         self._listed = listed
         self._log = log
         self._metrics = counts
@@ -130,82 +139,6 @@
         )
         return found
 
-    def reported(
-        self,
-        server: directory.BackendServer,
-        report: messages.ServerReport,
-        request: str,
-    ) -> None:
-        """Takes what a server says of itself in an answer.
-
-        Args:
-            server: Whom the request was sent to.
-            report: What the answer says.
-            request: The request's id.
-        """
-        self._count_unreadable(server, report, request)
-        known = self.eligible.availability
-        now = self._now()
-        if report.absent:
-            # The report is another server's.
-            if known.is_absent(server.server_id, now):
-                self._log_pause(server, "absent", request, 0.0)
-            return
-        if report.load is not None:
-            self.told_load(server, report.load)
-        if report.leaving and known.leaves(server.server_id):
-            self._log_pause(server, "leaving", request, 0.0)
-        if report.rest_s and known.rests(server.server_id, report.rest_s, now):
-            self._log_pause(server, "resting", request, report.rest_s)
-
-    def answered(self, server: directory.BackendServer, sent_s: float) -> None:
-        """Takes that a server has taken a request and answered it.
-
-        Args:
-            server: The server.
-            sent_s: When the request was sent, monotonic seconds.
-        """
-        if self.eligible.availability.answered(server.server_id, sent_s):
-            self._log.instance(
-                "server_accepts_again",
-                server=server.server_id,
-                service=server.service,
-            )
-
-    def _count_unreadable(
-        self,
-        server: directory.BackendServer,
-        report: messages.ServerReport,
-        request: str,
-    ) -> None:
-        for header in report.unreadable:
-            self._metrics.reports.labels("unreadable").inc()
-            self._log.request(
-                "unreadable_header",
-                request,
-                server=server.server_id,
-                header=header,
-            )
-
-    def _log_pause(
-        self,
-        server: directory.BackendServer,
-        says: str,
-        request: str,
-        rest_s: float,
-    ) -> None:
-        self._metrics.reports.labels(says).inc()
-        self._log.problem(
-            "server_accepts_nothing",
-            server=server.server_id,
-            address=server.address,
-            service=server.service,
-            why=says,
-            rest_s=rest_s,
-            listed=server.state.value,
-            request=request,
-        )
-
     def told_load(
         self, server: directory.BackendServer, load: messages.Load
     ) -> None:
@@ -248,6 +181,14 @@
             left_s = fact.until_s - now
             self.eligible.cold.assume(server.server_id, left_s, now)
 
+    @heard_fact.register
+    def _(self, fact: facts.ServerPause) -> None:
+        server = self._by_key.get(fact.server)
+        if server is not None:
+            now = self._now()
+            left_s = fact.until_s - now
+            self.eligible.availability.told(server.server_id, left_s, now)
+
     @heard_fact.register
     def _(self, fact: facts.ServerLoad) -> None:
         server = self._by_key.get(fact.server)
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -14,6 +14,7 @@
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
 from irisshelf.gateway import settings
+from irisshelf.gateway.knowledge import board
 from irisshelf.gateway.knowledge import crash_news
 from irisshelf.gateway.knowledge import datagrams
 from irisshelf.gateway.knowledge import follower
@@ -104,11 +105,19 @@
             roster=self.roster,
             log=log,
         )
+        self._board = board.Board(
+            datagrams=self._datagrams,
+            roster=self.roster,
+            on_fact=self.inst.servers.heard_fact,
+            rng=random.Random(2),
+        )
+        self.inst.servers.tell = self._board.tell
         self._greenlets = [
             gevent.spawn(self.follower.run, table) for table in feed.Table
         ]
         self._greenlets.append(gevent.spawn(self.follower.expire_lapsed))
         self._greenlets.append(gevent.spawn(self._datagrams.run))
+        self._greenlets.append(gevent.spawn(self._board.run))
 
     def meet(self, others: Sequence[Entry]) -> None:
         """Makes other instances known to this one."""
--- a/irisshelf/routing/direct/availability.py
+++ b/irisshelf/routing/direct/availability.py
@@ -31,7 +31,7 @@
 # or written anew by then.
 _ABSENT_S = 1.0
 # How long what another instance has been told holds at the most.
-_LONGEST_TOLD_S = 5.0
+LONGEST_TOLD_S = 2.0
 
 
 class Reason(enum.StrEnum):
@@ -125,8 +125,8 @@
             left_s: For how long the server takes no request.
             now: Time in seconds.
         """
-        until_s = now + min(left_s, _LONGEST_TOLD_S)
-        if server_id not in self._pauses:
+        if left_s > 0 and server_id not in self._pauses:
+            until_s = now + min(left_s, LONGEST_TOLD_S)
             self._pause(server_id, Reason.TOLD, until_s, now)
 
     def block(self, server_id: str, now: float) -> Block | None:
