--- a/irisshelf/backends/messages.py
+++ b/irisshelf/backends/messages.py
@@ -71,7 +71,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RelayCall:
-    """A model call handed on to the owner of an engine.
+    """A model call forwarded to the owner of an engine.
 
     Attributes:
         address: The owner's relay address.
--- a/irisshelf/backends/pool.py
+++ b/irisshelf/backends/pool.py
@@ -11,7 +11,7 @@
 from irisshelf.peers import tls
 
 CONCURRENCY = 1024
-# Requests handed on to one instance at a time; more wait. The library also
+# Requests forwarded to one instance at a time; more wait. The library also
 # takes it as the number of tries when a peer turns our certificate down.
 PEER_CONCURRENCY = 256
 # What geventhttpclient raises for connections that break or answers that are
--- a/irisshelf/catalog/evacuations.py
+++ b/irisshelf/catalog/evacuations.py
@@ -15,7 +15,7 @@
 from irisshelf.catalog import directory
 from irisshelf.catalog import position as position_module
 
-# Servers of an evacuated data centre hand on what they hold for this long: the
+# Servers of an evacuated data centre may be fetched from for this long: the
 # requests that come meanwhile bring the parts in use to their next servers, and
 # the operators allow more than as long again.
 HAND_ON_S = 2.0
@@ -66,8 +66,8 @@
         """Returns the evacuated data centres."""
         return self._names
 
-    def hands_on(self, data_centre: str, now: float) -> bool:
-        """Tells whether a data centre's servers may still hand on parts."""
+    def serves_parts(self, data_centre: str, now: float) -> bool:
+        """Tells whether a data centre's servers may still be fetched from."""
         since_s = self._since_s.get(data_centre)
         return since_s is None or now - since_s < HAND_ON_S
 
--- a/irisshelf/catalog/freshness.py
+++ b/irisshelf/catalog/freshness.py
@@ -75,7 +75,7 @@
             return -math.inf
         return min(now, store_s + self._offset_s)
 
-    def vouched(self, as_of_s: float) -> None:
+    def confirmed(self, as_of_s: float) -> None:
         """Takes that all changes up to a time are known."""
         self._as_of_s = max(self._as_of_s, as_of_s)
 
--- a/irisshelf/coordination/gossip.py
+++ b/irisshelf/coordination/gossip.py
@@ -155,7 +155,7 @@
                     message,
                     records=(self._own,),
                     summaries=(),
-                    head=self._head if self._head_is_news(now) else _NO_HEAD,
+                    head=self._head if self._head_is_new(now) else _NO_HEAD,
                 )
             self._budget.spend(messages.size_of(message))
             outgoing.append(Outgoing(to=partner, message=message))
@@ -365,7 +365,7 @@
             self._head = head
             self._head_heard_s = now
 
-    def _head_is_news(self, now: float) -> bool:
+    def _head_is_new(self, now: float) -> bool:
         """Tells whether the head goes into every message for a while."""
         return now - self._head_heard_s <= HEAD_NEWS_S
 
--- a/irisshelf/coordination/lease.py
+++ b/irisshelf/coordination/lease.py
@@ -74,7 +74,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Held:
+class Grant:
     """A lease that this instance holds.
 
     Attributes:
@@ -97,7 +97,7 @@
     name: str
     row: str
     seen: Seen | None = None
-    held: Held | None = None
+    held: Grant | None = None
     pending_s: float | None = None
 
 
@@ -229,7 +229,7 @@
     now: float,
 ) -> State:
     renews = state.held is not None and made.if_version == state.held.version
-    held = Held(
+    held = Grant(
         version=version,
         fence=made.value["fence"],
         taken_s=state.held.taken_s if renews else now,
--- a/irisshelf/coordination/roster.py
+++ b/irisshelf/coordination/roster.py
@@ -107,7 +107,7 @@
         """Returns who hands things on to this instance, the nearest first.
 
         The instances of the data centre, as they are ranked, form a tree in
-        which each hands on to so many others; the first of them is its root.
+        which each relays to so many others; the first of them is its root.
         """
         others = [m for m, _ in self.members(self.own.data_centre, now)]
         ranked = rank([*others, self.own])
--- a/irisshelf/coordination/table_watch.py
+++ b/irisshelf/coordination/table_watch.py
@@ -125,7 +125,7 @@
             self._era = position.era
         return newest
 
-    def handed(
+    def relayed(
         self, position: position_module.Position, as_of_s: float
     ) -> bool:
         """Takes the whole table from another instance.
--- a/irisshelf/daemon/model_call.py
+++ b/irisshelf/daemon/model_call.py
@@ -29,7 +29,7 @@
 
 MAX_RESUMES = 2
 _RESUME_WAIT_S = 0.05
-_MAX_HAND_ON_FAILURES = 4
+_MAX_FORWARD_FAILURES = 4
 _SILENT = (outcome.Cause.TIMEOUT, outcome.Cause.BROKEN)
 
 
@@ -51,7 +51,7 @@
             deadline_s=req.deadline_s,
             budget=req.router.budget,
         )
-        self._hand_on_failures = 0
+        self._forward_failures = 0
         self._ask_owner_of = ""
         self._failed: set[str] = set(req.avoid)
         self._attempt: attempt_module.Attempt | None = None
@@ -76,7 +76,7 @@
             tried = self._try(attempt)
             if isinstance(tried, result.Ok):
                 return tried
-            if self._hand_on_again(attempt, tried.err_value):
+            if self._forward_again(attempt, tried.err_value):
                 continue
             self._failed.add(attempt.target.name)
             refusal = self._after(tried.err_value)
@@ -159,7 +159,7 @@
         address = self._nd.relay_address(decided.owner)
         if not address:
             # The owner has just left the list; decide again, at last alone.
-            self._hand_on_failures += 1
+            self._forward_failures += 1
             return self._next_attempt()
         call = model_messages.relay_call(
             self._nd,
@@ -179,13 +179,13 @@
             target=decided.target, call=call, send=None
         )
 
-    def _decide(self) -> service.Send | service.HandOn | None:
+    def _decide(self) -> service.Send | service.Forward | None:
         router = self._req.router
         wanted = router.target(self._ask_owner_of)
         if wanted is not None and not router.owns(wanted.name):
-            return router.hand_on(wanted)
+            return router.forward(wanted)
         entering = self._req.hops == 0 and not self._ask_owner_of
-        alone = self._hand_on_failures >= _MAX_HAND_ON_FAILURES
+        alone = self._forward_failures >= _MAX_FORWARD_FAILURES
         return router.route(
             self._req.context,
             avoid=frozenset(self._failed),
@@ -277,7 +277,7 @@
             self._nd.peer_unreachable(attempt.call.address)
         return result.Err(error)
 
-    def _hand_on_again(
+    def _forward_again(
         self, attempt: attempt_module.Attempt, error: errors.CallError
     ) -> bool:
         """Tells whether another owner should be asked, as nothing ran.
@@ -288,10 +288,10 @@
             return False
         if not error.unreachable and not error.try_target:
             return False
-        if self._hand_on_failures >= _MAX_HAND_ON_FAILURES:
+        if self._forward_failures >= _MAX_FORWARD_FAILURES:
             self._ask_owner_of = ""
             return False
-        self._hand_on_failures += 1
+        self._forward_failures += 1
         self._course.did_not_begin()
         self._ask_owner_of = error.try_target
         if error.unreachable:
--- a/irisshelf/daemon/node.py
+++ b/irisshelf/daemon/node.py
@@ -204,7 +204,7 @@
             self.observe(target.name, health.Event.FAILURE, error.detail)
 
     def relay_address(self, instance: str) -> str:
-        """Returns where another instance takes requests handed on to it."""
+        """Returns where another instance takes requests forwarded to it."""
         found = self.nodes.get(instance)
         return found.relay_address if found else ""
 
--- a/irisshelf/daemon/relay.py
+++ b/irisshelf/daemon/relay.py
@@ -1,4 +1,4 @@
-"""Takes model calls that other instances hand on: the owner's side."""
+"""Takes model calls that other instances forward: the owner's side."""
 
 from __future__ import annotations
 
@@ -96,7 +96,7 @@
     def _elsewhere(self, req: model_messages.Request) -> str | None:
         """Returns the engine whose owner should be asked instead, if any."""
         decided = req.router.route(req.context, avoid=req.avoid, hops_left=1)
-        if not isinstance(decided, service.HandOn):
+        if not isinstance(decided, service.Forward):
             return None
         req.router.placed_elsewhere(
             req.context,
@@ -168,7 +168,7 @@
 def _redirect(start_response: http.StartResponse, target: str) -> list[bytes]:
     """Tells the entry instance to ask the owner of another engine.
 
-    It could be handed on from here, but each instance in between is one more
+    It could be forwarded from here, but each instance in between is one more
     whose end cuts the stream, and one more that relays every token.
     """
     headers = [
--- a/irisshelf/daemon/settings.py
+++ b/irisshelf/daemon/settings.py
@@ -91,7 +91,7 @@
 
     Attributes:
         link_listen: Where the exchange between instances comes in.
-        relay_listen: Where requests come in that other instances hand on.
+        relay_listen: Where requests come in that other instances forward.
         secret: What all instances of the fleet know.
         tls: Certificates for links and relays; without, they are plain TCP.
     """
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -17,9 +17,9 @@
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
 from irisshelf.gateway import settings
-from irisshelf.gateway.knowledge import board
-from irisshelf.gateway.knowledge import crash_news
+from irisshelf.gateway.knowledge import crash_gossip
 from irisshelf.gateway.knowledge import datagrams
+from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import follower
 from irisshelf.gateway.knowledge import neighbours
 from irisshelf.gateway.knowledge import store_updates
@@ -98,13 +98,15 @@
         self._datagrams = datagrams.Datagrams(
             address=cfg.listen.peers, log=self._log
         )
-        self._crash_news = crash_news.CrashNews(
+        self._crash_news = crash_gossip.CrashGossip(
             crashes=self._inst.crashes,
             datagrams=self._datagrams,
             roster=self._neighbours.roster,
             log=self._log,
         )
-        self._neighbours.answer_with(crash_news.ALL_PATH, self._crash_news.all)
+        self._neighbours.answer_with(
+            crash_gossip.ALL_PATH, self._crash_news.all
+        )
         self._follower = follower.Follower(
             inst=self._inst,
             store=make_store(cfg.store),
@@ -135,8 +137,8 @@
         """
         decision_log.start(self._log)
         gevent.spawn(self._datagrams.run)
-        if self._inst.cfg.policy.board:
-            self._start_board()
+        if self._inst.cfg.policy.gossip:
+            self._start_gossip()
         for one in self._listeners:
             one.start()
         for signum in (signal.SIGTERM, signal.SIGINT):
@@ -149,7 +151,7 @@
         gevent.spawn(self._neighbours.run)
         gevent.spawn(
             self._crash_news.catch_up,
-            lambda: self._neighbours.ask_any(crash_news.ALL_PATH),
+            lambda: self._neighbours.ask_any(crash_gossip.ALL_PATH),
         )
         cfg = self._inst.cfg
         self._log.instance(
@@ -161,15 +163,15 @@
         self._log.instance("stop", in_flight=self._inst.in_flight)
         self._log.flush()
 
-    def _start_board(self) -> None:
-        news = board.Board(
+    def _start_gossip(self) -> None:
+        gossip = fact_gossip.FactGossip(
             datagrams=self._datagrams,
             roster=self._neighbours.roster,
             on_fact=self._inst.servers.heard_fact,
             rng=self._inst.rng,
         )
-        self._inst.servers.tell = news.tell
-        gevent.spawn(news.run)
+        self._inst.servers.tell = gossip.tell
+        gevent.spawn(gossip.run)
 
     def _take_members(self, others_here: int) -> None:
         """Takes how many other instances the own data centre has.
--- a/irisshelf/gateway/knowledge/crash_news.py
+++ b/irisshelf/gateway/knowledge/crash_gossip.py
@@ -27,8 +27,8 @@
 from irisshelf.observe import decision_log
 from irisshelf.routing import suspects
 
-_KIND = datagrams_module.Kind.CRASH_NEWS
-# Where an instance answers ``CrashNews.all``.
+_KIND = datagrams_module.Kind.CRASHES
+# Where an instance answers ``CrashGossip.all``.
 ALL_PATH = "/crashes"
 _AGAIN_S = 0.4
 # Instances of each other data centre that are told.
@@ -52,12 +52,12 @@
     relay: bool
 
 
-class CrashNews:
-    """Sends and takes news.
+class CrashGossip:
+    """Sends and takes ends of servers.
 
     Args:
         crashes: What this instance knows.
-        datagrams: Carries news.
+        datagrams: Carries messages.
         roster: The other instances.
         log: Takes what cannot be read.
     """
@@ -76,13 +76,13 @@
         self._roster = roster
         crashes.on_end = self._tell_end
         crashes.on_good = self._tell_good
-        datagrams.hand_to(_KIND, self.take)
+        datagrams.subscribe(_KIND, self.take)
 
     def take(self, content: Any) -> None:
         """Takes what a datagram holds.
 
         Raises:
-            ValueError: It is no news.
+            ValueError: It is none.
         """
         message = msgspec.convert(content, _Message)
         if message.age_ms > _OLDEST_MS:
--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -20,9 +20,9 @@
 class Kind(enum.IntEnum):
     """What a datagram is about; its first byte."""
 
-    SERVER_NEWS = 1
+    SERVER_FACTS = 1
     STORE_UPDATE = 2
-    CRASH_NEWS = 3
+    CRASHES = 3
 
 
 class Datagrams:
@@ -47,7 +47,7 @@
         host, port = self._sock.getsockname()
         return f"{host}:{port}"
 
-    def hand_to(self, kind: Kind, taker: Callable[[Any], None]) -> None:
+    def subscribe(self, kind: Kind, taker: Callable[[Any], None]) -> None:
         """Names who takes a kind of datagram.
 
         Args:
--- a/irisshelf/gateway/knowledge/board.py
+++ b/irisshelf/gateway/knowledge/fact_gossip.py
@@ -1,10 +1,10 @@
-"""What instances tell each other of servers: their loads and their prompts.
+"""Facts about backend servers, exchanged between instances as datagrams.
 
 Each instance sends what it has just learnt from servers' answers to the first
 instance of its data centre, as a datagram of CBOR. That one gathers, tells all
 of its data centre, and one instance of each other data centre, four times a
 second at the most. So datagrams grow with the instances, not with their
-square. One that is lost is not missed: what it told is soon told anew.
+square. A lost one is made good by the next facts about the same server.
 """
 
 from __future__ import annotations
@@ -38,9 +38,9 @@
 _LOAD_BYTES = 16
 _PART_BYTES = 6
 _SERVER_BYTES = 9
-# News that may wait for the next datagram; the oldest are dropped.
+# Parts that may wait for the next datagram; the oldest are dropped.
 _MOST_WAITING = 1000
-# News are older than this only if something is wrong with a clock or a link.
+# Facts are older than this only if something is wrong with a clock or a link.
 _OLDEST_MS = 5000
 # A server with less than no work would draw all requests.
 _Work = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -49,17 +49,17 @@
 _T = TypeVar("_T")
 
 
-class _Way(enum.IntEnum):
+class _Hop(enum.IntEnum):
     """How a message has come so far."""
 
-    TO_FIRST = 0
+    TO_RELAY = 0
     FORWARDED = 1
     TO_ALL = 2
 
 
 class _Message(msgspec.Struct, array_like=True):
     data_centre: str
-    way: _Way
+    hop: _Hop
     # Server's key, work, age in ms.
     loads: list[tuple[bytes, _Work, int]] = []
     # Server's key and the keys of the parts of prompts that it has read.
@@ -70,8 +70,8 @@
     pauses: list[tuple[bytes, _Ms]] = []
 
 
-class _News:
-    """News that wait to be sent."""
+class _Outbox:
+    """Facts that wait to be sent."""
 
     def __init__(self):
         self.loads: dict[bytes, facts.ServerLoad] = {}
@@ -116,7 +116,7 @@
             *self.pauses.values(),
         ]
 
-    def take(self, data_centre: str, way: _Way) -> _Message:
+    def take(self, data_centre: str, hop: _Hop) -> _Message:
         """Takes what fits into a datagram; the rest waits for the next."""
         now = boottime.now()
         loads = _take(self.loads, _MOST_LOADS)
@@ -134,7 +134,7 @@
             holds.setdefault(held.server, []).append(held.part)
         return _Message(
             data_centre=data_centre,
-            way=way,
+            hop=hop,
             loads=[
                 (n.server, n.work, max(0, int((now - n.at_s) * 1000)))
                 for n in loads
@@ -145,11 +145,11 @@
         )
 
 
-class Board:
-    """Sends and takes news.
+class FactGossip:
+    """Sends and takes facts.
 
     Args:
-        datagrams: Carries news.
+        datagrams: Carries facts.
         roster: The other instances.
         on_fact: Takes what another instance tells.
         rng: Chooses whom to tell in other data centres.
@@ -168,12 +168,12 @@
         self._on_fact = on_fact
         self._rng = rng
         # What comes from the own data centre, and what from elsewhere.
-        self._own = _News()
-        self._foreign = _News()
-        datagrams.hand_to(datagrams_module.Kind.SERVER_NEWS, self.take)
+        self._own = _Outbox()
+        self._foreign = _Outbox()
+        datagrams.subscribe(datagrams_module.Kind.SERVER_FACTS, self.take)
 
     def run(self) -> None:
-        """Sends news as long as the process lives."""
+        """Sends facts as long as the process lives."""
         while True:
             gevent.sleep(_TICK_S)
             self.send()
@@ -183,57 +183,57 @@
         self._own.add(fact)
 
     def send(self) -> None:
-        """Tells the news since the last time, if there are any."""
+        """Sends the facts taken since the last time, if there are any."""
         now = boottime.now()
         first = self._roster.first(now)
         if first is not None:
-            self._send_news(self._own, _Way.TO_FIRST, [first])
-            # News for others that came while this instance was the first.
-            self._send_news(self._foreign, _Way.FORWARDED, [first])
+            self._send_facts(self._own, _Hop.TO_RELAY, [first])
+            # Facts for others that came while this instance was the first.
+            self._send_facts(self._foreign, _Hop.FORWARDED, [first])
             return
         members = self._roster.members(self._roster.own.data_centre, now)
         everyone = [member for member, _ in members]
         elsewhere = self._one_elsewhere()
-        self._send_news(self._foreign, _Way.TO_ALL, everyone)
-        self._send_news(self._own, _Way.TO_ALL, everyone, abroad=elsewhere)
+        self._send_facts(self._foreign, _Hop.TO_ALL, everyone)
+        self._send_facts(self._own, _Hop.TO_ALL, everyone, abroad=elsewhere)
 
     def take(self, content: Any) -> None:
         """Takes what a datagram holds.
 
         Raises:
-            ValueError: It is no news.
+            ValueError: It holds no facts.
         """
         message = msgspec.convert(content, _Message)
         at_home = message.data_centre == self._roster.own.data_centre
         told = _decode(message)
         for fact in told:
             self._on_fact(fact)
-        if message.way is _Way.TO_ALL:
+        if message.hop is _Hop.TO_ALL:
             return
         first = self._roster.first(boottime.now())
         if first is None:
-            news = self._own if at_home else self._foreign
+            outbox = self._own if at_home else self._foreign
             for fact in told:
-                news.add(fact)
-        elif message.way is _Way.TO_FIRST:
-            message.way = _Way.FORWARDED
+                outbox.add(fact)
+        elif message.hop is _Hop.TO_RELAY:
+            message.hop = _Hop.FORWARDED
             self._datagrams.send(first.address, _encode(message))
 
-    def _send_news(
+    def _send_facts(
         self,
-        news: _News,
-        way: _Way,
+        outbox: _Outbox,
+        hop: _Hop,
         members: list[roster_module.Member],
         *,
         abroad: Sequence[roster_module.Member] = (),
     ) -> None:
-        if not news:
+        if not outbox:
             return
-        message = news.take(self._roster.own.data_centre, way)
+        message = outbox.take(self._roster.own.data_centre, hop)
         data = _encode(message)
         for member in members:
             self._datagrams.send(member.address, data)
-        message.way = _Way.TO_FIRST
+        message.hop = _Hop.TO_RELAY
         data = _encode(message)
         for member in abroad:
             self._datagrams.send(member.address, data)
@@ -257,23 +257,23 @@
 
 def _encode(message: _Message) -> bytes:
     content = msgspec.to_builtins(message, builtin_types=(bytes,))
-    return datagrams_module.encode(datagrams_module.Kind.SERVER_NEWS, content)
+    return datagrams_module.encode(datagrams_module.Kind.SERVER_FACTS, content)
 
 
 def _decode(message: _Message) -> list[facts.Fact]:
-    news = _News()
+    found = _Outbox()
     now = boottime.now()
     for server, work, age_ms in message.loads:
         if 0 <= age_ms <= _OLDEST_MS:
             at_s = now - age_ms / 1000
-            news.add(facts.ServerLoad(server=server, work=work, at_s=at_s))
+            found.add(facts.ServerLoad(server=server, work=work, at_s=at_s))
     for server, parts in message.holds.items():
         for part in parts:
-            news.add(facts.PartHeld(server=server, part=part))
+            found.add(facts.PartHeld(server=server, part=part))
     for server, left_ms in message.colds:
         until_s = now + left_ms / 1000
-        news.add(facts.ServerCold(server=server, until_s=until_s))
+        found.add(facts.ServerCold(server=server, until_s=until_s))
     for server, left_ms in message.pauses:
         until_s = now + left_ms / 1000
-        news.add(facts.ServerPause(server=server, until_s=until_s))
-    return news.all()
+        found.add(facts.ServerPause(server=server, until_s=until_s))
+    return found.all()
--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -14,10 +14,10 @@
 from irisshelf.catalog import position as position_module
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway import instance as instance_module
-from irisshelf.gateway.knowledge import hand_on
 from irisshelf.gateway.knowledge import neighbours as neighbours_module
 from irisshelf.gateway.knowledge import store_timing
 from irisshelf.gateway.knowledge import store_updates
+from irisshelf.gateway.knowledge import table_relay
 from irisshelf.gateway.knowledge import tables as tables_module
 from irisshelf.store import feed
 
@@ -62,11 +62,11 @@
         self._updated = {table: event.Event() for table in feed.Table}
         self.changes_seen = dict.fromkeys(feed.Table, 0)
         self.tables = tables_module.Tables(inst=inst)
-        self._hand_on: hand_on.HandOn | None = None
+        self._relay: table_relay.TableRelay | None = None
         if updates is not None:
-            updates.hand_to(self.take_update)
+            updates.subscribe(self.take_update)
         if neighbours is not None:
-            self._hand_on = hand_on.HandOn(
+            self._relay = table_relay.TableRelay(
                 inst=inst,
                 neighbours=neighbours,
                 operators=self.tables.operators,
@@ -105,10 +105,10 @@
     def _await_neighbours(self) -> None:
         """Waits until it shows whether there are many instances.
 
-        Where there are, they hand on what all would read from the store at
+        Where there are, they relay what all would read from the store at
         once. The first answer tells; who gets none asks the store.
         """
-        if self._hand_on is None or not self._inst.cfg.seeds:
+        if self._relay is None or not self._inst.cfg.seeds:
             return
         until_s = boottime.now() + _FIRST_ANSWER_S
         while boottime.now() < until_s and not self._updates.knows_others():
@@ -116,7 +116,7 @@
 
     def step(self, table: feed.Table) -> bool:
         """Makes one call; returns whether it was answered."""
-        if self._take_handed(table):
+        if self._take_relayed(table):
             return True
         sent_s = boottime.now()
         watch = self.tables.watches[table]
@@ -157,19 +157,19 @@
         self._updated[table].set()
         self._inst.metrics.store_updates.labels(verdict.name.lower()).inc()
         self._wake_askers()
-        vouched = (
+        confirmed = (
             table is feed.Table.CATALOG
             and verdict is shared_watch.Verdict.CURRENT
         )
-        if vouched and self._lost_s is not None and as_of_s > self._lost_s:
+        if confirmed and self._lost_s is not None and as_of_s > self._lost_s:
             self._regained(now)
 
     def _wake_askers(self) -> None:
         """Lets those know who wait for this instance to hand something on."""
-        if self._hand_on is not None:
-            self._hand_on.changed()
+        if self._relay is not None:
+            self._relay.changed()
 
-    def _take_handed(self, table: feed.Table) -> bool:
+    def _take_relayed(self, table: feed.Table) -> bool:
         """Takes a whole table from another instance, if one has it.
 
         Asked for is what the watcher has told of, and what an instance lacks
@@ -178,19 +178,19 @@
         """
         wanted = self.tables.take_wanted(table)
         reads = self._role() is shared_watch.Role.READER
-        if self._hand_on is None or not reads:
+        if self._relay is None or not reads:
             return False
         watch = self.tables.watches[table]
         begins = self.tables.as_of(table) is None
         if not begins and wanted is None:
             return False
-        within_s = store_timing.hand_on_s(self._inst.cfg.bounds, begins=begins)
+        within_s = store_timing.relay_s(self._inst.cfg.bounds, begins=begins)
         watch.asked()
-        handed = self._hand_on.fetch(table, wanted, within_s=within_s)
-        if handed is None:
+        relayed = self._relay.fetch(table, wanted, within_s=within_s)
+        if relayed is None:
             watch.failed()
             return False
-        taken = self.tables.handed(table, handed, boottime.now())
+        taken = self.tables.relayed(table, relayed, boottime.now())
         self._wake_askers()
         return taken
 
--- a/irisshelf/gateway/knowledge/operators_word.py
+++ b/irisshelf/gateway/knowledge/operator_state.py
@@ -16,7 +16,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Held:
+class StoredCatalog:
     """A configuration as the store has it.
 
     Attributes:
@@ -30,7 +30,7 @@
     digest: bytes
 
 
-class OperatorsWord:
+class OperatorState:
     """Takes what the store, or the watcher of the data centre, tells.
 
     Args:
@@ -39,21 +39,21 @@
     Attributes:
         stored_version: Of the newest configuration that the store is known to
             have; None if that is not known.
-        held: The configuration in force, to be handed on; None if it is not
-            known as the store has it.
+        stored: The configuration in force as the store has it, for other
+            instances; None if that is not known.
     """
 
     def __init__(self, *, inst: instance_module.Instance):
         self._inst = inst
         self.stored_version: int | None = None
-        self.held: Held | None = None
+        self.stored: StoredCatalog | None = None
 
     @property
     def store_is_behind(self) -> bool:
         """Whether the store lacks the configuration in force.
 
         It has come back from a copy that is older. Until the operators have
-        written the newest again, what it says vouches for nothing: keys may
+        written the newest again, its answers confirm nothing: keys may
         have been withdrawn since the copy, and they stay withdrawn.
         """
         catalog = self._inst.catalog
@@ -110,14 +110,14 @@
         )
 
     def _digest(self, version: int) -> bytes:
-        if self.held is None or self.held.version != version:
+        if self.stored is None or self.stored.version != version:
             return b""
-        return self.held.digest
+        return self.stored.digest
 
     def _hold(self, item: feed.Item) -> None:
         version = item.value.version
         if item.raw and self._inst.catalog.version == version:
-            self.held = Held(
+            self.stored = StoredCatalog(
                 version=version, raw=item.raw, digest=digest_of(item.raw)
             )
 
--- a/irisshelf/gateway/knowledge/store_timing.py
+++ b/irisshelf/gateway/knowledge/store_timing.py
@@ -78,7 +78,7 @@
     return _GATHER_OF_LEAVING * bounds.server_leaving_ms / 1000
 
 
-def hand_on_s(bounds: settings.Bounds, *, begins: bool) -> float:
+def relay_s(bounds: settings.Bounds, *, begins: bool) -> float:
     """Returns how long other instances are waited for, in seconds.
 
     Args:
--- a/irisshelf/gateway/knowledge/store_updates.py
+++ b/irisshelf/gateway/knowledge/store_updates.py
@@ -74,9 +74,9 @@
         self._log = log
         self._role = shared_watch.Role.ALONE
         self._on_update: Callable[[shared_watch.Update], None] | None = None
-        datagrams.hand_to(_KIND, self.take)
+        datagrams.subscribe(_KIND, self.take)
 
-    def hand_to(self, taker: Callable[[shared_watch.Update], None]) -> None:
+    def subscribe(self, taker: Callable[[shared_watch.Update], None]) -> None:
         """Names who takes updates."""
         self._on_update = taker
 
--- a/irisshelf/gateway/knowledge/hand_on.py
+++ b/irisshelf/gateway/knowledge/table_relay.py
@@ -1,4 +1,4 @@
-"""Whole tables of the store, handed on among a data centre's instances.
+"""Whole tables of the store, relayed among a data centre's instances.
 
 A configuration of many routes fills a narrow link for a second, and a list of
 thousands of servers for several; when each instance of a large data centre
@@ -6,8 +6,8 @@
 watcher reads them once, and the others take them from each other, compressed,
 along a tree of the instances as they are ranked, wide links first.
 
-What is handed on is as old as it says, by the store's own clock; a digest in
-the watcher's word tells a configuration that is not the one meant. Whoever gets
+A relayed table carries its age by the store's own clock; a digest in the
+watcher's update tells a configuration that is not the one meant. Whoever gets
 nothing in time asks the store.
 """
 
@@ -28,11 +28,11 @@
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway.knowledge import entries
 from irisshelf.gateway.knowledge import neighbours as neighbours_module
-from irisshelf.gateway.knowledge import operators_word
+from irisshelf.gateway.knowledge import operator_state
 from irisshelf.gateway.knowledge import whole_table
 from irisshelf.store import feed
 
-# Instances that one hands a table on to: four bodies of 70 kB take a link of 5
+# Instances that one relays a table to: four bodies of 70 kB take a link of 5
 # Mbit/s half a second.
 _FAN_OUT = 4
 _PATHS = {feed.Table.CATALOG: "/catalog", feed.Table.SERVERS: "/servers"}
@@ -41,8 +41,8 @@
 _HOLD_SHARE = 0.8
 
 
-class HandOn:
-    """Hands tables on to others, and asks others for them.
+class TableRelay:
+    """Relays tables to other instances, and asks others for them.
 
     Args:
         inst: The instance.
@@ -57,7 +57,7 @@
         *,
         inst: instance_module.Instance,
         neighbours: neighbours_module.Neighbours,
-        operators: operators_word.OperatorsWord,
+        operators: operator_state.OperatorState,
         as_of: Callable[[feed.Table], whole_table.AsOf | None],
         decode: Callable[[bytes], feed.Item],
     ):
@@ -83,7 +83,7 @@
         wanted: whole_table.Wanted | None,
         *,
         within_s: float,
-    ) -> whole_table.Handed | None:
+    ) -> whole_table.RelayedTable | None:
         """Asks the instances above this one in the tree.
 
         Args:
@@ -92,7 +92,7 @@
             within_s: How long each may take.
 
         Returns:
-            None if nobody has handed it on in time.
+            None if nobody has sent it in time.
         """
         until_s = boottime.now() + within_s
         roster = self._neighbours.roster
@@ -107,10 +107,10 @@
             )
             if isinstance(answer, result.Err):
                 continue
-            handed = self._unpack(table, answer.ok_value, wanted, sent_s)
-            if handed is not None:
-                self._log(table, handed, member.name, len(answer.ok_value))
-            return handed
+            relayed = self._unpack(table, answer.ok_value, wanted, sent_s)
+            if relayed is not None:
+                self._log(table, relayed, member.name, len(answer.ok_value))
+            return relayed
         return None
 
     def _answers(self, table: feed.Table) -> neighbours_module.Answer:
@@ -154,10 +154,10 @@
             return False
         if table is feed.Table.SERVERS:
             return True
-        held = self._operators.held
-        if held is None or self._operators.store_is_behind:
+        stored = self._operators.stored
+        if stored is None or self._operators.store_is_behind:
             return False
-        return held.version >= wanted.version
+        return stored.version >= wanted.version
 
     def _pack(self, table: feed.Table) -> bytes:
         known = self._as_of(table)
@@ -180,10 +180,10 @@
 
     def _packed_catalog(self) -> bytes:
         """Packs a configuration once, for all who ask for it."""
-        held = self._operators.held
-        if self._packed[0] != held.version:
-            packed = whole_table.pack(held.raw)
-            self._packed = (held.version, packed)
+        stored = self._operators.stored
+        if self._packed[0] != stored.version:
+            packed = whole_table.pack(stored.raw)
+            self._packed = (stored.version, packed)
         return self._packed[1]
 
     def _aged(
@@ -199,16 +199,16 @@
         data: bytes,
         wanted: whole_table.Wanted | None,
         sent_s: float,
-    ) -> whole_table.Handed | None:
+    ) -> whole_table.RelayedTable | None:
         try:
             message = whole_table.decode(data)
             batch = self._batch(table, message, wanted)
         except ValueError as exc:
             self._inst.log.problem(
-                "handed_on_unreadable", table=table.value, detail=str(exc)
+                "relayed_table_unreadable", table=table.value, detail=str(exc)
             )
             return None
-        return whole_table.Handed(
+        return whole_table.RelayedTable(
             batch=batch, sent_s=sent_s, clock_s=message.clock_s
         )
 
@@ -246,26 +246,26 @@
         if item.problem:
             raise ValueError(item.problem)
         meant = wanted is not None and item.value.version == wanted.version
-        if meant and wanted.digest not in (b"", operators_word.digest_of(raw)):
+        if meant and wanted.digest not in (b"", operator_state.digest_of(raw)):
             raise ValueError(f"version {wanted.version} has another digest")
         return item
 
     def _log(
         self,
         table: feed.Table,
-        handed: whole_table.Handed,
+        relayed: whole_table.RelayedTable,
         by: str,
         size_bytes: int,
     ) -> None:
-        self._inst.metrics.handed_on.labels(table.value).inc()
+        self._inst.metrics.tables_relayed.labels(table.value).inc()
         self._inst.log.instance(
-            "handed_on",
+            "tables_relayed",
             table=table.value,
             by=by,
-            era=handed.batch.position.era,
-            revision=handed.batch.position.revision,
+            era=relayed.batch.position.era,
+            revision=relayed.batch.position.revision,
             size_bytes=size_bytes,
-            took_s=round(boottime.now() - handed.sent_s, 4),
+            took_s=round(boottime.now() - relayed.sent_s, 4),
         )
 
 
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -13,7 +13,7 @@
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
-from irisshelf.gateway.knowledge import operators_word
+from irisshelf.gateway.knowledge import operator_state
 from irisshelf.gateway.knowledge import server_list
 from irisshelf.gateway.knowledge import whole_table
 from irisshelf.store import feed
@@ -38,7 +38,7 @@
     def __init__(self, *, inst: instance_module.Instance):
         self._inst = inst
         self.watches = {table: table_watch.TableWatch() for table in feed.Table}
-        self.operators = operators_word.OperatorsWord(inst=inst)
+        self.operators = operator_state.OperatorState(inst=inst)
         self.servers = server_list.ServerList(inst=inst)
         self._as_of: dict[feed.Table, whole_table.AsOf] = {}
         self._wanted: dict[feed.Table, whole_table.Wanted] = {}
@@ -79,32 +79,34 @@
         else:
             brought = self.operators.take(batch, now)
             if batch.complete:
-                self._vouch(batch, sent_s, now, brought=brought)
+                self._confirm(batch, sent_s, now, brought=brought)
         if batch.complete:
             self._known_to(table, batch.position, batch.store_s)
         return True
 
-    def handed(
-        self, table: feed.Table, handed: whole_table.Handed, now: float
+    def relayed(
+        self, table: feed.Table, relayed: whole_table.RelayedTable, now: float
     ) -> bool:
         """Takes a whole table from another instance.
 
         Returns:
             Whether it tells more than is known.
         """
-        batch = handed.batch
+        batch = relayed.batch
         fresh = self._inst.freshness
         era = batch.position.era
-        fresh.heard_clock(sent_s=handed.sent_s, clock_s=handed.clock_s, era=era)
+        fresh.heard_clock(
+            sent_s=relayed.sent_s, clock_s=relayed.clock_s, era=era
+        )
         as_of_s = fresh.time_of(batch.store_s, now, era)
-        if not self.watches[table].handed(batch.position, as_of_s):
+        if not self.watches[table].relayed(batch.position, as_of_s):
             return False
         if table is _SERVERS:
             self.servers.take(batch, now)
         else:
             self.operators.take(batch, now)
             if not self.operators.store_is_behind:
-                fresh.vouched(as_of_s)
+                fresh.confirmed(as_of_s)
                 self.watches[_CATALOG].caught_up(as_of_s)
         self._known_to(table, batch.position, batch.store_s)
         return True
@@ -141,7 +143,7 @@
             )
         if verdict is _Verdict.CURRENT:
             if not self.operators.store_is_behind:
-                self._inst.freshness.vouched(as_of_s)
+                self._inst.freshness.confirmed(as_of_s)
             watch.follows_to(update.position)
             self._known_to(_CATALOG, update.position, update.store_s)
         return verdict
@@ -179,7 +181,7 @@
             self.watches[_SERVERS].forgotten()
         self.operators.expire(now)
 
-    def _vouch(
+    def _confirm(
         self, batch: feed.Batch, sent_s: float, now: float, *, brought: bool
     ) -> None:
         """Notes as of when the configuration in force was the newest."""
--- a/irisshelf/gateway/knowledge/whole_table.py
+++ b/irisshelf/gateway/knowledge/whole_table.py
@@ -66,8 +66,8 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Handed:
-    """A whole table that another instance has handed on.
+class RelayedTable:
+    """A whole table that another instance has sent.
 
     Attributes:
         batch: The table, as the store would answer it.
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -41,9 +41,9 @@
             "Updates from the data centre's watcher, by what came of them.",
             "verdict",
         )
-        self.handed_on = self._counter(
-            "handed_on",
-            "Whole tables of the store that other instances handed on.",
+        self.tables_relayed = self._counter(
+            "tables_relayed",
+            "Whole tables of the store that other instances relayed.",
             "table",
         )
         self.crashes = self._counter(
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -132,7 +132,7 @@
     def sources(
         self, service: str, regions: frozenset[str] | None = None
     ) -> tuple[directory.BackendServer, ...]:
-        """Returns the listed servers that may hand on parts of prompts.
+        """Returns the listed servers that may serve parts of prompts.
 
         Args:
             service: The service.
@@ -144,7 +144,7 @@
             servers = tuple(
                 server
                 for server in servers
-                if self._evacuations.hands_on(server.data_centre, now)
+                if self._evacuations.serves_parts(server.data_centre, now)
             )
         return self._in_regions(servers, regions)
 
--- a/irisshelf/peers/relay_messages.py
+++ b/irisshelf/peers/relay_messages.py
@@ -1,4 +1,4 @@
-"""The request that one instance hands on to another, and its form."""
+"""The request that one instance forwards to another, and its form."""
 
 from __future__ import annotations
 
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -14,9 +14,9 @@
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
 from irisshelf.gateway import settings
-from irisshelf.gateway.knowledge import board
-from irisshelf.gateway.knowledge import crash_news
+from irisshelf.gateway.knowledge import crash_gossip
 from irisshelf.gateway.knowledge import datagrams
+from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import follower
 from irisshelf.gateway.requests import front
 from irisshelf.observe import decision_log
@@ -99,25 +99,25 @@
             data_centre=data_centre,
         )
         self.roster = roster.Roster(own=self.member)
-        self.crash_news = crash_news.CrashNews(
+        self.crash_gossip = crash_gossip.CrashGossip(
             crashes=self.inst.crashes,
             datagrams=self._datagrams,
             roster=self.roster,
             log=log,
         )
-        self._board = board.Board(
+        self._gossip = fact_gossip.FactGossip(
             datagrams=self._datagrams,
             roster=self.roster,
             on_fact=self.inst.servers.heard_fact,
             rng=random.Random(2),
         )
-        self.inst.servers.tell = self._board.tell
+        self.inst.servers.tell = self._gossip.tell
         self._greenlets = [
             gevent.spawn(self.follower.run, table) for table in feed.Table
         ]
         self._greenlets.append(gevent.spawn(self.follower.expire_lapsed))
         self._greenlets.append(gevent.spawn(self._datagrams.run))
-        self._greenlets.append(gevent.spawn(self._board.run))
+        self._greenlets.append(gevent.spawn(self._gossip.run))
 
     def meet(self, others: Sequence[Entry]) -> None:
         """Makes other instances known to this one."""
--- a/irisshelf/platform/ways.py
+++ b/irisshelf/platform/ways.py
@@ -1,7 +1,7 @@
 r"""Compares ways to decide: the same days and seeds, one choice changed.
 
     python -m irisshelf.platform.ways --scorer PROGRAM --out DIR \
-        --way sources=known --way board=false --day trouble-1 SITE...
+        --way sources=known --way gossip=false --day trouble-1 SITE...
 
 A way is a field of ``routing.direct.policy.Policy`` and a value that is not the
 one that stands. Each is played in a clone of the committed tree whose settings
@@ -115,8 +115,8 @@
         ValueError: There is no such choice.
 
     Example:
-        >>> template('{"a": 1}', "board=false")
-        '{"policy": {"board": false}, "a": 1}'
+        >>> template('{"a": 1}', "gossip=false")
+        '{"policy": {"gossip": false}, "a": 1}'
     """
     if way == STANDING:
         return text
--- a/irisshelf/routing/direct/holdings.py
+++ b/irisshelf/routing/direct/holdings.py
@@ -15,16 +15,16 @@
 # Parts that nobody used for so long may have given way, and the users do not
 # mind that they are read again after ten seconds.
 HELD_S = 15.0
-# A part that stays in use is told anew so often.
+# A part that stays in use is told again so often.
 TELL_AGAIN_S = 5.0
 _MAX_PARTS = 20_000
 # In one fleet of twenty, two of 20,000 parts have the same key; a prompt then
-# has a source that hands on nothing.
+# has a source that serves nothing.
 _KEY_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Held:
+class Holding:
     """How a server holds a part.
 
     Attributes:
@@ -40,7 +40,7 @@
     """Servers by the parts that they hold."""
 
     def __init__(self):
-        self._held: collections.OrderedDict[bytes, dict[str, Held]] = (
+        self._held: collections.OrderedDict[bytes, dict[str, Holding]] = (
             collections.OrderedDict()
         )
         self._told: dict[tuple[bytes, str], float] = {}
@@ -52,12 +52,12 @@
         since_s = at_s
         if known is not None and at_s - known.used_s <= HELD_S:
             since_s = known.since_s
-        servers[server_id] = Held(since_s=since_s, used_s=at_s)
+        servers[server_id] = Holding(since_s=since_s, used_s=at_s)
         self._held.move_to_end(part)
         while len(self._held) > _MAX_PARTS:
             self._held.popitem(last=False)
 
-    def is_news(self, part: bytes, server_id: str, now: float) -> bool:
+    def is_new(self, part: bytes, server_id: str, now: float) -> bool:
         """Tells whether others should be told, and notes that they are."""
         last_s = self._told.get((part, server_id), float("-inf"))
         if now - last_s < TELL_AGAIN_S:
@@ -76,7 +76,7 @@
         self.mark(part, server_id, at_s)
         self._told[part, server_id] = at_s
 
-    def holders(self, part: bytes, now: float) -> dict[str, Held]:
+    def holders(self, part: bytes, now: float) -> dict[str, Holding]:
         """Returns the servers that hold a part, or are reading it."""
         return {
             server_id: held
--- a/irisshelf/routing/direct/policy.py
+++ b/irisshelf/routing/direct/policy.py
@@ -24,13 +24,13 @@
         second_sends: Requests are sent again after a failure.
         retry_budget: Second sends are bounded by a share of the requests.
         reach: Silent and lost servers are asked for connections.
-        board: Instances tell each other of servers' loads and prompts.
+        gossip: Instances tell each other of servers' loads and prompts.
         admission: Requests that would wait too long are refused at once.
         gathering: After a change in the store, the next call waits a little.
         shared_watch: One instance of a data centre asks the store for all.
         fresh_connections: Requests that may run once go only on connections
             that were in use just now.
-        sources: How a server is found that hands on shared parts.
+        sources: How a server is found to fetch shared parts from.
         unknown_speed: What is assumed of servers that have answered nothing.
     """
 
@@ -42,7 +42,7 @@
     second_sends: bool = True
     retry_budget: bool = True
     reach: bool = True
-    board: bool = True
+    gossip: bool = True
     admission: bool = True
     gathering: bool = True
     shared_watch: bool = True
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -126,7 +126,7 @@
             asked: The request's prompt.
             avoid: Servers that have failed this request.
             now: Time in seconds.
-            sources: Servers that may hand on the prompt's shared parts; the
+            sources: Servers that may serve the prompt's shared parts; the
                 same as ``servers`` without.
             idle: Further servers of the service that get nothing now; the
                 load bound is a multiple of the mean of all.
@@ -174,9 +174,11 @@
         keys = [holdings.key_of(part.part_id) for part in asked.shared]
         for key in keys:
             self.holdings.mark(key, server_id, now)
-        return [k for k in keys if self.holdings.is_news(k, server_id, now)]
+        return [k for k in keys if self.holdings.is_new(k, server_id, now)]
 
-    def _holders_of(self, part_id: str, now: float) -> dict[str, holdings.Held]:
+    def _holders_of(
+        self, part_id: str, now: float
+    ) -> dict[str, holdings.Holding]:
         return self.holdings.holders(holdings.key_of(part_id), now)
 
     def _reachable_holders(
@@ -184,7 +186,7 @@
         servers: Sequence[directory.BackendServer],
         part_id: str,
         now: float,
-    ) -> dict[str, holdings.Held]:
+    ) -> dict[str, holdings.Holding]:
         """Returns the holders of a part that can hand it on.
 
         Leaving ones can, and so can those that rest as they fail requests.
@@ -201,7 +203,7 @@
         self,
         pool: Sequence[directory.BackendServer],
         asked: prompt.Prompt,
-        held: dict[str, holdings.Held],
+        held: dict[str, holdings.Holding],
         loads: dict[str, float],
         mean: float,
         now: float,
@@ -221,7 +223,7 @@
         self,
         pool: Sequence[directory.BackendServer],
         asked: prompt.Prompt,
-        held: dict[str, holdings.Held],
+        held: dict[str, holdings.Holding],
         now: float,
     ) -> list[directory.BackendServer]:
         """Sorts servers as they are ranked, but the near home first.
@@ -337,7 +339,9 @@
 
 
 def _reason(
-    server: directory.BackendServer, place: int, held: dict[str, holdings.Held]
+    server: directory.BackendServer,
+    place: int,
+    held: dict[str, holdings.Holding],
 ) -> Reason:
     if server.server_id in held:
         return Reason.HELD
--- a/irisshelf/routing/direct/sources.py
+++ b/irisshelf/routing/direct/sources.py
@@ -1,4 +1,4 @@
-"""Who hands on the shared parts of a prompt that a server lacks.
+"""Which server to fetch shared parts of a prompt from.
 
 A server that is told of another fetches from there what that one keeps of the
 prompt beyond its own; reading it anew costs several times as much. Which server
@@ -10,7 +10,7 @@
 - *likely*: the same for the last part, which is the longest; but where nobody
   is known to hold that, the server that the ranking makes its home, unless the
   earlier parts, known to lie elsewhere, are longer. A home that has never seen
-  the part hands on nothing, which costs nothing.
+  the part serves nothing, which costs nothing.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
 # are taken to be half.
 _LIKELY = 0.5
 
-HoldersOf = Callable[[str], Mapping[str, holdings.Held]]
+HoldersOf = Callable[[str], Mapping[str, holdings.Holding]]
 
 
 class Way(enum.StrEnum):
@@ -109,7 +109,7 @@
     parts: Sequence[prompt.Part],
     holders_of: HoldersOf,
 ) -> tuple[directory.BackendServer | None, int]:
-    """Returns who holds the longest run of parts, and what it would hand on."""
+    """Returns who holds the longest run of parts, and what it would serve."""
     tokens = sum(part.tokens for part in parts)
     for part in reversed(parts):
         held = holders_of(part.part_id)
@@ -124,7 +124,7 @@
 
 def _longest_held(
     servers: Sequence[directory.BackendServer],
-    held: Mapping[str, holdings.Held],
+    held: Mapping[str, holdings.Holding],
 ) -> directory.BackendServer | None:
     """Returns who has held a part for longest: it has surely read it."""
     known = [s for s in servers if s.server_id in held]
--- a/irisshelf/routing/owned/placement.py
+++ b/irisshelf/routing/owned/placement.py
@@ -2,7 +2,7 @@
 
 Each engine has one owner among the instances. The entry instance hands a
 request to the owner of the engine that it should go to; the owner knows all
-that runs on its engines and decides, or hands on to the owner of the next
+that runs on its engines and decides, or forwards to the owner of the next
 candidate. With ``owned`` left at None one instance decides for all engines.
 
 Candidates, in order: the engine that is known to hold the chat although it is
@@ -226,7 +226,7 @@
         avoid: frozenset[int] = frozenset(),
         may_forward: bool = False,
     ) -> Placement | Forward | None:
-        """Chooses an engine of this instance, or an owner to hand on to.
+        """Chooses an engine of this instance, or an owner to forward to.
 
         Args:
             ctx: The request's context.
--- a/irisshelf/routing/owned/service.py
+++ b/irisshelf/routing/owned/service.py
@@ -53,7 +53,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class HandOn:
+class Forward:
     """The decision to hand a request on to an engine's owner."""
 
     owner: str
@@ -139,9 +139,9 @@
         self._me = me
         self._apply_owners()
 
-    def hand_on(self, target: Target) -> HandOn:
+    def forward(self, target: Target) -> Forward:
         """Returns the decision to ask a target's owner."""
-        return HandOn(owner=self._owner(target.name), target=target)
+        return Forward(owner=self._owner(target.name), target=target)
 
     def owns(self, name: str) -> bool:
         """Tells whether this instance places on a target."""
@@ -163,7 +163,7 @@
         avoid: frozenset[str] = frozenset(),
         hops_left: int = 0,
         entering: bool = False,
-    ) -> Send | HandOn | None:
+    ) -> Send | Forward | None:
         """Decides where a request goes.
 
         Args:
@@ -185,12 +185,12 @@
                 return None
             target = self._targets[first]
             if not self.owns(target.name):
-                return self.hand_on(target)
+                return self.forward(target)
         chosen = self.placer.place(
             ctx, avoid=avoided, may_forward=hops_left > 0
         )
         if isinstance(chosen, placement.Forward):
-            return self.hand_on(self._targets[chosen.engine])
+            return self.forward(self._targets[chosen.engine])
         if chosen is None:
             return self._adopt(ctx, avoided)
         target = self._targets[chosen.engine]
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -119,7 +119,7 @@
 
     @abc.abstractmethod
     def decode(self, raw: bytes) -> Item:
-        """Decodes a configuration that another instance has handed on."""
+        """Decodes a configuration that another instance has relayed."""
 
     @abc.abstractmethod
     def reset(self, table: Table) -> None:
--- a/irisshelf/tests/test_catching_up.py
+++ b/irisshelf/tests/test_catching_up.py
@@ -194,7 +194,7 @@
         # From when on its updates are lost.
         self.lost_from_s = math.inf
 
-    def hand_to(self, taker):
+    def subscribe(self, taker):
         self._take = taker
         self._clock.at(0.1, self._beat)
 
--- a/irisshelf/tests/test_crash_news.py
+++ b/irisshelf/tests/test_crash_gossip.py
@@ -196,8 +196,8 @@
         switched=policy.ALL_ON,
     )
     fleet.wait(lambda: _stages(fleet) == ["barred"] * 4)
-    answers = [None, fleet.entries[1].crash_news.all()]
-    fresh.crash_news.catch_up(lambda: answers.pop(0))
+    answers = [None, fleet.entries[1].crash_gossip.all()]
+    fresh.crash_gossip.catch_up(lambda: answers.pop(0))
     fleet.entries.append(fresh)
     assert _stages(fleet) == ["barred"] * 5
 
@@ -205,7 +205,7 @@
 @pytest.mark.parametrize("data", [b"", b"\xff", b"\x81\x01", b"\x05"])
 def test_an_answer_that_is_none_is_borne(fleet, data):
     entry = fleet.entries[0]
-    entry.crash_news.catch_up(lambda: data)
+    entry.crash_gossip.catch_up(lambda: data)
     assert not entry.inst.crashes.suspects
 
 
--- a/irisshelf/tests/test_evacuation.py
+++ b/irisshelf/tests/test_evacuation.py
@@ -105,7 +105,7 @@
     assert places.ask("/alarm/1").status == 200
 
 
-def test_parts_are_handed_on_before_they_are_needed_elsewhere(
+def test_parts_are_relayed_before_they_are_needed_elsewhere(
     places, monkeypatch
 ):
     """Requests that come in time bring them over; later ones do not ask."""
--- a/irisshelf/tests/test_board.py
+++ b/irisshelf/tests/test_fact_gossip.py
@@ -11,12 +11,12 @@
 from irisshelf.catalog import directory
 from irisshelf.coordination import facts
 from irisshelf.coordination import roster
-from irisshelf.gateway.knowledge import board as board_module
 from irisshelf.gateway.knowledge import datagrams
+from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.observe import decision_log
 
 _KEY = directory.key_of("s1")
-_NEWS = bytes([datagrams.Kind.SERVER_NEWS])
+_NEWS = bytes([datagrams.Kind.SERVER_FACTS])
 
 
 class _Instance:
@@ -33,7 +33,7 @@
         self.datagrams = datagrams.Datagrams(
             address="127.0.0.1:0", log=self.log
         )
-        self.board = board_module.Board(
+        self.gossip = fact_gossip.FactGossip(
             datagrams=self.datagrams,
             roster=self.roster,
             on_fact=self._take,
@@ -43,7 +43,7 @@
             name=name, address=self.datagrams.address, data_centre=data_centre
         )
         self.greenlets = [
-            gevent.spawn(self.board.run),
+            gevent.spawn(self.gossip.run),
             gevent.spawn(self.datagrams.run),
         ]
 
@@ -89,7 +89,7 @@
 
 @pytest.mark.parametrize("teller", range(4))
 def test_a_load_is_told_everywhere(four, teller):
-    four[teller].board.tell(_news())
+    four[teller].gossip.tell(_news())
     others = [one for one in four if one is not four[teller]]
     _wait(lambda: all(one.loads for one in others))
     assert {(n.server, n.work) for one in four for n in one.loads} == {
@@ -98,7 +98,7 @@
 
 
 def test_news_end(four):
-    four[0].board.tell(_news())
+    four[0].gossip.tell(_news())
     _wait(lambda: all(one.loads for one in four[1:]))
     gevent.sleep(1.0)
     before = [len(one.loads) for one in four]
@@ -110,7 +110,7 @@
     pairs = [(_KEY, bytes([n])) for n in range(100)]
     for pair in pairs:
         server, part = pair
-        four[0].board.tell(facts.PartHeld(server=server, part=part))
+        four[0].gossip.tell(facts.PartHeld(server=server, part=part))
     _wait(lambda: all(len(set(one.holds)) == 100 for one in four[1:]))
     assert all(sorted(set(one.holds)) == pairs for one in four[1:])
 
@@ -138,12 +138,12 @@
 @pytest.mark.parametrize("age_ms", [-1, 60_000])
 def test_news_of_no_sensible_age_are_left(four, age_ms):
     loads = [[_KEY, 1, age_ms]]
-    four[0].board.take(["a", 2, loads, {}])
+    four[0].gossip.take(["a", 2, loads, {}])
     assert four[0].loads == []
 
 
 def test_without_news_nothing_is_sent(four):
-    four[0].board.send()
+    four[0].gossip.send()
     gevent.sleep(0.05)
     assert [one.loads for one in four] == [[], [], [], []]
 
@@ -155,12 +155,12 @@
     four[0].datagrams.send = lambda address, data: sent.append(data)
     for number in range(300):
         key = directory.key_of(f"s{number % servers}")
-        four[0].board.tell(
+        four[0].gossip.tell(
             facts.ServerLoad(server=key, work=10**6, at_s=boottime.now() - 4.9)
         )
         part = number.to_bytes(4, "big")
-        four[0].board.tell(facts.PartHeld(server=key, part=part))
-    four[0].board.send()
+        four[0].gossip.tell(facts.PartHeld(server=key, part=part))
+    four[0].gossip.send()
     longest = max(map(len, sent))
     assert longest <= datagrams.MOST_BYTES
     assert longest >= 0.75 * datagrams.MOST_BYTES
@@ -168,7 +168,7 @@
 
 def test_coldness_is_told_everywhere_with_what_is_left(four):
     until_s = boottime.now() + 3.0
-    four[0].board.tell(facts.ServerCold(server=_KEY, until_s=until_s))
+    four[0].gossip.tell(facts.ServerCold(server=_KEY, until_s=until_s))
     _wait(lambda: all(one.colds for one in four[1:]))
     for one in four[1:]:
         # On one machine all have one clock; what is left is in whole ms.
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -95,7 +95,7 @@
 
 
 @pytest.mark.parametrize("mode", [Mode.BUSY, Mode.RESET, Mode.SILENT])
-def test_keys_hold_no_longer_than_the_store_vouches_for_them(mode):
+def test_keys_hold_no_longer_than_the_store_confirms_them(mode):
     bounds = settings.Bounds(key_withdrawn_ms=3500)
     world = world_module.World(bounds=bounds)
     world.store.mode = mode
--- a/irisshelf/tests/test_outside_bytes.py
+++ b/irisshelf/tests/test_outside_bytes.py
@@ -24,9 +24,9 @@
 from irisshelf.coordination import facts
 from irisshelf.coordination import roster
 from irisshelf.gateway import messages
-from irisshelf.gateway.knowledge import board
-from irisshelf.gateway.knowledge import crash_news
+from irisshelf.gateway.knowledge import crash_gossip
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import server_list
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.platform import documents
@@ -349,7 +349,7 @@
     nested = bytes([0x81]) * 1300 + b"\x00"
     for kind in datagrams_module.Kind:
         taken = []
-        datagrams.hand_to(kind, taken.append)
+        datagrams.subscribe(kind, taken.append)
         datagrams.take(bytes([kind]) + nested)
         datagrams.take(bytes([kind]) + cbor2.dumps([1]))
         assert len(taken) >= 1
@@ -395,24 +395,24 @@
         self._takers = {}
         own = roster.Member(name="1", address="", data_centre="a")
         members = roster.Roster(own=own)
-        board.Board(
+        fact_gossip.FactGossip(
             datagrams=self,
             roster=members,
             on_fact=self._take_fact,
             rng=random.Random(1),
         )
-        crash_news.CrashNews(
+        crash_gossip.CrashGossip(
             crashes=self, datagrams=self, roster=members, log=None
         )
-        store_updates.Updates(datagrams=self, roster=members, log=None).hand_to(
-            self.updates.append
-        )
+        store_updates.Updates(
+            datagrams=self, roster=members, log=None
+        ).subscribe(self.updates.append)
 
     def _take_fact(self, fact):
         if isinstance(fact, facts.ServerLoad):
             self.loads.append(fact)
 
-    def hand_to(self, kind, taker):
+    def subscribe(self, kind, taker):
         self._takers[kind] = taker
 
     def take(self, kind, content):
@@ -437,9 +437,9 @@
     [
         (datagrams_module.Kind.STORE_UPDATE, ["a", 0, 5.0, 1, 7, 3]),
         (datagrams_module.Kind.STORE_UPDATE, ["a", 1, 5.0, 0, 2**63 - 1, 0]),
-        (datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", 7, 1]], {}]),
-        (datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, b"12345", 7, True]),
-        (datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, None, 0, False]),
+        (datagrams_module.Kind.SERVER_FACTS, ["a", 2, [[b"12345", 7, 1]], {}]),
+        (datagrams_module.Kind.CRASHES, [b"c" * 16, b"12345", 7, True]),
+        (datagrams_module.Kind.CRASHES, [b"c" * 16, None, 0, False]),
     ],
 )
 def test_a_sound_datagram_is_taken(kind, content):
@@ -463,13 +463,13 @@
     datagrams_module.Kind.STORE_UPDATE, ["a", 1, 1.0, 0, 2**70, 1]
 )
 @hypothesis.example(
-    datagrams_module.Kind.SERVER_NEWS, ["a", 2, [[b"12345", -7, 1]], {}]
+    datagrams_module.Kind.SERVER_FACTS, ["a", 2, [[b"12345", -7, 1]], {}]
 )
 @hypothesis.example(
-    datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, b"12345", -5000, True]
+    datagrams_module.Kind.CRASHES, [b"c" * 16, b"12345", -5000, True]
 )
 @hypothesis.example(
-    datagrams_module.Kind.CRASH_NEWS, [b"c" * 16, b"12345", 2**60, True]
+    datagrams_module.Kind.CRASHES, [b"c" * 16, b"12345", 2**60, True]
 )
 @hypothesis.settings(max_examples=400, derandomize=True, deadline=None)
 def test_any_datagram_is_taken_or_dropped(kind, content):
--- a/irisshelf/tests/test_overload_at_size.py
+++ b/irisshelf/tests/test_overload_at_size.py
@@ -4,7 +4,7 @@
 forty teams; or one team brings two thirds of them. Kinds, rates, times and
 objectives are those of a customer with 195 instances; places suffice for 1.35
 times the ordinary load. Requests go to the homes of their prompts, so that each
-instance sees a server through the board's word and a few requests of its own.
+instance sees a server through gossip and a few requests of its own.
 Figures asked for are what the seeds reach, rounded down to the next five
 hundredths; if all is sent, at most 0.59 of the queries, 0.38 of the digests and
 0.30 of the labels begin in time, and 0.30 to 0.65 of a kind wait in vain.
--- a/irisshelf/tests/test_routing.py
+++ b/irisshelf/tests/test_routing.py
@@ -140,7 +140,7 @@
     assert placer.place(_ctx(chat_tokens=50)).engine == home
 
 
-def test_an_owner_hands_on_what_it_does_not_own():
+def test_an_owner_forwards_what_it_does_not_own():
     placer = _placer(count=8)
     home = placer.entry(_ctx())
     placer.set_owned([e for e in range(8) if e != home])
--- a/irisshelf/tests/test_shared_watch.py
+++ b/irisshelf/tests/test_shared_watch.py
@@ -306,7 +306,7 @@
             )
             if verdict is _Verdict.CURRENT:
                 if not self.behind():
-                    self.fresh.vouched(as_of_s)
+                    self.fresh.confirmed(as_of_s)
                 watch.follows_to(update.position)
         else:
             table = _SERVERS
@@ -429,7 +429,7 @@
                 age_s = node.fresh.age_s(node.clock_s)
                 assert age_s >= self.now - later[0] - 1e-6, node.name
             if known > self.store.versions[-1][2]:
-                # Nothing vouches for it until it is written again.
+                # Nothing confirms it until it is written again.
                 age_s = node.fresh.age_s(node.clock_s)
                 assert age_s >= self.now - self.store.back_s - 1e-6, node.name
 
--- a/irisshelf/tests/test_sources.py
+++ b/irisshelf/tests/test_sources.py
@@ -43,7 +43,7 @@
 
     def holders_of(part_id):
         return {
-            name: holdings.Held(since_s=since_s, used_s=since_s)
+            name: holdings.Holding(since_s=since_s, used_s=since_s)
             for name, since_s in known.get(part_id, {}).items()
         }
 
@@ -121,7 +121,7 @@
         ),
     ],
 )
-def test_who_hands_on(chosen, tokens, known, by_known, by_likely):
+def test_who_serves_parts(chosen, tokens, known, by_known, by_likely):
     asked = _asked(*tokens)
     assert _choose(_KNOWN, chosen, asked, known) == by_known
     assert _choose(_LIKELY, chosen, asked, known) == by_likely
@@ -174,7 +174,7 @@
             has.add(part.part_id)
             heard = part.part_id.startswith("short") or rng.random() < 0.3
             if heard:
-                held = holdings.Held(since_s=turn, used_s=turn)
+                held = holdings.Holding(since_s=turn, used_s=turn)
                 known.setdefault(part.part_id, {})[chosen.server_id] = held
         if rng.random() < 0.02:
             # Memory is short: a part gives way.
--- a/irisshelf/tests/test_store_copy.py
+++ b/irisshelf/tests/test_store_copy.py
@@ -137,7 +137,7 @@
     copy = world.store.copy()
     _put(world, 3, world_module.KEY)
     _come_back(world.store, copy, more)
-    # The copy's version 2 vouches for nothing, so that keys run out.
+    # The copy's version 2 confirms nothing, so that keys run out.
     world.wait(lambda: not world.inst.keys_hold())
     assert world.inst.catalog.version == 3
     for key in (world_module.KEY, "lost"):
--- a/irisshelf/tests/test_store_outage.py
+++ b/irisshelf/tests/test_store_outage.py
@@ -1,6 +1,6 @@
 """When callers come back who are refused as the store is away.
 
-The pattern: keys hold no longer than the store vouches for them, and the store
+The pattern: keys hold no longer than the store confirms them, and the store
 is away for some seconds more. A caller tries again once, so that it has to
 come back late enough; another instance serves it at once if only this one is
 cut off. That others are cut off too is known from the watcher's silence.
@@ -28,7 +28,7 @@
         self._role = role
         self.told = []
 
-    def hand_to(self, taker):
+    def subscribe(self, taker):
         self.take = taker
 
     def role(self):
@@ -49,7 +49,7 @@
 def _take_role(world, role):
     updates = _Updates(role)
     world.follower._updates = updates
-    updates.hand_to(world.follower.take_update)
+    updates.subscribe(world.follower.take_update)
     return updates
 
 
--- a/irisshelf/tests/test_store_updates.py
+++ b/irisshelf/tests/test_store_updates.py
@@ -149,7 +149,7 @@
 )
 def test_an_update_arrives_as_it_was(pair, update):
     taken = []
-    pair[1].updates.hand_to(taken.append)
+    pair[1].updates.subscribe(taken.append)
     pair[0].updates.tell(update)
     _wait(lambda: taken)
     assert taken == [update]
@@ -157,7 +157,7 @@
 
 def test_an_update_that_is_too_long_says_that_there_is_more(pair):
     taken = []
-    pair[1].updates.hand_to(taken.append)
+    pair[1].updates.subscribe(taken.append)
     update = shared_watch.ServersUpdate(
         store_s=1.0, since=_at(80), position=_at(90), changes=_changes(60)
     )
@@ -180,7 +180,7 @@
 )
 def test_garbage_is_told_once_and_left(pair, content):
     taken = []
-    pair[1].updates.hand_to(taken.append)
+    pair[1].updates.subscribe(taken.append)
     for _ in range(2):
         pair[1].datagrams.take(_KIND + cbor2.dumps(content))
     assert (taken, pair[1].problems) == ([], ["news_unreadable"])
@@ -188,7 +188,7 @@
 
 def test_updates_of_another_data_centre_are_left(pair):
     taken = []
-    pair[1].updates.hand_to(taken.append)
+    pair[1].updates.subscribe(taken.append)
     pair[1].datagrams.take(_KIND + cbor2.dumps(["b", 0, 1.0, 0, 1, 1]))
     assert (taken, pair[1].problems) == ([], [])
 
--- a/irisshelf/tests/test_hand_on_tables.py
+++ b/irisshelf/tests/test_table_relay.py
@@ -25,9 +25,9 @@
 from irisshelf.gateway import settings
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
 from irisshelf.gateway.knowledge import follower
-from irisshelf.gateway.knowledge import hand_on
 from irisshelf.gateway.knowledge import neighbours
 from irisshelf.gateway.knowledge import store_updates
+from irisshelf.gateway.knowledge import table_relay
 from irisshelf.gateway.knowledge import whole_table
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
@@ -208,7 +208,9 @@
     _start(everyone)
     assert sorted(served.pages) == ["op", "servers"]
     assert all(one.inst.keys_hold() for one in everyone)
-    assert all(one.told("handed_on") for one in everyone[1:] if _reads(one))
+    assert all(
+        one.told("tables_relayed") for one in everyone[1:] if _reads(one)
+    )
 
 
 def _reads(one):
@@ -242,7 +244,7 @@
 
 
 @pytest.mark.parametrize("lost", ["dead", "silent", "behind", "garbled"])
-def test_who_is_not_handed_on_reads_from_the_store(
+def test_who_is_not_relayed_to_reads_from_the_store(
     make_fleet, served, lost, monkeypatch
 ):
     everyone = make_fleet()
@@ -276,7 +278,7 @@
     everyone = make_fleet()
     _start(everyone)
     watcher = _watcher(everyone)
-    held = watcher.follower.tables.operators.held
+    held = watcher.follower.tables.operators.stored
     other = store.encode(_config(2, routes=3))
     wanted = whole_table.Wanted(
         position=position.Position(era=0, revision=0),
@@ -296,13 +298,13 @@
             one.neighbours.answer_with(
                 "/catalog", lambda fields: whole_table.encode(message)
             )
-    handing = reader.follower._hand_on
+    handing = reader.follower._relay
     handed = handing.fetch(_CATALOG, wanted, within_s=0.5)
     assert handed is None
-    assert reader.told("handed_on_unreadable")
+    assert reader.told("relayed_table_unreadable")
 
 
-def test_what_is_handed_on_is_not_younger_than_it_was(make_fleet, served):
+def test_what_is_relayed_is_not_younger_than_it_was(make_fleet, served):
     everyone = make_fleet()
     _start(everyone)
     watcher = _watcher(everyone)
@@ -316,24 +318,24 @@
     assert reader.inst.freshness.age_s(now) >= age_s - 0.01
 
 
-def test_lapsed_servers_are_not_handed_on(make_fleet, served):
+def test_lapsed_servers_are_not_relayed(make_fleet, served):
     everyone = make_fleet()
     _start(everyone)
     one = everyone[0]
     gone = directory.Change(entry_id="s1", server=None)
     one.inst.directory.lapse([gone], back_s=boottime.now())
     assert one.inst.directory.get("s1") is not None
-    data = one.follower._hand_on._pack(_SERVERS)
+    data = one.follower._relay._pack(_SERVERS)
     assert whole_table.decode(data).servers == []
 
 
-def test_coldness_is_handed_on_as_what_is_left(make_fleet, served, one_server):
+def test_coldness_is_relayed_as_what_is_left(make_fleet, served, one_server):
     one_server.cold_ms = 60_000
     served.put("servers", "s1", one_server.entry())
     everyone = make_fleet()
     _start(everyone)
     gevent.sleep(0.5)
-    data = everyone[0].follower._hand_on._pack(_SERVERS)
+    data = everyone[0].follower._relay._pack(_SERVERS)
     (row,) = whole_table.decode(data).servers
     assert 50.0 < row.cold_s <= 59.5
 
@@ -345,7 +347,7 @@
 def test_a_question_that_cannot_be_read_gets_no_answer(make_fleet, query):
     one = make_fleet(1)[0]
     fields = dict([query.split("=")])
-    assert one.follower._hand_on._answers(_CATALOG)(fields) is None
+    assert one.follower._relay._answers(_CATALOG)(fields) is None
     assert one.told("question_unreadable")
 
 
@@ -400,7 +402,7 @@
 
 
 @pytest.mark.parametrize("count", [1, 2, 9, 24, 73, 100])
-def test_each_is_handed_on_to_by_one_and_hands_on_to_few(count):
+def test_each_is_relayed_to_by_one_and_relays_to_few(count):
     rosters = _ranked(count)
     parents = [
         roster.ancestors(1.0, 4)[0].name
@@ -413,7 +415,7 @@
     assert depth <= 4
 
 
-def test_wide_links_hand_on_first():
+def test_wide_links_relay_first():
     rosters = _ranked(24, links=[10.0, 100.0, 10.0, 120.0])
     first = {r.first(1.0).name for r in rosters.values() if r.first(1.0)}
     assert first <= {"n1", "n3"}
@@ -456,4 +458,4 @@
 
 
 def test_the_fan_out_is_what_a_narrow_link_bears():
-    assert hand_on._FAN_OUT <= 4
+    assert table_relay._FAN_OUT <= 4
--- a/irisshelf/tests/test_ways.py
+++ b/irisshelf/tests/test_ways.py
@@ -33,8 +33,8 @@
 @pytest.mark.parametrize(
     ("way", "settings"),
     [
-        ("board=false", {"board": False}),
-        ("board=true", {"board": True}),
+        ("gossip=false", {"gossip": False}),
+        ("gossip=true", {"gossip": True}),
         ("sources=known", {"sources": "known"}),
         ("unknown_speed=fixed", {"unknown_speed": "fixed"}),
     ],
@@ -52,8 +52,8 @@
     ("way", "problem"),
     [
         ("magic=true", "'magic', allowed: near_homes"),
-        ("board=perhaps", "'perhaps', allowed: true, false"),
-        ("board", "'', allowed: true, false"),
+        ("gossip=perhaps", "'perhaps', allowed: true, false"),
+        ("gossip", "'', allowed: true, false"),
         ("sources=best", "'best', allowed: known, likely"),
     ],
 )
@@ -99,11 +99,13 @@
 def test_a_table_and_a_picture_show_them(tmp_path):
     broken = {"day-0": ways.Played(worth=0.1, served=0.2, broken="EVAC 3")}
     rows = {
-        ("here", "board=false"): ways.compare(_days(0.7, 0.8), _days(0.6, 0.8)),
-        ("there", "board=false"): ways.compare(_days(0.7), broken),
+        ("here", "gossip=false"): ways.compare(
+            _days(0.7, 0.8), _days(0.6, 0.8)
+        ),
+        ("there", "gossip=false"): ways.compare(_days(0.7), broken),
     }
     text = ways.table(rows)
-    assert "| here | board=false | 2 | -0.050 |" in text
+    assert "| here | gossip=false | 2 | -0.050 |" in text
     assert "day-0: EVAC 3" in text
     ways.picture(rows, tmp_path / "ways.png")
     assert (tmp_path / "ways.png").read_bytes().startswith(b"\x89PNG")
