A connection that this end closes while it is read is a typed error

Callers saw: an instance that refuses what others serve, until it is restarted.

Cause: a reader whose time is over looks once more whether something has come; where another greenlet has closed the connection meanwhile, poll raised ValueError for the closed descriptor. Follower.run of the servers' table ended with it, as the failed call on the configuration closes the other table's connection: the instance never heard of a server that came or left again.

Why it works: a closed connection has no input and is never polled; reading it is errors.BrokenError, which every caller of the transport handles.

--- a/irisshelf/tests/test_transport.py
+++ b/irisshelf/tests/test_transport.py
@@ -81,3 +81,27 @@
     assert conn.read_data(timeout_s=late_s) == b"late"
     assert conn.read_data(timeout_s=late_s) is None
     listener.stop()
+
+
+@pytest.mark.parametrize("timeout_s", [-1.0, 0.0, 0.01, 5.0])
+@pytest.mark.parametrize("late", [True, False])
+def test_a_connection_that_this_end_closes_is_a_typed_error(timeout_s, late):
+    """Seen: what follows the store's list ended with an untyped error.
+
+    An instance stood still while the call on one table failed and closed the
+    connection of the other one, whose time was over at the same moment. The
+    instance never heard of a server again.
+    """
+    near, far = socket.socketpair()
+    conn = client.Connection(sock=near, address="peer")
+    if not late:
+        conn.close()
+    reader = gevent.spawn(conn.read_head, timeout_s=timeout_s)
+    gevent.spawn(conn.close)
+    if late:
+        gevent.sleep(0)
+        # Not a greenlet's sleep: time is over as the connection is closed.
+        time.sleep(0.02)
+    with pytest.raises(errors.TransportError):
+        reader.get(timeout=10)
+    far.close()
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -207,15 +207,17 @@
         try:
             return self._sock.recv(_READ_BYTES)
         except TimeoutError:
-            if not _is_ready(self._sock, select.POLLIN):
+            if not self.has_input():
                 raise
             return self._sock.recv(_READ_BYTES)
 
     def _receive(self, until_s: float) -> None:
+        if not self._open:
+            raise errors.BrokenError("closed by this end")
         left_s = until_s - boottime.now()
         # An answer that is there is read also late: a process that stood still
         # finds its time over and the answer waiting.
-        if left_s <= 0 and not _is_ready(self._sock, select.POLLIN):
+        if left_s <= 0 and not self.has_input():
             raise errors.SilentError("no answer in time")
         try:
             data = self._recv(max(left_s, _LOOK_S))
