Soak: servers that say in answers that they leave or rest, checked from outside

Seeds from 2000 on have both, in series and beside the other faults; earlier seeds draw as before. Checked for each instance and each life of a server: no request that was sent 2.5 s after an answer had been passed on that said so reaches a leaving one; between half a second after a rest was asked for and its end two at the most reach it. Excused: an instance disturbed meanwhile.

The kinds of seeds from 1000 on are tested without the new two, those from 2000 on with all.

--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -61,6 +61,25 @@
     whole: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that reached a server, also one that it turned away.
+
+    Attributes:
+        request_id: Its id.
+        at_s: When, monotonic seconds.
+        born_ms: The server's start.
+        leaving: Whether the answer says that the server leaves.
+        rest_s: For how long the answer asks for no requests.
+    """
+
+    request_id: str
+    at_s: float
+    born_ms: int | None
+    leaving: bool
+    rest_s: float
+
+
 class Server:
     """Serves on loopback and keeps what it ran.
 
@@ -95,7 +114,7 @@
         # Connections that were made to it.
         self.accepted = 0
         # Requests that have come, with those that it turns away.
-        self.arrivals: list[str] = []
+        self.arrivals: list[Arrival] = []
         # Whether its answers say that it leaves.
         self.leaving = False
         # For how long it asks for no requests where it answers 503.
@@ -187,6 +206,18 @@
             "sequence": 1,
         }
 
+    def note_arrival(self, request_id: str) -> None:
+        """Takes that a request has come."""
+        self.arrivals.append(
+            Arrival(
+                request_id=request_id,
+                at_s=boottime.now(),
+                born_ms=self.born_ms,
+                leaving=self.leaving,
+                rest_s=(self.rest_s or 0.0) if self.refuses else 0.0,
+            )
+        )
+
     def report(self, status: int) -> list[tuple[bytes, bytes]]:
         """Returns headers by which an answer tells of the server."""
         headers = []
@@ -242,7 +273,7 @@
             ]
             conn.answer(421, named, b"")
             return
-        owner.arrivals.append(headers.get("request-id", ""))
+        owner.note_arrival(headers.get("request-id", ""))
         fault = owner.next_fault()
         if self._turned_down(fault, conn):
             return
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -279,7 +279,12 @@
     [
         (0, plan.INSTANCES, plan.SMALL_KINDS),
         (0, 10, (*plan.SMALL_KINDS, *plan.WIDE_KINDS)),
-        (plan.FURTHER_FROM, 10, tuple(plan.Kind)),
+        (
+            plan.FURTHER_FROM,
+            10,
+            tuple(k for k in plan.Kind if k not in plan.REPORT_KINDS),
+        ),
+        (plan.REPORTS_FROM, 10, tuple(plan.Kind)),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
@@ -338,3 +343,127 @@
     assert (verdict.violations, verdict.own_exits) == ((), 0)
     assert bool(verdict.ends) is crashing.is_asked(seed)
     assert verdict.served > 0
+
+
+def _arrived(at_s, request, *, life=1, **says):
+    return checker.Arrived(
+        request_id=request, server=3, life=life, at_s=at_s, **says
+    )
+
+
+def _at(*sent_s, **changes):
+    """Requests that are answered 0.1 s after they are sent."""
+    return tuple(
+        _asked(
+            request_id=f"r{number}",
+            status=502,
+            body=b"",
+            sent_s=at_s,
+            ended_s=at_s + 0.1,
+            **changes,
+        )
+        for number, at_s in enumerate(sent_s)
+    )
+
+
+def _rests(*at_s):
+    """Arrivals of which the first is answered with a rest of two seconds."""
+    return tuple(
+        _arrived(t, f"r{number}", rest_s=0.0 if number else 2.0)
+        for number, t in enumerate(at_s)
+    )
+
+
+@pytest.mark.parametrize(
+    ("asked", "arrived", "more", "broken"),
+    [
+        pytest.param(
+            _at(100.0, 102.7),
+            (_arrived(100.0, "r0", leaving=True), _arrived(102.7, "r1")),
+            {},
+            _PROMISE.LEAVING,
+            id="sent-after-it-said-so",
+        ),
+        pytest.param(
+            _at(100.0, 102.5),
+            (_arrived(100.0, "r0", leaving=True), _arrived(102.5, "r1")),
+            {},
+            None,
+            id="sent-within-the-bound",
+        ),
+        pytest.param(
+            _at(100.0, 103.0),
+            (_arrived(100.0, "r0", leaving=True), _arrived(103, "r1", life=2)),
+            {},
+            None,
+            id="another-life",
+        ),
+        pytest.param(
+            _at(100.0, 103.0),
+            (_arrived(100.0, "r0", leaving=True), _arrived(103.0, "r1")),
+            {"disturbed": _SPAN},
+            None,
+            id="restarted-meanwhile",
+        ),
+        pytest.param(
+            (
+                *_at(100.0),
+                _asked(
+                    request_id="r1",
+                    instance=1,
+                    sent_s=103.0,
+                    status=502,
+                    body=b"",
+                ),
+            ),
+            (_arrived(100.0, "r0", leaving=True), _arrived(103.0, "r1")),
+            {},
+            None,
+            id="another-instance",
+        ),
+        pytest.param(
+            _at(100.0, 100.6, 101.0, 101.9),
+            _rests(100.0, 100.6, 101.0, 101.9),
+            {},
+            _PROMISE.REST,
+            id="three-in-a-rest",
+        ),
+        pytest.param(
+            _at(100.0, 100.4, 101.0, 101.9),
+            _rests(100.0, 100.4, 101.0, 101.9),
+            {},
+            None,
+            id="two-in-a-rest",
+        ),
+        pytest.param(
+            _at(100.0, 100.6, 101.0, 102.1),
+            _rests(100.0, 100.6, 101.0, 102.1),
+            {},
+            None,
+            id="after-a-rest",
+        ),
+        pytest.param(
+            _at(100.0, 100.6, 101.0, 101.9),
+            _rests(100.0, 100.6, 101.0, 101.9),
+            {"disturbed": _SPAN},
+            None,
+            id="cut-off-in-a-rest",
+        ),
+    ],
+)
+def test_what_servers_say_is_checked(asked, arrived, more, broken):
+    record = checker.Record(
+        **{
+            "asked": asked,
+            "ran": (),
+            "withdrawn": {},
+            "left": {},
+            "disturbed": (),
+            "stopped": (),
+            "events": 2,
+            "arrived": arrived,
+            **more,
+        }
+    )
+    found = {v.promise for v in checker.check(record, _BOUNDS)}
+    assert found == ({broken} if broken else set())
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -15,6 +15,10 @@
 _ENDS_ALLOWED = 3
 _SENDS_ALLOWED = 3
 _ENDS_KNOWN_S = 3.0
+# Requests that may reach a server from an instance in a rest, later than so
+# many seconds after its answer.
+_IN_A_REST_ALLOWED = 2
+_REST_KNOWN_S = 0.5
 
 
 class Promise(enum.StrEnum):
@@ -31,6 +35,8 @@
     STOP = "a planned stop cuts nothing"
     EVACUATED = "no run in a data centre that was evacuated before the bound"
     COLD = "no cold server gets more in a second than it may"
+    LEAVING = "no request goes to a server that has said that it leaves"
+    REST = "two requests at the most go to a server that has asked for rest"
     CRASHES = "what three servers ended under is sent on three times at most"
 
 
@@ -102,6 +108,27 @@
     far: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrived:
+    """A request that reached a server, also one that it turned away.
+
+    Attributes:
+        request_id: The request's id.
+        server: The server's number.
+        life: Tells one start of the server from others.
+        at_s: When, monotonic seconds.
+        leaving: Whether the answer says that the server leaves.
+        rest_s: For how long the answer asks for no requests; 0 if it does not.
+    """
+
+    request_id: str
+    server: int
+    life: int | None
+    at_s: float
+    leaving: bool = False
+    rest_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Span:
     """A time in which something was disturbed; ``target`` by number."""
@@ -137,6 +164,7 @@
         evacuated: Spans in which the far data centre was evacuated.
         cold: Spans in which a server was cold.
         unlisted: Spans in which the store lacked what it had lost.
+        arrived: Requests that reached servers.
     """
 
     asked: tuple[Asked, ...]
@@ -150,6 +178,7 @@
     evacuated: tuple[Span, ...] = ()
     cold: tuple[Span, ...] = ()
     unlisted: tuple[Span, ...] = ()
+    arrived: tuple[Arrived, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -171,6 +200,7 @@
         found += _check_one(record, bounds, asked, runs[asked.request_id])
     found += _sent_on(record, runs)
     found += _too_many_while_cold(record, bounds)
+    found += _sent_against_reports(record, bounds)
     return found
 
 
@@ -230,6 +260,75 @@
                 break
 
 
+def _sent_against_reports(
+    record: Record, bounds: Bounds
+) -> Iterable[Violation]:
+    """Checks each instance and each life of a server apart."""
+    asked = {one.request_id: one for one in record.asked}
+    groups: dict[tuple[int, int, int | None], list[Arrived]] = (
+        collections.defaultdict(list)
+    )
+    for one in sorted(record.arrived, key=lambda one: one.at_s):
+        if one.request_id in asked:
+            instance = asked[one.request_id].instance
+            groups[instance, one.server, one.life].append(one)
+    for (instance, server, _), arrived in groups.items():
+        spans = [s for s in record.disturbed if s.target == instance]
+        detail = f"instance {instance}, server {server}"
+        for late in _after_leaving(arrived, asked, spans, bounds):
+            yield Violation(
+                promise=Promise.LEAVING, request_id=late, detail=detail
+            )
+        for late in _in_a_rest(arrived, spans):
+            yield Violation(
+                promise=Promise.REST, request_id=late, detail=detail
+            )
+
+
+def _after_leaving(
+    arrived: list[Arrived],
+    asked: dict[str, Asked],
+    disturbed: list[Span],
+    bounds: Bounds,
+) -> list[str]:
+    told_s = min(
+        (
+            asked[one.request_id].ended_s
+            for one in arrived
+            if one.leaving and asked[one.request_id].status
+        ),
+        default=None,
+    )
+    if told_s is None:
+        return []
+    return [
+        one.request_id
+        for one in arrived
+        if asked[one.request_id].sent_s > told_s + bounds.left_s
+        and not _overlap(disturbed, told_s, one.at_s)
+    ]
+
+
+def _in_a_rest(arrived: list[Arrived], disturbed: list[Span]) -> list[str]:
+    broken = []
+    for first in arrived:
+        until_s = first.at_s + first.rest_s
+        if not first.rest_s or _overlap(disturbed, first.at_s, until_s):
+            continue
+        late = [
+            one.request_id
+            for one in arrived
+            if first.at_s + _REST_KNOWN_S < one.at_s < until_s
+        ]
+        if len(late) > _IN_A_REST_ALLOWED:
+            broken.append(late[-1])
+    return broken
+
+
+def _overlap(spans: list[Span], from_s: float, to_s: float) -> bool:
+    return any(span.from_s <= to_s and from_s <= span.to_s for span in spans)
+
+
 def _unasked(record: Record, runs: dict[str, list[Ran]]) -> Iterable[Violation]:
     known = {asked.request_id for asked in record.asked}
     for request_id in runs.keys() - known:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -33,6 +33,9 @@
 _COLD_S = 5.0
 _COLD_DOWN_S = 0.3
 _COLD_KNOWN_S = 1.5
+# A server that leaves serves for so much longer than its fault lasts.
+_LEAVES_FOR_S = 4.0
+_REST_S = 2.0
 # A machine sleeps longer than a process stands still: 1 to 20 s.
 _SLEEP_FACTOR = 5.0
 # What another writer may leave in the list.
@@ -135,6 +138,8 @@
             plan.Kind.STORE_COPY: lambda: self._copy(fault),
             plan.Kind.EVACUATION: lambda: self._evacuate(fault),
             plan.Kind.SERVER_COLD: lambda: gevent.spawn(self._cool, fault),
+            plan.Kind.SERVER_SAYS_LEAVING: lambda: self._say_leaving(fault),
+            plan.Kind.SERVER_RESTS: lambda: self._rest(fault),
         }
         actions[fault.kind]()
         self._note(fault)
@@ -324,6 +329,31 @@
         self._list(number, "draining")
         self.left[one.server_id] = time.monotonic()
 
+    def _say_leaving(self, fault: plan.Fault) -> None:
+        """A server's answers say that it leaves; its entry never does."""
+        one = self._servers[fault.target]
+        if one.leaving or one.server_id in self.left:
+            return
+        one.leaving = True
+        until_s = fault.for_s + _LEAVES_FOR_S
+        gevent.spawn_later(until_s, self._start_again, fault.target)
+
+    def _start_again(self, number: int) -> None:
+        """Another life of a server that left takes its place."""
+        one = self._servers[number]
+        one.leaving = False
+        one.born_ms += 1000
+        self.list_unless_left(number)
+
+    def _rest(self, fault: plan.Fault) -> None:
+        """A server turns all away, and asks for rest as it does."""
+        one = self._servers[fault.target]
+        if one.refuses:
+            return
+        one.rest_s = _REST_S
+        one.refuses = True
+        gevent.spawn_later(fault.for_s, setattr, one, "refuses", False)
+
     def _withdraw(self) -> None:
         if len(self.keys) < 2:
             return
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -46,6 +46,9 @@
     STORE_COPY = "store_copy"
     EVACUATION = "evacuation"
     SERVER_COLD = "server_cold"
+    # Of seeds with reports alone.
+    SERVER_SAYS_LEAVING = "server_says_leaving"
+    SERVER_RESTS = "server_rests"
 
 
 WIDE_KINDS = (
@@ -58,11 +61,16 @@
     Kind.SLEEP,
 )
 _FURTHER_KINDS = (Kind.STORE_COPY, Kind.EVACUATION, Kind.SERVER_COLD)
+REPORT_KINDS = (Kind.SERVER_SAYS_LEAVING, Kind.SERVER_RESTS)
 # Seeds from this one on have further kinds; those before draw as they always
 # did.
 FURTHER_FROM = 1000
+# Seeds from this one on have servers that tell in answers what they want.
+REPORTS_FROM = 2000
 SMALL_KINDS = tuple(
-    kind for kind in Kind if kind not in (*WIDE_KINDS, *_FURTHER_KINDS)
+    kind
+    for kind in Kind
+    if kind not in (*WIDE_KINDS, *_FURTHER_KINDS, *REPORT_KINDS)
 )
 # Share of a wide run's faults of instances that hit the first of them.
 _FIRST_SHARE = 0.5
@@ -111,6 +119,8 @@
     Kind.SERVER_MUTE: 2 * SERVERS,
     Kind.SERVER_RESTARTS: 2 * SERVERS,
     Kind.SERVER_COLD: 2 * SERVERS,
+    Kind.SERVER_SAYS_LEAVING: 2 * SERVERS,
+    Kind.SERVER_RESTS: 2 * SERVERS,
 }
 
 
@@ -148,6 +158,11 @@
     return seed >= FURTHER_FROM
 
 
+def has_reports(seed: int) -> bool:
+    """Tells whether servers leave or rest by what their answers say."""
+    return seed >= REPORTS_FROM
+
+
 def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
     """Returns the faults of a seed, by time; several come together or twice.
 
@@ -158,10 +173,12 @@
     rng = random.Random(seed)
     kinds = SMALL_KINDS
     if instances >= WIDE:
-        kinds = tuple(kind for kind in Kind if kind not in _FURTHER_KINDS)
+        kinds = (*SMALL_KINDS, *WIDE_KINDS)
     if is_further(seed):
         # So often that most runs have each of them.
         kinds = (*kinds, *(3 * _FURTHER_KINDS))
+    if has_reports(seed):
+        kinds = (*kinds, *(5 * REPORT_KINDS))
     if is_planned(seed):
         kinds = _PLANNED
     count = rng.randint(8, 16)
--- a/soak/run.py
+++ b/soak/run.py
@@ -188,6 +188,18 @@
             evacuated=tuple(self._injector.evacuated),
             cold=tuple(self._injector.cold),
             unlisted=tuple(self._injector.unlisted),
+            arrived=tuple(
+                checker.Arrived(
+                    request_id=one.request_id,
+                    server=number,
+                    life=one.born_ms,
+                    at_s=one.at_s - apart_s,
+                    leaving=one.leaving,
+                    rest_s=one.rest_s,
+                )
+                for number, served in enumerate(self.servers)
+                for one in served.arrivals
+            ),
         )
         return Verdict(
             seed=self._seed,
