A server that turns requests away though it has free places is one that fails them

Cause: being turned away had no effect on the choice but for the request itself.

Change: such a refusal counts like any failed send (three in a row make the server rest, then one request tries it). Full servers, those that ask for rest and addresses of other servers are told apart and do not count. Switch turned_away, for comparison with the way before.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -20,6 +20,7 @@
 # A connection that breaks before an answer was probably closed by the server
 # if it had rested this long; else the server is the likely cause.
 _MAY_BE_STALE_S = 1.0
+_UNAVAILABLE = 503
 
 
 class SendError(Exception):
@@ -203,7 +204,7 @@
         if head.not_run:
             self._read_body()
             raise SendError(
-                seen=server_book.Seen.REFUSED,
+                seen=self._refusal(head),
                 outcome=outcome.Outcome.NOT_RUN,
                 detail=f"turned down with {head.status}",
             )
@@ -226,6 +227,23 @@
             ),
         )
 
+    def _refusal(self, head: messages.AnswerHead) -> server_book.Seen:
+        """Tells whether a refusal speaks against the server.
+
+        Not if it is full, wants rest, or is not the server that was meant.
+        """
+        choice = self._choice
+        free = choice.load < choice.server.slots
+        counts = self._inst.cfg.policy.turned_away
+        if (
+            counts
+            and free
+            and head.status == _UNAVAILABLE
+            and not head.report.rest_s
+        ):
+            return server_book.Seen.TURNED_AWAY
+        return server_book.Seen.REFUSED
+
     def _read_body(self) -> bytes:
         parts = []
         until_s = self._inst.now() + self._patience_s(True)
--- a/irisshelf/gateway/requests/call.py
+++ b/irisshelf/gateway/requests/call.py
@@ -157,7 +157,7 @@
         )
         if not exc.excuse:
             self._seen(server, exc.seen, str(exc))
-        if exc.seen is server_book.Seen.REFUSED:
+        if exc.outcome is outcome.Outcome.NOT_RUN:
             self._retry_after_s = admission.retry_after_s(self._inst, choice)
         self._sends.went_wrong(server, exc)
         stop = self._sends.why_stop(exc, blamed=blamed, left_s=self._left_s())
--- a/irisshelf/routing/direct/policy.py
+++ b/irisshelf/routing/direct/policy.py
@@ -28,6 +28,8 @@
         admission: Requests that would wait too long are refused at once.
         gathering: After a change in the store, the next call waits a little.
         shared_watch: One instance of a data centre asks the store for all.
+        turned_away: A server that turns requests away though it has free places
+            is one that fails them.
         fresh_connections: Requests that may run once go only on connections
             that were in use just now.
         sources: How a server is found to fetch shared parts from.
@@ -46,6 +48,7 @@
     admission: bool = True
     gathering: bool = True
     shared_watch: bool = True
+    turned_away: bool = True
     fresh_connections: bool = True
     sources: sources.Way = sources.Way.LIKELY
     unknown_speed: unknown_speed.Way = unknown_speed.Way.FASTEST
--- a/irisshelf/routing/direct/server_book.py
+++ b/irisshelf/routing/direct/server_book.py
@@ -34,10 +34,15 @@
 
 
 class Seen(enum.StrEnum):
-    """What came of a request that was sent to a server."""
+    """What came of a request that was sent to a server.
+
+    A server that refuses is full; one that turns away has free places as far as
+    is known, and answers so fast that it would draw more than its share.
+    """
 
     WELL = "well"
     REFUSED = "refused"
+    TURNED_AWAY = "turned_away"
     FAILED = "failed"
     BROKEN = "broken"
     SILENT = "silent"
--- a/irisshelf/tests/test_leaving_and_resting.py
+++ b/irisshelf/tests/test_leaving_and_resting.py
@@ -270,3 +270,31 @@
     world.inst.eligible.availability.leaves(server.server_id)
     call.get(timeout=10)
     assert not other.arrivals
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_server_that_turns_all_away_draws_no_more_than_others(
+    make_world, target
+):
+    """It asks for no rest, and answers faster than those that work."""
+    world = make_world(servers=3)
+    one = _fastest(world, target)
+    one.refuses = True
+    _ask_until_reached(world, one, target)
+    count, answers = _arrivals_after(world, one, target)
+    assert count <= _REQUESTS / 3
+    assert [a.status for a in answers].count(200) >= _REQUESTS - count
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_server_that_turned_away_has_requests_again(make_world, target):
+    world = make_world(servers=2)
+    first, second = _group(world, target)
+    first.refuses = True
+    _ask_until_reached(world, first, target)
+    _arrivals_after(world, first, target)
+    first.refuses = False
+    second.leaving = True
+    _ask_until_reached(world, second, target)
+    assert world.ask(target).status == 200
+    assert first.runs
