Evacuated, cold and resting servers raise no server over the cap on its load

Cause: where few servers take all, the bound on a server's load follows their own mean, so that prompts stay at their homes; with two thirds of the servers idle that is 3.3 times the mean of all and 2, where 2 times and 3 are allowed.

Change: the bound never exceeds the cap; where all that take requests hold as much, the least loaded takes it.

--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -30,9 +30,13 @@
 from irisshelf.routing.direct import sources as sources_module
 from irisshelf.routing.direct import unknown_speed
 
+# No server may hold more than this multiple of its service's mean and so many
+# more, idle servers included, unless all that take requests hold as much.
+CAP_FACTOR = 2.0
+CAP_EXTRA = 3.0
 # A server takes requests up to a multiple of the mean load, and so many more,
-# since small loads are lumpy; the users' bound is 2 times and 3. Prompts whose
-# shared parts are dear to move may go further than others.
+# since small loads are lumpy. Prompts whose shared parts are dear to move may
+# go further than others.
 LOAD_FACTOR = 1.6
 LOAD_EXTRA = 2.0
 LONG_LOAD_FACTOR = 1.75
@@ -212,6 +216,7 @@
         if self._policy.load_bound:
             own_mean = sum(loads.values()) / len(loads)
             bound = max(_bound(asked, mean), _EVEN * own_mean + LOAD_EXTRA)
+            bound = min(bound, CAP_FACTOR * mean + CAP_EXTRA)
         ranked = self._by_preference(pool, asked, held, now)
         for place, server in enumerate(ranked):
             if loads[server.server_id] + 1 <= bound:
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -309,3 +309,30 @@
         work = running if server == home else 1
         chooser.book.told(server.server_id, work=work, at_s=1.0)
     assert _choose(chooser, asked=asked).reason is reason
+
+
+@pytest.mark.parametrize("subjects", [1, 5, 40])
+@pytest.mark.parametrize("idle", [0, 10, 20, 25])
+def test_no_server_is_sent_more_than_the_cap_beside_idle_ones(idle, subjects):
+    """Evacuated, cold and resting servers count in the mean of the cap.
+
+    The others take their work and hold more than the mean for that alone; a
+    prompt's home among them is no reason to exceed the cap.
+    """
+    servers = [_server(str(n)) for n in range(30)]
+    takes, rests = servers[idle:], servers[:idle]
+    chooser = _chooser()
+    rng = random.Random(7)
+    loads = dict.fromkeys((s.server_id for s in servers), 0)
+    for _ in range(150):
+        asked = _prompt(subject=f"s{rng.randrange(subjects)}")
+        choice = chooser.choose(
+            takes, asked, avoid=frozenset(), now=1.0, idle=rests
+        )
+        name = choice.server.server_id
+        cap = 2.0 * sum(loads.values()) / len(servers) + 3.0
+        least = min(loads[s.server_id] for s in takes)
+        assert loads[name] <= max(cap, least)
+        loads[name] += 1
+        chooser.book.began(name, 1.0)
+        chooser.sent(asked, name, 1.0)
