--- a/irisshelf/testing/busy_service.py
+++ b/irisshelf/testing/busy_service.py
@@ -11,9 +11,11 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 
+from irisshelf.routing.direct import availability
 from irisshelf.routing.direct import overload
 from irisshelf.routing.direct import server_book
 from irisshelf.routing.direct import server_choice
@@ -65,6 +67,9 @@
         subjects: How many shared histories the requests are about, each with
             servers ranked for it, as ``server_choice`` takes them; none: every
             request goes to the least loaded server.
+        rest_s: A server that rests turns all down for so long, and asks for it.
+        rests: When servers begin to rest whatever their load, by number.
+        rests_when_full: Whether a server that is full begins to rest.
     """
 
     kinds: tuple[Kind, ...]
@@ -77,6 +82,9 @@
     team: Callable[[float, random.Random], str] = lambda at_s, rng: "team"
     callers_return: bool = False
     subjects: int = 0
+    rest_s: float = 0.0
+    rests: tuple[tuple[float, int], ...] = ()
+    rests_when_full: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -118,11 +126,16 @@
     came_s: float
     instance: int
     returning: bool = False
+    sent_s: float = 0.0
 
 
 class _Server:
     def __init__(self, slots: int):
         self.free = slots
+        self.rests_until_s = -math.inf
+        # Requests that it turned down after its rest was known, by instance, in
+        # each of its rests.
+        self.in_rests: list[collections.Counter[int]] = []
         self.waiting: list[tuple[int, int, _Request]] = []
         self.running = 0
 
@@ -138,8 +151,10 @@
         seed: int,
         admitting: bool,
         told_s: float | None,
+        heeding: bool,
     ):
         self._load = load
+        self._heeding = heeding
         self._rng = random.Random(seed)
         self._admitting = admitting
         self._told_s = told_s
@@ -154,6 +169,10 @@
         ]
         self._books = [server_book.ServerBook() for _ in range(load.instances)]
         self._gates = [overload.Overload() for _ in range(load.instances)]
+        self._known = [
+            availability.Availability(rng=random.Random(seed + number))
+            for number in range(load.instances)
+        ]
         self.by_kind: dict[str, Seen] = collections.defaultdict(Seen)
         self.by_team: dict[str, Seen] = collections.defaultdict(Seen)
 
@@ -161,6 +180,9 @@
         for kind in self._load.kinds:
             self._after(self._gap_s(kind), lambda kind=kind: self._come(kind))
         self._after(_TELL_S, self._tell)
+        for at_s, number in self._load.rests:
+            server = self._servers[number]
+            self._after(at_s, lambda server=server: self._begin_rest(server))
         while self._events:
             self._now, _, what = heapq.heappop(self._events)
             what()
@@ -194,10 +216,17 @@
 
     def _choose(self, request: _Request) -> None:
         book = self._books[request.instance]
-        loads = book.loads(self._names, self._now)
+        known = self._known[request.instance]
+        names = [n for n in self._names if not known.block(n, self._now)]
+        if not names:
+            self._refuse_all_resting(request)
+            return
+        loads = book.loads(names, self._now)
         name = self._server_for(loads)
         if self._admitting and self._is_refused(request, loads[name]):
             return
+        known.sent(name, self._now)
+        request = dataclasses.replace(request, sent_s=self._now)
         book.began(name, self._now)
         self._after(_WAY_S, lambda: self._reach(request, name))
 
@@ -208,8 +237,17 @@
         ranked = self._rng.choice(self._rankings)
         mean = sum(loads.values()) / len(loads)
         bound = server_choice.LOAD_FACTOR * mean + server_choice.LOAD_EXTRA
-        within = (name for name in ranked if loads[name] + 1 <= bound)
-        return next(within, ranked[0])
+        open_ones = [name for name in ranked if name in loads]
+        within = (name for name in open_ones if loads[name] + 1 <= bound)
+        return next(within, open_ones[0])
+
+    def _refuse_all_resting(self, request: _Request) -> None:
+        if not request.returning:
+            self._count(request, "refused")
+            if self._load.callers_return:
+                known = self._known[request.instance]
+                blocks = [known.block(n, self._now) for n in self._names]
+                self._return(request, min(b.left_s for b in blocks))
 
     def _is_refused(self, request: _Request, load: float) -> bool:
         gate = self._gates[request.instance]
@@ -248,14 +286,30 @@
 
     def _reach(self, request: _Request, name: str) -> None:
         server = self._servers[int(name)]
-        if len(server.waiting) >= self._load.queue:
-            self._count(request, "turned_down")
-            self._books[request.instance].ended(name, self._now)
+        rests = self._now < server.rests_until_s
+        if rests or len(server.waiting) >= self._load.queue:
+            self._turn_down(request, name, server)
             return
         rank = (request.kind.priority, next(self._order), request)
         heapq.heappush(server.waiting, rank)
         self._start(server, name)
 
+    def _turn_down(self, request: _Request, name: str, server: _Server) -> None:
+        self._count(request, "turned_down")
+        self._books[request.instance].ended(name, self._now)
+        if self._now >= server.rests_until_s:
+            if not self._load.rests_when_full:
+                return
+            self._begin_rest(server)
+        server.in_rests[-1][request.instance] += 1
+        if self._heeding:
+            left_s = server.rests_until_s - self._now
+            self._known[request.instance].rests(name, left_s, self._now)
+
+    def _begin_rest(self, server: _Server) -> None:
+        server.rests_until_s = self._now + self._load.rest_s
+        server.in_rests.append(collections.Counter())
+
     def _start(self, server: _Server, name: str) -> None:
         while server.waiting and server.free:
             _, _, request = heapq.heappop(server.waiting)
@@ -266,6 +320,8 @@
                 self._count(request, "left")
                 book.ended(name, self._now)
                 continue
+            known = self._known[request.instance]
+            known.answered(name, request.sent_s)
             in_time = waited_s <= request.kind.objective_s
             self._count(request, "in_time" if in_time else "late")
             server.free -= 1
@@ -285,6 +341,18 @@
     def _seen(self, request: _Request) -> tuple[Seen, Seen]:
         return self.by_kind[request.kind.name], self.by_team[request.team]
 
+    def outcome(self) -> Outcome:
+        """Returns what callers and servers saw."""
+        counts = [c for server in self._servers for c in server.in_rests]
+        return Outcome(
+            by_kind=dict(self.by_kind),
+            by_team=dict(self.by_team),
+            rests=tuple(len(server.in_rests) for server in self._servers),
+            most_in_a_rest=max(
+                (max(c.values(), default=0) for c in counts), default=0
+            ),
+        )
+
     def _count(self, request: _Request, what: str) -> None:
         for seen in self._seen(request):
             setattr(seen, what, getattr(seen, what) + 1)
@@ -292,10 +360,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Outcome:
-    """What callers saw, by the kind of their request and by their team."""
+    """What callers saw, by the kind of their request and by their team.
+
+    Attributes:
+        by_kind: By kind.
+        by_team: By team.
+        rests: How many rests each server took.
+        most_in_a_rest: Requests of one instance that a resting server turned
+            down, at the most.
+    """
 
     by_kind: dict[str, Seen]
     by_team: dict[str, Seen]
+    rests: tuple[int, ...] = ()
+    most_in_a_rest: int = 0
 
 
 def play(
@@ -304,6 +382,7 @@
     seed: int,
     admitting: bool = True,
     told_s: float | None = None,
+    heeding: bool = True,
 ) -> Outcome:
     """Plays a load from start to end.
 
@@ -313,10 +392,11 @@
         admitting: Whether instances refuse early; if not, all is sent.
         told_s: Refused callers are told to come back after so long, whatever
             the instance would say.
+        heeding: Whether instances send nothing to servers that rest.
 
     Returns:
         What callers saw.
     """
-    run = _Play(load, seed, admitting, told_s)
+    run = _Play(load, seed, admitting, told_s, heeding)
     run.run()
-    return Outcome(by_kind=dict(run.by_kind), by_team=dict(run.by_team))
+    return run.outcome()
