--- a/irisshelf/backends/dispatch.py
+++ b/irisshelf/backends/dispatch.py
@@ -93,7 +93,7 @@
 def refusal(response: Any) -> errors.CallError:
     """Turns an answer other than success into our error.
 
-    Only the server's own word, ``X-Not-Run``, says that the call did not run.
+    Only the server's header ``X-Not-Run`` says that the call did not run.
     """
     not_run = response.get(messages.Header.NOT_RUN.value) is not None
     leaving = response.get(messages.Header.DRAINING.value) is not None
--- a/irisshelf/backends/relay.py
+++ b/irisshelf/backends/relay.py
@@ -56,7 +56,7 @@
 
 
 def _refusal(response) -> errors.CallError:
-    """Takes the owner's word on whether the request ran."""
+    """Takes what the owner says of whether the request ran."""
     told = response.get("X-Outcome")
     elsewhere = response.get(messages.Header.TARGET.value) or ""
     detail = dispatch.read_all(response).unwrap_or(b"")[:200]
--- a/irisshelf/catalog/evacuations.py
+++ b/irisshelf/catalog/evacuations.py
@@ -1,4 +1,4 @@
-"""Data centres whose servers get nothing new, by the operators' word.
+"""Data centres whose servers get nothing new, by the operators' rows.
 
 The operators evacuate a data centre by a row in the store and lift that by
 removing it. Words are ordered by their position in the store. When the store
@@ -38,7 +38,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Changed:
-    """What a word changed.
+    """What an answer or update changed.
 
     Attributes:
         begun: Data centres that are evacuated from now on.
@@ -85,7 +85,7 @@
 
         Args:
             names: The evacuated data centres.
-            position: Where the word stands; an earlier one is dropped.
+            position: Of the rows; an earlier one is dropped.
             now: Time in seconds.
         """
         known = self._position
--- a/irisshelf/catalog/position.py
+++ b/irisshelf/catalog/position.py
@@ -1,4 +1,4 @@
-"""Where a word of the shared store stands among all that it has said.
+"""Where an answer of the shared store stands in the store's history.
 
 Revisions order what the store says, but only within one era: when the store
 comes back from a copy of its tables it has lost what it accepted since the copy
--- a/irisshelf/coordination/data_centre.py
+++ b/irisshelf/coordination/data_centre.py
@@ -1,6 +1,6 @@
 """The instances of an instance's own data centre, if it knows them well enough.
 
-What is shared out among them by a ranking, without a word, holds only as far as
+What is shared out among them by a ranking without messages holds only as far as
 all rank the same ones. Who has just started, slept, or lost sight of most of
 the others may know far fewer than there are, and would take their shares on.
 """
--- a/irisshelf/coordination/facts.py
+++ b/irisshelf/coordination/facts.py
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ServerLoad:
-    """A server's own word on its load.
+    """A server's load, as it reports it.
 
     Attributes:
         server: The server's key.
@@ -42,7 +42,7 @@
 class ServerCold:
     """A server is cold, as the store says.
 
-    Instances that have not heard it from the store send to it meanwhile; it may
+    Instances that the store has not told send to it meanwhile; it may
     be back under its id, of which they know the earlier life.
 
     Attributes:
--- a/irisshelf/coordination/gossip.py
+++ b/irisshelf/coordination/gossip.py
@@ -2,7 +2,7 @@
 
 Each instance keeps one record of itself and makes it newer every tick. A tick
 sends it to a few partners in the data centre, chosen at random, together with
-the beats of all others, six bytes each: so news of who lives spreads in a few
+the beats of all others, six bytes each: so all know who lives in a few
 ticks at any size, while loads reach a sample of instances a second, which is
 enough for their mean. The first few instances of a data centre
 by name's rank, no one special, also exchange sums with another data centre.
@@ -311,7 +311,7 @@
         )
 
     def _silent(self, now: float) -> list[str]:
-        """Near instances without news, the most silent first."""
+        """Near instances without fresh beats, the most silent first."""
         found = []
         for name in self._near_names():
             silent_s = self._beats.silent_s(name, now)
--- a/irisshelf/coordination/gossip_messages.py
+++ b/irisshelf/coordination/gossip_messages.py
@@ -98,13 +98,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Beat:
-    """How fresh the sender's news of an instance is.
+    """How fresh the sender's knowledge of an instance is.
 
     Attributes:
         name_hash: From ``name_hash``; a name would cost five times as much.
         beat: The instance's beat, modulo ``BEAT_MODULUS``.
         age_s: How long ago the instance made it, in steps of ``AGE_STEP_S``.
-            Without it, old news would count as a sign of life each time that
+            Without it, old beats would count as a sign of life each time that
             it reaches somebody new.
     """
 
--- a/irisshelf/daemon/model_call.py
+++ b/irisshelf/daemon/model_call.py
@@ -229,7 +229,7 @@
                 self._req.context, head.target, head.reason
             )
         elif head.engine_work is not None:
-            # The engine's word covers what it had before this request.
+            # The engine's report covers what it had before this request.
             self._req.router.report(
                 attempt.target.name,
                 load.Report(work=head.engine_work, at_s=sent_s - 1e-6),
--- a/irisshelf/daemon/peers.py
+++ b/irisshelf/daemon/peers.py
@@ -173,7 +173,7 @@
     def _candidates(
         self, nodes: dict[str, platform_messages.Node], now: float
     ) -> tuple[ownership.Candidate, ...]:
-        """Live instances: near ones by their word, far ones by the list."""
+        """Live instances: near ones by their beats, far ones by the list."""
         cfg = self._nd.cfg
         found = []
         for name in self.gossip.near(now):
--- a/irisshelf/daemon/watch.py
+++ b/irisshelf/daemon/watch.py
@@ -118,7 +118,7 @@
     if report.leaving:
         nd.observe(name, health.Event.LEAVE, "says so")
     elif nd.health.state(name) == "leaving":
-        # Its own word does not take back what the platform's list says.
+        # Its own report does not take back what the platform's list says.
         if not _listed_as_leaving(nd, name):
             nd.observe(name, health.Event.REJOIN)
     else:
@@ -144,7 +144,7 @@
     found: messages.EngineLoad | None,
     at_s: float,
 ) -> None:
-    """Takes a server's word on one engine; one it does not name is down."""
+    """Takes a server's report of one engine; one it does not name is down."""
     if found is None:
         nd.observe(name, health.Event.UNREACHABLE, "not in its server's report")
         return
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -99,7 +99,7 @@
         """Logs that the machine has slept, if it has since the last time.
 
         Asked before each request is admitted. What ran out in the sleep has
-        run out by then without a word of this, see ``boottime``.
+        run out by then in any case, see ``boottime``.
         """
         slept_s = self._sleep_meter.slept_s()
         if not slept_s:
--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -96,7 +96,7 @@
             failures += 1
             pause_s *= self._inst.rng.uniform(*_JITTER)
             if untold:
-                # The watcher's first word says that the store is back; who
+                # The watcher's first update says that the store is back; who
                 # sleeps on refuses callers.
                 self._updated[table].wait(pause_s)
             else:
--- a/irisshelf/gateway/knowledge/whole_table.py
+++ b/irisshelf/gateway/knowledge/whole_table.py
@@ -23,7 +23,7 @@
 
 
 class Message(msgspec.Struct, array_like=True):
-    """A whole table, the operators' word or the list of servers."""
+    """A whole table, the operators' rows or the list of servers."""
 
     era: Count
     revision: Count
--- a/irisshelf/gateway/requests/call.py
+++ b/irisshelf/gateway/requests/call.py
@@ -32,7 +32,7 @@
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 # A suspect request finds its server ended: another instance's copy was there
-# first, and its word is on the way.
+# first, and its message is on the way.
 _WORD_S = 0.03
 
 
--- a/irisshelf/gateway/requests/front.py
+++ b/irisshelf/gateway/requests/front.py
@@ -253,7 +253,7 @@
         self._answer(conn, ask.request_id, _UNAVAILABLE, why, retry_after_s)
 
     def _retry_without_store_s(self) -> float:
-        """Returns when a caller should try again who needs the store's word.
+        """Returns when to try again for a caller who needs the store.
 
         Soon, as another instance may serve it at once, unless the store is
         away for others too: callers try again once, and would do so in vain.
--- a/irisshelf/gateway/servers/crashes.py
+++ b/irisshelf/gateway/servers/crashes.py
@@ -1,8 +1,8 @@
 """What one instance does about requests that end the servers that run them.
 
 See ``routing.suspects`` for what is decided; here is what it is decided by:
-whether a server has ended, what has been answered well of late, and the word of
-other instances.
+whether a server has ended, what has been answered well of late, and what
+other instances have seen.
 """
 
 from __future__ import annotations
@@ -141,7 +141,7 @@
         )
 
     def heard_end(self, content: bytes, end: suspects.End) -> None:
-        """Takes another instance's word, if it holds good from here.
+        """Takes an end that another instance has seen, if it is confirmed here.
 
         A datagram may say anything. It counts only if this instance finds the
         server ended as well: its entry has gone, or nobody listens there.
@@ -261,5 +261,5 @@
     return suspects.content_of(*_asked(job))
 
 
-def _tell_nobody(*news: object) -> None:
+def _tell_nobody(*facts: object) -> None:
     """Stands in until there are others to tell."""
--- a/irisshelf/gateway/servers/links.py
+++ b/irisshelf/gateway/servers/links.py
@@ -10,7 +10,7 @@
 from irisshelf.transport import client
 
 # Used where a server does not say how long it keeps idle connections, and at
-# the most where it does: some drop them earlier without a word.
+# the most where it does: some drop them earlier without a sign.
 _LONGEST_IDLE_S = 4.0
 # Closed so long before the server would.
 _MARGIN_S = 1.0
@@ -114,7 +114,7 @@
     ) -> int:
         """Closes a server's connections that have rested since before a time.
 
-        Open connections may all go silent at once, without a word, while new
+        Open connections may all go silent at once, without a reset, while new
         ones work; then each would swallow one request more.
 
         Returns:
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -155,9 +155,9 @@
     ) -> None:
         """Notes what a server has read by now, and tells other instances."""
         chooser = self.chooser(server.service)
-        news = chooser.sent(asked, server.server_id, self._now())
+        fresh = chooser.sent(asked, server.server_id, self._now())
         key = directory.key_of(server.server_id)
-        for part in news:
+        for part in fresh:
             self.tell(facts.PartHeld(server=key, part=part))
 
     @functools.singledispatchmethod
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -49,7 +49,7 @@
             too: it then refuses requests with keys rather than run one under
             a key that may have been withdrawn.
         keys_unconfirmed_s: Where it does not, how long keys hold without the
-            store's word. Outages of the store last seconds; five minutes
+            store's answers. Outages of the store last seconds; five minutes
             outlast them, and still end what a withdrawn key can do at an
             instance that is cut off for good.
         server_leaving_ms: From the acceptance of a server's leaving until no
--- a/irisshelf/routing/direct/cold_start.py
+++ b/irisshelf/routing/direct/cold_start.py
@@ -91,7 +91,7 @@
         self._next_s: dict[str, float] = {}
 
     def told(self, server_id: str, left_s: float, now: float) -> None:
-        """Takes a server's own word on how long it stays cold.
+        """Takes how long a server stays cold, as it reports it.
 
         Args:
             server_id: The server.
--- a/irisshelf/routing/direct/server_book.py
+++ b/irisshelf/routing/direct/server_book.py
@@ -1,6 +1,6 @@
 """What one instance knows of each backend server: load, speed and health.
 
-Load is the server's last own word, corrected by what this instance has sent
+Load is the server's last report, corrected by what this instance has sent
 and seen end since. Health is evidence from real requests only; probes cost
 the users money and may lie.
 """
@@ -16,7 +16,7 @@
 # answers last about a second. After three times that it says nothing.
 REPORT_FADE_S = 1.5
 REPORT_AGE_S = 4.5
-# Changes of own requests that are remembered for a server; news are younger.
+# Changes of own requests that are remembered for a server.
 _MAX_CHANGES = 64
 # A server that misbehaves rests this long before one request tries it again;
 # doubled each time, up to the longest.
@@ -100,12 +100,12 @@
         server.changes.append((now, -1))
 
     def told(self, name: str, *, work: int, at_s: float) -> bool:
-        """Takes a server's own word: requests that run or wait there.
+        """Takes a server's report: requests that run or wait there.
 
         Args:
             name: The server.
             work: Their number.
-            at_s: When it said so; an older word than the last is not taken.
+            at_s: When it said so; an older report than the last is not taken.
 
         Returns:
             Whether it was taken.
@@ -135,7 +135,7 @@
         return self._get(name).own
 
     def report_age_s(self, name: str, now: float) -> float:
-        """Returns the age of a server's last word."""
+        """Returns the age of a server's last report."""
         return now - self._get(name).told_s
 
     def load(self, name: str, now: float, *, otherwise: float = 0.0) -> float:
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -2,7 +2,7 @@
 
 Requests that share the parts of a prompt belong to one server a data centre,
 its first in the rendezvous ranking of the last shared part: every instance
-ranks alike from the same list, without a word, and a server that comes or goes
+ranks alike from the same list without messages, and a server that comes or goes
 moves only the parts that were, or are to be, its own; whoever takes parts over
 fetches them from a holder. Parts are read once, by the first in the ranking of
 all. Where answers are long against the parts, other data centres' homes fetch
@@ -78,7 +78,7 @@
         reason: Why.
         load: Its estimated load, in requests.
         mean_load: The mean of its service.
-        report_age_s: Age of the server's last word on its load.
+        report_age_s: Age of the server's last report of its load.
         source: A server that is thought to hold the shared parts, if the
             chosen one is not.
     """
--- a/irisshelf/routing/outcome.py
+++ b/irisshelf/routing/outcome.py
@@ -10,7 +10,7 @@
     """Whether the request ran.
 
     ``NOT_RUN`` is said only if no byte of the request went to a backend
-    server, or on that server's own word for the attempt.
+    server, or on what that server says of the attempt.
     """
 
     NOT_RUN = "not_run"
--- a/irisshelf/routing/owned/cache_view.py
+++ b/irisshelf/routing/owned/cache_view.py
@@ -1,7 +1,7 @@
 """What the owner of an engine thinks is in the engine's prefix cache.
 
 The owner sees every request that its engines get, so it can follow a least
-recently used cache of the engine's size. The engine's own word, the cached
+recently used cache of the engine's size. The engine's own report, the cached
 tokens that it reports with each answer and its cache events, corrects it.
 """
 
--- a/irisshelf/routing/owned/load.py
+++ b/irisshelf/routing/owned/load.py
@@ -19,7 +19,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Report:
-    """An engine's own word on its load.
+    """An engine's load, as it reports it.
 
     Attributes:
         work: Outstanding work in tokens.
--- a/irisshelf/routing/suspects.py
+++ b/irisshelf/routing/suspects.py
@@ -139,7 +139,7 @@
         """Takes that a server ended under a content.
 
         Returns:
-            Whether that is news.
+            Whether that was not known.
         """
         known = self._lasting(content, now)
         old = now - end.at_s >= _FORGOTTEN_S
@@ -206,7 +206,7 @@
 ) -> str | None:
     """Returns the one server that a suspect content may go to.
 
-    All instances choose alike from the same list, without a word.
+    All instances choose alike from the same list, without messages.
 
     Args:
         content: The content.
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -23,7 +23,7 @@
     """What can be followed.
 
     Attributes:
-        CATALOG: The operators' word: configurations (``model.Catalog``) and
+        CATALOG: The operators' rows: configurations (``model.Catalog``) and
             evacuations (``evacuations.Evacuation``).
         SERVERS: Entries of backend servers (``directory.BackendServer``).
     """
