A suspect request is refused where its server has gone and why is not known

What callers saw: a request that ends the servers that run it ended a fourth one (three are allowed), and with it whatever else that server was working on.

Cause: a suspect request goes to one server for all instances. Where that one had gone, an instance waited 30 ms for a message and took the next one, whether or not it was known by then why the server had gone.

Fix: a server that the request would have gone to and whose process was found ended within the last second counts as one more end; with three, the caller hears 503, not run, come back in 0.5 s. The wait is gone: nothing hangs on how fast a message is.

--- a/irisshelf/gateway/requests/call.py
+++ b/irisshelf/gateway/requests/call.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import gevent
-
 from irisshelf.catalog import directory
 from irisshelf.catalog import model
 from irisshelf.gateway import instance as instance_module
@@ -31,9 +29,6 @@
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
-# A suspect request finds its server ended: another instance's copy was there
-# first, and its message is on the way.
-_WORD_S = 0.03
 
 
 class Call:
@@ -84,8 +79,6 @@
                 return self._bar(verdict)
             placed = self._placement.next(verdict)
             if placed is None:
-                if verdict:
-                    gevent.sleep(_WORD_S)
                 continue
             if isinstance(placed, placement_module.Refused):
                 self._retry_after_s = (
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -10,6 +10,7 @@
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import sends as sends_module
+from irisshelf.gateway.servers import crashes
 from irisshelf.gateway.servers import reach
 from irisshelf.routing import suspects
 from irisshelf.routing.direct import outage
@@ -26,6 +27,10 @@
 _COLD_SPREAD = 1.3
 # Servers of a region come back after seconds, if at all.
 _NO_REGION_RETRY_S = 2.0
+# A server has gone that a suspect request was to go to, and why is not known.
+_UNCERTAIN = "servers_may_have_ended_under_it"
+# Known by then: messages about ends are sent again after 0.4 s.
+_UNCERTAIN_RETRY_S = 0.5
 # A request that must not run twice goes only on a connection that was in use
 # just now: whether one that died at rest took the request cannot be known.
 _REST_FOR_ONCE_S = 2.0
@@ -89,7 +94,15 @@
         """
         placed, self._replacement = self._replacement, None
         if placed is None:
-            choice = self._choose(verdict)
+            if verdict:
+                place = self._place(verdict)
+                if place.uncertain:
+                    return Refused(
+                        why=_UNCERTAIN, retry_after_s=_UNCERTAIN_RETRY_S
+                    )
+                choice = self._choose_suspect(place)
+            else:
+                choice = self._choose()
             if choice is None:
                 return self._no_server()
             refusal = self._refuse(choice)
@@ -179,16 +192,24 @@
     def _left_s(self) -> float:
         return self._job.until_s - self._inst.now()
 
-    def _choose(
-        self, verdict: suspects.Verdict | None
+    def _place(self, verdict: suspects.Verdict) -> crashes.Place:
+        return self._inst.crashes.may_go_to(
+            self._job, verdict, self._sends.avoid
+        )
+
+    def _choose_suspect(
+        self, place: crashes.Place
     ) -> server_choice.Choice | None:
-        if self._connects >= _MOST_CONNECTS or self._left_s() <= 0:
+        if self._is_over() or place.server is None:
+            return None
+        return self._choose_among((place.server,), set())
+
+    def _is_over(self) -> bool:
+        return self._connects >= _MOST_CONNECTS or self._left_s() <= 0
+
+    def _choose(self) -> server_choice.Choice | None:
+        if self._is_over():
             return None
-        if verdict:
-            only = self._inst.crashes.may_go_to(
-                self._job, verdict, self._sends.avoid
-            )
-            return self._choose_among(only, set())
         servers = self._accepting()
         choice = self._choose_among(servers, self._sends.avoid)
         if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
--- a/irisshelf/gateway/servers/crashes.py
+++ b/irisshelf/gateway/servers/crashes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from collections.abc import Callable
 
 import gevent
@@ -31,9 +32,21 @@
 # that listens may end the next moment.
 _ENDED_S = 1.0
 
+# A server that has gone may have ended under a suspect request at another
+# instance as long as the message about it, which is sent twice, may take.
+_PRESUMED_S = 1.0
+
 _Asked = tuple[str, str, str, bytes]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Where a suspect request may go; see ``suspects.Place``."""
+
+    server: directory.BackendServer | None
+    uncertain: bool
+
+
 class Crashes:
     """Knows contents that servers ended under, and tells of them.
 
@@ -88,20 +101,35 @@
 
     def may_go_to(
         self, job: messages.Job, verdict: suspects.Verdict, avoid: set[str]
-    ) -> tuple[directory.BackendServer, ...]:
+    ) -> Place:
         """Returns the one server that a suspect request may go to, if any."""
-        fit = {
+        known = {
             server.server_id: server
             for server in self._servers.eligible.accepting(
                 job.service, job.regions
             )
-            if server.server_id not in avoid
-            and not self._servers.out_of_reach(server)
         }
+        gone = {
+            name
+            for name, server in known.items()
+            if self._servers.ended_for_s(server) <= _PRESUMED_S
+        }
+        fit = [
+            name
+            for name, server in known.items()
+            if name in gone
+            or (name not in avoid and not self._servers.out_of_reach(server))
+        ]
         keys = {end.server for end in verdict.ends}
-        ended = [n for n in fit if directory.key_of(n) in keys]
-        name = suspects.only_server(_content(job), list(fit), ended)
-        return () if name is None else (fit[name],)
+        found = suspects.place(
+            _content(job),
+            fit,
+            ended={name for name in fit if directory.key_of(name) in keys},
+            gone=gone,
+            ends=len(verdict.ends),
+        )
+        server = None if found.server is None else known[found.server]
+        return Place(server=server, uncertain=found.uncertain)
 
     def broke(self, job: messages.Job, server: directory.BackendServer) -> bool:
         """Takes that a connection broke before anything of an answer came.
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -78,8 +78,8 @@
             now=now,
         )
         self.fleet = fleet_size.FleetSize(alone=not cfg.seeds)
-        # Servers whose process was found to have ended.
-        self._ended: set[str] = set()
+        # When a server's process was first found to have ended.
+        self._ended_s: dict[str, float] = {}
         self._listed = listed
         self._log = log
         self._metrics = counts
@@ -227,7 +227,8 @@
         self.reach.keep(names)
         self.eligible.cold.keep(names)
         self.eligible.availability.keep(names, self._now())
-        self._ended &= names
+        for name in self._ended_s.keys() - names:
+            del self._ended_s[name]
         self._break_off_ended(servers)
         self._metrics.servers.set(len(servers))
 
@@ -262,6 +263,14 @@
         book = self.chooser(server.service).book
         book.heard(server.server_id, self._now())
 
+    def ended_for_s(self, server: directory.BackendServer) -> float:
+        """Returns for how long a server's process is known to have ended.
+
+        Infinite if it is not known to.
+        """
+        ended_s = self._ended_s.get(server.server_id, float("-inf"))
+        return self._now() - ended_s
+
     def out_of_reach(self, server: directory.BackendServer) -> bool:
         """Tells whether a server was out of reach the last time."""
         return self.chooser(server.service).book.unreachable(server.server_id)
@@ -276,7 +285,7 @@
         what = server_book.Seen.UNREACHABLE
         self.seen(server, what, request, str(exc))
         if not exc.silent:
-            self._ended.add(server.server_id)
+            self._ended_s.setdefault(server.server_id, self._now())
         self.reach.lost(server, silent=exc.silent)
 
     def doubt_connections(
@@ -313,9 +322,9 @@
                 address=server.address,
                 service=server.service,
             )
-        if server.server_id in self._ended:
+        if server.server_id in self._ended_s:
             # Its process has started anew; its entry tells so a little later.
-            self._ended.discard(server.server_id)
+            del self._ended_s[server.server_id]
             self.eligible.assume_cold(server)
         book = self.chooser(server.service).book
         book.reached(server.server_id, self._now())
--- a/irisshelf/routing/suspects.py
+++ b/irisshelf/routing/suspects.py
@@ -14,7 +14,7 @@
 
 - *clear*: no server ended under it since its last good answer.
 - *suspect*: one or two did. All instances send it to one and the same server,
-  see ``only_server``, so that copies on the way at the same moment end one
+  see ``place``, so that copies on the way at the same moment end one
   server together.
 - *barred*: three did. It is refused until ``BARRED_S`` have passed; then it is
   suspect again, and the next end bars it at once.
@@ -26,7 +26,7 @@
 import dataclasses
 import enum
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Collection
 from collections.abc import Sequence
 
 # The users allow three servers to end under a request. Fewer would bar requests
@@ -201,22 +201,53 @@
         return True
 
 
-def only_server(
-    content: bytes, servers: Sequence[str], ended: Iterable[str]
-) -> str | None:
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Where a suspect content may go.
+
+    Attributes:
+        server: The one server; None if there is none.
+        uncertain: Whether so many servers may have ended under the content
+            that another one must not be risked.
+    """
+
+    server: str | None = None
+    uncertain: bool = False
+
+
+def place(
+    content: bytes,
+    servers: Sequence[str],
+    *,
+    ended: Collection[str] = (),
+    gone: Collection[str] = (),
+    ends: int = 0,
+) -> Place:
     """Returns the one server that a suspect content may go to.
 
-    All instances choose alike from the same list, without messages.
+    All instances choose alike from the same list, without messages. Where the
+    one that they choose has just gone, a copy of the request at another
+    instance may have ended it, and the message about that be on its way: it
+    counts as one more end until it is too old for that.
 
     Args:
         content: The content.
-        servers: Those that may take it.
+        servers: Those that may take it, the ones that have gone included.
         ended: Those that ended under it; they may be back, but another's end
             says more.
+        gone: Those whose process ended a short while ago.
+        ends: How many servers are known to have ended under it.
     """
-    spared = set(ended)
-    pool = [name for name in servers if name not in spared] or list(servers)
-    return max(pool, key=lambda name: _rank(content, name), default=None)
+    pool = [name for name in servers if name not in ended]
+    fit = [name for name in pool or servers if name not in gone]
+    best = max(fit, key=lambda name: _rank(content, name), default=None)
+    least = b"" if best is None else _rank(content, best)
+    presumed = sum(
+        name in gone and _rank(content, name) > least for name in pool
+    )
+    if presumed and ends + presumed >= ENDS_TO_BAR:
+        return Place(uncertain=True)
+    return Place(server=best)
 
 
 def _rank(content: bytes, name: str) -> bytes:
--- a/irisshelf/tests/test_crashing_requests.py
+++ b/irisshelf/tests/test_crashing_requests.py
@@ -12,6 +12,9 @@
 import gevent
 import pytest
 
+from irisshelf import boottime
+from irisshelf.routing import suspects
+
 # So many servers may end under a request before all instances know it.
 _ALLOWED = 3
 _BODY = b'{"prompt": "the one that ends them"}'
@@ -88,6 +91,7 @@
             world.ask(target, body=_BODY, entry=entry)
             gevent.sleep(_PAUSE_S)
 
+    # Guards against a copy that finds its server gone and takes the next one.
     # The first one is heard of before the others come.
     world.ask(target, body=_BODY)
     gevent.sleep(_PAUSE_S)
@@ -95,6 +99,37 @@
     assert _ends(world) <= _ALLOWED
 
 
+def _next_server(world, ended):
+    """Returns the server that the one suspect request goes to now."""
+    group = world.engines if ended[0] in world.engines else world.plain
+    (content,) = world.inst.crashes.suspects.all(boottime.now())
+    by_id = {one.server_id: one for one in group}
+    names = [one.server_id for one in group if one not in ended]
+    return by_id[suspects.place(content, names).server]
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_no_other_is_risked_while_it_is_unknown_why_the_third_has_gone(
+    make_world, target
+):
+    """Guards against a fourth end: the message about the third comes late."""
+    world = make_world(servers=8)
+    _crash_under(world, _BODY)
+    _repeat(world, target, times=2)
+    ended = [one for one in _servers(world) if one.ends]
+    third = _next_server(world, ended)
+    third.crash()
+    answer = world.ask(target, body=_BODY, Request_Id="mine")
+    assert (answer.status, world.runs("mine")) == (503, 0)
+    assert 0 < float(answer.headers["retry-after"]) <= 1
+    assert len([one for one in _servers(world) if one.ends]) == len(ended) + 1
+    # Nothing has said that it ended the third; so it did not.
+    for one in _servers(world):
+        one.ends_under = lambda run: False
+    gevent.sleep(1.1)
+    assert world.ask(target, body=_BODY).status == 200
+
+
 @pytest.mark.parametrize("target", _KINDS)
 def test_it_is_refused_at_once_with_the_truth(make_world, target):
     world = make_world(servers=_REPEATS + 4)
--- a/irisshelf/tests/test_suspects.py
+++ b/irisshelf/tests/test_suspects.py
@@ -144,14 +144,15 @@
 def test_suspects_are_spread_but_each_has_one_server(ended, expected):
     contents = [b"%016d" % number for number in range(200)]
     chosen = {
-        suspects.only_server(content, _SERVERS, ended) for content in contents
+        suspects.place(content, _SERVERS, ended=ended).server
+        for content in contents
     }
     assert len(chosen) == expected
     for content in contents:
         backwards = list(reversed(_SERVERS))
-        assert suspects.only_server(
-            content, _SERVERS, ended
-        ) == suspects.only_server(content, backwards, ended)
+        assert suspects.place(content, _SERVERS, ended=ended) == suspects.place(
+            content, backwards, ended=ended
+        )
 
 
 @pytest.mark.parametrize("known", [[], ["one"], ["one", "two"]])
@@ -175,4 +176,49 @@
 
 
 def test_without_a_server_there_is_none():
-    assert suspects.only_server(_CONTENT, [], ()) is None
+    assert suspects.place(_CONTENT, []) == suspects.Place()
+
+
+def _ranked(content):
+    """Returns servers in the order in which a content goes to them."""
+    ranked = []
+    while len(ranked) < len(_SERVERS):
+        ranked.append(
+            suspects.place(
+                content,
+                [name for name in _SERVERS if name not in ranked],
+            ).server
+        )
+    return ranked
+
+
+@pytest.mark.parametrize(
+    ("ends", "gone", "goes_to"),
+    [
+        # Places in the ranking; those of known ends come first in it.
+        (1, (), 1),
+        (1, (1,), 2),
+        (1, (1, 2), None),
+        (2, (), 2),
+        (2, (2,), None),
+        # One that it would not have gone to says nothing of it.
+        (1, (4, 5), 1),
+        (2, (4,), 2),
+    ],
+)
+def test_a_server_that_has_just_gone_may_have_ended_under_it(
+    ends, gone, goes_to
+):
+    """Guards against a fourth end while messages of three are on the way."""
+    ranked = _ranked(_CONTENT)
+    place = suspects.place(
+        _CONTENT,
+        _SERVERS,
+        ended=ranked[:ends],
+        gone=[ranked[number] for number in gone],
+        ends=ends,
+    )
+    if goes_to is None:
+        assert place == suspects.Place(uncertain=True)
+    else:
+        assert place == suspects.Place(server=ranked[goes_to])
