A silent server is left only for one to which a connection is made then

What callers saw: beside a full link of their instance, an answer that was on its way was given up and the request was sent again: lookups ran twice and came later.

Cause: a connection at rest to another server was taken as proof that it can be reached, and says nothing of the link. Instances keep connections to nearly every server, so that the protection hardly ever worked.

Ruled out as proof: bytes from other servers, which come over a full link as well.

--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -157,10 +157,11 @@
     ) -> bool:
         """Decides whether a silent server is left for another.
 
-        Not before a connection to the other one stands, and only if nothing
+        Not before a new connection to the other one stands, and only if nothing
         has come from the silent one meanwhile: when this instance's own link is
         full, every server seems silent and out of reach, while the answer is
-        on its way. An answer given up then was lost to its caller.
+        on its way. An answer given up then was lost to its caller. A connection
+        at rest, to whomever, says nothing of the link.
 
         Args:
             running: The silent server.
@@ -300,7 +301,7 @@
             return None
         if choice.full:
             return None
-        return self._connect(choice)
+        return self._connect_anew(choice)
 
     def _connect(self, choice: server_choice.Choice) -> Placed | None:
         """Returns None if the server cannot be reached."""
@@ -311,6 +312,11 @@
             kept = self._inst.servers.links.take(server, most_idle_s=rest_s)
             if kept is not None:
                 return Placed(choice=choice, conn=kept)
+        return self._connect_anew(choice)
+
+    def _connect_anew(self, choice: server_choice.Choice) -> Placed | None:
+        """Returns None if the server cannot be reached."""
+        server = choice.server
         self._connects += 1
         self._inst.metrics.connects.labels(server.service).inc()
         timeout_s = min(reach.CONNECT_S, self._left_s())
--- a/irisshelf/tests/test_full_link.py
+++ b/irisshelf/tests/test_full_link.py
@@ -36,7 +36,7 @@
     return fill
 
 
-@pytest.mark.parametrize(
+_LATE = pytest.mark.parametrize(
     ("target", "fault"),
     [
         ("/digest/1", Fault.SLOW),
@@ -44,12 +44,35 @@
         ("/valve/1", Fault.SLOW),
     ],
 )
+
+
+@_LATE
 def test_an_answer_on_its_way_is_not_given_up(world, full_link, target, fault):
     """It was: streams broken off 0.2 s after their servers had ended them.
 
     And lookups got 502 in place of their answers.
     """
+    # Guards against a kept connection that is taken for one made now.
+    assert world.ask(target).status == 200
+    conn = world.connect()
+    full_link()
+    for one in [*world.plain, *world.engines]:
+        one.always = fault
+    answer = world.ask(target, conn=conn, Request_Id="late")
+    assert (answer.status, answer.whole) == (200, True)
+    assert world.runs("late") == 1
+
+
+@_LATE
+def test_nor_where_a_connection_to_another_server_is_kept(
+    world, full_link, target, fault
+):
+    """Guards against requests that run twice: one at rest proves no link."""
     assert world.ask(target).status == 200
+    for name in ("crew", "lm"):
+        for listed in world.inst.directory.of(name):
+            conn = world.connect_to(listed)
+            world.inst.servers.links.put_new(listed, conn)
     conn = world.connect()
     full_link()
     for one in [*world.plain, *world.engines]:
