--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -10,7 +10,6 @@
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import sends as sends_module
-from irisshelf.gateway.servers import crashes
 from irisshelf.gateway.servers import reach
 from irisshelf.routing import suspects
 from irisshelf.routing.direct import outage
@@ -94,15 +93,11 @@
         """
         placed, self._replacement = self._replacement, None
         if placed is None:
-            if verdict:
-                place = self._place(verdict)
-                if place.uncertain:
-                    return Refused(
-                        why=_UNCERTAIN, retry_after_s=_UNCERTAIN_RETRY_S
-                    )
-                choice = self._choose_suspect(place)
-            else:
-                choice = self._choose()
+            choice = (
+                self._choose_suspect(verdict) if verdict else self._choose()
+            )
+            if isinstance(choice, Refused):
+                return choice
             if choice is None:
                 return self._no_server()
             refusal = self._refuse(choice)
@@ -193,14 +188,14 @@
     def _left_s(self) -> float:
         return self._job.until_s - self._inst.now()
 
-    def _place(self, verdict: suspects.Verdict) -> crashes.Place:
-        return self._inst.crashes.may_go_to(
+    def _choose_suspect(
+        self, verdict: suspects.Verdict
+    ) -> server_choice.Choice | Refused | None:
+        place = self._inst.crashes.may_go_to(
             self._job, verdict, self._sends.avoid
         )
-
-    def _choose_suspect(
-        self, place: crashes.Place
-    ) -> server_choice.Choice | None:
+        if place.uncertain:
+            return Refused(why=_UNCERTAIN, retry_after_s=_UNCERTAIN_RETRY_S)
         if self._is_over() or place.server is None:
             return None
         return self._choose_among((place.server,), set())
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -22,6 +22,7 @@
 from collections.abc import Sequence
 
 from irisshelf.catalog import directory
+from irisshelf.routing.direct import answer_time
 from irisshelf.routing.direct import full_load
 from irisshelf.routing.direct import holdings
 from irisshelf.routing.direct import policy as policy_module
@@ -30,7 +31,6 @@
 from irisshelf.routing.direct import server_book
 from irisshelf.routing.direct import sources as sources_module
 from irisshelf.routing.direct import stale_load
-from irisshelf.routing.direct import unknown_speed
 
 # No server may hold more than this multiple of its service's mean and so many
 # more, idle servers included, unless all that take requests hold as much.
@@ -55,12 +55,6 @@
 # the shared parts. It is made where a token of the answer protects no more than
 # so many shared tokens.
 _COPIED_PER_ANSWER_TOKEN = 4
-# Another data centre costs the way there and back, and bytes.
-_FAR_S = 0.001
-_FAILURE_WEIGHT = 4.0
-# Times to answer vary from one request to the next; a server that takes up to
-# so many times as long as the fastest is as fast, so that it keeps its turns.
-_ALIKE = 1.5
 
 
 class Reason(enum.StrEnum):
@@ -296,7 +290,13 @@
     def _fastest(
         self, pool: Sequence[directory.BackendServer], now: float
     ) -> Choice:
-        costs = self._costs(pool, now)
+        costs = answer_time.costs(
+            pool,
+            self.book,
+            data_centre=self._data_centre,
+            way=self._policy.unknown_speed,
+            now=now,
+        )
         names = [one.name for one in costs]
         added = dict.fromkeys(names, 0.0)
         if self._policy.stale_load is stale_load.Way.SPREAD:
@@ -317,38 +317,6 @@
             load=self.book.remaining(name, now),
         )
 
-    def _costs(
-        self, pool: Sequence[directory.BackendServer], now: float
-    ) -> list[stale_load.Cost]:
-        """Returns the time to the answer that is expected of each server."""
-        names = [server.server_id for server in pool]
-        times_s = unknown_speed.fill_in(
-            self._policy.unknown_speed,
-            {name: self.book.duration_s(name) for name in names},
-            {name: self.book.own(name) for name in names},
-        )
-        fastest_s = min(times_s.values())
-
-        def cost(server: directory.BackendServer) -> stale_load.Cost:
-            name = server.server_id
-            slots = max(1, server.slots)
-            each_s = times_s[name]
-            if each_s <= _ALIKE * fastest_s:
-                each_s = fastest_s
-            queued = (self.book.remaining(name, now) + 1) / slots
-            penalty = 1 + _FAILURE_WEIGHT * self.book.bad_share(name)
-            far = server.data_centre != self._data_centre
-            time_s = each_s * (1 + queued) + (_FAR_S if far else 0.0)
-            return stale_load.Cost(
-                name=name,
-                cost=time_s * penalty,
-                step=each_s / slots * penalty,
-                own=self.book.sent_since_report(name),
-                elsewhere=self.book.sends_elsewhere(name),
-            )
-
-        return [cost(server) for server in pool]
-
     def _most(self, server: directory.BackendServer, now: float) -> float:
         """Returns how many requests a server may have."""
         if not self._policy.full_loads:
