--- a/irisshelf/tests/conftest.py
+++ b/irisshelf/tests/conftest.py
@@ -1,37 +1,30 @@
 """Fixtures that several test modules share."""
 
-import pathlib
-
 import pytest
 
 from irisshelf.platform.stand_in import world as world_module
+from irisshelf.tests import known_red
 
-_KNOWN_RED = pathlib.Path(__file__).parents[2] / "KNOWN-RED.txt"
-
-
-def _known_red() -> dict[str, str]:
-    """Returns the line of each test function that is known to fail."""
-    if not _KNOWN_RED.exists():
-        return {}
-    lines = _KNOWN_RED.read_text().splitlines()
-    return {line.split(",")[0].strip(): line for line in lines if line.strip()}
+_KNOWN_RED = known_red.read()
 
 
 def pytest_collection_modifyitems(items):
     """Passes over the failures that are known, and over no others."""
-    known = _known_red()
     for item in items:
-        name = f"{item.path.name}::{item.originalname}"
-        if name in known:
-            # One case of several may pass already.
-            mark = pytest.mark.xfail(reason=known[name], strict=False)
-            item.add_marker(mark)
+        name = f"{item.path.name}::{item.name}"
+        for entry in _KNOWN_RED:
+            if entry.names(name):
+                # A case that fails now and then passes at other times.
+                mark = pytest.mark.xfail(reason=entry.line, strict=False)
+                item.add_marker(mark)
 
 
 def pytest_terminal_summary(terminalreporter):
-    """Prints what is passed over."""
-    for line in _known_red().values():
-        terminalreporter.write_line(f"known red: {line}")
+    """Prints what is passed over, and what of it has passed."""
+    for entry in _KNOWN_RED:
+        terminalreporter.write_line(f"known red: {entry.line}")
+    for report in terminalreporter.stats.get("xpassed", []):
+        terminalreporter.write_line(f"known red, passed: {report.nodeid}")
 
 
 @pytest.fixture
