--- a/irisshelf/tests/test_leaving_and_resting.py
+++ b/irisshelf/tests/test_leaving_and_resting.py
@@ -12,10 +12,12 @@
 """
 
 import itertools
+import math
 
 import gevent
 import pytest
 
+from irisshelf import boottime
 from irisshelf.gateway.requests import placement
 from irisshelf.platform.stand_in import server as server_module
 
@@ -243,6 +245,30 @@
         assert [a.status for a in answers] == [200] * _REQUESTS
 
 
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_server_that_has_rested_gets_less_load_from_all_instances(
+    make_world, target
+):
+    """Guards against a server that is filled anew as soon as it is back."""
+    world = make_world(servers=3, data_centres=("a", "a", "b"))
+    one = _fastest(world, target)
+    one.refuses, one.rest_s = True, _REST_S
+    _ask_until_reached(world, one, target)
+
+    def limits():
+        listed = _listed(world, one)
+        return [
+            entry.inst.servers.chooser(listed.service).full_loads.limit(
+                listed.server_id, listed.slots, boottime.now()
+            )
+            for entry in world.entries
+        ]
+
+    world.wait(lambda: max(limits()) < math.inf)
+    slots = _listed(world, one).slots
+    assert all(slots <= limit <= 1.5 * slots for limit in limits())
+
+
 @pytest.mark.parametrize("target", _KINDS)
 def test_another_servers_answer_says_nothing_of_the_one_meant(
     make_world, target
