Admission goes by the least load reported again; load estimates in one pass

Cause: let admission go by the estimate for the chosen server, which is higher than the least by report that it went by before.

--- a/irisshelf/routing/direct/answer_time.py
+++ b/irisshelf/routing/direct/answer_time.py
@@ -52,14 +52,17 @@
         each_s = times_s[name]
         if each_s <= _ALIKE * fastest_s:
             each_s = fastest_s
-        queued = (book.remaining(name, now) + 1) / slots
+        load = book.estimate(name, now)
+        queued = (load.remaining + 1) / slots
         penalty = 1 + _FAILURE_WEIGHT * book.bad_share(name)
         far_s = _FAR_S if server.data_centre != data_centre else 0.0
         return stale_load.Cost(
             name=name,
             cost=(each_s * (1 + queued) + far_s) * penalty,
             step=each_s / slots * penalty,
-            own=book.sent_since_report(name),
+            known=load.remaining,
+            sent=load.sent,
+            ended=load.ended,
             elsewhere=book.sends_elsewhere(name),
         )
 
--- a/irisshelf/routing/direct/server_book.py
+++ b/irisshelf/routing/direct/server_book.py
@@ -50,10 +50,26 @@
     UNREACHABLE = "unreachable"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Estimate:
+    """A server's load now, by what is known of it.
+
+    Attributes:
+        remaining: Requests known of that it still has.
+        sent: Of these, own ones that its report is too old for.
+        ended: Requests that its report counted and that have ended since.
+    """
+
+    remaining: float
+    sent: int
+    ended: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Server:
     own: int = 0
     sent_as: float = float("-inf")
+    sent_since: int = 0
     told: int = 0
     told_s: float = float("-inf")
     changes: collections.deque[tuple[float, int]] = dataclasses.field(
@@ -96,6 +112,7 @@
         server.own += 1
         self._sends += 1
         server.sent_as = self._sends
+        server.sent_since += 1
         server.changes.append((now, 1))
         server.trying = True
 
@@ -121,6 +138,9 @@
             return False
         server.told = work
         server.told_s = at_s
+        server.sent_since = sum(
+            step > 0 and changed_s > at_s for changed_s, step in server.changes
+        )
         return True
 
     def lasted(self, name: str, duration_s: float) -> None:
@@ -185,35 +205,21 @@
         others = sum(fresh) / len(fresh) if fresh else 0.0
         return {name: self.load(name, now, otherwise=others) for name in names}
 
-    def remaining(self, name: str, now: float) -> float:
+    def estimate(self, name: str, now: float) -> Estimate:
         """Estimates what is left of the requests that are known of.
 
         Of those that a report counted, the share that has ended since follows
-        from how long requests stay.
+        from how long requests stay. In a steady state as many come as end.
         """
         server = self._get(name)
-        left = server.told * (1 - self._ended_share(server, now))
-        return max(float(server.own), left + self.sent_since_report(name))
-
-    def sent_since_report(self, name: str) -> int:
-        """Returns own requests that run and that no report contains."""
-        server = self._get(name)
-        sent = sum(
-            step > 0 and at_s > server.told_s for at_s, step in server.changes
-        )
-        return min(sent, server.own)
-
-    def unseen(self, names: list[str], now: float) -> float:
-        """Estimates how many requests others have sent since the reports.
-
-        In a steady state as many come as end; own ones are known.
-        """
-        came = sum(
-            self._get(name).told * self._ended_share(self._get(name), now)
-            - self.sent_since_report(name)
-            for name in names
+        age_s = max(0.0, now - server.told_s)
+        left = server.told * math.exp(-age_s / (self._stay_s or REPORT_FADE_S))
+        sent = min(server.sent_since, server.own)
+        return Estimate(
+            remaining=max(float(server.own), left + sent),
+            sent=sent,
+            ended=server.told - left,
         )
-        return max(0.0, came)
 
     def seen(self, name: str, what: Seen, now: float) -> str:
         """Takes what came of a request.
@@ -281,12 +287,6 @@
         """Returns a server's recent share of failures."""
         return self._get(name).bad
 
-    def _ended_share(self, server: _Server, now: float) -> float:
-        """Returns the share of reported requests that have ended since."""
-        age_s = max(0.0, now - server.told_s)
-        stay_s = self._stay_s or REPORT_FADE_S
-        return -math.expm1(-age_s / stay_s)
-
     def _get(self, name: str) -> _Server:
         server = self._servers.get(name)
         if server is None:
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -75,7 +75,8 @@
     Attributes:
         server: The server.
         reason: Why.
-        load: Its estimated load, in requests.
+        load: Its estimated load, in requests; without shared parts, that of the
+            least loaded server by its report.
         mean_load: The mean of its service.
         report_age_s: Age of the server's last report of its load.
         full: Whether one more request is more than it is known to take.
@@ -297,11 +298,11 @@
             way=self._policy.unknown_speed,
             now=now,
         )
-        names = [one.name for one in costs]
-        added = dict.fromkeys(names, 0.0)
-        if self._policy.stale_load is stale_load.Way.SPREAD:
-            added = stale_load.spread(costs, self.book.unseen(names, now))
-        loads = {n: self.book.remaining(n, now) + added[n] for n in names}
+        spreads = self._policy.stale_load is stale_load.Way.SPREAD
+        unseen = stale_load.unseen(costs) if spreads else 0.0
+        added = stale_load.spread(costs, unseen)
+        known = {one.name: one.known for one in costs}
+        loads = {name: known[name] + added[name] for name in known}
         open_names = {
             server.server_id
             for server in pool
@@ -313,8 +314,9 @@
         mean = sum(loads.values()) / len(loads)
         return dataclasses.replace(
             self._choice(server, Reason.FASTEST, loads[name], mean, now),
-            # Nobody is refused for work that is only assumed.
-            load=self.book.remaining(name, now),
+            # Nobody is refused for work that is only assumed, nor for a wait
+            # that is shorter elsewhere.
+            load=min(self.book.loads(list(known), now).values()),
         )
 
     def _most(self, server: directory.BackendServer, now: float) -> float:
--- a/irisshelf/routing/direct/stale_load.py
+++ b/irisshelf/routing/direct/stale_load.py
@@ -44,7 +44,9 @@
         name: The server.
         cost: By the load that is known of, in any unit.
         step: What each further request adds, in the same unit; above 0.
-        own: Requests of this instance that the server's report is too old for.
+        known: Requests that are known of, see ``server_book.Estimate``.
+        sent: Of these, own ones that the server's report is too old for.
+        ended: Requests that have ended since the report.
         elsewhere: Requests that this instance has sent to others since it sent
             one here; infinite if never.
     """
@@ -52,53 +54,59 @@
     name: str
     cost: float
     step: float
-    own: int = 0
+    known: float = 0.0
+    sent: int = 0
+    ended: float = 0.0
     elsewhere: float = math.inf
 
 
-def level(costs: Sequence[Cost], unseen: float) -> float:
+def unseen(costs: Sequence[Cost]) -> float:
+    """Estimates how many requests others have sent since the reports.
+
+    In a steady state as many come as end; own ones are known.
+    """
+    return max(0.0, sum(one.ended - one.sent for one in costs))
+
+
+def level(costs: Sequence[float], steps: Sequence[float], more: float) -> float:
     """Returns the cost up to which further requests fill servers.
 
     Args:
-        costs: By server; not empty.
-        unseen: Number of the further requests.
+        costs: What one more request costs, by server; not empty.
+        steps: What each further one adds there.
+        more: Number of the further requests.
 
     Example:
-        >>> level([Cost(name="a", cost=1.0, step=1.0),
-        ...        Cost(name="b", cost=2.0, step=1.0)], 3.0)
+        >>> level([1.0, 2.0], [1.0, 1.0], 3.0)
         3.0
     """
-    ranked = sorted(costs, key=lambda one: one.cost)
-    reached = ranked[0].cost
-    left, taken_per_cost = unseen, 0.0
-    for one in ranked:
-        needed = taken_per_cost * (one.cost - reached)
+    ranked = sorted(zip(costs, steps, strict=True))
+    reached, left, taken_per_cost = ranked[0][0], more, 0.0
+    for cost, step in ranked:
+        needed = taken_per_cost * (cost - reached)
         if taken_per_cost and needed >= left:
             break
         left -= needed
-        reached = one.cost
-        taken_per_cost += 1 / one.step
+        reached = cost
+        taken_per_cost += 1 / step
     return reached + left / taken_per_cost
 
 
-def spread(costs: Sequence[Cost], unseen: float) -> dict[str, float]:
+def spread(costs: Sequence[Cost], more: float) -> dict[str, float]:
     """Estimates how many of the unseen requests each server has got.
 
     Args:
         costs: By server; not empty.
-        unseen: Requests of other instances that no report contains.
+        more: Requests of other instances that no report contains.
     """
-    own = sum(one.own for one in costs)
-    like_own = unseen / (own + _PRIOR)
-    raised = [
-        dataclasses.replace(one, cost=one.cost + like_own * one.own * one.step)
-        for one in costs
-    ]
-    highest = level(raised, like_own * _PRIOR)
+    if not more:
+        return dict.fromkeys((one.name for one in costs), 0.0)
+    like_own = more / (sum(one.sent for one in costs) + _PRIOR)
+    raised = [one.cost + like_own * one.sent * one.step for one in costs]
+    highest = level(raised, [one.step for one in costs], like_own * _PRIOR)
     return {
-        one.name: like_own * one.own
-        + max(0.0, (highest - high.cost) / one.step)
-        for one, high in zip(costs, raised, strict=True)
+        one.name: like_own * one.sent + max(0.0, (highest - cost) / one.step)
+        for one, cost in zip(costs, raised, strict=True)
     }
 
 
--- a/irisshelf/tests/test_stale_load.py
+++ b/irisshelf/tests/test_stale_load.py
@@ -28,7 +28,7 @@
 
 def _costs(*costs, own=(0, 0, 0)):
     return [
-        stale_load.Cost(name=server.server_id, cost=cost, step=1.0, own=count)
+        stale_load.Cost(name=server.server_id, cost=cost, step=1.0, sent=count)
         for server, cost, count in zip(_SERVERS, costs, own, strict=True)
     ]
 
