Log entries that contradict what is known of a server, kept entries, and the list's age

No effect on what is sent. The record of the incident could not be told from the logs: which row said what (entries have a number, sequence, that was not decoded), whether an entry took leaving back, which entries were kept after an outage, and how old the list was at a send.

server_entries_contradicting, server_entries_lapsed, the number of each entry in servers_changed, list_age_s, list_revision and list_source in send lines, irisshelf_server_entries_total; irisshelf logs shows those lines of a request's servers, and server_accepts_nothing of them too. An unusable sequence does not make an entry unusable.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -62,6 +62,8 @@
             if not reported.
         cold_s: Remaining time for which the server was cold when its entry was
             written.
+        sequence: Counts the entries that this incarnation has written; None if
+            not reported.
     """
 
     server_id: str
@@ -73,6 +75,7 @@
     entry_id: str = ""
     born_ms: int | None = None
     cold_s: float = 0.0
+    sequence: int | None = None
 
     def __post_init__(self):
         if not self.entry_id:
@@ -134,6 +137,10 @@
             if name not in self._lapsed
         )
 
+    def lapsed(self) -> tuple[tuple[str, float], ...]:
+        """Returns the ids of lapsed entries, with the start of each grace."""
+        return tuple(self._lapsed.items())
+
     def servers_of(self, service: str) -> tuple[BackendServer, ...]:
         """Returns the listed servers of a service, including leaving ones."""
         return self._by_service.get(service, ())
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
+import enum
+import math
 import random
 from collections.abc import Callable
 
@@ -27,6 +30,31 @@
 _LONG_POLL_MARGIN_S = 0.6
 
 
+class ListSource(enum.StrEnum):
+    """Where the latest version of the server list came from."""
+
+    NONE = ""
+    STORE = "store"
+    WATCHER = "watcher"
+    RELAY = "relay"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ListVersion:
+    """The version of the server list that is in use.
+
+    Attributes:
+        as_of_s: When it was the latest, in monotonic seconds, at the earliest;
+            minus infinity if not known.
+        revision: The store's revision.
+        source: Where it came from.
+    """
+
+    as_of_s: float = -math.inf
+    revision: int = 0
+    source: ListSource = ListSource.NONE
+
+
 class Instance:
     """State of one entry instance, shared by its greenlets.
 
@@ -83,6 +111,7 @@
         # Start of a store outage that also affects other instances of the data
         # centre, in monotonic seconds; None if there is none or it is unknown.
         self.outage_since_s: float | None = None
+        self.list_version = ListVersion()
         self._server_list_loaded = False
         self._last_ready = False
         self.stopping_since_s: float | None = None
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 
 from irisshelf.catalog import directory
 from irisshelf.catalog import position as position_module
@@ -69,10 +70,12 @@
         now: float,
     ) -> None:
         """Applies changes that follow the known position."""
+        self._log_contradictions(changes, position, whole=False)
         if self._after_outage(now):
             self._inst.directory.apply_after_outage(
                 changes, recovered_s=self._recovery_s(now)
             )
+            self._log_lapsed(now)
         else:
             self._inst.directory.apply(changes)
         self._position = position
@@ -107,12 +110,14 @@
         restored: frozenset[str],
     ) -> None:
         self._position = position
+        self._log_contradictions(entries, position, whole=True)
         self._inst.directory.replace(
             [entry.server for entry in entries if entry.server],
             recovered_s=self._recovery_s(now),
             after_outage=self._after_outage(now),
             restored=restored,
         )
+        self._log_lapsed(now)
         self._changes.reset(position)
         self._inst.server_list_loaded()
         self._inst.eligible.update_from_entries(entries)
@@ -162,6 +167,54 @@
         """Returns when the store recovered; now if it has not yet."""
         return now if self._store_down else self._recovered_s
 
+    def _log_contradictions(
+        self,
+        changes: Iterable[directory.Change],
+        position: position_module.Position,
+        *,
+        whole: bool,
+    ) -> None:
+        """Logs entries that take back that an incarnation is leaving."""
+        contradicting = [
+            change.server
+            for change in changes
+            if change.server is not None
+            and change.server.state is directory.ServerState.READY
+            and self._inst.eligible.is_leaving(change.server)
+        ]
+        if not contradicting:
+            return
+        self._inst.metrics.server_entries.labels("contradicting").inc(
+            len(contradicting)
+        )
+        self._inst.log.warning(
+            "server_entries_contradicting",
+            era=position.era,
+            revision=position.revision,
+            whole=whole,
+            count=len(contradicting),
+            changes=[
+                _describe_entry(server)
+                for server in contradicting[:_MAX_LOGGED_PROBLEMS]
+            ],
+        )
+
+    def _log_lapsed(self, now: float) -> None:
+        """Logs which entries are kept although the store has none."""
+        lapsed = self._inst.directory.lapsed()
+        if not lapsed:
+            return
+        self._inst.metrics.server_entries.labels("lapsed").inc(len(lapsed))
+        self._inst.log.instance(
+            "server_entries_lapsed",
+            count=len(lapsed),
+            changes=[
+                f"{name} since_s={now - since_s:.3f}"
+                for name, since_s in lapsed[:_MAX_LOGGED_PROBLEMS]
+            ],
+            store_down=self._store_down,
+        )
+
     def _log_changes(
         self,
         changes: tuple[directory.Change, ...],
@@ -191,5 +244,9 @@
 def _describe(change: directory.Change) -> str:
     if change.server is None:
         return f"{change.entry_id} gone"
-    server = change.server
-    return f"{server.server_id} {server.state.value} {server.address}"
+    return _describe_entry(change.server)
+
+
+def _describe_entry(server: directory.BackendServer) -> str:
+    number = "" if server.sequence is None else f" #{server.sequence}"
+    return f"{server.server_id} {server.state.value} {server.address}{number}"
--- a/irisshelf/gateway/knowledge/server_records.py
+++ b/irisshelf/gateway/knowledge/server_records.py
@@ -25,6 +25,7 @@
     state: directory.ServerState | None = None
     born_ms: int | None = None
     cold_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_S)] = 0.0
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=2**53)] | None = None
 
 
 def to_record(change: directory.Change) -> ServerRecord:
@@ -41,6 +42,7 @@
         state=server.state,
         born_ms=server.born_ms,
         cold_s=server.cold_s,
+        sequence=server.sequence,
     )
 
 
@@ -58,5 +60,6 @@
         slots=record.slots,
         state=record.state,
         cold_s=record.cold_s,
+        sequence=record.sequence,
     )
     return directory.Change(entry_id=record.entry_id, server=server)
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -21,6 +21,7 @@
 _CATALOG = feed.Table.CATALOG
 _SERVERS = feed.Table.SERVERS
 _Verdict = shared_watch.Verdict
+_Source = instance_module.ListSource
 
 
 class Tables:
@@ -87,7 +88,9 @@
             if batch.complete:
                 self._confirm(batch, sent_s, now, replaced=replaced)
         if batch.complete:
-            self._record_version(table, batch.position, batch.store_s)
+            self._record_version(
+                table, batch.position, batch.store_s, now, _Source.STORE
+            )
         return True
 
     def apply_snapshot(
@@ -119,7 +122,9 @@
             if not self.operators.store_is_behind:
                 freshness.record_confirmed(as_of_s)
                 self.watches[_CATALOG].record_caught_up(as_of_s)
-        self._record_version(table, batch.position, batch.store_s)
+        self._record_version(
+            table, batch.position, batch.store_s, now, _Source.RELAY
+        )
         return True
 
     @functools.singledispatchmethod
@@ -156,7 +161,9 @@
             if not self.operators.store_is_behind:
                 self._inst.freshness.record_confirmed(as_of_s)
             watch.advance_to(update.position)
-            self._record_version(_CATALOG, update.position, update.store_s)
+            self._record_version(
+                _CATALOG, update.position, update.store_s, now, _Source.WATCHER
+            )
         return verdict
 
     @apply_update.register
@@ -174,7 +181,9 @@
             self.servers.apply_changes(update.changes, update.position, now)
             watch.advance_to(update.position)
         if verdict in (_Verdict.APPLY, _Verdict.CURRENT):
-            self._record_version(_SERVERS, update.position, update.store_s)
+            self._record_version(
+                _SERVERS, update.position, update.store_s, now, _Source.WATCHER
+            )
         return verdict
 
     def make_update(
@@ -224,8 +233,19 @@
         table: feed.Table,
         position: position_module.Position,
         store_s: float,
+        now: float,
+        source: instance_module.ListSource,
     ) -> None:
         known = self._as_of.get(table)
-        if known is None or known.position <= position:
-            as_of = table_snapshot.AsOf(position=position, store_s=store_s)
-            self._as_of[table] = as_of
+        if known is not None and known.position > position:
+            return
+        self._as_of[table] = table_snapshot.AsOf(
+            position=position, store_s=store_s
+        )
+        if table is _SERVERS:
+            as_of_s = self._inst.freshness.to_local_time(
+                store_s, now, position.era
+            )
+            self._inst.list_version = instance_module.ListVersion(
+                as_of_s=as_of_s, revision=position.revision, source=source
+            )
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -30,6 +30,11 @@
             "Servers that want no requests, by what their answers say.",
             "says",
         )
+        self.server_entries = self._counter(
+            "server_entries",
+            "Entries that differ from what is known of their servers.",
+            "verdict",
+        )
         self.store_calls = self._counter(
             "store_calls",
             "Calls to the store for a table.",
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -240,6 +240,11 @@
             attempt=self._sends.count + 1,
             left_s=round(self._remaining_s(), 3),
             resume_after=self._progress.last_event_id,
+            list_age_s=_finite_age(
+                self._inst.now() - self._inst.list_version.as_of_s
+            ),
+            list_revision=self._inst.list_version.revision,
+            list_source=self._inst.list_version.source.value,
         )
 
     def summary(self) -> dict[str, object]:
--- a/irisshelf/observe/request_trace.py
+++ b/irisshelf/observe/request_trace.py
@@ -2,7 +2,8 @@
 
 The result has the request's own lines, interleaved by time with lines about
 the instances that handled it (changes of configuration, store or server list)
-and about its servers that were ejected or in backoff.
+and about its servers that were ejected, in backoff or draining, or whose
+entries lapsed or contradicted what was known of them.
 """
 
 from __future__ import annotations
@@ -27,13 +28,25 @@
         "store_regained",
         "store_history_lost",
         "servers_changed",
+        "server_entries_contradicting",
+        "server_entries_lapsed",
         "lapsed_servers_gone",
         "server_rests",
+        "server_accepts_nothing",
         "lines_dropped",
         "connection_failed",
     }
 )
 
+# Their ``changes`` begin with the ids of the servers that they are about.
+_ENTRY_EVENTS = frozenset(
+    {
+        "servers_changed",
+        "server_entries_contradicting",
+        "server_entries_lapsed",
+    }
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LogLine:
@@ -121,9 +134,9 @@
 
 def _is_related(line: LogLine, servers: set[str]) -> bool:
     """Returns False for events of servers that the request was not sent to."""
-    if line.name == "server_rests":
+    if line.name in ("server_rests", "server_accepts_nothing"):
         return line.fields.get("server") in servers
-    if line.name == "servers_changed":
+    if line.name in _ENTRY_EVENTS:
         changes = line.fields.get("changes", [])
         return any(str(c).partition(" ")[0] in servers for c in changes)
     return True
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -4,6 +4,7 @@
 
 import re
 from typing import Annotated
+from typing import Any
 from typing import TypeVar
 
 import msgspec
@@ -29,6 +30,7 @@
 _LATEST_MS = 10**14
 # A day; a server that is cold for longer is a mistake.
 _LONGEST_COLD_MS = 86_400_000
+_HIGHEST_SEQUENCE = 2**53
 # What an error shows of a value: enough to find it in the store.
 _SHOWN = 60
 _Document = TypeVar("_Document")
@@ -99,6 +101,9 @@
     # "ready", or "draining" ahead of a planned end.
     state: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+    # Counts the entries of this life. An unusable one does not make the entry
+    # unusable, so its type is checked later.
+    sequence: Any = None
     # The start of this life, in Unix milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=_LATEST_MS)] | None = None
     # How much longer it is cold, as of when the entry was written.
@@ -183,9 +188,17 @@
         slots=doc.slots,
         state=state,
         cold_s=doc.cold_ms / _MS,
+        sequence=_sequence(doc.sequence),
     )
 
 
+def _sequence(value: Any) -> int | None:
+    """Returns an entry's number in its life; None if it is no number."""
+    if type(value) is int and 0 <= value <= _HIGHEST_SEQUENCE:
+        return value
+    return None
+
+
 def _decode(data: bytes, decoder: msgspec.json.Decoder[_Document]) -> _Document:
     try:
         return decoder.decode(data)
