--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -18,6 +18,7 @@
 from irisshelf.gateway.knowledge import datagrams
 from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import follower
+from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.requests import frontend
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
@@ -26,6 +27,7 @@
 from irisshelf.store import feed
 
 _ANY_PORT = "127.0.0.1:0"
+_PORT_ATTEMPTS = 20
 
 
 class Entry:
@@ -44,6 +46,7 @@
         inst: Its state.
         listener: Its listener for callers.
         follower: What follows the store.
+        peers: Its exchanges with other instances.
         membership: The instances that it knows.
     """
 
@@ -89,16 +92,14 @@
             log=log,
         )
         self.listener.start()
+        self._log = log
+        self._listen_for_peers()
+        self.membership = self.peers.membership
         self.follower = follower.Follower(
-            inst=self.inst, store=store_feed.StoreFeed(address=store)
+            inst=self.inst,
+            store=store_feed.StoreFeed(address=store),
+            peers=self.peers,
         )
-        self._datagrams = datagrams.Datagrams(address=_ANY_PORT, log=log)
-        self.member = membership.Member(
-            name=name,
-            address=self._datagrams.address,
-            data_centre=data_centre,
-        )
-        self.membership = membership.Membership(own=self.member)
         self.crash_gossip = crash_gossip.CrashGossip(
             crashes=self.inst.crash_tracker,
             datagrams=self._datagrams,
@@ -111,6 +112,9 @@
             on_fact=self.inst.servers.apply_fact,
             rng=random.Random(2),
         )
+        self.peers.register_handler(
+            crash_gossip.SNAPSHOT_PATH, self.crash_gossip.snapshot
+        )
         self.inst.servers.publish = self._gossip.publish
         self._greenlets = [
             gevent.spawn(self.follower.run, table) for table in feed.Table
@@ -119,6 +123,34 @@
         self._greenlets.append(gevent.spawn(self._datagrams.run))
         self._greenlets.append(gevent.spawn(self._gossip.run))
 
+    def _listen_for_peers(self) -> None:
+        """Binds a port that is free for both datagrams and connections."""
+        for attempt in range(_PORT_ATTEMPTS):
+            bound = datagrams.Datagrams(address=_ANY_PORT, log=self._log)
+            self.member = membership.Member(
+                name=self.inst.cfg.instance,
+                address=bound.address,
+                data_centre=self.inst.cfg.data_centre,
+            )
+            self.peers = peer_discovery.PeerDiscovery(
+                own=self.member, seeds=(), log=self._log
+            )
+            self._peer_listener = listener.Listener(
+                address=bound.address,
+                limits=self._front.limits,
+                handle=self.peers.handle,
+                refuse=self._front.refuse,
+                log=self._log,
+            )
+            try:
+                self._peer_listener.start()
+            except OSError:
+                if attempt == _PORT_ATTEMPTS - 1:
+                    raise
+                continue
+            self._datagrams = bound
+            return
+
     def meet(self, others: Sequence[Entry]) -> None:
         """Makes other instances known to this one."""
         for other in others:
@@ -128,5 +160,6 @@
         """Ends everything."""
         gevent.killall(self._greenlets)
         self.listener.stop_accepting()
+        self._peer_listener.stop_accepting()
         self.inst.servers.prober.close()
         os.close(self._log_fd)
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -111,6 +111,8 @@
         self.data_centre = data_centre
         # What its entry tells of coldness.
         self.cold_ms = 0
+        # The number of its entry.
+        self.sequence = 1
         # Connections that were made to it.
         self.accepted = 0
         # Requests that have come, with those that it turns away.
@@ -203,7 +205,7 @@
             "slots": 64,
             "state": state,
             "coldRemainingMs": self.cold_ms,
-            "sequence": 1,
+            "sequence": self.sequence,
         }
 
     def note_arrival(self, request_id: str) -> None:
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -5,6 +5,7 @@
 import base64
 import dataclasses
 import enum
+import functools
 import json
 import urllib.parse
 from collections.abc import Callable
@@ -55,11 +56,42 @@
     history: dict[str, list[tuple[str, _Row]]]
 
 
+class Port:
+    """A further port of a store, for one client.
+
+    Args:
+        serve: Handles a connection to the port.
+
+    Attributes:
+        mode: How the store behaves to this client.
+    """
+
+    def __init__(self, *, serve: Callable[[Port, socket.socket], None]):
+        self.mode = Mode.WELL
+        self._server = server.StreamServer(
+            ("127.0.0.1", 0), lambda sock, peer: serve(self, sock), backlog=256
+        )
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def close(self) -> None:
+        """Stops listening."""
+        self._server.stop(timeout=0)
+
+
 class Store:
     """Serves rows on loopback.
 
     Args:
         port: To listen on; 0 for any.
+
+    Attributes:
+        lagging: What a replica that lags has; it answers all calls for whole
+            tables. None if there is no such replica.
     """
 
     def __init__(self, *, port: int = 0):
@@ -83,6 +115,8 @@
         self.asked: list[tuple[str, int]] = []
         self.slow_s = 0.3
         self.calls = 0
+        self.lagging: Copy | None = None
+        self._ports: list[Port] = []
 
     @property
     def address(self) -> str:
@@ -101,8 +135,15 @@
 
     def close(self) -> None:
         """Stops."""
+        for port in self._ports:
+            port.close()
         self._server.stop(timeout=0)
 
+    def open_port(self) -> Port:
+        """Opens a further port, whose mode one client alone sees."""
+        self._ports.append(Port(serve=self._serve_port))
+        return self._ports[-1]
+
     def put(self, table: str, key: str, document: Any) -> int:
         """Writes a row as an operator or a server would."""
         value = base64.b64encode(encode(document)).decode()
@@ -151,36 +192,50 @@
         waiting.set()
 
     def _serve(self, sock: socket.socket, peer: object) -> None:
+        self._serve_port(None, sock)
+
+    def _serve_port(self, port: Port | None, sock: socket.socket) -> None:
         http.Connection(
             sock=sock,
             limits=lambda: _LIMITS,
-            handle=self._handle,
+            handle=functools.partial(self._handle, port),
             refuse=lambda status, text: ([], text.encode()),
         ).serve()
 
-    def _handle(self, request: http.Request, conn: http.Connection) -> None:
+    def _mode(self, port: Port | None) -> Mode:
+        if self.mode is Mode.WELL and port is not None:
+            return port.mode
+        return self.mode
+
+    def _handle(
+        self, port: Port | None, request: http.Request, conn: http.Connection
+    ) -> None:
         self.calls += 1
-        if self.mode is Mode.SLOW:
+        if self._mode(port) is Mode.SLOW:
             gevent.sleep(self.slow_s)
         path, _, query = request.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         hold_ms = int(fields.get("waitMs", 0))
         self.asked.append((fields.get("table", ""), hold_ms))
         if path == "/api/rows-get":
-            self._answer(conn, 200, self._page(fields))
+            self._answer(port, conn, 200, self._page(fields))
         elif path == "/api/rows-feed":
-            self._feed(conn, fields, hold_ms)
+            self._feed(port, conn, fields, hold_ms)
         else:
-            self._answer(conn, 404, {})
+            self._answer(port, conn, 404, {})
 
     def _feed(
-        self, conn: http.Connection, fields: dict[str, str], hold_ms: int
+        self,
+        port: Port | None,
+        conn: http.Connection,
+        fields: dict[str, str],
+        hold_ms: int,
     ) -> None:
         after = int(fields["afterRevision"])
         until_s = boottime.now() + hold_ms / 1000
         while True:
             if after < self._forgotten or after > self._ver:
-                self._answer(conn, 410, {})
+                self._answer(port, conn, 410, {})
                 return
             changed = self._since(fields["table"], after)
             left_s = until_s - boottime.now()
@@ -192,7 +247,7 @@
         answer: dict[str, Any] = {"rows": rows}
         if len(told) < len(changed):
             answer["ver"] = told[-1][1].ver
-        self._answer(conn, 200, answer)
+        self._answer(port, conn, 200, answer)
 
     def _since(self, table: str, after: int) -> list[tuple[str, _Row]]:
         """Returns every change after a revision, not just each row's last."""
@@ -200,7 +255,8 @@
         return [(key, row) for key, row in history if row.ver > after]
 
     def _page(self, fields: dict[str, str]) -> dict[str, Any]:
-        rows = self._tables.get(fields["table"], {})
+        tables = self.lagging.tables if self.lagging else self._tables
+        rows = tables.get(fields["table"], {})
         limit = min(self.page_rows, int(fields.get("limit", _PAGE_ROWS)))
         self.pages.append(fields["table"])
         start = fields.get("from", "")
@@ -209,26 +265,34 @@
         wanted = [key for key in keys if key >= start]
         page = wanted[:limit]
         table = fields["table"]
-        return {
+        answer = {
             "rows": [_encode(table, key, rows[key]) for key in page],
             "morePages": len(wanted) > limit,
         }
+        if self.lagging is not None:
+            answer["ver"] = self.lagging.ver
+        return answer
 
     def _answer(
-        self, conn: http.Connection, status: int, document: dict[str, Any]
+        self,
+        port: Port | None,
+        conn: http.Connection,
+        status: int,
+        document: dict[str, Any],
     ) -> None:
-        if self.mode is Mode.SILENT:
+        mode = self._mode(port)
+        if mode is Mode.SILENT:
             gevent.sleep(3600)
-        if self.mode is Mode.RESET:
+        if mode is Mode.RESET:
             conn.abort()
             return
-        if self.mode is Mode.BUSY:
+        if mode is Mode.BUSY:
             status, document = 503, {}
         now_ms = boottime.now() * 1000
         whole = {"ver": self._ver, "nowMs": now_ms, **document}
         data = json.dumps(whole).encode()
         headers = [(b"Store-Era", str(self._era).encode())]
-        if self.mode is Mode.TRICKLE:
+        if mode is Mode.TRICKLE:
             _trickle(conn, status, headers, data)
         else:
             conn.answer(status, headers, data)
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -108,6 +108,7 @@
 
     Attributes:
         entries: The instances.
+        store_ports: The port of the store that each instance uses.
         inst: The first of them.
         listener: Its listener for callers.
         follower: What follows the store for it.
@@ -132,26 +133,37 @@
         if configured:
             self.store.put("op", "config", config(1))
         self._ids = itertools.count(1)
-        self.entries = [
-            entry_module.Entry(
-                name=f"entry-{number}",
-                data_centre=data_centre,
-                store=self.store.address,
-                bounds=bounds or settings.Bounds(),
-                switched=switched,
-                known_places=known_places,
-                regions=regions or {},
-            )
-            for number, data_centre in enumerate(data_centres, start=1)
-        ]
-        for entry in self.entries:
-            entry.meet(self.entries)
+        self.store_ports: list[store.Port] = []
+        self.entries: list[entry_module.Entry] = []
+        self._make_entry = functools.partial(
+            entry_module.Entry,
+            bounds=bounds or settings.Bounds(),
+            switched=switched,
+            known_places=known_places,
+            regions=regions or {},
+        )
+        for data_centre in data_centres:
+            self.add_entry(data_centre)
         self.inst = self.entries[0].inst
         self.listener = self.entries[0].listener
         self.follower = self.entries[0].follower
         if configured:
             self.wait(lambda: all(e.inst.ready for e in self.entries))
 
+    def add_entry(self, data_centre: str) -> entry_module.Entry:
+        """Starts one more instance, which the others know at once."""
+        port = self.store.open_port()
+        self.store_ports.append(port)
+        made = self._make_entry(
+            name=f"entry-{len(self.entries) + 1}",
+            data_centre=data_centre,
+            store=port.address,
+        )
+        self.entries.append(made)
+        for entry in self.entries:
+            entry.meet(self.entries)
+        return made
+
     def close(self) -> None:
         """Ends everything."""
         for entry in self.entries:
--- /dev/null
+++ b/irisshelf/tests/test_contradicted_leaving.py
@@ -0,0 +1,194 @@
+"""Servers that have announced that they leave stay unused, whoever says else.
+
+Regression: a server that the store had acknowledged as leaving got a request
+twelve seconds later. What an entry said was forgotten as soon as another entry
+of the same incarnation said something else: a write that the store did late, a
+list from a replica that lags, an entry that was kept because one instance had
+been cut off from the store. Each test brings about one of these.
+"""
+
+import gevent
+import pytest
+
+from irisshelf.catalog import directory
+from irisshelf.platform.stand_in import store as store_module
+
+_KINDS = [
+    pytest.param("/query/1", id="stream-once"),
+    pytest.param("/digest/1", id="stream-resumable"),
+    pytest.param("/alarm/1", id="at-most-once"),
+    pytest.param("/valve/1", id="idempotent"),
+]
+_BORN_MS = 1_786_503_869_131
+_REQUESTS = 12
+# Longer than any time for which a report of another instance used to hold.
+_AFTER_PEER_PAUSE_S = 2.5
+# Longer than it takes to ask other instances, shorter than the grace period of
+# entries that lapse in an outage of the store.
+_AFTER_RECOVERY_S = 0.8
+
+
+def _group(world, target):
+    stream = target.startswith(("/query", "/digest"))
+    return world.engines if stream else world.plain
+
+
+def _listed(entry, one):
+    return entry.inst.directory.get(one.server_id)
+
+
+def _write(world, one, state, **changed):
+    """Writes an entry and waits until all instances have it."""
+    one.sequence += 1
+    document = one.entry(state) | changed
+    world.store.put("servers", one.server_id, document)
+    wanted = directory.ServerState.READY
+    if state == "draining":
+        wanted = directory.ServerState.LEAVING
+    world.wait(
+        lambda: all(
+            (listed := _listed(entry, one)) is not None
+            and listed.state is wanted
+            for entry in world.entries
+        )
+    )
+
+
+def _drop(world, one):
+    """Removes an entry and waits until all instances have dropped it."""
+    world.store.drop("servers", one.server_id)
+    world.wait(lambda: not any(_listed(entry, one) for entry in world.entries))
+
+
+def _count_arrivals(world, one, target, *, entry=0, count=_REQUESTS):
+    """Sends requests; returns how many reach a server."""
+    before = len(one.arrivals)
+    for _ in range(count):
+        assert world.ask(target, entry=entry).status == 200
+    return len(one.arrivals) - before
+
+
+@pytest.mark.parametrize("target", _KINDS)
+@pytest.mark.parametrize("born_ms", [None, _BORN_MS])
+@pytest.mark.parametrize("gone_before", [False, True])
+def test_an_entry_written_late_does_not_end_leaving(
+    make_world, target, born_ms, gone_before
+):
+    """Guards against sends to a leaving server after an old entry came last."""
+    world = make_world(servers=3)
+    leaving = _group(world, target)[0]
+    leaving.born_ms = born_ms
+    _write(world, leaving, "ready")
+    old = leaving.entry("ready")
+    _write(world, leaving, "draining")
+    if gone_before:
+        _drop(world, leaving)
+    revision = world.store.put("servers", leaving.server_id, old)
+    world.wait(lambda: world.inst.list_version.revision >= revision)
+    assert _count_arrivals(world, leaving, target) == 0
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_an_entry_that_ended_while_only_this_instance_was_cut_off_is_not_kept(
+    make_world, target
+):
+    """Guards against a grace period that only outages of the store justify."""
+    world = make_world(servers=3, data_centres=("a", "b"))
+    gone = _group(world, target)[0]
+    cut_off, _ = world.entries
+    world.store_ports[0].mode = store_module.Mode.BUSY
+    follower = cut_off.follower
+    world.wait(lambda: follower._lost_s is not None)
+    world.store.drop("servers", gone.server_id)
+    # Live servers whose entries lapse in an outage are listed again in two
+    # seconds; this one has left.
+    gevent.sleep(1.0)
+    world.store_ports[0].mode = store_module.Mode.WELL
+    world.wait(lambda: follower._lost_s is None)
+    gevent.sleep(_AFTER_RECOVERY_S)
+    assert _count_arrivals(world, gone, target) == 0
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_list_older_than_what_is_known_is_not_applied(make_world, target):
+    """Guards against a replica that lags after the store lost its history."""
+    world = make_world(servers=3)
+    leaving = _group(world, target)[0]
+    copy = world.store.copy()
+    _write(world, leaving, "draining")
+    world.store.lagging = copy
+    world.store.forget_history()
+    calls = world.store.calls
+    for _ in range(4):
+        # Changes of other tables bring about polls that find no history.
+        world.store.put("others", "row", {})
+        gevent.sleep(0.5)
+        assert _count_arrivals(world, leaving, target, count=3) == 0
+    # Two tables, polled twice a second each, and a few polls for the recovery.
+    assert world.store.calls - calls < 40
+    world.store.lagging = None
+    other = _group(world, target)[1]
+    revision = world.store.put("servers", other.server_id, other.entry())
+    world.wait(lambda: world.inst.list_version.revision >= revision)
+    assert _count_arrivals(world, leaving, target) == 0
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_other_instances_know_of_leaving_for_good(make_world, target):
+    """Guards against a report of leaving that held for two seconds only."""
+    world = make_world(servers=3, data_centres=("a", "a", "b"))
+    group = _group(world, target)
+    leaving = group[0]
+    leaving.leaving = True
+    for _ in range(50):
+        if leaving.arrivals:
+            break
+        world.ask(target)
+    gevent.sleep(_AFTER_PEER_PAUSE_S)
+    for entry in (1, 2):
+        assert _count_arrivals(world, leaving, target, entry=entry) == 0
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_an_instance_that_starts_is_told_of_leaving(make_world, target):
+    """Guards against a restart that forgets what no entry says any more."""
+    world = make_world(servers=3, data_centres=("a", "a"))
+    leaving = _group(world, target)[0]
+    _write(world, leaving, "ready")
+    old = leaving.entry("ready")
+    _write(world, leaving, "draining")
+    revision = world.store.put("servers", leaving.server_id, old)
+    world.wait(lambda: world.inst.list_version.revision >= revision)
+    started = world.add_entry("a")
+    world.wait(lambda: started.inst.ready)
+    place = world.entries.index(started)
+    gevent.sleep(0.3)
+    assert _count_arrivals(world, leaving, target, entry=place) == 0
+
+
+@pytest.mark.parametrize("target", _KINDS)
+@pytest.mark.parametrize("born_ms", [None, _BORN_MS])
+def test_entries_that_lapsed_in_an_outage_are_used_again(
+    make_world, target, born_ms
+):
+    """A lapsed entry is no announcement, and its server goes on."""
+    world = make_world(servers=1)
+    (one,) = _group(world, target)
+    one.born_ms = born_ms
+    _write(world, one, "ready")
+    _drop(world, one)
+    _write(world, one, "ready")
+    assert _count_arrivals(world, one, target) == _REQUESTS
+
+
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_new_incarnation_under_the_same_id_is_used(make_world, target):
+    world = make_world(servers=1)
+    (one,) = _group(world, target)
+    one.born_ms = _BORN_MS
+    _write(world, one, "ready")
+    _write(world, one, "draining")
+    _drop(world, one)
+    one.born_ms, one.sequence = _BORN_MS + 9000, 0
+    _write(world, one, "ready")
+    assert _count_arrivals(world, one, target) == _REQUESTS
