Leaving is final for an incarnation, whatever an entry says later

Callers' requests went to a server without end after an entry of the same incarnation was written late, following its announcement: what an entry had said was forgotten with the next one, while the same announcement in a response was kept. Two places held one fact.

catalog/departures.py decides, without I/O, for entries, responses and peers alike; eligibility asks nothing else.

--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -70,7 +70,6 @@
         now: float,
     ) -> None:
         """Applies changes that follow the known position."""
-        self._log_contradictions(changes, position, whole=False)
         if self._after_outage(now):
             self._inst.directory.apply_after_outage(
                 changes, recovered_s=self._recovery_s(now)
@@ -80,8 +79,8 @@
             self._inst.directory.apply(changes)
         self._position = position
         self._changes.append(changes, position, now)
+        self._update_from_entries(changes, position, whole=False)
         self._inst.server_list_loaded()
-        self._inst.eligible.update_from_entries(changes)
         self._log_changes(changes, position, now, whole=False)
 
     def make_update(
@@ -101,6 +100,10 @@
         if dropped:
             self._inst.log.instance("lapsed_servers_gone", servers=dropped)
             self._inst.servers.on_list_changed()
+        departures = self._inst.eligible.availability.departures
+        returned = departures.take_returned(self._inst.list_version.as_of_s)
+        if returned:
+            self._inst.log.instance("servers_returned", servers=returned)
 
     def _replace(
         self,
@@ -110,7 +113,6 @@
         restored: frozenset[str],
     ) -> None:
         self._position = position
-        self._log_contradictions(entries, position, whole=True)
         self._inst.directory.replace(
             [entry.server for entry in entries if entry.server],
             recovered_s=self._recovery_s(now),
@@ -119,8 +121,11 @@
         )
         self._log_lapsed(now)
         self._changes.reset(position)
+        self._update_from_entries(entries, position, whole=True)
+        self._inst.eligible.availability.departures.retain_listed(
+            [entry.entry_id for entry in entries]
+        )
         self._inst.server_list_loaded()
-        self._inst.eligible.update_from_entries(entries)
         self._log_changes(entries, position, now, whole=True)
 
     def _restored(self, batch: feed.Batch, now: float) -> frozenset[str]:
@@ -167,21 +172,19 @@
         """Returns when the store recovered; now if it has not yet."""
         return now if self._store_down else self._recovered_s
 
-    def _log_contradictions(
+    def _update_from_entries(
         self,
         changes: Iterable[directory.Change],
         position: position_module.Position,
         *,
         whole: bool,
     ) -> None:
-        """Logs entries that take back that an incarnation is leaving."""
-        contradicting = [
-            change.server
-            for change in changes
-            if change.server is not None
-            and change.server.state is directory.ServerState.READY
-            and self._inst.eligible.is_leaving(change.server)
-        ]
+        """Updates what is known of servers; logs what their entries contradict.
+
+        An entry that lists a server as ready although it has announced that it
+        leaves is outdated.
+        """
+        contradicting = self._inst.eligible.update_from_entries(changes)
         if not contradicting:
             return
         self._inst.metrics.server_entries.labels("contradicting").inc(
@@ -194,11 +197,17 @@
             whole=whole,
             count=len(contradicting),
             changes=[
-                _describe_entry(server)
+                f"{_describe_entry(server)}, known by {self._known_by(server)}"
                 for server in contradicting[:_MAX_LOGGED_PROBLEMS]
             ],
         )
 
+    def _known_by(self, server: directory.BackendServer) -> str:
+        departures = self._inst.eligible.availability.departures
+        departure = departures.get(server.server_id)
+        known_for_s = self._inst.now() - departure.at_s
+        return f"{departure.source.value} for {known_for_s:.3f} s"
+
     def _log_lapsed(self, now: float) -> None:
         """Logs which entries are kept although the store has none."""
         lapsed = self._inst.directory.lapsed()
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -85,16 +85,12 @@
 
     def accepts(self, server: directory.BackendServer) -> bool:
         """Returns whether a request may be sent to a server now."""
-        if server.state is not directory.ServerState.READY:
-            return False
         return self._block(server) is None
 
     def is_leaving(self, server: directory.BackendServer) -> bool:
-        """Returns whether a server is draining, by its own report or entry."""
-        listed = self._listed.get(server.entry_id)
-        return (
-            listed is not None and listed.state is directory.ServerState.LEAVING
-        ) or self.availability.is_leaving(server.server_id)
+        """Returns whether a server has announced that it leaves."""
+        departure = self.availability.departures.get(server.server_id)
+        return departure is not None
 
     def paused(self, service: str) -> tuple[directory.BackendServer, ...]:
         """Returns the servers of a service that are in a temporary backoff."""
@@ -161,13 +157,24 @@
         """Returns the servers that may be probed."""
         return self._not_evacuated(self._listed.servers())
 
-    def update_from_entries(self, changes: Iterable[directory.Change]) -> None:
-        """Updates which servers are cold from their entries."""
+    def update_from_entries(
+        self, changes: Iterable[directory.Change]
+    ) -> tuple[directory.BackendServer, ...]:
+        """Updates which servers leave or are cold from their entries.
+
+        Returns:
+            The servers that are listed as ready although they have announced
+            that they leave.
+        """
         now = self._now()
+        contradicting = []
         for change in changes:
             server = change.server
+            if self.availability.departures.observe(change, now):
+                contradicting.append(server)
             if server is not None:
                 self.cold.record_cold_time(server.server_id, server.cold_s, now)
+        return tuple(contradicting)
 
     def evacuation_lifted(self, data_centre: str) -> None:
         """Handles that servers of a data centre may receive requests again.
@@ -240,8 +247,7 @@
 
     def _pause_s(self, server: directory.BackendServer) -> float | None:
         block = self._block(server)
-        ready = server.state is directory.ServerState.READY
-        if not ready or block is None or math.isinf(block.remaining_s):
+        if block is None or math.isinf(block.remaining_s):
             return None
         return block.remaining_s
 
--- a/irisshelf/gateway/servers/server_reports.py
+++ b/irisshelf/gateway/servers/server_reports.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from irisshelf.catalog import departures
 from irisshelf.catalog import directory
 from irisshelf.coordination import facts
 from irisshelf.gateway import messages
@@ -95,7 +96,12 @@
     def _handle_leaving(
         self, server: directory.BackendServer, request: str
     ) -> None:
-        if self._availability.mark_leaving(server.server_id):
+        if self._availability.departures.announce(
+            server.server_id,
+            source=departures.Source.RESPONSE,
+            now=self._now(),
+            address=server.address,
+        ):
             self._log_not_accepting(server, "leaving", request)
             self._publish_pause(server, availability_module.MAX_PEER_PAUSE_S)
 
--- a/irisshelf/routing/direct/availability.py
+++ b/irisshelf/routing/direct/availability.py
@@ -2,11 +2,10 @@
 
 What a server itself said last takes precedence over its entry in the store's
 list, which may be older whenever it is read. An incarnation of a server that
-has announced its shutdown never becomes available again, neither after a time
-nor by an entry; a restarted server is another incarnation. A backoff ends after
-the requested time plus a jitter that differs between instances, so that they do
-not all return at once. The server then gets a single trial request at a time
-until one succeeds.
+has announced that it leaves never becomes available again, see
+``catalog.departures``. A backoff ends after the requested time plus a jitter
+that differs between instances, so that they do not all return at once. The
+server then gets a single trial request at a time until one succeeds.
 
 A pause reported by another instance is limited to a short time, since it may be
 wrong; the server then gets a single trial request as well.
@@ -14,14 +13,13 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 import math
 import random
 
-# Number of incarnations remembered as leaving; the oldest are dropped.
-_MAX_LEAVING = 2000
+from irisshelf.catalog import departures
+
 # Upper limits of the jitter added to a backoff: a share of it, and seconds.
 _JITTER_SHARE = 0.2
 _MAX_JITTER_S = 1.0
@@ -68,31 +66,16 @@
 
     Args:
         rng: Source of the jitter of backoffs.
+
+    Attributes:
+        departures: Incarnations that have announced that they leave.
     """
 
     def __init__(self, *, rng: random.Random):
+        self.departures = departures.Departures()
         self._rng = rng
-        self._leaving: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
         self._pauses: dict[str, _Pause] = {}
 
-    def mark_leaving(self, server_id: str) -> bool:
-        """Records that an incarnation of a server shuts down.
-
-        Returns:
-            Whether that was not known yet.
-        """
-        known = server_id in self._leaving
-        self._leaving[server_id] = None
-        if len(self._leaving) > _MAX_LEAVING:
-            self._leaving.popitem(last=False)
-        return not known
-
-    def is_leaving(self, server_id: str) -> bool:
-        """Tells whether an incarnation has announced its shutdown."""
-        return server_id in self._leaving
-
     def record_backoff(
         self, server_id: str, backoff_s: float, now: float
     ) -> bool:
@@ -138,12 +121,16 @@
 
         Example:
             >>> known = Availability(rng=random.Random(1))
-            >>> known.block("i-1", 0.0) is None, known.mark_leaving("i-1")
-            (True, True)
+            >>> known.block("i-1", 0.0) is None
+            True
+            >>> known.departures.announce(
+            ...     "i-1", source=departures.Source.RESPONSE, now=0.0
+            ... )
+            True
             >>> known.block("i-1", 0.0).reason
             <Reason.LEAVING: 'leaving'>
         """
-        if server_id in self._leaving:
+        if self.departures.get(server_id) is not None:
             return Block(reason=Reason.LEAVING, remaining_s=math.inf)
         pause = self._pauses.get(server_id)
         if pause is None:
