Pass on that a server leaves as a fact that is final, also to an instance that starts

An instance that another had told of a leaving server sent it a request two seconds later: the announcement was passed on as a pause of two seconds, after which one trial request goes out.

facts.ServerLeaving, sent twice on each hop as no further fact may follow it; kept by key until its server is listed. A relayed list names its servers that leave, an instance that starts asks a peer for all that it knows, and an entry that contradicts an announcement is answered by passing it on again. Old instances ignore the new field.

--- a/irisshelf/coordination/facts.py
+++ b/irisshelf/coordination/facts.py
@@ -68,4 +68,15 @@
     until_s: float
 
 
-Fact = ServerLoad | PartCached | ServerCold | ServerPause
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLeaving:
+    """A server has announced that it leaves, which is final.
+
+    Attributes:
+        server: Key of the server.
+    """
+
+    server: bytes
+
+
+Fact = ServerLoad | PartCached | ServerCold | ServerPause | ServerLeaving
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -17,6 +17,7 @@
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
 from irisshelf.gateway import settings
+from irisshelf.gateway.knowledge import catch_up
 from irisshelf.gateway.knowledge import crash_gossip
 from irisshelf.gateway.knowledge import datagrams
 from irisshelf.gateway.knowledge import fact_gossip
@@ -110,6 +111,14 @@
         self._peers.register_handler(
             crash_gossip.SNAPSHOT_PATH, self._crash_gossip.snapshot
         )
+        self._departures = catch_up.DepartureExchange(
+            known=self._inst.eligible.availability.departures,
+            on_fact=self._inst.servers.apply_fact,
+            log=self._log,
+        )
+        self._peers.register_handler(
+            catch_up.DEPARTURES_PATH, self._departures.encode
+        )
         self._follower = follower.Follower(
             inst=self._inst,
             store=make_store(cfg.store),
@@ -160,6 +169,11 @@
             self._crash_gossip.catch_up,
             lambda: self._peers.request_any(crash_gossip.SNAPSHOT_PATH),
         )
+        gevent.spawn(
+            catch_up.fetch,
+            lambda: self._peers.request_any(catch_up.DEPARTURES_PATH),
+            self._departures.apply,
+        )
         cfg = self._inst.cfg
         self._log.instance(
             "start", data_centre=cfg.data_centre, front=cfg.listen.front
--- a/irisshelf/gateway/knowledge/crash_gossip.py
+++ b/irisshelf/gateway/knowledge/crash_gossip.py
@@ -23,6 +23,7 @@
 
 from irisshelf import boottime
 from irisshelf.coordination import membership as membership_module
+from irisshelf.gateway.knowledge import catch_up
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
 from irisshelf.gateway.servers import crash_tracker
 from irisshelf.observe import decision_log
@@ -36,8 +37,6 @@
 _REMOTE_FAN_OUT = 3
 # Messages about older events are dropped as delayed.
 _MAX_AGE_MS = 10_000
-_CATCH_UP_RETRY_DELAY_S = 0.5
-_CATCH_UP_ATTEMPTS = 20
 
 _Fingerprint = Annotated[bytes, msgspec.Meta(min_length=16, max_length=16)]
 _ServerKey = Annotated[bytes, msgspec.Meta(min_length=1, max_length=16)]
@@ -103,12 +102,7 @@
             request_snapshot: Returns a peer's ``snapshot``; None if there was
                 no answer.
         """
-        for _ in range(_CATCH_UP_ATTEMPTS):
-            data = request_snapshot()
-            if data is not None:
-                self._apply_snapshot(data)
-                return
-            gevent.sleep(_CATCH_UP_RETRY_DELAY_S)
+        catch_up.fetch(request_snapshot, self._apply_snapshot)
 
     def snapshot(self, fields: Mapping[str, str] | None = None) -> bytes:
         """Encodes all known crashes, for ``catch_up``.
--- a/irisshelf/gateway/knowledge/fact_gossip.py
+++ b/irisshelf/gateway/knowledge/fact_gossip.py
@@ -5,7 +5,8 @@
 and sends them to all instances of its data centre, and to one instance of each
 other data centre, at most four times a second. So the number of datagrams grows
 linearly with the number of instances, not quadratically. A lost datagram is
-superseded by the next facts about the same server.
+superseded by the next facts about the same server. That a server leaves is sent
+twice, as no further fact about it may follow.
 """
 
 from __future__ import annotations
@@ -33,8 +34,11 @@
 _MAX_LOADS = 40
 _MAX_COLD_STARTS = 20
 _MAX_PAUSES = 20
-# Upper bounds of encoded sizes: the header, a load (a cold start and a pause
-# take no more), a prompt part, and a server's key before its first part.
+_MAX_LEAVING = 20
+_LEAVING_SENDS = 2
+# Upper bounds of encoded sizes: the header, a load (a cold start, a pause and a
+# leaving server take no more), a prompt part, and a server's key before its
+# first part.
 _HEADER_BYTES = 60
 _LOAD_BYTES = 16
 _PART_BYTES = 6
@@ -76,6 +80,8 @@
     cold_starts: list[tuple[bytes, _Ms]] = []
     # Server's key, and for how long it accepts no requests in ms.
     pauses: list[tuple[bytes, _Ms]] = []
+    # Keys of servers that leave.
+    leaving: list[bytes] = []
 
 
 class _Outbox:
@@ -88,10 +94,16 @@
         )
         self.cold_starts: dict[bytes, facts.ServerCold] = {}
         self.pauses: dict[bytes, facts.ServerPause] = {}
+        # How often each is still to be sent.
+        self.leaving: dict[bytes, int] = {}
 
     def __bool__(self) -> bool:
         return bool(
-            self.loads or self.cached_parts or self.cold_starts or self.pauses
+            self.loads
+            or self.cached_parts
+            or self.cold_starts
+            or self.pauses
+            or self.leaving
         )
 
     @functools.singledispatchmethod
@@ -117,6 +129,10 @@
     def _(self, fact: facts.ServerPause) -> None:
         self.pauses[fact.server] = fact
 
+    @add.register
+    def _(self, fact: facts.ServerLeaving) -> None:
+        self.leaving[fact.server] = _LEAVING_SENDS
+
     def all(self) -> list[facts.Fact]:
         """Returns all queued facts."""
         return [
@@ -124,6 +140,7 @@
             *self.cached_parts,
             *self.cold_starts.values(),
             *self.pauses.values(),
+            *(facts.ServerLeaving(server=key) for key in self.leaving),
         ]
 
     def pop_message(self, data_centre: str, hop: _Hop) -> _Message:
@@ -132,7 +149,10 @@
         loads = _dequeue(self.loads, _MAX_LOADS)
         cold_starts = _dequeue(self.cold_starts, _MAX_COLD_STARTS)
         pauses = _dequeue(self.pauses, _MAX_PAUSES)
-        count = len(loads) + len(cold_starts) + len(pauses)
+        leaving = list(self.leaving)[:_MAX_LEAVING]
+        for key in leaving:
+            self._count_sent(key)
+        count = len(loads) + len(cold_starts) + len(pauses) + len(leaving)
         remaining_bytes = datagrams_module.MAX_DATAGRAM_BYTES - _HEADER_BYTES
         remaining_bytes -= _LOAD_BYTES * count
         cached_parts: dict[bytes, list[bytes]] = {}
@@ -156,8 +176,14 @@
                 (c.server, _remaining_ms(c.until_s, now)) for c in cold_starts
             ],
             pauses=[(p.server, _remaining_ms(p.until_s, now)) for p in pauses],
+            leaving=leaving,
         )
 
+    def _count_sent(self, key: bytes) -> None:
+        self.leaving[key] -= 1
+        if not self.leaving[key]:
+            del self.leaving[key]
+
 
 class FactGossip:
     """Exchanges facts with other instances.
@@ -292,4 +318,6 @@
     for server, remaining_ms in message.pauses:
         until_s = now + remaining_ms / 1000
         decoded.add(facts.ServerPause(server=server, until_s=until_s))
+    for server in message.leaving:
+        decoded.add(facts.ServerLeaving(server=server))
     return decoded.all()
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -187,6 +187,8 @@
         contradicting = self._inst.eligible.update_from_entries(changes)
         if not contradicting:
             return
+        # An instance that has started since knows the entry only.
+        self._inst.servers.publish_leaving(contradicting)
         self._inst.metrics.server_entries.labels("contradicting").inc(
             len(contradicting)
         )
--- a/irisshelf/gateway/knowledge/table_relay.py
+++ b/irisshelf/gateway/knowledge/table_relay.py
@@ -187,12 +187,15 @@
             message.catalog = self._compressed_catalog()
             message.evacuated = sorted(self._inst.evacuations.active())
         else:
+            listed = self._inst.directory.current_servers()
             message.servers = [
                 server_records.to_record(
                     self._with_remaining_cold_time(server, now)
                 )
-                for server in self._inst.directory.current_servers()
+                for server in listed
             ]
+            departures = self._inst.eligible.availability.departures
+            message.leaving = departures.keys_of(listed)
         return table_snapshot.encode(message)
 
     def _compressed_catalog(self) -> bytes:
@@ -228,7 +231,10 @@
             )
             return None
         return table_snapshot.RelayedSnapshot(
-            batch=batch, sent_s=sent_s, clock_s=message.clock_s
+            batch=batch,
+            sent_s=sent_s,
+            clock_s=message.clock_s,
+            leaving=tuple(message.leaving),
         )
 
     def _batch(
--- a/irisshelf/gateway/knowledge/table_snapshot.py
+++ b/irisshelf/gateway/knowledge/table_snapshot.py
@@ -35,6 +35,8 @@
     catalog: bytes = b""
     evacuated: list[str] = []
     servers: list[server_records.ServerRecord] = []
+    # Short ids of those servers that have announced that they leave.
+    leaving: list[bytes] = []
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,6 +75,7 @@
 
     Attributes:
         batch: The table, in the form of a store response.
+        leaving: Short ids of servers that have announced that they leave.
         sent_s: When the request was sent, in monotonic seconds.
         clock_s: Upper bound of the store's clock at the time of the response.
     """
@@ -80,6 +83,7 @@
     batch: feed.Batch
     sent_s: float
     clock_s: float
+    leaving: tuple[bytes, ...] = ()
 
 
 def encode(message: Message) -> bytes:
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -10,6 +10,7 @@
 import functools
 
 from irisshelf.catalog import position as position_module
+from irisshelf.coordination import facts
 from irisshelf.coordination import shared_watch
 from irisshelf.coordination import table_watch
 from irisshelf.gateway import instance as instance_module
@@ -117,6 +118,8 @@
             return False
         if table is _SERVERS:
             self.servers.apply_batch(batch, now)
+            for key in snapshot.leaving:
+                self._inst.servers.apply_fact(facts.ServerLeaving(server=key))
         else:
             self.operators.apply_batch(batch, now)
             if not self.operators.store_is_behind:
--- a/irisshelf/gateway/servers/server_reports.py
+++ b/irisshelf/gateway/servers/server_reports.py
@@ -87,6 +87,11 @@
                 service=server.service,
             )
 
+    def handle_peer_report(self, server: directory.BackendServer) -> None:
+        """Handles that another instance knows that a server leaves."""
+        if self._announce(server, departures.Source.PEER):
+            self._log_not_accepting(server, "leaving", "", by="peer")
+
     def _handle_absent(
         self, server: directory.BackendServer, request: str
     ) -> None:
@@ -96,14 +101,20 @@
     def _handle_leaving(
         self, server: directory.BackendServer, request: str
     ) -> None:
-        if self._availability.departures.announce(
+        if self._announce(server, departures.Source.RESPONSE):
+            self._log_not_accepting(server, "leaving", request)
+            key = directory.short_id(server.server_id)
+            self._publish(facts.ServerLeaving(server=key))
+
+    def _announce(
+        self, server: directory.BackendServer, source: departures.Source
+    ) -> bool:
+        return self._availability.departures.announce(
             server.server_id,
-            source=departures.Source.RESPONSE,
+            source=source,
             now=self._now(),
             address=server.address,
-        ):
-            self._log_not_accepting(server, "leaving", request)
-            self._publish_pause(server, availability_module.MAX_PEER_PAUSE_S)
+        )
 
     def _handle_backoff(
         self, server: directory.BackendServer, rest_s: float, request: str
@@ -139,6 +150,7 @@
         why: str,
         request: str,
         rest_s: float = 0.0,
+        by: str = "response",
     ) -> None:
         self._metrics.reports.labels(why).inc()
         self._log.warning(
@@ -147,6 +159,7 @@
             address=server.address,
             service=server.service,
             why=why,
+            by=by,
             rest_s=rest_s,
             listed=server.state.value,
             request=request,
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -197,6 +197,15 @@
             )
             self._on_backoff(server)
 
+    @apply_fact.register
+    def _(self, fact: facts.ServerLeaving) -> None:
+        departures = self.eligible.availability.departures
+        server = self._by_key.get(fact.server)
+        if server is None:
+            departures.announce_unlisted(fact.server, self._now())
+        else:
+            self.reports.handle_peer_report(server)
+
     @apply_fact.register
     def _(self, fact: facts.ServerLoad) -> None:
         server = self._by_key.get(fact.server)
@@ -215,6 +224,14 @@
                 until_s = now + change.server.cold_s
                 self.publish(facts.ServerCold(server=key, until_s=until_s))
 
+    def publish_leaving(
+        self, leaving: Iterable[directory.BackendServer]
+    ) -> None:
+        """Publishes which servers have announced that they leave."""
+        for server in leaving:
+            key = directory.short_id(server.server_id)
+            self.publish(facts.ServerLeaving(server=key))
+
     def on_list_changed(self) -> None:
         """Drops the state of servers that are no longer listed."""
         servers = self._listed.servers()
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -14,6 +14,7 @@
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
 from irisshelf.gateway import settings
+from irisshelf.gateway.knowledge import catch_up
 from irisshelf.gateway.knowledge import crash_gossip
 from irisshelf.gateway.knowledge import datagrams
 from irisshelf.gateway.knowledge import fact_gossip
@@ -115,6 +116,14 @@
         self.peers.register_handler(
             crash_gossip.SNAPSHOT_PATH, self.crash_gossip.snapshot
         )
+        self._departures = catch_up.DepartureExchange(
+            known=self.inst.eligible.availability.departures,
+            on_fact=self.inst.servers.apply_fact,
+            log=log,
+        )
+        self.peers.register_handler(
+            catch_up.DEPARTURES_PATH, self._departures.encode
+        )
         self.inst.servers.publish = self._gossip.publish
         self._greenlets = [
             gevent.spawn(self.follower.run, table) for table in feed.Table
@@ -122,6 +131,13 @@
         self._greenlets.append(gevent.spawn(self.follower.expire_lapsed))
         self._greenlets.append(gevent.spawn(self._datagrams.run))
         self._greenlets.append(gevent.spawn(self._gossip.run))
+        self._greenlets.append(
+            gevent.spawn(
+                catch_up.fetch,
+                lambda: self.peers.request_any(catch_up.DEPARTURES_PATH),
+                self._departures.apply,
+            )
+        )
 
     def _listen_for_peers(self) -> None:
         """Binds a port that is free for both datagrams and connections."""
--- a/irisshelf/tests/test_fact_gossip.py
+++ b/irisshelf/tests/test_fact_gossip.py
@@ -24,6 +24,7 @@
         self.loads = []
         self.holds = []
         self.colds = []
+        self.leaving = []
         self._fd = os.open(os.devnull, os.O_WRONLY)
         self.log = decision_log.DecisionLog(instance=name, fd=self._fd)
         self.problems = []
@@ -54,6 +55,8 @@
             self.loads.append(fact)
         elif isinstance(fact, facts.ServerCold):
             self.colds.append(fact)
+        elif isinstance(fact, facts.ServerLeaving):
+            self.leaving.append(fact.server)
         else:
             self.holds.append((fact.server, fact.part))
 
@@ -99,6 +102,49 @@
     }
 
 
+@pytest.mark.parametrize("sender", range(4))
+def test_that_a_server_leaves_reaches_all_instances(four, sender):
+    four[sender].gossip.publish(facts.ServerLeaving(server=_KEY))
+    others = [one for one in four if one is not four[sender]]
+    _wait(lambda: all(one.leaving for one in others))
+    gevent.sleep(2.0)
+    # Sent twice on each of at most three hops, and then no more.
+    assert all(set(one.leaving) == {_KEY} for one in others)
+    counts = [len(one.leaving) for one in four]
+    gevent.sleep(0.6)
+    assert [len(one.leaving) for one in four] == counts
+
+
+@pytest.mark.parametrize("lost", [0, 1])
+def test_a_lost_datagram_does_not_hide_that_a_server_leaves(
+    four, lost, monkeypatch
+):
+    """Guards against a fact that no other one follows."""
+    sender = four[0]
+    send = sender.datagrams.send
+    sent = []
+
+    def drop_one(address, data):
+        sent.append(address)
+        if sent.count(address) - 1 != lost:
+            send(address, data)
+
+    monkeypatch.setattr(sender.datagrams, "send", drop_one)
+    sender.gossip.publish(facts.ServerLeaving(server=_KEY))
+    _wait(lambda: all(one.leaving for one in four[1:]))
+
+
+def test_many_servers_that_leave_fit_into_datagrams(four):
+    keys = [directory.short_id(f"s{n}") for n in range(90)]
+    for key in keys:
+        four[0].gossip.publish(facts.ServerLeaving(server=key))
+        four[0].gossip.publish(
+            facts.ServerLoad(server=key, work=7, at_s=boottime.now())
+        )
+    _wait(lambda: all(set(one.leaving) == set(keys) for one in four[1:]))
+    _wait(lambda: all(len(one.loads) >= 90 for one in four[1:]))
+
+
 def test_facts_do_not_circulate_forever(four):
     four[0].gossip.publish(_load())
     _wait(lambda: all(one.loads for one in four[1:]))
--- a/irisshelf/tests/test_table_relay.py
+++ b/irisshelf/tests/test_table_relay.py
@@ -16,6 +16,7 @@
 import pytest
 
 from irisshelf import boottime
+from irisshelf.catalog import departures
 from irisshelf.catalog import directory
 from irisshelf.catalog import freshness
 from irisshelf.catalog import position
@@ -332,6 +333,26 @@
     assert table_snapshot.decode(data).servers == []
 
 
+def test_that_a_server_leaves_is_relayed_with_the_list(make_fleet, served):
+    """Guards against an entry that says ready of a server that leaves."""
+    instances = make_fleet()
+    _start(instances)
+    watcher = _watcher(instances)
+    reader = next(one for one in instances if one is not watcher)
+    for one in instances:
+        if one is not reader:
+            one.inst.eligible.availability.departures.announce(
+                "s1", source=departures.Source.RESPONSE, now=boottime.now()
+            )
+    assert reader.inst.eligible.accepting("crew")
+    relay = reader.follower._relay
+    snapshot = relay.fetch(_SERVERS, None, timeout_s=0.5)
+    reader.follower.tables.watches[_SERVERS].record_history_lost()
+    now = boottime.now()
+    assert reader.follower.tables.apply_snapshot(_SERVERS, snapshot, now)
+    assert not reader.inst.eligible.accepting("crew")
+
+
 def test_cold_starts_are_relayed_with_their_remaining_time(
     make_fleet, served, one_server
 ):
