Take no answer of the store for new that is older than what it is known to have had

After the store had lost its history, an instance read the whole list at any revision, also from a replica that lagged: a server that leaves was used again, and keys were confirmed by an answer that proved nothing.

The store's positions are remembered with the time at which they were seen, for all tables together and from all sources. An answer that is older than what was known when its call was made confirms nothing; changes still lead on, a whole table is not applied. Reading a table again has to wait if no changes were found after the last time. If there are only such answers for 20 s, the store has lost its state, and is accepted. Lists read in several attempts count from their first page, so that a slow link completes them.

--- a/irisshelf/coordination/table_watch.py
+++ b/irisshelf/coordination/table_watch.py
@@ -12,6 +12,9 @@
 from irisshelf.catalog import position as position_module
 from irisshelf.coordination import shared_watch
 
+# A replica lags by seconds. If all answers are older than what was seen for so
+# long, what was seen was wrong, or the store has lost its state.
+_OUTDATED_LIMIT_S = 20.0
 # An instance that was up to date longer ago than this may be several versions
 # behind. Between two calls lie 0.3 s of coalescing changes and the transfer
 # time of the response.
@@ -34,6 +37,9 @@
         self._update_position: position_module.Position | None = None
         self._caught_up_s = -math.inf
         self._behind = False
+        self._history_losses = 0
+        self._outdated_since_s = math.inf
+        self._outdated_count = 0
 
     def updates_suffice_until_s(
         self, role: shared_watch.Role, timing: shared_watch.Timing
@@ -109,6 +115,28 @@
         """Records that a poll for all available data was started."""
         self._behind = False
 
+    def record_outdated(self, now: float) -> bool:
+        """Records an answer that is older than what the store has had.
+
+        Returns:
+            Whether there have been no others for so long that it counts.
+        """
+        self._outdated_since_s = min(self._outdated_since_s, now)
+        self._outdated_count += 1
+        self._behind = True
+        return now - self._outdated_since_s >= _OUTDATED_LIMIT_S
+
+    def take_outdated_count(self) -> int:
+        """Returns, once, the number of outdated answers up to now."""
+        count, self._outdated_count = self._outdated_count, 0
+        self._outdated_since_s = math.inf
+        return count
+
+    @property
+    def outdated_count(self) -> int:
+        """Number of outdated answers since the last one that was not."""
+        return self._outdated_count
+
     def record_response(
         self, position: position_module.Position, now: float, *, whole: bool
     ) -> bool:
@@ -125,6 +153,8 @@
             contains changes to a state that has been discarded.
         """
         self._response_s = now
+        if not whole:
+            self._history_losses = 0
         if position.era < self._era or (self.position is None and not whole):
             return False
         newest = self.position is None or position >= self.position
@@ -160,9 +190,16 @@
         """Records that a call failed."""
         self._behind = True
 
-    def record_history_lost(self) -> None:
-        """Records that the store has lost the history since the position."""
+    def record_history_lost(self) -> bool:
+        """Records that the store has lost the history since the position.
+
+        Returns:
+            Whether to read the whole table at once. If changes were not found
+            after the last whole table either, reading it again has to wait.
+        """
         self.position = None
+        self._history_losses += 1
+        return self._history_losses == 1
 
     def record_update(
         self,
--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 
 import gevent
@@ -159,14 +160,16 @@
             self._record_contact(boottime.now())
             if table is feed.Table.CATALOG:
                 self._log_catalog_answer(after, response.ok_value, sent_s)
+            if self.tables.is_outdated(response.ok_value):
+                return self._handle_outdated(table, response.ok_value, sent_s)
+            self._log_current_again(table)
             self._handle_response(table, response.ok_value, sent_s)
             return True
         if isinstance(response.err_value, feed.HistoryLost):
             self._inst.log.warning(
                 "store_history_lost", table=table.value, after=str(after)
             )
-            watch.record_history_lost()
-            return True
+            return watch.record_history_lost()
         watch.record_failure()
         self._handle_failure(table, response.err_value)
         return False
@@ -301,6 +304,55 @@
         if newest and self._role() is shared_watch.Role.WATCHER:
             self._broadcast(table, batch, now)
 
+    def _handle_outdated(
+        self, table: feed.Table, batch: feed.Batch, sent_s: float
+    ) -> bool:
+        """Handles an answer that is older than what the store has had.
+
+        It confirms nothing. Changes lead on, if not to the latest state; a
+        whole table takes back what is known, unless nothing is known yet.
+
+        Returns:
+            Whether it has been accepted as the store's state nevertheless.
+        """
+        watch = self.tables.watches[table]
+        outcome = "outdated"
+        self._inst.metrics.store_calls.labels(table.value, outcome).inc()
+        if not watch.outdated_count:
+            self._log_outdated(table, batch)
+        if watch.record_outdated(boottime.now()):
+            self.tables.accept_outdated()
+            self._log_current_again(table, accepted=True)
+            self._handle_response(table, batch, sent_s)
+            return True
+        starting = self.tables.as_of(table) is None
+        if starting or not batch.is_snapshot:
+            part = dataclasses.replace(batch, complete=False)
+            self.tables.apply_answer(table, part, sent_s, boottime.now())
+        return False
+
+    def _log_outdated(self, table: feed.Table, batch: feed.Batch) -> None:
+        self._inst.log.warning(
+            "store_answer_outdated",
+            table=table.value,
+            whole=batch.is_snapshot,
+            era=batch.position.era,
+            revision=batch.position.revision,
+            known=str(self.tables.latest_position(batch.began_s)),
+        )
+
+    def _log_current_again(
+        self, table: feed.Table, *, accepted: bool = False
+    ) -> None:
+        count = self.tables.watches[table].take_outdated_count()
+        if count:
+            self._inst.log.instance(
+                "store_answer_current",
+                table=table.value,
+                outdated=count,
+                accepted=accepted,
+            )
+
     def _log_catalog_answer(
         self,
         after: position_module.Position | None,
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -23,6 +23,8 @@
 _SERVERS = feed.Table.SERVERS
 _Verdict = shared_watch.Verdict
 _Source = instance_module.ListSource
+# No call lasts longer, including the attempts to read a list by pages.
+_POSITIONS_KNOWN_S = 30.0
 
 
 class Tables:
@@ -42,6 +44,7 @@
         self.watches = {table: table_watch.TableWatch() for table in feed.Table}
         self.operators = operator_state.OperatorState(inst=inst)
         self.servers = server_list.ServerList(inst=inst)
+        self._seen = position_module.SeenPositions(known_s=_POSITIONS_KNOWN_S)
         self._as_of: dict[feed.Table, table_snapshot.AsOf] = {}
         self._missing: dict[feed.Table, table_snapshot.MinimumVersion] = {}
 
@@ -63,6 +66,22 @@
             return None
         return missing
 
+    def is_outdated(self, batch: feed.Batch) -> bool:
+        """Tells whether the store had a later state when it was asked.
+
+        Incomplete answers name the position up to which they are complete.
+        """
+        latest = self.latest_position(batch.began_s)
+        return batch.complete and latest is not None and batch.position < latest
+
+    def latest_position(self, at_s: float) -> position_module.Position | None:
+        """Returns the latest position of the store known at a time, if any."""
+        return self._seen.latest_at(at_s)
+
+    def accept_outdated(self) -> None:
+        """Accepts that the store has an older state than it once had."""
+        self._seen.reset()
+
     def apply_answer(
         self, table: feed.Table, batch: feed.Batch, sent_s: float, now: float
     ) -> bool:
@@ -238,6 +257,7 @@
         now: float,
         source: instance_module.ListSource,
     ) -> None:
+        self._seen.record(position, now)
         known = self._as_of.get(table)
         if known is not None and known.position > position:
             return
--- a/irisshelf/observe/request_trace.py
+++ b/irisshelf/observe/request_trace.py
@@ -27,6 +27,8 @@
         "store_lost",
         "store_regained",
         "store_history_lost",
+        "store_answer_outdated",
+        "store_answer_current",
         "store_outage_assessed",
         "servers_changed",
         "server_entries_contradicting",
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -92,6 +92,7 @@
     Attributes:
         lagging: What a replica that lags has; it answers all calls for whole
             tables. None if there is no such replica.
+        busy_tables: Tables for which all calls are turned away.
     """
 
     def __init__(self, *, port: int = 0):
@@ -116,6 +117,7 @@
         self.slow_s = 0.3
         self.calls = 0
         self.lagging: Copy | None = None
+        self.busy_tables: set[str] = set()
         self._ports: list[Port] = []
 
     @property
@@ -170,13 +172,18 @@
             history={name: list(rows) for name, rows in self._history.items()},
         )
 
-    def come_back_from(self, copy: Copy) -> None:
-        """Loses what was accepted since a copy was made, and begins an era."""
+    def come_back_from(self, copy: Copy, *, same_era: bool = False) -> None:
+        """Loses what was accepted since a copy was made, and begins an era.
+
+        Args:
+            copy: The copy.
+            same_era: Whether the store does not tell that it came back.
+        """
         self._ver = copy.ver
         self._tables = {n: dict(rows) for n, rows in copy.tables.items()}
         self._history = {n: list(rows) for n, rows in copy.history.items()}
         self._forgotten = min(self._forgotten, copy.ver)
-        self._era += 1
+        self._era += not same_era
         self._wake()
 
     def _write(self, table: str, key: str, value: Any, *, deleted: bool) -> int:
@@ -217,7 +224,9 @@
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         hold_ms = int(fields.get("waitMs", 0))
         self.asked.append((fields.get("table", ""), hold_ms))
-        if path == "/api/rows-get":
+        if fields.get("table") in self.busy_tables:
+            self._answer(port, conn, 503, {})
+        elif path == "/api/rows-get":
             self._answer(port, conn, 200, self._page(fields))
         elif path == "/api/rows-feed":
             self._feed(port, conn, fields, hold_ms)
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -166,8 +166,9 @@
             pages.add(read.ok_value)
             if pages.complete:
                 del self._begun[table]
+                batch = _batch(table, pages.first, pages.rows, whole=True)
                 return result.Ok(
-                    _batch(table, pages.first, pages.rows, whole=True)
+                    dataclasses.replace(batch, began_s=pages.began_s)
                 )
         return result.Err(feed.Unavailable(detail="the list has no end"))
 
@@ -184,6 +185,7 @@
             "afterRevision": after.revision,
             "waitMs": int(wait_s * _MS),
         }
+        began_s = boottime.now()
         read = self._call(table, "rows-feed", query, wait_s)
         if isinstance(read, result.Err):
             return read
@@ -191,7 +193,8 @@
             # What it tells comes after a revision of another history.
             return result.Err(feed.HistoryLost())
         rows = read.ok_value.answer.rows
-        return result.Ok(_batch(table, read.ok_value, rows, whole=False))
+        batch = _batch(table, read.ok_value, rows, whole=False)
+        return result.Ok(dataclasses.replace(batch, began_s=began_s))
 
     def decode(self, raw: bytes) -> feed.DecodedRow:
         """See ``feed.Feed.decode``."""
--- a/irisshelf/store/feed.py
+++ b/irisshelf/store/feed.py
@@ -9,6 +9,7 @@
 import abc
 import dataclasses
 import enum
+import math
 from typing import Generic
 from typing import TypeVar
 
@@ -60,6 +61,8 @@
         items: The rows.
         position: The position after which to request the next changes.
         store_s: The store's monotonic clock when it answered.
+        began_s: When the call was made, or the call for the first page, in
+            monotonic seconds of this instance; minus infinity if not known.
         is_snapshot: Whether ``items`` holds all rows of the table.
         complete: Whether ``items`` holds all changes up to ``store_s``. If
             not, the store truncated the answer, and further changes follow
@@ -73,6 +76,7 @@
     position: position_module.Position
     store_s: float
     is_snapshot: bool
+    began_s: float = -math.inf
     complete: bool = True
     size_bytes: int = 0
     transfer_s: float = 0.0
