Follow the server list while the configuration cannot be read

A server that left was not known as leaving for as long as reads of the configuration failed, and entries that were gone were kept: the list waited for the configuration's recovery, and the end of the grace period with it. A long configuration may fail to arrive over a narrow link while the list would be answered.

--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -105,7 +105,7 @@
         failures = 0
         while True:
             if table is not feed.Table.CATALOG:
-                self._up.wait()
+                self._up.wait(store_timing.list_wait_s(self._inst.cfg.bounds))
             self._wait_until_due(table)
             seen = self.change_counts[table]
             self._updated[table].clear()
--- a/irisshelf/gateway/knowledge/store_timing.py
+++ b/irisshelf/gateway/knowledge/store_timing.py
@@ -40,6 +40,8 @@
 # Share of the time for which a leaving server still accepts requests; the rest
 # is for the response's transit and for requests sent just before it arrives.
 _COALESCE_LEAVING_SHARE = 0.5
+# Share of that time for which polls for the list wait for the configuration.
+_LIST_WAIT_LEAVING_SHARE = 0.4
 # A watcher polls for a whole data centre, so that its polls may be frequent.
 _COALESCE_WATCHER_S = 0.3
 # A reader's poll for a new configuration transfers the whole document, and
@@ -67,6 +69,15 @@
     return min(limit_s, _MAX_LONG_POLL_S)
 
 
+def list_wait_s(bounds: settings.Bounds) -> float:
+    """Returns how long the list waits for the configuration, in seconds.
+
+    In an outage, polls for one table show when the store has recovered. But the
+    configuration may also fail to arrive because it is long.
+    """
+    return _LIST_WAIT_LEAVING_SHARE * bounds.server_leaving_ms / 1000
+
+
 def max_gap_s(bounds: settings.Bounds) -> float:
     """Returns the longest time between answers of a store that is not away."""
     return long_poll_s(feed.Table.CATALOG, bounds) + _ANSWER_MARGIN_S
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -347,3 +347,28 @@
     gevent.sleep(bound_s + 0.6)
     listed = world.inst.directory.get(leaver.server_id)
     assert listed.state is directory.ServerState.LEAVING
+
+
+def test_the_list_is_followed_while_the_configuration_cannot_be_read(world):
+    """Guards against a list that waits for the configuration.
+
+    A long configuration may fail to arrive over a narrow link time and again,
+    while calls for the list would be answered.
+    """
+    world.store.busy_tables.add("op")
+    world.wait(lambda: not _store_up(world))
+    bound_s = world.inst.cfg.bounds.server_leaving_ms / 1000
+    leaver, gone = world.plain
+    for one, entry in ((leaver, leaver.entry("draining")), (gone, None)):
+        if entry is None:
+            world.store.drop("servers", one.server_id)
+        else:
+            world.store.put("servers", one.server_id, entry)
+    calls = world.store.calls
+    gevent.sleep(bound_s)
+    listed = world.inst.directory.get(leaver.server_id)
+    assert listed.state is directory.ServerState.LEAVING
+    # Both tables are polled at the pace of an outage.
+    assert world.store.calls - calls < 12
+    gevent.sleep(directory.LAPSE_GRACE_S)
+    assert world.inst.directory.get(gone.server_id) is None
