Apply the changes of one answer after an outage in their order

An entry that was written and then removed in one answer after an outage was kept for good, as its last write says: removals were applied before all writes, and a write ends the grace period. Such a server was used until its entry changed again.

test_changes_of_one_answer_after_an_outage_apply_in_order: two of four orders failed before, all pass.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -148,12 +148,7 @@
     def apply(self, changes: Iterable[Change]) -> None:
         """Applies changes received while the store was available."""
         for change in changes:
-            self._lapsed.pop(change.entry_id, None)
-            if change.server is None:
-                self._drop(change.entry_id)
-            else:
-                self._servers[change.entry_id] = change.server
-                self._departed.pop(change.server.server_id, None)
+            self._apply(change)
         self._rebuild_index()
 
     def replace(
@@ -203,14 +198,13 @@
         again. Their grace period starts when the store recovers, not when the
         removal is noticed.
         """
-        remaining = []
         for change in changes:
             known = change.entry_id in self._servers
             if change.server is None and known:
                 self._lapsed.setdefault(change.entry_id, recovered_s)
             else:
-                remaining.append(change)
-        self.apply(remaining)
+                self._apply(change)
+        self._rebuild_index()
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Drops lapsed entries after the grace period and returns their ids."""
@@ -231,6 +225,14 @@
         for name, since_s in self._lapsed.items():
             self._lapsed[name] = min(since_s, recovered_s)
 
+    def _apply(self, change: Change) -> None:
+        self._lapsed.pop(change.entry_id, None)
+        if change.server is None:
+            self._drop(change.entry_id)
+        else:
+            self._servers[change.entry_id] = change.server
+            self._departed.pop(change.server.server_id, None)
+
     def _has_departed(self, server: BackendServer) -> bool:
         return server.server_id in self._departed
 
--- a/irisshelf/tests/test_contradicted_leaving.py
+++ b/irisshelf/tests/test_contradicted_leaving.py
@@ -193,6 +193,38 @@
     assert _count_arrivals(world, leaving, target, entry=place) == 0
 
 
+@pytest.mark.parametrize(
+    ("events", "lapsed"),
+    [
+        pytest.param(("write", "remove"), True, id="written-and-removed"),
+        pytest.param(("remove", "write"), False, id="removed-and-written"),
+        pytest.param(("write", "remove", "write"), False, id="written-last"),
+        pytest.param(("remove", "write", "remove"), True, id="removed-last"),
+    ],
+)
+def test_changes_of_one_answer_after_an_outage_apply_in_order(events, lapsed):
+    """Guards against an entry kept for good as its removal came in one answer.
+
+    The write was applied after the removal, so that the entry had no end.
+    """
+    server = directory.BackendServer(
+        server_id="i-1",
+        service="crew",
+        address="10.0.0.1:80",
+        data_centre="a",
+        slots=4,
+    )
+    write = directory.Change(entry_id="i-1", server=server)
+    remove = directory.Change(entry_id="i-1", server=None)
+    listed = directory.Directory()
+    listed.apply([write])
+    changes = [write if event == "write" else remove for event in events]
+    listed.apply_after_outage(changes, recovered_s=10.0)
+    assert listed.get("i-1") is server
+    listed.expire(10.1 + directory.LAPSE_GRACE_S)
+    assert (listed.get("i-1") is None) is lapsed
+
+
 @pytest.mark.parametrize("target", _KINDS)
 @pytest.mark.parametrize("born_ms", [None, _BORN_MS])
 def test_entries_that_lapsed_in_an_outage_are_used_again(
