Ignore entries of a server that are older than known ones of it

An entry that the store writes late could put an incarnation's past in force: how long it is cold, its slots, or the incarnation before the one that runs, with all that was known of the present one lost. Of two entries of one incarnation the one with the lower number is older, and an incarnation that another has replaced does not come back. Entries without a start time cannot be told from the next incarnation's and are applied as before; that they leave stays known.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -6,7 +6,9 @@
 empty cache and no history, and which ends the previous one. Incarnations are
 ordered only by the order in which the store accepted their entries: wall-clock
 time may jump between two starts, so that a later incarnation may have an
-earlier start time.
+earlier start time. Writes that the store does late are the exception: an
+incarnation that another one has replaced does not come back, and of two entries
+of one incarnation that one is older that has the lower ``sequence``.
 
 A server whose entry is removed has left and is dropped at once. The only
 exception is an outage of the store, during which entries of live servers also
@@ -120,6 +122,10 @@
         self._departed: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
+        # Incarnations that others under the same ids have replaced.
+        self._replaced: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def get(self, entry_id: str) -> BackendServer | None:
         """Returns the incarnation listed under an entry id."""
@@ -145,6 +151,30 @@
         """Returns the listed servers of a service, including leaving ones."""
         return self._by_service.get(service, ())
 
+    def outdated(self, changes: Iterable[Change]) -> tuple[Change, ...]:
+        """Returns those of some changes that are older than what is known.
+
+        Only entries with a start time can be told from those of the next
+        incarnation.
+
+        Args:
+            changes: Changes in the order of the store, not applied yet.
+        """
+        latest: dict[str, BackendServer | None] = {}
+        found = []
+        for change in changes:
+            server = change.server
+            known = latest.get(
+                change.entry_id, self._servers.get(change.entry_id)
+            )
+            if server is not None and self._is_outdated(server, known):
+                found.append(change)
+                continue
+            latest[change.entry_id] = server
+            if known is not None and server is not None:
+                self._record_replaced(known, server)
+        return tuple(found)
+
     def apply(self, changes: Iterable[Change]) -> None:
         """Applies changes received while the store was available."""
         for change in changes:
@@ -225,6 +255,28 @@
         for name, since_s in self._lapsed.items():
             self._lapsed[name] = min(since_s, recovered_s)
 
+    def _is_outdated(
+        self, server: BackendServer, known: BackendServer | None
+    ) -> bool:
+        if server.server_id in self._replaced:
+            return True
+        return (
+            known is not None
+            and known.server_id == server.server_id
+            and server.born_ms is not None
+            and None not in (known.sequence, server.sequence)
+            and server.sequence < known.sequence
+        )
+
+    def _record_replaced(
+        self, known: BackendServer, server: BackendServer
+    ) -> None:
+        if known.born_ms is None or known.server_id == server.server_id:
+            return
+        self._replaced[known.server_id] = None
+        while len(self._replaced) > _MAX_DEPARTED:
+            self._replaced.popitem(last=False)
+
     def _apply(self, change: Change) -> None:
         self._lapsed.pop(change.entry_id, None)
         if change.server is None:
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -96,6 +96,8 @@
         now: float,
     ) -> None:
         """Applies changes that follow the known position."""
+        outdated = self._outdated(changes, position, whole=False)
+        changes = tuple(c for c in changes if c not in outdated)
         if self._after_outage(now):
             self._inst.directory.apply_after_outage(
                 changes, recovered_s=self._recovery_s(now)
@@ -138,6 +140,12 @@
         now: float,
         restored: frozenset[str],
     ) -> None:
+        outdated = self._outdated(entries, position, whole=True)
+        entries = tuple(c for c in entries if c not in outdated) + tuple(
+            directory.Change(entry_id=c.entry_id, server=known)
+            for c in outdated
+            if (known := self._inst.directory.get(c.entry_id)) is not None
+        )
         self._position = position
         self._inst.directory.replace(
             [entry.server for entry in entries if entry.server],
@@ -198,6 +206,32 @@
         """Returns when the store recovered; now if it has not yet."""
         return now if self._store_down else self._recovered_s
 
+    def _outdated(
+        self,
+        changes: tuple[directory.Change, ...],
+        position: position_module.Position,
+        *,
+        whole: bool,
+    ) -> tuple[directory.Change, ...]:
+        """Returns the entries that are older than known ones; logs them."""
+        outdated = self._inst.directory.outdated(changes)
+        if outdated:
+            self._inst.metrics.server_entries.labels("outdated").inc(
+                len(outdated)
+            )
+            self._inst.log.warning(
+                "server_entries_outdated",
+                era=position.era,
+                revision=position.revision,
+                whole=whole,
+                count=len(outdated),
+                changes=[
+                    _describe(change)
+                    for change in outdated[:_MAX_LOGGED_PROBLEMS]
+                ],
+            )
+        return outdated
+
     def _update_from_entries(
         self,
         changes: Iterable[directory.Change],
--- a/irisshelf/observe/request_trace.py
+++ b/irisshelf/observe/request_trace.py
@@ -33,6 +33,7 @@
         "servers_changed",
         "server_entries_contradicting",
         "server_entries_lapsed",
+        "server_entries_outdated",
         "lapsed_servers_gone",
         "server_rests",
         "server_accepts_nothing",
@@ -47,6 +48,7 @@
         "servers_changed",
         "server_entries_contradicting",
         "server_entries_lapsed",
+        "server_entries_outdated",
     }
 )
 
--- a/irisshelf/tests/test_request_trace.py
+++ b/irisshelf/tests/test_request_trace.py
@@ -19,6 +19,7 @@
         "servers_changed",
         "server_entries_contradicting",
         "server_entries_lapsed",
+        "server_entries_outdated",
     ],
 )
 @pytest.mark.parametrize(
--- a/irisshelf/tests/test_server_restarts.py
+++ b/irisshelf/tests/test_server_restarts.py
@@ -9,17 +9,22 @@
 wrong times. Requests at the old incarnation would wait in vain.
 """
 
+import dataclasses
+
 import gevent
 import pytest
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import position
 from irisshelf.coordination import facts
 from irisshelf.gateway import messages
+from irisshelf.gateway.knowledge import server_list
 from irisshelf.gateway.servers import connection_pool as connection_pool_module
 from irisshelf.platform import documents
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.routing.direct import prompt
 from irisshelf.routing.direct import server_stats
+from irisshelf.store import feed
 
 _BORN_MS = 1_786_503_869_131
 _PROMPT = prompt.Prompt(
@@ -296,3 +301,88 @@
     for number in range(3):
         world.ask(f"/valve/{number}")
     assert not pool._in_use
+
+
+def _entry(born_ms, sequence, **changed):
+    server = dataclasses.replace(
+        _incarnation(born_ms), sequence=sequence, **changed
+    )
+    return directory.Change(entry_id="i-1", server=server)
+
+
+_GONE = directory.Change(entry_id="i-1", server=None)
+_NEXT_MS = _BORN_MS + 9000
+
+
+@pytest.mark.parametrize("at_once", [False, True])
+@pytest.mark.parametrize(
+    ("changes", "outdated"),
+    [
+        pytest.param([(_BORN_MS, 5), (_BORN_MS, 6)], [], id="in-order"),
+        pytest.param([(_BORN_MS, 5), (_BORN_MS, 5)], [], id="same-number"),
+        pytest.param([(_BORN_MS, 6), (_BORN_MS, 5)], [1], id="late"),
+        pytest.param([(_BORN_MS, 6), (_BORN_MS, None)], [], id="no-number"),
+        pytest.param([(None, 6), (None, 5)], [], id="no-start-time"),
+        pytest.param([(_BORN_MS, 6), (_NEXT_MS, 1)], [], id="restarted"),
+        pytest.param(
+            [(_NEXT_MS, 6), (_BORN_MS, 1)], [], id="restarted-clock-set-back"
+        ),
+        pytest.param(
+            [(_BORN_MS, 6), (_NEXT_MS, 1), (_BORN_MS, 7)],
+            [2],
+            id="replaced-incarnation-late",
+        ),
+        pytest.param(
+            [(_BORN_MS, 6), (_NEXT_MS, 1), None, (_BORN_MS, 7)],
+            [3],
+            id="replaced-incarnation-after-the-end-of-the-next",
+        ),
+        pytest.param(
+            [(_BORN_MS, 6), None, (_BORN_MS, 9)], [], id="lapsed-and-back"
+        ),
+        pytest.param(
+            [(None, 6), (_BORN_MS, 1), (None, 7)], [], id="start-time-dropped"
+        ),
+    ],
+)
+def test_entries_older_than_known_ones(changes, outdated, at_once):
+    """Guards against a late write that puts an incarnation's past in force."""
+    listed = directory.Directory()
+    events = [_GONE if c is None else _entry(*c) for c in changes]
+    if at_once:
+        found = listed.outdated(events)
+    else:
+        found = []
+        for event in events:
+            found += listed.outdated([event])
+            if event not in found:
+                listed.apply([event])
+    assert list(found) == [events[index] for index in outdated]
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_late_entry_does_not_change_how_long_a_server_is_cold(world, whole):
+    """Guards against too many requests to a server that turned cold again."""
+    listed = server_list.ServerList(inst=world.inst)
+    cold = _entry(_BORN_MS, 6, cold_s=50.0)
+    listed.apply_changes((cold,), _at(10**8), world.inst.now())
+    late = feed.DecodedRow(key="i-1", value=_entry(_BORN_MS, 5).server)
+    others = [
+        feed.DecodedRow(key=one.entry_id, value=one)
+        for one in world.inst.directory.servers()
+        if one.entry_id != "i-1"
+    ]
+    rows = (late, *others) if whole else (late,)
+    batch = feed.Batch(
+        items=rows, position=_at(10**9), store_s=0.0, is_snapshot=whole
+    )
+    listed.apply_batch(batch, world.inst.now())
+    remaining_s = world.inst.eligible.cold.remaining_s(
+        cold.server.server_id, world.inst.now()
+    )
+    assert remaining_s > 40
+    assert len(world.inst.directory.servers()) == len(others) + 1
+
+
+def _at(revision):
+    return position.Position(era=0, revision=revision)
