Order reports of crashes and successes by when they happened

A success that another instance reported late, or sent once more, cleared crashes that had happened after it, and crashes reported once more after a success made a cleared request suspect again: three servers could end more than once under one request. Messages carry their age, which was used for crashes only.

A success clears the crashes before it, and a crash before the latest success does not count. Three orders in test_crash_suspects.py have no counterpart before: record_success had no time.

--- a/irisshelf/gateway/knowledge/crash_gossip.py
+++ b/irisshelf/gateway/knowledge/crash_gossip.py
@@ -136,10 +136,10 @@
             self._crashes.merge_crash(fingerprint, crash)
 
     def _apply(self, message: _Message) -> None:
+        at_s = boottime.now() - message.age_ms / 1000
         if message.server_key is None:
-            self._crashes.receive_clear(message.fingerprint)
+            self._crashes.receive_clear(message.fingerprint, at_s)
             return
-        at_s = boottime.now() - message.age_ms / 1000
         crash = crash_suspects.ServerCrash(
             server_key=message.server_key, at_s=at_s
         )
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -165,7 +165,7 @@
         if not self._may_be_suspect(job):
             return
         fingerprint = _fingerprint(job)
-        if self._clear(fingerprint, job.head.request_id):
+        if self._clear(fingerprint, job.head.request_id, self._now()):
             self.on_clear(fingerprint)
 
     def record_refusal(
@@ -198,9 +198,14 @@
         if self.has_exited(server):
             self._apply_reported_crash(fingerprint, crash, server.server_id)
 
-    def receive_clear(self, fingerprint: bytes) -> None:
-        """Applies that another instance has seen the request succeed."""
-        self._clear(fingerprint, "")
+    def receive_clear(self, fingerprint: bytes, at_s: float) -> None:
+        """Applies that another instance has seen the request succeed.
+
+        Args:
+            fingerprint: The request fingerprint.
+            at_s: When, on the clock of this instance.
+        """
+        self._clear(fingerprint, "", at_s)
 
     def merge_crash(
         self, fingerprint: bytes, crash: crash_suspects.ServerCrash
@@ -303,8 +308,8 @@
         )
         return True
 
-    def _clear(self, fingerprint: bytes, request: str) -> bool:
-        if not self.suspects.record_success(fingerprint):
+    def _clear(self, fingerprint: bytes, request: str, at_s: float) -> bool:
+        if not self.suspects.record_success(fingerprint, at_s):
             return False
         self._metrics.crashes.labels("cleared").inc()
         self._log.instance(
--- a/irisshelf/routing/crash_suspects.py
+++ b/irisshelf/routing/crash_suspects.py
@@ -9,7 +9,9 @@
 one is the cause. Only requests for which no part of a response had arrived are
 suspected, since this holds for the cause and for few others. A successful
 response clears a fingerprint, so that a request that many callers repeat is not
-blamed for servers that exit for other reasons.
+blamed for servers that exit for other reasons. Reports of other instances
+arrive late and repeatedly: a response clears the crashes before it only, and a
+crash before it does not count any more.
 
 Stages of a fingerprint:
 
@@ -27,6 +29,7 @@
 import dataclasses
 import enum
 import hashlib
+import math
 from collections.abc import Collection
 from collections.abc import Sequence
 
@@ -137,6 +140,8 @@
         # Ordered by last change, oldest first.
         self._crashes: dict[bytes, tuple[ServerCrash, ...]] = {}
         self._prefix_counts: collections.Counter[bytes] = collections.Counter()
+        # When each cleared fingerprint had its latest successful response.
+        self._succeeded_s: dict[bytes, float] = {}
 
     def __bool__(self) -> bool:
         """Whether any fingerprint is not clear.
@@ -156,20 +161,42 @@
         Returns:
             Whether the crash is new.
         """
+        if crash.at_s <= self._succeeded_s.get(fingerprint, -math.inf):
+            return False
         known = self._unexpired(fingerprint, now)
         old = now - crash.at_s >= _FORGET_AFTER_S
         if old or any(_is_same_crash(crash, other) for other in known):
             return False
         self._drop(fingerprint)
         latest = sorted((*known, crash), key=lambda e: e.at_s)
-        self._crashes[fingerprint] = tuple(latest[-CRASHES_TO_BAR:])
-        self._prefix_counts[fingerprint[:_DIGEST_BYTES]] += 1
+        self._add(fingerprint, tuple(latest[-CRASHES_TO_BAR:]))
         self._evict()
         return True
 
-    def record_success(self, fingerprint: bytes) -> bool:
-        """Records a successful response; returns whether an entry existed."""
-        return self._drop(fingerprint)
+    def record_success(self, fingerprint: bytes, at_s: float) -> bool:
+        """Records a successful response.
+
+        Args:
+            fingerprint: The request fingerprint.
+            at_s: When it was received, on the clock of this instance.
+
+        Returns:
+            Whether it clears any crash.
+        """
+        crashes = self._crashes.get(fingerprint, ())
+        if not crashes:
+            return False
+        known_s = self._succeeded_s.pop(fingerprint, -math.inf)
+        self._succeeded_s[fingerprint] = max(known_s, at_s)
+        if len(self._succeeded_s) > self._max_entries:
+            del self._succeeded_s[next(iter(self._succeeded_s))]
+        later = tuple(crash for crash in crashes if crash.at_s > at_s)
+        if len(later) == len(crashes):
+            return False
+        self._drop(fingerprint)
+        if later:
+            self._add(fingerprint, later)
+        return True
 
     def has_prefix(self, prefix: bytes) -> bool:
         """Tells whether any recorded fingerprint starts with a prefix."""
@@ -204,6 +231,12 @@
             return crashes
         return ()
 
+    def _add(
+        self, fingerprint: bytes, crashes: tuple[ServerCrash, ...]
+    ) -> None:
+        self._crashes[fingerprint] = crashes
+        self._prefix_counts[fingerprint[:_DIGEST_BYTES]] += 1
+
     def _evict(self) -> None:
         """Evicts entries with the fewest crashes, the oldest of these first."""
         while len(self._crashes) > self._max_entries:
--- a/irisshelf/tests/test_crash_suspects.py
+++ b/irisshelf/tests/test_crash_suspects.py
@@ -20,7 +20,7 @@
     suspects = crash_suspects.CrashSuspects()
     for server, at_s in events:
         if server is None:
-            suspects.record_success(_FINGERPRINT)
+            suspects.record_success(_FINGERPRINT, at_s)
         else:
             crash = crash_suspects.ServerCrash(server_key=server, at_s=at_s)
             suspects.record_crash(_FINGERPRINT, crash, at_s)
@@ -66,6 +66,24 @@
             _CLEAR,
             id="success-after-crashes",
         ),
+        pytest.param(
+            [(b"1", 0), (b"2", 1), (b"3", 2), (None, 1.5)],
+            3,
+            _SUSPECT,
+            id="success-reported-late",
+        ),
+        pytest.param(
+            [(b"1", 2), (b"2", 3), (b"3", 4), (None, 1), (None, 1)],
+            4,
+            _BARRED,
+            id="success-before-all-crashes",
+        ),
+        pytest.param(
+            [(b"1", 0), (b"2", 1), (None, 2), (b"1", 0), (b"2", 1)],
+            3,
+            _CLEAR,
+            id="crashes-reported-again-after-a-success",
+        ),
         pytest.param(
             [(b"1", 0), (b"2", 1), (b"3", 2)],
             2 + _BARRED_S,
@@ -191,7 +209,7 @@
         )
     for fingerprint, name in zip(fingerprints, ("one", "two"), strict=True):
         if name not in remaining:
-            assert suspects.record_success(fingerprint)
+            assert suspects.record_success(fingerprint, 1e9)
     prefix = crash_suspects.fingerprint_prefix("blue", "POST", "/x", 3)
     assert suspects.has_prefix(prefix) is bool(remaining)
     assert not suspects.has_prefix(
