A configuration that the store writes late does not end its confirmation

An older version that was written after a newer one of the same era made the store count as behind: with strict withdrawal of keys all callers were refused from then on, until the next version. The store has accepted the newer one, and no later version has replaced it.

The newest version of an era counts as stored.

--- a/irisshelf/gateway/knowledge/operator_state.py
+++ b/irisshelf/gateway/knowledge/operator_state.py
@@ -38,13 +38,14 @@
 
     Attributes:
         stored_version: Version of the newest configuration that the store is
-            known to have; None if not known.
+            known to have accepted in this era; None if not known.
         stored_catalog: The configuration in force in the store's format, for
             other instances; None if not known.
     """
 
     def __init__(self, *, inst: instance_module.Instance):
         self._inst = inst
+        self._era = 0
         self.stored_version: int | None = None
         self.stored_catalog: StoredCatalog | None = None
 
@@ -71,6 +72,10 @@
         """
         catalog = self._inst.catalog
         replaced = False
+        if batch.position.era > self._era:
+            self._era = batch.position.era
+            self.stored_version = None
+        known_version = self.stored_version or 0
         if batch.is_snapshot:
             self.stored_version = None
         rows = []
@@ -80,7 +85,10 @@
             elif isinstance(item.value, evacuations.Evacuation):
                 rows.append(item.value)
             elif isinstance(item.value, model.Catalog):
-                self.stored_version = item.value.version
+                # A lower one was written late: the store has accepted the known
+                # one, which no later version has replaced.
+                known_version = max(known_version, item.value.version)
+                self.stored_version = known_version
                 replaced |= self._inst.apply_catalog(item.value)
                 self._keep_stored(item)
         self._apply_evacuations(batch, rows, now)
@@ -95,6 +103,10 @@
         )
         self._inst.evacuations_changed(changed)
 
+    def forget_stored(self) -> None:
+        """Forgets what the store has accepted, after it has lost its state."""
+        self.stored_version = None
+
     def expire(self, now: float) -> None:
         """Lifts evacuations missing in a backup and not written again since."""
         changed = self._inst.evacuations.expire(now)
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -81,6 +81,7 @@
     def accept_outdated(self) -> None:
         """Accepts that the store has an older state than it once had."""
         self._seen.reset()
+        self.operators.forget_stored()
 
     def apply_answer(
         self, table: feed.Table, batch: feed.Batch, sent_s: float, now: float
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -372,3 +372,28 @@
     assert world.store.calls - calls < 12
     gevent.sleep(directory.LAPSE_GRACE_S)
     assert world.inst.directory.get(gone.server_id) is None
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_an_older_configuration_written_late_does_not_end_confirmation(
+    make_world, whole
+):
+    """Guards against refused callers: the store has accepted the newer one.
+
+    Both versions are of the same era of the store, so that it was not restored
+    from a backup in between.
+    """
+    bounds = settings.Bounds(keys_strict=True, key_withdrawn_ms=1500)
+    world = make_world(bounds=bounds)
+    world.store.put("op", "config", world_module.config(3))
+    world.wait(lambda: world.inst.catalog.version == 3)
+    world.store.put("op", "config", world_module.config(2))
+    if whole:
+        world.store.forget_history()
+        world.store.put("others", "row", {})
+    end_s = boottime.now() + 3.0
+    while boottime.now() < end_s:
+        gevent.sleep(0.05)
+        assert world.inst.keys_valid()
+    assert world.inst.catalog.version == 3
+    assert world.ask("/alarm/1").status == 200
