A backoff that another instance reports holds as long as the server has asked

Instances that had been told of a backoff sent a trial request after two seconds at the latest, in the middle of it: each of them was turned away once more. The limit was there as a report may be wrong; it is 30 s now, and the ends are spread as those of own backoffs are.

--- a/irisshelf/routing/direct/availability.py
+++ b/irisshelf/routing/direct/availability.py
@@ -7,8 +7,8 @@
 that differs between instances, so that they do not all return at once. The
 server then gets a single trial request at a time until one succeeds.
 
-A pause reported by another instance is limited to a short time, since it may be
-wrong; the server then gets a single trial request as well.
+A backoff reported by another instance holds as long, up to a limit since it may
+be wrong; the server then gets a single trial request as well.
 """
 
 from __future__ import annotations
@@ -28,8 +28,8 @@
 # If another server responds at a server's address, the address is tried again
 # after this time; the stale entry has been removed or rewritten by then.
 _ABSENT_S = 1.0
-# Upper limit of a pause that another instance reports.
-MAX_PEER_PAUSE_S = 2.0
+# Upper limit of a backoff that another instance reports.
+_MAX_PEER_BACKOFF_S = 30.0
 
 
 class Reason(enum.StrEnum):
@@ -89,8 +89,7 @@
         Returns:
             Whether the server was available before.
         """
-        jitter_s = min(_JITTER_SHARE * backoff_s, _MAX_JITTER_S)
-        until_s = now + backoff_s + self._rng.uniform(0.0, jitter_s)
+        until_s = now + backoff_s + self._jitter_s(backoff_s)
         return self._pause(server_id, Reason.BACKOFF, until_s, now)
 
     def mark_absent(self, server_id: str, now: float) -> bool:
@@ -113,7 +112,8 @@
             now: Time in seconds.
         """
         if remaining_s > 0 and server_id not in self._pauses:
-            until_s = now + min(remaining_s, MAX_PEER_PAUSE_S)
+            backoff_s = min(remaining_s, _MAX_PEER_BACKOFF_S)
+            until_s = now + backoff_s + self._jitter_s(backoff_s)
             self._pause(server_id, Reason.PEER, until_s, now)
 
     def block(self, server_id: str, now: float) -> Block | None:
@@ -172,6 +172,10 @@
             if now >= self._pauses[name].until_s:
                 del self._pauses[name]
 
+    def _jitter_s(self, backoff_s: float) -> float:
+        limit_s = min(_JITTER_SHARE * backoff_s, _MAX_JITTER_S)
+        return self._rng.uniform(0.0, limit_s)
+
     def _pause(
         self, server_id: str, reason: Reason, until_s: float, now: float
     ) -> bool:
--- a/irisshelf/tests/test_availability.py
+++ b/irisshelf/tests/test_availability.py
@@ -149,6 +149,12 @@
             None,
             id="pause-from-a-peer-is-limited",
         ),
+        pytest.param(
+            [_event(1.0, "peer_pause", 20.0)],
+            20.9,
+            _Reason.PEER,
+            id="pause-from-a-peer-lasts-as-long-as-reported",
+        ),
         pytest.param(
             [_event(1.0, "peer_pause", 3.0), _event(2.0, "backoff", 3.0)],
             4.9,
