--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 
 import gevent
 import result
@@ -16,9 +15,8 @@
 from irisshelf import boottime
 from irisshelf.catalog import position as position_module
 from irisshelf.coordination import shared_watch
-from irisshelf.coordination import store_contact
 from irisshelf.gateway import instance as instance_module
-from irisshelf.gateway.knowledge import contact_exchange
+from irisshelf.gateway.knowledge import outage_check
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.knowledge import store_timing
 from irisshelf.gateway.knowledge import store_updates
@@ -38,9 +36,6 @@
 # second.
 _PEERS_TIMEOUT_S = 0.6
 _PEERS_POLL_INTERVAL_S = 0.02
-# When other instances are asked whether the store was away, counted from the
-# moment at which this one regained it. A partition may end a little later.
-_ASK_PEERS_AFTER_S = (0.0, 0.4, 1.2)
 
 
 class Follower:
@@ -78,19 +73,13 @@
         self._updated = {table: event.Event() for table in feed.Table}
         self.change_counts = dict.fromkeys(feed.Table, 0)
         self.tables = tables_module.Tables(inst=inst)
-        self._contact = store_contact.StoreContact()
-        self._contact_exchange: contact_exchange.ContactExchange | None = None
+        self._outages = outage_check.OutageCheck(
+            inst=inst, listed=self.tables.servers, peers=peers
+        )
         self._relay: table_relay.TableRelay | None = None
         if updates is not None:
             updates.subscribe(self.apply_update)
         if peers is not None:
-            self._contact_exchange = contact_exchange.ContactExchange(
-                contact=self._contact,
-                peers=peers,
-                log=inst.log,
-                rng=inst.rng,
-                now=inst.now,
-            )
             self._relay = table_relay.TableRelay(
                 inst=inst,
                 peers=peers,
@@ -157,7 +146,7 @@
         outcome = "ok" if response.is_ok() else "failed"
         self._inst.metrics.store_calls.labels(table.value, outcome).inc()
         if isinstance(response, result.Ok):
-            self._record_contact(boottime.now())
+            self._outages.record_answer(boottime.now())
             if table is feed.Table.CATALOG:
                 self._log_catalog_answer(after, response.ok_value, sent_s)
             if self.tables.is_outdated(response.ok_value):
@@ -180,7 +169,7 @@
         as_of_s = self._inst.freshness.to_local_time(
             update.store_s, now, update.position.era
         )
-        self._record_contact(as_of_s)
+        self._outages.record_answer(as_of_s)
         verdict = self.tables.apply_update(update, as_of_s, now)
         table = update.table
         self._updated[table].set()
@@ -383,52 +372,10 @@
         if update is not None:
             self._updates.broadcast(update)
 
-    def _record_contact(self, at_s: float) -> None:
-        """Records an answer of the store, directly or by the watcher."""
-        loss = self._contact.record_answer(at_s, self._max_gap_s())
-        if self._contact.lost or not self.tables.servers.store_down:
-            return
-        self.tables.servers.on_store_regained(at_s)
-        if loss is not None and self._contact_exchange is not None:
-            gevent.spawn(self._ask_whether_store_was_away, loss)
-
-    def _ask_whether_store_was_away(self, loss: store_contact.Loss) -> None:
-        """Asks other instances until one had the store all the time."""
-        asked_after_s = 0.0
-        available_s = loss.regained_s
-        for after_s in _ASK_PEERS_AFTER_S:
-            gevent.sleep(after_s - asked_after_s)
-            asked_after_s = after_s
-            intervals = self._contact_exchange.ask()
-            available_s = min(
-                available_s,
-                store_contact.available_since_s(
-                    loss, intervals, self._max_gap_s()
-                ),
-            )
-            self.tables.servers.on_store_available_since(
-                available_s, loss.regained_s, boottime.now()
-            )
-            if available_s == -math.inf:
-                break
-        self._inst.log.instance(
-            "store_outage_assessed",
-            away=available_s > -math.inf,
-            lost_for_s=round(loss.regained_s - loss.last_answer_s, 3),
-            regained_later_s=round(loss.regained_s - available_s, 3)
-            if available_s > -math.inf
-            else None,
-            answers=len(intervals),
-        )
-
-    def _max_gap_s(self) -> float:
-        return store_timing.max_gap_s(self._inst.cfg.bounds)
-
     def _handle_failure(
         self, table: feed.Table, failure: feed.Unavailable
     ) -> None:
-        self._contact.record_failure(boottime.now())
-        self.tables.servers.on_store_lost()
+        self._outages.record_failure()
         if self._lost_s is None:
             self._lost_s = boottime.now()
             self._inst.metrics.store_up.set(0)
