Table every source of a departure against every list that contradicts it

Seven ways to hear that a server leaves (changes, whole list, relayed list, watcher's update, response, peer, key in a relayed list) against four lists that say ready, with and without a start time: 56 cases, none sends.

--- a/irisshelf/tests/test_contradicted_leaving.py
+++ b/irisshelf/tests/test_contradicted_leaving.py
@@ -7,11 +7,19 @@
 been cut off from the store. Each test brings about one of these.
 """
 
+import dataclasses
+
 import gevent
 import pytest
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import position
+from irisshelf.coordination import facts
+from irisshelf.coordination import shared_watch
+from irisshelf.gateway import messages
+from irisshelf.gateway.knowledge import table_snapshot
 from irisshelf.platform.stand_in import store as store_module
+from irisshelf.store import feed
 
 _KINDS = [
     pytest.param("/query/1", id="stream-once"),
@@ -251,3 +259,105 @@
     one.born_ms, one.sequence = _BORN_MS + 9000, 0
     _write(world, one, "ready")
     assert _count_arrivals(world, one, target) == _REQUESTS
+
+
+# Every way in which an instance hears of a server. Each takes the world, the
+# server as it is described, and a position later than those before.
+
+
+def _by_changes(world, server, at):
+    row = feed.DecodedRow(key=server.entry_id, value=server)
+    batch = feed.Batch(
+        items=(row,), position=at, store_s=1.0, is_snapshot=False
+    )
+    now = world.inst.now()
+    world.follower.tables.apply_answer(feed.Table.SERVERS, batch, now, now)
+
+
+def _whole_list(world, server, at):
+    servers = [
+        server if one.entry_id == server.entry_id else one
+        for one in world.inst.directory.servers()
+    ]
+    return feed.Batch(
+        items=tuple(
+            feed.DecodedRow(key=one.entry_id, value=one) for one in servers
+        ),
+        position=at,
+        store_s=1.0,
+        is_snapshot=True,
+    )
+
+
+def _by_whole_list(world, server, at):
+    now = world.inst.now()
+    world.follower.tables.apply_answer(
+        feed.Table.SERVERS, _whole_list(world, server, at), now, now
+    )
+
+
+def _by_relay(world, server, at):
+    now = world.inst.now()
+    snapshot = table_snapshot.RelayedSnapshot(
+        batch=_whole_list(world, server, at), sent_s=now, clock_s=now
+    )
+    world.follower.tables.apply_snapshot(feed.Table.SERVERS, snapshot, now)
+
+
+def _by_update(world, server, at):
+    update = shared_watch.ServersUpdate(
+        store_s=1.0,
+        since=world.follower.tables.watches[feed.Table.SERVERS].position,
+        position=at,
+        changes=(directory.Change(entry_id=server.entry_id, server=server),),
+    )
+    world.follower.apply_update(update)
+
+
+def _by_response(world, server, at):
+    report = messages.ServerReport(leaving=True)
+    world.inst.servers.reports.handle(server, report, "r1")
+
+
+def _by_peer(world, server, at):
+    key = directory.short_id(server.server_id)
+    world.inst.servers.apply_fact(facts.ServerLeaving(server=key))
+
+
+def _by_relayed_key(world, server, at):
+    ready = dataclasses.replace(server, state=directory.ServerState.READY)
+    now = world.inst.now()
+    snapshot = table_snapshot.RelayedSnapshot(
+        batch=_whole_list(world, ready, at),
+        sent_s=now,
+        clock_s=now,
+        leaving=(directory.short_id(server.server_id),),
+    )
+    world.follower.tables.apply_snapshot(feed.Table.SERVERS, snapshot, now)
+
+
+_LISTS = [_by_changes, _by_whole_list, _by_relay, _by_update]
+
+
+@pytest.mark.parametrize("born_ms", [None, _BORN_MS])
+@pytest.mark.parametrize(
+    "announce", [*_LISTS, _by_response, _by_peer, _by_relayed_key]
+)
+@pytest.mark.parametrize("contradict", _LISTS)
+def test_no_source_takes_back_what_another_has_announced(
+    world, announce, contradict, born_ms
+):
+    one = world.plain[0]
+    one.born_ms = born_ms
+    _write(world, one, "ready")
+    for greenlet in world.entries[0]._greenlets:
+        greenlet.kill()
+    ready = world.inst.directory.get(one.server_id)
+    leaving = dataclasses.replace(ready, state=directory.ServerState.LEAVING)
+    assert ready in world.inst.eligible.accepting("crew")
+    announce(world, leaving, position.Position(era=0, revision=1000))
+    contradict(world, ready, position.Position(era=0, revision=2000))
+    listed = world.inst.directory.get(one.server_id)
+    assert listed.state is directory.ServerState.READY
+    assert not world.inst.eligible.accepts(listed)
+    assert listed not in world.inst.eligible.accepting("crew")
