--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -51,6 +51,10 @@
     ]
 
 
+def _lagged(from_s, to_s):
+    return (checker.Span(target=0, from_s=from_s, to_s=to_s),)
+
+
 def _check(asked, ran, **more):
     record = checker.Record(
         **{
@@ -132,6 +136,41 @@
         pytest.param(
             _asked(), [_ran()], {"left": {"s1": 98.0}}, None, id="leaving"
         ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"left": {"s1": 90.0}, "lagged": _lagged(95.0, 105.0)},
+            _PROMISE.LEFT,
+            id="left-before-the-list-lagged",
+        ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"left": {"s1": 96.0}, "lagged": _lagged(95.0, 105.0)},
+            None,
+            id="left-while-the-list-lagged",
+        ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"left": {"s1": 94.0}, "lagged": _lagged(95.0, 105.0)},
+            None,
+            id="left-just-before-the-list-lagged",
+        ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"left": {"s1": 93.0}, "lagged": _lagged(92.0, 99.0)},
+            _PROMISE.LEFT,
+            id="used-after-the-list-lagged",
+        ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"left": {"s1": 97.0}, "lagged": _lagged(90.0, 95.0)},
+            _PROMISE.LEFT,
+            id="left-after-the-list-lagged",
+        ),
         pytest.param(
             _asked(),
             [_ran()],
@@ -282,9 +321,18 @@
         (
             plan.FURTHER_FROM,
             10,
-            tuple(k for k in plan.Kind if k not in plan.REPORT_KINDS),
+            tuple(
+                k
+                for k in plan.Kind
+                if k not in (*plan.REPORT_KINDS, *plan.OUTDATED_KINDS)
+            ),
+        ),
+        (
+            plan.REPORTS_FROM,
+            10,
+            tuple(k for k in plan.Kind if k not in plan.OUTDATED_KINDS),
         ),
-        (plan.REPORTS_FROM, 10, tuple(plan.Kind)),
+        (plan.OUTDATED_FROM, 10, tuple(plan.Kind)),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -165,6 +165,8 @@
         cold: Spans in which a server was cold.
         unlisted: Spans in which the store lacked what it had lost.
         arrived: Requests that reached servers.
+        lagged: Spans in which the store's list lagged. What servers announced
+            before them stays known.
     """
 
     asked: tuple[Asked, ...]
@@ -179,6 +181,7 @@
     cold: tuple[Span, ...] = ()
     unlisted: tuple[Span, ...] = ()
     arrived: tuple[Arrived, ...] = ()
+    lagged: tuple[Span, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -381,7 +384,15 @@
     late = []
     for ran in runs:
         left_s = record.left.get(ran.server_id)
-        if left_s is not None and asked.sent_s > left_s + bounds.left_s:
+        if left_s is None or asked.sent_s <= left_s + bounds.left_s:
+            continue
+        unknown = any(
+            span.from_s < left_s + bounds.left_s
+            and left_s < span.to_s
+            and asked.sent_s < span.to_s
+            for span in record.lagged
+        )
+        if not unknown:
             late.append((Promise.LEFT, f"at {ran.server_id}"))
     return late
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -67,6 +67,7 @@
         evacuated: Spans in which the far data centre was evacuated.
         cold: Spans in which a server, by its number, was cold.
         unlisted: Spans in which the store lacked what it had lost.
+        lagged: Spans in which the store's list lagged.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         self.evacuated: list[checker.Span] = []
         self.cold: list[checker.Span] = []
         self.unlisted: list[checker.Span] = []
+        self.lagged: list[checker.Span] = []
         self._cold_until_s: dict[int, float] = {}
 
     def prepare(self) -> None:
@@ -140,6 +142,11 @@
             plan.Kind.SERVER_COLD: lambda: gevent.spawn(self._cool, fault),
             plan.Kind.SERVER_SAYS_LEAVING: lambda: self._say_leaving(fault),
             plan.Kind.SERVER_RESTS: lambda: self._rest(fault),
+            plan.Kind.LATE_ENTRY: lambda: self._write_late(fault),
+            plan.Kind.STORE_LAGS: lambda: self._lag(fault),
+            plan.Kind.GONE_WHILE_CUT_OFF: lambda: gevent.spawn(
+                self._remove_unseen, fault
+            ),
         }
         actions[fault.kind]()
         self._note(fault)
@@ -191,6 +198,7 @@
             plan.Kind.SLEEP,
             plan.Kind.STORE_LINK,
             plan.Kind.CALLER_LINK,
+            plan.Kind.GONE_WHILE_CUT_OFF,
         )
         everywhere = everywhere or fault.kind is plan.Kind.SERVER_MUTE
         own = own or fault.kind is plan.Kind.STORE_MUTE
@@ -321,14 +329,56 @@
         """A server leaves, and another life of it comes."""
         number = fault.target
         one = self._servers[number]
-        if one.server_id in self.left:
-            return
-        same = [s for s in self._servers if s.service == one.service]
-        if sum(s.server_id not in self.left for s in same) < 3:
+        if one.server_id in self.left or not self._spare(number):
             return
         self._list(number, "draining")
         self.left[one.server_id] = time.monotonic()
 
+    def _write_late(self, fault: plan.Fault) -> None:
+        """A server leaves; then an entry is written that it sent before."""
+        one = self._servers[fault.target]
+        old = self._entry_of(fault.target, "ready")
+        before = len(self.left)
+        self._leave(fault)
+        if len(self.left) > before:
+            gevent.spawn_later(
+                fault.for_s, self._served.put, "servers", one.server_id, old
+            )
+
+    def _lag(self, fault: plan.Fault) -> None:
+        """The history is lost, and whole lists come as they were."""
+        if self._served.lagging is not None:
+            return
+        copy = self._served.copy()
+        now = time.monotonic()
+        gevent.spawn_later(fault.for_s, setattr, self._served, "lagging", None)
+        # Changes until then are known by the feed; the lists lack them.
+        gevent.sleep(0)
+        self._served.lagging = copy
+        self._served.forget_history()
+        until_s = now + fault.for_s + _IN_TOUCH_S
+        self.lagged.append(checker.Span(target=0, from_s=now, to_s=until_s))
+
+    def _remove_unseen(self, fault: plan.Fault) -> None:
+        """A server is gone without notice while an instance is cut off."""
+        self._link(
+            self._entry(fault).store_link,
+            dataclasses.replace(fault, variant="silent"),
+        )
+        gevent.sleep(fault.for_s / 2)
+        number = self._rng.randrange(len(self._servers))
+        one = self._servers[number]
+        if one.server_id in self.left or not self._spare(number):
+            return
+        self._served.drop("servers", one.server_id)
+        self.left[one.server_id] = time.monotonic()
+
+    def _spare(self, number: int) -> bool:
+        """Tells whether a server may leave: two of its service are left."""
+        service = self._servers[number].service
+        same = [s for s in self._servers if s.service == service]
+        return sum(s.server_id not in self.left for s in same) >= 3
+
     def _say_leaving(self, fault: plan.Fault) -> None:
         """A server's answers say that it leaves; its entry never does."""
         one = self._servers[fault.target]
@@ -362,11 +412,16 @@
         self.withdrawn[key] = time.monotonic()
 
     def _list(self, number: int, state: str) -> None:
+        entry = self._entry_of(number, state)
+        self._served.put("servers", self._servers[number].server_id, entry)
+
+    def _entry_of(self, number: int, state: str) -> dict[str, object]:
+        """Returns the next entry of a server, by its number."""
         one = self._servers[number]
         left_s = self._cold_until_s.get(number, 0.0) - time.monotonic()
         one.cold_ms = max(0, int(1000 * left_s))
-        entry = {**one.entry(state), "address": self._links[number].address}
-        self._served.put("servers", one.server_id, entry)
+        one.sequence += 1
+        return {**one.entry(state), "address": self._links[number].address}
 
     def _configure(self) -> None:
         self._version += self._rng.randint(1, 3)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -49,6 +49,10 @@
     # Of seeds with reports alone.
     SERVER_SAYS_LEAVING = "server_says_leaving"
     SERVER_RESTS = "server_rests"
+    # Of seeds with outdated statements alone.
+    LATE_ENTRY = "late_entry"
+    STORE_LAGS = "store_lags"
+    GONE_WHILE_CUT_OFF = "gone_while_cut_off"
 
 
 WIDE_KINDS = (
@@ -62,15 +66,23 @@
 )
 _FURTHER_KINDS = (Kind.STORE_COPY, Kind.EVACUATION, Kind.SERVER_COLD)
 REPORT_KINDS = (Kind.SERVER_SAYS_LEAVING, Kind.SERVER_RESTS)
+OUTDATED_KINDS = (
+    Kind.LATE_ENTRY,
+    Kind.STORE_LAGS,
+    Kind.GONE_WHILE_CUT_OFF,
+)
 # Seeds from this one on have further kinds; those before draw as they always
 # did.
 FURTHER_FROM = 1000
 # Seeds from this one on have servers that tell in answers what they want.
 REPORTS_FROM = 2000
+# Seeds from this one on have outdated statements about servers that leave.
+OUTDATED_FROM = 4000
 SMALL_KINDS = tuple(
     kind
     for kind in Kind
-    if kind not in (*WIDE_KINDS, *_FURTHER_KINDS, *REPORT_KINDS)
+    if kind
+    not in (*WIDE_KINDS, *_FURTHER_KINDS, *REPORT_KINDS, *OUTDATED_KINDS)
 )
 # Share of a wide run's faults of instances that hit the first of them.
 _FIRST_SHARE = 0.5
@@ -121,6 +133,7 @@
     Kind.SERVER_COLD: 2 * SERVERS,
     Kind.SERVER_SAYS_LEAVING: 2 * SERVERS,
     Kind.SERVER_RESTS: 2 * SERVERS,
+    Kind.LATE_ENTRY: 2 * SERVERS,
 }
 
 
@@ -163,6 +176,11 @@
     return seed >= REPORTS_FROM
 
 
+def has_outdated(seed: int) -> bool:
+    """Tells whether something older contradicts that servers leave."""
+    return seed >= OUTDATED_FROM
+
+
 def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
     """Returns the faults of a seed, by time; several come together or twice.
 
@@ -179,6 +197,8 @@
         kinds = (*kinds, *(3 * _FURTHER_KINDS))
     if has_reports(seed):
         kinds = (*kinds, *(5 * REPORT_KINDS))
+    if has_outdated(seed):
+        kinds = (*kinds, *(8 * OUTDATED_KINDS))
     if is_planned(seed):
         kinds = _PLANNED
     count = rng.randint(8, 16)
--- a/soak/run.py
+++ b/soak/run.py
@@ -188,6 +188,7 @@
             evacuated=tuple(self._injector.evacuated),
             cold=tuple(self._injector.cold),
             unlisted=tuple(self._injector.unlisted),
+            lagged=tuple(self._injector.lagged),
             arrived=tuple(
                 checker.Arrived(
                     request_id=one.request_id,
