--- a/irisshelf/tests/test_deploy.py
+++ b/irisshelf/tests/test_deploy.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import re
+import tomllib
 
 import pytest
 
@@ -128,3 +129,20 @@
 def test_what_the_platform_installs_is_pinned_as_in_our_lock(line):
     lock = (_DEPLOY.parent / "requirements.lock").read_text().splitlines()
     assert line.strip() in lock
+
+
+def test_the_table_of_days_lists_all_of_them():
+    """Guards against a page that lists fewer days than there are."""
+    page = (_DEPLOY.parent / "docs" / "OPERATIONS.md").read_text()
+    section = page.partition("## Days of our own")[2].partition("## ")[0]
+    listed = re.findall(r"^\| `([a-z-]+)` \|", section, re.MULTILINE)
+    names = {path.stem for path in (_DEPLOY / "days").glob("*.toml")}
+    assert sorted(listed) == sorted(names)
+
+
+@pytest.mark.parametrize(
+    "path", sorted((_DEPLOY / "days").glob("*.toml")), ids=lambda p: p.stem
+)
+def test_a_day_has_the_name_of_its_file(path):
+    (day,) = tomllib.loads(path.read_text())["day"]
+    assert day["name"] == path.stem
