--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -385,7 +385,9 @@
     block.close()
 
 
-@pytest.mark.parametrize("seed", [1, 4, plan.FURTHER_FROM + 5])
+@pytest.mark.parametrize(
+    "seed", [1, 4, plan.FURTHER_FROM + 5, plan.OUTDATED_FROM + 3]
+)
 def test_real_processes_keep_the_promises(tmp_path, seed):
     verdict = run_module.Run(seed=seed, folder=tmp_path).play()
     assert (verdict.violations, verdict.own_exits) == ((), 0)
