Ask for departures from before the last answer as well

An answer to one table's poll does not show that the other's was under way: what the list's poll would have brought may be older than the last answer. By reading; no test of its own, as the two are one greenlet's pause apart.

--- a/irisshelf/gateway/knowledge/outage_check.py
+++ b/irisshelf/gateway/knowledge/outage_check.py
@@ -81,8 +81,8 @@
         for after_s in _ASK_PEERS_AFTER_S:
             gevent.sleep(after_s - asked_after_s)
             asked_after_s = after_s
-            now = boottime.now()
-            answers = self._exchange.ask(now - loss.last_answer_s)
+            lost_s = boottime.now() - loss.last_answer_s
+            answers = self._exchange.ask(lost_s + self._missed_s())
             self._apply_leaving(answers)
             found_s = store_contact.available_since_s(
                 loss,
@@ -116,5 +116,8 @@
             answers=answers,
         )
 
+    def _missed_s(self) -> float:
+        return store_timing.missed_s(self._inst.cfg.bounds)
+
     def _max_gap_s(self) -> float:
         return store_timing.max_gap_s(self._inst.cfg.bounds)
--- a/irisshelf/gateway/knowledge/store_timing.py
+++ b/irisshelf/gateway/knowledge/store_timing.py
@@ -83,6 +83,14 @@
     return long_poll_s(feed.Table.CATALOG, bounds) + _ANSWER_MARGIN_S
 
 
+def missed_s(bounds: settings.Bounds) -> float:
+    """Returns for how long before a loss changes of the list may be missing.
+
+    The answer to one table's poll does not show that the other's was under way.
+    """
+    return long_poll_s(feed.Table.SERVERS, bounds) + max_gap_s(bounds)
+
+
 def coalesce_s(
     table: feed.Table,
     bounds: settings.Bounds,
