--- a/irisshelf/tests/test_store_contact.py
+++ b/irisshelf/tests/test_store_contact.py
@@ -5,15 +5,20 @@
 import random
 
 import cbor2
+import gevent
 import pytest
 import result
 
+from irisshelf import boottime
 from irisshelf.catalog import departures
 from irisshelf.catalog import directory
 from irisshelf.coordination import membership as membership_module
 from irisshelf.coordination import store_contact
 from irisshelf.gateway.knowledge import contact_exchange
+from irisshelf.gateway.knowledge import outage_check
+from irisshelf.gateway.knowledge import store_timing
 from irisshelf.observe import decision_log
+from irisshelf.store import feed
 
 _GAP_S = 3.0
 _LOSS = store_contact.Loss(last_answer_s=10.0, regained_s=16.0)
@@ -211,3 +216,67 @@
     assert exchange.encode({"lost_s": "soon"}) is None
     contact.record_failure(99.5)
     assert exchange.encode({}) is None
+
+
+class _Listed:
+    """A server list that records what it is notified of."""
+
+    def __init__(self):
+        self.store_down = False
+        self.available = []
+
+    def on_store_lost(self):
+        self.store_down = True
+
+    def on_store_regained(self, at_s):
+        self.store_down = False
+
+    def on_store_available_since(self, available_s, regained_s, now):
+        self.available.append(available_s)
+
+
+class _Exchange:
+    """Answers as other instances would, and records the questions."""
+
+    def __init__(self, answers):
+        self.asked = []
+        self._answers = answers
+
+    def ask(self, lost_s):
+        self.asked.append(lost_s)
+        return self._answers
+
+
+def _lose_and_regain(world, monkeypatch, answers):
+    """Plays a loss of half a second; returns what was asked and notified."""
+    listed = _Listed()
+    check = outage_check.OutageCheck(inst=world.inst, listed=listed, peers=None)
+    check._exchange = exchange = _Exchange(answers)
+    monkeypatch.setattr(outage_check, "_ASK_PEERS_AFTER_S", (0.0, 0.02))
+    check.record_answer(boottime.now())
+    check.record_failure()
+    gevent.sleep(0.5)
+    check.record_answer(boottime.now())
+    gevent.sleep(0.1)
+    return exchange.asked, listed.available
+
+
+def test_departures_from_before_the_last_answer_are_asked_for(
+    world, monkeypatch
+):
+    """Guards against one that the list's own poll would have brought."""
+    asked, _ = _lose_and_regain(world, monkeypatch, [])
+    bounds = world.inst.cfg.bounds
+    poll_s = store_timing.long_poll_s(feed.Table.SERVERS, bounds)
+    assert len(asked) == 2
+    assert all(lost_s > 0.5 + poll_s for lost_s in asked)
+
+
+def test_one_that_had_the_store_all_the_time_ends_the_questions(
+    world, monkeypatch
+):
+    now = boottime.now()
+    answer = contact_exchange.Answer(interval=_interval(now - 60, now + 60))
+    asked, available = _lose_and_regain(world, monkeypatch, [answer])
+    assert len(asked) == 1
+    assert available == [_NEVER_AWAY]
