The untrusted-input test receives clears with their time

Cause: gave CrashTracker.receive_clear the time of the success; the stand-in of this test still had the old signature, so the datagram ended in a TypeError. The product's own receiver has the parameter since; no check is changed. The whole file passes (it failed in this case before).

--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -437,7 +437,7 @@
     def receive_crash(self, content, end):
         self.ends.append(end)
 
-    def receive_clear(self, content):
+    def receive_clear(self, content, at_s):
         self.ends.append(content)
 
 
