The retry share's test uses the number of instances the product uses

test_an_instance_uses_its_share_of_the_retry_budget set servers.instances, an attribute that nobody reads, so it passed whatever number of instances the budget was divided by. It records the number in the product's own estimate now, for two fleet sizes, and checks share and slack apart.

Shown: with the slack of six instances in place of the estimate both cases fail (21.0 left, less than 19.1 allowed for 40); before, the test passed with it.

--- a/irisshelf/tests/test_gateway_faults.py
+++ b/irisshelf/tests/test_gateway_faults.py
@@ -5,6 +5,7 @@
 
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import world as world_module
+from irisshelf.routing import retry_budget
 from irisshelf.routing.direct import server_stats
 
 Fault = server.Fault
@@ -308,15 +309,20 @@
     assert (answer.status, world.runs("v")) == (200, 2)
 
 
-def test_an_instance_uses_its_share_of_the_retry_budget(world):
-    world.inst.servers.instances = 10
+@pytest.mark.parametrize("instances", [10, 40])
+def test_an_instance_uses_its_share_of_the_retry_budget(world, instances):
+    """Guards against retries of all instances that exceed the platform's."""
+    world.inst.servers.fleet.record(instances, world.inst.now())
     budget = world.inst.servers.budget("crew")
     for _ in range(100):
         budget.record_request(world.inst.now())
     bounds = world.inst.cfg.bounds
-    whole = bounds.retry_share * 100 + bounds.retry_slack / 10
+    slack = bounds.retry_slack / instances
+    whole = bounds.retry_share * 100 + slack
     left = budget.remaining(world.inst.now())
     assert 0.5 * whole < left < 0.9 * whole
+    share = retry_budget.FLEET_SAFETY_FACTOR * bounds.retry_share * 100
+    assert 0.5 * slack < left - share < 0.9 * slack
 
 
 def test_a_broken_connection_that_was_just_in_use_counts_against_the_server(
