The catch-up simulation counts an instance without a configuration as late

_check skipped an instance that knew no configuration, so that one that never gets any passed the three tests of the age in force. It counts from the first version that the store accepted now.

Shown: with apply_catalog that never applies, the 21 cases of these tests fail; all 21 passed before. On the product's code all pass.

--- a/irisshelf/tests/test_catalog_catch_up.py
+++ b/irisshelf/tests/test_catalog_catch_up.py
@@ -294,7 +294,7 @@
         catalog = self.inst.catalog
         known = catalog.version if catalog else 0
         missed = [at_s for at_s, v in self.store.accepted if v > known]
-        if known and missed:
+        if missed:
             behind_s = now - missed[0]
             excess_s = behind_s - self.inst.freshness.age_s(now)
             if excess_s > 1e-6:
