A dead instance of the relay's test answers no open connection either

The case [dead] stopped the listener and replaced peers.handle, but the listener keeps the handler that it was built with, and the others ask over connections that are open: the watcher answered all of them with 404, so a broken connection was never met. Its handler breaks them off now, and the case says so.

Shown: with a request that lets a broken connection through as an exception, the case fails (the follower's greenlet ends); before, it passed with it.

--- a/irisshelf/tests/test_table_relay.py
+++ b/irisshelf/tests/test_table_relay.py
@@ -75,11 +75,14 @@
         self.listener = listener.Listener(
             address=self.datagrams.address,
             limits=lambda: _LIMITS,
-            handle=self.peers.handle,
+            handle=self._handle,
             refuse=lambda status, text: ([], text.encode()),
             log=self.log,
         )
         self.listener.start()
+        self.is_dead = False
+        # Requests on open connections that were broken off.
+        self.aborted = 0
         self.inst = instance.Instance(
             cfg=_settings(name, store_address, bounds),
             dialect=http_dialect.HttpDialect(),
@@ -103,6 +106,18 @@
     def _record_line(self, name, **fields):
         self.lines.append((name, fields))
 
+    def _handle(self, request, conn):
+        if self.is_dead:
+            self.aborted += 1
+            conn.abort()
+        else:
+            self.peers.handle(request, conn)
+
+    def die(self):
+        """Answers nobody any more; its datagrams are still sent."""
+        self.is_dead = True
+        self.listener.stop_accepting()
+
     def logged(self, name):
         return [fields for line, fields in self.lines if line == name]
 
@@ -258,15 +273,12 @@
 
 
 @pytest.mark.parametrize("lost", ["dead", "silent", "behind", "garbled"])
-def test_without_a_relayed_snapshot_the_store_is_read(
-    make_fleet, served, lost, monkeypatch
-):
+def test_without_a_relayed_snapshot_the_store_is_read(make_fleet, served, lost):
     instances = make_fleet()
     _start(instances)
     watcher = _watcher(instances)
     if lost == "dead":
-        watcher.listener.stop_accepting()
-        monkeypatch.setattr(watcher.peers, "handle", _drop)
+        watcher.die()
     answers = {
         "dead": lambda fields: None,
         "silent": lambda fields: gevent.sleep(60),
@@ -279,10 +291,7 @@
     bound_s = watcher.inst.cfg.bounds.catalog_in_force_ms / 1000
     gevent.sleep(bound_s)
     assert [one.version for one in instances] == [2] * len(instances)
-
-
-def _drop(request, conn):
-    conn.abort()
+    assert bool(watcher.aborted) == (lost == "dead")
 
 
 def test_a_configuration_with_a_different_digest_is_rejected(
