Entries of any JSON: with objects, scalars, all fields

The values drawn for test_any_entry_is_a_valid_server_or_an_error held no objects, and the time that a server is cold was not among the fields. Now half of the values are scalars, the others nest lists and objects; two fields at most are changed, so that they do not hide each other; what is decoded from sequence and cold time is checked.

Shown: a decoder that raises KeyError for an object as the sequence, and one that accepts a negative cold time, fail; the old test passed with the first (and never changed the second field).

--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -48,6 +48,7 @@
     "version": 3,
     "sequence": 9,
 }
+_ENTRY_FIELDS = (*_VALID, "born", "coldRemainingMs")
 _DEEP = b'{"more": ' + b"[" * 5000 + b"]" * 5000 + b"}"
 _MAX_COUNT = 10**15
 
@@ -319,26 +320,36 @@
     assert (event.data, event.event_id) == (data, None)
 
 
-_JSON = strategies.recursive(
-    strategies.one_of(
-        strategies.none(),
-        strategies.booleans(),
-        strategies.integers(),
-        strategies.floats(),
-        strategies.text(max_size=20),
-        strategies.sampled_from(["ready", "draining", "10.0.0.1:80"]),
+_SCALARS = strategies.one_of(
+    strategies.none(),
+    strategies.booleans(),
+    strategies.integers(),
+    strategies.floats(),
+    strategies.text(max_size=20),
+    strategies.sampled_from(["ready", "draining", "10.0.0.1:80"]),
+)
+# Half of the values are scalars: left to itself, the recursion draws few.
+_JSON = strategies.one_of(
+    _SCALARS,
+    strategies.recursive(
+        _SCALARS,
+        lambda inner: strategies.one_of(
+            strategies.lists(inner, max_size=3),
+            strategies.dictionaries(
+                strategies.text(max_size=8), inner, max_size=3
+            ),
+        ),
+        max_leaves=8,
     ),
-    lambda inner: strategies.lists(inner, max_size=3),
-    max_leaves=4,
 )
 
 
 @hypothesis.given(
     changed=strategies.dictionaries(
-        strategies.sampled_from([*_VALID, "born"]), _JSON, max_size=4
+        strategies.sampled_from(_ENTRY_FIELDS), _JSON, max_size=2
     )
 )
-@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+@hypothesis.settings(max_examples=600, derandomize=True, deadline=None)
 def test_any_entry_is_a_valid_server_or_an_error(changed):
     try:
         found = documents.server("server-1", _with(**changed))
@@ -348,6 +359,8 @@
     host, _, port = found.address.rpartition(":")
     assert host.count(".") == 3 and 0 < int(port) < 65536
     assert found.slots >= 1 and found.service
+    assert 0.0 <= found.cold_s < math.inf
+    assert found.sequence is None or 0 <= found.sequence < 2**64
 
 
 def test_a_deeply_nested_datagram_is_dropped(world):
