Errors of a bundle: the value too, and no field beside

The test's name says path and allowed values, the house rule wants the value got as well, and any number of wrong errors beside the right one passed. One field per case, with its value.

Shown: a check that gives '?' as the value of an unknown field fails; the old test passed with it.

--- a/irisshelf/tests/test_bundle.py
+++ b/irisshelf/tests/test_bundle.py
@@ -13,38 +13,45 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "path", "message"),
+    ("change", "path", "value", "message"),
     [
-        ({"numbr": 3}, "numbr", "did you mean 'number'"),
-        ({"number": 0}, "number", "greater than or equal to 1"),
-        ({"format": 2}, "format", "less than or equal to 1"),
-        ({"data_centres": {}}, "data_centres", "at least 1"),
+        ({"numbr": 3}, "numbr", "3", "did you mean 'number'"),
+        ({"number": 0}, "number", "0", "greater than or equal to 1"),
+        ({"format": 2}, "format", "2", "less than or equal to 1"),
+        ({"data_centres": {}}, "data_centres", "an object", "at least 1"),
         (
             {"services": {"lm": {"kind": "modle"}}},
             "services.lm.kind",
+            "'modle'",
             "'model' or 'plain'",
         ),
         (
             {"services": {"lm": {"kind": "model", "load_bond": 2}}},
             "services.lm.load_bond",
+            "2",
             "did you mean 'load_bound'",
         ),
         (
             {"teams": {"a": {"key_sha256": "xyz"}}},
             "teams.a.key_sha256",
+            "'xyz'",
             "pattern",
         ),
         (
             {"signers": {"required": 3, "keys": {"anna": "A" * 43 + "="}}},
             "signers",
+            "an object",
             "at most the number of keys",
         ),
     ],
 )
-def test_error_states_path_and_allowed_values(change, path, message):
+def test_error_states_path_value_and_allowed_values(
+    change, path, value, message
+):
     document = {**examples.bundle_document(), **change}
     error = check.validate(document, model=schema.Bundle).unwrap_err()
-    (field,) = [f for f in error.fields if f.path == path]
+    (field,) = error.fields
+    assert (field.path, field.value) == (path, value)
     assert message in field.allowed
 
 
