--- a/irisshelf/bundle/check.py
+++ b/irisshelf/bundle/check.py
@@ -32,6 +32,7 @@
         The parsed model, or an error that lists all invalid fields.
 
     Example:
+        >>> from irisshelf.bundle import schema
         >>> parse("{}", model=schema.Signers).is_err()
         True
     """
