--- a/irisshelf/observe/request_trace.py
+++ b/irisshelf/observe/request_trace.py
@@ -16,7 +16,8 @@
 # Instance events up to this long before a request's first line are included,
 # since they may have caused what happened to it.
 LOOKBACK_S = 10.0
-_INSTANCE_EVENTS = frozenset(
+# Names of the instance events that are shown with a request.
+INSTANCE_EVENTS = frozenset(
     {
         "start",
         "stopping",
@@ -114,7 +115,7 @@
         if line in own
         or (
             line.instance in instances
-            and line.name in _INSTANCE_EVENTS
+            and line.name in INSTANCE_EVENTS
             and begin_s <= line.time_s <= end_s
             and _is_related(line, servers)
         )
