--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,6 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable
 
 import gevent
 
@@ -17,6 +16,7 @@
 from soak import fleet
 from soak import plan
 from soak import proxy
+from soak import server_faults
 
 # An instance counts as in touch again so long after a disturbance.
 _IN_TOUCH_S = 3.0
@@ -30,21 +30,33 @@
 _EVACUATION = f"evacuate/{FAR}"
 _EVACUATED_FOR_S = 5.0
 COLD_PER_S = 2.0
-_COLD_S = 5.0
-_COLD_DOWN_S = 0.3
-_COLD_KNOWN_S = 1.5
-# A server that leaves serves for so much longer than its fault lasts.
-_LEAVES_FOR_S = 4.0
-_REST_S = 2.0
 # A machine sleeps longer than a process stands still: 1 to 20 s.
 _SLEEP_FACTOR = 5.0
-# What another writer may leave in the list.
-_FOREIGN = (
-    None,
-    7,
-    "not base64!",
-    {"service": "crew"},
-    {"service": "crew", "address": "127.0.0.1", "state": "ready"},
+
+# Faults after which no instance, or one instance, is in touch.
+_DISTURBS_ALL = frozenset(
+    {
+        plan.Kind.STORE,
+        plan.Kind.STORE_FORGETS,
+        plan.Kind.STORE_COPY,
+        plan.Kind.SERVER_COLD,
+        plan.Kind.SERVER_LINK,
+        plan.Kind.SERVER_CRASH,
+        plan.Kind.SERVER_RESTARTS,
+        plan.Kind.SERVER_MUTE,
+    }
+)
+_DISTURBS_ONE = frozenset(
+    {
+        plan.Kind.KILL,
+        plan.Kind.TERM,
+        plan.Kind.PAUSE,
+        plan.Kind.SLEEP,
+        plan.Kind.STORE_LINK,
+        plan.Kind.STORE_MUTE,
+        plan.Kind.CALLER_LINK,
+        plan.Kind.GONE_WHILE_CUT_OFF,
+    }
 )
 
 
@@ -61,11 +73,10 @@
         entries: The instances; set once they are made.
         keys: Keys that hold, those that are withdrawn next first.
         withdrawn: When each withdrawn key was withdrawn, monotonic seconds.
-        left: When each server's leaving was accepted by the store.
+        of_servers: Faults of the servers.
         disturbed: Spans in which an instance was not in touch.
         stopped: Spans of planned stops.
         evacuated: Spans in which the far data centre was evacuated.
-        cold: Spans in which a server, by its number, was cold.
         unlisted: Spans in which the store lacked what it had lost.
         lagged: Spans in which the store's list lagged.
     """
@@ -81,25 +92,27 @@
         self._seed = seed
         self._rng = random.Random(seed)
         self._served = served
-        self._servers = servers
         self._links = links
+        self.of_servers = server_faults.ServerFaults(
+            seed=seed,
+            rng=self._rng,
+            served=served,
+            servers=servers,
+            links=links,
+        )
         self._version = 0
         self.entries: list[fleet.Entry] = []
         self.keys = [world.KEY] + [f"key-{n}" for n in range(_NEXT_KEYS)]
         self.withdrawn: dict[str, float] = {}
-        self.left: dict[str, float] = {}
         self.disturbed: list[checker.Span] = []
         self.stopped: list[checker.Span] = []
         self.evacuated: list[checker.Span] = []
-        self.cold: list[checker.Span] = []
         self.unlisted: list[checker.Span] = []
         self.lagged: list[checker.Span] = []
-        self._cold_until_s: dict[int, float] = {}
 
     def prepare(self) -> None:
         """Writes the list of servers and the first configuration."""
-        for number in range(len(self._servers)):
-            self._list(number, "ready")
+        self.of_servers.list_all()
         self._configure()
 
     def inject(self, fault: plan.Fault) -> None:
@@ -124,11 +137,11 @@
             plan.Kind.CALLER_LINK: lambda: self._link(
                 self._entry(fault).caller_link, fault
             ),
-            plan.Kind.SERVER_FAULTS: lambda: self._server_faults(fault),
-            plan.Kind.SERVER_CRASH: lambda: self._crash(fault),
-            plan.Kind.SERVER_RESTARTS: lambda: self._restart(fault),
-            plan.Kind.FOREIGN_ENTRIES: self._write_foreign,
-            plan.Kind.SERVER_LEAVES: lambda: self._leave(fault),
+            plan.Kind.SERVER_FAULTS: lambda: self.of_servers.misbehave(fault),
+            plan.Kind.SERVER_CRASH: lambda: self.of_servers.crash(fault),
+            plan.Kind.SERVER_RESTARTS: lambda: self.of_servers.restart(fault),
+            plan.Kind.FOREIGN_ENTRIES: self.of_servers.write_foreign,
+            plan.Kind.SERVER_LEAVES: lambda: self.of_servers.leave(fault),
             plan.Kind.CONFIGURATION: self._configure,
             plan.Kind.WITHDRAW_KEY: self._withdraw,
             plan.Kind.STORE_TURNS_AWAY: lambda: self._turn_away(fault),
@@ -139,10 +152,14 @@
             ),
             plan.Kind.STORE_COPY: lambda: self._copy(fault),
             plan.Kind.EVACUATION: lambda: self._evacuate(fault),
-            plan.Kind.SERVER_COLD: lambda: gevent.spawn(self._cool, fault),
-            plan.Kind.SERVER_SAYS_LEAVING: lambda: self._say_leaving(fault),
-            plan.Kind.SERVER_RESTS: lambda: self._rest(fault),
-            plan.Kind.LATE_ENTRY: lambda: self._write_late(fault),
+            plan.Kind.SERVER_COLD: lambda: gevent.spawn(
+                self.of_servers.cool, fault
+            ),
+            plan.Kind.SERVER_SAYS_LEAVING: lambda: self.of_servers.say_leaving(
+                fault
+            ),
+            plan.Kind.SERVER_RESTS: lambda: self.of_servers.rest(fault),
+            plan.Kind.LATE_ENTRY: lambda: self.of_servers.write_late(fault),
             plan.Kind.STORE_LAGS: lambda: self._lag(fault),
             plan.Kind.GONE_WHILE_CUT_OFF: lambda: gevent.spawn(
                 self._remove_unseen, fault
@@ -182,26 +199,8 @@
                     checker.Span(target=fault.target, from_s=now, to_s=until_s)
                 )
             return
-        everywhere = fault.kind in (
-            plan.Kind.STORE,
-            plan.Kind.STORE_FORGETS,
-            plan.Kind.STORE_COPY,
-            plan.Kind.SERVER_COLD,
-            plan.Kind.SERVER_LINK,
-            plan.Kind.SERVER_CRASH,
-            plan.Kind.SERVER_RESTARTS,
-        )
-        own = fault.kind in (
-            plan.Kind.KILL,
-            plan.Kind.TERM,
-            plan.Kind.PAUSE,
-            plan.Kind.SLEEP,
-            plan.Kind.STORE_LINK,
-            plan.Kind.CALLER_LINK,
-            plan.Kind.GONE_WHILE_CUT_OFF,
-        )
-        everywhere = everywhere or fault.kind is plan.Kind.SERVER_MUTE
-        own = own or fault.kind is plan.Kind.STORE_MUTE
+        everywhere = fault.kind in _DISTURBS_ALL
+        own = fault.kind in _DISTURBS_ONE
         targets = range(len(self.entries)) if everywhere else [fault.target]
         if fault.kind is plan.Kind.STORE_TURNS_AWAY:
             own = True
@@ -236,15 +235,13 @@
         back_s = time.monotonic()
         self._served.mode = store.Mode.WELL
         gevent.sleep(self._rng.uniform(0.0, _WRITTEN_AGAIN_S))
-        for number, one in enumerate(self._servers):
-            left = one.server_id in self.left
-            self._list(number, "draining" if left else "ready")
+        self.of_servers.list_all()
         if self.evacuated and self.evacuated[-1].to_s > time.monotonic():
             self._served.put("op", _EVACUATION, {})
         else:
             self._served.drop("op", _EVACUATION)
         self._write_configuration()
-        known_s = time.monotonic() + _COLD_KNOWN_S
+        known_s = time.monotonic() + server_faults.COLD_KNOWN_S
         self.unlisted.append(
             checker.Span(target=0, from_s=back_s, to_s=known_s)
         )
@@ -263,88 +260,10 @@
             span.to_s - now, self._served.drop, "op", _EVACUATION
         )
 
-    def _cool(self, fault: plan.Fault) -> None:
-        """A server comes back cold; its entry says so just before."""
-        number = fault.target
-        one = self._servers[number]
-        link = self._links[number]
-        if one.server_id in self.left:
-            return
-        link.set_mode("reset")
-        gevent.sleep(_COLD_DOWN_S)
-        one.born_ms += 1000
-        until_s = time.monotonic() + _COLD_S
-        self._cold_until_s[number] = until_s
-        self._list(number, "ready")
-        gevent.sleep(_COLD_KNOWN_S)
-        span = checker.Span(
-            target=number, from_s=time.monotonic(), to_s=until_s
-        )
-        self.cold.append(span)
-        link.set_mode("pass")
-
     def _link(self, link: proxy.Proxy, fault: plan.Fault) -> None:
         link.set_mode(fault.variant)
         gevent.spawn_later(fault.for_s, link.set_mode, "pass")
 
-    def _server_faults(self, fault: plan.Fault) -> None:
-        one = self._servers[fault.target]
-        wanted = server.Fault(fault.variant)
-        rng = random.Random(self._seed + fault.target)
-
-        def choose_fault() -> server.Fault:
-            hit = rng.random() < fault.share
-            return wanted if hit else server.Fault.NONE
-
-        one.choose_fault = choose_fault
-        gevent.spawn_later(fault.for_s, _heal, one, choose_fault)
-
-    def _crash(self, fault: plan.Fault) -> None:
-        """A crashed server says nothing to the store; it comes back."""
-        link = self._links[fault.target]
-        link.set_mode("reset")
-        gevent.spawn_later(fault.for_s, link.set_mode, "pass")
-
-    def _restart(self, fault: plan.Fault) -> None:
-        """A server crashes, and another life of it comes under its id.
-
-        Its clock may have jumped, so that the new life may seem the older one.
-        """
-        self._crash(fault)
-        one = self._servers[fault.target]
-        one.born_ms += self._rng.choice((1000, -3_600_000))
-        gevent.spawn_later(fault.for_s, self.list_unless_left, fault.target)
-
-    def list_unless_left(self, number: int) -> None:
-        """Lists a server that is back, by its number, unless it has left."""
-        if self._servers[number].server_id not in self.left:
-            self._list(number, "ready")
-
-    def _write_foreign(self) -> None:
-        """Another writer leaves entries in the list that name no server."""
-        for number, value in enumerate(_FOREIGN):
-            self._served.put_raw("servers", f"foreign-{number}", value)
-
-    def _leave(self, fault: plan.Fault) -> None:
-        """A server leaves, and another life of it comes."""
-        number = fault.target
-        one = self._servers[number]
-        if one.server_id in self.left or not self._spare(number):
-            return
-        self._list(number, "draining")
-        self.left[one.server_id] = time.monotonic()
-
-    def _write_late(self, fault: plan.Fault) -> None:
-        """A server leaves; then an entry is written that it sent before."""
-        one = self._servers[fault.target]
-        old = self._entry_of(fault.target, "ready")
-        before = len(self.left)
-        self._leave(fault)
-        if len(self.left) > before:
-            gevent.spawn_later(
-                fault.for_s, self._served.put, "servers", one.server_id, old
-            )
-
     def _lag(self, fault: plan.Fault) -> None:
         """The history is lost, and whole lists come as they were."""
         if self._served.lagging is not None:
@@ -366,43 +285,7 @@
             dataclasses.replace(fault, variant="silent"),
         )
         gevent.sleep(fault.for_s / 2)
-        number = self._rng.randrange(len(self._servers))
-        one = self._servers[number]
-        if one.server_id in self.left or not self._spare(number):
-            return
-        self._served.drop("servers", one.server_id)
-        self.left[one.server_id] = time.monotonic()
-
-    def _spare(self, number: int) -> bool:
-        """Tells whether a server may leave: two of its service are left."""
-        service = self._servers[number].service
-        same = [s for s in self._servers if s.service == service]
-        return sum(s.server_id not in self.left for s in same) >= 3
-
-    def _say_leaving(self, fault: plan.Fault) -> None:
-        """A server's answers say that it leaves; its entry never does."""
-        one = self._servers[fault.target]
-        if one.leaving or one.server_id in self.left:
-            return
-        one.leaving = True
-        until_s = fault.for_s + _LEAVES_FOR_S
-        gevent.spawn_later(until_s, self._start_again, fault.target)
-
-    def _start_again(self, number: int) -> None:
-        """Another life of a server that left takes its place."""
-        one = self._servers[number]
-        one.leaving = False
-        one.born_ms += 1000
-        self.list_unless_left(number)
-
-    def _rest(self, fault: plan.Fault) -> None:
-        """A server turns all away, and asks for rest as it does."""
-        one = self._servers[fault.target]
-        if one.refuses:
-            return
-        one.rest_s = _REST_S
-        one.refuses = True
-        gevent.spawn_later(fault.for_s, setattr, one, "refuses", False)
+        self.of_servers.remove_one()
 
     def _withdraw(self) -> None:
         if len(self.keys) < 2:
@@ -411,18 +294,6 @@
         self._configure()
         self.withdrawn[key] = time.monotonic()
 
-    def _list(self, number: int, state: str) -> None:
-        entry = self._entry_of(number, state)
-        self._served.put("servers", self._servers[number].server_id, entry)
-
-    def _entry_of(self, number: int, state: str) -> dict[str, object]:
-        """Returns the next entry of a server, by its number."""
-        one = self._servers[number]
-        left_s = self._cold_until_s.get(number, 0.0) - time.monotonic()
-        one.cold_ms = max(0, int(1000 * left_s))
-        one.sequence += 1
-        return {**one.entry(state), "address": self._links[number].address}
-
     def _configure(self) -> None:
         self._version += self._rng.randint(1, 3)
         self._write_configuration()
@@ -432,16 +303,13 @@
         document = world.config(self._version, tenants=teams)
         if plan.is_further(self._seed):
             for service in document["services"]:
-                service |= {"coldStartS": _COLD_S, "coldPerS": COLD_PER_S}
+                service |= {
+                    "coldStartS": server_faults.COLD_S,
+                    "coldPerS": COLD_PER_S,
+                }
         self._served.put("op", "config", document)
 
 
 def _mute(link: proxy.Proxy) -> None:
     link.set_mode("mute")
     link.set_mode("pass")
-
-
-def _heal(one: server.Server, chosen_by: Callable[[], server.Fault]) -> None:
-    """Ends a fault, unless a later one has taken its place."""
-    if one.choose_fault is chosen_by:
-        one.choose_fault = None
--- a/soak/run.py
+++ b/soak/run.py
@@ -103,7 +103,7 @@
                 seed=seed,
                 servers=self.servers,
                 links=self.links,
-                list_again=self._injector.list_unless_left,
+                list_again=self._injector.of_servers.list_unless_left,
             )
         self._ports = ports.Block()
         peers = [f"127.0.0.1:{self._ports.take()}" for _ in range(instances)]
@@ -180,13 +180,13 @@
                 for run in one.runs
             ),
             withdrawn=self._injector.withdrawn,
-            left=self._injector.left,
+            left=self._injector.of_servers.left,
             disturbed=tuple(self._injector.disturbed),
             stopped=tuple(self._injector.stopped),
             events=EVENTS,
             ends_s=tuple(self._crashing.ends_s if self._crashing else ()),
             evacuated=tuple(self._injector.evacuated),
-            cold=tuple(self._injector.cold),
+            cold=tuple(self._injector.of_servers.cold),
             unlisted=tuple(self._injector.unlisted),
             lagged=tuple(self._injector.lagged),
             arrived=tuple(
--- /dev/null
+++ b/soak/server_faults.py
@@ -0,0 +1,209 @@
+"""Faults of the backend servers and of their entries in a soak run."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+
+from irisshelf.platform.stand_in import server
+from irisshelf.platform.stand_in import store
+from soak import checker
+from soak import plan
+from soak import proxy
+
+# How long a server is cold, unreachable before that, and listed as cold before
+# requests reach it.
+COLD_S = 5.0
+_COLD_DOWN_S = 0.3
+COLD_KNOWN_S = 1.5
+# A server that leaves serves for so much longer than its fault lasts.
+_LEAVES_FOR_S = 4.0
+_REST_S = 2.0
+# What another writer may leave in the list.
+_FOREIGN = (
+    None,
+    7,
+    "not base64!",
+    {"service": "crew"},
+    {"service": "crew", "address": "127.0.0.1", "state": "ready"},
+)
+
+
+class ServerFaults:
+    """The backend servers of a run, what goes wrong with them, their entries.
+
+    Args:
+        seed: Of the run.
+        rng: Draws what the plan leaves open.
+        served: The store.
+        servers: Backend servers.
+        links: Their proxies, in the same order.
+
+    Attributes:
+        left: When each server's leaving was accepted by the store.
+        cold: Spans in which a server, by its number, was cold.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        rng: random.Random,
+        served: store.Store,
+        servers: list[server.Server],
+        links: list[proxy.Proxy],
+    ):
+        self._seed = seed
+        self._rng = rng
+        self._served = served
+        self._servers = servers
+        self._links = links
+        self.left: dict[str, float] = {}
+        self.cold: list[checker.Span] = []
+        self._cold_until_s: dict[int, float] = {}
+
+    def list_all(self) -> None:
+        """Lists all servers as they are."""
+        for number, one in enumerate(self._servers):
+            left = one.server_id in self.left
+            self._list(number, "draining" if left else "ready")
+
+    def remove_one(self) -> None:
+        """A server is gone without notice, unless the drawn one is needed."""
+        number = self._rng.randrange(len(self._servers))
+        one = self._servers[number]
+        if one.server_id in self.left or not self._spare(number):
+            return
+        self._served.drop("servers", one.server_id)
+        self.left[one.server_id] = time.monotonic()
+
+    def misbehave(self, fault: plan.Fault) -> None:
+        """A server answers a share of its requests wrongly, for a while."""
+        one = self._servers[fault.target]
+        wanted = server.Fault(fault.variant)
+        rng = random.Random(self._seed + fault.target)
+
+        def choose_fault() -> server.Fault:
+            hit = rng.random() < fault.share
+            return wanted if hit else server.Fault.NONE
+
+        one.choose_fault = choose_fault
+        gevent.spawn_later(fault.for_s, _heal, one, choose_fault)
+
+    def crash(self, fault: plan.Fault) -> None:
+        """A crashed server says nothing to the store; it comes back."""
+        link = self._links[fault.target]
+        link.set_mode("reset")
+        gevent.spawn_later(fault.for_s, link.set_mode, "pass")
+
+    def restart(self, fault: plan.Fault) -> None:
+        """A server crashes, and another life of it comes under its id.
+
+        Its clock may have jumped, so that the new life may seem the older one.
+        """
+        self.crash(fault)
+        one = self._servers[fault.target]
+        one.born_ms += self._rng.choice((1000, -3_600_000))
+        gevent.spawn_later(fault.for_s, self.list_unless_left, fault.target)
+
+    def cool(self, fault: plan.Fault) -> None:
+        """A server comes back cold; its entry says so just before."""
+        number = fault.target
+        one = self._servers[number]
+        link = self._links[number]
+        if one.server_id in self.left:
+            return
+        link.set_mode("reset")
+        gevent.sleep(_COLD_DOWN_S)
+        one.born_ms += 1000
+        until_s = time.monotonic() + COLD_S
+        self._cold_until_s[number] = until_s
+        self._list(number, "ready")
+        gevent.sleep(COLD_KNOWN_S)
+        span = checker.Span(
+            target=number, from_s=time.monotonic(), to_s=until_s
+        )
+        self.cold.append(span)
+        link.set_mode("pass")
+
+    def leave(self, fault: plan.Fault) -> None:
+        """A server leaves, and another life of it comes."""
+        number = fault.target
+        one = self._servers[number]
+        if one.server_id in self.left or not self._spare(number):
+            return
+        self._list(number, "draining")
+        self.left[one.server_id] = time.monotonic()
+
+    def write_late(self, fault: plan.Fault) -> None:
+        """A server leaves; then an entry is written that it sent before."""
+        one = self._servers[fault.target]
+        old = self._entry_of(fault.target, "ready")
+        before = len(self.left)
+        self.leave(fault)
+        if len(self.left) > before:
+            gevent.spawn_later(
+                fault.for_s, self._served.put, "servers", one.server_id, old
+            )
+
+    def say_leaving(self, fault: plan.Fault) -> None:
+        """A server's answers say that it leaves; its entry never does."""
+        one = self._servers[fault.target]
+        if one.leaving or one.server_id in self.left:
+            return
+        one.leaving = True
+        until_s = fault.for_s + _LEAVES_FOR_S
+        gevent.spawn_later(until_s, self._start_again, fault.target)
+
+    def rest(self, fault: plan.Fault) -> None:
+        """A server turns all away, and asks for rest as it does."""
+        one = self._servers[fault.target]
+        if one.refuses:
+            return
+        one.rest_s = _REST_S
+        one.refuses = True
+        gevent.spawn_later(fault.for_s, setattr, one, "refuses", False)
+
+    def write_foreign(self) -> None:
+        """Another writer leaves entries in the list that name no server."""
+        for number, value in enumerate(_FOREIGN):
+            self._served.put_raw("servers", f"foreign-{number}", value)
+
+    def list_unless_left(self, number: int) -> None:
+        """Lists a server that is back, by its number, unless it has left."""
+        if self._servers[number].server_id not in self.left:
+            self._list(number, "ready")
+
+    def _spare(self, number: int) -> bool:
+        """Tells whether a server may leave: two of its service are left."""
+        service = self._servers[number].service
+        same = [s for s in self._servers if s.service == service]
+        return sum(s.server_id not in self.left for s in same) >= 3
+
+    def _start_again(self, number: int) -> None:
+        """Another life of a server that left takes its place."""
+        one = self._servers[number]
+        one.leaving = False
+        one.born_ms += 1000
+        self.list_unless_left(number)
+
+    def _list(self, number: int, state: str) -> None:
+        entry = self._entry_of(number, state)
+        self._served.put("servers", self._servers[number].server_id, entry)
+
+    def _entry_of(self, number: int, state: str) -> dict[str, object]:
+        """Returns the next entry of a server, by its number."""
+        one = self._servers[number]
+        left_s = self._cold_until_s.get(number, 0.0) - time.monotonic()
+        one.cold_ms = max(0, int(1000 * left_s))
+        one.sequence += 1
+        return {**one.entry(state), "address": self._links[number].address}
+
+
+def _heal(one: server.Server, chosen_by: Callable[[], server.Fault]) -> None:
+    """Ends a fault, unless a later one has taken its place."""
+    if one.choose_fault is chosen_by:
+        one.choose_fault = None
