--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -8,18 +8,19 @@
 
 from soak import checker
 from soak import crashing
+from soak import observations
 from soak import plan
 from soak import ports
 from soak import run as run_module
 
-_KIND = checker.RequestKind
+_KIND = observations.RequestKind
 _PROMISE = checker.Promise
 _BOUNDS = checker.Bounds(key_s=5.0, left_s=2.5)
 _STREAM = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
 
 
 def _asked(**changes):
-    asked = checker.Asked(
+    asked = observations.Asked(
         request_id="r1",
         kind=_KIND.UNSAFE,
         key="k",
@@ -39,7 +40,7 @@
 
 
 def _ran(server="s1", request="r1", *, number=0, at_s=0.0, far=False):
-    return checker.Ran(
+    return observations.Ran(
         request_id=request, server_id=server, at_s=at_s, server=number, far=far
     )
 
@@ -52,11 +53,11 @@
 
 
 def _lagged(from_s, to_s):
-    return (checker.Span(target=0, from_s=from_s, to_s=to_s),)
+    return (observations.Span(target=0, from_s=from_s, to_s=to_s),)
 
 
 def _check(asked, ran, **more):
-    record = checker.Record(
+    record = observations.Record(
         **{
             "asked": (asked,),
             "ran": tuple(ran),
@@ -71,12 +72,12 @@
     return {v.promise for v in checker.check(record, _BOUNDS)}
 
 
-_SPAN = (checker.Span(target=0, from_s=99.0, to_s=101.0),)
+_SPAN = (observations.Span(target=0, from_s=99.0, to_s=101.0),)
 _SAFE = _asked(kind=_KIND.SAFE)
 
 
 def _since(from_s, target=0):
-    return (checker.Span(target=target, from_s=from_s, to_s=120.0),)
+    return (observations.Span(target=target, from_s=from_s, to_s=120.0),)
 
 
 @pytest.mark.parametrize(
@@ -396,7 +397,7 @@
 
 
 def _arrived(at_s, request, *, life=1, **says):
-    return checker.Arrived(
+    return observations.Arrived(
         request_id=request, server=3, life=life, at_s=at_s, **says
     )
 
@@ -502,7 +503,7 @@
     ],
 )
 def test_what_servers_say_is_checked(asked, arrived, more, broken):
-    record = checker.Record(
+    record = observations.Record(
         **{
             "asked": asked,
             "ran": (),
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -7,6 +7,8 @@
 import enum
 from collections.abc import Iterable
 
+from soak import observations
+
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _HANDLED = 0.5  # Seconds that an answer may be late at the caller.
@@ -40,104 +42,6 @@
     CRASHES = "what three servers ended under is sent on three times at most"
 
 
-class RequestKind(enum.StrEnum):
-    """Kinds of request by what may be repeated."""
-
-    SAFE = "safe"
-    UNSAFE = "unsafe"
-    STREAM = "stream"
-    RESUMABLE = "resumable"
-
-    @property
-    def once(self) -> bool:
-        """Whether it may run once at most."""
-        return self in (RequestKind.UNSAFE, RequestKind.STREAM)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Asked:
-    """A request as its caller saw it.
-
-    Attributes:
-        request_id: Its id.
-        kind: Its kind.
-        key: The key it carried.
-        instance: The instance it went to, by number.
-        sent_s: When it was sent.
-        deadline_s: Seconds that its caller waits.
-        ended_s: When the answer ended.
-        status: 0 if the connection ended without an answer.
-        whole: Whether the body came to its proper end.
-        body: What came of the body.
-        signature: The server's word for it.
-        calm: Whether it was sent after the faults.
-        crashing: Whether it ends the servers that run it.
-    """
-
-    request_id: str
-    kind: RequestKind
-    key: str
-    instance: int
-    sent_s: float
-    deadline_s: float
-    ended_s: float
-    status: int
-    whole: bool
-    body: bytes
-    signature: str = ""
-    calm: bool = False
-    crashing: bool = False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Ran:
-    """A request that a server began to work on.
-
-    Attributes:
-        request_id: Its id.
-        server_id: The server's.
-        at_s: When it began, monotonic seconds.
-        server: The server's number.
-        far: Whether the server stands in the far data centre.
-    """
-
-    request_id: str
-    server_id: str
-    at_s: float
-    server: int = 0
-    far: bool = False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Arrived:
-    """A request that reached a server, also one that it turned away.
-
-    Attributes:
-        request_id: The request's id.
-        server: The server's number.
-        life: Tells one start of the server from others.
-        at_s: When, monotonic seconds.
-        leaving: Whether the answer says that the server leaves.
-        rest_s: For how long the answer asks for no requests; 0 if it does not.
-    """
-
-    request_id: str
-    server: int
-    life: int | None
-    at_s: float
-    leaving: bool = False
-    rest_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Span:
-    """A time in which something was disturbed; ``target`` by number."""
-
-    target: int
-    from_s: float
-    to_s: float
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Bounds:
     """What the operators' rules allow, in seconds."""
@@ -148,42 +52,6 @@
     cold_in_a_second: float = 8.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Record:
-    """All that was seen in a run.
-
-    Attributes:
-        asked: Requests.
-        ran: Runs.
-        withdrawn: When each withdrawn key was withdrawn.
-        left: When each server's leaving was accepted by the store.
-        disturbed: Spans in which an instance was not in touch.
-        stopped: Spans of planned stops of undisturbed instances.
-        events: Events of a whole stream.
-        ends_s: When servers ended under the crashing request.
-        evacuated: Spans in which the far data centre was evacuated.
-        cold: Spans in which a server was cold.
-        unlisted: Spans in which the store lacked what it had lost.
-        arrived: Requests that reached servers.
-        lagged: Spans in which the store's list lagged. What servers announced
-            before them stays known.
-    """
-
-    asked: tuple[Asked, ...]
-    ran: tuple[Ran, ...]
-    withdrawn: dict[str, float]
-    left: dict[str, float]
-    disturbed: tuple[Span, ...]
-    stopped: tuple[Span, ...]
-    events: int
-    ends_s: tuple[float, ...] = ()
-    evacuated: tuple[Span, ...] = ()
-    cold: tuple[Span, ...] = ()
-    unlisted: tuple[Span, ...] = ()
-    arrived: tuple[Arrived, ...] = ()
-    lagged: tuple[Span, ...] = ()
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Violation:
     """A promise that was broken, by which request, and how."""
@@ -193,9 +61,9 @@
     detail: str
 
 
-def check(record: Record, bounds: Bounds) -> list[Violation]:
+def check(record: observations.Record, bounds: Bounds) -> list[Violation]:
     """Returns all broken promises."""
-    runs: dict[str, list[Ran]] = collections.defaultdict(list)
+    runs: dict[str, list[observations.Ran]] = collections.defaultdict(list)
     for ran in record.ran:
         runs[ran.request_id].append(ran)
     found = list(_unasked(record, runs))
@@ -207,15 +75,20 @@
     return found
 
 
-def whole_body(asked: Asked, events: int) -> bytes:
+def whole_body(asked: observations.Asked, events: int) -> bytes:
     """Returns the body that a whole answer has."""
-    if asked.kind in (RequestKind.SAFE, RequestKind.UNSAFE):
+    if asked.kind in (
+        observations.RequestKind.SAFE,
+        observations.RequestKind.UNSAFE,
+    ):
         return b"answer to " + asked.request_id.encode()
     numbers = range(1, events + 1)
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
-def _sent_on(record: Record, runs: dict[str, list[Ran]]) -> Iterable[Violation]:
+def _sent_on(
+    record: observations.Record, runs: dict[str, list[observations.Ran]]
+) -> Iterable[Violation]:
     if len(record.ends_s) < _ENDS_ALLOWED:
         return
     known_s = sorted(record.ends_s)[_ENDS_ALLOWED - 1] + _ENDS_KNOWN_S
@@ -235,7 +108,9 @@
         )
 
 
-def _too_many_while_cold(record: Record, bounds: Bounds) -> Iterable[Violation]:
+def _too_many_while_cold(
+    record: observations.Record, bounds: Bounds
+) -> Iterable[Violation]:
     """Counts every second, of all instances, whatever disturbed them.
 
     But for the time in which the store had lost that a server is cold: an
@@ -264,11 +139,11 @@
 
 
 def _sent_against_reports(
-    record: Record, bounds: Bounds
+    record: observations.Record, bounds: Bounds
 ) -> Iterable[Violation]:
     """Checks each instance and each life of a server apart."""
     asked = {one.request_id: one for one in record.asked}
-    groups: dict[tuple[int, int, int | None], list[Arrived]] = (
+    groups: dict[tuple[int, int, int | None], list[observations.Arrived]] = (
         collections.defaultdict(list)
     )
     for one in sorted(record.arrived, key=lambda one: one.at_s):
@@ -289,9 +164,9 @@
 
 
 def _after_leaving(
-    arrived: list[Arrived],
-    asked: dict[str, Asked],
-    disturbed: list[Span],
+    arrived: list[observations.Arrived],
+    asked: dict[str, observations.Asked],
+    disturbed: list[observations.Span],
     bounds: Bounds,
 ) -> list[str]:
     told_s = min(
@@ -312,7 +187,9 @@
     ]
 
 
-def _in_a_rest(arrived: list[Arrived], disturbed: list[Span]) -> list[str]:
+def _in_a_rest(
+    arrived: list[observations.Arrived], disturbed: list[observations.Span]
+) -> list[str]:
     broken = []
     for first in arrived:
         until_s = first.at_s + first.rest_s
@@ -328,11 +205,15 @@
     return broken
 
 
-def _overlap(spans: list[Span], from_s: float, to_s: float) -> bool:
+def _overlap(
+    spans: list[observations.Span], from_s: float, to_s: float
+) -> bool:
     return any(span.from_s <= to_s and from_s <= span.to_s for span in spans)
 
 
-def _unasked(record: Record, runs: dict[str, list[Ran]]) -> Iterable[Violation]:
+def _unasked(
+    record: observations.Record, runs: dict[str, list[observations.Ran]]
+) -> Iterable[Violation]:
     known = {asked.request_id for asked in record.asked}
     for request_id in runs.keys() - known:
         yield Violation(
@@ -341,7 +222,10 @@
 
 
 def _check_one(
-    record: Record, bounds: Bounds, asked: Asked, runs: list[Ran]
+    record: observations.Record,
+    bounds: Bounds,
+    asked: observations.Asked,
+    runs: list[observations.Ran],
 ) -> Iterable[Violation]:
     broken: list[tuple[Promise, str]] = []
     expected = whole_body(asked, record.events)
@@ -379,7 +263,10 @@
 
 
 def _left_late(
-    record: Record, bounds: Bounds, asked: Asked, runs: list[Ran]
+    record: observations.Record,
+    bounds: Bounds,
+    asked: observations.Asked,
+    runs: list[observations.Ran],
 ) -> list[tuple[Promise, str]]:
     late = []
     for ran in runs:
@@ -398,7 +285,10 @@
 
 
 def _sent_far(
-    record: Record, bounds: Bounds, asked: Asked, runs: list[Ran]
+    record: observations.Record,
+    bounds: Bounds,
+    asked: observations.Asked,
+    runs: list[observations.Ran],
 ) -> list[tuple[Promise, str]]:
     evacuated = any(
         span.from_s + bounds.evacuated_s < asked.sent_s
@@ -412,7 +302,9 @@
     ]
 
 
-def _touches(spans: tuple[Span, ...], asked: Asked) -> bool:
+def _touches(
+    spans: tuple[observations.Span, ...], asked: observations.Asked
+) -> bool:
     return any(
         span.target == asked.instance
         and span.from_s <= asked.ended_s
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -13,7 +13,7 @@
 import gevent
 
 from irisshelf.platform.stand_in import server
-from soak import checker
+from soak import observations
 from soak import plan
 from soak import proxy
 
@@ -23,9 +23,9 @@
 _AWAY_S = 2.0
 _PAUSE_S = (0.05, 0.4)
 _KINDS = (
-    checker.RequestKind.UNSAFE,
-    checker.RequestKind.STREAM,
-    checker.RequestKind.RESUMABLE,
+    observations.RequestKind.UNSAFE,
+    observations.RequestKind.STREAM,
+    observations.RequestKind.RESUMABLE,
 )
 
 
@@ -74,7 +74,7 @@
     def ask_until(
         self,
         until_s: float,
-        ask: Callable[[checker.RequestKind, bytes], None],
+        ask: Callable[[observations.RequestKind, bytes], None],
     ) -> None:
         """Repeats the request until a time.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,8 +12,8 @@
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
-from soak import checker
 from soak import fleet
+from soak import observations
 from soak import plan
 from soak import proxy
 from soak import server_faults
@@ -104,11 +104,11 @@
         self.entries: list[fleet.Entry] = []
         self.keys = [world.KEY] + [f"key-{n}" for n in range(_NEXT_KEYS)]
         self.withdrawn: dict[str, float] = {}
-        self.disturbed: list[checker.Span] = []
-        self.stopped: list[checker.Span] = []
-        self.evacuated: list[checker.Span] = []
-        self.unlisted: list[checker.Span] = []
-        self.lagged: list[checker.Span] = []
+        self.disturbed: list[observations.Span] = []
+        self.stopped: list[observations.Span] = []
+        self.evacuated: list[observations.Span] = []
+        self.unlisted: list[observations.Span] = []
+        self.lagged: list[observations.Span] = []
 
     def prepare(self) -> None:
         """Writes the list of servers and the first configuration."""
@@ -196,7 +196,9 @@
             if fault.kind is plan.Kind.TERM:
                 until_s = now + fleet.STOP_S
                 self.stopped.append(
-                    checker.Span(target=fault.target, from_s=now, to_s=until_s)
+                    observations.Span(
+                        target=fault.target, from_s=now, to_s=until_s
+                    )
                 )
             return
         everywhere = fault.kind in _DISTURBS_ALL
@@ -208,7 +210,7 @@
         if everywhere or own:
             until_s = now + fault.for_s + _IN_TOUCH_S
             self.disturbed += [
-                checker.Span(target=target, from_s=now, to_s=until_s)
+                observations.Span(target=target, from_s=now, to_s=until_s)
                 for target in targets
             ]
 
@@ -243,7 +245,7 @@
         self._write_configuration()
         known_s = time.monotonic() + server_faults.COLD_KNOWN_S
         self.unlisted.append(
-            checker.Span(target=0, from_s=back_s, to_s=known_s)
+            observations.Span(target=0, from_s=back_s, to_s=known_s)
         )
 
     def _evacuate(self, fault: plan.Fault) -> None:
@@ -251,7 +253,7 @@
         now = time.monotonic()
         if self.evacuated and self.evacuated[-1].to_s > now:
             return
-        span = checker.Span(
+        span = observations.Span(
             target=0, from_s=now, to_s=now + _EVACUATED_FOR_S + fault.for_s
         )
         self._served.put("op", _EVACUATION, {})
@@ -276,7 +278,9 @@
         self._served.lagging = copy
         self._served.forget_history()
         until_s = now + fault.for_s + _IN_TOUCH_S
-        self.lagged.append(checker.Span(target=0, from_s=now, to_s=until_s))
+        self.lagged.append(
+            observations.Span(target=0, from_s=now, to_s=until_s)
+        )
 
     def _remove_unseen(self, fault: plan.Fault) -> None:
         """A server is gone without notice while an instance is cut off."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from soak import crashing
 from soak import faults
 from soak import fleet
+from soak import observations
 from soak import plan
 from soak import ports
 from soak import proxy
@@ -35,10 +36,10 @@
 _CALM_S = 3.0
 _BOUNDS = checker.Bounds(key_s=5.0, left_s=2.5)
 _ROUTES = {
-    checker.RequestKind.SAFE: ("GET", "/valve/1", b""),
-    checker.RequestKind.UNSAFE: ("POST", "/alarm/1", b"burst"),
-    checker.RequestKind.STREAM: ("POST", "/query/1", b"ask"),
-    checker.RequestKind.RESUMABLE: ("POST", "/digest/1", b"ask"),
+    observations.RequestKind.SAFE: ("GET", "/valve/1", b""),
+    observations.RequestKind.UNSAFE: ("POST", "/alarm/1", b"burst"),
+    observations.RequestKind.STREAM: ("POST", "/query/1", b"ask"),
+    observations.RequestKind.RESUMABLE: ("POST", "/digest/1", b"ask"),
 }
 
 
@@ -119,7 +120,7 @@
             for number in range(instances)
         ]
         self._injector.entries = self.entries
-        self._asked: list[checker.Asked] = []
+        self._asked: list[observations.Asked] = []
         self._serial = 0
         self._calm = False
         self._over = False
@@ -166,10 +167,10 @@
     def _verdict(self) -> Verdict:
         # Servers note the time that counts while a machine sleeps.
         apart_s = boottime.now() - time.monotonic()
-        record = checker.Record(
+        record = observations.Record(
             asked=tuple(self._asked),
             ran=tuple(
-                checker.Ran(
+                observations.Ran(
                     request_id=run.request_id,
                     server_id=run.server_id,
                     at_s=run.at_s - apart_s,
@@ -190,7 +191,7 @@
             unlisted=tuple(self._injector.unlisted),
             lagged=tuple(self._injector.lagged),
             arrived=tuple(
-                checker.Arrived(
+                observations.Arrived(
                     request_id=one.request_id,
                     server=number,
                     life=one.born_ms,
@@ -270,7 +271,7 @@
             return self._rng.choice(list(withdrawn))
         return self._injector.keys[0]
 
-    def _crash(self, kind: checker.RequestKind, body: bytes) -> None:
+    def _crash(self, kind: observations.RequestKind, body: bytes) -> None:
         """Asks for what ends servers, on a new connection."""
         entry = self._rng.choice(self.entries)
         try:
@@ -286,7 +287,7 @@
         self,
         conn: client.Connection,
         instance: int,
-        crashing_kind: checker.RequestKind | None = None,
+        crashing_kind: observations.RequestKind | None = None,
         crashing_body: bytes = b"",
     ) -> client.Connection | None:
         kind = crashing_kind or self._rng.choice(list(_ROUTES))
@@ -301,7 +302,7 @@
             conn, method, target, body, self._headers(request_id, key)
         )
         self._asked.append(
-            checker.Asked(
+            observations.Asked(
                 request_id=request_id,
                 kind=kind,
                 key=key,
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -10,7 +10,7 @@
 
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
-from soak import checker
+from soak import observations
 from soak import plan
 from soak import proxy
 
@@ -62,7 +62,7 @@
         self._servers = servers
         self._links = links
         self.left: dict[str, float] = {}
-        self.cold: list[checker.Span] = []
+        self.cold: list[observations.Span] = []
         self._cold_until_s: dict[int, float] = {}
 
     def list_all(self) -> None:
@@ -123,7 +123,7 @@
         self._cold_until_s[number] = until_s
         self._list(number, "ready")
         gevent.sleep(COLD_KNOWN_S)
-        span = checker.Span(
+        span = observations.Span(
             target=number, from_s=time.monotonic(), to_s=until_s
         )
         self.cold.append(span)
