Tests for mutants of the incident's modules that lived

An AST mutator (scratch) changed comparisons, conditions, calls and constants of the incident's new modules, at most 24 each, against their unit tests. Of those that lived, these are killed now: the line store_outage_assessed, an answer of the moment of a failure, a question that cannot be read, which announcement is dropped at the limit, the edge of 'since'.

--- a/irisshelf/tests/test_departures.py
+++ b/irisshelf/tests/test_departures.py
@@ -160,7 +160,10 @@
         known.announce_unlisted(b"%d" % number, 1.0)
     assert known.get("i-4999") is not None
     assert known.get("i-0") is None
-    assert len(known.keys()) == 4000
+    keys = known.keys()
+    assert len(keys) == 4000
+    assert b"4999" in keys
+    assert b"0" not in keys
 
 
 def test_keys_name_listed_and_unlisted_servers():
@@ -168,5 +171,7 @@
     _by_response(known, 1.0)
     known.announce_unlisted(b"other", 1.0)
     assert known.keys() == [directory.short_id("i-1"), b"other"]
+    assert known.keys(1.0) == known.keys()
+    assert known.keys(1.1) == []
     servers = [_entry().server, _entry(born_ms=7).server]
     assert known.keys_of(servers) == [directory.short_id("i-1")]
--- a/irisshelf/tests/test_store_contact.py
+++ b/irisshelf/tests/test_store_contact.py
@@ -3,6 +3,7 @@
 import math
 import os
 import random
+import types
 
 import cbor2
 import gevent
@@ -74,6 +75,12 @@
             [],
             id="an-answer-from-before-the-failure",
         ),
+        pytest.param(
+            [1.0, ("failed", 2.0), 2.0],
+            None,
+            [],
+            id="an-answer-of-the-moment-of-the-failure",
+        ),
         pytest.param(
             [1.0, 2.0, 1.5], (1.0, 2.0), [], id="an-older-answer-is-ignored"
         ),
@@ -192,7 +199,9 @@
     assert lines == ["store_contact_unreadable"]
 
 
-def test_an_instance_without_an_interval_does_not_answer(log):
+def test_an_instance_without_an_interval_does_not_answer(log, monkeypatch):
+    lines = []
+    monkeypatch.setattr(log, "warning", lambda name, **_: lines.append(name))
     clock = [100.0]
     contact = store_contact.StoreContact()
     known = departures.Departures()
@@ -213,7 +222,9 @@
     expected = [directory.short_id(name) for name in ("i-2", "i-3")]
     encoded = exchange.encode({"lost_s": "6.5"})
     assert cbor2.loads(encoded) == [2.0, 1.0, expected]
+    assert lines == []
     assert exchange.encode({"lost_s": "soon"}) is None
+    assert lines == ["question_unreadable"]
     contact.record_failure(99.5)
     assert exchange.encode({}) is None
 
@@ -280,3 +291,42 @@
     asked, available = _lose_and_regain(world, monkeypatch, [answer])
     assert len(asked) == 1
     assert available == [_NEVER_AWAY]
+
+
+@pytest.mark.parametrize(
+    ("had_it_after_s", "away", "later_s"),
+    [
+        pytest.param(None, True, 0.0, id="nobody-knows"),
+        pytest.param(0.1, True, 0.4, id="another-regained-it-before"),
+        pytest.param(-60.0, False, None, id="another-had-it-throughout"),
+    ],
+)
+def test_what_is_known_of_an_outage_is_logged(
+    world, monkeypatch, had_it_after_s, away, later_s
+):
+    lines = []
+    monkeypatch.setattr(
+        world.inst.log,
+        "instance",
+        lambda name, **fields: lines.append((name, fields)),
+    )
+    no_wait = types.SimpleNamespace(sleep=lambda delay_s: None)
+    monkeypatch.setattr(outage_check, "gevent", no_wait)
+    now = 1000.0
+    clock = types.SimpleNamespace(now=lambda: now)
+    monkeypatch.setattr(outage_check, "boottime", clock)
+    answers = []
+    if had_it_after_s is not None:
+        interval = _interval(now + had_it_after_s, now + 60)
+        answers = [contact_exchange.Answer(interval=interval)]
+    listed = _Listed()
+    check = outage_check.OutageCheck(inst=world.inst, listed=listed, peers=None)
+    check._exchange = _Exchange(answers)
+    check._assess(store_contact.Loss(last_answer_s=now, regained_s=now + 0.5))
+    expected = {
+        "away": away,
+        "lost_for_s": 0.5,
+        "regained_later_s": later_s,
+        "answers": len(answers),
+    }
+    assert lines == [("store_outage_assessed", expected)]
