--- a/irisshelf/tests/test_store_contact.py
+++ b/irisshelf/tests/test_store_contact.py
@@ -294,15 +294,17 @@
 
 
 @pytest.mark.parametrize(
-    ("had_it_after_s", "away", "later_s"),
+    ("had_it_after_s", "away", "later_s", "waits_s"),
     [
-        pytest.param(None, True, 0.0, id="nobody-knows"),
-        pytest.param(0.1, True, 0.4, id="another-regained-it-before"),
-        pytest.param(-60.0, False, None, id="another-had-it-throughout"),
+        pytest.param(None, True, 0.0, [0.0, 0.4, 0.8], id="nobody-knows"),
+        pytest.param(
+            0.1, True, 0.4, [0.0, 0.4, 0.8], id="another-regained-it-before"
+        ),
+        pytest.param(-60.0, False, None, [0.0], id="another-had-it-throughout"),
     ],
 )
 def test_what_is_known_of_an_outage_is_logged(
-    world, monkeypatch, had_it_after_s, away, later_s
+    world, monkeypatch, had_it_after_s, away, later_s, waits_s
 ):
     lines = []
     monkeypatch.setattr(
@@ -310,7 +312,8 @@
         "instance",
         lambda name, **fields: lines.append((name, fields)),
     )
-    no_wait = types.SimpleNamespace(sleep=lambda delay_s: None)
+    waited_s = []
+    no_wait = types.SimpleNamespace(sleep=waited_s.append)
     monkeypatch.setattr(outage_check, "gevent", no_wait)
     now = 1000.0
     clock = types.SimpleNamespace(now=lambda: now)
@@ -330,3 +333,4 @@
         "answers": len(answers),
     }
     assert lines == [("store_outage_assessed", expected)]
+    assert waited_s == pytest.approx(waits_s)
