--- a/irisshelf/tests/test_outdated_answers.py
+++ b/irisshelf/tests/test_outdated_answers.py
@@ -133,7 +133,8 @@
     monkeypatch.setattr(table_watch, "_OUTDATED_LIMIT_S", 1.0)
     one = world.plain[0]
     copy = world.store.copy()
-    _leave(world, one)
+    for each in (one, *world.engines):
+        _leave(world, each)
     world.store.come_back_from(copy, same_era=True)
     gevent.sleep(0.5)
     assert _listed_state(world, one) is directory.ServerState.LEAVING
@@ -142,6 +143,17 @@
     assert world.inst.eligible.is_leaving(
         world.inst.directory.get(one.server_id)
     )
+    outdated = _outdated_answers(world)
+    world.store.drop("servers", one.server_id)
+    world.wait(lambda: _listed_state(world, one) is None)
+    assert _outdated_answers(world) == outdated > 0
+
+
+def _outdated_answers(world):
+    registry = world.inst.metrics.registry
+    name = "irisshelf_store_calls_total"
+    labels = [{"table": t.value, "result": "outdated"} for t in feed.Table]
+    return sum(registry.get_sample_value(name, one) or 0 for one in labels)
 
 
 def test_a_list_read_in_several_attempts_is_as_old_as_its_first_page():
