--- a/irisshelf/gateway/knowledge/contact_exchange.py
+++ b/irisshelf/gateway/knowledge/contact_exchange.py
@@ -56,7 +56,7 @@
 
 
 class ContactExchange:
-    """Exchanges what instances have heard of the store and its servers.
+    """Exchanges what instances know of the store and its servers.
 
     Args:
         contact: The store's answers to this instance.
@@ -90,7 +90,7 @@
 
         Args:
             fields: Query parameters; ``lost_s`` is for how long the other
-                instance has heard nothing.
+                instance has had no answer of the store.
         """
         interval = self._contact.interval()
         if interval is None:
@@ -114,7 +114,7 @@
         """Returns the answers of some other instances.
 
         Args:
-            lost_s: For how long this instance has heard nothing.
+            lost_s: For how long this instance has had no answer of the store.
         """
         target = f"{PATH}?lost_s={lost_s:.3f}"
         calls = [
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -67,7 +67,7 @@
         return missing
 
     def is_outdated(self, batch: feed.Batch) -> bool:
-        """Tells whether the store had a later state when it was asked.
+        """Returns whether the store had a later state when it was asked.
 
         Incomplete answers name the position up to which they are complete.
         """
--- a/irisshelf/tests/test_contradicted_leaving.py
+++ b/irisshelf/tests/test_contradicted_leaving.py
@@ -1,4 +1,4 @@
-"""Servers that have announced that they leave stay unused, whoever says else.
+"""Servers that have announced that they leave stay unused.
 
 Regression: a server that the store had acknowledged as leaving got a request
 twelve seconds later. What an entry said was forgotten as soon as another entry
@@ -121,10 +121,10 @@
 @pytest.mark.parametrize("target", _KINDS)
 @pytest.mark.parametrize("born_ms", [None, _BORN_MS])
 @pytest.mark.parametrize("by", ["gossip", "question"])
-def test_an_instance_that_was_cut_off_is_told_of_leaving(
+def test_an_instance_that_was_cut_off_learns_of_leaving(
     make_world, target, born_ms, by, monkeypatch
 ):
-    """Guards against a departure that nobody tells after the list hides it.
+    """Guards against a departure that is not reported once the list hides it.
 
     The history is lost and an old entry is written last, so that the list that
     the instance reads on its return says ready.
@@ -223,7 +223,7 @@
 
 
 @pytest.mark.parametrize("target", _KINDS)
-def test_an_instance_that_starts_is_told_of_leaving(make_world, target):
+def test_an_instance_that_starts_learns_of_leaving(make_world, target):
     """Guards against a restart that forgets what no entry says any more."""
     world = make_world(servers=3, data_centres=("a", "a"))
     leaving = _group(world, target)[0]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -177,7 +177,7 @@
 
 
 def has_outdated(seed: int) -> bool:
-    """Tells whether something older contradicts that servers leave."""
+    """Returns whether something older contradicts that servers leave."""
     return seed >= OUTDATED_FROM
 
 
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -178,7 +178,7 @@
             self._list(number, "ready")
 
     def _spare(self, number: int) -> bool:
-        """Tells whether a server may leave: two of its service are left."""
+        """Returns whether a server may leave: two of its service are left."""
         service = self._servers[number].service
         same = [s for s in self._servers if s.service == service]
         return sum(s.server_id not in self.left for s in same) >= 3
