Soak: a server that left does not come back cold

Traced: SERVER_COLD looks whether the server has left, waits 0.3 s and then lists its next incarnation as ready; LATE_ENTRY had it leave 7 ms before that. The instances were right: they used crew-1@ (the new incarnation), and ignored the late entry of the one that had left as outdated; the one that was killed meanwhile was notified by another. The check stands; the fault looks again after its wait. The new test fails without that.

--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 import pathlib
+import random
 import socket
+import types
 
+import gevent
 import pytest
 
 from soak import checker
@@ -12,6 +15,7 @@
 from soak import plan
 from soak import ports
 from soak import run as run_module
+from soak import server_faults
 
 _KIND = observations.RequestKind
 _PROMISE = checker.Promise
@@ -518,3 +522,56 @@
     )
     found = {v.promise for v in checker.check(record, _BOUNDS)}
     assert found == ({broken} if broken else set())
+
+
+class _Listed:
+    """A store that keeps the state of each entry."""
+
+    def __init__(self):
+        self.states = {}
+
+    def put(self, table, key, entry):
+        assert table == "servers"
+        self.states[key] = entry["state"]
+
+
+def _server(number):
+    return types.SimpleNamespace(
+        server_id=f"crew-{number}",
+        service="crew",
+        born_ms=1000,
+        sequence=1,
+        cold_ms=0,
+        entry=lambda state: {"state": state},
+    )
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_server_that_left_does_not_come_back_cold(leaves, monkeypatch):
+    """Guards against requests to a new incarnation that count as late ones."""
+    monkeypatch.setattr(server_faults, "_COLD_DOWN_S", 0.05)
+    monkeypatch.setattr(server_faults, "COLD_KNOWN_S", 0.0)
+    servers = [_server(number) for number in range(4)]
+    modes = []
+    link = types.SimpleNamespace(address="127.0.0.1:1", set_mode=modes.append)
+    listed = _Listed()
+    faults = server_faults.ServerFaults(
+        seed=1,
+        rng=random.Random(1),
+        served=listed,
+        servers=servers,
+        links=[link] * len(servers),
+    )
+    faults.list_all()
+    fault = plan.Fault(
+        at_s=0.0, kind=plan.Kind.SERVER_COLD, target=1, for_s=1.0
+    )
+    cooling = gevent.spawn(faults.cool, fault)
+    gevent.sleep(0)
+    if leaves:
+        faults.leave(fault)
+    cooling.get()
+    state = "draining" if leaves else "ready"
+    assert listed.states["crew-1"] == state
+    assert modes == ["reset", "pass"]
+    assert len(faults.cold) == (0 if leaves else 1)
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -118,6 +118,9 @@
             return
         link.set_mode("reset")
         gevent.sleep(_COLD_DOWN_S)
+        if one.server_id in self.left:
+            link.set_mode("pass")
+            return
         one.born_ms += 1000
         until_s = time.monotonic() + COLD_S
         self._cold_until_s[number] = until_s
@@ -130,7 +133,7 @@
         link.set_mode("pass")
 
     def leave(self, fault: plan.Fault) -> None:
-        """A server leaves, and another life of it comes."""
+        """A server leaves for good, if there are others of its service."""
         number = fault.target
         one = self._servers[number]
         if one.server_id in self.left or not self._spare(number):
