Filter outdated entries in the time of the list's length

Callers saw nothing of it yet; after a store came back from a backup, an instance with 1,200 servers stood still for 0.34 s. Cause: each change was compared with all outdated ones.

--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -97,7 +97,7 @@
     ) -> None:
         """Applies changes that follow the known position."""
         outdated = self._outdated(changes, position, whole=False)
-        changes = tuple(c for c in changes if c not in outdated)
+        changes = _without(changes, outdated)
         if self._after_outage(now):
             self._inst.directory.apply_after_outage(
                 changes, recovered_s=self._recovery_s(now)
@@ -141,7 +141,7 @@
         restored: frozenset[str],
     ) -> None:
         outdated = self._outdated(entries, position, whole=True)
-        entries = tuple(c for c in entries if c not in outdated) + tuple(
+        entries = _without(entries, outdated) + tuple(
             directory.Change(entry_id=c.entry_id, server=known)
             for c in outdated
             if (known := self._inst.directory.get(c.entry_id)) is not None
@@ -322,6 +322,14 @@
     return directory.Change(entry_id=item.key, server=item.value)
 
 
+def _without(
+    changes: tuple[directory.Change, ...], removed: Iterable[directory.Change]
+) -> tuple[directory.Change, ...]:
+    """Returns the changes that are not among the removed ones."""
+    removed = frozenset(removed)
+    return tuple(change for change in changes if change not in removed)
+
+
 def _describe(change: directory.Change) -> str:
     if change.server is None:
         return f"{change.entry_id} gone"
