Log that no server of a service can be reached, and what ends it

The incident's logs did not tell why a server counted as reachable again, nor since when an instance had reached none of a service.

--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -26,6 +26,8 @@
 from irisshelf.routing.direct import server_stats
 from irisshelf.transport import errors
 
+# Longer times are logged as unknown.
+_MAX_LOGGED_S = 1e6
 # How long a server is remembered after it is no longer listed.
 _DELISTED_KNOWN_S = 60.0
 
@@ -83,6 +85,8 @@
         self.fleet = fleet_size.FleetSize(alone=not cfg.seeds)
         # By server id: when the process was first found to have exited.
         self._exited_s: dict[str, float] = {}
+        # By service: since when none of its servers can be reached.
+        self._out_of_reach_s: dict[str, float] = {}
         self._listed = listed
         self._log = log
         self._metrics = counts
@@ -345,12 +349,7 @@
     def _on_reached(self, server: directory.BackendServer) -> None:
         self._metrics.connects.labels(server.service).inc()
         if self.is_unreachable(server):
-            self._log.instance(
-                "server_in_reach",
-                server=server.server_id,
-                address=server.address,
-                service=server.service,
-            )
+            self._log_in_reach(server, "connect")
         if server.server_id in self._exited_s:
             # The process has restarted; its new entry follows a little later.
             del self._exited_s[server.server_id]
@@ -358,6 +357,34 @@
         stats = self.chooser(server.service).stats
         stats.record_connect(server.server_id, self._now())
 
+    def _log_in_reach(self, server: directory.BackendServer, by: str) -> None:
+        self._log.instance(
+            "server_in_reach",
+            server=server.server_id,
+            address=server.address,
+            service=server.service,
+            by=by,
+        )
+        if self._out_of_reach_s.pop(server.service, None) is not None:
+            self._log.instance("service_in_reach", service=server.service)
+
+    def _check_service_reach(self, service: str) -> None:
+        """Logs that none of a service's servers can be reached."""
+        if service in self._out_of_reach_s:
+            return
+        servers = self.eligible.usable(service)
+        if not servers or not all(map(self.is_unreachable, servers)):
+            return
+        self._out_of_reach_s[service] = self._now()
+        received_s = max(map(self._last_activity_s, servers))
+        silent_s = self._now() - received_s
+        self._log.warning(
+            "service_out_of_reach",
+            service=service,
+            servers=len(servers),
+            silent_s=round(silent_s, 3) if silent_s < _MAX_LOGGED_S else None,
+        )
+
     def _on_unreachable(
         self, server: directory.BackendServer, exc: errors.ConnectError
     ) -> None:
@@ -372,7 +399,10 @@
     ) -> None:
         """Records what a request showed about a server."""
         stats = self.chooser(server.service).stats
+        was_unreachable = self.is_unreachable(server)
         why = stats.record_outcome(server.server_id, outcome, self._now())
+        if was_unreachable and not self.is_unreachable(server):
+            self._log_in_reach(server, "response")
         if outcome is not server_stats.Outcome.SUCCESS:
             self._metrics.failures.labels(outcome.value).inc()
         if why:
@@ -387,6 +417,8 @@
                 request=request,
                 detail=detail,
             )
+        if outcome is server_stats.Outcome.UNREACHABLE and why:
+            self._check_service_reach(server.service)
 
 
 def _discard(fact: facts.Fact) -> None:
--- a/irisshelf/observe/request_trace.py
+++ b/irisshelf/observe/request_trace.py
@@ -38,6 +38,8 @@
         "lapsed_servers_gone",
         "server_rests",
         "server_accepts_nothing",
+        "service_out_of_reach",
+        "service_in_reach",
         "lines_dropped",
         "connection_failed",
     }
