--- a/soak/proxy.py
+++ b/irisshelf/platform/stand_in/proxy.py
@@ -1,7 +1,8 @@
-"""A loopback proxy that delays, resets, or silences connections."""
+"""A loopback proxy that delays, resets, silences or refuses connections."""
 
 from __future__ import annotations
 
+import enum
 import struct
 
 import gevent
@@ -11,6 +12,24 @@
 _READ_BYTES = 65536
 _SLOW_S = 0.15
 _STEP_S = 0.05
+# Connections that fill the queue of a listener that accepts none.
+_QUEUED = 2
+
+
+class Cut(enum.StrEnum):
+    """How a link between two processes is cut.
+
+    Attributes:
+        HANG: Nothing passes; new connections are not established.
+        RESET: Open connections are reset, new ones are refused.
+        REFUSE: Open connections work, new ones are refused.
+        HANG_NEW: Open connections work, new ones are not established.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    REFUSE = "refuse"
+    HANG_NEW = "hang_new"
 
 
 class Proxy:
@@ -32,11 +51,13 @@
         self._mute: set[socket.socket] = set()
         self._server = self._listener(0)
         self._server.start()
+        self._port = self._server.server_port
+        self._blocking: list[socket.socket] = []
 
     @property
     def address(self) -> str:
         """Where it listens."""
-        return f"127.0.0.1:{self._server.server_port}"
+        return f"127.0.0.1:{self._port}"
 
     def set_mode(self, mode: str) -> None:
         """Changes the mode; ``reset`` ends what is open as well."""
@@ -54,9 +75,53 @@
             for sock in list(self._open):
                 _reset(sock)
             return
-        self._server = self._listener(self._server.server_port)
+        self._server = self._listener(self._port)
         self._server.start()
 
+    def cut(self, how: Cut) -> None:
+        """Cuts the link until ``heal``."""
+        self._server.stop_accepting()
+        self._server.close()
+        if how in (Cut.HANG, Cut.HANG_NEW):
+            self._block_connects()
+        if how is Cut.HANG:
+            self.mode = "silent"
+        if how is Cut.RESET:
+            for sock in list(self._open):
+                _reset(sock)
+
+    def close_open(self) -> None:
+        """Ends open connections as servers end idle ones."""
+        for sock in list(self._open):
+            try:
+                sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                # It has ended already.
+                continue
+
+    def heal(self) -> None:
+        """Restores a cut link."""
+        for sock in self._blocking:
+            sock.close()
+        self._blocking = []
+        self.mode = "pass"
+        if self._server.closed:
+            self._server = self._listener(self._port)
+            self._server.start()
+
+    def _block_connects(self) -> None:
+        """Makes new connections wait: the listener's queue stays full."""
+        blocker = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        blocker.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        blocker.bind(("127.0.0.1", self._port))
+        blocker.listen(0)
+        self._blocking.append(blocker)
+        for _ in range(_QUEUED):
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.connect_ex(("127.0.0.1", self._port))
+            self._blocking.append(sock)
+
     def _listener(self, port: int) -> server.StreamServer:
         return server.StreamServer(
             ("127.0.0.1", port), self._serve, backlog=256
@@ -65,6 +130,8 @@
     def close(self) -> None:
         """Stops."""
         self._server.stop(timeout=0)
+        for sock in self._blocking:
+            sock.close()
 
     def _serve(self, caller: socket.socket, peer: object) -> None:
         if self.mode == "reset":
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -64,10 +64,12 @@
 
     Attributes:
         mode: How the store behaves to this client.
+        addresses: Addresses that this client gets instead of those in entries.
     """
 
     def __init__(self, *, serve: Callable[[Port, socket.socket], None]):
         self.mode = Mode.WELL
+        self.addresses: dict[str, str] = {}
         self._server = server.StreamServer(
             ("127.0.0.1", 0), lambda sock, peer: serve(self, sock), backlog=256
         )
@@ -82,6 +84,21 @@
         """Stops listening."""
         self._server.stop(timeout=0)
 
+    def translate(self, row: dict[str, Any]) -> dict[str, Any]:
+        """Returns a row with the addresses that this client gets."""
+        if not self.addresses or not row.get("value"):
+            return row
+        try:
+            document = json.loads(base64.b64decode(row["value"]))
+            address = self.addresses.get(document["address"])
+        except (ValueError, TypeError, KeyError):
+            # Not an entry of a server.
+            return row
+        if address is None:
+            return row
+        value = base64.b64encode(encode({**document, "address": address}))
+        return {**row, "value": value.decode()}
+
 
 class Store:
     """Serves rows on loopback.
@@ -297,6 +314,9 @@
             return
         if mode is Mode.BUSY:
             status, document = 503, {}
+        if port is not None and "rows" in document:
+            rows = [port.translate(row) for row in document["rows"]]
+            document = {**document, "rows": rows}
         now_ms = boottime.now() * 1000
         whole = {"ver": self._ver, "nowMs": now_ms, **document}
         data = json.dumps(whole).encode()
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -17,6 +17,7 @@
 from irisshelf.gateway import messages
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import entry as entry_module
+from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.routing.direct import policy
@@ -105,9 +106,12 @@
         places: Where the servers of each service stand, by turns.
         known_places: All data centres that the instances know by settings.
         regions: The region of each data centre, by settings.
+        linked: Whether each instance reaches each server over a link of its
+            own, which can be cut.
 
     Attributes:
         entries: The instances.
+        links: The links of each instance to servers, by server id.
         store_ports: The port of the store that each instance uses.
         inst: The first of them.
         listener: Its listener for callers.
@@ -125,8 +129,11 @@
         places: Sequence[str] = ("a",),
         known_places: Sequence[str] = (),
         regions: Mapping[str, str] | None = None,
+        linked: bool = False,
     ):
         self._places = places
+        self._linked = linked
+        self.links: list[dict[str, proxy.Proxy]] = []
         self.store = store.Store().start()
         self.plain = self._servers("crew", servers, streaming=False)
         self.engines = self._servers("lm", servers, streaming=True)
@@ -154,20 +161,48 @@
         """Starts one more instance, which the others know at once."""
         port = self.store.open_port()
         self.store_ports.append(port)
+        self.links.append(self._link(port) if self._linked else {})
         made = self._make_entry(
             name=f"entry-{len(self.entries) + 1}",
             data_centre=data_centre,
             store=port.address,
         )
         self.entries.append(made)
+        self.meet()
+        return made
+
+    def meet(self) -> None:
+        """Makes all instances known to each other."""
         for entry in self.entries:
             entry.meet(self.entries)
-        return made
+
+    def cut(
+        self, entry: int, how: proxy.Cut, service: str | None = None
+    ) -> None:
+        """Cuts an instance's links to all servers, or to those of a service."""
+        for server_id, link in self.links[entry].items():
+            if service is None or server_id.startswith(f"{service}-"):
+                link.cut(how)
+
+    def heal(self, entry: int) -> None:
+        """Restores an instance's links to servers."""
+        for link in self.links[entry].values():
+            link.heal()
+
+    def _link(self, port: store.Port) -> dict[str, proxy.Proxy]:
+        links = {}
+        for one in (*self.plain, *self.engines):
+            links[one.server_id] = proxy.Proxy(target=one.address)
+            port.addresses[one.address] = links[one.server_id].address
+        return links
 
     def close(self) -> None:
         """Ends everything."""
         for entry in self.entries:
             entry.close()
+        for links in self.links:
+            for link in links.values():
+                link.close()
         for one in [*self.plain, *self.engines]:
             one.close()
         self.store.close()
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -12,10 +12,10 @@
 
 import gevent
 
+from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import server
 from soak import observations
 from soak import plan
-from soak import proxy
 
 # Runs of every third seed may have such a request.
 _EVERY = 3
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,13 +9,13 @@
 import gevent
 
 from irisshelf.coordination import membership
+from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
 from soak import fleet
 from soak import observations
 from soak import plan
-from soak import proxy
 from soak import server_faults
 
 # An instance counts as in touch again so long after a disturbance.
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,8 +12,8 @@
 
 import gevent
 
+from irisshelf.platform.stand_in import proxy
 from soak import ports
-from soak import proxy
 from soak import sleeper
 
 _RESTART_S = 0.3
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 import gevent
 
 from irisshelf import boottime
+from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
@@ -22,7 +23,6 @@
 from soak import observations
 from soak import plan
 from soak import ports
-from soak import proxy
 
 EVENTS = 12
 _CALLERS = 8
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -8,11 +8,11 @@
 
 import gevent
 
+from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from soak import observations
 from soak import plan
-from soak import proxy
 
 # How long a server is cold, unreachable before that, and listed as cold before
 # requests reach it.
