--- a/irisshelf/coordination/membership.py
+++ b/irisshelf/coordination/membership.py
@@ -47,6 +47,8 @@
         self.own = own
         # Members with the time at which each was last known to be alive.
         self._known: dict[str, tuple[Member, float]] = {}
+        # Index of the member that the next sample begins with.
+        self._sampled = 0
 
     def record_alive(self, member: Member, at_s: float) -> None:
         """Records that an instance was alive at a time."""
@@ -85,6 +87,9 @@
     ) -> list[tuple[Member, float]]:
         """Returns the members to report to an instance, with their ages.
 
+        Calls in turn return other members of large data centres, so that each
+        instance comes to know many of them.
+
         Args:
             data_centre: The data centre of that instance. All of its members
                 are returned.
@@ -94,7 +99,14 @@
         self._expire(now)
         counts: dict[str, int] = {}
         selected = []
-        everyone = [(self.own, now), *self._known.values()]
+        known = list(self._known.values())
+        if known:
+            self._sampled = (self._sampled + most) % len(known)
+        everyone = [
+            (self.own, now),
+            *known[self._sampled :],
+            *known[: self._sampled],
+        ]
         for member, at_s in everyone:
             count = counts.get(member.data_centre, 0)
             if member.data_centre != data_centre and count >= most:
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -25,6 +25,8 @@
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.gateway.requests import frontend
+from irisshelf.gateway.servers import relay_endpoint
+from irisshelf.gateway.servers import relays
 from irisshelf.observe import decision_log
 from irisshelf.store import feed
 from irisshelf.transport import server as caller_server
@@ -42,6 +44,8 @@
 # Share of the file descriptors for connections of callers. The rest is for
 # backend servers, other instances, the store and files.
 _CALLER_DESCRIPTOR_SHARE = 0.5
+# Share of them for connections of other instances to servers; each takes two.
+_RELAY_DESCRIPTOR_SHARE = 0.125
 # The settings file is checked for changes at this interval, since it may be
 # replaced without a signal.
 _SETTINGS_POLL_S = 2.0
@@ -129,6 +133,17 @@
             ),
             peers=self._peers,
         )
+        self._relay_endpoint = relay_endpoint.RelayEndpoint(
+            servers=self._inst.servers,
+            reaches_none=self._inst.reaches_none,
+            log=self._log,
+            counts=self._inst.metrics,
+            max_connections=int(_RELAY_DESCRIPTOR_SHARE * cfg.descriptors / 2),
+        )
+        self._peers.register_stream_handler(
+            relays.PATH, self._relay_endpoint.handle
+        )
+        self._inst.servers.relays.members = self._peers.members
         self._front = frontend.Frontend(inst=self._inst)
         self._listeners = [
             self._make_listener(
@@ -232,6 +247,7 @@
             self._inst.stopping_since_s = self._inst.now()
             self._log.instance("stopping", in_flight=self._inst.in_flight)
             gevent.spawn(self._peers.announce_departure)
+            gevent.spawn(self._relay_endpoint.stop)
 
     def _drain(self) -> None:
         """Serves until the balancer has noticed, then ends open requests."""
@@ -241,11 +257,14 @@
         while self._inst.now() < end_s:
             gevent.sleep(_POLL_INTERVAL_S)
             balancer_noticed = self._inst.now() - since_s > _LAME_DUCK_S
-            if balancer_noticed and not callers.busy:
+            busy = callers.busy or self._relay_endpoint.open
+            if balancer_noticed and not busy:
                 break
         callers.stop_accepting()
         callers.close_idle()
-        while callers.busy and self._inst.now() < end_s:
+        while (callers.busy or self._relay_endpoint.open) and (
+            self._inst.now() < end_s
+        ):
             gevent.sleep(_POLL_INTERVAL_S)
 
     def _watch_settings(self) -> None:
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -7,6 +7,7 @@
 import math
 import random
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from irisshelf import boottime
 from irisshelf.catalog import directory
@@ -161,9 +162,15 @@
 
     @property
     def isolated(self) -> bool:
-        """Whether no server of any configured service can be reached."""
-        services = self.catalog.services if self.catalog else ()
-        return self.servers.is_isolated(services)
+        """Whether no server can be reached, directly or by other instances."""
+        return self.servers.is_isolated(self._service_names())
+
+    def reaches_none(self) -> bool:
+        """Returns whether this instance can itself connect to no server."""
+        return self.servers.reaches_none(self._service_names())
+
+    def _service_names(self) -> Iterable[str]:
+        return self.catalog.services if self.catalog else ()
 
     def check_readiness(self) -> bool:
         """Returns whether the instance is ready, and logs a change."""
--- a/irisshelf/gateway/knowledge/peer_discovery.py
+++ b/irisshelf/gateway/knowledge/peer_discovery.py
@@ -45,6 +45,7 @@
 
 _LinkMbps = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 Handler = Callable[[Mapping[str, str]], bytes | None]
+StreamHandler = Callable[[http.Request, http.Connection], None]
 
 
 class PeerDiscovery:
@@ -76,6 +77,7 @@
         self._idle_conns: dict[str, client.Connection] = {}
         self._leaving = False
         self._handlers: dict[str, Handler] = {}
+        self._stream_handlers: dict[str, StreamHandler] = {}
 
     def run(self) -> None:
         """Refreshes the membership until this instance leaves.
@@ -118,6 +120,12 @@
         """
         self._handlers[path] = handler
 
+    def register_stream_handler(
+        self, path: str, handler: StreamHandler
+    ) -> None:
+        """Registers a handler that takes requests with their connections."""
+        self._stream_handlers[path] = handler
+
     def request(
         self, address: str, target: str, *, timeout_s: float
     ) -> result.Result[bytes, str]:
@@ -139,17 +147,19 @@
         Returns:
             The response's body; None if no instance answered.
         """
-        now = boottime.now()
-        own = self.membership.own.data_centre
-        local = [member for member, _ in self.membership.members(own, now)]
-        for member in [*local, *self.membership.remote_members(now)][
-            :_MAX_ATTEMPTS
-        ]:
+        for member in self.members()[:_MAX_ATTEMPTS]:
             response = self._get(member.address, path)
             if isinstance(response, result.Ok):
                 return response.ok_value
         return None
 
+    def members(self) -> list[membership_module.Member]:
+        """Returns the other instances that are known."""
+        now = boottime.now()
+        own = self.membership.own.data_centre
+        local = [member for member, _ in self.membership.members(own, now)]
+        return [*local, *self.membership.remote_members(now)]
+
     def announce_departure(self) -> None:
         """Tells the other instances of the data centre that this one stops."""
         self._leaving = True
@@ -174,6 +184,8 @@
             body = self._handlers[path](fields)
             status = _NOT_FOUND if body is None else _OK
             conn.answer(status, [], body or b"")
+        elif path in self._stream_handlers:
+            self._stream_handlers[path](request, conn)
         else:
             conn.answer(_NOT_FOUND, [], b"")
 
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -59,6 +59,30 @@
         self.connects = self._counter(
             "connects", "New connections to servers.", "service"
         )
+        self.relay_connects = self._counter(
+            "relay_connects",
+            "Attempts to reach servers through other instances, by result.",
+            "verdict",
+        )
+        self.relayed_sends = self._counter(
+            "relayed_sends",
+            "Requests sent through other instances.",
+            "service",
+        )
+        self.relay_requests = self._counter(
+            "relay_requests",
+            "Connections that other instances have asked for, by result.",
+            "verdict",
+        )
+        self.relayed_bytes = prometheus_client.Counter(
+            "irisshelf_relayed_bytes_total",
+            "Bytes passed between other instances and servers.",
+            registry=self.registry,
+        )
+        self.relayed_open = self._gauge(
+            "relayed_connections",
+            "Open connections to servers for other instances.",
+        )
         self.slept = prometheus_client.Counter(
             "irisshelf_slept_seconds_total",
             "Time that the machine was suspended.",
--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -334,6 +334,11 @@
     """
     if isinstance(exc, errors.UnreachableError):
         return _unknown_outcome(server_stats.Outcome.UNREACHABLE, str(exc))
+    if isinstance(exc, errors.RelayLostError):
+        # Another server, or this one by another path, may serve the request.
+        return _unknown_outcome(
+            server_stats.Outcome.RELAY_LOST, str(exc), stale_connection=True
+        )
     if isinstance(exc, errors.PeerTimeoutError):
         return _unknown_outcome(server_stats.Outcome.SILENT, str(exc))
     stale = conn is not None and conn.idle_s >= _STALE_AFTER_IDLE_S
--- a/irisshelf/gateway/requests/monitored_connection.py
+++ b/irisshelf/gateway/requests/monitored_connection.py
@@ -81,30 +81,51 @@
                         raise
                     waited_s = self._inst.now() - started_s
                     until_s = min(self._deadline_s, until_s + waited_s)
-                self._check_reachable()
+                self._check_path(started_s)
                 if not suspected and self._is_suspect(started_s):
                     suspected = True
                     self._inst.servers.close_suspect_connections(
-                        self._server, started_s
+                        self._server, started_s, relayed=bool(self._conn.relay)
                     )
                 wait_s = _CHECK_INTERVAL_S
                 continue
-            self._inst.servers.record_activity(self._server)
+            self._inst.servers.record_activity(self._server, self._conn)
             return data
 
     def _is_suspect(self, started_s: float) -> bool:
         return self._inst.now() - started_s >= CONNECTION_SILENCE_LIMIT_S
 
-    def _check_reachable(self) -> None:
-        """Probes a silent server and raises if it is unreachable.
+    def _check_path(self, started_s: float) -> None:
+        """Probes the path to a silent server and raises if it is lost.
 
         Raises:
-            errors.UnreachableError: It is unreachable, and another server takes
-                over the request.
+            errors.UnreachableError: The server is unreachable, and another
+                one takes over the request.
+            errors.RelayLostError: The same of the instance in between.
         """
+        if self._conn.relay:
+            self._check_relay(started_s)
+            return
         self._inst.servers.prober.probe_if_silent(self._server)
-        if (
-            self._inst.servers.is_unreachable(self._server)
-            and self._fail_over()
-        ):
+        if self._is_gone(started_s) and self._fail_over():
             raise errors.UnreachableError("server is silent and unreachable")
+
+    def _is_gone(self, started_s: float) -> bool:
+        """Returns whether the response is unlikely to come.
+
+        If new connections are refused, this one would have been reset, had the
+        server's process exited. It may then work, and is given more time.
+        """
+        failure = self._inst.servers.connect_failure(self._server)
+        if failure is None:
+            return False
+        return failure.timed_out or self._is_suspect(started_s)
+
+    def _check_relay(self, started_s: float) -> None:
+        relays = self._inst.servers.relays
+        relays.check_relay(self._conn.relay, self._server)
+        lost = relays.paths.is_lost(
+            self._conn.relay, self._server.server_id, started_s
+        )
+        if lost and self._fail_over():
+            raise errors.RelayLostError("relay is silent and unreachable")
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -11,6 +11,7 @@
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import send_history
 from irisshelf.gateway.servers import reachability
+from irisshelf.gateway.servers import relays as relays_module
 from irisshelf.routing import crash_suspects
 from irisshelf.routing.direct import outage
 from irisshelf.routing.direct import server_choice
@@ -20,6 +21,10 @@
 # Limit on connection attempts per request. Each takes up to 0.1 s of the
 # caller's time.
 _MAX_CONNECTS = 5
+# After this number of failed connections a request takes the path through other
+# instances, and limit on these attempts.
+_FAILED_BEFORE_RELAY = 2
+_MAX_RELAY_ATTEMPTS = 3
 # Callers' retries are spread over this time after the servers' backoff ends, as
 # the servers take one request at a time at first.
 _BACKOFF_JITTER_S = 1.0
@@ -83,6 +88,8 @@
         self._chooser = inst.servers.chooser(job.service)
         self._admitted = False
         self._connects = 0
+        self._failed_connects = 0
+        self._relay_attempts = 0
         self._replacement: Assignment | None = None
 
     def next(
@@ -304,25 +311,77 @@
             self._accepting(),
             self._sends.avoid | {current.server_id},
         )
-        if choice is None or choice.reason is server_choice.Reason.LAST_RESORT:
+        if choice is None or choice.full:
             return None
-        if choice.full:
+        if self._prefers_relay(choice.server):
+            return self._connect_by_relay(choice)
+        if choice.reason is server_choice.Reason.LAST_RESORT:
             return None
         return self._connect_new(choice)
 
     def _connect(self, choice: server_choice.Choice) -> Assignment | None:
         """Returns None if the server is unreachable."""
-        server = choice.server
-        # Requests on an idle connection to an unreachable server are lost.
-        if not self._inst.servers.is_unreachable(server):
-            max_idle_s = self._max_idle_s()
-            idle_conn = self._inst.servers.connection_pool.acquire(
-                server, max_idle_s=max_idle_s
-            )
-            if idle_conn is not None:
-                return Assignment(choice=choice, conn=idle_conn)
+        servers = self._inst.servers
+        failure = servers.connect_failure(choice.server)
+        if failure is None and (found := self._take_idle(choice)):
+            return found
+        if self._prefers_relay(choice.server) and (
+            found := self._connect_by_relay(choice)
+        ):
+            return found
+        # Connections outlive a partition that refuses new ones. Requests on
+        # idle connections to a server that does not respond are lost.
+        refused = failure is not None and not failure.timed_out
+        if refused and (found := self._take_idle(choice)):
+            return found
+        if servers.recent_connect_failure(choice.server) is not None:
+            self._avoid(choice)
+            return None
         return self._connect_new(choice)
 
+    def _prefers_relay(self, server: directory.BackendServer) -> bool:
+        """Returns whether a new connection is opened by another instance."""
+        servers = self._inst.servers
+        return (
+            servers.is_unreachable(server)
+            or self._failed_connects >= _FAILED_BEFORE_RELAY
+            or servers.may_have_lost_link(server.service)
+        )
+
+    def _take_idle(
+        self, choice: server_choice.Choice, *, relayed: bool = False
+    ) -> Assignment | None:
+        relays = self._inst.servers.relays
+        conn = self._inst.servers.connection_pool.acquire(
+            choice.server,
+            max_idle_s=self._max_idle_s(),
+            relayed=relayed,
+            allowed=lambda conn: relays.allows(conn.relay, self._job.regions),
+        )
+        return None if conn is None else Assignment(choice=choice, conn=conn)
+
+    def _connect_by_relay(
+        self, choice: server_choice.Choice
+    ) -> Assignment | None:
+        """Returns None if no other instance reaches the server."""
+        found = self._take_idle(choice, relayed=True)
+        if found is not None:
+            return found
+        relays = self._inst.servers.relays
+        if self._relay_attempts >= _MAX_RELAY_ATTEMPTS or not relays.may_try(
+            choice.server, self._job.regions
+        ):
+            return None
+        self._relay_attempts += 1
+        result = relays.connect(
+            choice.server,
+            timeout_s=min(relays_module.OPEN_TIMEOUT_S, self._remaining_s()),
+            regions=self._job.regions,
+        )
+        if result.conn is None:
+            return None
+        return Assignment(choice=choice, conn=result.conn)
+
     def _connect_new(self, choice: server_choice.Choice) -> Assignment | None:
         """Returns None if the server is unreachable."""
         server = choice.server
@@ -332,8 +391,13 @@
         try:
             conn = client.connect(server.address, timeout_s=timeout_s)
         except errors.ConnectError as exc:
-            self._record_unreachable(choice, exc)
+            self._failed_connects += 1
+            self._avoid(choice)
+            self._inst.servers.record_unreachable(
+                server, exc, self._job.head.request_id
+            )
             return None
+        self._inst.servers.record_reached(server)
         return Assignment(choice=choice, conn=conn)
 
     def _max_idle_s(self) -> float:
@@ -342,18 +406,16 @@
             return _MAX_IDLE_FOR_ONCE_S
         return float("inf")
 
-    def _record_unreachable(
-        self, choice: server_choice.Choice, exc: errors.ConnectError
-    ) -> None:
-        server = choice.server
-        self._sends.avoid.add(server.server_id)
-        if choice.reason is server_choice.Reason.LAST_RESORT:
+    def _avoid(self, choice: server_choice.Choice) -> None:
+        """Excludes a server that cannot be reached by any path."""
+        self._sends.avoid.add(choice.server.server_id)
+        if (
+            choice.reason is server_choice.Reason.LAST_RESORT
+            and self._relay_attempts in (0, _MAX_RELAY_ATTEMPTS)
+        ):
             # The other servers are known to be unreachable as well. Respond
             # while the caller still has time to try another instance.
             self._connects = _MAX_CONNECTS
-        self._inst.servers.record_unreachable(
-            server, exc, self._job.head.request_id
-        )
 
 
 def _is_saturated(choice: server_choice.Choice | None) -> bool:
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -101,7 +101,7 @@
         self, choice: server_choice.Choice, conn: client.Connection
     ) -> str:
         server = choice.server
-        self._log_send(choice, conn.idle_s)
+        self._log_send(choice, conn)
         self._sends.count += 1
         self._events_before_send = self._progress.events
         self._inst.servers.record_sent_prompt(server, self._job.head.prompt)
@@ -220,8 +220,12 @@
             server, observed, self._job.head.request_id, detail
         )
 
-    def _log_send(self, choice: server_choice.Choice, rested_s: float) -> None:
+    def _log_send(
+        self, choice: server_choice.Choice, conn: client.Connection
+    ) -> None:
         self._inst.metrics.sends.labels(choice.reason.value).inc()
+        if conn.relay:
+            self._inst.metrics.relayed_sends.labels(self._job.service).inc()
         self._inst.log.request(
             "send",
             self._job.head.request_id,
@@ -236,7 +240,8 @@
             source=choice.source.server_id if choice.source else "",
             subject=self._job.head.prompt.affinity_key,
             shared_tokens=self._job.head.prompt.shared_tokens,
-            rested_s=round(rested_s, 3),
+            relay=conn.relay,
+            rested_s=round(conn.idle_s, 3),
             attempt=self._sends.count + 1,
             left_s=round(self._remaining_s(), 3),
             resume_after=self._progress.last_event_id,
--- a/irisshelf/gateway/servers/connection_pool.py
+++ b/irisshelf/gateway/servers/connection_pool.py
@@ -36,17 +36,33 @@
 
     def __init__(self, *, now: Callable[[], float]):
         self._now = now
-        self._idle: dict[str, list[_Idle]] = {}
+        # By server id, and whether they lead through other instances.
+        self._idle: dict[tuple[str, bool], list[_Idle]] = {}
         self._in_use: dict[client.Connection, directory.BackendServer] = {}
 
     def acquire(
-        self, server: directory.BackendServer, *, max_idle_s: float
+        self,
+        server: directory.BackendServer,
+        *,
+        max_idle_s: float,
+        relayed: bool = False,
+        allowed: Callable[[client.Connection], bool] = lambda conn: True,
     ) -> client.Connection | None:
-        """Returns an idle connection; None if there is none recent enough."""
+        """Returns an idle connection; None if there is none recent enough.
+
+        Args:
+            server: The server that it leads to.
+            max_idle_s: How long it may have been idle.
+            relayed: Whether it leads through another instance.
+            allowed: Returns whether a connection may be used.
+        """
         now = self._now()
-        idle_conns = self._idle.get(server.server_id, [])
+        idle_conns = self._idle.get((server.server_id, relayed), [])
         while idle_conns:
             idle = idle_conns.pop()
+            if not allowed(idle.conn):
+                idle_conns.append(idle)
+                return None
             if now - idle.since_s > max_idle_s:
                 idle_conns.append(idle)
                 return None
@@ -93,7 +109,7 @@
     ) -> None:
         """Records the end of a request; keeps its connection if reusable."""
         self._in_use.pop(conn, None)
-        idle_conns = self._idle.setdefault(server.server_id, [])
+        idle_conns = self._idle.setdefault(_key(server, conn), [])
         keep_s = _MAX_IDLE_S
         if keep_alive_s is not None:
             keep_s = min(keep_s, keep_alive_s - _CLOSE_MARGIN_S)
@@ -112,13 +128,17 @@
     ) -> None:
         """Adds a connection on which nothing has been sent yet."""
         now = self._now()
-        idle_conns = self._idle.setdefault(server.server_id, [])
+        idle_conns = self._idle.setdefault(_key(server, conn), [])
         idle_conns.append(
             _Idle(conn=conn, since_s=now, until_s=now + _MAX_IDLE_S)
         )
 
     def close_idle(
-        self, server: directory.BackendServer, *, before_s: float
+        self,
+        server: directory.BackendServer,
+        *,
+        before_s: float,
+        relayed: bool = False,
     ) -> int:
         """Closes connections to a server that went idle before a given time.
 
@@ -128,27 +148,45 @@
         Returns:
             The number of connections closed.
         """
-        idle_conns = self._idle.get(server.server_id, [])
+        idle_conns = self._idle.get((server.server_id, relayed), [])
         old = [idle for idle in idle_conns if idle.since_s < before_s]
         for idle in old:
             idle_conns.remove(idle)
             idle.conn.close()
         return len(old)
 
+    def close_idle_through(self, relay: str) -> None:
+        """Closes idle connections that lead through another instance.
+
+        Args:
+            relay: Its name.
+        """
+        for key, idle_conns in self._idle.items():
+            through = [idle for idle in idle_conns if idle.conn.relay == relay]
+            self._idle[key] = [i for i in idle_conns if i.conn.relay != relay]
+            for idle in through:
+                idle.conn.close()
+
     def retain(self, names: frozenset[str]) -> None:
         """Closes idle connections to servers that are no longer listed."""
-        for name in [n for n in self._idle if n not in names]:
-            for idle in self._idle.pop(name):
+        for key in [key for key in self._idle if key[0] not in names]:
+            for idle in self._idle.pop(key):
                 idle.conn.close()
 
     def close_expired(self) -> None:
         """Closes connections that have been idle for too long."""
         now = self._now()
-        for name, idle_conns in self._idle.items():
+        for key, idle_conns in self._idle.items():
             kept = []
             for idle in idle_conns:
                 if now < idle.until_s:
                     kept.append(idle)
                 else:
                     idle.conn.close()
-            self._idle[name] = kept
+            self._idle[key] = kept
+
+
+def _key(
+    server: directory.BackendServer, conn: client.Connection
+) -> tuple[str, bool]:
+    return server.server_id, bool(conn.relay)
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -123,7 +123,7 @@
             name
             for name, server in by_id.items()
             if name in exited
-            or (name not in avoid and not self._servers.is_unreachable(server))
+            or (name not in avoid and self._servers.has_path(server))
         ]
         keys = {crash.server_key for crash in verdict.crashes}
         found = crash_suspects.designate_server(
@@ -272,6 +272,7 @@
             self._servers.record_unreachable(server, exc, "")
             return not exc.timed_out
         self._servers.connection_pool.add_idle(server, conn)
+        self._servers.record_reached(server)
         return False
 
     def _apply_reported_crash(
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -72,6 +72,10 @@
         servers = self._not_evacuated(self._listed.servers_of(service))
         return self._in_regions(servers, regions)
 
+    def is_usable(self, server: directory.BackendServer) -> bool:
+        """Returns whether a server's data centre is not evacuated."""
+        return server.data_centre not in self._evacuations.active()
+
     def accepting(
         self, service: str, regions: frozenset[str] | None = None
     ) -> tuple[directory.BackendServer, ...]:
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -17,15 +17,24 @@
 from irisshelf.gateway.servers import connection_pool
 from irisshelf.gateway.servers import eligibility
 from irisshelf.gateway.servers import reachability
+from irisshelf.gateway.servers import relays
 from irisshelf.gateway.servers import server_reports
 from irisshelf.observe import decision_log
 from irisshelf.routing import retry_budget
 from irisshelf.routing.direct import overload
+from irisshelf.routing.direct import own_link
 from irisshelf.routing.direct import prompt
 from irisshelf.routing.direct import server_choice
+from irisshelf.routing.direct import server_paths
 from irisshelf.routing.direct import server_stats
+from irisshelf.transport import client
 from irisshelf.transport import errors
 
+# From this number of failed attempts in a row on, and for this long after the
+# latest, a server is known to be unreachable without a further attempt. Servers
+# are probed more often than that.
+_CERTAIN_FAILURES = 2
+_RECENT_FAILURE_S = 1.2
 # Longer times are logged as unknown.
 _MAX_LOGGED_S = 1e6
 # How long a server is remembered after it is no longer listed.
@@ -66,12 +75,25 @@
             connection_pool=self.connection_pool,
             listed=eligible.probeable,
             last_activity_s=self._last_activity_s,
-            on_reached=self._on_reached,
+            on_reached=self._on_probed,
             on_unreachable=self._on_unreachable,
             rng=rng,
             now=now,
             enabled=cfg.policy.reach,
         )
+        self.relays = relays.Relays(
+            data_centre=cfg.data_centre,
+            regions=cfg.regions,
+            connection_pool=self.connection_pool,
+            on_verdict=self._on_relay_verdict,
+            log=log,
+            counts=counts,
+            rng=rng,
+            now=now,
+            enabled=cfg.policy.relays,
+        )
+        # By server id: when the process was first found to have exited.
+        self._exited_s: dict[str, float] = {}
         self.publish: Callable[[facts.Fact], None] = _discard
         self.reports = server_reports.ReportHandler(
             availability=eligible.availability,
@@ -83,8 +105,11 @@
             now=now,
         )
         self.fleet = fleet_size.FleetSize(alone=not cfg.seeds)
-        # By server id: when the process was first found to have exited.
-        self._exited_s: dict[str, float] = {}
+        self._own_links: dict[str, own_link.OwnLink] = collections.defaultdict(
+            own_link.OwnLink
+        )
+        # Unreachable servers that other instances have been found to reach.
+        self._relayed: set[str] = set()
         # By service: since when none of its servers can be reached.
         self._out_of_reach_s: dict[str, float] = {}
         self._listed = listed
@@ -103,7 +128,15 @@
         )
 
     def is_isolated(self, services: Iterable[str]) -> bool:
-        """Returns whether this instance can reach no server at all.
+        """Returns whether no server can be reached by any path.
+
+        Args:
+            services: The services in the configuration.
+        """
+        return self.reaches_none(services) and not self.relays.works()
+
+    def reaches_none(self, services: Iterable[str]) -> bool:
+        """Returns whether this instance itself can reach no server at all.
 
         All servers hardly fail at once. It is more likely that this instance is
         partitioned, so that other instances can serve its callers better.
@@ -125,6 +158,7 @@
                 rng=self._rng,
                 policy=self.cfg.policy,
             )
+            found.is_relayed = self.relays.may_reach
             self._choosers[service] = found
         return found
 
@@ -256,8 +290,10 @@
         self.prober.retain(names)
         self.eligible.cold.retain(names)
         self.eligible.availability.retain(names, self._now())
+        self.relays.retain(names)
         for name in self._exited_s.keys() - names:
             del self._exited_s[name]
+        self._relayed &= names
         self._abort_replaced(servers)
         self._metrics.servers.set(len(servers))
 
@@ -287,8 +323,19 @@
         if count:
             self._log.instance("exchanges_of_ended_lives", broken_off=count)
 
-    def record_activity(self, server: directory.BackendServer) -> None:
-        """Records that data has arrived from a server."""
+    def record_activity(
+        self, server: directory.BackendServer, conn: client.Connection
+    ) -> None:
+        """Records that data has arrived from a server.
+
+        Args:
+            server: The server.
+            conn: The connection by which it arrived.
+        """
+        if conn.relay:
+            self.relays.paths.record_data(self._now())
+            return
+        self._own_links[server.service].record_alive()
         stats = self.chooser(server.service).stats
         stats.record_received(server.server_id, self._now())
 
@@ -301,11 +348,46 @@
         return self._now() - exited_s
 
     def is_unreachable(self, server: directory.BackendServer) -> bool:
-        """Returns whether the last attempt to reach a server failed."""
+        """Returns whether this instance's last attempt to connect failed."""
         return self.chooser(server.service).stats.is_unreachable(
             server.server_id
         )
 
+    def has_path(self, server: directory.BackendServer) -> bool:
+        """Returns whether a server can be reached, directly or by relays."""
+        return not self.is_unreachable(server) or self.relays.may_reach(
+            server.server_id
+        )
+
+    def may_have_lost_link(self, service: str) -> bool:
+        """Returns whether the own link to a service's servers may be lost."""
+        return self._own_links[service].suspect
+
+    def connect_failure(
+        self, server: directory.BackendServer
+    ) -> server_stats.ConnectFailure | None:
+        """Returns how connections to an unreachable server have failed."""
+        stats = self.chooser(server.service).stats
+        return stats.connect_failure(server.server_id)
+
+    def recent_connect_failure(
+        self, server: directory.BackendServer
+    ) -> server_stats.ConnectFailure | None:
+        """Returns the failures if another attempt now would fail as well.
+
+        That is so if the server is probed in the background, and the latest of
+        several attempts has failed just now.
+        """
+        failure = self.connect_failure(server)
+        if (
+            failure is None
+            or failure.count < _CERTAIN_FAILURES
+            or not self.cfg.policy.reach
+            or self._now() - failure.at_s > _RECENT_FAILURE_S
+        ):
+            return None
+        return failure
+
     def record_unreachable(
         self,
         server: directory.BackendServer,
@@ -313,22 +395,37 @@
         request: str,
     ) -> None:
         """Records a failed connection attempt and starts probing."""
+        stats = self.chooser(server.service).stats
+        stats.record_connect_failure(
+            server.server_id, timed_out=exc.timed_out, now=self._now()
+        )
+        self._own_links[server.service].record_failed(
+            server.server_id, timed_out=exc.timed_out
+        )
         outcome = server_stats.Outcome.UNREACHABLE
         self.record_observation(server, outcome, request, str(exc))
         if not exc.timed_out:
             self._exited_s.setdefault(server.server_id, self._now())
         self.prober.start_probing(server, silent=exc.timed_out)
+        self.relays.check_if_due(server)
 
     def close_suspect_connections(
-        self, server: directory.BackendServer, silent_since_s: float
+        self,
+        server: directory.BackendServer,
+        silent_since_s: float,
+        *,
+        relayed: bool,
     ) -> None:
         """Closes idle connections that may be as dead as one that is silent.
 
         Args:
             server: The server that they lead to.
             silent_since_s: When one of them went silent, monotonic seconds.
+            relayed: Whether it leads through another instance.
         """
-        count = self.connection_pool.close_idle(server, before_s=silent_since_s)
+        count = self.connection_pool.close_idle(
+            server, before_s=silent_since_s, relayed=relayed
+        )
         if count:
             self._log.instance(
                 "connections_doubted",
@@ -346,13 +443,18 @@
             server.server_id
         )
 
-    def _on_reached(self, server: directory.BackendServer) -> None:
+    def _on_probed(self, server: directory.BackendServer) -> None:
         self._metrics.connects.labels(server.service).inc()
+        self.record_reached(server)
+
+    def record_reached(self, server: directory.BackendServer) -> None:
+        """Records that a connection to a server was established directly."""
+        self._own_links[server.service].record_alive()
+        self._relayed.discard(server.server_id)
         if self.is_unreachable(server):
             self._log_in_reach(server, "connect")
-        if server.server_id in self._exited_s:
+        if self._exited_s.pop(server.server_id, None) is not None:
             # The process has restarted; its new entry follows a little later.
-            del self._exited_s[server.server_id]
             self.eligible.assume_cold(server)
         stats = self.chooser(server.service).stats
         stats.record_connect(server.server_id, self._now())
@@ -385,6 +487,31 @@
             silent_s=round(silent_s, 3) if silent_s < _MAX_LOGGED_S else None,
         )
 
+    def _on_relay_verdict(
+        self,
+        server: directory.BackendServer,
+        verdict: server_paths.Verdict,
+        relay: str,
+    ) -> None:
+        if verdict is server_paths.Verdict.LEAVING:
+            self.reports.handle_peer_report(server)
+        if (
+            verdict is not server_paths.Verdict.REACHED
+            or not self.is_unreachable(server)
+            or server.server_id in self._relayed
+        ):
+            return
+        # What failed was the link of this instance.
+        self._relayed.add(server.server_id)
+        self.chooser(server.service).stats.clear_failures(server.server_id)
+        self._log.instance(
+            "server_relayed",
+            server=server.server_id,
+            address=server.address,
+            service=server.service,
+            relay=relay,
+        )
+
     def _on_unreachable(
         self, server: directory.BackendServer, exc: errors.ConnectError
     ) -> None:
--- a/irisshelf/observe/request_trace.py
+++ b/irisshelf/observe/request_trace.py
@@ -40,11 +40,23 @@
         "server_accepts_nothing",
         "service_out_of_reach",
         "service_in_reach",
+        "server_relayed",
+        "relay_pauses",
+        "relayed_connection_broke",
         "lines_dropped",
         "connection_failed",
     }
 )
 
+# Their ``server`` is the one that they are about.
+_SERVER_EVENTS = frozenset(
+    {
+        "server_rests",
+        "server_accepts_nothing",
+        "server_relayed",
+        "relayed_connection_broke",
+    }
+)
 # Their ``changes`` begin with the ids of the servers that they are about.
 _ENTRY_EVENTS = frozenset(
     {
@@ -108,6 +120,8 @@
     if not own:
         return []
     instances = {line.instance for line in own}
+    # Instances through which the request was sent; empty for direct sends.
+    instances |= {str(line.fields.get("relay", "")) for line in own}
     begin_s = own[0].time_s - LOOKBACK_S
     end_s = own[-1].time_s
     servers = _servers_of(own)
@@ -142,7 +156,7 @@
 
 def _is_related(line: LogLine, servers: set[str]) -> bool:
     """Returns False for events of servers that the request was not sent to."""
-    if line.name in ("server_rests", "server_accepts_nothing"):
+    if line.name in _SERVER_EVENTS:
         return line.fields.get("server") in servers
     if line.name in _ENTRY_EVENTS:
         changes = line.fields.get("changes", [])
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -21,6 +21,8 @@
 from irisshelf.gateway.knowledge import follower
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.requests import frontend
+from irisshelf.gateway.servers import relay_endpoint
+from irisshelf.gateway.servers import relays
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
@@ -29,6 +31,7 @@
 
 _ANY_PORT = "127.0.0.1:0"
 _PORT_ATTEMPTS = 20
+_MAX_RELAYED = 100
 
 
 class Entry:
@@ -125,6 +128,17 @@
             catch_up.DEPARTURES_PATH, self._departures.encode
         )
         self.inst.servers.publish = self._gossip.publish
+        self.relay_endpoint = relay_endpoint.RelayEndpoint(
+            servers=self.inst.servers,
+            reaches_none=self.inst.reaches_none,
+            log=log,
+            counts=self.inst.metrics,
+            max_connections=_MAX_RELAYED,
+        )
+        self.peers.register_stream_handler(
+            relays.PATH, self.relay_endpoint.handle
+        )
+        self.inst.servers.relays.members = self.peers.members
         self._greenlets = [
             gevent.spawn(self.follower.run, table) for table in feed.Table
         ]
@@ -178,4 +192,5 @@
         self.listener.stop_accepting()
         self._peer_listener.stop_accepting()
         self.inst.servers.prober.close()
+        self.inst.servers.relays.close()
         os.close(self._log_fd)
--- a/irisshelf/platform/stand_in/proxy.py
+++ b/irisshelf/platform/stand_in/proxy.py
@@ -53,6 +53,8 @@
         self._server.start()
         self._port = self._server.server_port
         self._blocking: list[socket.socket] = []
+        self._listens = True
+        self._cut: Cut | None = None
 
     @property
     def address(self) -> str:
@@ -70,19 +72,17 @@
 
     def set_listening(self, listens: bool) -> None:
         """Ends all connections and refuses new ones, or takes them again."""
+        self._listens = listens
+        self._update_listener()
         if not listens:
-            self._server.stop(timeout=0)
             for sock in list(self._open):
                 _reset(sock)
-            return
-        self._server = self._listener(self._port)
-        self._server.start()
 
     def cut(self, how: Cut) -> None:
         """Cuts the link until ``heal``."""
-        self._server.stop_accepting()
-        self._server.close()
-        if how in (Cut.HANG, Cut.HANG_NEW):
+        self._cut = how
+        self._update_listener()
+        if how in (Cut.HANG, Cut.HANG_NEW) and not self._blocking:
             self._block_connects()
         if how is Cut.HANG:
             self.mode = "silent"
@@ -104,8 +104,16 @@
         for sock in self._blocking:
             sock.close()
         self._blocking = []
+        self._cut = None
         self.mode = "pass"
-        if self._server.closed:
+        self._update_listener()
+
+    def _update_listener(self) -> None:
+        listens = self._listens and self._cut is None
+        if not listens and not self._server.closed:
+            self._server.stop_accepting()
+            self._server.close()
+        elif listens and self._server.closed:
             self._server = self._listener(self._port)
             self._server.start()
 
@@ -144,6 +152,11 @@
         except OSError:
             _reset(caller)
             return
+        if self._cut is Cut.RESET:
+            # The link was cut while this connection was being established.
+            _reset(caller)
+            _reset(target)
+            return
         self._open |= {caller, target}
         ways = [
             gevent.spawn(self._pass_on, caller, target, "silent_up"),
--- a/irisshelf/routing/direct/policy.py
+++ b/irisshelf/routing/direct/policy.py
@@ -28,6 +28,8 @@
         second_sends: Requests are retried after a failure.
         retry_budget: Retries are limited to a share of the requests.
         reach: Unresponsive and unreachable servers are probed for connections.
+        relays: Servers to which an instance cannot connect are reached through
+            other instances.
         gossip: Instances exchange servers' loads and cached prompt parts.
         admission: Requests that would wait too long are rejected at once.
         gathering: After a change in the store, the next call waits a little, so
@@ -52,6 +54,7 @@
     second_sends: bool = True
     retry_budget: bool = True
     reach: bool = True
+    relays: bool = True
     gossip: bool = True
     admission: bool = True
     gathering: bool = True
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -20,6 +20,7 @@
 import itertools
 import math
 import random
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from irisshelf.catalog import directory
@@ -104,6 +105,10 @@
         data_centre: The data centre of this instance.
         rng: Breaks ties.
         policy: Mechanisms that are switched on, and strategies.
+
+    Attributes:
+        is_relayed: Returns whether a server to which this instance cannot
+            connect is reached through other instances.
     """
 
     def __init__(
@@ -114,6 +119,7 @@
         policy: policy_module.Policy = policy_module.DEFAULT,
     ):
         self.stats = server_stats.ServerStats(ejects=policy.rests)
+        self.is_relayed: Callable[[str], bool] = lambda server_id: False
         self._policy = policy
         self._data_centre = data_centre
         self._rng = rng
@@ -159,7 +165,19 @@
     def _available(
         self, servers: Sequence[directory.BackendServer], now: float
     ) -> list[directory.BackendServer]:
-        return [s for s in servers if self.stats.is_available(s.server_id, now)]
+        return [s for s in servers if self._is_available(s.server_id, now)]
+
+    def _is_available(self, name: str, now: float) -> bool:
+        if self.stats.is_available(name, now):
+            return True
+        return (
+            self.stats.is_unreachable(name)
+            and self.stats.handles_requests(name, now)
+            and self.is_relayed(name)
+        )
+
+    def _has_path(self, name: str) -> bool:
+        return not self.stats.is_unreachable(name) or self.is_relayed(name)
 
     def record_sent(
         self, requested: prompt.Prompt, server_id: str, now: float
@@ -203,7 +221,7 @@
         return {
             name: one
             for name, one in held.items()
-            if name in listed and not self.stats.is_unreachable(name)
+            if name in listed and self._has_path(name)
         }
 
     def _by_affinity(
@@ -293,8 +311,7 @@
         others = [
             s
             for s in servers
-            if s.server_id != selected.server_id
-            and not self.stats.is_unreachable(s.server_id)
+            if s.server_id != selected.server_id and self._has_path(s.server_id)
         ]
         return fetch_source.choose(
             self._policy.sources,
--- a/irisshelf/routing/direct/server_stats.py
+++ b/irisshelf/routing/direct/server_stats.py
@@ -40,7 +40,8 @@
 
     A server that refuses a request is full. One that turns it away has free
     slots as far as is known; it responds so fast that it would attract more
-    than its share of the requests, so this counts as a failure.
+    than its share of the requests, so this counts as a failure. A lost relay
+    shows nothing about the server.
     """
 
     SUCCESS = "well"
@@ -50,6 +51,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
+    RELAY_LOST = "relay_lost"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,6 +69,21 @@
     ended: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectFailure:
+    """Failed attempts to connect to a server.
+
+    Attributes:
+        timed_out: Whether the latest one got no response at all.
+        count: Number of attempts in a row.
+        at_s: When the latest one failed, monotonic seconds.
+    """
+
+    timed_out: bool
+    count: int
+    at_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Server:
     own_requests: int = 0
@@ -84,6 +101,8 @@
     ejected_until_s: float = float("-inf")
     awaiting_outcome: bool = False
     unreachable: bool = False
+    connect_failures: int = 0
+    timed_out: bool = True
     last_unreachable_s: float = float("-inf")
     last_received_s: float = float("-inf")
     duration_s: float = 0.0
@@ -240,7 +259,7 @@
         """
         server = self._get(name)
         server.awaiting_outcome = False
-        if outcome is Outcome.REFUSED:
+        if outcome in (Outcome.REFUSED, Outcome.RELAY_LOST):
             return ""
         success = outcome is Outcome.SUCCESS
         server.outcomes += 1
@@ -251,6 +270,8 @@
             0 if success else server.consecutive_failures + 1
         )
         if success:
+            # An earlier connection or a relay may work although new
+            # connections fail, so that the server remains unreachable.
             self._end_ejection(server)
             return ""
         if outcome is Outcome.UNREACHABLE:
@@ -278,9 +299,44 @@
         """
         server = self._get(name)
         server.last_received_s = max(server.last_received_s, now)
+        server.connect_failures = 0
         if server.unreachable:
+            server.unreachable = False
             self._end_ejection(server)
 
+    def record_connect_failure(
+        self, name: str, *, timed_out: bool, now: float
+    ) -> None:
+        """Records how an attempt to connect to a server failed.
+
+        Args:
+            name: The server.
+            timed_out: Whether it did not respond, rather than refuse.
+            now: Monotonic seconds.
+        """
+        server = self._get(name)
+        server.connect_failures += 1
+        server.timed_out = timed_out
+        server.last_unreachable_s = now
+
+    def connect_failure(self, name: str) -> ConnectFailure | None:
+        """Returns the latest failure to connect to an unreachable server."""
+        server = self._get(name)
+        if not server.unreachable:
+            return None
+        return ConnectFailure(
+            timed_out=server.timed_out,
+            count=server.connect_failures,
+            at_s=server.last_unreachable_s,
+        )
+
+    def clear_failures(self, name: str) -> None:
+        """Forgets failures that were not the server's."""
+        server = self._get(name)
+        server.failure_rate = 0.0
+        server.consecutive_failures = 0
+        self._end_ejection(server)
+
     def is_unreachable(self, name: str) -> bool:
         """Tells whether the last attempt to connect to a server failed."""
         return self._get(name).unreachable
@@ -303,6 +359,11 @@
         server = self._get(name)
         if server.unreachable:
             return now - server.last_unreachable_s >= MAX_EJECTION_S
+        return self.handles_requests(name, now)
+
+    def handles_requests(self, name: str, now: float) -> bool:
+        """Tells whether a server is not ejected for failing requests."""
+        server = self._get(name)
         if not server.ejections:
             return True
         return now >= server.ejected_until_s and not server.awaiting_outcome
@@ -323,7 +384,6 @@
         return "" if before else "unreachable"
 
     def _end_ejection(self, server: _Server) -> None:
-        server.unreachable = False
         server.ejections = 0
         server.ejected_until_s = float("-inf")
 
--- a/irisshelf/tests/test_server_restarts.py
+++ b/irisshelf/tests/test_server_restarts.py
@@ -117,7 +117,7 @@
     idle = world.connect_to(world.plain[0])
     world.inst.servers.connection_pool.add_idle(server, idle)
     pool = world.inst.servers.connection_pool
-    return lambda of: bool(pool._idle.get(of.server_id))
+    return lambda of: bool(pool._idle.get((of.server_id, False)))
 
 
 _STATE = [
--- a/irisshelf/tests/test_silent_connections.py
+++ b/irisshelf/tests/test_silent_connections.py
@@ -21,6 +21,7 @@
     reusable = True
     idle_s = 0.0
     closed = False
+    relay = ""
 
     def close(self):
         self.closed = True
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -329,19 +329,34 @@
             tuple(
                 k
                 for k in plan.Kind
-                if k not in (*plan.REPORT_KINDS, *plan.OUTDATED_KINDS)
+                if k
+                not in (
+                    *plan.REPORT_KINDS,
+                    *plan.OUTDATED_KINDS,
+                    *plan.PARTITION_KINDS,
+                )
             ),
         ),
         (
             plan.REPORTS_FROM,
             10,
-            tuple(k for k in plan.Kind if k not in plan.OUTDATED_KINDS),
+            tuple(
+                k
+                for k in plan.Kind
+                if k not in (*plan.OUTDATED_KINDS, *plan.PARTITION_KINDS)
+            ),
         ),
-        (plan.OUTDATED_FROM, 10, tuple(plan.Kind)),
+        (
+            plan.OUTDATED_FROM,
+            10,
+            tuple(k for k in plan.Kind if k not in plan.PARTITION_KINDS),
+        ),
+        (plan.PARTITIONS_FROM, 10, tuple(plan.Kind)),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
-    seeds = range(first, first + 30)
+    # Kinds with a small weight are rare in later seeds.
+    seeds = range(first, first + 60)
     drawn = {f.kind for seed in seeds for f in plan.draw(seed, instances)}
     assert drawn == set(kinds)
 
@@ -391,7 +406,14 @@
 
 
 @pytest.mark.parametrize(
-    "seed", [1, 4, plan.FURTHER_FROM + 5, plan.OUTDATED_FROM + 3]
+    "seed",
+    [
+        1,
+        4,
+        plan.FURTHER_FROM + 5,
+        plan.OUTDATED_FROM + 3,
+        plan.PARTITIONS_FROM + 1,
+    ],
 )
 def test_real_processes_keep_the_promises(tmp_path, seed):
     verdict = run_module.Run(seed=seed, folder=tmp_path).play()
@@ -575,3 +597,54 @@
     assert listed.states["crew-1"] == state
     assert modes == ["reset", "pass"]
     assert len(faults.cold) == (0 if leaves else 1)
+
+
+@pytest.mark.parametrize(
+    ("served", "failed", "others_failed", "changes", "broken"),
+    [
+        pytest.param(0, 30, 0, {}, True, id="refused"),
+        pytest.param(30, 0, 0, {}, False, id="served"),
+        pytest.param(20, 10, 0, {}, False, id="few-refused"),
+        pytest.param(15, 15, 30, {}, False, id="others-alike"),
+        pytest.param(0, 30, 0, {"from_s": 97.5}, False, id="not-known-yet"),
+        pytest.param(0, 30, 0, {"to_s": 99.0}, False, id="over"),
+    ],
+)
+def test_partitioned_instances_are_compared_with_the_others(
+    served, failed, others_failed, changes, broken
+):
+    """Guards against a check that cannot fail."""
+
+    def answers(instance, count, status):
+        return tuple(
+            _asked(
+                request_id=f"{instance}-{status}-{number}",
+                instance=instance,
+                status=status,
+                sent_s=100.0,
+                ended_s=100.1,
+            )
+            for number in range(count)
+        )
+
+    record = observations.Record(
+        asked=(
+            *answers(3, served, 200),
+            *answers(3, failed, 503),
+            *answers(4, 30 - others_failed, 200),
+            *answers(4, others_failed, 503),
+        ),
+        ran=(),
+        withdrawn={},
+        left={},
+        disturbed=(),
+        stopped=(),
+        events=2,
+        partitioned=(
+            observations.Span(
+                target=3, **({"from_s": 90.0, "to_s": 110.0} | changes)
+            ),
+        ),
+    )
+    found = {one.promise for one in checker.check(record, _BOUNDS)}
+    assert (_PROMISE.PARTITION in found) is broken
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from collections.abc import Callable
 
 import gevent
 import h11
@@ -32,15 +33,30 @@
     """A client connection; create it with ``connect``.
 
     Args:
-        sock: The connected socket.
+        sock: The connected socket, or one with the same methods.
         address: The address of the server, as ``HOST:PORT``.
+        relay: Name of the instance that relays its bytes; empty if it leads to
+            the server directly.
+        may_reuse: Returns whether further exchanges may follow.
+        on_close: Called once when it is closed.
 
     Attributes:
         idle_s: How long it had been idle before its latest use.
     """
 
-    def __init__(self, *, sock: socket.socket, address: str):
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        address: str,
+        relay: str = "",
+        may_reuse: Callable[[], bool] = lambda: True,
+        on_close: Callable[[], None] = lambda: None,
+    ):
         self.address = address
+        self.relay = relay
+        self._may_reuse = may_reuse
+        self._on_close = on_close
         self._sock = sock
         self._http = h11.Connection(h11.CLIENT)
         self._request: list[h11.Event] = []
@@ -55,6 +71,7 @@
         written = self._writer is None or self._writer.ready()
         return (
             self._open
+            and self._may_reuse()
             and written
             and not self._write_failed
             and self._http.our_state is h11.DONE
@@ -106,6 +123,8 @@
             raise errors.PeerTimeoutError(
                 "server did not read the request in time"
             ) from exc
+        except errors.TunnelLostError as exc:
+            raise errors.RelayLostError(f"sending failed: {exc}") from exc
         except OSError as exc:
             raise errors.BrokenConnectionError(
                 f"sending failed: {exc}"
@@ -183,6 +202,8 @@
 
     def close(self) -> None:
         """Closes the connection; the server may abandon a pending request."""
+        if self._open:
+            self._on_close()
         self._open = False
         if self._writer is not None:
             self._writer.kill(block=False)
@@ -244,6 +265,8 @@
             raise errors.PeerTimeoutError(
                 "no response within the time limit"
             ) from exc
+        except errors.TunnelLostError as exc:
+            raise errors.RelayLostError(f"reading failed: {exc}") from exc
         except OSError as exc:
             raise errors.BrokenConnectionError(
                 f"reading failed: {exc}"
@@ -257,13 +280,23 @@
 def connect(address: str, *, timeout_s: float) -> Connection:
     """Connects to a server.
 
+    Raises:
+        errors.ConnectError: The connection could not be established.
+    """
+    sock = open_socket(address, timeout_s=timeout_s)
+    return Connection(sock=sock, address=address)
+
+
+def open_socket(address: str, *, timeout_s: float) -> socket.socket:
+    """Opens a TCP connection.
+
     Raises:
         errors.ConnectError: The connection could not be established.
     """
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        _set_options(sock)
+        set_options(sock)
         sock.settimeout(max(0.001, timeout_s))
         sock.connect((host, int(port)))
     except TimeoutError as exc:
@@ -275,7 +308,7 @@
     except (OSError, ValueError) as exc:
         sock.close()
         raise errors.ConnectError(f"{address}: {exc}") from exc
-    return Connection(sock=sock, address=address)
+    return sock
 
 
 def _is_connected(sock: socket.socket) -> bool:
@@ -299,7 +332,8 @@
     return bool(poll.poll(0))
 
 
-def _set_options(sock: socket.socket) -> None:
+def set_options(sock: socket.socket) -> None:
+    """Makes a socket fail soon after the other side has gone silent."""
     options = [
         (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
--- a/irisshelf/transport/errors.py
+++ b/irisshelf/transport/errors.py
@@ -25,6 +25,14 @@
     """The connection was closed or failed, or the data is not valid HTTP."""
 
 
+class RelayLostError(BrokenConnectionError):
+    """The tunnel to the peer was lost, which shows nothing about the peer."""
+
+
+class TunnelLostError(OSError):
+    """Raised by a tunnel's socket if the tunnel itself was lost."""
+
+
 class PeerTimeoutError(TransportError):
     """The peer did not send or read data within the time limit."""
 
--- a/irisshelf/transport/server.py
+++ b/irisshelf/transport/server.py
@@ -113,6 +113,7 @@
         self._reused = False
         self._close_after = False
         self._aborted = False
+        self._taken_over = False
         self._greenlet = gevent.getcurrent()
         self._watcher: gevent.Greenlet | None = None
         self._watching = False
@@ -197,6 +198,19 @@
         """
         self._aborted = True
 
+    def take_over(self) -> tuple[socket.socket, bytes]:
+        """Leaves the socket to the handler, which speaks another protocol.
+
+        Returns:
+            The socket, which is closed when the handler returns, and the data
+            that has arrived after the request.
+        """
+        self._stop_watching()
+        self._taken_over = True
+        early = self._http.trailing_data[0] + self._pipelined
+        self._pipelined = b""
+        return self._sock, early
+
     def ignore_disconnect(self) -> None:
         """Lets the handler continue even if the caller disconnects."""
         self._stop_watching()
@@ -222,7 +236,8 @@
             self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
         )
-        if self._aborted or self._close_after or not done:
+        ends = self._aborted or self._close_after or self._taken_over
+        if ends or not done:
             return False
         self._http.start_next_cycle()
         if self._pipelined:
@@ -379,7 +394,7 @@
 
     def _close_socket(self) -> None:
         try:
-            if self._aborted:
+            if self._aborted or self._taken_over:
                 self._sock.close()
                 return
             self._sock.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/irisshelf/transport/tunnel.py
@@ -0,0 +1,346 @@
+"""A byte stream between two instances, inside a websocket.
+
+An instance that cannot open a connection to a server asks another one to open
+it, and exchanges the server's bytes with that instance. The closing frame tells
+how the server's connection ended. If there is none, the tunnel itself was lost,
+which says nothing about the server: a response whose length only the end of the
+connection shows must then not pass for complete.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import gevent
+from gevent import lock
+from gevent import socket
+from websockets import client
+from websockets import exceptions
+from websockets import frames
+from websockets import http11
+from websockets import protocol
+from websockets import server
+from websockets import uri
+
+from irisshelf import boottime
+from irisshelf.transport import client as client_transport
+from irisshelf.transport import errors
+from irisshelf.transport import server as server_transport
+
+_READ_BYTES = 16_384
+_MAX_FRAME_BYTES = 65_536
+# Time limit for the other side to read one piece of data.
+_WRITE_TIMEOUT_S = 10.0
+# A tunnel without data in either direction for this long has been abandoned;
+# requests take seconds, and idle connections are closed sooner.
+_IDLE_TIMEOUT_S = 60.0
+# Sent as a text frame by an instance that stops: no further request may use
+# the tunnel.
+_STOPPING = "stopping"
+
+
+class End(enum.IntEnum):
+    """How the server's connection ended, as a websocket close code."""
+
+    CLOSED = 1000
+    BROKEN = 4000
+
+
+class RejectedError(Exception):
+    """The other instance does not open a tunnel.
+
+    Args:
+        status: HTTP status.
+        reason: Its reason, the body of its response.
+    """
+
+    def __init__(self, status: int, reason: str):
+        super().__init__(f"status {status}, {reason!r}")
+        self.status = status
+        self.reason = reason
+
+
+class TunnelSocket:
+    """The end of a tunnel at the instance that uses it, as a socket.
+
+    Args:
+        sock: The connection to the other instance.
+        proto: The websocket's state, open.
+
+    Attributes:
+        stopping: Whether the other instance stops.
+    """
+
+    def __init__(self, *, sock: socket.socket, proto: protocol.Protocol):
+        self.stopping = False
+        self._sock = sock
+        self._proto = proto
+        self._end: int | None = None
+
+    def fileno(self) -> int:
+        """Returns the file descriptor, to poll for input."""
+        return self._sock.fileno()
+
+    def settimeout(self, timeout_s: float | None) -> None:
+        """Sets the time-out of each read and write, in seconds."""
+        self._sock.settimeout(timeout_s)
+
+    def sendall(self, data: bytes) -> None:
+        """Sends data to the server.
+
+        Raises:
+            errors.TunnelLostError: The tunnel was lost or has ended.
+            TimeoutError: The other instance did not read it in time.
+        """
+        for start in range(0, len(data), _READ_BYTES):
+            try:
+                self._proto.send_binary(data[start : start + _READ_BYTES])
+                _flush(self._proto, self._sock)
+            except TimeoutError:
+                raise
+            except (OSError, exceptions.WebSocketException) as exc:
+                raise errors.TunnelLostError(str(exc)) from exc
+
+    def recv(self, size: int) -> bytes:
+        """Waits for data from the server; empty if it closed the connection.
+
+        Raises:
+            errors.TunnelLostError: The tunnel was lost.
+            ConnectionResetError: The server's connection broke.
+            TimeoutError: No data arrived in time.
+        """
+        # Frames may have arrived with the end of the handshake.
+        payload = self._take_payload()
+        while not payload and self._end is None:
+            self._receive(size)
+            payload = self._take_payload()
+        if payload:
+            return payload
+        if self._end != End.CLOSED:
+            raise ConnectionResetError("the server's connection broke")
+        return b""
+
+    def shutdown(self, how: int) -> None:
+        """Shuts the tunnel down; see ``socket.shutdown``."""
+        self._sock.shutdown(how)
+
+    def close(self) -> None:
+        """Closes the tunnel; the server's connection is closed as well."""
+        self._sock.close()
+
+    def _receive(self, size: int) -> None:
+        try:
+            data = self._sock.recv(size)
+        except TimeoutError:
+            raise
+        except OSError as exc:
+            raise errors.TunnelLostError(str(exc)) from exc
+        if not data:
+            raise errors.TunnelLostError("closed without a closing frame")
+        self._proto.receive_data(data)
+        if self._proto.parser_exc is not None:
+            raise errors.TunnelLostError(str(self._proto.parser_exc))
+
+    def _take_payload(self) -> bytes:
+        return b"".join(map(self._handle, self._proto.events_received()))
+
+    def _handle(self, event: http11.Response | frames.Frame) -> bytes:
+        """Handles a frame; returns the server's data in it."""
+        if not isinstance(event, frames.Frame):
+            return b""
+        if event.opcode is frames.Opcode.TEXT:
+            self.stopping = True
+        elif event.opcode is frames.Opcode.CLOSE:
+            self._end = frames.Close.parse(bytes(event.data)).code
+            # An idle connection is polled for input to find that it has ended.
+            self._sock.shutdown(socket.SHUT_RD)
+        elif event.opcode is frames.Opcode.BINARY:
+            return bytes(event.data)
+        return b""
+
+
+def connect(address: str, target: str, *, timeout_s: float) -> TunnelSocket:
+    """Opens a tunnel.
+
+    Args:
+        address: Address of the other instance.
+        target: Path and query that name the server.
+        timeout_s: Limit on the whole exchange.
+
+    Raises:
+        errors.ConnectError: The other instance cannot be reached, or did not
+            answer in time.
+        RejectedError: It does not open the tunnel.
+    """
+    until_s = boottime.now() + timeout_s
+    sock = client_transport.open_socket(address, timeout_s=timeout_s)
+    proto = client.ClientProtocol(
+        uri.parse_uri(f"ws://{address}{target}"), max_size=_MAX_FRAME_BYTES
+    )
+    try:
+        _shake_hands(sock, proto, until_s)
+    except (TimeoutError, RejectedError, errors.ConnectError) as exc:
+        sock.close()
+        if isinstance(exc, TimeoutError):
+            detail = f"{address}: no answer in time"
+            raise errors.ConnectError(detail, timed_out=True) from exc
+        raise
+    except (OSError, exceptions.WebSocketException) as exc:
+        sock.close()
+        raise errors.ConnectError(f"{address}: {exc}") from exc
+    return TunnelSocket(sock=sock, proto=proto)
+
+
+def _shake_hands(
+    sock: socket.socket, proto: client.ClientProtocol, until_s: float
+) -> None:
+    proto.send_request(proto.connect())
+    _flush(proto, sock)
+    while proto.state is protocol.State.CONNECTING:
+        sock.settimeout(max(0.001, until_s - boottime.now()))
+        data = sock.recv(_READ_BYTES)
+        if data:
+            proto.receive_data(data)
+        else:
+            proto.receive_eof()
+        failure = proto.handshake_exc
+        if isinstance(failure, exceptions.InvalidStatus):
+            response = failure.response
+            reason = bytes(response.body or b"").decode("utf-8", "replace")
+            raise RejectedError(response.status_code, reason)
+        if failure is not None:
+            raise errors.ConnectError(f"handshake failed: {failure}")
+        if not data:
+            raise errors.ConnectError("closed in the handshake")
+
+
+class Relay:
+    """The end of a tunnel at the instance that connects to the server.
+
+    Args:
+        sock: The connection to the other instance.
+        early: Data that it has already sent.
+        target: The connection to the server.
+
+    Attributes:
+        relayed_bytes: Number of the server's and the other side's bytes.
+        server_broke: Whether the server's connection broke.
+    """
+
+    def __init__(
+        self, *, sock: socket.socket, early: bytes, target: socket.socket
+    ):
+        self.relayed_bytes = 0
+        self.server_broke = False
+        self._sock = sock
+        self._early = early
+        self._target = target
+        self._proto = server.ServerProtocol(max_size=_MAX_FRAME_BYTES)
+        # Two greenlets send; a frame must not be cut in two.
+        self._sending = lock.BoundedSemaphore()
+
+    def run(self, request: server_transport.Request) -> None:
+        """Relays bytes until either side ends.
+
+        Args:
+            request: The request that the tunnel begins with.
+        """
+        if not self._accept(request):
+            return
+        self._sock.settimeout(_IDLE_TIMEOUT_S)
+        self._target.settimeout(_IDLE_TIMEOUT_S)
+        downward = gevent.spawn(self._relay_down)
+        try:
+            self._relay_up()
+        finally:
+            # The user of the tunnel has ended it, or the server has.
+            downward.kill()
+            self._target.close()
+
+    def announce_stop(self) -> None:
+        """Tells the other side that no further request may use the tunnel."""
+        try:
+            self._proto.send_text(_STOPPING.encode())
+            self._send()
+        except (OSError, exceptions.WebSocketException):
+            # It has ended, so that no request can use it.
+            return
+
+    def _accept(self, request: server_transport.Request) -> bool:
+        self._proto.receive_data(_encode_head(request))
+        for event in self._proto.events_received():
+            if isinstance(event, http11.Request):
+                self._proto.send_response(self._proto.accept(event))
+        self._send()
+        if self._proto.state is not protocol.State.OPEN:
+            return False
+        self._feed(self._early)
+        return True
+
+    def _relay_up(self) -> None:
+        """Passes the other instance's bytes to the server."""
+        try:
+            while data := self._sock.recv(_READ_BYTES):
+                self._feed(data)
+                if self._proto.parser_exc is not None:
+                    return
+        except OSError:
+            # The other instance is gone, or the downward direction has ended.
+            return
+
+    def _feed(self, data: bytes) -> None:
+        if data:
+            self._proto.receive_data(data)
+        for event in self._proto.events_received():
+            if (
+                isinstance(event, frames.Frame)
+                and event.opcode is frames.Opcode.BINARY
+            ):
+                self.relayed_bytes += len(event.data)
+                self._target.sendall(event.data)
+
+    def _relay_down(self) -> None:
+        """Passes the server's bytes to the other instance."""
+        end = End.BROKEN
+        try:
+            while data := self._receive():
+                self.relayed_bytes += len(data)
+                self._proto.send_binary(data)
+                self._send()
+            if not self.server_broke:
+                end = End.CLOSED
+        except (OSError, exceptions.WebSocketException):
+            # The other side is gone.
+            return
+        try:
+            self._proto.send_close(end)
+            self._send()
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except (OSError, exceptions.WebSocketException):
+            # The other side is gone.
+            return
+
+    def _receive(self) -> bytes:
+        """Waits for data of the server; empty at the end of its connection."""
+        try:
+            return self._target.recv(_READ_BYTES)
+        except OSError:
+            self.server_broke = True
+            return b""
+
+    def _send(self) -> None:
+        with self._sending:
+            _flush(self._proto, self._sock)
+
+
+def _flush(proto: protocol.Protocol, sock: socket.socket) -> None:
+    for data in proto.data_to_send():
+        if data:
+            sock.sendall(data)
+
+
+def _encode_head(request: server_transport.Request) -> bytes:
+    """Encodes a parsed request head again."""
+    lines = [f"{request.method} {request.target} HTTP/1.1".encode()]
+    lines += [b"%s: %s" % pair for pair in request.headers]
+    return b"\r\n".join([*lines, b"", b""])
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -21,6 +21,13 @@
 # many seconds after its answer.
 _IN_A_REST_ALLOWED = 2
 _REST_KNOWN_S = 0.5
+# First attempts at partitioned instances, sent later than so many seconds after
+# the cut: the share of the others' share that is served at least, and how many
+# may fail, beside a share of all.
+_PARTITION_KNOWN_S = 3.0
+_LEAST_SHARE = 2 / 3
+_FAILED_ALLOWED = 10
+_FAILED_SHARE_ALLOWED = 1 / 50
 
 
 class Promise(enum.StrEnum):
@@ -38,6 +45,7 @@
     EVACUATED = "no run in a data centre that was evacuated before the bound"
     COLD = "no cold server gets more in a second than it may"
     LEAVING = "no request goes to a server that has said that it leaves"
+    PARTITION = "partitioned instances serve as others do"
     REST = "two requests at the most go to a server that has asked for rest"
     CRASHES = "what three servers ended under is sent on three times at most"
 
@@ -72,6 +80,7 @@
     found += _sent_on(record, runs)
     found += _too_many_while_cold(record, bounds)
     found += _sent_against_reports(record, bounds)
+    found += _served_worse(record)
     return found
 
 
@@ -138,6 +147,40 @@
                 break
 
 
+def _served_worse(record: observations.Record) -> Iterable[Violation]:
+    """Compares instances that lost their links to servers with the others."""
+    for from_s, to_s in {(s.from_s, s.to_s) for s in record.partitioned}:
+        cut = {s.target for s in record.partitioned if s.from_s == from_s}
+        asked = [
+            one
+            for one in record.asked
+            if from_s + _PARTITION_KNOWN_S <= one.sent_s
+            and one.ended_s <= to_s
+            and not one.crashing
+            and one.key not in record.withdrawn
+            and not _touches(record.disturbed, one)
+        ]
+        here = [_is_served(one) for one in asked if one.instance in cut]
+        others = [_is_served(one) for one in asked if one.instance not in cut]
+        if not here or not others:
+            continue
+        failed = len(here) - sum(here)
+        allowed = _FAILED_ALLOWED + _FAILED_SHARE_ALLOWED * len(asked)
+        share = sum(here) / len(here)
+        least = _LEAST_SHARE * sum(others) / len(others)
+        if share < least and failed > allowed:
+            yield Violation(
+                promise=Promise.PARTITION,
+                request_id=asked[-1].request_id,
+                detail=f"{sum(here)} of {len(here)} served, the others "
+                f"{sum(others)} of {len(others)}",
+            )
+
+
+def _is_served(asked: observations.Asked) -> bool:
+    return asked.status == 200 and asked.whole
+
+
 def _sent_against_reports(
     record: observations.Record, bounds: Bounds
 ) -> Iterable[Violation]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -76,6 +76,8 @@
         of_servers: Faults of the servers.
         disturbed: Spans in which an instance was not in touch.
         stopped: Spans of planned stops.
+        pairs: The links of each instance to the servers, if each has its own.
+        partitioned: Spans in which an instance reached no server by itself.
         evacuated: Spans in which the far data centre was evacuated.
         unlisted: Spans in which the store lacked what it had lost.
         lagged: Spans in which the store's list lagged.
@@ -106,6 +108,8 @@
         self.withdrawn: dict[str, float] = {}
         self.disturbed: list[observations.Span] = []
         self.stopped: list[observations.Span] = []
+        self.pairs: list[list[proxy.Proxy]] = []
+        self.partitioned: list[observations.Span] = []
         self.evacuated: list[observations.Span] = []
         self.unlisted: list[observations.Span] = []
         self.lagged: list[observations.Span] = []
@@ -164,6 +168,7 @@
             plan.Kind.GONE_WHILE_CUT_OFF: lambda: gevent.spawn(
                 self._remove_unseen, fault
             ),
+            plan.Kind.PARTITION: lambda: self._partition(fault),
         }
         actions[fault.kind]()
         self._note(fault)
@@ -266,6 +271,24 @@
         link.set_mode(fault.variant)
         gevent.spawn_later(fault.for_s, link.set_mode, "pass")
 
+    def _partition(self, fault: plan.Fault) -> None:
+        """Some or most instances lose their links to all servers."""
+        now = time.monotonic()
+        if any(span.to_s > now for span in self.partitioned):
+            return
+        count = 1
+        if fault.share == 1.0:
+            count = len(self.entries) * 2 // 3
+        for number in range(fault.target, fault.target + count):
+            target = number % len(self.entries)
+            span = observations.Span(
+                target=target, from_s=now, to_s=now + fault.for_s
+            )
+            self.partitioned.append(span)
+            for pair in self.pairs[target]:
+                pair.cut(proxy.Cut(fault.variant))
+                gevent.spawn_later(fault.for_s, pair.heal)
+
     def _lag(self, fault: plan.Fault) -> None:
         """The history is lost, and whole lists come as they were."""
         if self._served.lagging is not None:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -117,6 +117,7 @@
         stopped: Spans of planned stops of undisturbed instances.
         events: Events of a whole stream.
         ends_s: When servers ended under the crashing request.
+        partitioned: Spans in which an instance reached no server by itself.
         evacuated: Spans in which the far data centre was evacuated.
         cold: Spans in which a server was cold.
         unlisted: Spans in which the store lacked what it had lost.
@@ -133,6 +134,7 @@
     stopped: tuple[Span, ...]
     events: int
     ends_s: tuple[float, ...] = ()
+    partitioned: tuple[Span, ...] = ()
     evacuated: tuple[Span, ...] = ()
     cold: tuple[Span, ...] = ()
     unlisted: tuple[Span, ...] = ()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,8 @@
 FAULTS_FROM_S = 1.0
 FAULTS_UNTIL_S = 9.0
 LONGEST_S = 4.0
+# Partitions last longer, as their effect counts after some time only.
+PARTITION_S = 3.0
 
 
 class Kind(enum.StrEnum):
@@ -53,6 +55,8 @@
     LATE_ENTRY = "late_entry"
     STORE_LAGS = "store_lags"
     GONE_WHILE_CUT_OFF = "gone_while_cut_off"
+    # Of seeds with partitions alone.
+    PARTITION = "partition"
 
 
 WIDE_KINDS = (
@@ -71,6 +75,7 @@
     Kind.STORE_LAGS,
     Kind.GONE_WHILE_CUT_OFF,
 )
+PARTITION_KINDS = (Kind.PARTITION,)
 # Seeds from this one on have further kinds; those before draw as they always
 # did.
 FURTHER_FROM = 1000
@@ -78,11 +83,19 @@
 REPORTS_FROM = 2000
 # Seeds from this one on have outdated statements about servers that leave.
 OUTDATED_FROM = 4000
+# Seeds from this one on have instances that lose their links to servers.
+PARTITIONS_FROM = 5000
 SMALL_KINDS = tuple(
     kind
     for kind in Kind
     if kind
-    not in (*WIDE_KINDS, *_FURTHER_KINDS, *REPORT_KINDS, *OUTDATED_KINDS)
+    not in (
+        *WIDE_KINDS,
+        *_FURTHER_KINDS,
+        *REPORT_KINDS,
+        *OUTDATED_KINDS,
+        *PARTITION_KINDS,
+    )
 )
 # Share of a wide run's faults of instances that hit the first of them.
 _FIRST_SHARE = 0.5
@@ -104,6 +117,7 @@
     Kind.SERVER_LINK: _LINK_MODES,
     Kind.CALLER_LINK: ("reset", "slow"),
     Kind.STORE_TURNS_AWAY: ("silent", "reset"),
+    Kind.PARTITION: ("hang", "reset", "refuse", "hang_new"),
     Kind.SERVER_FAULTS: (
         "refuse",
         "fail",
@@ -181,6 +195,11 @@
     return seed >= OUTDATED_FROM
 
 
+def has_partitions(seed: int) -> bool:
+    """Returns whether instances lose their links to servers."""
+    return seed >= PARTITIONS_FROM
+
+
 def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
     """Returns the faults of a seed, by time; several come together or twice.
 
@@ -199,6 +218,8 @@
         kinds = (*kinds, *(5 * REPORT_KINDS))
     if has_outdated(seed):
         kinds = (*kinds, *(8 * OUTDATED_KINDS))
+    if has_partitions(seed):
+        kinds = (*kinds, *(20 * PARTITION_KINDS))
     if is_planned(seed):
         kinds = _PLANNED
     count = rng.randint(8, 16)
@@ -223,6 +244,8 @@
         variant=rng.choice(variants),
         share=rng.choice((0.3, 1.0)),
     )
+    if kind is Kind.PARTITION:
+        return dataclasses.replace(fault, for_s=fault.for_s + PARTITION_S)
     if instances < WIDE or kind in _TARGETS:
         return fault
     first = rng.random() < _FIRST_SHARE
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,6 @@
 import gevent
 
 from irisshelf import boottime
-from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
@@ -23,6 +22,7 @@
 from soak import observations
 from soak import plan
 from soak import ports
+from soak import server_links
 
 EVENTS = 12
 _CALLERS = 8
@@ -90,7 +90,9 @@
             *self._make_servers("crew", streaming=False),
             *self._make_servers("lm", streaming=True),
         ]
-        self.links = [proxy.Proxy(target=one.address) for one in self.servers]
+        self.links = [
+            server_links.ServerLink(target=one.address) for one in self.servers
+        ]
         self._injector = faults.Injector(
             seed=seed,
             served=self.store,
@@ -112,7 +114,7 @@
             fleet.Entry(
                 number=number,
                 folder=folder,
-                store=self.store.address,
+                store=self._open_store(),
                 peers=peers[number],
                 block=self._ports,
                 seeds=peers[: plan.INSTANCES],
@@ -187,6 +189,7 @@
             events=EVENTS,
             ends_s=tuple(self._crashing.ends_s if self._crashing else ()),
             evacuated=tuple(self._injector.evacuated),
+            partitioned=tuple(self._injector.partitioned),
             cold=tuple(self._injector.of_servers.cold),
             unlisted=tuple(self._injector.unlisted),
             lagged=tuple(self._injector.lagged),
@@ -230,6 +233,21 @@
             for number in range(plan.SERVERS)
         ]
 
+    def _open_store(self) -> str:
+        """Returns the store's address for the next instance.
+
+        With partitions, each instance has links of its own to the servers.
+        """
+        if not plan.has_partitions(self._seed):
+            return self.store.address
+        port = self.store.open_port()
+        pairs = []
+        for link in self.links:
+            pairs.append(link.add_pair())
+            port.addresses[link.address] = pairs[-1].address
+        self._injector.pairs.append(pairs)
+        return port.address
+
     def _place(self, number: int) -> str:
         """Returns where a server stands."""
         far = plan.is_further(self._seed) and number % 2
