A refused connection is an exit only if an instance that reaches others finds it too

What callers saw: beside a partition, requests were rejected because servers had 'ended under' them, and servers were taken for cold when the links came back.

Cause: a host that refuses connections counted as the exit of a server's process, although a partition has the same effect on an instance, and a second one that is cut off as well confirmed it. Change: gateway/servers/process_exits. Other instances are asked; one that is refused answers so only if it can connect to other servers of the service. If none can tell, the own link is checked in the same way.

--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -117,7 +117,7 @@
         exited = {
             name
             for name, server in by_id.items()
-            if self._servers.exited_for_s(server) <= _PRESUMED_CRASH_S
+            if self._servers.exits.refused_for_s(server) <= _PRESUMED_CRASH_S
         }
         candidates = [
             name
@@ -218,9 +218,10 @@
 
         A connection reset does not show that: connections are also reset for
         other reasons, and break while an instance is suspended. But when a
-        process has exited, its host refuses new connections. A silent server
-        is unresponsive or partitioned, which no request causes, and one that
-        is draining exits as planned.
+        process has exited, its host refuses new connections, also those of
+        instances that reach other servers. A silent server is unresponsive or
+        partitioned, which no request causes, and one that is draining exits as
+        planned.
         """
         listed = self._listed.get(server.entry_id)
         if listed is None or self._servers.eligible.is_leaving(server):
@@ -248,7 +249,7 @@
 
     def _probe(self, server: directory.BackendServer) -> bool:
         try:
-            exited = self._is_refusing(server)
+            exited = self._is_exit_confirmed(server)
         finally:
             del self._probes[server.server_id]
         if exited:
@@ -261,8 +262,8 @@
             self._exited_s[server.server_id] = now
         return exited
 
-    def _is_refusing(self, server: directory.BackendServer) -> bool:
-        """Returns whether a server's host refuses connections."""
+    def _is_exit_confirmed(self, server: directory.BackendServer) -> bool:
+        """Returns whether a server's host refuses connections to all."""
         self._metrics.connects.labels(server.service).inc()
         try:
             conn = client.connect(
@@ -270,7 +271,7 @@
             )
         except errors.ConnectError as exc:
             self._servers.record_unreachable(server, exc, "")
-            return not exc.timed_out
+            return not exc.timed_out and self._servers.exits.confirm(server)
         self._servers.connection_pool.add_idle(server, conn)
         self._servers.record_reached(server)
         return False
--- a/irisshelf/gateway/servers/relay_endpoint.py
+++ b/irisshelf/gateway/servers/relay_endpoint.py
@@ -90,7 +90,9 @@
             )
         except errors.ConnectError as exc:
             self._servers.record_unreachable(server, exc, "")
-            self._reject(conn, _Verdict.UNREACHABLE)
+            refused = not exc.timed_out
+            exited = refused and self._servers.exits.reaches_others(server)
+            self._reject(conn, _unreachable(exited=exited))
             return
         self._metrics.connects.labels(server.service).inc()
         try:
@@ -145,9 +147,13 @@
         if self._reaches_none():
             return _Verdict.ISOLATED
         if self._servers.recent_connect_failure(server) is not None:
-            return _Verdict.UNREACHABLE
+            return _unreachable(exited=self._servers.exits.has_exited(server))
         return None
 
     def _reject(self, conn: http.Connection, verdict: _Verdict) -> None:
         self._metrics.relay_requests.labels(verdict.value).inc()
         conn.answer(_STATUSES[verdict], [], verdict.value.encode())
+
+
+def _unreachable(*, exited: bool) -> _Verdict:
+    return _Verdict.REFUSED if exited else _Verdict.UNREACHABLE
--- a/irisshelf/gateway/servers/relays.py
+++ b/irisshelf/gateway/servers/relays.py
@@ -79,6 +79,8 @@
         connection_pool: Receives the connections that checks open.
         on_verdict: Called with a server, what relays have found of it, and the
             last of them.
+        on_checked: Called with the result of each check; None if no relay
+            could tell.
         log: The decision log.
         counts: Metrics.
         rng: Breaks ties.
@@ -98,6 +100,7 @@
         regions: Mapping[str, str],
         connection_pool: connection_pool_module.ConnectionPool,
         on_verdict: Callable[[directory.BackendServer, _Verdict, str], None],
+        on_checked: Callable[[directory.BackendServer, _Verdict | None], None],
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
         rng: random.Random,
@@ -111,6 +114,7 @@
         self._regions = regions
         self._connection_pool = connection_pool
         self._on_verdict = on_verdict
+        self._on_checked = on_checked
         self._log = log
         self._metrics = counts
         self._now = now
@@ -193,7 +197,7 @@
         """Tries a server through relays in the background.
 
         Returns:
-            The greenlet that does so.
+            The greenlet that does so; it calls ``on_checked`` before it ends.
         """
         name = server.server_id
         if name not in self._checks:
@@ -312,6 +316,7 @@
             found = self.connect(server, timeout_s=OPEN_TIMEOUT_S)
             if found.conn is not None:
                 self._connection_pool.add_idle(server, found.conn)
+            self._on_checked(server, found.verdict)
         finally:
             del self._checks[server.server_id]
 
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -16,6 +16,7 @@
 from irisshelf.gateway import settings
 from irisshelf.gateway.servers import connection_pool
 from irisshelf.gateway.servers import eligibility
+from irisshelf.gateway.servers import process_exits
 from irisshelf.gateway.servers import reachability
 from irisshelf.gateway.servers import relays
 from irisshelf.gateway.servers import server_reports
@@ -86,14 +87,20 @@
             regions=cfg.regions,
             connection_pool=self.connection_pool,
             on_verdict=self._on_relay_verdict,
+            on_checked=self._on_path_checked,
             log=log,
             counts=counts,
             rng=rng,
             now=now,
             enabled=cfg.policy.relays,
         )
-        # By server id: when the process was first found to have exited.
-        self._exited_s: dict[str, float] = {}
+        self.exits = process_exits.ProcessExits(
+            listed=eligible.probeable,
+            probe=self._probe_directly,
+            check=self.relays.check,
+            rng=rng,
+            now=now,
+        )
         self.publish: Callable[[facts.Fact], None] = _discard
         self.reports = server_reports.ReportHandler(
             availability=eligible.availability,
@@ -291,8 +298,7 @@
         self.eligible.cold.retain(names)
         self.eligible.availability.retain(names, self._now())
         self.relays.retain(names)
-        for name in self._exited_s.keys() - names:
-            del self._exited_s[name]
+        self.exits.retain(names)
         self._relayed &= names
         self._abort_replaced(servers)
         self._metrics.servers.set(len(servers))
@@ -339,14 +345,6 @@
         stats = self.chooser(server.service).stats
         stats.record_received(server.server_id, self._now())
 
-    def exited_for_s(self, server: directory.BackendServer) -> float:
-        """Returns how long ago a server's process was found to have exited.
-
-        Infinite if it was not.
-        """
-        exited_s = self._exited_s.get(server.server_id, float("-inf"))
-        return self._now() - exited_s
-
     def is_unreachable(self, server: directory.BackendServer) -> bool:
         """Returns whether this instance's last attempt to connect failed."""
         return self.chooser(server.service).stats.is_unreachable(
@@ -405,7 +403,7 @@
         outcome = server_stats.Outcome.UNREACHABLE
         self.record_observation(server, outcome, request, str(exc))
         if not exc.timed_out:
-            self._exited_s.setdefault(server.server_id, self._now())
+            self.exits.record_refused(server)
         self.prober.start_probing(server, silent=exc.timed_out)
         self.relays.check_if_due(server)
 
@@ -453,7 +451,7 @@
         self._relayed.discard(server.server_id)
         if self.is_unreachable(server):
             self._log_in_reach(server, "connect")
-        if self._exited_s.pop(server.server_id, None) is not None:
+        if self.exits.take_exited(server):
             # The process has restarted; its new entry follows a little later.
             self.eligible.assume_cold(server)
         stats = self.chooser(server.service).stats
@@ -504,6 +502,7 @@
         # What failed was the link of this instance.
         self._relayed.add(server.server_id)
         self.chooser(server.service).stats.clear_failures(server.server_id)
+        self.exits.judge(server, verdict)
         self._log.instance(
             "server_relayed",
             server=server.server_id,
@@ -512,6 +511,27 @@
             relay=relay,
         )
 
+    def _on_path_checked(
+        self,
+        server: directory.BackendServer,
+        verdict: server_paths.Verdict | None,
+    ) -> None:
+        if self.is_unreachable(server):
+            self.exits.judge(server, verdict)
+
+    def _probe_directly(self, server: directory.BackendServer) -> bool:
+        self._metrics.connects.labels(server.service).inc()
+        try:
+            conn = client.connect(
+                server.address, timeout_s=reachability.CONNECT_TIMEOUT_S
+            )
+        except errors.ConnectError as exc:
+            self.record_unreachable(server, exc, "")
+            return False
+        self.connection_pool.add_idle(server, conn)
+        self.record_reached(server)
+        return True
+
     def _on_unreachable(
         self, server: directory.BackendServer, exc: errors.ConnectError
     ) -> None:
