Servers behind a lost link are tried through relays once, not again and again

Further: relays that a request's regions exclude do not count as failed; the own link is suspect for a second only, so that a server that is gone for good does not keep requests on relays; failures of servers are forgotten when the own link was at fault.

--- a/irisshelf/gateway/servers/relays.py
+++ b/irisshelf/gateway/servers/relays.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 import gevent
 
@@ -36,17 +37,19 @@
 # not respond.
 OPEN_TIMEOUT_S = 0.15
 # Limits on the attempts for one connection, made in turn.
-_MAX_RELAYS = 6
+_MAX_RELAYS = 4
 _MAX_ATTEMPTS_S = 0.25
-# Servers that are tried through relays in the background at the same time, and
-# how often at most.
+# Number of relays that must find that a server has exited.
+_ENOUGH_REFUSALS = 2
+# Servers that are tried through relays in the background at the same time.
 _MAX_CHECKS = 8
-_CHECK_INTERVAL_S = 1.5
+# Whether relays work is checked at these intervals after it was found that they
+# do and that they do not, while any server is unreachable.
+_REFRESH_INTERVAL_S = 1.5
+_RETRY_INTERVAL_S = 3.0
 
 
 _Verdict = server_paths.Verdict
-# Results after which no further relay is asked.
-_FINAL = frozenset({_Verdict.REACHED, _Verdict.LEAVING})
 # Of the results of several relays, the first of these counts.
 _PRECEDENCE = (
     _Verdict.REACHED,
@@ -122,7 +125,10 @@
         self._connect = connect
         self._data_centres: dict[str, str] = {}
         self._checks: dict[str, gevent.Greenlet] = {}
+        # Unreachable servers that have been tried, and when silent relays were.
+        self._checked: set[str] = set()
         self._checked_s: dict[str, float] = {}
+        self._refresh_due_s = float("-inf")
 
     def connect(
         self,
@@ -142,19 +148,20 @@
                 centre of this instance; None for all.
         """
         until_s = self._now() + _MAX_ATTEMPTS_S
+        conn = None
         verdicts = []
         for relay in self._candidates(server, regions)[:_MAX_RELAYS]:
             tried = self._try(relay, server, timeout_s)
+            conn = tried.conn
             verdicts.append(tried.verdict)
-            if tried.verdict in _FINAL or self._now() >= until_s:
+            if _is_conclusive(verdicts) or self._now() >= until_s:
                 break
         verdict = next((one for one in _PRECEDENCE if one in verdicts), None)
-        if verdict is None:
-            self.paths.record_none()
-        else:
+        # Without the relays of other regions, the others may still reach it.
+        if regions is None or verdict is _Verdict.REACHED:
             now = self._now()
             self.paths.record_result(server.server_id, verdict, now)
-        return Result(verdict=verdict, conn=tried.conn if verdicts else None)
+        return Result(verdict=verdict, conn=conn)
 
     def may_reach(self, server_id: str) -> bool:
         """Returns whether a server can probably be reached through relays."""
@@ -201,21 +208,31 @@
         """
         name = server.server_id
         if name not in self._checks:
-            self._checked_s[name] = self._now()
+            self._checked.add(name)
+            self._refresh_due_s = self._now() + _REFRESH_INTERVAL_S
             self._checks[name] = gevent.spawn(self._check, server)
         return self._checks[name]
 
     def check_if_due(self, server: directory.BackendServer) -> None:
-        """Tries a server in the background, unless that was done just now."""
-        due_s = self._checked_s.get(server.server_id, float("-inf"))
-        due_s += _CHECK_INTERVAL_S
-        if len(self._checks) < _MAX_CHECKS and self._now() >= due_s:
+        """Tries an unreachable server in the background, if that is of use.
+
+        Each server is tried once, unless relays are known to work. After that,
+        any of them is tried now and then to find whether relays work.
+        """
+        is_first = server.server_id not in self._checked and not self.works()
+        if len(self._checks) < _MAX_CHECKS and (
+            is_first or self._now() >= self._refresh_due_s
+        ):
             self.check(server)
 
+    def record_reached(self, server: directory.BackendServer) -> None:
+        """Records that this instance itself has connected to a server."""
+        self._checked.discard(server.server_id)
+
     def check_relay(self, relay: str, server: directory.BackendServer) -> None:
         """Tries a relay in the background through which a server is silent."""
         name = f"{relay}/{server.server_id}"
-        due_s = self._checked_s.get(name, float("-inf")) + _CHECK_INTERVAL_S
+        due_s = self._checked_s.get(name, float("-inf")) + _REFRESH_INTERVAL_S
         known = [one for one in self._all() if one.name == relay]
         if name in self._checks or self._now() < due_s or not known:
             return
@@ -227,10 +244,11 @@
     def retain(self, names: frozenset[str]) -> None:
         """Forgets servers that are no longer listed."""
         self.paths.retain(names)
+        self._checked &= names
         self._checked_s = {
             name: at_s
             for name, at_s in self._checked_s.items()
-            if self._now() - at_s < _CHECK_INTERVAL_S
+            if self._now() - at_s < _REFRESH_INTERVAL_S
         }
 
     def close(self) -> None:
@@ -316,6 +334,8 @@
             found = self.connect(server, timeout_s=OPEN_TIMEOUT_S)
             if found.conn is not None:
                 self._connection_pool.add_idle(server, found.conn)
+            else:
+                self._refresh_due_s = self._now() + _RETRY_INTERVAL_S
             self._on_checked(server, found.verdict)
         finally:
             del self._checks[server.server_id]
@@ -334,6 +354,14 @@
             del self._checks[name]
 
 
+def _is_conclusive(verdicts: Sequence[_Verdict]) -> bool:
+    """Returns whether no further relay needs to be asked."""
+    last = verdicts[-1]
+    if last in (_Verdict.REACHED, _Verdict.LEAVING):
+        return True
+    return verdicts.count(_Verdict.REFUSED) >= _ENOUGH_REFUSALS
+
+
 def _verdict(reason: str) -> _Verdict:
     try:
         return _Verdict(reason)
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -359,7 +359,7 @@
 
     def may_have_lost_link(self, service: str) -> bool:
         """Returns whether the own link to a service's servers may be lost."""
-        return self._own_links[service].suspect
+        return self._own_links[service].is_suspect(self._now())
 
     def connect_failure(
         self, server: directory.BackendServer
@@ -397,9 +397,10 @@
         stats.record_connect_failure(
             server.server_id, timed_out=exc.timed_out, now=self._now()
         )
-        self._own_links[server.service].record_failed(
-            server.server_id, timed_out=exc.timed_out
-        )
+        if not stats.is_unreachable(server.server_id):
+            self._own_links[server.service].record_failed(
+                server.server_id, timed_out=exc.timed_out, now=self._now()
+            )
         outcome = server_stats.Outcome.UNREACHABLE
         self.record_observation(server, outcome, request, str(exc))
         if not exc.timed_out:
@@ -449,8 +450,12 @@
         """Records that a connection to a server was established directly."""
         self._own_links[server.service].record_alive()
         self._relayed.discard(server.server_id)
+        self.relays.record_reached(server)
         if self.is_unreachable(server):
             self._log_in_reach(server, "connect")
+            if self.relays.works():
+                # What failed was the link of this instance.
+                self._clear_failures(server)
         if self.exits.take_exited(server):
             # The process has restarted; its new entry follows a little later.
             self.eligible.assume_cold(server)
@@ -485,6 +490,10 @@
             silent_s=round(silent_s, 3) if silent_s < _MAX_LOGGED_S else None,
         )
 
+    def _clear_failures(self, server: directory.BackendServer) -> None:
+        stats = self.chooser(server.service).stats
+        stats.clear_failures(server.server_id)
+
     def _on_relay_verdict(
         self,
         server: directory.BackendServer,
@@ -499,9 +508,8 @@
             or server.server_id in self._relayed
         ):
             return
-        # What failed was the link of this instance.
         self._relayed.add(server.server_id)
-        self.chooser(server.service).stats.clear_failures(server.server_id)
+        self._clear_failures(server)
         self.exits.judge(server, verdict)
         self._log.instance(
             "server_relayed",
--- a/irisshelf/routing/direct/server_paths.py
+++ b/irisshelf/routing/direct/server_paths.py
@@ -176,18 +176,22 @@
         return True
 
     def record_result(
-        self, server_id: str, verdict: Verdict, now: float
+        self, server_id: str, verdict: Verdict | None, now: float
     ) -> None:
-        """Records what several relays in turn have found of a server."""
-        if verdict is Verdict.REACHED:
+        """Records what several relays in turn have found of a server.
+
+        Args:
+            server_id: The server.
+            verdict: What they found; None if none of them could tell.
+            now: Monotonic seconds.
+        """
+        if verdict is None:
+            self._worked_s = -math.inf
+        elif verdict is Verdict.REACHED:
             self._out_of_reach_s.pop(server_id, None)
         else:
             self._out_of_reach_s[server_id] = now
 
-    def record_none(self) -> None:
-        """Records that none of the relays could tell anything of a server."""
-        self._worked_s = -math.inf
-
     def record_data(self, now: float) -> None:
         """Records that a relay has passed data of a server."""
         self._worked_s = now
