A crash counts against its request while other instances are asked

Cause: since a refusal is confirmed by others, a crash was recorded and passed on only after that; repeats went on to other servers meanwhile.

--- a/bench/main.py
+++ b/bench/main.py
@@ -12,6 +12,7 @@
 from bench import documents
 from bench import gossip
 from bench import relay
+from bench import relayed
 from bench import rollout
 from bench import suspects
 from bench.routing import decision
@@ -29,6 +30,7 @@
         "bundle": bundle.measure,
         "decisions": decision.measure,
         "relay": relay.measure,
+        "relayed requests": relayed.measure,
         "claims": claims.measure,
         "documents": documents.measure,
         "suspects": suspects.measure,
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -28,9 +28,10 @@
 # among them when a server exits, and is then not blamed for the crash.
 _MAX_RECENT = 512
 _MAX_RECENT_BODY_BYTES = 4096
-# A server that has exited is not probed again for this long, as none restarts
-# faster. That a server listens is not remembered: it may exit at any moment.
-_EXIT_KNOWN_S = 1.0
+# A server that refuses connections is not probed again for this long, as none
+# restarts faster. That a server listens is not remembered: it may exit at any
+# moment.
+_REFUSAL_KNOWN_S = 1.0
 # A server that exited within this time may have crashed under a suspect request
 # from another instance whose message, which is sent twice, is still under way.
 _PRESUMED_CRASH_S = 1.0
@@ -85,8 +86,8 @@
         self._succeeded: collections.deque[_RequestKey] = collections.deque(
             maxlen=_MAX_RECENT
         )
-        # By server id: when the process was found to have exited.
-        self._exited_s: dict[str, float] = {}
+        # By server id: when its host refused a connection.
+        self._refused_s: dict[str, float] = {}
         self._probes: dict[str, gevent.Greenlet] = {}
 
     def verdict(self, job: messages.Job) -> crash_suspects.Verdict | None:
@@ -146,16 +147,24 @@
         Returns:
             Whether the request seems to have crashed the server.
         """
-        if not self.has_exited(server) or _request_key(job) in self._succeeded:
+        if not self._is_refused(server) or _request_key(job) in self._succeeded:
             return False
         crash = crash_suspects.ServerCrash(
             server_key=directory.short_id(server.server_id), at_s=self._now()
         )
         fingerprint = _fingerprint(job)
-        if self._apply_crash(
-            fingerprint, crash, job.head.request_id, server.server_id
-        ):
+        # Until it is known whether the server has exited, no other server is
+        # put at risk.
+        is_new = self.suspects.record_crash(fingerprint, crash, self._now())
+        if is_new:
             self.on_crash(fingerprint, crash)
+        if not self._is_exit_confirmed(server):
+            self._retract(fingerprint, crash, server)
+            return False
+        if is_new:
+            self._log_crash(
+                fingerprint, crash, job.head.request_id, server.server_id
+            )
         return True
 
     def record_success(self, job: messages.Job) -> None:
@@ -195,8 +204,10 @@
             if self._servers.recently_delisted(crash.server_key):
                 self._apply_reported_crash(fingerprint, crash, "")
             return
-        if self.has_exited(server):
-            self._apply_reported_crash(fingerprint, crash, server.server_id)
+        if self._is_refused(server) and self._apply_reported_crash(
+            fingerprint, crash, server.server_id
+        ):
+            gevent.spawn(self._confirm_reported, fingerprint, crash, server)
 
     def receive_clear(self, fingerprint: bytes, at_s: float) -> None:
         """Applies that another instance has seen the request succeed.
@@ -223,21 +234,35 @@
         partitioned, which no request causes, and one that is draining exits as
         planned.
         """
+        return self._is_refused(server) and self._is_exit_confirmed(server)
+
+    def _is_replaced(self, server: directory.BackendServer) -> bool:
+        listed = self._listed.get(server.entry_id)
+        return listed is not None and listed.server_id != server.server_id
+
+    def _is_refused(self, server: directory.BackendServer) -> bool:
+        """Returns whether connections to a server's process are refused here.
+
+        That is certain if another incarnation is listed.
+        """
         listed = self._listed.get(server.entry_id)
         if listed is None or self._servers.eligible.is_leaving(server):
             return False
-        if listed.server_id != server.server_id:
+        if self._is_replaced(server):
             return True
         name = server.server_id
         if (
-            self._now() - self._exited_s.get(name, float("-inf"))
-            < _EXIT_KNOWN_S
+            self._now() - self._refused_s.get(name, float("-inf"))
+            < _REFUSAL_KNOWN_S
         ):
             return True
         if name not in self._probes:
             self._probes[name] = gevent.spawn(self._probe, server)
         return self._probes[name].get()
 
+    def _is_exit_confirmed(self, server: directory.BackendServer) -> bool:
+        return self._is_replaced(server) or self._servers.exits.confirm(server)
+
     def _may_be_suspect(self, job: messages.Job) -> bool:
         if not self.suspects:
             return False
@@ -249,21 +274,21 @@
 
     def _probe(self, server: directory.BackendServer) -> bool:
         try:
-            exited = self._is_exit_confirmed(server)
+            refused = self._connect(server)
         finally:
             del self._probes[server.server_id]
-        if exited:
+        if refused:
             now = self._now()
-            self._exited_s = {
-                name: exited_s
-                for name, exited_s in self._exited_s.items()
-                if now - exited_s < _EXIT_KNOWN_S
+            self._refused_s = {
+                name: refused_s
+                for name, refused_s in self._refused_s.items()
+                if now - refused_s < _REFUSAL_KNOWN_S
             }
-            self._exited_s[server.server_id] = now
-        return exited
+            self._refused_s[server.server_id] = now
+        return refused
 
-    def _is_exit_confirmed(self, server: directory.BackendServer) -> bool:
-        """Returns whether a server's host refuses connections to all."""
+    def _connect(self, server: directory.BackendServer) -> bool:
+        """Connects to a server; returns whether its host refuses that."""
         self._metrics.connects.labels(server.service).inc()
         try:
             conn = client.connect(
@@ -271,22 +296,48 @@
             )
         except errors.ConnectError as exc:
             self._servers.record_unreachable(server, exc, "")
-            return not exc.timed_out and self._servers.exits.confirm(server)
+            return not exc.timed_out
         self._servers.connection_pool.add_idle(server, conn)
         self._servers.record_reached(server)
         return False
 
+    def _confirm_reported(
+        self,
+        fingerprint: bytes,
+        crash: crash_suspects.ServerCrash,
+        server: directory.BackendServer,
+    ) -> None:
+        if not self._is_exit_confirmed(server):
+            self._retract(fingerprint, crash, server)
+
+    def _retract(
+        self,
+        fingerprint: bytes,
+        crash: crash_suspects.ServerCrash,
+        server: directory.BackendServer,
+    ) -> None:
+        """Forgets a crash, as the server's process has not exited."""
+        self.suspects.retract_crash(fingerprint, crash)
+        self._refused_s.pop(server.server_id, None)
+        self._metrics.crashes.labels("retracted").inc()
+        self._log.instance(
+            "crash_not_confirmed",
+            content=fingerprint.hex(),
+            server=server.server_id,
+        )
+
     def _apply_reported_crash(
         self, fingerprint: bytes, crash: crash_suspects.ServerCrash, name: str
-    ) -> None:
+    ) -> bool:
+        """Applies a crash; returns whether it is new."""
         succeeded = any(
             crash_suspects.request_fingerprint(*a) == fingerprint
             for a in self._succeeded
         )
         if succeeded:
             self.on_clear(fingerprint)
-            return
-        self._apply_crash(fingerprint, crash, "", name)
+            return False
+        return self._apply_crash(fingerprint, crash, "", name)
 
     def _apply_crash(
         self,
@@ -297,6 +348,16 @@
     ) -> bool:
         if not self.suspects.record_crash(fingerprint, crash, self._now()):
             return False
+        self._log_crash(fingerprint, crash, request, name)
+        return True
+
+    def _log_crash(
+        self,
+        fingerprint: bytes,
+        crash: crash_suspects.ServerCrash,
+        request: str,
+        name: str,
+    ) -> None:
         verdict = self.suspects.judge(fingerprint, self._now())
         self._metrics.crashes.labels(verdict.stage.value).inc()
         self._log.warning(
@@ -308,7 +369,6 @@
             ends=len(verdict.crashes),
             stage=verdict.stage.value,
         )
-        return True
 
     def _clear(self, fingerprint: bytes, request: str, at_s: float) -> bool:
         if not self.suspects.record_success(fingerprint, at_s):
--- a/irisshelf/gateway/servers/process_exits.py
+++ b/irisshelf/gateway/servers/process_exits.py
@@ -77,7 +77,8 @@
         Waits for the answers of other instances.
         """
         self.record_refused(server)
-        self._check(server).join()
+        if not self.has_exited(server):
+            self._check(server).join()
         return self.has_exited(server)
 
     def judge(
--- a/irisshelf/routing/crash_suspects.py
+++ b/irisshelf/routing/crash_suspects.py
@@ -173,6 +173,16 @@
         self._evict()
         return True
 
+    def retract_crash(self, fingerprint: bytes, crash: ServerCrash) -> None:
+        """Removes a recorded crash of a server that has not exited."""
+        known = self._crashes.get(fingerprint, ())
+        left = tuple(c for c in known if not _is_same_crash(c, crash))
+        if len(left) == len(known):
+            return
+        self._drop(fingerprint)
+        if left:
+            self._add(fingerprint, left)
+
     def record_success(self, fingerprint: bytes, at_s: float) -> bool:
         """Records a successful response.
 
--- a/irisshelf/tests/test_crash_suspects.py
+++ b/irisshelf/tests/test_crash_suspects.py
@@ -272,3 +272,23 @@
         assert designated == crash_suspects.DesignatedServer(
             server=ranked[expected_position]
         )
+
+
+@pytest.mark.parametrize(
+    ("crashes", "retracted", "left"),
+    [
+        ([], b"1", 0),
+        ([b"1"], b"1", 0),
+        ([b"1"], b"2", 1),
+        ([b"1", b"2", b"3"], b"2", 2),
+    ],
+)
+def test_a_retracted_crash_counts_no_more(crashes, retracted, left):
+    """Guards against requests barred for servers that have not exited."""
+    suspects = _replay([(key, 0.0) for key in crashes])
+    suspects.retract_crash(
+        _FINGERPRINT,
+        crash_suspects.ServerCrash(server_key=retracted, at_s=0.1),
+    )
+    assert len(suspects.judge(_FINGERPRINT, 1.0).crashes) == left
+    assert bool(suspects) is bool(left)
--- a/irisshelf/tests/test_crashing_requests.py
+++ b/irisshelf/tests/test_crashing_requests.py
@@ -10,6 +10,7 @@
 
 import gevent
 import pytest
+from gevent import event
 
 from irisshelf import boottime
 from irisshelf.routing import crash_suspects
@@ -181,3 +182,26 @@
     # Only requests in flight at a crash may fail; they may have run.
     assert len(refused) <= 3
     assert len([s for s in statuses if s == 200]) >= 0.9 * len(statuses)
+
+
+@pytest.mark.parametrize("exited", [True, False])
+@pytest.mark.parametrize("target", _KINDS)
+def test_a_crash_counts_while_other_instances_are_asked(
+    make_world, monkeypatch, target, exited
+):
+    """Guards against repeats that crash servers before an exit is confirmed."""
+    world = make_world(servers=4)
+    _crash_under(world, _BODY)
+    answered = event.Event()
+    tracker = world.inst.crash_tracker
+
+    def confirm(server):
+        answered.wait()
+        return exited
+
+    monkeypatch.setattr(world.inst.servers.exits, "confirm", confirm)
+    call = gevent.spawn(world.ask, target, body=_BODY)
+    world.wait(lambda: bool(tracker.suspects))
+    answered.set()
+    call.get()
+    assert bool(tracker.suspects) is exited
