--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -143,7 +143,7 @@
         self._peers.register_stream_handler(
             relays.PATH, self._relay_endpoint.handle
         )
-        self._inst.servers.relays.members = self._peers.members
+        self._inst.servers.reach.relays.members = self._peers.members
         self._front = frontend.Frontend(inst=self._inst)
         self._listeners = [
             self._make_listener(
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -163,11 +163,11 @@
     @property
     def isolated(self) -> bool:
         """Whether no server can be reached, directly or by other instances."""
-        return self.servers.is_isolated(self._service_names())
+        return self.servers.reach.is_isolated(self._service_names())
 
     def reaches_none(self) -> bool:
         """Returns whether this instance can itself connect to no server."""
-        return self.servers.reaches_none(self._service_names())
+        return self.servers.reach.reaches_none(self._service_names())
 
     def _service_names(self) -> Iterable[str]:
         return self.catalog.services if self.catalog else ()
--- a/irisshelf/gateway/requests/monitored_connection.py
+++ b/irisshelf/gateway/requests/monitored_connection.py
@@ -84,12 +84,12 @@
                 self._check_path(started_s)
                 if not suspected and self._is_suspect(started_s):
                     suspected = True
-                    self._inst.servers.close_suspect_connections(
+                    self._inst.servers.reach.close_suspect_connections(
                         self._server, started_s, relayed=bool(self._conn.relay)
                     )
                 wait_s = _CHECK_INTERVAL_S
                 continue
-            self._inst.servers.record_activity(self._server, self._conn)
+            self._inst.servers.reach.record_activity(self._server, self._conn)
             return data
 
     def _is_suspect(self, started_s: float) -> bool:
@@ -106,7 +106,7 @@
         if self._conn.relay:
             self._check_relay(started_s)
             return
-        self._inst.servers.prober.probe_if_silent(self._server)
+        self._inst.servers.reach.prober.probe_if_silent(self._server)
         if self._is_gone(started_s) and self._fail_over():
             raise errors.UnreachableError("server is silent and unreachable")
 
@@ -116,13 +116,13 @@
         If new connections are refused, this one would have been reset, had the
         server's process exited. It may then work, and is given more time.
         """
-        failure = self._inst.servers.connect_failure(self._server)
+        failure = self._inst.servers.reach.connect_failure(self._server)
         if failure is None:
             return False
         return failure.timed_out or self._is_suspect(started_s)
 
     def _check_relay(self, started_s: float) -> None:
-        relays = self._inst.servers.relays
+        relays = self._inst.servers.reach.relays
         relays.check_relay(self._conn.relay, self._server)
         lost = relays.paths.is_lost(
             self._conn.relay, self._server.server_id, started_s
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -322,7 +322,7 @@
     def _connect(self, choice: server_choice.Choice) -> Assignment | None:
         """Returns None if the server is unreachable."""
         servers = self._inst.servers
-        failure = servers.connect_failure(choice.server)
+        failure = servers.reach.connect_failure(choice.server)
         if failure is None and (found := self._take_idle(choice)):
             return found
         if self._prefers_relay(choice.server) and (
@@ -334,7 +334,7 @@
         refused = failure is not None and not failure.timed_out
         if refused and (found := self._take_idle(choice)):
             return found
-        if servers.recent_connect_failure(choice.server) is not None:
+        if servers.reach.recent_connect_failure(choice.server) is not None:
             self._avoid(choice)
             return None
         return self._connect_new(choice)
@@ -343,15 +343,15 @@
         """Returns whether a new connection is opened by another instance."""
         servers = self._inst.servers
         return (
-            servers.is_unreachable(server)
+            servers.reach.is_unreachable(server)
             or self._failed_connects >= _FAILED_BEFORE_RELAY
-            or servers.may_have_lost_link(server.service)
+            or servers.reach.may_have_lost_link(server.service)
         )
 
     def _take_idle(
         self, choice: server_choice.Choice, *, relayed: bool = False
     ) -> Assignment | None:
-        relays = self._inst.servers.relays
+        relays = self._inst.servers.reach.relays
         conn = self._inst.servers.connection_pool.acquire(
             choice.server,
             max_idle_s=self._max_idle_s(),
@@ -367,7 +367,7 @@
         found = self._take_idle(choice, relayed=True)
         if found is not None:
             return found
-        relays = self._inst.servers.relays
+        relays = self._inst.servers.reach.relays
         if self._relay_attempts >= _MAX_RELAY_ATTEMPTS or not relays.may_try(
             choice.server, self._job.regions
         ):
@@ -393,11 +393,11 @@
         except errors.ConnectError as exc:
             self._failed_connects += 1
             self._avoid(choice)
-            self._inst.servers.record_unreachable(
+            self._inst.servers.reach.record_unreachable(
                 server, exc, self._job.head.request_id
             )
             return None
-        self._inst.servers.record_reached(server)
+        self._inst.servers.reach.record_reached(server)
         return Assignment(choice=choice, conn=conn)
 
     def _max_idle_s(self) -> float:
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -118,13 +118,14 @@
         exited = {
             name
             for name, server in by_id.items()
-            if self._servers.exits.refused_for_s(server) <= _PRESUMED_CRASH_S
+            if self._servers.reach.exits.refused_for_s(server)
+            <= _PRESUMED_CRASH_S
         }
         candidates = [
             name
             for name, server in by_id.items()
             if name in exited
-            or (name not in avoid and self._servers.has_path(server))
+            or (name not in avoid and self._servers.reach.has_path(server))
         ]
         keys = {crash.server_key for crash in verdict.crashes}
         found = crash_suspects.designate_server(
@@ -261,7 +262,9 @@
         return self._probes[name].get()
 
     def _is_exit_confirmed(self, server: directory.BackendServer) -> bool:
-        return self._is_replaced(server) or self._servers.exits.confirm(server)
+        return self._is_replaced(server) or self._servers.reach.exits.confirm(
+            server
+        )
 
     def _may_be_suspect(self, job: messages.Job) -> bool:
         if not self.suspects:
@@ -295,10 +298,10 @@
                 server.address, timeout_s=reachability.CONNECT_TIMEOUT_S
             )
         except errors.ConnectError as exc:
-            self._servers.record_unreachable(server, exc, "")
+            self._servers.reach.record_unreachable(server, exc, "")
             return not exc.timed_out
         self._servers.connection_pool.add_idle(server, conn)
-        self._servers.record_reached(server)
+        self._servers.reach.record_reached(server)
         return False
 
     def _confirm_reported(
--- a/irisshelf/gateway/servers/relay_endpoint.py
+++ b/irisshelf/gateway/servers/relay_endpoint.py
@@ -89,9 +89,11 @@
                 server.address, timeout_s=reachability.CONNECT_TIMEOUT_S
             )
         except errors.ConnectError as exc:
-            self._servers.record_unreachable(server, exc, "")
+            self._servers.reach.record_unreachable(server, exc, "")
             refused = not exc.timed_out
-            exited = refused and self._servers.exits.reaches_others(server)
+            exited = refused and self._servers.reach.exits.reaches_others(
+                server
+            )
             self._reject(conn, _unreachable(exited=exited))
             return
         self._metrics.connects.labels(server.service).inc()
@@ -146,8 +148,10 @@
             return _Verdict.UNKNOWN
         if self._reaches_none():
             return _Verdict.ISOLATED
-        if self._servers.recent_connect_failure(server) is not None:
-            return _unreachable(exited=self._servers.exits.has_exited(server))
+        if self._servers.reach.recent_connect_failure(server) is not None:
+            return _unreachable(
+                exited=self._servers.reach.exits.has_exited(server)
+            )
         return None
 
     def _reject(self, conn: http.Connection, verdict: _Verdict) -> None:
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -138,7 +138,7 @@
         self.peers.register_stream_handler(
             relays.PATH, self.relay_endpoint.handle
         )
-        self.inst.servers.relays.members = self.peers.members
+        self.inst.servers.reach.relays.members = self.peers.members
         self._greenlets = [
             gevent.spawn(self.follower.run, table) for table in feed.Table
         ]
@@ -191,6 +191,5 @@
         gevent.killall(self._greenlets)
         self.listener.stop_accepting()
         self._peer_listener.stop_accepting()
-        self.inst.servers.prober.close()
-        self.inst.servers.relays.close()
+        self.inst.servers.reach.close()
         os.close(self._log_fd)
--- a/irisshelf/routing/direct/server_stats.py
+++ b/irisshelf/routing/direct/server_stats.py
@@ -261,6 +261,9 @@
         server.awaiting_outcome = False
         if outcome in (Outcome.REFUSED, Outcome.RELAY_LOST):
             return ""
+        if outcome is Outcome.UNREACHABLE:
+            # Says nothing about how the server handles requests.
+            return self._mark_unreachable(server, now)
         success = outcome is Outcome.SUCCESS
         server.outcomes += 1
         server.failure_rate += _OUTCOME_WEIGHT * (
@@ -274,8 +277,6 @@
             # connections fail, so that the server remains unreachable.
             self._end_ejection(server)
             return ""
-        if outcome is Outcome.UNREACHABLE:
-            return self._mark_unreachable(server, now)
         if (
             server.consecutive_failures >= _MAX_CONSECUTIVE_FAILURES
             and outcome is not Outcome.FAILED
--- a/irisshelf/tests/test_cold_start.py
+++ b/irisshelf/tests/test_cold_start.py
@@ -330,9 +330,11 @@
     one.away_s = 0.5
     one.on_return = lambda: None
     one.crash()
-    while not cold_world.inst.servers.is_unreachable(listed):
+    while not cold_world.inst.servers.reach.is_unreachable(listed):
         cold_world.ask("/alarm/1")
-    cold_world.wait(lambda: not cold_world.inst.servers.is_unreachable(listed))
+    cold_world.wait(
+        lambda: not cold_world.inst.servers.reach.is_unreachable(listed)
+    )
     cold = cold_world.inst.eligible.cold
     assert cold.remaining_s(one.server_id, cold_world.inst.now()) > 2.0
 
--- a/irisshelf/tests/test_crashing_requests.py
+++ b/irisshelf/tests/test_crashing_requests.py
@@ -199,7 +199,7 @@
         answered.wait()
         return exited
 
-    monkeypatch.setattr(world.inst.servers.exits, "confirm", confirm)
+    monkeypatch.setattr(world.inst.servers.reach.exits, "confirm", confirm)
     call = gevent.spawn(world.ask, target, body=_BODY)
     world.wait(lambda: bool(tracker.suspects))
     answered.set()
--- a/irisshelf/tests/test_evacuation.py
+++ b/irisshelf/tests/test_evacuation.py
@@ -94,7 +94,7 @@
         for backend in _of(world, "a")
     ]
     for backend in servers:
-        world.inst.servers.prober.probe_if_silent(backend)
+        world.inst.servers.reach.prober.probe_if_silent(backend)
     gevent.sleep(0.1)
     assert all(backend.accepted == 0 for backend in _of(world, "a"))
 
--- a/irisshelf/tests/test_gateway_faults.py
+++ b/irisshelf/tests/test_gateway_faults.py
@@ -220,7 +220,7 @@
     assert (answer.status, answer.body) == (200, _ALL_EVENTS)
     (lost,) = [s for s in world.engines if s.closed]
     listed = world.inst.directory.get(lost.server_id)
-    assert world.inst.servers.is_unreachable(listed)
+    assert world.inst.servers.reach.is_unreachable(listed)
 
 
 def test_an_at_most_once_stream_waits_for_a_silent_server(world):
@@ -289,7 +289,7 @@
         lambda name, **fields: tried.append(name),
     )
     monkeypatch.setattr(
-        world.inst.servers,
+        world.inst.servers.reach,
         "record_unreachable",
         lambda server, exc, request: tried.append(request),
     )
--- a/irisshelf/tests/test_partitioned_from_servers.py
+++ b/irisshelf/tests/test_partitioned_from_servers.py
@@ -147,6 +147,8 @@
         assert not entry.inst.crash_tracker.suspects
     world.heal(0)
     servers = world.inst.directory.servers()
-    world.wait(lambda: not any(map(world.inst.servers.is_unreachable, servers)))
+    world.wait(
+        lambda: not any(map(world.inst.servers.reach.is_unreachable, servers))
+    )
     for service in _SERVICES:
         assert not world.inst.eligible.split(service, servers)[1]
--- a/irisshelf/tests/test_relays.py
+++ b/irisshelf/tests/test_relays.py
@@ -42,9 +42,14 @@
             [gevent.spawn(world.ask, target, entry=entry) for _ in range(3)]
         )
     listed = world.entries[entry].inst.directory.servers()
-    for one in listed:
-        servers.prober.probe_if_silent(one)
-    world.wait(lambda: all(map(servers.is_unreachable, listed)))
+
+    def all_unreachable():
+        # Those that were in use a moment ago are not probed yet.
+        for one in listed:
+            servers.reach.prober.probe_if_silent(one)
+        return all(map(servers.reach.is_unreachable, listed))
+
+    world.wait(all_unreachable)
 
 
 def _relayed_sends(world, entry=0):
@@ -132,7 +137,7 @@
 def test_a_frozen_relay_is_replaced_by_another(relaying_world, monkeypatch):
     """Guards against callers that wait for an instance that stands still."""
     world = relaying_world
-    world.wait(lambda: world.inst.servers.relays.works())
+    world.wait(lambda: world.inst.servers.reach.relays.works())
     for relay in _open_relays(world):
         relay._sock.shutdown(socket.SHUT_RDWR)
     monkeypatch.setitem(
@@ -217,7 +222,9 @@
     assert world.ask("/valve/1").status == 200
     world.heal(0)
     listed = world.inst.directory.servers()
-    world.wait(lambda: not any(map(world.inst.servers.is_unreachable, listed)))
+    world.wait(
+        lambda: not any(map(world.inst.servers.reach.is_unreachable, listed))
+    )
     sent = _relayed_sends(world)
     for target in ("/valve/1", "/digest/1", "/alarm/1", "/query/1"):
         assert world.ask(target).status == 200
--- a/irisshelf/tests/test_saturated_link.py
+++ b/irisshelf/tests/test_saturated_link.py
@@ -31,7 +31,9 @@
 
     def saturate():
         monkeypatch.setattr(client, "connect", connect)
-        monkeypatch.setattr(world.inst.servers.prober, "_connect", connect)
+        monkeypatch.setattr(
+            world.inst.servers.reach.prober, "_connect", connect
+        )
 
     return saturate
 
--- a/irisshelf/tests/test_server_restarts.py
+++ b/irisshelf/tests/test_server_restarts.py
@@ -85,7 +85,7 @@
     _stats(world).record_outcome(
         server.server_id, server_stats.Outcome.UNREACHABLE, world.inst.now()
     )
-    return world.inst.servers.is_unreachable
+    return world.inst.servers.reach.is_unreachable
 
 
 def _duration(world, server):
--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -193,7 +193,7 @@
     for server in world.inst.directory.servers():
         if server.service != "not-ours":
             lost = errors.ConnectError("gone", timed_out=False)
-            world.inst.servers.record_unreachable(server, lost, "r1")
+            world.inst.servers.reach.record_unreachable(server, lost, "r1")
     assert world.inst.isolated
     assert not world.inst.ready
 
