--- a/irisshelf/platform/stand_in/proxy.py
+++ b/irisshelf/platform/stand_in/proxy.py
@@ -10,6 +10,7 @@
 from gevent import socket
 
 _READ_BYTES = 65536
+_BACKLOG = 256
 _SLOW_S = 0.15
 _STEP_S = 0.05
 # Connections that fill the queue of a listener that accepts none.
@@ -49,9 +50,12 @@
         self.mode = "pass"
         self._open: set[socket.socket] = set()
         self._mute: set[socket.socket] = set()
-        self._server = self._listener(0)
+        # Bound for as long as the proxy exists: while the listener is closed,
+        # the port would else become the local end of somebody's connection.
+        self._reserved = _bind(0)
+        self._port = self._reserved.getsockname()[1]
+        self._server = self._listener()
         self._server.start()
-        self._port = self._server.server_port
         self._blocking: list[socket.socket] = []
         self._listens = True
         self._cut: Cut | None = None
@@ -114,14 +118,12 @@
             self._server.stop_accepting()
             self._server.close()
         elif listens and self._server.closed:
-            self._server = self._listener(self._port)
+            self._server = self._listener()
             self._server.start()
 
     def _block_connects(self) -> None:
         """Makes new connections wait: the listener's queue stays full."""
-        blocker = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        blocker.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        blocker.bind(("127.0.0.1", self._port))
+        blocker = _bind(self._port)
         blocker.listen(0)
         self._blocking.append(blocker)
         for _ in range(_QUEUED):
@@ -130,15 +132,15 @@
             sock.connect_ex(("127.0.0.1", self._port))
             self._blocking.append(sock)
 
-    def _listener(self, port: int) -> server.StreamServer:
-        return server.StreamServer(
-            ("127.0.0.1", port), self._serve, backlog=256
-        )
+    def _listener(self) -> server.StreamServer:
+        sock = _bind(self._port)
+        sock.listen(_BACKLOG)
+        return server.StreamServer(sock, self._serve)
 
     def close(self) -> None:
         """Stops."""
         self._server.stop(timeout=0)
-        for sock in self._blocking:
+        for sock in (*self._blocking, self._reserved):
             sock.close()
 
     def _serve(self, caller: socket.socket, peer: object) -> None:
@@ -185,6 +187,15 @@
             _reset(source)
 
 
+def _bind(port: int) -> socket.socket:
+    """Returns a socket bound to a port that others may be bound to as well."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.bind(("127.0.0.1", port))
+    return sock
+
+
 def _reset(sock: socket.socket) -> None:
     linger = struct.pack("ii", 1, 0)
     try:
