Log versions of servers and what a stream resumes

Entries' version is read (1 to 64 visible ASCII letters; an unusable one leaves the entry usable, and is logged), so is Resumes. send has both, servers_changed the version.

--- a/irisshelf/catalog/directory.py
+++ b/irisshelf/catalog/directory.py
@@ -66,6 +66,8 @@
             written.
         sequence: Counts the entries that this incarnation has written; None if
             not reported.
+        version: Version of the server's software; empty if not reported, None
+            if what is reported is none.
     """
 
     server_id: str
@@ -78,6 +80,7 @@
     born_ms: int | None = None
     cold_s: float = 0.0
     sequence: int | None = None
+    version: str | None = ""
 
     def __post_init__(self):
         if not self.entry_id:
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -255,6 +255,8 @@
         An entry that lists a server as ready although it has announced that it
         leaves is outdated.
         """
+        changes = tuple(changes)
+        self._log_versions_unreadable(changes)
         contradicting = self._inst.eligible.update_from_entries(changes)
         if not contradicting:
             return
@@ -274,6 +276,22 @@
             ],
         )
 
+    def _log_versions_unreadable(
+        self, changes: Iterable[directory.Change]
+    ) -> None:
+        """Logs servers whose streams no other server can go on with."""
+        servers = [
+            change.server.server_id
+            for change in changes
+            if change.server is not None and change.server.version is None
+        ]
+        if servers:
+            self._inst.log.warning(
+                "server_versions_unreadable",
+                count=len(servers),
+                first=servers[:_MAX_LOGGED_PROBLEMS],
+            )
+
     def _known_by(self, server: directory.BackendServer) -> str:
         departures = self._inst.eligible.availability.departures
         departure = departures.get(server.server_id)
@@ -338,4 +356,8 @@
 
 def _describe_entry(server: directory.BackendServer) -> str:
     number = "" if server.sequence is None else f" #{server.sequence}"
-    return f"{server.server_id} {server.state.value} {server.address}{number}"
+    version = f" {server.version}" if server.version else ""
+    return (
+        f"{server.server_id} {server.state.value} "
+        f"{server.address}{version}{number}"
+    )
--- a/irisshelf/gateway/messages.py
+++ b/irisshelf/gateway/messages.py
@@ -45,6 +45,8 @@
         deadline_s: How long the caller waits, in seconds; None if not given.
         prompt: Parts of the prompt, for model engines.
         last_event_id: Id of the last stream event that the caller received.
+        resumes: Id of the caller's attempt that received the first event of the
+            stream which this one resumes; empty if not given or unreadable.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     deadline_s: float | None = None
     prompt: prompt.Prompt = dataclasses.field(default_factory=prompt.Prompt)
     last_event_id: int | None = None
+    resumes: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -233,6 +233,7 @@
             catalog=self._job.version,
             server=choice.server.server_id,
             address=choice.server.address,
+            version=choice.server.version,
             reason=choice.reason.value,
             load=round(choice.load, 1),
             mean_load=round(choice.mean_load, 1),
@@ -245,6 +246,7 @@
             attempt=self._sends.count + 1,
             left_s=round(self._remaining_s(), 3),
             resume_after=self._progress.last_event_id,
+            resumes=self._job.head.resumes,
             list_age_s=_finite_age(
                 self._inst.now() - self._inst.list_version.as_of_s
             ),
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -31,6 +31,8 @@
 # A day; a server that is cold for longer is a mistake.
 _LONGEST_COLD_MS = 86_400_000
 _HIGHEST_SEQUENCE = 2**53
+# Of a server's software.
+_VERSION = re.compile(r"[!-~]{1,64}")
 # What an error shows of a value: enough to find it in the store.
 _SHOWN = 60
 _Document = TypeVar("_Document")
@@ -104,6 +106,8 @@
     # Counts the entries of this life. An unusable one does not make the entry
     # unusable, so its type is checked later.
     sequence: Any = None
+    # Of its software. An unusable one does not make the entry unusable either.
+    version: Any = None
     # The start of this life, in Unix milliseconds.
     born: Annotated[int, msgspec.Meta(ge=0, le=_LATEST_MS)] | None = None
     # How much longer it is cold, as of when the entry was written.
@@ -189,9 +193,19 @@
         state=state,
         cold_s=doc.cold_ms / _MS,
         sequence=_sequence(doc.sequence),
+        version=_version(doc.version),
     )
 
 
+def _version(value: Any) -> str | None:
+    """Returns a version; empty if there is none, None if it is unusable."""
+    if value is None:
+        return ""
+    if isinstance(value, str) and _VERSION.fullmatch(value):
+        return value
+    return None
+
+
 def _sequence(value: Any) -> int | None:
     """Returns an entry's number in its life; None if it is no number."""
     if type(value) is int and 0 <= value <= _HIGHEST_SEQUENCE:
--- a/irisshelf/platform/http_dialect.py
+++ b/irisshelf/platform/http_dialect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import result
 
 from irisshelf.gateway import dialect
@@ -22,6 +24,8 @@
 _UNAVAILABLE = 503
 # A server that asks for more makes a mistake.
 _LONGEST_REST_S = 3600.0
+# A request's id; ids of other forms are passed on, but name no stream.
+_ID = re.compile(r"[!-~]{1,200}")
 # Fifteen digits are exact in any number format; a count has fewer.
 _MOST_DIGITS = 15
 _LONGEST_KEEP_ALIVE_S = 86400
@@ -193,9 +197,14 @@
         deadline_s=_seconds(found, _DEADLINE),
         prompt=_prompt(found),
         last_event_id=_whole_number(found, b"last-event-id"),
+        resumes=_id(found.get(b"resumes", "")),
     )
 
 
+def _id(text: str) -> str:
+    return text if _ID.fullmatch(text) else ""
+
+
 def _key(authorization: str) -> str:
     if authorization[: len(_BEARER)].lower() != _BEARER:
         return ""
