Red tests: streams hold events from two versions

Stand-ins: engines have versions, which their events say; instances can be killed with their connections; they keep each other known as heartbeats do.

--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 import gevent
+from gevent import socket
 
 from irisshelf import boottime
 from irisshelf.coordination import membership
@@ -34,6 +35,27 @@
 _MAX_RELAYED = 100
 
 
+class _Listener(listener.Listener):
+    """A listener whose connections can end as those of a killed process."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._socks: set[socket.socket] = set()
+
+    def kill(self) -> None:
+        """Stops accepting connections and ends those that are open."""
+        self.stop_accepting()
+        for sock in list(self._socks):
+            sock.shutdown(socket.SHUT_RDWR)
+
+    def _serve(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        self._socks.add(sock)
+        try:
+            super()._serve(sock, peer)
+        finally:
+            self._socks.discard(sock)
+
+
 class Entry:
     """One entry instance, put together as the daemon does it.
 
@@ -51,6 +73,7 @@
         listener: Its listener for callers.
         follower: What follows the store.
         peers: Its exchanges with other instances.
+        closed: Whether it has ended.
         membership: The instances that it knows.
     """
 
@@ -65,6 +88,7 @@
         known_places: Sequence[str] = (),
         regions: Mapping[str, str] | None = None,
     ):
+        self.closed = False
         self._log_fd = os.open(os.devnull, os.O_WRONLY)
         log = decision_log.DecisionLog(instance=name, fd=self._log_fd)
         self.inst = instance.Instance(
@@ -88,7 +112,7 @@
             rng=random.Random(1),
         )
         self._front = frontend.Frontend(inst=self.inst)
-        self.listener = listener.Listener(
+        self.listener = _Listener(
             address=_ANY_PORT,
             limits=self._front.limits,
             handle=self._front.handle,
@@ -165,7 +189,7 @@
             self.peers = peer_discovery.PeerDiscovery(
                 own=self.member, seeds=(), log=self._log
             )
-            self._peer_listener = listener.Listener(
+            self._peer_listener = _Listener(
                 address=bound.address,
                 limits=self._front.limits,
                 handle=self.peers.handle,
@@ -186,8 +210,17 @@
         for other in others:
             self.membership.record_alive(other.member, boottime.now())
 
+    def kill(self) -> None:
+        """Ends as a killed process does, all its connections with it."""
+        self.close()
+        self.listener.kill()
+        self._peer_listener.kill()
+
     def close(self) -> None:
         """Ends everything."""
+        if self.closed:
+            return
+        self.closed = True
         gevent.killall(self._greenlets)
         self.listener.stop_accepting()
         self._peer_listener.stop_accepting()
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -19,6 +19,8 @@
     head_bytes=65536, body_bytes=8_000_000, head_s=30.0, idle_s=300.0
 )
 _SIGNATURE = b"Response-Signature"
+# Of the servers' software.
+FIRST_VERSION = "v1"
 
 
 class Fault(enum.StrEnum):
@@ -93,6 +95,7 @@
         port: To listen on; 0 for any.
         born_ms: Its start, as its entry tells it; None if it does not.
         data_centre: Where it stands.
+        version: Of its software; each event says it unless it is the first.
     """
 
     def __init__(
@@ -107,8 +110,11 @@
         port: int = 0,
         born_ms: int | None = None,
         data_centre: str = "a",
+        version: str = FIRST_VERSION,
     ):
         self.data_centre = data_centre
+        # What comes back after an end may be of another one.
+        self.version = version
         # What its entry tells of coldness.
         self.cold_ms = 0
         # The number of its entry.
@@ -129,6 +135,8 @@
         self.faults: collections.deque[Fault] = collections.deque()
         self.always = Fault.NONE
         self.choose_fault: Callable[[], Fault] | None = None
+        # Chooses what happens to a run; goes before the others.
+        self.fault_of: Callable[[Run], Fault] | None = None
         # Tells which requests end the process as soon as they begin.
         self.ends_under: Callable[[Run], bool] = lambda run: False
         # How long it is away after that.
@@ -173,12 +181,16 @@
         if self.closed:
             return
         port = self._server.server_port
+        self.end()
+        self.on_end()
+        gevent.spawn_later(self.away_s, self._return, port)
+
+    def end(self) -> None:
+        """Ends as a process does, all its connections with it."""
         self.ends += 1
         self.close()
         for sock in list(self._socks):
             sock.shutdown(socket.SHUT_RDWR)
-        self.on_end()
-        gevent.spawn_later(self.away_s, self._return, port)
 
     def _return(self, port: int) -> None:
         if self.born_ms is not None:
@@ -201,7 +213,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
             "state": state,
             "coldRemainingMs": self.cold_ms,
@@ -295,6 +307,8 @@
             owner.crash()
             conn.abort()
             return
+        if owner.fault_of is not None:
+            fault = owner.fault_of(run)
         owner.working += 1
         try:
             self._answer(fault, run, conn)
@@ -375,9 +389,10 @@
         head = self._head(run, fault)
         head.append((b"Content-Type", b"text/event-stream"))
         conn.begin(200, head)
+        version = self._owner.version
         for number in range(run.after_event + 1, self._owner._events + 1):
             gevent.sleep(self._owner._event_s)
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            event = self._event(number, version)
             half = self._owner._events // 2
             if fault is Fault.HANG_MIDWAY and number > half:
                 gevent.sleep(3600)
@@ -393,6 +408,10 @@
             conn.write(event)
         conn.end()
 
+    def _event(self, number: int, version: str) -> bytes:
+        suffix = "" if version == FIRST_VERSION else f" of {version}"
+        return f"id: {number}\ndata: piece {number}{suffix}\n\n".encode()
+
 
 def _raw_answer(request_id: bytes, body: bytes) -> bytes:
     return (
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -27,6 +27,7 @@
 KEY = "key-of-blue"
 HOST = "world.example"
 _WAIT_S = 10.0
+_HEARTBEAT_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -106,6 +107,9 @@
         places: Where the servers of each service stand, by turns.
         known_places: All data centres that the instances know by settings.
         regions: The region of each data centre, by settings.
+        versions: Versions of the engines' software, by turns.
+        events: Events of a stream.
+        event_s: Pause before each event.
         linked: Whether each instance reaches each server over a link of its
             own, which can be cut.
 
@@ -129,14 +133,22 @@
         places: Sequence[str] = ("a",),
         known_places: Sequence[str] = (),
         regions: Mapping[str, str] | None = None,
+        versions: Sequence[str] = (server.FIRST_VERSION,),
+        events: int = 4,
+        event_s: float = 0.002,
         linked: bool = False,
     ):
         self._places = places
+        self._make_server = functools.partial(
+            server.Server, events=events, event_s=event_s
+        )
         self._linked = linked
         self.links: list[dict[str, proxy.Proxy]] = []
         self.store = store.Store().start()
         self.plain = self._servers("crew", servers, streaming=False)
-        self.engines = self._servers("lm", servers, streaming=True)
+        self.engines = self._servers(
+            "lm", servers, streaming=True, versions=versions
+        )
         if configured:
             self.store.put("op", "config", config(1))
         self._ids = itertools.count(1)
@@ -151,6 +163,7 @@
         )
         for data_centre in data_centres:
             self.add_entry(data_centre)
+        self._heartbeats = gevent.spawn(self._keep_known)
         self.inst = self.entries[0].inst
         self.listener = self.entries[0].listener
         self.follower = self.entries[0].follower
@@ -172,9 +185,16 @@
         return made
 
     def meet(self) -> None:
-        """Makes all instances known to each other."""
-        for entry in self.entries:
-            entry.meet(self.entries)
+        """Makes all running instances known to each other."""
+        running = [entry for entry in self.entries if not entry.closed]
+        for entry in running:
+            entry.meet(running)
+
+    def _keep_known(self) -> None:
+        """Stands in for the heartbeats between instances."""
+        while True:
+            gevent.sleep(_HEARTBEAT_S)
+            self.meet()
 
     def cut(
         self, entry: int, how: proxy.Cut, service: str | None = None
@@ -198,6 +218,7 @@
 
     def close(self) -> None:
         """Ends everything."""
+        self._heartbeats.kill()
         for entry in self.entries:
             entry.close()
         for links in self.links:
@@ -275,23 +296,48 @@
         return sum(one.ran(request_id) for one in everyone)
 
     def _servers(
-        self, service: str, count: int, *, streaming: bool
+        self,
+        service: str,
+        count: int,
+        *,
+        streaming: bool,
+        versions: Sequence[str] = (server.FIRST_VERSION,),
     ) -> list[server.Server]:
         made = [
-            server.Server(
+            self._make_server(
                 server_id=f"{service}-{number}",
                 service=service,
                 streaming=streaming,
                 data_centre=self._places[number % len(self._places)],
+                version=versions[number % len(versions)],
             ).start()
             for number in range(count)
         ]
         for one in made:
-            self._list(one)
-            one.on_return = functools.partial(self._list, one)
+            self.list_server(one)
+            one.on_return = functools.partial(self.list_server, one)
+        return made
+
+    def add_engine(self, version: str) -> server.Server:
+        """Starts one more engine and lists it."""
+        made = self._make_server(
+            server_id=f"lm-{len(self.engines)}",
+            service="lm",
+            streaming=True,
+            version=version,
+        ).start()
+        self.engines.append(made)
+        self.list_server(made)
         return made
 
-    def _list(self, one: server.Server) -> None:
+    def remove_engine(self, one: server.Server) -> None:
+        """Ends an engine for good, with its connections and its entry."""
+        one.on_return = lambda: None
+        one.end()
+        self.store.drop("servers", one.server_id)
+
+    def list_server(self, one: server.Server) -> None:
+        """Writes a server's entry."""
         self.store.put("servers", one.server_id, one.entry())
 
 
--- /dev/null
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -0,0 +1,332 @@
+"""A stream goes on only at servers of the software version that began it.
+
+Regression: streams held events from two versions of a backend server, within
+one answer (its server crashed) and over a caller's attempts (its instance was
+killed). Every server of the service was taken as fit to go on with any stream.
+"""
+
+import dataclasses
+import random
+import re
+
+import gevent
+import pytest
+
+from irisshelf.platform.stand_in import server as server_module
+
+_EVENTS = 12
+_EVENT_S = 0.004
+_TWO = ("v1", "v1.1")
+_THREE = ("v1", "v1.1", "v1.2")
+# Streams of a case; a choice that knows no versions mixes about half of them.
+_STREAMS = 24
+_BROKEN_AFTER = 4
+_NAMED = re.compile(rb"id: (\d+)\ndata: piece \d+(?: of (\S+))?\n\n")
+_PATH = "/digest/1"
+# Of the share of new streams that begin, the least share that goes on.
+_LEAST_SHARE = 0.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Stream:
+    """A caller's stream, over all its attempts."""
+
+    first_id: str
+    body: bytes = b""
+    statuses: list[int] = dataclasses.field(default_factory=list)
+
+    @property
+    def last_event_id(self):
+        return int(_NAMED.findall(self.body)[-1][0])
+
+    @property
+    def versions(self):
+        return {version or b"v1" for _, version in _NAMED.findall(self.body)}
+
+    @property
+    def whole(self):
+        numbers = [int(number) for number, _ in _NAMED.findall(self.body)]
+        return numbers == list(range(1, _EVENTS + 1))
+
+
+def _begin(world, entry, number):
+    """Begins a stream and leaves after some events."""
+    stream = _Stream(first_id=f"begun-{number}")
+    conn = world.connect(entry)
+    headers = world.headers(b"{}", Request_Id=stream.first_id)
+    conn.send("POST", _PATH, headers, b"{}", timeout_s=5.0)
+    status, _ = conn.read_head(timeout_s=5.0)
+    stream.statuses.append(status)
+    while stream.body.count(b"\n\n") < _BROKEN_AFTER:
+        stream.body += conn.read_data(timeout_s=5.0)
+    conn.close()
+    stream.body = b"".join(m[0] for m in _NAMED.finditer(stream.body))
+    return stream
+
+
+def _take_up(world, entry, stream, number, **headers):
+    """Takes a stream up where its caller has left it."""
+    named = {
+        "Resumes": stream.first_id,
+        "Last_Event_Id": str(stream.last_event_id),
+        "Request_Id": f"taken-up-{number}",
+    }
+    answer = world.ask(_PATH, entry=entry, **(named | headers))
+    stream.statuses.append(answer.status)
+    if answer.status == 200:
+        stream.body += answer.body
+    return answer
+
+
+def _each(calls):
+    """Runs calls at once; returns their results."""
+    greenlets = [gevent.spawn(*call) for call in calls]
+    gevent.joinall(greenlets)
+    return [greenlet.get() for greenlet in greenlets]
+
+
+def _begin_all(world, entry, count=_STREAMS):
+    return _each((_begin, world, entry, number) for number in range(count))
+
+
+def _take_up_all(world, entry, streams):
+    """Takes streams up in another order, as all instances draw the same."""
+    numbered = list(enumerate(streams))
+    random.Random(len(numbered)).shuffle(numbered)
+    return _each(
+        (_take_up, world, entry, stream, number) for number, stream in numbered
+    )
+
+
+def _make(make_world, **options):
+    world = make_world(
+        **{"servers": 6, "versions": _TWO, "data_centres": ("a", "a", "b")}
+        | options,
+        events=_EVENTS,
+        event_s=_EVENT_S,
+    )
+    expected = {one.server_id for one in world.engines}
+    world.wait(
+        lambda: all(_listed(entry) >= expected for entry in world.entries)
+    )
+    return world
+
+
+def _listed(entry):
+    return {server.entry_id for server in entry.inst.directory.servers()}
+
+
+def _mixed(streams):
+    return [stream for stream in streams if len(stream.versions) > 1]
+
+
+def _share_whole(streams):
+    return sum(stream.whole for stream in streams) / len(streams)
+
+
+def _fail_first_runs(world, fault):
+    """Makes each stream's first run fail midway."""
+    for one in world.engines:
+        one.fault_of = lambda run: (
+            fault if not run.after_event else server_module.Fault.NONE
+        )
+
+
+@pytest.mark.parametrize("versions", [_TWO, _THREE], ids=["two", "three"])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        server_module.Fault.CUT,
+        server_module.Fault.TORN,
+        server_module.Fault.HANG_MIDWAY,
+    ],
+)
+def test_an_answer_goes_on_at_the_version_that_began_it(
+    make_world, fault, versions
+):
+    """Guards against one answer with events of two versions."""
+    world = _make(make_world, versions=versions)
+    _fail_first_runs(world, fault)
+    answers = _each((world.ask, _PATH) for _ in range(_STREAMS))
+    streams = [_Stream(first_id="", body=answer.body) for answer in answers]
+    assert not _mixed(streams)
+    assert _share_whole(streams) >= _LEAST_SHARE
+
+
+def test_an_answer_ends_as_the_servers_of_its_version_have_ended(make_world):
+    """Guards against other versions as a last resort."""
+    world = _make(make_world)
+    calls = [gevent.spawn(world.ask, _PATH) for _ in range(_STREAMS)]
+    gevent.sleep(_BROKEN_AFTER * _EVENT_S)
+    for one in world.engines:
+        if one.version == "v1.1":
+            one.end()
+    gevent.joinall(calls)
+    streams = [_Stream(first_id="", body=call.get().body) for call in calls]
+    assert not _mixed(streams)
+    begun = [s for s in streams if s.versions == {b"v1.1"}]
+    assert begun
+    assert not any(s.whole for s in begun)
+
+
+@pytest.mark.parametrize(
+    ("entry", "ends"),
+    [
+        pytest.param(0, False, id="same-instance"),
+        pytest.param(1, False, id="same-data-centre"),
+        pytest.param(2, False, id="other-data-centre"),
+        pytest.param(1, True, id="same-data-centre-first-one-killed"),
+        pytest.param(2, True, id="other-data-centre-first-one-killed"),
+        pytest.param(3, True, id="started-after-first-one-killed"),
+    ],
+)
+def test_a_stream_that_is_taken_up_goes_on_at_its_version(
+    make_world, entry, ends
+):
+    """Guards against instances that do not know what began a stream."""
+    world = _make(make_world)
+    streams = _begin_all(world, 0)
+    if ends:
+        world.entries[0].kill()
+    if entry == len(world.entries):
+        added = world.add_entry("a")
+        world.wait(lambda: added.inst.ready)
+    _take_up_all(world, entry, streams)
+    assert not _mixed(streams)
+    assert _share_whole(streams) >= _LEAST_SHARE
+
+
+def test_a_stream_of_three_versions_breaks_twice(make_world):
+    """Guards against what only the first attempt is known by."""
+    world = _make(make_world, versions=_THREE)
+    streams = _begin_all(world, 0)
+    _fail_all_midway(world)
+    _take_up_all(world, 1, streams)
+    for one in world.engines:
+        one.fault_of = None
+    unfinished = [stream for stream in streams if not stream.whole]
+    _take_up_all(world, 2, unfinished)
+    assert not _mixed(streams)
+    assert _share_whole(streams) >= _LEAST_SHARE
+
+
+def _fail_all_midway(world):
+    for one in world.engines:
+        one.fault_of = lambda run: server_module.Fault.CUT
+
+
+@pytest.mark.parametrize("killed", [False, True], ids=["alive", "killed"])
+def test_a_second_version_comes_after_a_stream_has_begun(make_world, killed):
+    """Guards against streams of a time in which there was one version."""
+    world = _make(make_world, versions=("v1.1",))
+    streams = _begin_all(world, 0)
+    for _ in range(4):
+        world.add_engine("v1.2")
+    _wait_for_list(world)
+    for one in world.engines[:4]:
+        world.remove_engine(one)
+    _wait_for_list(world)
+    if killed:
+        world.entries[0].kill()
+    _take_up_all(world, 1, streams)
+    assert not _mixed(streams)
+    assert _share_whole(streams) >= _LEAST_SHARE
+
+
+def _wait_for_list(world):
+    expected = {
+        one.server_id
+        for one in (*world.engines, *world.plain)
+        if not one.closed
+    }
+    world.wait(
+        lambda: all(
+            _listed(entry) == expected
+            for entry in world.entries
+            if not entry.closed
+        )
+    )
+
+
+def test_no_server_of_the_version_is_left(make_world):
+    """Guards against guesses, and against waits for what cannot come."""
+    world = _make(make_world)
+    streams = _begin_all(world, 0)
+    for one in list(world.engines):
+        if one.version == "v1.1":
+            world.remove_engine(one)
+    _wait_for_list(world)
+    old = [s for s in streams if s.versions == {b"v1.1"}]
+    answers = _take_up_all(world, 1, old)
+    assert old
+    assert {answer.status for answer in answers} == {503}
+    assert all("retry-after" in answer.headers for answer in answers)
+    for number in range(len(old)):
+        assert not world.runs(f"taken-up-{number}")
+    world.add_engine("v1.1")
+    _wait_for_list(world)
+    _take_up_all(world, 1, old)
+    assert _share_whole(old) == 1.0
+    assert not _mixed(streams)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        pytest.param({"Resumes": "never-seen"}, id="never-seen"),
+        pytest.param({"Resumes": ""}, id="not-named"),
+        pytest.param({"Resumes": "not an id"}, id="unreadable"),
+    ],
+)
+@pytest.mark.parametrize(
+    ("versions", "status"),
+    [
+        pytest.param(_TWO, 503, id="two-versions"),
+        pytest.param(("v1",), 200, id="one-version"),
+    ],
+)
+def test_a_stream_whose_version_is_not_known(
+    make_world, versions, status, headers
+):
+    """Guards against guesses, and refusals where there is nothing to guess."""
+    world = _make(make_world, versions=versions)
+    stream = _begin(world, 0, 0)
+    answer = _take_up(world, 1, stream, 1, **headers)
+    assert answer.status == status
+    assert bool(world.runs("taken-up-1")) is (status == 200)
+    assert not _mixed([stream])
+
+
+def test_an_instance_that_nobody_answers_does_not_guess(make_world):
+    """Guards against a list that is behind, at an instance that is cut off."""
+    world = _make(make_world)
+    streams = _begin_all(world, 0)
+    for number in (0, 1):
+        world.entries[number].kill()
+    _take_up_all(world, 2, streams)
+    assert not _mixed(streams)
+
+
+@pytest.mark.parametrize("entry", [0, 1], ids=["saw-it-end", "other"])
+def test_a_server_returns_with_another_version_before_its_entry(
+    make_world, entry
+):
+    """Guards against entries that are older than the process they describe."""
+    world = _make(make_world, servers=4, data_centres=("a", "a"))
+    streams = _begin_all(world, 0)
+    changed = [one for one in world.engines if one.version == "v1.1"]
+    for one in changed:
+        one.on_return = lambda: None
+        one.away_s = 0.1
+        one.crash()
+        one.version = "v1.2"
+    world.wait(lambda: not any(one.closed for one in changed))
+    _take_up_all(world, entry, streams)
+    assert not _mixed(streams)
+
+
+def test_a_caller_gets_its_stream_without_a_break(make_world):
+    """Guards against a cost for streams that nothing befalls."""
+    world = _make(make_world)
+    answers = _each((world.ask, _PATH) for _ in range(_STREAMS))
+    assert all(answer.status == 200 and answer.whole for answer in answers)
