An answer goes on only at the software version that began it

Cause: the choice of a server took all servers of a service as interchangeable, also for a stream that has begun; the list's version was not read.

Change: a stream is bound to the release (service and version) whose event is relayed first. What a request requires of a server (regions, release) is one value, asked at one place, Eligibility, for every way to pick a server: first choice, retry, a silent server, last resort, suspects, cold ones; and once more as the request goes out, as the entry may have changed. If no server of the release is left, the answer is cut at once. The load bound stays a multiple of the mean over all servers of the service.

Both tests changed on the way: with the default retry budget a third of the streams may be sent again, which is not what they ask, so it is larger; and servers end only after each stream has begun, as before none had begun when they ended.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -9,6 +9,7 @@
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import monitored_connection
+from irisshelf.gateway.requests import stream_binding
 from irisshelf.routing import outcome
 from irisshelf.routing.direct import event_stream
 from irisshelf.routing.direct import server_choice
@@ -77,6 +78,7 @@
         job: The request.
         caller: The caller's connection.
         progress: Progress of the response; updated here.
+        binding: The release that a stream is bound to; bound here.
         choice: The server, and why it was chosen.
         conn: The connection to it.
         response_timeout_s: Returns how long to wait for more data; its argument
@@ -92,6 +94,7 @@
         job: messages.Job,
         caller: caller_side.Connection,
         progress: Progress,
+        binding: stream_binding.StreamBinding,
         choice: server_choice.Choice,
         conn: client.Connection,
         response_timeout_s: Callable[[bool], float],
@@ -101,6 +104,7 @@
         self._job = job
         self._caller = caller
         self._progress = progress
+        self._binding = binding
         self._choice = choice
         self._conn = conn
         self._response_timeout_s = response_timeout_s
@@ -281,6 +285,7 @@
                 break
             events = self._new_events(splitter.feed(data))
             if events:
+                self._binding.bind(self._choice.server)
                 self._send_head(head)
                 self._caller.write(b"".join(event.data for event in events))
         if splitter.pending:
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -10,6 +10,7 @@
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import send_history
+from irisshelf.gateway.requests import stream_binding
 from irisshelf.gateway.servers import reachability
 from irisshelf.gateway.servers import relays as relays_module
 from irisshelf.routing import crash_suspects
@@ -32,6 +33,10 @@
 _COLD_JITTER = 1.3
 # Servers of a region return after seconds, if at all.
 _NO_REGION_RETRY_S = 2.0
+# Reason given when no server of the release that began a stream is left, and
+# when to retry: one that has crashed is back after about that time.
+NO_SERVER_OF_VERSION = "no_server_of_version"
+_NO_VERSION_RETRY_S = (1.5, 2.5)
 # Reason given when the server that a suspect request was to be sent to has
 # exited and it is not yet known whether the request crashed it.
 _UNCERTAIN = "servers_may_have_ended_under_it"
@@ -73,6 +78,7 @@
         job: The request.
         sends: Its sends so far; unreachable servers are added to those that it
             avoids.
+        binding: The release that its stream is bound to.
     """
 
     def __init__(
@@ -81,10 +87,12 @@
         inst: instance_module.Instance,
         job: messages.Job,
         sends: send_history.SendHistory,
+        binding: stream_binding.StreamBinding,
     ):
         self._inst = inst
         self._job = job
         self._sends = sends
+        self._binding = binding
         self._chooser = inst.servers.chooser(job.service)
         self._admitted = False
         self._connects = 0
@@ -124,12 +132,15 @@
         return None
 
     def _record_send(self, server: directory.BackendServer) -> bool:
-        """Records a send if the server still accepts requests.
+        """Records a send if the server still accepts the request.
 
-        The server may have started to drain or to back off while the
-        connection was established.
+        The server may have started to drain or to back off, or its entry may
+        have changed, while the connection was established.
         """
-        if not self._inst.eligible.accepts(server):
+        eligible = self._inst.eligible
+        if not eligible.accepts(server) or not eligible.meets(
+            server, self._binding.requirements
+        ):
             return False
         self._inst.eligible.availability.record_sent(
             server.server_id, self._inst.now()
@@ -139,6 +150,11 @@
     def _no_server(self) -> Rejection:
         """Returns why there is no server and when to retry."""
         inst = self._inst
+        if self._binding.release is not None and not self._usable():
+            return Rejection(
+                why=NO_SERVER_OF_VERSION,
+                retry_after_s=inst.rng.uniform(*_NO_VERSION_RETRY_S),
+            )
         if self._job.regions is not None and not self._usable():
             # Other instances have the same list: do not invite a quick retry.
             return Rejection(why="no_region", retry_after_s=_NO_REGION_RETRY_S)
@@ -149,7 +165,7 @@
                 retry_after_s=outage.retry_after_s(evacuated_s, inst.rng),
             )
         pause_s = inst.eligible.accepting_in_s(
-            self._job.service, self._job.regions
+            self._job.service, self._binding.requirements
         )
         if pause_s is not None:
             jitter_s = inst.rng.uniform(0.0, _BACKOFF_JITTER_S)
@@ -210,7 +226,7 @@
         self, verdict: crash_suspects.Verdict
     ) -> server_choice.Choice | Rejection | None:
         placed = self._inst.crash_tracker.place_suspect(
-            self._job, verdict, self._sends.avoid
+            self._job, verdict, self._sends.avoid, self._binding.requirements
         )
         if placed.uncertain:
             return Rejection(why=_UNCERTAIN, retry_after_s=_UNCERTAIN_RETRY_S)
@@ -236,11 +252,13 @@
         return choice
 
     def _usable(self) -> tuple[directory.BackendServer, ...]:
-        return self._inst.eligible.usable(self._job.service, self._job.regions)
+        return self._inst.eligible.usable(
+            self._job.service, self._binding.requirements
+        )
 
     def _accepting(self) -> tuple[directory.BackendServer, ...]:
         return self._inst.eligible.accepting(
-            self._job.service, self._job.regions
+            self._job.service, self._binding.requirements
         )
 
     def _choose_among(
@@ -249,7 +267,11 @@
         eligible = self._inst.eligible
         warm, cold = eligible.split(self._job.service, servers)
         service = self._job.service
-        idle = (*eligible.evacuated(service), *eligible.paused(service))
+        idle = (
+            *eligible.evacuated(service),
+            *eligible.paused(service),
+            *self._other_releases(),
+        )
         choice = self._choose_from(warm, avoid, [*idle, *cold])
         if not cold or not _is_saturated(choice):
             return choice
@@ -260,6 +282,14 @@
         eligible.record_sent_to_cold(other.server)
         return other
 
+    def _other_releases(self) -> list[directory.BackendServer]:
+        """Returns servers that take requests, but not this bound stream."""
+        if self._binding.release is None:
+            return []
+        fit = {server.server_id for server in self._accepting()}
+        everyone = self._inst.eligible.accepting(self._job.service)
+        return [s for s in everyone if s.server_id not in fit]
+
     def _choose_from(
         self,
         servers: Sequence[directory.BackendServer],
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -10,6 +10,7 @@
 from irisshelf.gateway.requests import attempt as attempt_module
 from irisshelf.gateway.requests import placement as placement_module
 from irisshelf.gateway.requests import send_history
+from irisshelf.gateway.requests import stream_binding
 from irisshelf.routing import crash_suspects
 from irisshelf.routing import outcome
 from irisshelf.routing.direct import server_choice
@@ -52,8 +53,9 @@
         self._caller = caller
         self._retry_after_s = admission.RETRY_SOON_S
         self._sends = send_history.SendHistory(inst=inst, job=job)
+        self._binding = stream_binding.StreamBinding(job=job)
         self._placement = placement_module.Placement(
-            inst=inst, job=job, sends=self._sends
+            inst=inst, job=job, sends=self._sends, binding=self._binding
         )
         self._events_before_send = 0
         self._progress = attempt_module.Progress(
@@ -110,6 +112,7 @@
             job=self._job,
             caller=self._caller,
             progress=self._progress,
+            binding=self._binding,
             choice=choice,
             conn=conn,
             response_timeout_s=self._response_timeout_s,
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -17,6 +17,7 @@
 from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
 from irisshelf.gateway.servers import reachability
+from irisshelf.gateway.servers import requirements
 from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.observe import decision_log
 from irisshelf.routing import crash_suspects
@@ -107,12 +108,13 @@
         job: messages.Job,
         verdict: crash_suspects.Verdict,
         avoid: set[str],
+        required: requirements.Requirements,
     ) -> SuspectPlacement:
         """Returns the only server that a suspect request may be sent to."""
         by_id = {
             server.server_id: server
             for server in self._servers.eligible.accepting(
-                job.service, job.regions
+                job.service, required
             )
         }
         exited = {
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -17,7 +17,9 @@
 from irisshelf.catalog import directory
 from irisshelf.catalog import evacuations as evacuations_module
 from irisshelf.catalog import model
+from irisshelf.catalog import releases
 from irisshelf.gateway import settings
+from irisshelf.gateway.servers import requirements
 from irisshelf.routing.direct import availability as availability_module
 from irisshelf.routing.direct import cold_start
 
@@ -59,7 +61,9 @@
         self._now = now
 
     def usable(
-        self, service: str, regions: frozenset[str] | None = None
+        self,
+        service: str,
+        required: requirements.Requirements = requirements.NONE,
     ) -> tuple[directory.BackendServer, ...]:
         """Returns the listed servers of a service in permitted locations.
 
@@ -67,30 +71,48 @@
 
         Args:
             service: The service.
-            regions: Where the request may be served; None for anywhere.
+            required: What the request requires.
         """
         servers = self._not_evacuated(self._listed.servers_of(service))
-        return self._in_regions(servers, regions)
+        if required.release is not None:
+            servers = tuple(s for s in servers if _runs(s, required))
+        return self._in_regions(servers, required.regions)
 
     def is_usable(self, server: directory.BackendServer) -> bool:
         """Returns whether a server's data centre is not evacuated."""
         return server.data_centre not in self._evacuations.active()
 
     def accepting(
-        self, service: str, regions: frozenset[str] | None = None
+        self,
+        service: str,
+        required: requirements.Requirements = requirements.NONE,
     ) -> tuple[directory.BackendServer, ...]:
         """Returns the servers of a service that accept requests now.
 
         Args:
             service: The service.
-            regions: Where the request may be served; None for anywhere.
+            required: What the request requires.
         """
-        return tuple(filter(self.accepts, self.usable(service, regions)))
+        return tuple(filter(self.accepts, self.usable(service, required)))
 
     def accepts(self, server: directory.BackendServer) -> bool:
         """Returns whether a request may be sent to a server now."""
         return self._block(server) is None
 
+    def meets(
+        self,
+        server: directory.BackendServer,
+        required: requirements.Requirements,
+    ) -> bool:
+        """Returns whether a server still meets what a request requires.
+
+        Its entry may have changed since the server was selected.
+        """
+        if required.release is None:
+            return True
+        listed = self._listed.get(server.entry_id)
+        return listed is not None and _runs(listed, required)
+
     def is_leaving(self, server: directory.BackendServer) -> bool:
         """Returns whether a server has announced that it leaves."""
         departure = self.availability.departures.get(server.server_id)
@@ -105,7 +127,9 @@
         )
 
     def accepting_in_s(
-        self, service: str, regions: frozenset[str] | None = None
+        self,
+        service: str,
+        required: requirements.Requirements = requirements.NONE,
     ) -> float | None:
         """Returns how long until the first server accepts requests again.
 
@@ -113,9 +137,9 @@
 
         Args:
             service: The service.
-            regions: Where the request may be served; None for anywhere.
+            required: What the request requires.
         """
-        servers = self.usable(service, regions)
+        servers = self.usable(service, required)
         if any(map(self.accepts, servers)):
             return None
         pauses_s = [p for p in map(self._pause_s, servers) if p is not None]
@@ -274,3 +298,9 @@
         if not evacuated:
             return servers
         return tuple(s for s in servers if s.data_centre not in evacuated)
+
+
+def _runs(
+    server: directory.BackendServer, required: requirements.Requirements
+) -> bool:
+    return releases.release_key(server) == required.release
--- a/irisshelf/tests/test_streams_of_two_versions.py
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -12,7 +12,9 @@
 import gevent
 import pytest
 
+from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import server as server_module
+from irisshelf.transport import errors
 
 _EVENTS = 12
 _EVENT_S = 0.004
@@ -23,6 +25,8 @@
 _BROKEN_AFTER = 4
 _NAMED = re.compile(rb"id: (\d+)\ndata: piece \d+(?: of (\S+))?\n\n")
 _PATH = "/digest/1"
+# So that the retry budget does not end streams here.
+_BOUNDS = settings.Bounds(retry_share=1.0, retry_slack=1000.0)
 # Of the share of new streams that begin, the least share that goes on.
 _LEAST_SHARE = 0.5
 
@@ -49,8 +53,8 @@
         return numbers == list(range(1, _EVENTS + 1))
 
 
-def _begin(world, entry, number):
-    """Begins a stream and leaves after some events."""
+def _open(world, entry, number):
+    """Begins a stream; returns it after some events, and its connection."""
     stream = _Stream(first_id=f"begun-{number}")
     conn = world.connect(entry)
     headers = world.headers(b"{}", Request_Id=stream.first_id)
@@ -59,11 +63,26 @@
     stream.statuses.append(status)
     while stream.body.count(b"\n\n") < _BROKEN_AFTER:
         stream.body += conn.read_data(timeout_s=5.0)
+    return stream, conn
+
+
+def _begin(world, entry, number):
+    """Begins a stream and leaves after some events."""
+    stream, conn = _open(world, entry, number)
     conn.close()
     stream.body = b"".join(m[0] for m in _NAMED.finditer(stream.body))
     return stream
 
 
+def _read_on(stream, conn):
+    """Reads what comes of a stream that has begun."""
+    try:
+        while (data := conn.read_data(timeout_s=5.0)) is not None:
+            stream.body += data
+    except errors.TransportError:
+        return
+
+
 def _take_up(world, entry, stream, number, **headers):
     """Takes a stream up where its caller has left it."""
     named = {
@@ -102,6 +121,7 @@
     world = make_world(
         **{"servers": 6, "versions": _TWO, "data_centres": ("a", "a", "b")}
         | options,
+        bounds=_BOUNDS,
         events=_EVENTS,
         event_s=_EVENT_S,
     )
@@ -156,13 +176,12 @@
 def test_an_answer_ends_as_the_servers_of_its_version_have_ended(make_world):
     """Guards against other versions as a last resort."""
     world = _make(make_world)
-    calls = [gevent.spawn(world.ask, _PATH) for _ in range(_STREAMS)]
-    gevent.sleep(_BROKEN_AFTER * _EVENT_S)
+    opened = _each((_open, world, 0, number) for number in range(_STREAMS))
     for one in world.engines:
         if one.version == "v1.1":
             one.end()
-    gevent.joinall(calls)
-    streams = [_Stream(first_id="", body=call.get().body) for call in calls]
+    _each((_read_on, stream, conn) for stream, conn in opened)
+    streams = [stream for stream, _ in opened]
     assert not _mixed(streams)
     begun = [s for s in streams if s.versions == {b"v1.1"}]
     assert begun
