Which version began a stream is known when a caller resumes it elsewhere

Cause: Resumes was forwarded unread, and which version began a stream was known to no instance, not even to the one that began it.

Change: the origin of a stream (release, that is service and version, of the server of its first event) is recorded as that event is relayed. While a service has had several releases within the life of a stream, it is sent before the event to two instances of the own data centre and one of another, selected by rendezvous hashing of the stream's key; that one sends it to two of its own. An instance at which the stream is resumed looks it up, else asks those instances (all others, if they are eight at most), for 0.2 s at most. Nothing is sent while one release serves; when a second one appears, origins of before are sent. Not known: the stream goes on only if no other release can have begun it, as this and the asked instances know; else 503 at once, not run. Records that contradict each other count as not known.

--- a/irisshelf/catalog/model.py
+++ b/irisshelf/catalog/model.py
@@ -175,6 +175,18 @@
                 return route
         return None
 
+    @property
+    def longest_stream_s(self) -> float:
+        """The longest time-out of a route with streams; 0 if there is none."""
+        return max(
+            (
+                route.timeout_s
+                for route in self.routes
+                if route.kind is RouteKind.STREAMING
+            ),
+            default=0.0,
+        )
+
     def team(self, key: str) -> Team | None:
         """Returns the team to which a key belongs."""
         return self.teams.get(key)
--- a/irisshelf/catalog/releases.py
+++ b/irisshelf/catalog/releases.py
@@ -8,6 +8,7 @@
 
 import functools
 import hashlib
+from collections.abc import Iterable
 
 from irisshelf.catalog import directory
 
@@ -40,3 +41,54 @@
 def _key(service: str, kind: str, name: str) -> bytes:
     text = "\0".join((service, kind, name)).encode()
     return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
+
+
+class ReleaseHistory:
+    """Which releases of each service were listed lately.
+
+    Attributes:
+        life_s: For how long a release is known after it was last listed.
+    """
+
+    def __init__(self, *, life_s: float):
+        self.life_s = life_s
+        self._listed: dict[str, frozenset[bytes]] = {}
+        # By service and release, when it was last listed.
+        self._last_s: dict[str, dict[bytes, float]] = {}
+
+    def update(
+        self, servers: Iterable[directory.BackendServer], now: float
+    ) -> None:
+        """Applies the list as it is from now on."""
+        for service, keys in self._listed.items():
+            last_s = self._last_s.setdefault(service, {})
+            last_s.update(dict.fromkeys(keys, now))
+        listed: dict[str, set[bytes]] = {}
+        for server in servers:
+            listed.setdefault(server.service, set()).add(release_key(server))
+        self._listed = {name: frozenset(keys) for name, keys in listed.items()}
+        self._expire(now)
+
+    def recent(self, service: str, now: float) -> frozenset[bytes]:
+        """Returns the releases of a service that are or were listed lately."""
+        gone = {
+            key
+            for key, last_s in self._last_s.get(service, {}).items()
+            if now - last_s <= self.life_s
+        }
+        return self._listed.get(service, frozenset()) | gone
+
+    def services(self) -> frozenset[str]:
+        """Returns the services that have servers now."""
+        return frozenset(self._listed)
+
+    def _expire(self, now: float) -> None:
+        kept = {
+            service: {
+                key: last_s
+                for key, last_s in releases.items()
+                if now - last_s <= self.life_s
+            }
+            for service, releases in self._last_s.items()
+        }
+        self._last_s = {name: last_s for name, last_s in kept.items() if last_s}
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -22,6 +22,7 @@
 from irisshelf.gateway.knowledge import datagrams
 from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import follower
+from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.gateway.requests import frontend
@@ -115,6 +116,19 @@
         self._peers.register_handler(
             crash_gossip.SNAPSHOT_PATH, self._crash_gossip.snapshot
         )
+        self._origins = origin_exchange.OriginExchange(
+            releases=self._inst.servers.releases,
+            datagrams=self._datagrams,
+            peers=self._peers,
+            log=self._log,
+            counts=self._inst.metrics,
+            rng=self._inst.rng,
+            now=self._inst.now,
+        )
+        self._inst.origins = self._origins
+        self._inst.servers.on_releases_changed = (
+            self._origins.on_releases_changed
+        )
         self._departures = catch_up.DepartureExchange(
             known=self._inst.eligible.availability.departures,
             on_fact=self._inst.servers.apply_fact,
@@ -168,6 +182,7 @@
         """
         decision_log.start(self._log)
         gevent.spawn(self._datagrams.run)
+        gevent.spawn(self._origins.run)
         if self._inst.cfg.policy.gossip:
             self._start_gossip()
         for each in self._listeners:
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -14,11 +14,13 @@
 from irisshelf.catalog import evacuations
 from irisshelf.catalog import freshness
 from irisshelf.catalog import model
+from irisshelf.coordination import stream_origins
 from irisshelf.gateway import dialect as dialect_module
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
 from irisshelf.gateway.servers import crash_tracker
 from irisshelf.gateway.servers import eligibility
+from irisshelf.gateway.servers import origin_registry
 from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.observe import decision_log
 
@@ -113,6 +115,10 @@
         # centre, in monotonic seconds; None if there is none or it is unknown.
         self.outage_since_s: float | None = None
         self.list_version = ListVersion()
+        # Replaced by one that also asks other instances.
+        self.origins = origin_registry.OriginRegistry(
+            releases=self.servers.releases, now=now
+        )
         self._server_list_loaded = False
         self._last_ready = False
         self.stopping_since_s: float | None = None
@@ -233,6 +239,9 @@
         before = self.catalog.version if self.catalog else 0
         self.catalog = catalog
         self.eligible.services = catalog.services
+        self.origins.origins.life_s = self.servers.releases.life_s = max(
+            stream_origins.MIN_LIFE_S, 2 * catalog.longest_stream_s
+        )
         self.metrics.catalog_version.set(catalog.version)
         self.log.instance(
             "catalog_in_force",
--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -23,6 +23,7 @@
     SERVER_FACTS = 1
     STORE_UPDATE = 2
     CRASHES = 3
+    STREAM_ORIGINS = 4
 
 
 class Datagrams:
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -56,6 +56,21 @@
             "Requests that servers ended under, by what came of it.",
             "change",
         )
+        self.resumptions = self._counter(
+            "stream_resumptions",
+            "Streams that callers resumed, by how their version was known.",
+            "known_by",
+        )
+        self.origin_bytes = prometheus_client.Counter(
+            "irisshelf_stream_origin_bytes_total",
+            "Bytes sent to other instances about the origins of streams.",
+            registry=self.registry,
+        )
+        self.origins_dropped = prometheus_client.Counter(
+            "irisshelf_stream_origins_dropped_total",
+            "Origins of streams that were not sent, as too many waited.",
+            registry=self.registry,
+        )
         self.connects = self._counter(
             "connects", "New connections to servers.", "service"
         )
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -9,6 +9,7 @@
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
+from irisshelf.gateway.requests import rejection
 from irisshelf.gateway.requests import send_history
 from irisshelf.gateway.requests import stream_binding
 from irisshelf.gateway.servers import reachability
@@ -56,20 +57,6 @@
     conn: client.Connection
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Rejection:
-    """A decision not to send the request.
-
-    Attributes:
-        why: The reason, for logs and the response.
-        retry_after_s: When the caller should retry; None if the reason does
-            not determine it.
-    """
-
-    why: str
-    retry_after_s: float | None = None
-
-
 class Placement:
     """Selects servers for the sends of one request.
 
@@ -102,7 +89,7 @@
 
     def next(
         self, verdict: crash_suspects.Verdict | None
-    ) -> Assignment | Rejection | None:
+    ) -> Assignment | rejection.Rejection | None:
         """Selects a server for the next send.
 
         Args:
@@ -118,7 +105,7 @@
             choice = (
                 self._choose_suspect(verdict) if verdict else self._choose()
             )
-            if isinstance(choice, Rejection):
+            if isinstance(choice, rejection.Rejection):
                 return choice
             if choice is None:
                 return self._no_server()
@@ -147,20 +134,22 @@
         )
         return True
 
-    def _no_server(self) -> Rejection:
+    def _no_server(self) -> rejection.Rejection:
         """Returns why there is no server and when to retry."""
         inst = self._inst
         if self._binding.release is not None and not self._usable():
-            return Rejection(
+            return rejection.Rejection(
                 why=NO_SERVER_OF_VERSION,
                 retry_after_s=inst.rng.uniform(*_NO_VERSION_RETRY_S),
             )
         if self._job.regions is not None and not self._usable():
             # Other instances have the same list: do not invite a quick retry.
-            return Rejection(why="no_region", retry_after_s=_NO_REGION_RETRY_S)
+            return rejection.Rejection(
+                why="no_region", retry_after_s=_NO_REGION_RETRY_S
+            )
         evacuated_s = inst.eligible.all_evacuated_for_s(self._job.service)
         if evacuated_s is not None:
-            return Rejection(
+            return rejection.Rejection(
                 why="evacuated",
                 retry_after_s=outage.retry_after_s(evacuated_s, inst.rng),
             )
@@ -169,14 +158,18 @@
         )
         if pause_s is not None:
             jitter_s = inst.rng.uniform(0.0, _BACKOFF_JITTER_S)
-            return Rejection(why="resting", retry_after_s=pause_s + jitter_s)
+            return rejection.Rejection(
+                why="resting", retry_after_s=pause_s + jitter_s
+            )
         cold_s = min(
             map(inst.eligible.cold_wait_s, self._accepting()), default=0.0
         )
         if cold_s:
             jitter = inst.rng.uniform(1.0, _COLD_JITTER)
-            return Rejection(why="cold", retry_after_s=cold_s * jitter)
-        return Rejection(why="no_server")
+            return rejection.Rejection(
+                why="cold", retry_after_s=cold_s * jitter
+            )
+        return rejection.Rejection(why="no_server")
 
     def fail_over(
         self, current: directory.BackendServer, conn: client.Connection
@@ -224,12 +217,14 @@
 
     def _choose_suspect(
         self, verdict: crash_suspects.Verdict
-    ) -> server_choice.Choice | Rejection | None:
+    ) -> server_choice.Choice | rejection.Rejection | None:
         placed = self._inst.crash_tracker.place_suspect(
             self._job, verdict, self._sends.avoid, self._binding.requirements
         )
         if placed.uncertain:
-            return Rejection(why=_UNCERTAIN, retry_after_s=_UNCERTAIN_RETRY_S)
+            return rejection.Rejection(
+                why=_UNCERTAIN, retry_after_s=_UNCERTAIN_RETRY_S
+            )
         if self._is_exhausted() or placed.server is None:
             return None
         return self._choose_among((placed.server,), set())
@@ -307,13 +302,15 @@
             idle=idle,
         )
 
-    def _admit(self, choice: server_choice.Choice) -> Rejection | None:
+    def _admit(
+        self, choice: server_choice.Choice
+    ) -> rejection.Rejection | None:
         """Applies admission control, once per request."""
         if self._admitted:
             return None
         refusal = admission.check(self._inst, self._job, choice)
         if refusal is not None:
-            return Rejection(
+            return rejection.Rejection(
                 why="overloaded", retry_after_s=refusal.retry_after_s
             )
         self._admitted = True
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from irisshelf.catalog import directory
 from irisshelf.catalog import model
 from irisshelf.gateway import instance as instance_module
@@ -9,6 +11,7 @@
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import attempt as attempt_module
 from irisshelf.gateway.requests import placement as placement_module
+from irisshelf.gateway.requests import rejection
 from irisshelf.gateway.requests import send_history
 from irisshelf.gateway.requests import stream_binding
 from irisshelf.routing import crash_suspects
@@ -49,28 +52,38 @@
         caller: caller_side.Connection,
     ):
         self._inst = inst
-        self._job = job
         self._caller = caller
         self._retry_after_s = admission.RETRY_SOON_S
-        self._sends = send_history.SendHistory(inst=inst, job=job)
-        self._binding = stream_binding.StreamBinding(job=job)
-        self._placement = placement_module.Placement(
-            inst=inst, job=job, sends=self._sends, binding=self._binding
-        )
+        self._binding = stream_binding.StreamBinding(inst=inst, job=job)
+        self._prepare(job)
         self._events_before_send = 0
         self._progress = attempt_module.Progress(
             last_event_id=job.head.last_event_id
         )
 
+    def _prepare(self, job: messages.Job) -> None:
+        self._job = job
+        self._sends = send_history.SendHistory(inst=self._inst, job=job)
+        self._placement = placement_module.Placement(
+            inst=self._inst, job=job, sends=self._sends, binding=self._binding
+        )
+
     def run(self) -> str:
         """Handles the request.
 
         Returns:
             The result, as a label for logs and metrics.
         """
+        refusal = self._binding.resolve()
+        if self._binding.service != self._job.service:
+            self._prepare(
+                dataclasses.replace(self._job, service=self._binding.service)
+            )
         self._inst.servers.budget(self._job.service).record_request(
             self._inst.now()
         )
+        if refusal is not None:
+            return self._reject(refusal)
         try:
             return self._run()
         finally:
@@ -84,11 +97,8 @@
             selected = self._placement.next(verdict)
             if selected is None:
                 continue
-            if isinstance(selected, placement_module.Rejection):
-                self._retry_after_s = (
-                    selected.retry_after_s or self._retry_after_s
-                )
-                return self._give_up(selected.why)
+            if isinstance(selected, rejection.Rejection):
+                return self._reject(selected)
             try:
                 return self._send(selected.choice, selected.conn)
             except attempt_module.SendError as exc:
@@ -96,6 +106,12 @@
             if stop:
                 return self._give_up(stop)
 
+    def _reject(self, refusal: rejection.Rejection) -> str:
+        self._retry_after_s = refusal.retry_after_s or self._retry_after_s
+        if refusal.elsewhere:
+            self._caller.close_after_answer()
+        return self._give_up(refusal.why)
+
     def _remaining_s(self) -> float:
         return self._job.deadline_s - self._inst.now()
 
@@ -263,6 +279,7 @@
         return {
             "sends": self._sends.count,
             "events": self._progress.events,
+            "version": self._binding.version,
             "first_byte_s": (None if first_s is None else round(first_s, 4)),
         }
 
--- /dev/null
+++ b/irisshelf/gateway/servers/origin_registry.py
@@ -0,0 +1,86 @@
+"""The origins of streams that an instance knows, by itself or from others."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from irisshelf.catalog import releases as releases_module
+from irisshelf.coordination import stream_origins
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Finding:
+    """What other instances know of a stream's origin.
+
+    Attributes:
+        known: Whether one of them knows the origin.
+        release: Key of the release; None if there are contradicting records.
+        recent: Releases that the services have had lately, as they know.
+        by: The instance that knows the origin.
+        asked: Number of instances that were asked.
+        answers: Number of answers until the origin was known.
+    """
+
+    known: bool
+    release: bytes | None = None
+    recent: frozenset[bytes] = frozenset()
+    by: str = ""
+    asked: int = 0
+    answers: int = 0
+
+
+class OriginRegistry:
+    """Keeps origins at this instance alone.
+
+    Args:
+        releases: The releases that services have had lately.
+        now: Monotonic seconds.
+
+    Attributes:
+        origins: Those that this instance keeps.
+    """
+
+    def __init__(
+        self,
+        *,
+        releases: releases_module.ReleaseHistory,
+        now: Callable[[], float],
+    ):
+        self.origins = stream_origins.StreamOrigins()
+        self._releases = releases
+        self._now = now
+
+    def get(self, key: bytes) -> stream_origins.Origin | None:
+        """Returns an origin that is kept here; None if there is none."""
+        return self.origins.get(key, self._now())
+
+    def record(
+        self, key: bytes, services: Sequence[str], release: bytes
+    ) -> None:
+        """Records the origin of a stream that is relayed here.
+
+        Args:
+            key: Key of the stream.
+            services: The services that might have begun it.
+            release: Key of the release that did.
+        """
+        self.origins.record(key, release, self._now(), own=True)
+
+    def find(self, key: bytes | None, services: Sequence[str]) -> Finding:
+        """Asks other instances for a stream's origin.
+
+        Args:
+            key: Key of the stream; None if the caller has not given its id. The
+                others are asked for releases only.
+            services: The services that it may belong to.
+        """
+        return Finding(known=False)
+
+    def recent(self, services: Sequence[str]) -> frozenset[bytes]:
+        """Returns the releases of some services that were listed lately."""
+        now = self._now()
+        return frozenset().union(
+            *(self._releases.recent(name, now) for name in services)
+        )
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -9,8 +9,10 @@
 from collections.abc import Iterable
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import releases
 from irisshelf.coordination import facts
 from irisshelf.coordination import fleet_size
+from irisshelf.coordination import stream_origins
 from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
@@ -43,6 +45,8 @@
 
     Attributes:
         publish: Sends a fact to other instances.
+        releases: The releases that services have had lately.
+        on_releases_changed: Called after ``releases`` may have changed.
     """
 
     def __init__(
@@ -72,6 +76,10 @@
             now=now,
         )
         self.publish: Callable[[facts.Fact], None] = _discard
+        self.releases = releases.ReleaseHistory(
+            life_s=stream_origins.MIN_LIFE_S
+        )
+        self.on_releases_changed: Callable[[], None] = _do_nothing
         self.reports = server_reports.ReportHandler(
             availability=eligible.availability,
             on_load=self.record_reported_load,
@@ -239,6 +247,8 @@
         self.eligible.cold.retain(names)
         self.eligible.availability.retain(names, self._now())
         self._abort_replaced(servers)
+        self.releases.update(servers, self._now())
+        self.on_releases_changed()
         self._metrics.servers.set(len(servers))
 
     def by_key(self, key: bytes) -> directory.BackendServer | None:
@@ -303,5 +313,9 @@
             )
 
 
+def _do_nothing() -> None:
+    """Default for ``on_releases_changed``."""
+
+
 def _discard(fact: facts.Fact) -> None:
     """Default for ``publish``, used until gossip is connected."""
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -20,6 +20,7 @@
 from irisshelf.gateway.knowledge import datagrams
 from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import follower
+from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
@@ -143,6 +144,17 @@
         self.peers.register_handler(
             crash_gossip.SNAPSHOT_PATH, self.crash_gossip.snapshot
         )
+        self.origins = origin_exchange.OriginExchange(
+            releases=self.inst.servers.releases,
+            datagrams=self._datagrams,
+            peers=self.peers,
+            log=log,
+            counts=self.inst.metrics,
+            rng=random.Random(3),
+            now=boottime.now,
+        )
+        self.inst.origins = self.origins
+        self.inst.servers.on_releases_changed = self.origins.on_releases_changed
         self._departures = catch_up.DepartureExchange(
             known=self.inst.eligible.availability.departures,
             on_fact=self.inst.servers.apply_fact,
@@ -169,6 +181,7 @@
         self._greenlets.append(gevent.spawn(self.follower.expire_lapsed))
         self._greenlets.append(gevent.spawn(self._datagrams.run))
         self._greenlets.append(gevent.spawn(self._gossip.run))
+        self._greenlets.append(gevent.spawn(self.origins.run))
         self._greenlets.append(
             gevent.spawn(
                 catch_up.fetch,
--- /dev/null
+++ b/irisshelf/tests/test_stream_origins.py
@@ -0,0 +1,404 @@
+"""Origins of streams: what is kept, where, and what is sent about them."""
+
+import collections
+import os
+import random
+
+import cbor2
+import gevent
+import pytest
+import result
+
+from irisshelf.catalog import directory
+from irisshelf.catalog import releases
+from irisshelf.coordination import membership as membership_module
+from irisshelf.coordination import stream_origins
+from irisshelf.gateway import metrics
+from irisshelf.gateway.knowledge import datagrams
+from irisshelf.gateway.knowledge import origin_exchange
+from irisshelf.observe import decision_log
+
+_KEY = stream_origins.stream_key("blue", "r1")
+_V1, _V2 = b"v1v1v1", b"v2v2v2"
+_LIFE_S = stream_origins.MIN_LIFE_S
+_LEAST_SHARE = 0.5
+_BYTES_PER_S = 1200.0
+
+
+def _server(number, version="v1", service="lm"):
+    return directory.BackendServer(
+        server_id=f"i-{number}",
+        service=service,
+        address="10.0.0.1:80",
+        data_centre="a",
+        slots=4,
+        version=version,
+    )
+
+
+@pytest.mark.parametrize(
+    ("one", "other", "same"),
+    [
+        pytest.param(("v1", "lm"), ("v1", "lm"), True, id="same"),
+        pytest.param(("v1", "lm"), ("v2", "lm"), False, id="version"),
+        pytest.param(("v1", "lm"), ("v1", "lm-2"), False, id="service"),
+        pytest.param(("", "lm"), ("", "lm"), True, id="none-given"),
+        pytest.param(("", "lm"), ("v1", "lm"), False, id="one-given"),
+        pytest.param((None, "lm"), (None, "lm"), False, id="unusable"),
+    ],
+)
+def test_which_servers_run_the_same_release(one, other, same):
+    keys = {
+        releases.release_key(_server(number, version, service))
+        for number, (version, service) in enumerate((one, other))
+    }
+    assert (len(keys) == 1) is same
+
+
+@pytest.mark.parametrize(
+    ("lists", "now", "count"),
+    [
+        pytest.param([(0.0, ["v1"])], 1000.0, 1, id="one-for-ever"),
+        pytest.param([(0.0, ["v1", "v2"])], 0.0, 2, id="two"),
+        pytest.param([(0.0, ["v1"]), (9.0, ["v2"])], 9.0, 2, id="replaced"),
+        pytest.param(
+            [(0.0, ["v1"]), (9.0, ["v2"])], 9.0 + _LIFE_S, 2, id="still-known"
+        ),
+        pytest.param(
+            [(0.0, ["v1"]), (9.0, ["v2"])], 9.1 + _LIFE_S, 1, id="forgotten"
+        ),
+        pytest.param(
+            [(0.0, ["v1"]), (9.0, []), (50.0, ["v1"])], 200.0, 1, id="returns"
+        ),
+        pytest.param([], 0.0, 0, id="nothing-listed"),
+    ],
+)
+def test_which_releases_a_service_has_had_lately(lists, now, count):
+    history = releases.ReleaseHistory(life_s=_LIFE_S)
+    for at_s, versions in lists:
+        history.update([_server(n, v) for n, v in enumerate(versions)], at_s)
+    assert len(history.recent("lm", now)) == count
+    assert not history.recent("other", now)
+
+
+@pytest.mark.parametrize(
+    ("records", "now", "known"),
+    [
+        pytest.param([], 0.0, None, id="none"),
+        pytest.param([(0.0, _V1)], _LIFE_S, _V1, id="kept"),
+        pytest.param([(0.0, _V1)], _LIFE_S + 0.1, None, id="expired"),
+        pytest.param([(0.0, _V1), (50.0, _V1)], 100.0, _V1, id="resumed"),
+        pytest.param([(0.0, _V1), (1.0, _V2)], 1.0, None, id="contradicting"),
+        pytest.param(
+            [(0.0, _V1), (1.0, _V2), (2.0, _V2)], 2.0, None, id="stays-so"
+        ),
+        pytest.param(
+            [(0.0, _V1), (_LIFE_S + 1.0, _V2)], _LIFE_S + 1.0, _V2, id="anew"
+        ),
+    ],
+)
+def test_what_is_kept_of_a_stream(records, now, known):
+    origins = stream_origins.StreamOrigins()
+    for at_s, release in records:
+        origins.record(_KEY, release, at_s, own=True)
+    found = origins.get(_KEY, now)
+    assert (found.release if found else None) == known
+
+
+def test_what_is_kept_has_a_limit():
+    origins = stream_origins.StreamOrigins()
+    for number in range(25_000):
+        key = number.to_bytes(stream_origins.KEY_BYTES)
+        origins.record(key, _V1, 0.0, own=False)
+    assert len(origins) == 20_000
+
+
+def test_ids_of_different_teams_are_different_streams():
+    assert stream_origins.stream_key("a", "r1") != stream_origins.stream_key(
+        "b", "r1"
+    )
+
+
+class _Network:
+    """Instances in one process; delivers datagrams and questions at once."""
+
+    def __init__(self, names, *, loss=0.0, versions=("v1", "v2")):
+        self.sent = collections.Counter()
+        self.datagrams = 0
+        self.cut = set()
+        self._rng = random.Random(7)
+        self._loss = loss
+        self.now = 0.0
+        self.instances = {
+            name: _Instance(self, name, data_centre, versions)
+            for name, data_centre in names
+        }
+        self.keep_known()
+
+    def keep_known(self):
+        for one in self.instances.values():
+            for other in self.instances.values():
+                one.membership.record_alive(other.member, self.now)
+
+    def send(self, sender, address, data):
+        self.sent[sender] += len(data) + 28
+        self.datagrams += 1
+        if self._rng.random() >= self._loss and self._passes(sender, address):
+            self.instances[address].receive(data)
+
+    def request(self, sender, address, target):
+        if not self._passes(sender, address):
+            return result.Err("cut off")
+        path, _, query = target.partition("?")
+        fields = dict(item.split("=", 1) for item in query.split("&"))
+        body = self.instances[address].handlers[path](fields)
+        return result.Err("refused") if body is None else result.Ok(body)
+
+    def _passes(self, sender, address):
+        return not self.cut & {sender, address}
+
+
+class _Instance:
+    """Stands in for the daemon around one exchange."""
+
+    def __init__(self, network, name, data_centre, versions):
+        self.name = name
+        self.member = membership_module.Member(
+            name=name, address=name, data_centre=data_centre
+        )
+        self.membership = membership_module.Membership(own=self.member)
+        self.handlers = {}
+        self.problems = []
+        self._network = network
+        self._subscribed = {}
+        self.history = releases.ReleaseHistory(life_s=_LIFE_S)
+        self.list(versions, 0.0)
+        with open(os.devnull, "wb") as sink:
+            log = decision_log.DecisionLog(instance=name, fd=sink.fileno())
+        log.warning = lambda line, **fields: self.problems.append(line)
+        self.exchange = origin_exchange.OriginExchange(
+            releases=self.history,
+            datagrams=self,
+            peers=self,
+            log=log,
+            counts=metrics.Metrics(),
+            rng=random.Random(3),
+            now=lambda: network.now,
+        )
+        self.origins = self.exchange.origins
+
+    def list(self, versions, now):
+        self.history.update(
+            [_server(n, version) for n, version in enumerate(versions)], now
+        )
+
+    def subscribe(self, kind, handler):
+        self._subscribed[kind] = handler
+
+    def register_handler(self, path, handler):
+        self.handlers[path] = handler
+
+    def send(self, address, data):
+        self._network.send(self.name, address, data)
+
+    def receive(self, data):
+        self._subscribed[data[0]](cbor2.loads(data[1:]))
+
+    def request(self, address, target, *, timeout_s):
+        return self._network.request(self.name, address, target)
+
+    def members(self):
+        now = self._network.now
+        local = self.membership.members(self.member.data_centre, now)
+        return [
+            *(member for member, _ in local),
+            *self.membership.remote_members(now),
+        ]
+
+
+def _names(data_centres, each):
+    return [(f"{dc}-{n}", dc) for dc in data_centres for n in range(each)]
+
+
+_SMALL = _names("abc", 2)
+_LARGE = _names("abcd", 20)
+_V = {
+    version: releases.release_key(_server(0, version))
+    for version in ("v1", "v2")
+}
+
+
+@pytest.mark.parametrize("names", [_SMALL, _LARGE], ids=["small", "large"])
+def test_an_origin_is_found_from_everywhere_after_its_instance_is_gone(names):
+    network = _Network(names)
+    network.instances["a-0"].exchange.record(_KEY, ["lm"], _V["v2"])
+    network.cut = {"a-0"}
+    for name, one in network.instances.items():
+        if name == "a-0":
+            continue
+        known = one.origins.get(_KEY, 0.0)
+        release = known.release if known else None
+        if known is None:
+            release = one.exchange.find(_KEY, ["lm"]).release
+        assert release == _V["v2"], name
+
+
+@pytest.mark.parametrize("names", [_SMALL, _LARGE], ids=["small", "large"])
+def test_an_origin_outlives_a_data_centre(names):
+    found = []
+    for number in range(40):
+        network = _Network(names)
+        key = stream_origins.stream_key("blue", f"r{number}")
+        network.instances["a-0"].exchange.record(key, ["lm"], _V["v1"])
+        network.cut = {name for name, dc in names if dc == "a"}
+        one = network.instances["b-1"]
+        known = one.origins.get(key, 0.0)
+        finding = one.exchange.find(key, ["lm"])
+        found.append(known is not None or finding.known)
+    assert all(found)
+
+
+@pytest.mark.parametrize("loss", [0.1, 0.2, 0.3])
+@pytest.mark.parametrize("names", [_SMALL, _LARGE], ids=["small", "large"])
+def test_most_origins_are_found_although_datagrams_are_lost(names, loss):
+    """Half of the streams, at least, must go on."""
+    network = _Network(names, loss=loss)
+    keys = _record_many(network, "a-0", count=200, rate=5)
+    network.cut = {"a-0"}
+    one = network.instances["b-1"]
+    known = sum(
+        one.origins.get(key, network.now) is not None
+        or one.exchange.find(key, ["lm"]).known
+        for key in keys
+    )
+    assert known / len(keys) >= _LEAST_SHARE
+
+
+def _record_many(network, name, *, count, rate):
+    """Records origins at a rate a second, and sends what has to wait."""
+    keys = []
+    for number in range(count):
+        network.now += 1 / rate
+        network.keep_known()
+        key = stream_origins.stream_key("blue", f"r{number}")
+        network.instances[name].exchange.record(key, ["lm"], _V["v1"])
+        keys.append(key)
+        for one in network.instances.values():
+            one.exchange.flush()
+    return keys
+
+
+@pytest.mark.parametrize(
+    ("versions", "sent"),
+    [
+        pytest.param(("v1",), False, id="one-release"),
+        pytest.param(("v1", "v2"), True, id="two-releases"),
+        pytest.param(("v1", "v1"), False, id="two-servers"),
+    ],
+)
+def test_nothing_is_sent_while_one_release_serves(versions, sent):
+    network = _Network(_SMALL, versions=versions)
+    one = network.instances["a-0"]
+    one.exchange.on_releases_changed()
+    one.exchange.record(_KEY, ["lm"], _V["v1"])
+    assert bool(network.datagrams) is sent
+
+
+def test_origins_of_before_are_sent_once_a_second_release_appears():
+    network = _Network(_SMALL, versions=("v1",))
+    one = network.instances["a-0"]
+    one.exchange.on_releases_changed()
+    one.exchange.record(_KEY, ["lm"], _V["v1"])
+    network.now = 1.0
+    one.list(("v1", "v2"), network.now)
+    one.exchange.on_releases_changed()
+    one.exchange.on_releases_changed()
+    network.cut = {"a-0"}
+    finding = network.instances["b-0"].exchange.find(_KEY, ["lm"])
+    assert finding.release == _V["v1"]
+    assert network.datagrams <= 6
+
+
+@pytest.mark.parametrize("rate", [5, 20, 100])
+def test_bytes_per_second_are_limited(rate):
+    """Above the limit, origins wait and share datagrams."""
+    network = _Network(_LARGE)
+    seconds = 10
+    _record_many(network, "a-0", count=seconds * rate, rate=rate)
+    burst = 2 * _BYTES_PER_S + datagrams.MAX_DATAGRAM_BYTES
+    assert network.sent["a-0"] <= seconds * _BYTES_PER_S + burst
+
+
+def test_what_has_to_wait_arrives():
+    network = _Network(_LARGE)
+    keys = _record_many(network, "a-0", count=200, rate=20)
+    for _ in range(40):
+        network.now += 0.25
+        network.keep_known()
+        for one in network.instances.values():
+            one.exchange.flush()
+    others = [o for name, o in network.instances.items() if name != "a-0"]
+    for key in keys:
+        assert sum(o.origins.get(key, network.now) is not None for o in others)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        pytest.param([b"short"], id="not-a-multiple"),
+        pytest.param(["text"], id="text"),
+        pytest.param([b"", "yes"], id="forward-is-text"),
+        pytest.param(7, id="number"),
+        pytest.param([], id="empty"),
+    ],
+)
+def test_an_invalid_message_is_refused(content):
+    network = _Network(_SMALL)
+    one = network.instances["a-0"]
+    with pytest.raises(ValueError, match=r".+"):
+        one.exchange.receive(content)
+    assert not len(one.origins)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({}, id="nothing"),
+        pytest.param({"key": "xyz"}, id="no-digits"),
+        pytest.param({"key": "00"}, id="too-short"),
+        pytest.param({"key": "00" * 9}, id="too-long"),
+    ],
+)
+def test_an_invalid_question_gets_no_answer(fields):
+    network = _Network(_SMALL)
+    assert network.instances["a-0"].exchange.answer(fields) is None
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        pytest.param(b"\xff", id="no-cbor"),
+        pytest.param(cbor2.dumps([True, "v1", []]), id="release-is-text"),
+        pytest.param(cbor2.dumps([True]), id="too-short"),
+    ],
+)
+def test_an_invalid_answer_counts_as_none(body):
+    network = _Network(_names("a", 2))
+    other = network.instances["a-1"]
+    other.handlers[origin_exchange.PATH] = lambda fields: body
+    one = network.instances["a-0"]
+    finding = one.exchange.find(_KEY, ["lm"])
+    assert not finding.known
+    assert not finding.answers
+    assert one.problems == ["stream_origin_unreadable"]
+
+
+def test_an_instance_that_hangs_does_not_hold_up_the_others():
+    network = _Network(_names("a", 3))
+    one = network.instances["a-0"]
+    network.instances["a-2"].exchange.record(_KEY, ["lm"], _V["v1"])
+    network.instances["a-1"].handlers[origin_exchange.PATH] = lambda fields: (
+        gevent.sleep(3600)
+    )
+    one.exchange.origins = stream_origins.StreamOrigins()
+    assert one.exchange.find(_KEY, ["lm"]).by == "a-2"
--- a/irisshelf/tests/test_streams_of_two_versions.py
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -14,6 +14,7 @@
 
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import server as server_module
+from irisshelf.platform.stand_in import world as world_module
 from irisshelf.transport import errors
 
 _EVENTS = 12
@@ -110,11 +111,17 @@
 
 def _take_up_all(world, entry, streams):
     """Takes streams up in another order, as all instances draw the same."""
-    numbered = list(enumerate(streams))
-    random.Random(len(numbered)).shuffle(numbered)
-    return _each(
-        (_take_up, world, entry, stream, number) for number, stream in numbered
+    numbers = list(range(len(streams)))
+    random.Random(len(numbers)).shuffle(numbers)
+    answers = _each(
+        (_take_up, world, entry, streams[number], number) for number in numbers
     )
+    return [
+        answer
+        for _, answer in sorted(
+            zip(numbers, answers, strict=True), key=lambda pair: pair[0]
+        )
+    ]
 
 
 def _make(make_world, **options):
@@ -349,3 +356,61 @@
     world = _make(make_world)
     answers = _each((world.ask, _PATH) for _ in range(_STREAMS))
     assert all(answer.status == 200 and answer.whole for answer in answers)
+
+
+@pytest.mark.parametrize("weights", [(1, 0), (0, 1)], ids=["first", "second"])
+@pytest.mark.parametrize("killed", [False, True], ids=["alive", "killed"])
+def test_a_stream_is_taken_up_in_the_service_that_began_it(
+    make_world, weights, killed
+):
+    """Guards against a route whose shares of services change meanwhile."""
+    world = _make(make_world, versions=("v1",))
+    _split(world, 2, (0.5, 0.5))
+    streams = _begin_all(world, 0)
+    began = {
+        stream.first_id: _service_of_run(world, stream.first_id)
+        for stream in streams
+    }
+    assert len(set(began.values())) == 2
+    _split(world, 3, weights)
+    if killed:
+        world.entries[0].kill()
+    answers = _take_up_all(world, 1, streams)
+    for stream, answer in zip(streams, answers, strict=True):
+        if answer.status == 200:
+            resumed = answer.headers["request-id"]
+            assert _service_of_run(world, resumed) == began[stream.first_id]
+    kept = [
+        answer.status == 200
+        for stream, answer in zip(streams, answers, strict=True)
+        if began[stream.first_id] == ("lm", "lm-b")[weights.index(1)]
+    ]
+    assert sum(kept) / len(kept) >= _LEAST_SHARE
+
+
+def _split(world, version, weights):
+    """Puts a configuration in force whose route has two services."""
+    config = world_module.config(version)
+    config["services"].append({"name": "lm-b"})
+    route = config["routes"][0]
+    del route["service"]
+    route["trafficSplit"] = [
+        {"service": name, "weight": weight}
+        for name, weight in zip(("lm", "lm-b"), weights, strict=True)
+    ]
+    for one in world.engines[3:]:
+        one.service = "lm-b"
+        world.list_server(one)
+    world.store.put("op", "config", config)
+    world.wait(
+        lambda: all(
+            entry.inst.catalog.version == version
+            and len(entry.inst.directory.servers_of("lm-b")) == 3
+            for entry in world.entries
+        )
+    )
+
+
+def _service_of_run(world, request_id):
+    (service,) = {one.service for one in world.engines if one.ran(request_id)}
+    return service
