An entry of before a server's end does not say what version its next process runs

A server that ends and returns under its id with another version accepts requests before its entry is written; streams of the version in the old entry went on there.

Cause: an entry was believed although the process that it describes had ended.

Meanwhile no stream that has begun goes on there, and one that begins there is bound to nothing that could go on. When a server breaks off an answer, one connection attempt finds out at once whether its process has ended.

--- a/irisshelf/catalog/releases.py
+++ b/irisshelf/catalog/releases.py
@@ -37,6 +37,14 @@
     return _key(server.service, "version", server.version)
 
 
+def unproven_key(server: directory.BackendServer) -> bytes:
+    """Returns a key for a server whose entry may describe another process.
+
+    It is the key of no release, so that what begins there goes on nowhere.
+    """
+    return _key(server.service, "unproven", server.server_id)
+
+
 @functools.lru_cache(maxsize=8192)
 def _key(service: str, kind: str, name: str) -> bytes:
     text = "\0".join((service, kind, name)).encode()
--- a/irisshelf/coordination/facts.py
+++ b/irisshelf/coordination/facts.py
@@ -79,4 +79,22 @@
     server: bytes
 
 
-Fact = ServerLoad | PartCached | ServerCold | ServerPause | ServerLeaving
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerExited:
+    """A server's process has exited; the next one may run another version.
+
+    Attributes:
+        server: Key of the server.
+    """
+
+    server: bytes
+
+
+Fact = (
+    ServerLoad
+    | PartCached
+    | ServerCold
+    | ServerPause
+    | ServerLeaving
+    | ServerExited
+)
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -115,6 +115,7 @@
         # centre, in monotonic seconds; None if there is none or it is unknown.
         self.outage_since_s: float | None = None
         self.list_version = ListVersion()
+        self.eligible.list_as_of_s = lambda: self.list_version.as_of_s
         # Replaced by one that also asks other instances.
         self.origins = origin_registry.OriginRegistry(
             releases=self.servers.releases, now=now
--- a/irisshelf/gateway/knowledge/fact_gossip.py
+++ b/irisshelf/gateway/knowledge/fact_gossip.py
@@ -35,6 +35,7 @@
 _MAX_COLD_STARTS = 20
 _MAX_PAUSES = 20
 _MAX_LEAVING = 20
+_MAX_EXITED = 20
 _LEAVING_SENDS = 2
 # Upper bounds of encoded sizes: the header, a load (a cold start, a pause and a
 # leaving server take no more), a prompt part, and a server's key before its
@@ -82,6 +83,8 @@
     pauses: list[tuple[bytes, _Ms]] = []
     # Keys of servers that leave.
     leaving: list[bytes] = []
+    # Keys of servers whose processes have exited.
+    exited: list[bytes] = []
 
 
 class _Outbox:
@@ -96,6 +99,7 @@
         self.pauses: dict[bytes, facts.ServerPause] = {}
         # How often each is still to be sent.
         self.leaving: dict[bytes, int] = {}
+        self.exited: dict[bytes, None] = {}
 
     def __bool__(self) -> bool:
         return bool(
@@ -104,6 +108,7 @@
             or self.cold_starts
             or self.pauses
             or self.leaving
+            or self.exited
         )
 
     @functools.singledispatchmethod
@@ -133,6 +138,10 @@
     def _(self, fact: facts.ServerLeaving) -> None:
         self.leaving[fact.server] = _LEAVING_SENDS
 
+    @add.register
+    def _(self, fact: facts.ServerExited) -> None:
+        self.exited[fact.server] = None
+
     def all(self) -> list[facts.Fact]:
         """Returns all queued facts."""
         return [
@@ -141,6 +150,7 @@
             *self.cold_starts.values(),
             *self.pauses.values(),
             *(facts.ServerLeaving(server=key) for key in self.leaving),
+            *(facts.ServerExited(server=key) for key in self.exited),
         ]
 
     def pop_message(self, data_centre: str, hop: _Hop) -> _Message:
@@ -152,7 +162,10 @@
         leaving = list(self.leaving)[:_MAX_LEAVING]
         for key in leaving:
             self._count_sent(key)
-        count = len(loads) + len(cold_starts) + len(pauses) + len(leaving)
+        exited = list(self.exited)[:_MAX_EXITED]
+        for key in exited:
+            del self.exited[key]
+        count = sum(map(len, (loads, cold_starts, pauses, leaving, exited)))
         remaining_bytes = datagrams_module.MAX_DATAGRAM_BYTES - _HEADER_BYTES
         remaining_bytes -= _LOAD_BYTES * count
         cached_parts: dict[bytes, list[bytes]] = {}
@@ -177,6 +190,7 @@
             ],
             pauses=[(p.server, _remaining_ms(p.until_s, now)) for p in pauses],
             leaving=leaving,
+            exited=exited,
         )
 
     def _count_sent(self, key: bytes) -> None:
@@ -320,4 +334,6 @@
         decoded.add(facts.ServerPause(server=server, until_s=until_s))
     for server in message.leaving:
         decoded.add(facts.ServerLeaving(server=server))
+    for server in message.exited:
+        decoded.add(facts.ServerExited(server=server))
     return decoded.all()
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -169,6 +169,8 @@
             and no_events
             and self._inst.crash_tracker.record_disconnect(self._job, server)
         )
+        if exc.disconnected and not exc.stale_connection:
+            self._inst.servers.reach.check_process(server)
         if not exc.stale_connection:
             self._record_observation(server, exc.server_outcome, str(exc))
         if exc.request_outcome is outcome.Outcome.NOT_RUN:
--- a/irisshelf/gateway/requests/stream_binding.py
+++ b/irisshelf/gateway/requests/stream_binding.py
@@ -80,7 +80,7 @@
         any moment after.
         """
         self.version = server.version
-        self.release = releases.release_key(server)
+        self.release = self._inst.eligible.release_of(server)
         if self._key is not None:
             self._inst.origins.record(self._key, self._services(), self.release)
             self._key = None
--- a/irisshelf/gateway/servers/connection_pool.py
+++ b/irisshelf/gateway/servers/connection_pool.py
@@ -32,10 +32,20 @@
 
     Args:
         now: Monotonic seconds.
+        on_closed_early: Called with a server that has closed an idle connection
+            earlier than it said.
     """
 
-    def __init__(self, *, now: Callable[[], float]):
+    def __init__(
+        self,
+        *,
+        now: Callable[[], float],
+        on_closed_early: Callable[
+            [directory.BackendServer], None
+        ] = lambda server: None,
+    ):
         self._now = now
+        self._on_closed_early = on_closed_early
         # By server id, and whether they lead through other instances.
         self._idle: dict[tuple[str, bool], list[_Idle]] = {}
         self._in_use: dict[client.Connection, directory.BackendServer] = {}
@@ -66,9 +76,12 @@
             if now - idle.since_s > max_idle_s:
                 idle_conns.append(idle)
                 return None
-            if now < idle.until_s and not idle.conn.is_stale():
-                idle.conn.idle_s = now - idle.since_s
-                return idle.conn
+            if now < idle.until_s:
+                if not idle.conn.is_stale():
+                    idle.conn.idle_s = now - idle.since_s
+                    return idle.conn
+                if not relayed:
+                    self._on_closed_early(server)
             idle.conn.close()
         return None
 
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -15,6 +15,7 @@
 from collections.abc import Sequence
 
 from irisshelf.catalog import directory
+from irisshelf.catalog import entry_doubts
 from irisshelf.catalog import evacuations as evacuations_module
 from irisshelf.catalog import model
 from irisshelf.catalog import releases
@@ -40,6 +41,8 @@
         members: Returns the names of the instances in the own data centre; none
             if they are not known well enough.
         cold: Which servers are cold.
+        doubts: Servers whose entries may describe an earlier process.
+        list_as_of_s: Returns when the list in use was the latest.
     """
 
     def __init__(
@@ -56,6 +59,8 @@
         self.services: Mapping[str, model.Service] = {}
         self.members: Callable[[], tuple[str, ...]] = lambda: (cfg.instance,)
         self.cold = cold_start.ColdStarts(own=cfg.instance)
+        self.doubts = entry_doubts.EntryDoubts()
+        self.list_as_of_s: Callable[[], float] = lambda: math.inf
         self._listed = listed
         self._evacuations = evacuations
         self._now = now
@@ -75,7 +80,9 @@
         """
         servers = self._not_evacuated(self._listed.servers_of(service))
         if required.release is not None:
-            servers = tuple(s for s in servers if _runs(s, required))
+            servers = tuple(
+                s for s in servers if self.release_of(s) == required.release
+            )
         return self._in_regions(servers, required.regions)
 
     def is_usable(self, server: directory.BackendServer) -> bool:
@@ -111,7 +118,24 @@
         if required.release is None:
             return True
         listed = self._listed.get(server.entry_id)
-        return listed is not None and _runs(listed, required)
+        return (
+            listed is not None and self.release_of(listed) == required.release
+        )
+
+    def release_of(self, server: directory.BackendServer) -> bytes:
+        """Returns the key of the release that a server runs.
+
+        As long as the server's entry is in doubt, the key fits no stream.
+        """
+        if self.is_doubtful(server):
+            return releases.unproven_key(server)
+        return releases.release_key(server)
+
+    def is_doubtful(self, server: directory.BackendServer) -> bool:
+        """Returns whether a server's entry may describe an earlier process."""
+        return self.doubts.is_doubtful(
+            server.server_id, self._now(), self.list_as_of_s()
+        )
 
     def is_leaving(self, server: directory.BackendServer) -> bool:
         """Returns whether a server has announced that it leaves."""
@@ -201,6 +225,7 @@
             if self.availability.departures.observe(change, now):
                 contradicting.append(server)
             if server is not None:
+                self.doubts.record_entry(server.server_id)
                 self.cold.record_cold_time(server.server_id, server.cold_s, now)
         return tuple(contradicting)
 
@@ -298,9 +323,3 @@
         if not evacuated:
             return servers
         return tuple(s for s in servers if s.data_centre not in evacuated)
-
-
-def _runs(
-    server: directory.BackendServer, required: requirements.Requirements
-) -> bool:
-    return releases.release_key(server) == required.release
--- a/irisshelf/gateway/servers/process_exits.py
+++ b/irisshelf/gateway/servers/process_exits.py
@@ -29,6 +29,7 @@
         probe: Connects to a server directly; returns whether that succeeded.
         check: Finds out whether other instances reach a server, and calls
             ``judge``; returns the greenlet that does so.
+        on_exit: Called with a server whose exit is confirmed.
         rng: Picks the servers that are probed.
         now: Monotonic seconds.
     """
@@ -39,12 +40,14 @@
         listed: Callable[[], Sequence[directory.BackendServer]],
         probe: Callable[[directory.BackendServer], bool],
         check: Callable[[directory.BackendServer], gevent.Greenlet],
+        on_exit: Callable[[directory.BackendServer], None],
         rng: random.Random,
         now: Callable[[], float],
     ):
         self._listed = listed
         self._probe = probe
         self._check = check
+        self._on_exit = on_exit
         self._rng = rng
         self._now = now
         # By server id: when it first refused a connection, and whether its exit
@@ -99,7 +102,10 @@
         elif verdict is server_paths.Verdict.REFUSED or (
             verdict is None and self.reaches_others(server)
         ):
+            is_new = server.server_id not in self._exited
             self._exited.add(server.server_id)
+            if is_new:
+                self._on_exit(server)
 
     def retain(self, names: frozenset[str]) -> None:
         """Forgets servers that are no longer listed."""
--- a/irisshelf/gateway/servers/server_reach.py
+++ b/irisshelf/gateway/servers/server_reach.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+import gevent
+
 from irisshelf.catalog import directory
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
@@ -47,6 +49,7 @@
         on_unreachable: Called with a server to which a connection has failed,
             the request that needed it, and details.
         on_leaving: Called with a server that leaves, as other instances know.
+        on_exit: Called with a server whose process has exited.
         log: The decision log.
         counts: Metrics.
         rng: Picks servers and relays.
@@ -67,6 +70,7 @@
         stats_of: Callable[[str], server_stats.ServerStats],
         on_unreachable: Callable[[directory.BackendServer, str, str], None],
         on_leaving: Callable[[directory.BackendServer], None],
+        on_exit: Callable[[directory.BackendServer], None],
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
         rng: random.Random,
@@ -107,6 +111,7 @@
             listed=eligible.probeable,
             probe=self._probe_directly,
             check=self.relays.check,
+            on_exit=on_exit,
             rng=rng,
             now=now,
         )
@@ -115,6 +120,8 @@
         )
         # Unreachable servers that other instances have been found to reach.
         self._relayed: set[str] = set()
+        # By server id: checks in progress of whether its process has ended.
+        self._checked: dict[str, gevent.Greenlet] = {}
         # By service: since when none of its servers can be reached.
         self._out_of_reach_s: dict[str, float] = {}
 
@@ -219,6 +226,24 @@
         self.prober.start_probing(server, silent=exc.timed_out)
         self.relays.check_if_due(server)
 
+    def check_process(self, server: directory.BackendServer) -> None:
+        """Finds out whether a server's process has ended, in the background.
+
+        Called when the server has broken off a response.
+        """
+        if server.server_id not in self._checked and not self.is_unreachable(
+            server
+        ):
+            self._checked[server.server_id] = gevent.spawn(
+                self._check_process, server
+            )
+
+    def _check_process(self, server: directory.BackendServer) -> None:
+        try:
+            self._probe_directly(server)
+        finally:
+            del self._checked[server.server_id]
+
     def retain(self, names: frozenset[str]) -> None:
         """Forgets servers that are no longer listed."""
         self.prober.retain(names)
@@ -228,6 +253,7 @@
 
     def close(self) -> None:
         """Stops all probes."""
+        gevent.killall(list(self._checked.values()))
         self.prober.close()
         self.relays.close()
 
@@ -276,6 +302,7 @@
         if self.exits.take_exited(server):
             # The process has restarted; its new entry follows a little later.
             self._eligible.assume_cold(server)
+            self._eligible.doubts.record_sign(server.server_id, self._now())
         stats = self._stats_of(server.service)
         stats.record_connect(server.server_id, self._now())
 
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -62,7 +62,12 @@
     ):
         self.cfg = cfg
         self.eligible = eligible
-        self.connection_pool = connection_pool.ConnectionPool(now=now)
+        self.connection_pool = connection_pool.ConnectionPool(
+            now=now,
+            on_closed_early=lambda server: self._doubt_entry(
+                server, "connection closed early"
+            ),
+        )
         self.reach = server_reach.ServerReach(
             cfg=cfg,
             eligible=eligible,
@@ -70,6 +75,7 @@
             stats_of=lambda service: self.chooser(service).stats,
             on_unreachable=self._record_unreachable,
             on_leaving=lambda server: self.reports.handle_peer_report(server),
+            on_exit=self._on_exit,
             log=log,
             counts=counts,
             rng=rng,
@@ -200,6 +206,12 @@
         else:
             self.reports.handle_peer_report(server)
 
+    @apply_fact.register
+    def _(self, fact: facts.ServerExited) -> None:
+        server = self._by_key.get(fact.server)
+        if server is not None:
+            self._doubt_entry(server, "exit seen by peer")
+
     @apply_fact.register
     def _(self, fact: facts.ServerLoad) -> None:
         server = self._by_key.get(fact.server)
@@ -245,6 +257,7 @@
         self.connection_pool.retain(names)
         self.reach.retain(names)
         self.eligible.cold.retain(names)
+        self.eligible.doubts.retain(names)
         self.eligible.availability.retain(names, self._now())
         self._abort_replaced(servers)
         self.releases.update(servers, self._now())
@@ -277,6 +290,19 @@
         if count:
             self._log.instance("exchanges_of_ended_lives", broken_off=count)
 
+    def _on_exit(self, server: directory.BackendServer) -> None:
+        self._doubt_entry(server, "exit")
+        key = directory.short_id(server.server_id)
+        self.publish(facts.ServerExited(server=key))
+
+    def _doubt_entry(self, server: directory.BackendServer, sign: str) -> None:
+        """Notes that an entry may describe a process that has ended."""
+        if not self.eligible.is_doubtful(server):
+            self._log.instance(
+                "server_entry_in_doubt", server=server.server_id, sign=sign
+            )
+        self.eligible.doubts.record_sign(server.server_id, self._now())
+
     def _on_backoff(self, server: directory.BackendServer) -> None:
         chooser = self.chooser(server.service)
         chooser.load_limits.record_backoff(server.server_id, self._now())
--- a/irisshelf/tests/test_streams_of_two_versions.py
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -24,6 +24,8 @@
 # Streams of a case; a choice that knows no versions mixes about half of them.
 _STREAMS = 24
 _BROKEN_AFTER = 4
+# Processes take longer to start; what one instance sees reaches others earlier.
+_AWAY_S = 0.7
 _NAMED = re.compile(rb"id: (\d+)\ndata: piece \d+(?: of (\S+))?\n\n")
 _PATH = "/digest/1"
 # So that the retry budget does not end streams here.
@@ -351,6 +353,59 @@
     assert not _mixed(streams)
 
 
+@pytest.mark.parametrize("entry", [0, 1], ids=["saw-it-end", "other"])
+def test_a_server_that_ended_under_streams_returns_with_another_version(
+    make_world, entry
+):
+    """Guards against entries of before the end that an instance has seen."""
+    world = _make(make_world, servers=4, data_centres=("a", "a"))
+    opened = _each((_open, world, 0, number) for number in range(_STREAMS))
+    changed = [one for one in world.engines if one.version == "v1.1"]
+    for one in changed:
+        one.on_return = lambda: None
+        one.away_s = _AWAY_S
+        one.crash()
+        one.version = "v1.2"
+    _each((_read_on, stream, conn) for stream, conn in opened)
+    streams = [stream for stream, _ in opened]
+    for stream in streams:
+        stream.body = b"".join(m[0] for m in _NAMED.finditer(stream.body))
+    world.wait(lambda: not any(one.closed for one in changed))
+    world.wait(lambda: not _unreachable(world.entries[entry]))
+    world.wait(lambda: len(_doubtful(world.entries[entry])) == len(changed))
+    broken = [stream for stream in streams if not stream.whole]
+    assert broken
+    answers = _take_up_all(world, entry, broken)
+    assert not _mixed(streams)
+    assert {answer.status for answer in answers} == {503}
+    world.wait(lambda: _retry_all(world, entry, changed, broken))
+    assert not _mixed(streams)
+
+
+def _doubtful(entry):
+    servers = entry.inst.directory.servers()
+    return [s for s in servers if entry.inst.eligible.is_doubtful(s)]
+
+
+def _unreachable(entry):
+    reach = entry.inst.servers.reach
+    return [
+        s for s in entry.inst.directory.servers() if reach.is_unreachable(s)
+    ]
+
+
+def _retry_all(world, entry, changed, broken):
+    """Lists servers anew at the version of before; resumes what is left."""
+    for one in changed:
+        one.version = "v1.1"
+        one.sequence += 1
+        world.list_server(one)
+    gevent.sleep(0.1)
+    unfinished = [stream for stream in broken if not stream.whole]
+    _take_up_all(world, entry, unfinished)
+    return all(stream.whole for stream in broken)
+
+
 def test_a_caller_gets_its_stream_without_a_break(make_world):
     """Guards against a cost for streams that nothing befalls."""
     world = _make(make_world)
