--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -21,12 +21,15 @@
 
 from irisshelf import boottime
 from irisshelf.catalog import position
+from irisshelf.catalog import releases
 from irisshelf.coordination import facts
 from irisshelf.coordination import membership
 from irisshelf.gateway import messages
+from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import crash_gossip
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
 from irisshelf.gateway.knowledge import fact_gossip
+from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import server_list
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.platform import documents
@@ -430,6 +433,19 @@
         store_updates.StoreUpdates(
             datagrams=self, membership=members, log=None
         ).subscribe(self.updates.append)
+        self.membership = members
+        self.origins = origin_exchange.OriginExchange(
+            releases=releases.ReleaseHistory(life_s=60.0),
+            datagrams=self,
+            peers=self,
+            log=None,
+            counts=metrics.Metrics(),
+            rng=random.Random(1),
+            now=lambda: 0.0,
+        ).origins
+
+    def register_handler(self, path, handler):
+        """Ignores handlers of questions."""
 
     def _receive_fact(self, fact):
         if isinstance(fact, facts.ServerLoad):
@@ -463,12 +479,15 @@
         (datagrams_module.Kind.SERVER_FACTS, ["a", 2, [[b"12345", 7, 1]], {}]),
         (datagrams_module.Kind.CRASHES, [b"c" * 16, b"12345", 7, True]),
         (datagrams_module.Kind.CRASHES, [b"c" * 16, None, 0, False]),
+        (datagrams_module.Kind.STREAM_ORIGINS, [b"k" * 8 + b"r" * 6, False]),
+        (datagrams_module.Kind.STREAM_ORIGINS, [b"k" * 8 + b"r" * 6]),
     ],
 )
 def test_a_valid_datagram_is_accepted(kind, content):
     receivers = _Receivers()
     receivers.take(kind, content)
-    assert len([*receivers.updates, *receivers.loads, *receivers.ends]) == 1
+    accepted = [*receivers.updates, *receivers.loads, *receivers.ends]
+    assert len(accepted) + len(receivers.origins) == 1
 
 
 @hypothesis.given(
