--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -304,14 +304,18 @@
     ) -> directory.BackendServer | None:
         """Returns a server that may have the parts the selected one lacks.
 
-        Servers that are shutting down still serve fetches.
+        Servers that are shutting down still serve fetches. A cache is readable
+        only to servers of the version that wrote it.
         """
         if not self._policy.fetches:
             return None
         others = [
             s
             for s in servers
-            if s.server_id != selected.server_id and self._has_path(s.server_id)
+            if s.server_id != selected.server_id
+            and s.version == selected.version
+            and s.version is not None
+            and self._has_path(s.server_id)
         ]
         return fetch_source.choose(
             self._policy.sources,
--- a/irisshelf/tests/test_server_choice.py
+++ b/irisshelf/tests/test_server_choice.py
@@ -14,7 +14,7 @@
 Outcome = server_stats.Outcome
 
 
-def _server(name, state="ready", data_centre="a"):
+def _server(name, state="ready", data_centre="a", version=""):
     return directory.BackendServer(
         server_id=name,
         service="s",
@@ -22,6 +22,7 @@
         data_centre=data_centre,
         slots=8,
         state=directory.ServerState(state),
+        version=version,
     )
 
 
@@ -264,6 +265,28 @@
     assert (choice.server, choice.source) == (third, second)
 
 
+@pytest.mark.parametrize(
+    ("versions", "fetched"),
+    [
+        pytest.param(("v1", "v1"), True, id="same"),
+        pytest.param(("v1", "v1.1"), False, id="other"),
+        pytest.param(("", ""), True, id="none-given"),
+        pytest.param(("v1", ""), False, id="one-given"),
+        pytest.param((None, None), False, id="unusable"),
+    ],
+)
+def test_parts_are_fetched_from_the_same_version_only(versions, fetched):
+    """Guards against caches that the fetching server cannot read."""
+    chooser = _chooser()
+    holder, other = (
+        _server(n, version=v) for n, v in zip("12", versions, strict=True)
+    )
+    chooser.record_sent(_prompt(), holder.server_id, 0.0)
+    choice = _choose(chooser, servers=[holder, other], avoid=["1"])
+    assert choice.server == other
+    assert (choice.source == holder) is fetched
+
+
 def test_a_leaving_holder_is_still_a_source():
     chooser = _chooser()
     home = _choose(chooser).server
