Resumed streams are admitted before new requests of their priority

Admission measured it against the objective for a first byte, which its caller has received, so that it was rejected as soon as a new request was.

test_resumed_streams_are_admitted_before_new_requests; it cannot run on the code before, as the field is new. Not measured under load.

--- a/irisshelf/gateway/requests/admission.py
+++ b/irisshelf/gateway/requests/admission.py
@@ -16,6 +16,8 @@
     inst: instance.Instance,
     job: messages.Job,
     choice: server_choice.Choice,
+    *,
+    resumes: bool = False,
 ) -> overload.Refusal | None:
     """Decides whether a request that has not been sent yet is admitted.
 
@@ -23,6 +25,7 @@
         inst: The instance.
         job: The request.
         choice: The server that it would be sent to.
+        resumes: Whether it continues a stream of which the caller has a part.
 
     Returns:
         Why and for how long it is rejected; None if it is admitted.
@@ -36,6 +39,7 @@
         team=job.team,
         objective_s=job.route.latency_target_s,
         remaining_s=job.deadline_s - now,
+        resumes=resumes,
     )
     wait_s = control.estimated_wait_s(choice.load, choice.server.slots)
     refusal = control.admit(arrival, wait_s, now, full=choice.full)
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -308,7 +308,12 @@
         """Applies admission control, once per request."""
         if self._admitted:
             return None
-        refusal = admission.check(self._inst, self._job, choice)
+        refusal = admission.check(
+            self._inst,
+            self._job,
+            choice,
+            resumes=self._binding.release is not None,
+        )
         if refusal is not None:
             return rejection.Rejection(
                 why="overloaded", retry_after_s=refusal.retry_after_s
--- a/irisshelf/routing/direct/overload.py
+++ b/irisshelf/routing/direct/overload.py
@@ -64,12 +64,14 @@
         team: The team that it belongs to; empty on public routes.
         objective_s: Latency objective of its route, to the first byte.
         remaining_s: How long its caller still waits.
+        resumes: Whether it continues a stream of which the caller has a part.
     """
 
     priority: int
     team: str
     objective_s: float
     remaining_s: float
+    resumes: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -193,11 +195,14 @@
         """Returns the longest expected wait at which a request is admitted.
 
         Priorities and teams that were admitted too rarely are treated like the
-        most urgent requests.
+        most urgent requests. A resumed stream is admitted before new requests
+        of its priority: only its deadline limits its wait, as the objective is
+        for a first byte that its caller has received.
         """
-        limit_s = min(
-            self._min_objective_s * MAX_WAIT_SHARE, arrival.remaining_s
-        )
+        objective_s = self._min_objective_s
+        if arrival.resumes:
+            objective_s = arrival.remaining_s
+        limit_s = min(objective_s * MAX_WAIT_SHARE, arrival.remaining_s)
         if self._is_starved(arrival, now):
             return limit_s
         if self._exceeds_share(arrival.team, now):
--- a/irisshelf/tests/test_overload.py
+++ b/irisshelf/tests/test_overload.py
@@ -166,12 +166,15 @@
     assert refused == 0
 
 
-def _arrival(priority=0, team="a", objective_s=0.3, remaining_s=2.4):
+def _arrival(
+    priority=0, team="a", objective_s=0.3, remaining_s=2.4, resumes=False
+):
     return overload.Arrival(
         priority=priority,
         team=team,
         objective_s=objective_s,
         remaining_s=remaining_s,
+        resumes=resumes,
     )
 
 
@@ -190,6 +193,28 @@
     ) == pytest.approx(wait_s)
 
 
+@pytest.mark.parametrize(
+    ("priority", "wait_s", "new", "resumed"),
+    [
+        pytest.param(0, 0.1, True, True, id="short-wait"),
+        pytest.param(0, 0.5, False, True, id="beyond-the-objective"),
+        pytest.param(0, 1.5, False, False, id="beyond-the-deadline"),
+        pytest.param(1, 0.5, False, True, id="less-urgent"),
+        pytest.param(1, 0.8, False, False, id="less-urgent-waits-less"),
+    ],
+)
+def test_resumed_streams_are_admitted_before_new_requests(
+    priority, wait_s, new, resumed
+):
+    for resumes, admitted in ((False, new), (True, resumed)):
+        admission = overload.AdmissionControl()
+        for n in range(20):
+            admission.admit(_arrival(priority=n % 2), 0.0, n / 100)
+        arrival = _arrival(priority=priority, resumes=resumes)
+        refusal = admission.admit(arrival, wait_s, 0.2)
+        assert (refusal is None) is admitted
+
+
 @pytest.mark.parametrize(
     ("wait_s", "refused"), [(0.0, False), (0.17, False), (0.19, True)]
 )
