Signals do not end an instance while it starts and as it exits

Cause: handlers were set in Daemon.run, after all imports and the listeners. Found by the new test: SIGHUP in the last moments ended it too, with -1 instead of 0, as the interpreter restores the default action.

Change: the program holds its signals before it imports anything else, and handles them once it can: a reload is done, a stop is a planned one. As it exits, they are blocked. What arrives before the interpreter has run the first line still ends it.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -11,6 +11,7 @@
 import gevent
 import result
 
+from irisshelf import lifetime_signals
 from irisshelf.coordination import local_membership
 from irisshelf.coordination import membership
 from irisshelf.gateway import dialect
@@ -187,9 +188,7 @@
             self._start_gossip()
         for each in self._listeners:
             each.start()
-        for signum in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(signum, self._begin_stop)
-        gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
+        self._handle_signals()
         for table in feed.Table:
             gevent.spawn(self._follower.run, table)
         gevent.spawn(self._follower.expire_lapsed)
@@ -214,6 +213,17 @@
         self._log.instance("stop", in_flight=self._inst.in_flight)
         self._log.flush()
 
+    def _handle_signals(self) -> None:
+        """Handles signals, those of the start included."""
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(signum, self._begin_stop)
+        gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
+        arrived = lifetime_signals.take()
+        if signal.SIGHUP in arrived:
+            self._reload("signal")
+        if arrived & {signal.SIGTERM, signal.SIGINT}:
+            self._begin_stop()
+
     def _start_gossip(self) -> None:
         gossip = fact_gossip.FactGossip(
             datagrams=self._datagrams,
--- a/irisshelf/platform/__main__.py
+++ b/irisshelf/platform/__main__.py
@@ -6,9 +6,7 @@
 import pathlib
 import sys
 
-from irisshelf.gateway import daemon
-from irisshelf.platform import http_dialect
-from irisshelf.platform import store_feed
+from irisshelf import lifetime_signals
 
 # Holds the path of the settings, which the platform fills from a template.
 _SETTINGS_VARIABLE = "IRISSHELF_CONFIG"
@@ -16,11 +14,20 @@
 
 def main() -> int:
     """Runs the program; returns its exit code."""
-    return daemon.run(
-        pathlib.Path(os.environ[_SETTINGS_VARIABLE]),
-        make_dialect=http_dialect.HttpDialect,
-        make_store=lambda address: store_feed.StoreFeed(address=address),
-    )
+    lifetime_signals.hold()
+    # These imports take most of the start, so that signals are held first.
+    from irisshelf.gateway import daemon
+    from irisshelf.platform import http_dialect
+    from irisshelf.platform import store_feed
+
+    try:
+        return daemon.run(
+            pathlib.Path(os.environ[_SETTINGS_VARIABLE]),
+            make_dialect=http_dialect.HttpDialect,
+            make_store=lambda address: store_feed.StoreFeed(address=address),
+        )
+    finally:
+        lifetime_signals.block()
 
 
 if __name__ == "__main__":
--- a/soak/sleeper.py
+++ b/soak/sleeper.py
@@ -11,9 +11,9 @@
 import pathlib
 import sys
 import time
+from collections.abc import Callable
 
-import gevent
-
+from irisshelf import lifetime_signals
 from irisshelf.platform import __main__ as platform
 
 VARIABLE = "IRISSHELF_SLEEP"
@@ -24,8 +24,9 @@
 class _Clocks:
     """The process' clocks, and the time that its machine slept."""
 
-    def __init__(self, *, path: pathlib.Path):
+    def __init__(self, *, path: pathlib.Path, wait: Callable[[float], None]):
         self._path = path
+        self._wait = wait
         self._get = time.clock_gettime
         self._before_s = self._told_s()
         self._slept_s = 0.0
@@ -33,7 +34,7 @@
     def run(self) -> None:
         """Looks for sleep as long as the process lives."""
         while True:
-            gevent.sleep(_LOOK_S)
+            self._wait(_LOOK_S)
             self._slept_s = self._told_s() - self._before_s
 
     def gettime(self, which: int) -> float:
@@ -47,7 +48,11 @@
 
 def main() -> int:
     """Runs the program; returns its exit code."""
-    clocks = _Clocks(path=pathlib.Path(os.environ[VARIABLE]))
+    lifetime_signals.hold()
+    # Takes a part of the start, so that signals are held first.
+    import gevent
+
+    clocks = _Clocks(path=pathlib.Path(os.environ[VARIABLE]), wait=gevent.sleep)
     time.clock_gettime = clocks.gettime
     gevent.spawn(clocks.run)
     return platform.main()
