A stream is bound to what is known of its server as the request is sent

A sign of a server's end that came after a request had been sent there made the stream that it delivered one of no known version, and its origin contradict the one on record, so that a sound stream could not be resumed. Events come over the connection of the send, so that only what is known then counts. test_a_sign_after_the_send_does_not_unbind_a_stream failed before, passes.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -285,7 +285,7 @@
                 break
             events = self._new_events(splitter.feed(data))
             if events:
-                self._binding.bind(self._choice.server)
+                self._binding.bind()
                 self._send_head(head)
                 self._caller.write(b"".join(event.data for event in events))
         if splitter.pending:
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -129,6 +129,7 @@
             server, self._binding.requirements
         ):
             return False
+        self._binding.record_send(server)
         self._inst.eligible.availability.record_sent(
             server.server_id, self._inst.now()
         )
--- a/irisshelf/gateway/requests/stream_binding.py
+++ b/irisshelf/gateway/requests/stream_binding.py
@@ -64,6 +64,8 @@
         self.version: str | None = ""
         self._inst = inst
         self._job = job
+        self._sent_version: str | None = ""
+        self._sent_release = b""
         self._key = self._stream_key()
 
     @property
@@ -73,14 +75,24 @@
             regions=self._job.regions, release=self.release
         )
 
-    def bind(self, server: directory.BackendServer) -> None:
-        """Binds the stream as events of a server are about to be relayed.
+    def record_send(self, server: directory.BackendServer) -> None:
+        """Records the server to which the request is sent now.
+
+        What is learnt of its process later concerns the next one, as events
+        come over the connection of this send.
+        """
+        self._sent_version = server.version
+        self._sent_release = self._inst.eligible.release_of(server)
+
+    def bind(self) -> None:
+        """Binds the stream as events of the latest send are to be relayed.
 
         Other instances are sent its origin first, as this one may be killed at
         any moment after.
         """
-        self.version = server.version
-        self.release = self._inst.eligible.release_of(server)
+        self.version = self._sent_version
+        if self.release is None:
+            self.release = self._sent_release
         if self._key is not None:
             self._inst.origins.record(self._key, self._services(), self.release)
             self._key = None
--- a/irisshelf/tests/test_streams_of_two_versions.py
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -12,6 +12,7 @@
 import gevent
 import pytest
 
+from irisshelf.coordination import stream_origins
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.platform.stand_in import world as world_module
@@ -382,6 +383,31 @@
     assert not _mixed(streams)
 
 
+def test_a_sign_after_the_send_does_not_unbind_a_stream(make_world):
+    """Guards against origins that contradict each other."""
+    world = _make(make_world, servers=4, data_centres=("a", "a"))
+    streams = _begin_all(world, 0)
+    for entry in world.entries:
+        _see_signs_after_sends(entry)
+    _take_up_all(world, 1, streams)
+    origins = world.entries[1].inst.origins
+    for stream in streams:
+        key = stream_origins.stream_key("blue", stream.first_id)
+        assert origins.get(key).release is not None
+
+
+def _see_signs_after_sends(entry):
+    """Sees the end of each server as soon as a request has been sent there."""
+    eligible = entry.inst.eligible
+    record_sent = eligible.availability.record_sent
+
+    def record(server_id, now):
+        record_sent(server_id, now)
+        eligible.doubts.record_sign(server_id, now)
+
+    eligible.availability.record_sent = record
+
+
 def _doubtful(entry):
     servers = entry.inst.directory.servers()
     return [s for s in servers if entry.inst.eligible.is_doubtful(s)]
