Soak: rollouts of software versions, callers that resume streams elsewhere

Seeds from 6000 on: engines of two versions, which end and come back with another one, in both directions, beside the other faults and more kills of instances. Callers leave streams midway and take up what is not whole at any instance.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 
 from soak import observations
+from soak import stream_checks
+from soak import streams
 
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN = frozenset({408, 421, 429, 503})
@@ -47,6 +49,8 @@
     LEAVING = "no request goes to a server that has said that it leaves"
     PARTITION = "partitioned instances serve as others do"
     REST = "two requests at the most go to a server that has asked for rest"
+    VERSION = "a stream goes on at the version that began it"
+    RESUMED = "streams go on half as often as others begin, at least"
     CRASHES = "what three servers ended under is sent on three times at most"
 
 
@@ -81,9 +85,22 @@
     found += _too_many_while_cold(record, bounds)
     found += _sent_against_reports(record, bounds)
     found += _served_worse(record)
+    found += _streams(record)
     return found
 
 
+def _streams(record: observations.Record) -> Iterable[Violation]:
+    for first_id in stream_checks.mixed(record):
+        yield Violation(
+            promise=Promise.VERSION, request_id=first_id, detail="two versions"
+        )
+    detail = stream_checks.refused_resumptions(
+        record, [o for o in record.asked if not _touches(record.disturbed, o)]
+    )
+    if detail:
+        yield Violation(promise=Promise.RESUMED, request_id="", detail=detail)
+
+
 def whole_body(asked: observations.Asked, events: int) -> bytes:
     """Returns the body that a whole answer has."""
     if asked.kind in (
@@ -91,7 +108,7 @@
         observations.RequestKind.UNSAFE,
     ):
         return b"answer to " + asked.request_id.encode()
-    numbers = range(1, events + 1)
+    numbers = range(asked.after_event + 1, events + 1)
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
@@ -272,10 +289,11 @@
 ) -> Iterable[Violation]:
     broken: list[tuple[Promise, str]] = []
     expected = whole_body(asked, record.events)
-    sound = asked.body == expected and asked.signature and runs
+    body = streams.without_versions(asked.body)
+    sound = body == expected and asked.signature and runs
     if asked.status == 200 and asked.whole and not sound:
         broken.append((Promise.WHOLE, f"body {asked.body[:80]!r}"))
-    if asked.status == 200 and not expected.startswith(asked.body):
+    if asked.status == 200 and not expected.startswith(body):
         broken.append((Promise.WHOLE, f"part {asked.body[:80]!r}"))
     if asked.kind.once and len(runs) > 1:
         servers = [ran.server_id for ran in runs]
@@ -296,7 +314,7 @@
             broken.append((Promise.TIME, f"took {took_s:.2f} s"))
     if asked.calm and asked.status != 200:
         broken.append((Promise.SERVED, f"status {asked.status}"))
-    stopped = _touches(record.stopped, asked) and in_touch
+    stopped = _touches(record.stopped, asked) and in_touch and not asked.left
     if stopped and runs and (asked.status == 0 or not asked.whole):
         broken.append((Promise.STOP, f"status {asked.status}, cut"))
     for promise, detail in broken:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -168,6 +168,9 @@
             plan.Kind.GONE_WHILE_CUT_OFF: lambda: gevent.spawn(
                 self._remove_unseen, fault
             ),
+            plan.Kind.VERSION: lambda: gevent.spawn(
+                self.of_servers.change_version, fault
+            ),
             plan.Kind.PARTITION: lambda: self._partition(fault),
         }
         actions[fault.kind]()
--- a/soak/main.py
+++ b/soak/main.py
@@ -101,6 +101,7 @@
         "requests": verdict.requests,
         "served": verdict.served,
         "own_exits": verdict.own_exits,
+        "resumed": verdict.resumed,
         "ends": verdict.ends,
         "violations": [
             f"{v.promise.value}: {v.request_id} {v.detail}"
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 class RequestKind(enum.StrEnum):
@@ -38,6 +39,9 @@
         signature: The server's word for it.
         calm: Whether it was sent after the faults.
         crashing: Whether it ends the servers that run it.
+        resumes: Id of the attempt that began the stream that it resumes.
+        after_event: The last event that its caller had before.
+        left: Whether its caller left before the answer's end.
     """
 
     request_id: str
@@ -53,6 +57,9 @@
     signature: str = ""
     calm: bool = False
     crashing: bool = False
+    resumes: str = ""
+    after_event: int = 0
+    left: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -104,6 +111,16 @@
     to_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VersionSpan:
+    """A time in which a server, by its number, served at a version."""
+
+    server: int
+    version: str
+    from_s: float
+    to_s: float = math.inf
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Record:
     """All that was seen in a run.
@@ -124,6 +141,7 @@
         arrived: Requests that reached servers.
         lagged: Spans in which the store's list lagged. What servers announced
             before them stays known.
+        versions: Spans in which servers served streams at versions.
     """
 
     asked: tuple[Asked, ...]
@@ -140,3 +158,4 @@
     unlisted: tuple[Span, ...] = ()
     arrived: tuple[Arrived, ...] = ()
     lagged: tuple[Span, ...] = ()
+    versions: tuple[VersionSpan, ...] = ()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -57,6 +57,8 @@
     GONE_WHILE_CUT_OFF = "gone_while_cut_off"
     # Of seeds with partitions alone.
     PARTITION = "partition"
+    # Of seeds with versions alone.
+    VERSION = "version"
 
 
 WIDE_KINDS = (
@@ -76,6 +78,8 @@
     Kind.GONE_WHILE_CUT_OFF,
 )
 PARTITION_KINDS = (Kind.PARTITION,)
+# With instances that are killed, as their streams go on elsewhere.
+VERSION_KINDS = (Kind.VERSION, Kind.VERSION, Kind.KILL)
 # Seeds from this one on have further kinds; those before draw as they always
 # did.
 FURTHER_FROM = 1000
@@ -85,6 +89,8 @@
 OUTDATED_FROM = 4000
 # Seeds from this one on have instances that lose their links to servers.
 PARTITIONS_FROM = 5000
+# Seeds from this one on have servers of several software versions.
+VERSIONS_FROM = 6000
 SMALL_KINDS = tuple(
     kind
     for kind in Kind
@@ -95,6 +101,7 @@
         *REPORT_KINDS,
         *OUTDATED_KINDS,
         *PARTITION_KINDS,
+        Kind.VERSION,
     )
 )
 # Share of a wide run's faults of instances that hit the first of them.
@@ -148,6 +155,7 @@
     Kind.SERVER_SAYS_LEAVING: 2 * SERVERS,
     Kind.SERVER_RESTS: 2 * SERVERS,
     Kind.LATE_ENTRY: 2 * SERVERS,
+    Kind.VERSION: SERVERS,
 }
 
 
@@ -200,6 +208,11 @@
     return seed >= PARTITIONS_FROM
 
 
+def has_versions(seed: int) -> bool:
+    """Returns whether servers run several software versions."""
+    return seed >= VERSIONS_FROM
+
+
 def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
     """Returns the faults of a seed, by time; several come together or twice.
 
@@ -220,6 +233,8 @@
         kinds = (*kinds, *(8 * OUTDATED_KINDS))
     if has_partitions(seed):
         kinds = (*kinds, *(20 * PARTITION_KINDS))
+    if has_versions(seed):
+        kinds = (*kinds, *(20 * VERSION_KINDS))
     if is_planned(seed):
         kinds = _PLANNED
     count = rng.randint(8, 16)
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,7 @@
 from soak import plan
 from soak import ports
 from soak import server_links
+from soak import streams
 
 EVENTS = 12
 _CALLERS = 8
@@ -34,6 +35,10 @@
 # After the faults: links are back, processes restarted, lapses over.
 _SETTLE_S = 6.0
 _CALM_S = 3.0
+# Share of the callers of resumable streams that leave midway, and how often a
+# stream that is not whole is resumed, at most.
+_LEAVING_SHARE = 0.4
+_RESUMPTIONS = 2
 _BOUNDS = checker.Bounds(key_s=5.0, left_s=2.5)
 _ROUTES = {
     observations.RequestKind.SAFE: ("GET", "/valve/1", b""),
@@ -53,6 +58,7 @@
         requests: How many were asked.
         served: How many of these were served whole.
         own_exits: Processes that ended of themselves.
+        resumed: Resumptions of streams, and how many of them went on.
         ends: Servers that ended under the crashing request.
         violations: Promises that were broken.
     """
@@ -62,6 +68,7 @@
     requests: int
     served: int
     own_exits: int
+    resumed: tuple[int, int]
     ends: int
     violations: tuple[checker.Violation, ...]
 
@@ -99,6 +106,8 @@
             servers=self.servers,
             links=self.links,
         )
+        if plan.has_versions(seed):
+            self._injector.of_servers.begin_versions()
         self._injector.prepare()
         self._crashing: crashing.CrashingRequest | None = None
         if crashing.is_asked(seed):
@@ -193,6 +202,7 @@
             cold=tuple(self._injector.of_servers.cold),
             unlisted=tuple(self._injector.unlisted),
             lagged=tuple(self._injector.lagged),
+            versions=tuple(self._injector.of_servers.versions),
             arrived=tuple(
                 observations.Arrived(
                     request_id=one.request_id,
@@ -212,6 +222,10 @@
             requests=len(self._asked),
             served=sum(a.status == 200 and a.whole for a in self._asked),
             own_exits=sum(entry.own_exits for entry in self.entries),
+            resumed=(
+                sum(bool(a.resumes) for a in self._asked),
+                sum(bool(a.resumes) and a.status == 200 for a in self._asked),
+            ),
             ends=len(record.ends_s),
             violations=tuple(checker.check(record, _BOUNDS)),
         )
@@ -309,37 +323,103 @@
         crashing_body: bytes = b"",
     ) -> client.Connection | None:
         kind = crashing_kind or self._rng.choice(list(_ROUTES))
+        leaves_after = None
+        if kind is observations.RequestKind.RESUMABLE and not crashing_body:
+            leaves_after = self._draw_leaving()
+        asked = self._send(
+            conn, instance, kind, crashing_body, leaves_after=leaves_after
+        )
+        if plan.has_versions(self._seed) and not crashing_body:
+            self._resume(asked)
+        if conn.reusable:
+            return conn
+        conn.close()
+        return None
+
+    def _draw_leaving(self) -> int | None:
+        """Returns after how many events a caller leaves; None if it stays."""
+        if not plan.has_versions(self._seed) or (
+            self._rng.random() >= _LEAVING_SHARE
+        ):
+            return None
+        return self._rng.randrange(1, EVENTS)
+
+    def _resume(self, first: observations.Asked) -> None:
+        """Takes up a resumable stream elsewhere, until it is whole."""
+        body = first.body
+        whole = first.whole
+        for _ in range(_RESUMPTIONS):
+            after = streams.last_event_id(body)
+            if (
+                first.kind is not observations.RequestKind.RESUMABLE
+                or whole
+                or after is None
+            ):
+                return
+            entry = self._rng.choice(self.entries)
+            try:
+                address = entry.caller_link.address
+                conn = client.connect(address, timeout_s=0.5)
+            except errors.TransportError:
+                continue
+            asked = self._send(
+                conn,
+                entry.number,
+                first.kind,
+                b"",
+                leaves_after=self._draw_leaving(),
+                resumes=first,
+                after=after,
+            )
+            conn.close()
+            body, whole = body + asked.body, asked.whole
+
+    def _send(
+        self,
+        conn: client.Connection,
+        instance: int,
+        kind: observations.RequestKind,
+        crashing_body: bytes,
+        *,
+        leaves_after: int | None = None,
+        resumes: observations.Asked | None = None,
+        after: int = 0,
+    ) -> observations.Asked:
+        """Sends one attempt and records what came of it."""
         method, target, body = _ROUTES[kind]
-        body = crashing_body or body
         self._serial += 1
         request_id = f"s{self._seed}-{self._serial}"
-        key = self._key()
+        key = resumes.key if resumes else self._key()
+        headers = self._headers(request_id, key)
+        if resumes is not None:
+            headers["Resumes"] = resumes.request_id
+            headers["Last-Event-Id"] = str(after)
         calm = self._calm and key not in self._injector.withdrawn
         sent_s = time.monotonic()
         answer = _exchange(
-            conn, method, target, body, self._headers(request_id, key)
+            conn, method, target, crashing_body or body, headers, leaves_after
         )
-        self._asked.append(
-            observations.Asked(
-                request_id=request_id,
-                kind=kind,
-                key=key,
-                instance=instance,
-                sent_s=sent_s,
-                deadline_s=_DEADLINE_S,
-                ended_s=time.monotonic(),
-                status=answer.status,
-                whole=answer.whole,
-                body=answer.body,
-                signature=answer.headers.get("response-signature", ""),
-                calm=calm and not crashing_body,
-                crashing=bool(crashing_body),
-            )
+        asked = observations.Asked(
+            request_id=request_id,
+            kind=kind,
+            key=key,
+            instance=instance,
+            sent_s=sent_s,
+            deadline_s=_DEADLINE_S,
+            ended_s=time.monotonic(),
+            status=answer.status,
+            whole=answer.whole,
+            body=answer.body,
+            signature=answer.headers.get("response-signature", ""),
+            # A version may be gone; how many go on is checked apart.
+            calm=calm and not crashing_body and resumes is None,
+            crashing=bool(crashing_body),
+            resumes=resumes.request_id if resumes else "",
+            after_event=after,
+            left=leaves_after is not None,
         )
-        if conn.reusable:
-            return conn
-        conn.close()
-        return None
+        self._asked.append(asked)
+        return asked
 
 
 def _exchange(
@@ -348,8 +428,18 @@
     target: str,
     body: bytes,
     headers: dict[str, str],
+    leaves_after: int | None = None,
 ) -> world.Answer:
-    """Sends a request and collects what comes of the answer."""
+    """Sends a request and collects what comes of the answer.
+
+    Args:
+        conn: The connection.
+        method: HTTP method.
+        target: Path and query.
+        body: The request's body.
+        headers: The request's headers.
+        leaves_after: After how many events the caller leaves; None if it stays.
+    """
     if body:
         headers["Content-Length"] = str(len(body))
     try:
@@ -362,6 +452,8 @@
         )
     except errors.TransportError:
         return world.Answer(status=0, headers={}, body=b"", whole=False)
+    if leaves_after is not None:
+        return streams.read_part(conn, leaves_after)
     return world.read_answer(conn)
 
 
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import math
 import random
 import time
 from collections.abc import Callable
@@ -22,6 +24,11 @@
 # A server that leaves serves for so much longer than its fault lasts.
 _LEAVES_FOR_S = 4.0
 _REST_S = 2.0
+_VERSIONS = (server.FIRST_VERSION, "v1.1", "v1.2")
+# A server that changes its version is away for so long at most, and listed for
+# so long before it accepts requests.
+_LONGEST_CHANGE_S = 1.5
+_LISTED_BEFORE_S = 0.3
 # What another writer may leave in the list.
 _FOREIGN = (
     None,
@@ -45,6 +52,7 @@
     Attributes:
         left: When each server's leaving was accepted by the store.
         cold: Spans in which a server, by its number, was cold.
+        versions: Spans in which servers served streams at versions.
     """
 
     def __init__(
@@ -64,6 +72,9 @@
         self.left: dict[str, float] = {}
         self.cold: list[observations.Span] = []
         self._cold_until_s: dict[int, float] = {}
+        # Numbers of servers that are about to come back with another version.
+        self._changing: set[int] = set()
+        self.versions: list[observations.VersionSpan] = []
 
     def list_all(self) -> None:
         """Lists all servers as they are."""
@@ -79,6 +90,7 @@
             return
         self._served.drop("servers", one.server_id)
         self.left[one.server_id] = time.monotonic()
+        self._end_version(number)
 
     def misbehave(self, fault: plan.Fault) -> None:
         """A server answers a share of its requests wrongly, for a while."""
@@ -140,6 +152,7 @@
             return
         self._list(number, "draining")
         self.left[one.server_id] = time.monotonic()
+        self._end_version(number)
 
     def write_late(self, fault: plan.Fault) -> None:
         """A server leaves; then an entry is written that it sent before."""
@@ -158,6 +171,7 @@
         if one.leaving or one.server_id in self.left:
             return
         one.leaving = True
+        self._end_version(fault.target)
         until_s = fault.for_s + _LEAVES_FOR_S
         gevent.spawn_later(until_s, self._start_again, fault.target)
 
@@ -175,6 +189,56 @@
         for number, value in enumerate(_FOREIGN):
             self._served.put_raw("servers", f"foreign-{number}", value)
 
+    def begin_versions(self) -> None:
+        """Gives the model engines versions, two of them at first."""
+        for number in range(plan.SERVERS, 2 * plan.SERVERS):
+            version = _VERSIONS[number % 2]
+            self._servers[number].version = version
+            self._record_version(number)
+
+    def change_version(self, fault: plan.Fault) -> None:
+        """A model engine ends and comes back with another version.
+
+        Its entry is written before it accepts requests. Versions change in
+        both directions.
+        """
+        number = plan.SERVERS + fault.target
+        one = self._servers[number]
+        if one.server_id in self.left or number in self._changing:
+            return
+        self._changing.add(number)
+        link = self._links[number]
+        link.set_mode("reset")
+        self._end_version(number)
+        gevent.sleep(min(fault.for_s, _LONGEST_CHANGE_S))
+        others = [v for v in _VERSIONS if v != one.version]
+        one.version = self._rng.choice(others)
+        one.born_ms += 1000
+        self.list_unless_left(number)
+        gevent.sleep(_LISTED_BEFORE_S)
+        link.set_mode("pass")
+        self._record_version(number)
+        self._changing.discard(number)
+
+    def _record_version(self, number: int) -> None:
+        self.versions.append(
+            observations.VersionSpan(
+                server=number,
+                version=self._servers[number].version,
+                from_s=time.monotonic(),
+            )
+        )
+
+    def _end_version(self, number: int) -> None:
+        """Notes that a server no longer serves at its version."""
+        now = time.monotonic()
+        self.versions = [
+            dataclasses.replace(span, to_s=now)
+            if span.server == number and span.to_s == math.inf
+            else span
+            for span in self.versions
+        ]
+
     def list_unless_left(self, number: int) -> None:
         """Lists a server that is back, by its number, unless it has left."""
         if self._servers[number].server_id not in self.left:
@@ -192,6 +256,7 @@
         one.leaving = False
         one.born_ms += 1000
         self.list_unless_left(number)
+        self._record_version(number)
 
     def _list(self, number: int, state: str) -> None:
         entry = self._entry_of(number, state)
