--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -16,6 +16,7 @@
 from soak import ports
 from soak import run as run_module
 from soak import server_faults
+from soak import stream_checks
 
 _KIND = observations.RequestKind
 _PROMISE = checker.Promise
@@ -334,6 +335,7 @@
                     *plan.REPORT_KINDS,
                     *plan.OUTDATED_KINDS,
                     *plan.PARTITION_KINDS,
+                    plan.Kind.VERSION,
                 )
             ),
         ),
@@ -343,15 +345,29 @@
             tuple(
                 k
                 for k in plan.Kind
-                if k not in (*plan.OUTDATED_KINDS, *plan.PARTITION_KINDS)
+                if k
+                not in (
+                    *plan.OUTDATED_KINDS,
+                    *plan.PARTITION_KINDS,
+                    plan.Kind.VERSION,
+                )
             ),
         ),
         (
             plan.OUTDATED_FROM,
             10,
-            tuple(k for k in plan.Kind if k not in plan.PARTITION_KINDS),
+            tuple(
+                k
+                for k in plan.Kind
+                if k not in (*plan.PARTITION_KINDS, plan.Kind.VERSION)
+            ),
         ),
-        (plan.PARTITIONS_FROM, 10, tuple(plan.Kind)),
+        (
+            plan.PARTITIONS_FROM,
+            10,
+            tuple(k for k in plan.Kind if k is not plan.Kind.VERSION),
+        ),
+        (plan.VERSIONS_FROM, 10, tuple(plan.Kind)),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
@@ -405,6 +421,8 @@
     block.close()
 
 
+# Each starts several processes, so that one runs at a time.
+@pytest.mark.xdist_group("processes")
 @pytest.mark.parametrize(
     "seed",
     [
@@ -413,6 +431,7 @@
         plan.FURTHER_FROM + 5,
         plan.OUTDATED_FROM + 3,
         plan.PARTITIONS_FROM + 1,
+        plan.VERSIONS_FROM + 3,
     ],
 )
 def test_real_processes_keep_the_promises(tmp_path, seed):
@@ -648,3 +667,95 @@
     )
     found = {one.promise for one in checker.check(record, _BOUNDS)}
     assert (_PROMISE.PARTITION in found) is broken
+
+
+def _stream(number, versions, *, resumes="", status=200, **changes):
+    """A caller's attempt whose events name versions."""
+    events = enumerate(versions, start=1)
+    body = b"".join(_event(n, version) for n, version in events)
+    return _asked(
+        request_id=f"t{number}",
+        kind=_KIND.RESUMABLE,
+        body=body,
+        whole=False,
+        status=status,
+        resumes=resumes,
+        **changes,
+    )
+
+
+def _event(number, version):
+    suffix = "" if version == "v1" else f" of {version}"
+    return f"id: {number}\ndata: piece {number}{suffix}\n\n".encode()
+
+
+@pytest.mark.parametrize(
+    ("streams", "broken"),
+    [
+        pytest.param([("v1", "v1")] * 5, False, id="one-version"),
+        pytest.param([("v1", "v1.1")] * 2, False, id="two-allowed"),
+        pytest.param([("v1", "v1.1")] * 3, True, id="three"),
+        pytest.param([("v1.1", "v1.2")] * 3, True, id="later-versions"),
+    ],
+)
+@pytest.mark.parametrize("attempts", [1, 2], ids=["in-one", "over-two"])
+def test_streams_of_two_versions_are_found(streams, broken, attempts):
+    asked = []
+    for number, versions in enumerate(streams):
+        if attempts == 1:
+            asked.append(_stream(number, versions))
+            continue
+        first, second = versions
+        asked.append(_stream(number, (first,)))
+        more = _stream(100 + number, (second,), resumes=f"t{number}")
+        asked.append(more)
+    found = stream_checks.mixed(_record(asked))
+    assert bool(found) is broken
+
+
+def _record(asked, **more):
+    return observations.Record(
+        asked=tuple(asked),
+        ran=(),
+        withdrawn={},
+        left={},
+        disturbed=(),
+        stopped=(),
+        events=12,
+        **more,
+    )
+
+
+def _versions(*versions, from_s=0.0, to_s=1000.0):
+    return tuple(
+        observations.VersionSpan(
+            server=number, version=version, from_s=from_s, to_s=to_s
+        )
+        for number, version in enumerate(versions)
+    )
+
+
+@pytest.mark.parametrize(
+    ("resumed", "went_on", "versions", "broken"),
+    [
+        pytest.param(12, 12, _versions("v1", "v1.1"), False, id="all"),
+        pytest.param(12, 6, _versions("v1", "v1.1"), False, id="half"),
+        pytest.param(12, 5, _versions("v1", "v1.1"), True, id="fewer"),
+        pytest.param(11, 0, _versions("v1", "v1.1"), False, id="too-few"),
+        pytest.param(12, 0, _versions("v1"), False, id="one-version"),
+        pytest.param(12, 0, _versions("v1.1", "v1.2"), False, id="gone"),
+    ],
+)
+def test_refused_resumptions_are_found(resumed, went_on, versions, broken):
+    asked = [_stream(n, ("v1",)) for n in range(resumed)]
+    asked += [
+        _stream(
+            100 + n,
+            (),
+            resumes=f"t{n}",
+            status=200 if n < went_on else 503,
+        )
+        for n in range(resumed)
+    ]
+    record = _record(asked, versions=versions)
+    assert bool(stream_checks.refused_resumptions(record, asked)) is broken
