Tests run in several processes

Every case runs. Cases that start several processes are one group, so that one of them runs at a time. For the issue on the tests; not whole: other numbers of workers, random orders, the longest waits and measurements are left.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 SETTINGS ?= painevirta
 SEEDS ?= regressions
 INSTANCES ?= 3
+# Processes that run the tests; auto: by the machine's processors and memory.
+WORKERS ?= auto
 
 .PHONY: setup demo test bench lint format prove soak clean
 
@@ -21,7 +23,7 @@
 	$(PY) -m irisshelf.testing.demo --fleet $(SETTINGS)
 
 test: $(READY)
-	$(PY) -m pytest
+	$(PY) -m pytest --numprocesses $(WORKERS)
 
 lint: $(READY)
 	$(VENV)/bin/ruff format --check .
--- a/irisshelf/tests/conftest.py
+++ b/irisshelf/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures that several test modules share."""
 
+import os
+
 import pytest
 
 from irisshelf.platform.stand_in import world as world_module
@@ -8,6 +10,21 @@
 _KNOWN_RED = known_red.read()
 
 
+# Most cases wait more than they compute; each worker needs this memory at most,
+# the processes that its cases start included.
+_WORKERS_PER_PROCESSOR = 2
+_WORKER_BYTES = 2**30
+
+
+def pytest_xdist_auto_num_workers():
+    """Returns how many processes run the cases, by processors and memory."""
+    page_bytes = os.sysconf("SC_PAGE_SIZE")
+    memory_bytes = page_bytes * os.sysconf("SC_PHYS_PAGES")
+    by_memory = memory_bytes // 2 // _WORKER_BYTES
+    by_processors = _WORKERS_PER_PROCESSOR * (os.cpu_count() or 1)
+    return max(1, min(by_memory, by_processors))
+
+
 def pytest_collection_modifyitems(items):
     """Passes over the failures that are known, and over no others."""
     for item in items:
--- a/irisshelf/tests/test_crash_processes.py
+++ b/irisshelf/tests/test_crash_processes.py
@@ -13,6 +13,9 @@
 from soak import fleet
 from soak import ports
 
+# Their cases start several processes each, so that one runs at a time.
+pytestmark = pytest.mark.xdist_group("processes")
+
 _BODY = b"ends whoever runs it"
 _START_S = 20.0
 
--- a/irisshelf/tests/test_lifetime_signals.py
+++ b/irisshelf/tests/test_lifetime_signals.py
@@ -14,6 +14,9 @@
 
 import pytest
 
+# Their cases start several processes each, so that one runs at a time.
+pytestmark = pytest.mark.xdist_group("processes")
+
 _SETTINGS = {
     "instance": "entry-1",
     "data_centre": "a",
--- a/irisshelf/tests/test_processes.py
+++ b/irisshelf/tests/test_processes.py
@@ -8,6 +8,9 @@
 from irisshelf.testing.demo import processes
 from irisshelf.testing.demo import rig
 
+# Their cases start several processes each, so that one runs at a time.
+pytestmark = pytest.mark.xdist_group("processes")
+
 _FLEET = fleets.small(instances=2, engines=(3,))
 _TOKEN_S = 0.02
 
