--- a/bench/main.py
+++ b/bench/main.py
@@ -14,6 +14,7 @@
 from bench import relay
 from bench import relayed
 from bench import rollout
+from bench import stream_origins
 from bench import suspects
 from bench.routing import decision
 from bench.routing import fleet
@@ -34,6 +35,7 @@
         "claims": claims.measure,
         "documents": documents.measure,
         "suspects": suspects.measure,
+        "stream origins": stream_origins.measure,
         "rollout": rollout.measure,
         "routing": _routing,
         "routing at 400": fleet.measure,
--- a/irisshelf/cli/logs.py
+++ b/irisshelf/cli/logs.py
@@ -46,5 +46,5 @@
         }
         for line in trace
     ]
-    text = "\n".join(request_trace.render(line) for line in trace)
+    text = "\n".join(request_trace.render(line, request) for line in trace)
     output.show(text, document, as_json=as_json)
--- a/irisshelf/observe/request_trace.py
+++ b/irisshelf/observe/request_trace.py
@@ -38,6 +38,7 @@
         "lapsed_servers_gone",
         "server_rests",
         "server_accepts_nothing",
+        "server_entry_in_doubt",
         "service_out_of_reach",
         "service_in_reach",
         "server_relayed",
@@ -53,6 +54,7 @@
     {
         "server_rests",
         "server_accepts_nothing",
+        "server_entry_in_doubt",
         "server_relayed",
         "relayed_connection_broke",
     }
@@ -114,9 +116,14 @@
 
 
 def trace(lines: Iterable[LogLine], request: str) -> list[LogLine]:
-    """Returns a request's lines and related instance events, in time order."""
+    """Returns a request's lines and related instance events, in time order.
+
+    The lines of a stream's other attempts are among them: of the one that began
+    it, and of all that resume it.
+    """
     ordered = sorted(lines, key=lambda line: line.time_s)
-    own = [line for line in ordered if line.request == request]
+    attempts = _attempts(ordered, request)
+    own = [line for line in ordered if line.request in attempts]
     if not own:
         return []
     instances = {line.instance for line in own}
@@ -138,16 +145,36 @@
     ]
 
 
-def render(line: LogLine) -> str:
-    """Formats a line as text."""
+def render(line: LogLine, request: str = "") -> str:
+    """Formats a line as text.
+
+    Args:
+        line: The line.
+        request: The request that is asked about; ids of others are shown.
+    """
     fields = " ".join(
         f"{name}={value!r}"
         for name, value in line.fields.items()
         if name != "level" and value not in (None, "")
     )
+    if line.request not in ("", request):
+        fields = f"request={line.request!r} {fields}"
     return f"{line.time_s:.4f} {line.instance} {line.name} {fields}"
 
 
+def _attempts(lines: list[LogLine], request: str) -> set[str]:
+    """Returns the ids of a request and of its stream's other attempts."""
+    resumed = {
+        line.request: str(line.fields["resumes"])
+        for line in lines
+        if line.request and line.fields.get("resumes")
+    }
+    first = resumed.get(request, request)
+    return {request, first} | {
+        attempt for attempt, begun in resumed.items() if begun == first
+    }
+
+
 def _servers_of(own: Iterable[LogLine]) -> set[str]:
     return {
         str(line.fields["server"]) for line in own if line.fields.get("server")
--- a/irisshelf/tests/test_stream_origins.py
+++ b/irisshelf/tests/test_stream_origins.py
@@ -1,22 +1,14 @@
 """Origins of streams: what is kept, where, and what is sent about them."""
 
-import collections
-import os
-import random
-
 import cbor2
 import gevent
 import pytest
-import result
 
-from irisshelf.catalog import directory
 from irisshelf.catalog import releases
-from irisshelf.coordination import membership as membership_module
 from irisshelf.coordination import stream_origins
-from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import datagrams
 from irisshelf.gateway.knowledge import origin_exchange
-from irisshelf.observe import decision_log
+from irisshelf.testing import origin_network
 
 _KEY = stream_origins.stream_key("blue", "r1")
 _V1, _V2 = b"v1v1v1", b"v2v2v2"
@@ -25,17 +17,6 @@
 _BYTES_PER_S = 1200.0
 
 
-def _server(number, version="v1", service="lm"):
-    return directory.BackendServer(
-        server_id=f"i-{number}",
-        service=service,
-        address="10.0.0.1:80",
-        data_centre="a",
-        slots=4,
-        version=version,
-    )
-
-
 @pytest.mark.parametrize(
     ("one", "other", "same"),
     [
@@ -49,7 +30,7 @@
 )
 def test_which_servers_run_the_same_release(one, other, same):
     keys = {
-        releases.release_key(_server(number, version, service))
+        releases.release_key(origin_network.server(number, version, service))
         for number, (version, service) in enumerate((one, other))
     }
     assert (len(keys) == 1) is same
@@ -76,7 +57,9 @@
 def test_which_releases_a_service_has_had_lately(lists, now, count):
     history = releases.ReleaseHistory(life_s=_LIFE_S)
     for at_s, versions in lists:
-        history.update([_server(n, v) for n, v in enumerate(versions)], at_s)
+        history.update(
+            [origin_network.server(n, v) for n, v in enumerate(versions)], at_s
+        )
     assert len(history.recent("lm", now)) == count
     assert not history.recent("other", now)
 
@@ -119,103 +102,6 @@
     )
 
 
-class _Network:
-    """Instances in one process; delivers datagrams and questions at once."""
-
-    def __init__(self, names, *, loss=0.0, versions=("v1", "v2")):
-        self.sent = collections.Counter()
-        self.datagrams = 0
-        self.cut = set()
-        self._rng = random.Random(7)
-        self._loss = loss
-        self.now = 0.0
-        self.instances = {
-            name: _Instance(self, name, data_centre, versions)
-            for name, data_centre in names
-        }
-        self.keep_known()
-
-    def keep_known(self):
-        for one in self.instances.values():
-            for other in self.instances.values():
-                one.membership.record_alive(other.member, self.now)
-
-    def send(self, sender, address, data):
-        self.sent[sender] += len(data) + 28
-        self.datagrams += 1
-        if self._rng.random() >= self._loss and self._passes(sender, address):
-            self.instances[address].receive(data)
-
-    def request(self, sender, address, target):
-        if not self._passes(sender, address):
-            return result.Err("cut off")
-        path, _, query = target.partition("?")
-        fields = dict(item.split("=", 1) for item in query.split("&"))
-        body = self.instances[address].handlers[path](fields)
-        return result.Err("refused") if body is None else result.Ok(body)
-
-    def _passes(self, sender, address):
-        return not self.cut & {sender, address}
-
-
-class _Instance:
-    """Stands in for the daemon around one exchange."""
-
-    def __init__(self, network, name, data_centre, versions):
-        self.name = name
-        self.member = membership_module.Member(
-            name=name, address=name, data_centre=data_centre
-        )
-        self.membership = membership_module.Membership(own=self.member)
-        self.handlers = {}
-        self.problems = []
-        self._network = network
-        self._subscribed = {}
-        self.history = releases.ReleaseHistory(life_s=_LIFE_S)
-        self.list(versions, 0.0)
-        with open(os.devnull, "wb") as sink:
-            log = decision_log.DecisionLog(instance=name, fd=sink.fileno())
-        log.warning = lambda line, **fields: self.problems.append(line)
-        self.exchange = origin_exchange.OriginExchange(
-            releases=self.history,
-            datagrams=self,
-            peers=self,
-            log=log,
-            counts=metrics.Metrics(),
-            rng=random.Random(3),
-            now=lambda: network.now,
-        )
-        self.origins = self.exchange.origins
-
-    def list(self, versions, now):
-        self.history.update(
-            [_server(n, version) for n, version in enumerate(versions)], now
-        )
-
-    def subscribe(self, kind, handler):
-        self._subscribed[kind] = handler
-
-    def register_handler(self, path, handler):
-        self.handlers[path] = handler
-
-    def send(self, address, data):
-        self._network.send(self.name, address, data)
-
-    def receive(self, data):
-        self._subscribed[data[0]](cbor2.loads(data[1:]))
-
-    def request(self, address, target, *, timeout_s):
-        return self._network.request(self.name, address, target)
-
-    def members(self):
-        now = self._network.now
-        local = self.membership.members(self.member.data_centre, now)
-        return [
-            *(member for member, _ in local),
-            *self.membership.remote_members(now),
-        ]
-
-
 def _names(data_centres, each):
     return [(f"{dc}-{n}", dc) for dc in data_centres for n in range(each)]
 
@@ -223,14 +109,14 @@
 _SMALL = _names("abc", 2)
 _LARGE = _names("abcd", 20)
 _V = {
-    version: releases.release_key(_server(0, version))
+    version: releases.release_key(origin_network.server(0, version))
     for version in ("v1", "v2")
 }
 
 
 @pytest.mark.parametrize("names", [_SMALL, _LARGE], ids=["small", "large"])
 def test_an_origin_is_found_from_everywhere_after_its_instance_is_gone(names):
-    network = _Network(names)
+    network = origin_network.Network(names)
     network.instances["a-0"].exchange.record(_KEY, ["lm"], _V["v2"])
     network.cut = {"a-0"}
     for name, one in network.instances.items():
@@ -247,14 +133,11 @@
 def test_an_origin_outlives_a_data_centre(names):
     found = []
     for number in range(40):
-        network = _Network(names)
+        network = origin_network.Network(names)
         key = stream_origins.stream_key("blue", f"r{number}")
         network.instances["a-0"].exchange.record(key, ["lm"], _V["v1"])
         network.cut = {name for name, dc in names if dc == "a"}
-        one = network.instances["b-1"]
-        known = one.origins.get(key, 0.0)
-        finding = one.exchange.find(key, ["lm"])
-        found.append(known is not None or finding.known)
+        found.append(network.instances["b-1"].knows(key))
     assert all(found)
 
 
@@ -262,15 +145,11 @@
 @pytest.mark.parametrize("names", [_SMALL, _LARGE], ids=["small", "large"])
 def test_most_origins_are_found_although_datagrams_are_lost(names, loss):
     """Half of the streams, at least, must go on."""
-    network = _Network(names, loss=loss)
+    network = origin_network.Network(names, loss=loss)
     keys = _record_many(network, "a-0", count=200, rate=5)
     network.cut = {"a-0"}
     one = network.instances["b-1"]
-    known = sum(
-        one.origins.get(key, network.now) is not None
-        or one.exchange.find(key, ["lm"]).known
-        for key in keys
-    )
+    known = sum(map(one.knows, keys))
     assert known / len(keys) >= _LEAST_SHARE
 
 
@@ -283,8 +162,7 @@
         key = stream_origins.stream_key("blue", f"r{number}")
         network.instances[name].exchange.record(key, ["lm"], _V["v1"])
         keys.append(key)
-        for one in network.instances.values():
-            one.exchange.flush()
+        network.flush()
     return keys
 
 
@@ -297,7 +175,7 @@
     ],
 )
 def test_nothing_is_sent_while_one_release_serves(versions, sent):
-    network = _Network(_SMALL, versions=versions)
+    network = origin_network.Network(_SMALL, versions=versions)
     one = network.instances["a-0"]
     one.exchange.on_releases_changed()
     one.exchange.record(_KEY, ["lm"], _V["v1"])
@@ -305,12 +183,12 @@
 
 
 def test_origins_of_before_are_sent_once_a_second_release_appears():
-    network = _Network(_SMALL, versions=("v1",))
+    network = origin_network.Network(_SMALL, versions=("v1",))
     one = network.instances["a-0"]
     one.exchange.on_releases_changed()
     one.exchange.record(_KEY, ["lm"], _V["v1"])
     network.now = 1.0
-    one.list(("v1", "v2"), network.now)
+    one.list_servers(("v1", "v2"))
     one.exchange.on_releases_changed()
     one.exchange.on_releases_changed()
     network.cut = {"a-0"}
@@ -322,7 +200,7 @@
 @pytest.mark.parametrize("rate", [5, 20, 100])
 def test_bytes_per_second_are_limited(rate):
     """Above the limit, origins wait and share datagrams."""
-    network = _Network(_LARGE)
+    network = origin_network.Network(_LARGE)
     seconds = 10
     _record_many(network, "a-0", count=seconds * rate, rate=rate)
     burst = 2 * _BYTES_PER_S + datagrams.MAX_DATAGRAM_BYTES
@@ -330,13 +208,12 @@
 
 
 def test_what_has_to_wait_arrives():
-    network = _Network(_LARGE)
+    network = origin_network.Network(_LARGE)
     keys = _record_many(network, "a-0", count=200, rate=20)
     for _ in range(40):
         network.now += 0.25
         network.keep_known()
-        for one in network.instances.values():
-            one.exchange.flush()
+        network.flush()
     others = [o for name, o in network.instances.items() if name != "a-0"]
     for key in keys:
         assert sum(o.origins.get(key, network.now) is not None for o in others)
@@ -353,7 +230,7 @@
     ],
 )
 def test_an_invalid_message_is_refused(content):
-    network = _Network(_SMALL)
+    network = origin_network.Network(_SMALL)
     one = network.instances["a-0"]
     with pytest.raises(ValueError, match=r".+"):
         one.exchange.receive(content)
@@ -370,7 +247,7 @@
     ],
 )
 def test_an_invalid_question_gets_no_answer(fields):
-    network = _Network(_SMALL)
+    network = origin_network.Network(_SMALL)
     assert network.instances["a-0"].exchange.answer(fields) is None
 
 
@@ -383,7 +260,7 @@
     ],
 )
 def test_an_invalid_answer_counts_as_none(body):
-    network = _Network(_names("a", 2))
+    network = origin_network.Network(_names("a", 2))
     other = network.instances["a-1"]
     other.handlers[origin_exchange.PATH] = lambda fields: body
     one = network.instances["a-0"]
@@ -394,7 +271,7 @@
 
 
 def test_an_instance_that_hangs_does_not_hold_up_the_others():
-    network = _Network(_names("a", 3))
+    network = origin_network.Network(_names("a", 3))
     one = network.instances["a-0"]
     network.instances["a-2"].exchange.record(_KEY, ["lm"], _V["v1"])
     network.instances["a-1"].handlers[origin_exchange.PATH] = lambda fields: (
