Ports of real processes in tests are not those of outgoing connections

Ports came from the kernel's range of local ends, so that connections of other workers took them between the choice and the listening. The blocks of the soak are used instead, for which they move to irisshelf.testing; test_ports_are_not_those_of_outgoing_connections asks it of the demo's layout.

--- a/irisshelf/testing/demo/layout.py
+++ b/irisshelf/testing/demo/layout.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from irisshelf.bundle import signing
+from irisshelf.testing import ports as ports_module
 from irisshelf.testing.demo import fleets
-from irisshelf.testing.demo import processes
 
 OPERATORS = ("anna", "bo")
 
@@ -50,16 +50,16 @@
     servers: tuple[Server, ...]
     team_keys: dict[str, str]
     operator_keys: dict[str, str]
+    # Keeps others from taking the ports until it is closed.
+    ports: ports_module.Block
 
 
 def make(fleet: fleets.Fleet, folder: pathlib.Path) -> Layout:
     """Chooses addresses and makes keys."""
-    count = 1 + 4 * (fleet.instances + 1)
-    count += len(fleet.engines) + fleet.plain_servers
-    ports = iter(processes.free_ports(count))
+    block = ports_module.Block()
 
     def address() -> str:
-        return f"127.0.0.1:{next(ports)}"
+        return f"127.0.0.1:{block.take()}"
 
     def instance(index: int) -> Instance:
         place = fleet.data_centres[index % len(fleet.data_centres)]
@@ -81,6 +81,7 @@
         servers=tuple(_servers(fleet, address)),
         team_keys={f"team-{i}": f"key-of-team-{i}" for i in range(fleet.teams)},
         operator_keys=_operators(folder),
+        ports=block,
     )
 
 
--- a/irisshelf/testing/demo/processes.py
+++ b/irisshelf/testing/demo/processes.py
@@ -5,7 +5,6 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,17 +18,6 @@
 _STEP_S = 0.05
 
 
-def free_ports(count: int) -> list[int]:
-    """Finds free ports on loopback."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 def call(
     address: str, path: str, document: Any = None, timeout_s: float = 3.0
 ) -> Any:
--- a/irisshelf/testing/demo/rig.py
+++ b/irisshelf/testing/demo/rig.py
@@ -65,6 +65,7 @@
     def stop(self) -> None:
         """Ends every process that was started."""
         self.processes.end_all()
+        self.plan.ports.close()
 
     def start_instance(self, instance: layout.Instance) -> None:
         """Starts an instance and lists it as live."""
--- a/irisshelf/tests/test_crash_processes.py
+++ b/irisshelf/tests/test_crash_processes.py
@@ -9,9 +9,9 @@
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.platform.stand_in import store as store_module
 from irisshelf.platform.stand_in import world
+from irisshelf.testing import ports
 from irisshelf.transport import client
 from soak import fleet
-from soak import ports
 
 # Their cases start several processes each, so that one runs at a time.
 pytestmark = pytest.mark.xdist_group("processes")
--- a/irisshelf/tests/test_processes.py
+++ b/irisshelf/tests/test_processes.py
@@ -4,7 +4,9 @@
 import pytest
 
 from irisshelf.testing import harness
+from irisshelf.testing import ports
 from irisshelf.testing.demo import fleets
+from irisshelf.testing.demo import layout
 from irisshelf.testing.demo import processes
 from irisshelf.testing.demo import rig
 
@@ -53,3 +55,14 @@
     assert harness.wait_for(lambda: fleet.processes.has_ended(first.name))
     record = processes.call(fleet.plan.servers[0].address, "/_runs")
     assert len(record["runs"]) == 8  # Nothing was run again.
+
+
+def test_ports_are_not_those_of_outgoing_connections(tmp_path):
+    """Guards against a port that another process takes before it listens."""
+    plan = layout.make(_FLEET, tmp_path)
+    addresses = [plan.platform, *(one.address for one in plan.servers)]
+    addresses += [one.address for one in plan.instances]
+    numbers = [int(address.rpartition(":")[2]) for address in addresses]
+    assert len(set(numbers)) == len(numbers)
+    assert max(numbers) < ports.LAST
+    plan.ports.close()
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -9,11 +9,11 @@
 import gevent
 import pytest
 
+from irisshelf.testing import ports
 from soak import checker
 from soak import crashing
 from soak import observations
 from soak import plan
-from soak import ports
 from soak import run as run_module
 from soak import server_faults
 from soak import stream_checks
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -13,7 +13,7 @@
 import gevent
 
 from irisshelf.platform.stand_in import proxy
-from soak import ports
+from irisshelf.testing import ports
 from soak import sleeper
 
 _RESTART_S = 0.3
--- a/soak/run.py
+++ b/soak/run.py
@@ -11,6 +11,7 @@
 from irisshelf import boottime
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
+from irisshelf.testing import ports
 from irisshelf.transport import client
 from irisshelf.transport import errors
 from soak import callers
@@ -20,7 +21,6 @@
 from soak import fleet
 from soak import observations
 from soak import plan
-from soak import ports
 from soak import server_links
 
 _START_S = 20.0
