A stand-in ends although the other end of a connection has closed it

Traced: its socket had been closed by the other end between the look at the list and the shutdown. The test added for it failed before.

--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -28,6 +28,7 @@
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
+from irisshelf.platform.stand_in import server
 from irisshelf.routing.direct import policy
 from irisshelf.store import feed
 
@@ -46,8 +47,7 @@
     def kill(self) -> None:
         """Stops accepting connections and ends those that are open."""
         self.stop_accepting()
-        for sock in list(self._socks):
-            sock.shutdown(socket.SHUT_RDWR)
+        server.end_connections(self._socks)
 
     def _serve(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         self._socks.add(sock)
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -7,6 +7,7 @@
 import enum
 import itertools
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import gevent
 from gevent import server
@@ -189,8 +190,7 @@
         """Ends as a process does, all its connections with it."""
         self.ends += 1
         self.close()
-        for sock in list(self._socks):
-            sock.shutdown(socket.SHUT_RDWR)
+        end_connections(self._socks)
 
     def _return(self, port: int) -> None:
         if self.born_ms is not None:
@@ -413,6 +413,16 @@
         return f"id: {number}\ndata: piece {number}{suffix}\n\n".encode()
 
 
+def end_connections(socks: Iterable[socket.socket]) -> None:
+    """Ends connections as the end of their process does."""
+    for sock in list(socks):
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # Its other end has closed it already.
+            continue
+
+
 def _raw_answer(request_id: bytes, body: bytes) -> bytes:
     return (
         b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id + b"\r\n"
--- a/irisshelf/tests/test_streams_of_two_versions.py
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -16,6 +16,7 @@
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.platform.stand_in import world as world_module
+from irisshelf.transport import client
 from irisshelf.transport import errors
 
 _EVENTS = 12
@@ -495,3 +496,16 @@
 def _service_of_run(world, request_id):
     (service,) = {one.service for one in world.engines if one.ran(request_id)}
     return service
+
+
+def test_a_stand_in_ends_beside_a_connection_that_its_other_end_closes():
+    """Guards against a race in the tests' own stand-ins."""
+    one = server_module.Server(
+        server_id="lm-0", service="lm", streaming=True
+    ).start()
+    conn = client.connect(one.address, timeout_s=5.0)
+    gevent.sleep(0.01)
+    (sock,) = one._socks
+    sock.close()
+    one.end()
+    conn.close()
