--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,11 +20,14 @@
 
 EVENTS = 12
 _CALLERS = 8
+_CALLERS_WITH_VERSIONS = 16
 _PAUSE_S = 0.02
 _DEADLINE_S = 2.0
 # Share of the callers of resumable streams that leave midway, and how often a
 # stream that is not whole is resumed, at most.
 _LEAVING_SHARE = 0.4
+# Least share of resumable streams among requests, in runs with versions.
+_RESUMABLE_SHARE = 0.6
 _RESUMPTIONS = 2
 _ROUTES = {
     observations.RequestKind.SAFE: ("GET", "/valve/1", b""),
@@ -66,7 +69,8 @@
 
     def start(self) -> None:
         """Starts all callers."""
-        for _ in range(_CALLERS):
+        versions = plan.has_versions(self._seed)
+        for _ in range(_CALLERS_WITH_VERSIONS if versions else _CALLERS):
             self.spawn(self._call)
 
     def spawn(self, run: Callable[..., None], *args: Any) -> None:
@@ -127,7 +131,7 @@
         crashing_kind: observations.RequestKind | None = None,
         crashing_body: bytes = b"",
     ) -> client.Connection | None:
-        kind = crashing_kind or self._rng.choice(list(_ROUTES))
+        kind = crashing_kind or self._draw_kind()
         leaves_after = None
         if kind is observations.RequestKind.RESUMABLE and not crashing_body:
             leaves_after = self._draw_leaving()
@@ -141,6 +145,12 @@
         conn.close()
         return None
 
+    def _draw_kind(self) -> observations.RequestKind:
+        versions = plan.has_versions(self._seed)
+        if versions and self._rng.random() < _RESUMABLE_SHARE:
+            return observations.RequestKind.RESUMABLE
+        return self._rng.choice(list(_ROUTES))
+
     def _draw_leaving(self) -> int | None:
         """Returns after how many events a caller leaves; None if it stays."""
         if not plan.has_versions(self._seed) or (
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,8 @@
 from soak import server_links
 
 _START_S = 20.0
+_EVENT_S = 0.01
+_LONG_EVENT_S = 0.04
 # When the servers say that they started, Unix ms.
 _BORN_MS = 1_700_000_000_000
 # After the faults: links are back, processes restarted, lapses over.
@@ -225,7 +227,7 @@
                 service=service,
                 streaming=streaming,
                 events=callers.EVENTS,
-                event_s=0.01,
+                event_s=self._event_s(),
                 work_s=0.01,
                 born_ms=_BORN_MS,
                 data_centre=self._place(number),
@@ -233,6 +235,16 @@
             for number in range(plan.SERVERS)
         ]
 
+    def _event_s(self) -> float:
+        """Returns the pause before each event of a stream.
+
+        With versions streams last longer, so that more of them are cut off by
+        what happens.
+        """
+        if plan.has_versions(self._seed):
+            return _LONG_EVENT_S
+        return _EVENT_S
+
     def _open_store(self) -> str:
         """Returns the store's address for the next instance.
 
