Red test: an instance that starts believes a peer that was cut off

It had asked the first peer for the servers that leave, which was itself cut off from the store and knew of none; its own answer a moment later was lost to the newcomer.

--- a/irisshelf/tests/test_contradicted_leaving.py
+++ b/irisshelf/tests/test_contradicted_leaving.py
@@ -46,8 +46,8 @@
     return entry.inst.directory.get(one.server_id)
 
 
-def _write(world, one, state, **changed):
-    """Writes an entry and waits until all instances have it."""
+def _write(world, one, state, *, entries=None, **changed):
+    """Writes an entry and waits until all instances, or some, have it."""
     one.sequence += 1
     document = one.entry(state) | changed
     world.store.put("servers", one.server_id, document)
@@ -58,7 +58,8 @@
         lambda: all(
             (listed := _listed(entry, one)) is not None
             and listed.state is wanted
-            for entry in world.entries
+            for number, entry in enumerate(world.entries)
+            if entries is None or number in entries
         )
     )
 
@@ -239,6 +240,28 @@
     assert _count_arrivals(world, leaving, target, entry=place) == 0
 
 
+@pytest.mark.parametrize("target", _KINDS)
+def test_an_instance_that_starts_asks_more_than_one_that_was_cut_off(
+    make_world, target
+):
+    """Guards against the answer of a peer that has not learnt of leaving."""
+    world = make_world(servers=3, data_centres=("a", "a"))
+    leaving = _group(world, target)[0]
+    _write(world, leaving, "ready")
+    old = leaving.entry("ready")
+    world.store_ports[0].mode = store_module.Mode.SILENT
+    knows = world.entries[1]
+    knows.inst.servers.publish = lambda fact: None
+    _write(world, leaving, "draining", entries=(1,))
+    revision = world.store.put("servers", leaving.server_id, old)
+    world.wait(lambda: knows.inst.list_version.revision >= revision)
+    started = world.add_entry("a")
+    world.wait(lambda: started.inst.ready)
+    place = world.entries.index(started)
+    gevent.sleep(0.3)
+    assert _count_arrivals(world, leaving, target, entry=place) == 0
+
+
 @pytest.mark.parametrize(
     ("events", "lapsed"),
     [
