An entry that is read again does not end the doubt about it

Only an entry that was written after the doubted one (by its number, else any other) ends a doubt now. Found by the test for it: an exit that another instance reports is in doubt until the return, which is reported as well, not for 2.2 s from the exit on.

--- a/irisshelf/coordination/facts.py
+++ b/irisshelf/coordination/facts.py
@@ -85,9 +85,11 @@
 
     Attributes:
         server: Key of the server.
+        returned: Whether the next one accepts requests by now.
     """
 
     server: bytes
+    returned: bool = False
 
 
 Fact = (
--- a/irisshelf/gateway/knowledge/fact_gossip.py
+++ b/irisshelf/gateway/knowledge/fact_gossip.py
@@ -83,8 +83,9 @@
     pauses: list[tuple[bytes, _Ms]] = []
     # Keys of servers that leave.
     leaving: list[bytes] = []
-    # Keys of servers whose processes have exited.
-    exited: list[bytes] = []
+    # Keys of servers whose processes have exited, and whether the next ones
+    # accept requests.
+    exited: list[tuple[bytes, bool]] = []
 
 
 class _Outbox:
@@ -99,7 +100,7 @@
         self.pauses: dict[bytes, facts.ServerPause] = {}
         # How often each is still to be sent.
         self.leaving: dict[bytes, int] = {}
-        self.exited: dict[bytes, None] = {}
+        self.exited: dict[bytes, bool] = {}
 
     def __bool__(self) -> bool:
         return bool(
@@ -140,7 +141,7 @@
 
     @add.register
     def _(self, fact: facts.ServerExited) -> None:
-        self.exited[fact.server] = None
+        self.exited[fact.server] = fact.returned
 
     def all(self) -> list[facts.Fact]:
         """Returns all queued facts."""
@@ -150,7 +151,10 @@
             *self.cold_starts.values(),
             *self.pauses.values(),
             *(facts.ServerLeaving(server=key) for key in self.leaving),
-            *(facts.ServerExited(server=key) for key in self.exited),
+            *(
+                facts.ServerExited(server=key, returned=returned)
+                for key, returned in self.exited.items()
+            ),
         ]
 
     def pop_message(self, data_centre: str, hop: _Hop) -> _Message:
@@ -162,8 +166,8 @@
         leaving = list(self.leaving)[:_MAX_LEAVING]
         for key in leaving:
             self._count_sent(key)
-        exited = list(self.exited)[:_MAX_EXITED]
-        for key in exited:
+        exited = list(self.exited.items())[:_MAX_EXITED]
+        for key, _ in exited:
             del self.exited[key]
         count = sum(map(len, (loads, cold_starts, pauses, leaving, exited)))
         remaining_bytes = datagrams_module.MAX_DATAGRAM_BYTES - _HEADER_BYTES
@@ -334,6 +338,6 @@
         decoded.add(facts.ServerPause(server=server, until_s=until_s))
     for server in message.leaving:
         decoded.add(facts.ServerLeaving(server=server))
-    for server in message.exited:
-        decoded.add(facts.ServerExited(server=server))
+    for server, returned in message.exited:
+        decoded.add(facts.ServerExited(server=server, returned=returned))
     return decoded.all()
--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -225,7 +225,7 @@
             if self.availability.departures.observe(change, now):
                 contradicting.append(server)
             if server is not None:
-                self.doubts.record_entry(server.server_id)
+                self.doubts.record_entry(server)
                 self.cold.record_cold_time(server.server_id, server.cold_s, now)
         return tuple(contradicting)
 
--- a/irisshelf/gateway/servers/server_reach.py
+++ b/irisshelf/gateway/servers/server_reach.py
@@ -50,6 +50,7 @@
             the request that needed it, and details.
         on_leaving: Called with a server that leaves, as other instances know.
         on_exit: Called with a server whose process has exited.
+        on_return: Called with such a server once it is back.
         log: The decision log.
         counts: Metrics.
         rng: Picks servers and relays.
@@ -71,6 +72,7 @@
         on_unreachable: Callable[[directory.BackendServer, str, str], None],
         on_leaving: Callable[[directory.BackendServer], None],
         on_exit: Callable[[directory.BackendServer], None],
+        on_return: Callable[[directory.BackendServer], None],
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
         rng: random.Random,
@@ -82,6 +84,7 @@
         self._stats_of = stats_of
         self._on_unreachable = on_unreachable
         self._on_leaving = on_leaving
+        self._on_return = on_return
         self._log = log
         self._metrics = counts
         self._now = now
@@ -302,7 +305,7 @@
         if self.exits.take_exited(server):
             # The process has restarted; its new entry follows a little later.
             self._eligible.assume_cold(server)
-            self._eligible.doubts.record_sign(server.server_id, self._now())
+            self._on_return(server)
         stats = self._stats_of(server.service)
         stats.record_connect(server.server_id, self._now())
 
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -65,7 +65,7 @@
         self.connection_pool = connection_pool.ConnectionPool(
             now=now,
             on_closed_early=lambda server: self._doubt_entry(
-                server, "connection closed early"
+                server, "connection closed early", returned=True
             ),
         )
         self.reach = server_reach.ServerReach(
@@ -75,7 +75,8 @@
             stats_of=lambda service: self.chooser(service).stats,
             on_unreachable=self._record_unreachable,
             on_leaving=lambda server: self.reports.handle_peer_report(server),
-            on_exit=self._on_exit,
+            on_exit=functools.partial(self._on_exit, returned=False),
+            on_return=functools.partial(self._on_exit, returned=True),
             log=log,
             counts=counts,
             rng=rng,
@@ -210,7 +211,9 @@
     def _(self, fact: facts.ServerExited) -> None:
         server = self._by_key.get(fact.server)
         if server is not None:
-            self._doubt_entry(server, "exit seen by peer")
+            self._doubt_entry(
+                server, "exit seen by peer", returned=fact.returned
+            )
 
     @apply_fact.register
     def _(self, fact: facts.ServerLoad) -> None:
@@ -290,18 +293,25 @@
         if count:
             self._log.instance("exchanges_of_ended_lives", broken_off=count)
 
-    def _on_exit(self, server: directory.BackendServer) -> None:
-        self._doubt_entry(server, "exit")
+    def _on_exit(
+        self, server: directory.BackendServer, *, returned: bool
+    ) -> None:
         key = directory.short_id(server.server_id)
-        self.publish(facts.ServerExited(server=key))
+        fact = facts.ServerExited(server=key, returned=returned)
+        self.publish(fact)
+        self._doubt_entry(server, "exit", returned=returned)
 
-    def _doubt_entry(self, server: directory.BackendServer, sign: str) -> None:
+    def _doubt_entry(
+        self, server: directory.BackendServer, sign: str, *, returned: bool
+    ) -> None:
         """Notes that an entry may describe a process that has ended."""
         if not self.eligible.is_doubtful(server):
             self._log.instance(
                 "server_entry_in_doubt", server=server.server_id, sign=sign
             )
-        self.eligible.doubts.record_sign(server.server_id, self._now())
+        doubts = self.eligible.doubts
+        record = doubts.record_return if returned else doubts.record_exit
+        record(server, self._now())
 
     def _on_backoff(self, server: directory.BackendServer) -> None:
         chooser = self.chooser(server.service)
--- a/irisshelf/tests/test_stream_origins.py
+++ b/irisshelf/tests/test_stream_origins.py
@@ -1,9 +1,12 @@
 """Origins of streams: what is kept, where, and what is sent about them."""
 
+import dataclasses
+
 import cbor2
 import gevent
 import pytest
 
+from irisshelf.catalog import entry_doubts
 from irisshelf.catalog import releases
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway.knowledge import datagrams
@@ -96,6 +99,45 @@
     assert len(origins) == 20_000
 
 
+@pytest.mark.parametrize(
+    ("entry", "doubtful"),
+    [
+        pytest.param({}, True, id="the-same-again"),
+        pytest.param({"sequence": 4}, False, id="written-later"),
+        pytest.param({"sequence": 2}, True, id="written-earlier"),
+        pytest.param({"sequence": None}, False, id="no-number"),
+        pytest.param({"sequence": 4, "version": "v2"}, False, id="other"),
+    ],
+)
+def test_which_entries_end_a_doubt(entry, doubtful):
+    doubted = dataclasses.replace(origin_network.server(1), sequence=3)
+    doubts = entry_doubts.EntryDoubts()
+    doubts.record_return(doubted, 10.0)
+    doubts.record_entry(dataclasses.replace(doubted, **entry))
+    assert doubts.is_doubtful("i-1", 11.0, 11.0) is doubtful
+
+
+@pytest.mark.parametrize(
+    ("signs", "now", "list_as_of_s", "doubtful"),
+    [
+        pytest.param("", 10.0, 10.0, False, id="none"),
+        pytest.param("r", 12.0, 12.0, True, id="returned"),
+        pytest.param("r", 12.3, 12.3, False, id="would-have-been-seen"),
+        pytest.param("r", 15.0, 12.0, True, id="list-is-behind"),
+        pytest.param("e", 19.0, 19.0, True, id="away"),
+        pytest.param("e", 20.1, 20.1, False, id="gone-for-long"),
+        pytest.param("er", 12.3, 12.3, False, id="away-and-returned"),
+        pytest.param("re", 19.0, 19.0, True, id="away-again"),
+    ],
+)
+def test_how_long_an_entry_is_in_doubt(signs, now, list_as_of_s, doubtful):
+    doubts = entry_doubts.EntryDoubts()
+    for sign in signs:
+        record = doubts.record_exit if sign == "e" else doubts.record_return
+        record(origin_network.server(1), 10.0)
+    assert doubts.is_doubtful("i-1", now, list_as_of_s) is doubtful
+
+
 def test_ids_of_different_teams_are_different_streams():
     assert stream_origins.stream_key("a", "r1") != stream_origins.stream_key(
         "b", "r1"
--- a/irisshelf/tests/test_streams_of_two_versions.py
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -356,8 +356,9 @@
 
 
 @pytest.mark.parametrize("entry", [0, 1], ids=["saw-it-end", "other"])
+@pytest.mark.parametrize("read_again", [False, True], ids=["", "list-read"])
 def test_a_server_that_ended_under_streams_returns_with_another_version(
-    make_world, entry
+    make_world, entry, read_again
 ):
     """Guards against entries of before the end that an instance has seen."""
     world = _make(make_world, servers=4, data_centres=("a", "a"))
@@ -375,6 +376,12 @@
     world.wait(lambda: not any(one.closed for one in changed))
     world.wait(lambda: not _unreachable(world.entries[entry]))
     world.wait(lambda: len(_doubtful(world.entries[entry])) == len(changed))
+    if read_again:
+        # Whole lists have the entries of before as well.
+        instance = world.entries[entry].inst
+        world.store.forget_history()
+        revision = world.store.put("others", "row", {})
+        world.wait(lambda: instance.list_version.revision >= revision)
     broken = [stream for stream in streams if not stream.whole]
     assert broken
     answers = _take_up_all(world, entry, broken)
@@ -404,7 +411,8 @@
 
     def record(server_id, now):
         record_sent(server_id, now)
-        eligible.doubts.record_sign(server_id, now)
+        server = entry.inst.directory.get(server_id)
+        eligible.doubts.record_return(server, now)
 
     eligible.availability.record_sent = record
 
