An instance that starts asks several peers for what no entry says

Cause: it took the first peer's answer on servers that leave, also that of one that had been cut off from the store and knew of none. Change: up to four peers are asked at once and all answers are applied; the same for requests that crash servers.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -196,11 +196,11 @@
         gevent.spawn(self._peers.run)
         gevent.spawn(
             self._crash_gossip.catch_up,
-            lambda: self._peers.request_any(crash_gossip.SNAPSHOT_PATH),
+            lambda: self._peers.request_several(crash_gossip.SNAPSHOT_PATH),
         )
         gevent.spawn(
             catch_up.fetch,
-            lambda: self._peers.request_any(catch_up.DEPARTURES_PATH),
+            lambda: self._peers.request_several(catch_up.DEPARTURES_PATH),
             self._departures.apply,
         )
         cfg = self._inst.cfg
--- a/irisshelf/gateway/knowledge/catch_up.py
+++ b/irisshelf/gateway/knowledge/catch_up.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 import cbor2
 import gevent
@@ -23,19 +24,22 @@
 
 
 def fetch(
-    request: Callable[[], bytes | None], apply: Callable[[bytes], None]
+    request: Callable[[], Sequence[bytes]], apply: Callable[[bytes], None]
 ) -> None:
-    """Requests data until a peer answers, and applies it.
+    """Requests data until peers answer, and applies all answers.
+
+    Several peers are asked, as one may have been cut off itself.
 
     Args:
-        request: Returns a peer's answer; None if there was none.
-        apply: Applies the answer.
+        request: Returns the answers of peers; none if there were none.
+        apply: Applies an answer.
     """
     delay_s = _FIRST_DELAY_S
     for _ in range(_ATTEMPTS):
-        data = request()
-        if data is not None:
+        answers = request()
+        for data in answers:
             apply(data)
+        if answers:
             return
         gevent.sleep(delay_s)
         delay_s = min(2 * delay_s, _MAX_DELAY_S)
--- a/irisshelf/gateway/knowledge/crash_gossip.py
+++ b/irisshelf/gateway/knowledge/crash_gossip.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Annotated
 from typing import Any
 
@@ -95,14 +96,16 @@
         # receive loop.
         gevent.spawn(self._apply, message)
 
-    def catch_up(self, request_snapshot: Callable[[], bytes | None]) -> None:
-        """Fetches all known crashes from a peer, retrying until one answers.
+    def catch_up(
+        self, request_snapshots: Callable[[], Sequence[bytes]]
+    ) -> None:
+        """Fetches all known crashes from peers, retrying until one answers.
 
         Args:
-            request_snapshot: Returns a peer's ``snapshot``; None if there was
-                no answer.
+            request_snapshots: Returns the ``snapshot`` of each peer that
+                answered.
         """
-        catch_up.fetch(request_snapshot, self._apply_snapshot)
+        catch_up.fetch(request_snapshots, self._apply_snapshot)
 
     def snapshot(self, fields: Mapping[str, str] | None = None) -> bytes:
         """Encodes all known crashes, for ``catch_up``.
--- a/irisshelf/gateway/knowledge/peer_discovery.py
+++ b/irisshelf/gateway/knowledge/peer_discovery.py
@@ -39,9 +39,8 @@
 _INITIAL_RETRY_DELAYS_S = (0.3, 0.6, 1.2)
 # Number of instances of each other data centre in a response.
 _REMOTE_SAMPLE_SIZE = 3
-# Number of instances that are tried in turn; each that is gone takes half a
-# second.
-_MAX_ATTEMPTS = 4
+# Number of instances that are asked at once for what one of them may not know.
+_MAX_ASKED = 4
 
 _LinkMbps = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 Handler = Callable[[Mapping[str, str]], bytes | None]
@@ -141,17 +140,19 @@
         """
         return self._get(address, target, timeout_s)
 
-    def request_any(self, path: str) -> bytes | None:
-        """Sends a request to the known instances in turn until one answers.
+    def request_several(self, path: str) -> list[bytes]:
+        """Sends a request to several known instances at once.
 
         Returns:
-            The response's body; None if no instance answered.
+            The bodies of the responses; none if no instance answered.
         """
-        for member in self.members()[:_MAX_ATTEMPTS]:
-            response = self._get(member.address, path)
-            if isinstance(response, result.Ok):
-                return response.ok_value
-        return None
+        requests = [
+            gevent.spawn(self._get, member.address, path)
+            for member in self.members()[:_MAX_ASKED]
+        ]
+        gevent.joinall(requests)
+        responses = [request.value for request in requests]
+        return [r.ok_value for r in responses if isinstance(r, result.Ok)]
 
     def members(self) -> list[membership_module.Member]:
         """Returns the other instances that are known."""
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -185,7 +185,7 @@
         self._greenlets.append(
             gevent.spawn(
                 catch_up.fetch,
-                lambda: self.peers.request_any(catch_up.DEPARTURES_PATH),
+                lambda: self.peers.request_several(catch_up.DEPARTURES_PATH),
                 self._departures.apply,
             )
         )
--- a/irisshelf/tests/test_catch_up.py
+++ b/irisshelf/tests/test_catch_up.py
@@ -57,16 +57,16 @@
 def test_a_request_is_repeated_until_a_peer_answers(monkeypatch):
     delays_s = []
     monkeypatch.setattr(gevent, "sleep", delays_s.append)
-    answers = [None] * 6 + [b"data", b"unused"]
+    answers = [[]] * 6 + [[b"data", b"more"], [b"unused"]]
     applied = []
     catch_up.fetch(lambda: answers.pop(0), applied.append)
-    assert applied == [b"data"]
-    assert answers == [b"unused"]
+    assert applied == [b"data", b"more"]
+    assert answers == [[b"unused"]]
     assert delays_s == [0.05, 0.1, 0.2, 0.4, 0.5, 0.5]
 
 
 def test_without_peers_the_requests_end(monkeypatch):
     monkeypatch.setattr(gevent, "sleep", lambda delay_s: None)
     calls = []
-    catch_up.fetch(lambda: calls.append(1), pytest.fail)
+    catch_up.fetch(lambda: calls.append(1) or [], pytest.fail)
     assert 10 <= len(calls) <= 100
--- a/irisshelf/tests/test_crash_gossip.py
+++ b/irisshelf/tests/test_crash_gossip.py
@@ -198,7 +198,7 @@
         switched=policy.DEFAULT,
     )
     fleet.wait(lambda: _stages(fleet) == ["barred"] * 4)
-    answers = [None, fleet.entries[1].crash_gossip.snapshot()]
+    answers = [[], [fleet.entries[1].crash_gossip.snapshot()]]
     new.crash_gossip.catch_up(lambda: answers.pop(0))
     fleet.entries.append(new)
     assert _stages(fleet) == ["barred"] * 5
@@ -207,7 +207,7 @@
 @pytest.mark.parametrize("data", [b"", b"\xff", b"\x81\x01", b"\x05"])
 def test_an_invalid_snapshot_is_ignored(fleet, data):
     entry = fleet.entries[0]
-    entry.crash_gossip.catch_up(lambda: data)
+    entry.crash_gossip.catch_up(lambda: [data])
     assert not entry.inst.crash_tracker.suspects
 
 
--- a/irisshelf/tests/test_peer_discovery.py
+++ b/irisshelf/tests/test_peer_discovery.py
@@ -151,17 +151,17 @@
     greenlet.kill()
 
 
-def test_a_request_is_sent_to_the_next_instance_until_one_answers():
+def test_a_request_is_sent_to_several_instances():
     first = _Instance("1")
     requester = _Instance("2", seeds=(first.address,))
-    assert requester.peers.request_any("/what") is None
+    assert requester.peers.request_several("/what") == []
     greenlet = gevent.spawn(requester.peers.run)
     _wait(lambda: first.names() == ["2"])
     gone = membership_module.Member(
         name="0", address="127.0.0.1:9", data_centre="a"
     )
     requester.peers.membership.record_alive(gone, boottime.now())
-    assert requester.peers.request_any("/what") is None
+    assert requester.peers.request_several("/what") == []
     first.peers.register_handler("/what", lambda fields: b"this")
-    assert requester.peers.request_any("/what") == b"this"
+    assert requester.peers.request_several("/what") == [b"this"]
     greenlet.kill()
