--- a/irisshelf/coordination/stream_origins.py
+++ b/irisshelf/coordination/stream_origins.py
@@ -119,7 +119,7 @@
     return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
 
 
-def rank_keepers(
+def rank_replicas(
     members: Iterable[membership_module.Member], key: bytes
 ) -> list[membership_module.Member]:
     """Sorts the instances of a data centre, those that keep a key first."""
--- a/irisshelf/gateway/knowledge/origin_exchange.py
+++ b/irisshelf/gateway/knowledge/origin_exchange.py
@@ -39,8 +39,8 @@
 
 # Path at which an instance serves ``OriginExchange.answer``.
 PATH = "/stream-origin"
-_KEEPERS = 2
-# Instances of the own data centre that are asked: when one of the keepers has
+_REPLICAS = 2
+# Instances of the own data centre that are asked: when one of the replicas has
 # just gone, the views of who is next differ for a moment.
 _ASKED = 3
 _DATA_CENTRES = 1
@@ -64,7 +64,7 @@
 class _Message(msgspec.Struct, array_like=True):
     # Keys of streams, each followed by the key of its release.
     records: bytes
-    # Whether the receiver sends them to the keepers in its data centre.
+    # Whether the receiver sends them to the replicas in its data centre.
     forward: bool = False
 
 
@@ -221,7 +221,7 @@
 
         Args:
             fields: ``key`` in hexadecimal digits, ``services`` separated by
-                commas, and ``forward`` if the keepers in this data centre are
+                commas, and ``forward`` if the replicas in this data centre are
                 to be asked as well.
 
         Returns:
@@ -245,16 +245,16 @@
             recent=sorted(self.recent(services)),
         )
         if origin is None and fields.get("forward"):
-            reply = self._ask_keepers(key, services, reply)
+            reply = self._ask_replicas(key, services, reply)
         return cbor2.dumps(msgspec.to_builtins(reply, builtin_types=(bytes,)))
 
-    def _ask_keepers(
+    def _ask_replicas(
         self, key: bytes, services: Sequence[str], own: _Reply
     ) -> _Reply:
         recent = set(own.recent)
         questions = [
             gevent.spawn(self._ask, member, key, services, forward=False)
-            for member in self._keepers(key, _KEEPERS)
+            for member in self._replicas(key, _REPLICAS)
         ]
         for question in gevent.iwait(questions, timeout=_FORWARDED_TIMEOUT_S):
             if question.value is None:
@@ -303,16 +303,16 @@
         members = self._peers.members()
         if len(members) <= _ASK_ALL_UP_TO:
             return [(member, False) for member in members]
-        local = [(m, False) for m in self._keepers(key, _ASKED)]
+        local = [(m, False) for m in self._replicas(key, _ASKED)]
         remote = self._remote_receivers(key, _DATA_CENTRES_ASKED)
         return [*local, *((member, True) for member in remote)]
 
-    def _keepers(
+    def _replicas(
         self, key: bytes, count: int
     ) -> list[membership_module.Member]:
         own = self._membership.own.data_centre
         members = self._membership.members(own, self._now())
-        ranked = stream_origins.rank_keepers((m for m, _ in members), key)
+        ranked = stream_origins.rank_replicas((m for m, _ in members), key)
         return ranked[:count]
 
     def _remote_receivers(
@@ -330,7 +330,7 @@
     ) -> None:
         for key, release in records:
             receivers = [
-                (m.address, False) for m in self._keepers(key, _KEEPERS)
+                (m.address, False) for m in self._replicas(key, _REPLICAS)
             ]
             if remote:
                 receivers += [
