--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -49,6 +49,14 @@
     SLOW = "slow"
 
 
+class Moment(enum.StrEnum):
+    """How far the response has come when its server ends under a request."""
+
+    ARRIVAL = "arrival"
+    HEAD = "head"
+    EVENTS = "events"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Run:
     """A request that a server worked on."""
@@ -140,6 +148,12 @@
         self.fault_of: Callable[[Run], Fault] | None = None
         # Tells which requests end the process as soon as they begin.
         self.ends_under: Callable[[Run], bool] = lambda run: False
+        # How far the answer to such a request comes, and the events of it that
+        # are sent before an end in the middle of them.
+        self.ends_at = Moment.ARRIVAL
+        self.events_before_end = 2
+        # Work on such a request before the end.
+        self.before_end_s = 0.0
         # How long it is away after that.
         self.away_s = 0.2
         # How long a slow answer, or one with a pause, stands still.
@@ -153,7 +167,7 @@
         self.closed = False
         self._streaming = streaming
         self._events = events
-        self._event_s = event_s
+        self.event_s = event_s
         self.work_s = work_s
         self._serial = itertools.count()
         self._socks: set[socket.socket] = set()
@@ -304,8 +318,7 @@
         )
         owner.runs.append(run)
         if owner.ends_under(run):
-            owner.crash()
-            conn.abort()
+            self._end_under(run, conn)
             return
         if owner.fault_of is not None:
             fault = owner.fault_of(run)
@@ -318,6 +331,20 @@
         finally:
             owner.working -= 1
 
+    def _end_under(self, run: Run, conn: http.Connection) -> None:
+        """Ends the process, as far into the answer as it is meant to come."""
+        owner = self._owner
+        gevent.sleep(owner.before_end_s)
+        if owner.ends_at is not Moment.ARRIVAL:
+            conn.begin(200, self._head(run))
+        if owner.ends_at is Moment.EVENTS:
+            first = run.after_event + 1
+            for number in range(first, first + owner.events_before_end):
+                conn.write(self._event(number, owner.version))
+                gevent.sleep(owner.event_s)
+        owner.crash()
+        conn.abort()
+
     def _turned_down(self, fault: Fault, conn: http.Connection) -> bool:
         if fault is Fault.REFUSE or self._owner.refuses:
             report = self._owner.report(503)
@@ -391,7 +418,7 @@
         conn.begin(200, head)
         version = self._owner.version
         for number in range(run.after_event + 1, self._owner._events + 1):
-            gevent.sleep(self._owner._event_s)
+            gevent.sleep(self._owner.event_s)
             event = self._event(number, version)
             half = self._owner._events // 2
             if fault is Fault.HANG_MIDWAY and number > half:
