Servers that are down do not hide that the own link works

Cause: an instance that is refused by a server finds out whether its own link works by connecting to two other servers of the service, at random, including those that refuse it themselves. While half of a service is down it often picks two of these, and counts the exit as a fault of its own link. Evidence: trial with server_path_checked lines, three instances, six of eight servers crashed in turn: 'unreachable' by a sample of two servers that were down.

Fix: servers that refuse connections as well are left out of the sample unless all do; an instance whose link is cut still finds none that it reaches.

--- a/irisshelf/gateway/servers/process_exits.py
+++ b/irisshelf/gateway/servers/process_exits.py
@@ -121,13 +121,17 @@
         """Returns whether this instance's own link works.
 
         Connects to other servers, of the same service if it has any: a
-        partition may separate an instance from one service only.
+        partition may separate an instance from one service only. Servers that
+        refuse connections as well show nothing unless all do.
         """
         others = [s for s in self._listed() if s.server_id != server.server_id]
         if not others:
             return True
         same = [s for s in others if s.service == server.service]
         others = same or others
+        others = [
+            s for s in others if s.server_id not in self._refused_s
+        ] or others
         probed = self._rng.sample(others, min(_PROBED_SERVERS, len(others)))
         probes = [gevent.spawn(self._probe, other) for other in probed]
         gevent.joinall(probes)
