Instances that are refused by a server at the same time confirm its exit

Cause: an instance that had just been refused twice by a server answered others that it was unreachable, not refused, until it had the exit confirmed itself, by asking those who asked it. So instances that see a crash at once, which is the rule as all have requests there, wait for each other; the slowest to ask is the only one that is answered well. Evidence: server_path_checked 'unreachable' at an instance 30 ms after the crash, 'refused' at the two others 1 ms later.

Fix: whoever is refused and reaches other servers says so. That is what it says already where it is refused while it is asked. The new test failed before (UNREACHABLE where REFUSED is due), a time-out is still none.

--- a/irisshelf/gateway/servers/relay_endpoint.py
+++ b/irisshelf/gateway/servers/relay_endpoint.py
@@ -90,10 +90,7 @@
             )
         except errors.ConnectError as exc:
             self._servers.reach.record_unreachable(server, exc, "")
-            refused = not exc.timed_out
-            exited = refused and self._servers.reach.exits.reaches_others(
-                server
-            )
+            exited = self._has_exited(server, refused=not exc.timed_out)
             self._reject(conn, _unreachable(exited=exited))
             return
         self._metrics.connects.labels(server.service).inc()
@@ -148,12 +145,25 @@
             return _Verdict.UNKNOWN
         if self._reaches_none():
             return _Verdict.ISOLATED
-        if self._servers.reach.recent_connect_failure(server) is not None:
-            return _unreachable(
-                exited=self._servers.reach.exits.has_exited(server)
-            )
+        failure = self._servers.reach.recent_connect_failure(server)
+        if failure is not None:
+            exited = self._has_exited(server, refused=not failure.timed_out)
+            return _unreachable(exited=exited)
         return None
 
+    def _has_exited(
+        self, server: directory.BackendServer, *, refused: bool
+    ) -> bool:
+        """Returns whether a server has exited, as far as this instance sees.
+
+        Whoever asks may itself be the one whose answer this instance waits for
+        to confirm the exit.
+        """
+        exits = self._servers.reach.exits
+        return exits.has_exited(server) or (
+            refused and exits.reaches_others(server)
+        )
+
     def _reject(self, conn: http.Connection, verdict: _Verdict) -> None:
         self._metrics.relay_requests.labels(verdict.value).inc()
         conn.answer(_STATUSES[verdict], [], verdict.value.encode())
--- a/irisshelf/tests/test_confirmed_exits.py
+++ b/irisshelf/tests/test_confirmed_exits.py
@@ -1,7 +1,8 @@
 """Which instances confirm that a server has exited.
 
 Regression: instances forgot under which requests a server had crashed, as its
-exit was not confirmed although several of them were refused.
+exit was not confirmed although several of them were refused. Each asked others
+before any had confirmed it, and was answered that the server was unreachable.
 """
 
 import random
@@ -11,6 +12,72 @@
 
 from irisshelf.catalog import directory
 from irisshelf.gateway.servers import process_exits
+from irisshelf.platform.stand_in import server as server_module
+from irisshelf.routing.direct import server_paths
+from irisshelf.transport import errors
+
+_CRASHES = 6
+_RUNNING_S = 0.1
+# By then the last exit has been confirmed, or has not.
+_CONFIRMED_S = 0.6
+
+
+@pytest.mark.parametrize(
+    "places",
+    [
+        pytest.param(("a", "a", "b"), id="three"),
+        pytest.param(("a", "a", "b", "b", "c", "c"), id="six"),
+    ],
+)
+def test_instances_that_see_an_exit_at_once_confirm_it(make_world, places):
+    """Guards against crashes that are forgotten by those who have seen them."""
+    world = make_world(servers=_CRASHES + 2, data_centres=places)
+    for one in world.plain:
+        one.always = server_module.Fault.SLOW
+        one.pause_s = _RUNNING_S
+        one.away_s = 60.0
+    for number in range(_CRASHES):
+        _crash_under_all(world, number)
+    gevent.sleep(_CONFIRMED_S)
+    for entry in world.entries:
+        forgotten = entry.inst.metrics.crashes.labels("retracted")
+        assert forgotten._value.get() == 0
+
+
+def _crash_under_all(world, number):
+    """Crashes a server at which all instances have requests in progress."""
+    calls = [
+        gevent.spawn(
+            world.ask, "/alarm/1", entry=entry, body=b"%d %d" % (number, call)
+        )
+        for entry in range(len(world.entries))
+        for call in range(3)
+    ]
+    world.wait(lambda: sum(one.working for one in world.plain) == len(calls))
+    max(world.plain, key=lambda one: one.working).crash()
+    gevent.joinall(calls)
+
+
+@pytest.mark.parametrize(
+    ("timed_out", "verdict"),
+    [
+        (False, server_paths.Verdict.REFUSED),
+        (True, server_paths.Verdict.UNREACHABLE),
+    ],
+)
+def test_an_instance_that_is_refused_itself_confirms_an_exit(
+    make_world, timed_out, verdict
+):
+    """Guards against instances that wait for each other to confirm an exit."""
+    world = make_world(servers=3, data_centres=("a", "a"))
+    asking, asked = (entry.inst.servers.reach for entry in world.entries)
+    server = world.inst.directory.get(world.plain[0].server_id)
+    world.plain[0].close()
+    exc = errors.ConnectError("test", timed_out=timed_out)
+    for _ in range(2):
+        asked.record_unreachable(server, exc, "")
+    found = asking.relays.connect(server, timeout_s=1.0)
+    assert found.verdict is verdict
 
 
 def _exits(servers, reachable, seed):
