A connection that has ended with its response is not kept

Cause: the client's connection counted as reusable although the server had closed it, so that the pool kept it as idle; the close was found as it was next looked at, and was taken for a sign that the process had restarted (server_entry_in_doubt, connection closed early). Evidence: a stand-in that answers so; entries in doubt after two requests, streams torn after sound ones cut.

Fix: a connection whose end has been read carries no further exchange.

--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -152,6 +152,9 @@
         # are sent before an end in the middle of them.
         self.ends_at = Moment.ARRIVAL
         self.events_before_end = 2
+        # Whether answers have neither a length nor chunks, and end with their
+        # connection.
+        self.unframed = False
         # Work on such a request before the end.
         self.before_end_s = 0.0
         # How long it is away after that.
@@ -280,6 +283,35 @@
         return self.faults.popleft() if self.faults else self.always
 
 
+class _Unframed:
+    """Writes an answer without length or chunks.
+
+    Args:
+        sock: The connection.
+        conn: The same, as a server reads from it.
+    """
+
+    def __init__(self, *, sock: socket.socket, conn: http.Connection):
+        self._sock = sock
+        self._conn = conn
+
+    def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Writes the head."""
+        lines = b"".join(b"%s: %s\r\n" % pair for pair in headers)
+        self._sock.sendall(b"HTTP/1.1 %d OK\r\n%s\r\n" % (status, lines))
+
+    def write(self, data: bytes) -> None:
+        """Writes a part of the body."""
+        self._sock.sendall(data)
+
+    def end(self) -> None:
+        """Ends the answer, and the connection with it."""
+        self._conn.abort()
+
+
+_Writer = http.Connection | _Unframed
+
+
 class _Exchange:
     """One connection's exchanges."""
 
@@ -335,12 +367,13 @@
         """Ends the process, as far into the answer as it is meant to come."""
         owner = self._owner
         gevent.sleep(owner.before_end_s)
+        out = self._writer(Fault.NONE, conn)
         if owner.ends_at is not Moment.ARRIVAL:
-            conn.begin(200, self._head(run))
+            out.begin(200, self._head(run))
         if owner.ends_at is Moment.EVENTS:
             first = run.after_event + 1
             for number in range(first, first + owner.events_before_end):
-                conn.write(self._event(number, owner.version))
+                out.write(self._event(number, owner.version))
                 gevent.sleep(owner.event_s)
         owner.crash()
         conn.abort()
@@ -397,10 +430,11 @@
         body = b"answer to " + run.request_id.encode()
         if fault is Fault.STRAY_FIRST:
             self._sock.sendall(_raw_answer(b"an-earlier-one", b"not yours"))
-        if fault is Fault.UNFRAMED:
-            head = b"".join(b"%s: %s\r\n" % pair for pair in self._head(run))
-            self._sock.sendall(b"HTTP/1.1 200 OK\r\n" + head + b"\r\n" + body)
-            conn.abort()
+        if fault is Fault.UNFRAMED or self._owner.unframed:
+            out = _Unframed(sock=self._sock, conn=conn)
+            out.begin(200, self._head(run))
+            out.write(body)
+            out.end()
             return
         if fault is Fault.CUT:
             head = b"".join(b"%s: %s\r\n" % pair for pair in self._head(run))
@@ -415,7 +449,8 @@
     def _stream(self, fault: Fault, run: Run, conn: http.Connection) -> None:
         head = self._head(run, fault)
         head.append((b"Content-Type", b"text/event-stream"))
-        conn.begin(200, head)
+        out = self._writer(fault, conn)
+        out.begin(200, head)
         version = self._owner.version
         for number in range(run.after_event + 1, self._owner._events + 1):
             gevent.sleep(self._owner.event_s)
@@ -429,11 +464,16 @@
                 conn.abort()
                 return
             if fault is Fault.TORN and number > half:
-                conn.write(event[: len(event) // 2])
+                out.write(event[: len(event) // 2])
                 conn.abort()
                 return
-            conn.write(event)
-        conn.end()
+            out.write(event)
+        out.end()
+
+    def _writer(self, fault: Fault, conn: http.Connection) -> _Writer:
+        if fault is Fault.UNFRAMED or self._owner.unframed:
+            return _Unframed(sock=self._sock, conn=conn)
+        return conn
 
     def _event(self, number: int, version: str) -> bytes:
         suffix = "" if version == FIRST_VERSION else f" of {version}"
--- /dev/null
+++ b/irisshelf/tests/test_unframed_answers.py
@@ -0,0 +1,86 @@
+"""Answers without length or chunks, which end with their connection.
+
+Regression: their connections were kept as idle, so that the close that had
+ended them was later taken for a sign that the server had restarted; of the
+streams that such a server had begun none went on elsewhere.
+"""
+
+import re
+
+import gevent
+import pytest
+
+from irisshelf.gateway import settings
+from irisshelf.platform.stand_in import server as server_module
+
+Fault = server_module.Fault
+_EVENTS = 12
+_EVENT = re.compile(rb"id: (\d+)\n")
+_STREAMS = 6
+# So that the retry budget does not end streams here.
+_BOUNDS = settings.Bounds(retry_share=1.0, retry_slack=1000.0)
+
+
+def _world(make_world, **options):
+    world = make_world(servers=3, events=_EVENTS, bounds=_BOUNDS, **options)
+    for one in (*world.plain, *world.engines):
+        one.unframed = True
+    return world
+
+
+def _break_next(world, fault):
+    """Makes the engine that gets the next request break its stream."""
+    faults = [fault]
+    for one in world.engines:
+        one.choose_fault = lambda: faults.pop() if faults else Fault.NONE
+
+
+def _numbers(answer):
+    return [int(number) for number in _EVENT.findall(answer.body)]
+
+
+@pytest.mark.parametrize("target", ["/query/1", "/digest/1"])
+def test_a_stream_that_ends_with_its_connection_is_whole(make_world, target):
+    """Guards against such streams cut, or sent twice."""
+    world = _world(make_world)
+    for number in range(_STREAMS):
+        answer = world.ask(target, Request_Id=f"s{number}")
+        assert (answer.status, answer.whole) == (200, True)
+        assert _numbers(answer) == list(range(1, _EVENTS + 1))
+        assert world.runs(f"s{number}") == 1
+
+
+@pytest.mark.parametrize("fault", [Fault.CUT, Fault.TORN])
+def test_broken_streams_go_on_after_sound_ones(make_world, fault):
+    """Guards against a close that was due, taken for a sign of an exit."""
+    world = _world(make_world)
+    for _ in range(_STREAMS):
+        assert world.ask("/digest/1").whole
+        gevent.sleep(0.01)
+    for one in world.engines:
+        one.unframed = False
+    for _ in range(_STREAMS):
+        _break_next(world, fault)
+        answer = world.ask("/digest/1")
+        assert (answer.status, answer.whole) == (200, True)
+        assert _numbers(answer) == list(range(1, _EVENTS + 1))
+
+
+@pytest.mark.parametrize("target", ["/digest/1", "/valve/1", "/alarm/1"])
+def test_no_entry_is_in_doubt_after_such_answers(make_world, target):
+    """Guards against connections kept although they can't be used again."""
+    world = _world(make_world)
+    for _ in range(_STREAMS):
+        assert world.ask(target).status == 200
+        gevent.sleep(0.01)
+    listed = world.inst.directory.servers()
+    assert not any(map(world.inst.eligible.is_doubtful, listed))
+
+
+def test_a_stream_torn_within_an_event_goes_on(make_world):
+    """Guards against a half event taken for the end of a stream."""
+    world = _world(make_world)
+    _break_next(world, Fault.TORN)
+    answer = world.ask("/digest/1")
+    assert (answer.status, answer.whole) == (200, True)
+    assert _numbers(answer) == list(range(1, _EVENTS + 1))
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -63,14 +63,25 @@
         self._writer: gevent.Greenlet | None = None
         self._write_failed = False
         self._open = True
+        # Whether the server has closed its side.
+        self._ended = False
         self.idle_s = 0.0
 
+    @property
+    def ended_with_response(self) -> bool:
+        """Whether only the end of the connection has ended the response.
+
+        It has neither a length nor chunks then.
+        """
+        return self._ended and self._http.their_state is h11.DONE
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another exchange."""
         written = self._writer is None or self._writer.ready()
         return (
             self._open
+            and not self._ended
             and self._may_reuse()
             and written
             and not self._write_failed
@@ -271,6 +282,7 @@
             raise errors.BrokenConnectionError(
                 f"reading failed: {exc}"
             ) from exc
+        self._ended = self._ended or not data
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
