A response without length is not whole if its server has exited with it

Callers saw: a stream without length or chunks whose server crashed between two events was delivered as complete, and the crash was held against no request.

Cause: the end of the connection is the end of such a response, and so is the end of the process; only the first was thought of. Evidence: stand-in that crashes after no or two events of such a stream.

Fix: when only the end of the connection has ended a response, the instance connects to the server; if that is refused, the response has been broken off and is handled as such. The connection is kept for the next request, which needs a new one anyway.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -276,9 +276,27 @@
 
     def _relay_complete(self, head: messages.AnswerHead) -> None:
         body = self._read_body()
+        self._check_end()
         self._record_first_byte()
         self._caller.answer(head.status, list(head.headers), body)
 
+    def _check_end(self) -> None:
+        """Checks a response that only the end of the connection has ended.
+
+        If the server has exited as well, the response is probably incomplete.
+
+        Raises:
+            SendError: The server refuses connections.
+        """
+        if not self._conn.ended_with_response or self._conn.relay:
+            return
+        if self._inst.crash_tracker.is_refused(self._choice.server):
+            raise _unknown_outcome(
+                server_stats.Outcome.BROKEN,
+                "server exited at the end of a response without length",
+                disconnected=True,
+            )
+
     def _relay_stream(self, head: messages.AnswerHead) -> None:
         """Relays events as they arrive."""
         splitter = event_stream.Splitter()
@@ -295,6 +313,7 @@
             raise _unknown_outcome(
                 server_stats.Outcome.BROKEN, "response ends within an event"
             )
+        self._check_end()
         self._send_head(head)
         self._caller.end()
 
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -256,6 +256,13 @@
         if self.suspects.record_crash(fingerprint, crash, self._now()):
             self._log_crash([(fingerprint, crash)], "", "")
 
+    def is_refused(self, server: directory.BackendServer) -> bool:
+        """Returns whether a listed server refuses connections of this instance.
+
+        Connects to it; the connection is kept for the next request.
+        """
+        return self._probe.is_refused(server)
+
     def has_exited(self, server: directory.BackendServer) -> bool:
         """Returns whether a listed server's process has exited."""
         return self._probe.is_refused(server) and self._probe.is_confirmed(
--- a/irisshelf/tests/test_unframed_answers.py
+++ b/irisshelf/tests/test_unframed_answers.py
@@ -84,3 +84,22 @@
     answer = world.ask("/digest/1")
     assert (answer.status, answer.whole) == (200, True)
     assert _numbers(answer) == list(range(1, _EVENTS + 1))
+
+
+@pytest.mark.parametrize("events", [0, 2])
+def test_an_end_with_the_server_is_not_the_end_of_the_stream(
+    make_world, events
+):
+    """Guards against a stream delivered as whole whose server crashed."""
+    world = _world(make_world)
+    for one in world.engines:
+        one.ends_under = lambda run: run.body == b"x" and not run.after_event
+        one.ends_at = server_module.Moment.EVENTS
+        one.events_before_end = events
+        one.away_s = 60.0
+    answer = world.ask("/digest/1", body=b"x")
+    numbers = _numbers(answer)
+    assert numbers == list(range(1, len(numbers) + 1))
+    assert not answer.whole or answer.status != 200 or len(numbers) == _EVENTS
+    noticed = world.inst.metrics.crashes.labels("suspect")
+    world.wait(lambda: noticed._value.get() >= 1)
