An instance asks its peers which requests crash servers before it serves any

Cause: the peers were asked in the background, from 0.05 s after the start on, while requests were served as soon as the configuration was there. Fix: requests get 503 until peers have answered, for 0.6 s at most, then with a line crashes_not_caught_up; without seeds at once.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -51,6 +51,8 @@
 # The settings file is checked for changes at this interval, since it may be
 # replaced without a signal.
 _SETTINGS_POLL_S = 2.0
+# For how long an instance that starts waits for its peers' answers.
+_CATCH_UP_LIMIT_S = 0.6
 _ADMIN_LIMITS = caller_server.Limits(
     head_bytes=16384, body_bytes=65536, head_s=3.0, idle_s=60.0
 )
@@ -182,6 +184,7 @@
             OSError: An address cannot be bound.
         """
         decision_log.start(self._log)
+        self._inst.crashes_known = not self._inst.cfg.seeds
         gevent.spawn(self._datagrams.run)
         gevent.spawn(self._origins.run)
         if self._inst.cfg.policy.gossip:
@@ -194,10 +197,7 @@
         gevent.spawn(self._follower.expire_lapsed)
         gevent.spawn(self._watch_settings)
         gevent.spawn(self._peers.run)
-        gevent.spawn(
-            self._crash_gossip.catch_up,
-            lambda: self._peers.request_several(crash_gossip.SNAPSHOT_PATH),
-        )
+        gevent.spawn(self._catch_up_with_crashes)
         gevent.spawn(
             catch_up.fetch,
             lambda: self._peers.request_several(catch_up.DEPARTURES_PATH),
@@ -213,6 +213,20 @@
         self._log.instance("stop", in_flight=self._inst.in_flight)
         self._log.flush()
 
+    def _catch_up_with_crashes(self) -> None:
+        """Asks peers which requests crash servers, before any is served.
+
+        Peers that cannot be reached do not keep the instance from serving.
+        """
+        asking = gevent.spawn(
+            self._crash_gossip.catch_up,
+            lambda: self._peers.request_several(crash_gossip.SNAPSHOT_PATH),
+        )
+        asking.join(timeout=_CATCH_UP_LIMIT_S)
+        if not asking.ready():
+            self._log.instance("crashes_not_caught_up")
+        self._inst.crashes_known = True
+
     def _handle_signals(self) -> None:
         """Handles signals, those of the start included."""
         for signum in (signal.SIGTERM, signal.SIGINT):
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -120,6 +120,9 @@
         self.origins = origin_registry.OriginRegistry(
             releases=self.servers.releases, now=now
         )
+        # Whether peers have answered which requests crash servers, or are not
+        # waited for any longer.
+        self.crashes_known = True
         self._server_list_loaded = False
         self._last_ready = False
         self.stopping_since_s: float | None = None
@@ -154,8 +157,12 @@
 
     @property
     def configured(self) -> bool:
-        """Whether the configuration and the server list have been loaded."""
-        return self._server_list_loaded and self.catalog is not None
+        """Whether all has been loaded that requests are served by."""
+        return (
+            self._server_list_loaded
+            and self.catalog is not None
+            and self.crashes_known
+        )
 
     @property
     def stopping(self) -> bool:
--- a/irisshelf/tests/test_crash_processes.py
+++ b/irisshelf/tests/test_crash_processes.py
@@ -48,7 +48,7 @@
     peers = [f"127.0.0.1:{block.take()}" for _ in range(2)]
     made = []
 
-    def make():
+    def make(also=None):
         number = len(made)
         entry = fleet.Entry(
             number=number,
@@ -60,9 +60,13 @@
         )
         entry.start()
         made.append(entry)
-        served = fleet.wait_until(
-            lambda: _ask(entry, b"{}") == 200, time.monotonic() + _START_S
-        )
+
+        def serves():
+            if also is not None:
+                _ask(entry, also)
+            return _ask(entry, b"{}") == 200
+
+        served = fleet.wait_until(serves, time.monotonic() + _START_S)
         assert served
         return entry
 
@@ -109,3 +113,16 @@
     assert refused
     assert _ask(second, _BODY) == 503
     assert sum(one.ends for one in servers) == 3
+
+
+def test_an_instance_asks_its_peers_before_it_sends_requests(
+    platform, make_entry
+):
+    """Guards against a server crashed by what all other instances reject."""
+    _, servers = platform
+    first = make_entry()
+    assert [_ask(first, _BODY) for _ in range(3)] == [502, 502, 502]
+    gevent.sleep(1.0)
+    second = make_entry(also=_BODY)
+    assert _ask(second, _BODY) == 503
+    assert sum(one.ends for one in servers) == 3
