--- a/irisshelf/gateway/servers/recent_successes.py
+++ b/irisshelf/gateway/servers/recent_successes.py
@@ -18,7 +18,7 @@
 _RECENT_S = 60.0
 # Parts of a prompt that are looked at; those after them are the cause of a
 # crash only as far as the whole content of the request is.
-_MAX_PARTS_OF_PROMPT = 256
+_MAX_PARTS_OF_PROMPT = 512
 
 RequestKey = tuple[str, str, str, bytes]
 
