--- a/bench/main.py
+++ b/bench/main.py
@@ -9,6 +9,7 @@
 from bench import bundle
 from bench import chart
 from bench import claims
+from bench import crash_parts
 from bench import documents
 from bench import gossip
 from bench import relay
@@ -35,6 +36,7 @@
         "claims": claims.measure,
         "documents": documents.measure,
         "suspects": suspects.measure,
+        "crashing parts": crash_parts.measure,
         "stream origins": stream_origins.measure,
         "rollout": rollout.measure,
         "routing": _routing,
--- a/irisshelf/routing/crash_suspects.py
+++ b/irisshelf/routing/crash_suspects.py
@@ -100,7 +100,9 @@
         self._succeeded_s: dict[bytes, float] = {}
         # By server key: the crashes that any fingerprint has.
         self._crash_times: dict[bytes, list[float]] = {}
-        # Computed when needed; None after a change.
+        # Fingerprints with enough evidence to be a cause, and the causes among
+        # them, computed when needed; None after a change.
+        self._heavy: dict[bytes, tuple[crash_evidence.ServerCrash, ...]] = {}
         self._causes: crash_causes.Causes | None = None
 
     def __bool__(self) -> bool:
@@ -203,7 +205,7 @@
         if not known:
             return _CLEAR
         if self._causes is None:
-            self._causes = crash_causes.find_causes(self._crashes)
+            self._causes = crash_causes.find_causes(self._heavy)
         verdicts = [
             _judge_by_cause(cause, frozenset(known), now)
             for cause in self._causes.found
@@ -269,8 +271,10 @@
         fingerprint: bytes,
         crashes: tuple[crash_evidence.ServerCrash, ...],
     ) -> None:
-        self._causes = None
         self._crashes[fingerprint] = crashes
+        if crash_evidence.weigh(crashes) >= crash_evidence.BAR_WEIGHT:
+            self._heavy[fingerprint] = crashes
+            self._causes = None
         self._prefix_counts[fingerprints_module.prefix_of(fingerprint)] += 1
 
     def _evict(self) -> None:
@@ -282,7 +286,8 @@
         """Removes a fingerprint; returns whether it was recorded."""
         if self._crashes.pop(fingerprint, None) is None:
             return False
-        self._causes = None
+        if self._heavy.pop(fingerprint, None) is not None:
+            self._causes = None
         prefix = fingerprints_module.prefix_of(fingerprint)
         self._prefix_counts[prefix] -= 1
         if not self._prefix_counts[prefix]:
