The exit of a service's last server is confirmed as well

Cause: an instance that is refused looks whether its own link works at other servers of the same service. When these have all ended, as such a part makes them, it finds none, and the crash of the last one was forgotten each time. Evidence: crash_not_confirmed at all three instances for lm-1, 60 ms after lm-0 and lm-2 had been confirmed.

Fix: servers whose exit has been confirmed say nothing about the link; where none is left, those of other services are looked at. A partition from one service confirms no exit, so that it is seen as before.

--- a/irisshelf/gateway/servers/process_exits.py
+++ b/irisshelf/gateway/servers/process_exits.py
@@ -122,15 +122,21 @@
 
         Connects to other servers, of the same service if it has any: a
         partition may separate an instance from one service only. Servers that
-        refuse connections as well show nothing unless all do.
+        refuse connections as well show nothing unless all do, and those whose
+        exit has been confirmed show nothing at all.
         """
-        others = [s for s in self._listed() if s.server_id != server.server_id]
+        others = [
+            other
+            for other in self._listed()
+            if other.server_id != server.server_id
+            and other.server_id not in self._exited
+        ]
         if not others:
             return True
-        same = [s for s in others if s.service == server.service]
+        same = [other for other in others if other.service == server.service]
         others = same or others
         others = [
-            s for s in others if s.server_id not in self._refused_s
+            other for other in others if other.server_id not in self._refused_s
         ] or others
         probed = self._rng.sample(others, min(_PROBED_SERVERS, len(others)))
         probes = [gevent.spawn(self._probe, other) for other in probed]
--- a/irisshelf/tests/test_confirmed_exits.py
+++ b/irisshelf/tests/test_confirmed_exits.py
@@ -116,3 +116,31 @@
         if server not in reachable:
             exits.record_refused(server)
     assert exits.reaches_others(servers[-1]) is expected
+
+
+@pytest.mark.parametrize(
+    ("others", "reachable", "expected"),
+    [
+        pytest.param(0, False, True, id="no-other-service"),
+        pytest.param(2, True, True, id="other-service-reached"),
+        pytest.param(2, False, False, id="nothing-reached"),
+    ],
+)
+def test_the_last_server_of_a_service_may_exit(others, reachable, expected):
+    """Guards against an exit that counts for nothing as all have exited."""
+    servers = [
+        directory.BackendServer(
+            server_id=f"{service}-{number}",
+            service=service,
+            address="127.0.0.1:1",
+            data_centre="a",
+            slots=4,
+        )
+        for service, count in (("lm", 3), ("crew", others))
+        for number in range(count)
+    ]
+    exits = _exits(servers, servers[3:] if reachable else [], 1)
+    for server in servers[:2]:
+        exits.record_refused(server)
+        exits.judge(server, server_paths.Verdict.REFUSED)
+    assert exits.reaches_others(servers[2]) is expected
--- a/irisshelf/tests/test_crashing_parts.py
+++ b/irisshelf/tests/test_crashing_parts.py
@@ -117,6 +117,21 @@
     assert share >= _LEAST_SHARE
 
 
+@pytest.mark.parametrize("engines", [1, 2, 3])
+def test_a_part_crashes_few_servers_of_a_small_service(make_world, engines):
+    """Guards against a crash that is forgotten as no server is left."""
+    callers = crashing_parts.Callers(_world(make_world, servers=engines))
+    loops = [
+        gevent.spawn(
+            callers.keep_sending, callers.send_crashing, _CRASHING_PAUSE_S
+        )
+    ]
+    gevent.sleep(2 * _CRASHING_S)
+    callers.stop()
+    gevent.joinall(loops)
+    _check(callers)
+
+
 def test_bursts_crash_few_servers(make_world):
     """Guards against many servers that run such a part at the same time."""
     callers = crashing_parts.Callers(_world(make_world))
