Common parts are told apart from the cause before any request has succeeded

Cause: all parts in progress had the same three crashes, so that they were one cause together, which no request has in full, and each request with some of them was tried, the crashing ones first of all.

Fix: a request that had come far at a crash speaks for its fingerprints, as the server did not crash when that response began: what early and late requests at one crash have in common weighs half. And of requests that have some of the possible causes, those that have all of another one's and more wait for that one.

--- a/irisshelf/gateway/requests/crash_gate.py
+++ b/irisshelf/gateway/requests/crash_gate.py
@@ -59,6 +59,8 @@
             verdict.fingerprint
         ):
             return self._reject(verdict)
+        if verdict.cautious and self._tracker.is_riskiest(verdict.shared):
+            return _uncertain()
         if (verdict.trial or verdict.cautious) and not self._hold(
             verdict.fingerprint
         ):
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -32,6 +32,10 @@
 # from another instance whose message, which is sent twice, is still under way.
 _PRESUMED_CRASH_S = 1.0
 _MAX_LOGGED = 16
+# Requests with some of the possible causes wait for others that have been seen
+# within this time and have fewer of them; limit on what is remembered.
+_PARTIAL_KNOWN_S = 5.0
+_MAX_PARTIAL = 64
 
 # Fingerprints that one request had in progress at a server that crashed, with
 # the crash as evidence against each.
@@ -88,6 +92,9 @@
         )
         # Fingerprints of requests in progress of which only one may be.
         self._held: set[bytes] = set()
+        # When requests with some of the possible causes were last seen, by
+        # these.
+        self._partial_s: dict[frozenset[bytes], float] = {}
 
     def verdict(self, job: messages.Job) -> crash_suspects.Verdict | None:
         """Returns the verdict on a request; None if it is not suspect.
@@ -107,6 +114,25 @@
             return dataclasses.replace(found, trial=True)
         return found
 
+    def is_riskiest(self, shared: frozenset[bytes]) -> bool:
+        """Returns whether others should show first which cause it is.
+
+        Of requests with some of the possible causes, one that has all of those
+        of another one and more is riskier, and shows less if it succeeds.
+
+        Args:
+            shared: The possible causes that the request has.
+        """
+        now = self._now()
+        self._partial_s.pop(shared, None)
+        self._partial_s[shared] = now
+        while len(self._partial_s) > _MAX_PARTIAL:
+            del self._partial_s[next(iter(self._partial_s))]
+        return any(
+            now - seen_s <= _PARTIAL_KNOWN_S and other < shared
+            for other, seen_s in self._partial_s.items()
+        )
+
     def hold(self, fingerprint: bytes) -> bool:
         """Reserves a fingerprint of which one request at a time may be sent.
 
--- a/irisshelf/routing/crash_evidence.py
+++ b/irisshelf/routing/crash_evidence.py
@@ -69,11 +69,15 @@
 
 
 def merge(one: ServerCrash, other: ServerCrash) -> ServerCrash:
-    """Joins two reports of one crash, of different requests or instances."""
+    """Joins two reports of one crash, of different requests or instances.
+
+    If one of two requests had come far, the server did not crash when that
+    response began, so that what both have in common is not likely the cause.
+    """
     return dataclasses.replace(
         one,
         late=one.late and other.late,
-        sound=one.sound or other.sound,
+        sound=one.sound or other.sound or one.late != other.late,
         release=one.release or other.release,
     )
 
--- a/irisshelf/routing/crash_suspects.py
+++ b/irisshelf/routing/crash_suspects.py
@@ -71,6 +71,7 @@
         cautious: Whether an instance may send one such request at a time only,
             as it has some of the fingerprints that cannot be told apart from
             the cause.
+        shared: These fingerprints, if it is cautious.
     """
 
     stage: Stage
@@ -79,6 +80,7 @@
     barred_for_s: float = 0.0
     trial: bool = False
     cautious: bool = False
+    shared: frozenset[bytes] = frozenset()
 
 
 _CLEAR = Verdict(stage=Stage.CLEAR)
@@ -309,6 +311,7 @@
             fingerprint=fingerprint,
             crashes=cause.crashes,
             cautious=True,
+            shared=shared,
         )
     crashed_s = cause.crashes[-1].at_s
     remaining_s = crashed_s + BARRED_S - now
--- a/irisshelf/tests/test_barred_parts.py
+++ b/irisshelf/tests/test_barred_parts.py
@@ -189,3 +189,27 @@
         _ask(world, _PART, entry=0)
         gevent.sleep(0.2)
     assert 0 < _crashes(world) <= _MAX_CRASHES + 2
+
+
+@pytest.mark.parametrize(
+    ("seen", "asked", "riskiest"),
+    [
+        ([], "ab", False),
+        (["a"], "ab", True),
+        (["a"], "a", False),
+        (["ab"], "a", False),
+        (["c"], "ab", False),
+        (["abc", "b"], "ab", True),
+    ],
+)
+def test_requests_with_fewer_possible_causes_go_first(
+    world, seen, asked, riskiest
+):
+    """Guards against crashes by what sound requests could have shown."""
+    tracker = world.inst.crash_tracker
+    for parts in seen:
+        tracker.is_riskiest(frozenset(bytes([one]) for one in parts.encode()))
+    found = tracker.is_riskiest(
+        frozenset(bytes([one]) for one in asked.encode())
+    )
+    assert found is riskiest
--- a/irisshelf/tests/test_crash_causes.py
+++ b/irisshelf/tests/test_crash_causes.py
@@ -199,3 +199,23 @@
     assert designation.designate_instance(
         b"1", instances
     ) == designation.designate_instance(b"1", sorted(instances))
+
+
+@pytest.mark.parametrize(
+    ("reports", "weight"),
+    [
+        pytest.param(["early"], 6, id="early"),
+        pytest.param(["late"], 2, id="late"),
+        pytest.param(["early", "early"], 6, id="both-early"),
+        pytest.param(["late", "late"], 2, id="both-late"),
+        pytest.param(["early", "late"], 3, id="one-had-come-far"),
+        pytest.param(["late", "early", "early"], 3, id="in-any-order"),
+    ],
+)
+def test_a_request_that_had_come_far_speaks_for_its_parts(reports, weight):
+    """Guards against common parts that seem as suspect as the cause."""
+    suspects = crash_suspects.CrashSuspects()
+    for report in reports:
+        suspects.record_crash(b"x", _crash(1, late=report == "late"), 10.0)
+    (crash,) = suspects.snapshot(10.0)[b"x"]
+    assert crash.weight == weight
--- a/irisshelf/tests/test_crashing_parts.py
+++ b/irisshelf/tests/test_crashing_parts.py
@@ -34,8 +34,13 @@
 
 
 def _world(make_world, **options):
-    options = {"servers": _ENGINES, "data_centres": _PLACES} | options
-    world = make_world(events=4, event_s=0.01, **options)
+    options = {
+        "servers": _ENGINES,
+        "data_centres": _PLACES,
+        "events": 4,
+        "event_s": 0.01,
+    } | options
+    world = make_world(**options)
     for engine in world.engines:
         engine.away_s = _AWAY_S
         engine.before_end_s = 0.02
@@ -132,6 +137,28 @@
     _check(callers)
 
 
+@pytest.mark.parametrize("moment", list(Moment))
+def test_a_part_is_found_before_any_request_has_succeeded(make_world, moment):
+    """Guards against parts that are all alike as nothing is served yet."""
+    world = _world(make_world, servers=3, events=12, event_s=0.02)
+    for engine in world.engines:
+        engine.ends_at = moment
+    callers = crashing_parts.Callers(world)
+    loops = [
+        gevent.spawn(callers.keep_sending, *one)
+        for one in (
+            (callers.send_crashing, _CRASHING_PAUSE_S),
+            (callers.send_sound, _SOUND_PAUSE_S),
+        )
+    ]
+    gevent.sleep(2 * _CRASHING_S)
+    callers.stop()
+    gevent.joinall(loops)
+    _check(callers)
+    now = boottime.now()
+    assert callers.share_begun(now - _CRASHING_S, now) >= _LEAST_SHARE
+
+
 def test_bursts_crash_few_servers(make_world):
     """Guards against many servers that run such a part at the same time."""
     callers = crashing_parts.Callers(_world(make_world))
