A crash that nobody could confirm counts once its server is gone

Cause: what an exit shows was dropped at the moment at which nobody could confirm it, although the server's entry goes, or is replaced, soon after. Fix: it is kept for 10 s, and counts as soon as the server is no longer listed, or another instance has confirmed its exit; not if any instance reaches the server.

--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -35,11 +35,16 @@
 # Requests with some of the possible causes wait for others that have been seen
 # within this time and have fewer of them; limit on what is remembered.
 _PARTIAL_KNOWN_S = 5.0
+# A server that is gone within this time after connections to it broke has
+# probably crashed then; limit on the servers that this is remembered of.
+_UNCONFIRMED_S = 10.0
+_MAX_UNCONFIRMED = 64
 _MAX_PARTIAL = 64
 
 # Fingerprints that one request had in progress at a server that crashed, with
 # the crash as evidence against each.
-Evidence = Sequence[tuple[bytes, crash_evidence.ServerCrash]]
+_Crash = crash_evidence.ServerCrash
+Evidence = Sequence[tuple[bytes, _Crash]]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -90,6 +95,10 @@
         self._probe = exit_probe.ExitProbe(
             servers=servers, listed=listed, counts=counts, now=now
         )
+        # By key of a server that nobody reached nor confirmed to have exited:
+        # what its end would show.
+        self._unconfirmed: dict[bytes, list[tuple[bytes, _Crash]]] = {}
+        servers.on_gone = self._apply_unconfirmed
         # Fingerprints of requests in progress of which only one may be.
         self._held: set[bytes] = set()
         # When requests with some of the possible causes were last seen, by
@@ -366,9 +375,17 @@
     def _retract(
         self, evidence: Evidence, server: directory.BackendServer
     ) -> None:
-        """Forgets a crash, as the server's process has not exited."""
+        """Takes a crash back, as the server's process may not have exited.
+
+        It counts again if the server turns out to be gone.
+        """
         for fingerprint, crash in evidence:
             self.suspects.retract_crash(fingerprint, crash)
+        if self._servers.reach.is_unreachable(server):
+            key = directory.short_id(server.server_id)
+            self._unconfirmed.setdefault(key, []).extend(evidence)
+            while len(self._unconfirmed) > _MAX_UNCONFIRMED:
+                del self._unconfirmed[next(iter(self._unconfirmed))]
         self._probe.forget(server)
         self._metrics.crashes.labels("retracted").inc()
         self._log.instance(
@@ -377,6 +394,18 @@
             server=server.server_id,
         )
 
+    def _apply_unconfirmed(self, gone: Collection[bytes]) -> None:
+        """Applies crashes of servers that are gone after all."""
+        now = self._now()
+        for key in self._unconfirmed.keys() & set(gone):
+            new = [
+                (fingerprint, crash)
+                for fingerprint, crash in self._unconfirmed.pop(key)
+                if now - crash.at_s <= _UNCONFIRMED_S
+                and self.suspects.record_crash(fingerprint, crash, now)
+            ]
+            self._log_crash(new, "", "")
+
     def _apply_reported(self, evidence: Evidence, name: str) -> Evidence:
         """Applies a crash; returns what of it is new."""
         new = []
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -6,6 +6,7 @@
 import functools
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from irisshelf.catalog import directory
@@ -47,6 +48,8 @@
         publish: Sends a fact to other instances.
         releases: The releases that services have had lately.
         on_releases_changed: Called after ``releases`` may have changed.
+        on_gone: Called with the keys of servers that are no longer listed, or
+            whose exit another instance has confirmed.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
             life_s=stream_origins.MIN_LIFE_S
         )
         self.on_releases_changed: Callable[[], None] = _do_nothing
+        self.on_gone: Callable[[Collection[bytes]], None] = _ignore
         self.reports = server_reports.ReportHandler(
             availability=eligible.availability,
             on_load=self.record_reported_load,
@@ -214,6 +218,7 @@
             self._doubt_entry(
                 server, "exit seen by peer", returned=fact.returned
             )
+            self.on_gone([fact.server])
 
     @apply_fact.register
     def _(self, fact: facts.ServerLoad) -> None:
@@ -253,7 +258,8 @@
             directory.short_id(server.entry_id): server.entry_id
             for server in servers
         }
-        self._note_delisted(before.keys() - self._by_key.keys())
+        gone = before.keys() - self._by_key.keys()
+        self._note_delisted(gone)
         for chooser in self._choosers.values():
             chooser.stats.retain(names)
             chooser.load_limits.retain(names)
@@ -265,6 +271,7 @@
         self._abort_replaced(servers)
         self.releases.update(servers, self._now())
         self.on_releases_changed()
+        self.on_gone(gone)
         self._metrics.servers.set(len(servers))
 
     def by_key(self, key: bytes) -> directory.BackendServer | None:
@@ -349,6 +356,10 @@
             )
 
 
+def _ignore(keys: Collection[bytes]) -> None:
+    """Default for ``on_gone``."""
+
+
 def _do_nothing() -> None:
     """Default for ``on_releases_changed``."""
 
--- a/irisshelf/tests/test_crash_gossip.py
+++ b/irisshelf/tests/test_crash_gossip.py
@@ -225,3 +225,32 @@
         fleet.ask("/alarm/1", body=_BODY, entry=entry)
     used = {one.server_id for one in fleet.plain if one.runs and not one.ends}
     assert len(used) == 1
+
+
+@pytest.mark.parametrize(
+    ("gone", "reached", "counted"),
+    [
+        pytest.param(True, False, True, id="delisted-later"),
+        pytest.param(False, False, False, id="still-listed"),
+        pytest.param(True, True, False, id="reached-by-others"),
+    ],
+)
+def test_a_crash_that_is_not_confirmed_counts_once_the_server_is_gone(
+    make_world, monkeypatch, gone, reached, counted
+):
+    """Guards against crashes forgotten while nobody can tell."""
+    world = make_world(servers=3)
+    tracker = world.inst.crash_tracker
+    reach = world.inst.servers.reach
+    monkeypatch.setattr(reach.exits, "confirm", lambda server: False)
+    monkeypatch.setattr(reach, "is_unreachable", lambda server: not reached)
+    for one in world.plain:
+        one.ends_under = lambda run: run.body == _BODY
+        one.away_s = 60.0
+    world.ask("/alarm/1", body=_BODY)
+    assert not tracker.suspects
+    (crashed,) = [one for one in world.plain if one.ends]
+    if gone:
+        world.store.drop("servers", crashed.server_id)
+        world.wait(lambda: len(world.inst.directory.servers_of("crew")) == 2)
+    assert bool(tracker.suspects) is counted
