--- a/irisshelf/gateway/knowledge/crash_gossip.py
+++ b/irisshelf/gateway/knowledge/crash_gossip.py
@@ -45,6 +45,8 @@
 
 # Fingerprints in one message, so that it fits into a datagram.
 _MAX_FINGERPRINTS = 64
+# Successful parts in a snapshot, 15 bytes each.
+_MAX_SUCCESSES = 1000
 _LATE_FLAG = 1
 _SOUND_FLAG = 2
 
@@ -63,6 +65,13 @@
 _Crash = tuple[_ServerKey, _AgeMs, _Flags, _Release]
 
 
+class _Snapshot(msgspec.Struct, array_like=True):
+    # Crashes by fingerprint.
+    crashes: list[tuple[_Fingerprint, list[_Crash]]]
+    # Parts that have succeeded lately, and their age.
+    successes: list[tuple[_Fingerprint, _AgeMs]]
+
+
 class _Message(msgspec.Struct, array_like=True):
     # Fingerprints of a request, each with the flags of its evidence.
     evidence: Annotated[
@@ -133,30 +142,37 @@
         catch_up.fetch(request_snapshots, self._apply_snapshot)
 
     def snapshot(self, fields: Mapping[str, str] | None = None) -> bytes:
-        """Encodes all known crashes, for ``catch_up``.
+        """Encodes known crashes and recent successes, for ``catch_up``.
 
         Args:
             fields: Query parameters; ignored.
         """
         now = boottime.now()
-        rows = [
+        crashes = [
             (fingerprint, [_pack(crash, now) for crash in crashes])
             for fingerprint, crashes in self._crashes.suspects.snapshot(
                 now
             ).items()
         ]
-        return cbor2.dumps(rows)
+        successes = [
+            (fingerprint, int((now - at_s) * 1000))
+            for fingerprint, at_s in self._crashes.successes.latest_parts(
+                _MAX_SUCCESSES
+            )
+        ]
+        return cbor2.dumps([crashes, successes])
 
     def _apply_snapshot(self, data: bytes) -> None:
         now = boottime.now()
         try:
-            rows = msgspec.convert(
-                cbor2.loads(data), list[tuple[_Fingerprint, list[_Crash]]]
-            )
+            found = msgspec.convert(cbor2.loads(data), _Snapshot)
         except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
             self._log.warning("crashes_unreadable", detail=str(exc))
             return
-        for fingerprint, crashes in rows:
+        for fingerprint, age_ms in found.successes:
+            at_s = now - age_ms / 1000
+            self._crashes.successes.add_part(fingerprint, at_s)
+        for fingerprint, crashes in found.crashes:
             for server_key, age_ms, flags, release in crashes:
                 crash = _unpack(server_key, now - age_ms / 1000, flags, release)
                 self._crashes.merge_crash(fingerprint, crash)
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -34,7 +34,7 @@
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _MAX_LOGGED_PARTS = 8
 # A response with more events than this was well under way.
-_EARLY_EVENTS = 8
+_EARLY_EVENTS = 4
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -67,6 +67,7 @@
 
     Attributes:
         suspects: Suspect fingerprints and the crashes behind them.
+        successes: What has succeeded lately.
         on_crash: Called with the evidence of a crash that this instance
             observed, to notify others.
         on_clear: Called with fingerprints that are cleared, to notify others.
@@ -91,7 +92,7 @@
         self._log = log
         self._metrics = counts
         self._now = now
-        self._successes = recent_successes.RecentSuccesses()
+        self.successes = recent_successes.RecentSuccesses()
         self._probe = exit_probe.ExitProbe(
             servers=servers, listed=listed, counts=counts, now=now
         )
@@ -216,7 +217,7 @@
         Returns:
             Whether the request seems to have crashed the server.
         """
-        if not self._probe.is_refused(server) or self._successes.has_request(
+        if not self._probe.is_refused(server) or self.successes.has_request(
             job
         ):
             return False
@@ -235,7 +236,7 @@
 
     def record_success(self, job: messages.Job) -> None:
         """Records that a request has succeeded."""
-        self._successes.record(job, self._now())
+        self.successes.record(job, self._now())
         if self.suspects:
             known = [f for f in self._fingerprints(job) if f in self.suspects]
             self._clear(known, job.head.request_id, self._now(), publish=True)
@@ -345,7 +346,7 @@
         evidence = [
             (
                 fingerprint,
-                sound if self._successes.has_part(fingerprint, now) else crash,
+                sound if self.successes.has_part(fingerprint, now) else crash,
             )
             for fingerprint in recent_successes.part_fingerprints(job)
         ]
@@ -410,10 +411,10 @@
         """Applies a crash; returns what of it is new."""
         new = []
         for fingerprint, crash in evidence:
-            if self._successes.has_fingerprint(fingerprint):
+            if self.successes.has_fingerprint(fingerprint):
                 self.on_clear([fingerprint])
                 continue
-            if self._successes.has_part(fingerprint, crash.at_s):
+            if self.successes.has_part(fingerprint, crash.at_s):
                 crash = dataclasses.replace(crash, sound=True)
             if self.suspects.record_crash(fingerprint, crash, self._now()):
                 new.append((fingerprint, crash))
--- a/irisshelf/gateway/servers/recent_successes.py
+++ b/irisshelf/gateway/servers/recent_successes.py
@@ -63,6 +63,17 @@
         self._unhashed = 0
         return fingerprint in self._hashed
 
+    def add_part(self, fingerprint: bytes, at_s: float) -> None:
+        """Adds a part that succeeded at another instance."""
+        if at_s > self._parts_s.get(fingerprint, float("-inf")):
+            self._parts_s.pop(fingerprint, None)
+            self._parts_s[fingerprint] = at_s
+
+    def latest_parts(self, count: int) -> list[tuple[bytes, float]]:
+        """Returns the parts that succeeded last, and when, oldest first."""
+        first = max(0, len(self._parts_s) - count)
+        return list(itertools.islice(self._parts_s.items(), first, None))
+
     def has_part(self, fingerprint: bytes, at_s: float) -> bool:
         """Returns whether a part was in a successful request before a time."""
         last_s = self._parts_s.get(fingerprint, float("-inf"))
--- a/irisshelf/routing/crash_suspects.py
+++ b/irisshelf/routing/crash_suspects.py
@@ -26,6 +26,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 import math
 from collections.abc import Collection
 
@@ -37,8 +38,8 @@
 # right, each expiry costs one more crash, which takes a server away for some
 # seconds: less than 1 % of the time of one server.
 BARRED_S = 600.0
-# A bar on no more evidence than is needed is tried by one request after this
-# time, as that evidence may be a coincidence.
+# A bar is tried by one request after this time, as its evidence may be a
+# coincidence; if that crashes a server, not again.
 TRIAL_AFTER_S = 10.0
 # A fingerprint without a crash for this time is clear.
 _FORGET_AFTER_S = 2 * BARRED_S
@@ -327,8 +328,16 @@
         fingerprint=fingerprint,
         crashes=cause.crashes,
         barred_for_s=remaining_s,
-        trial=now - crashed_s >= TRIAL_AFTER_S
-        and len(cause.crashes) <= crash_evidence.CRASHES_TO_BAR,
+        trial=now - crashed_s >= TRIAL_AFTER_S and not _was_tried(cause),
+    )
+
+
+def _was_tried(cause: crash_causes.Cause) -> bool:
+    """Returns whether a server has crashed in a trial of the bar."""
+    barred = cause.crashes[crash_evidence.CRASHES_TO_BAR - 1 :]
+    return any(
+        later.at_s - earlier.at_s >= TRIAL_AFTER_S
+        for earlier, later in itertools.pairwise(barred)
     )
 
 
--- a/irisshelf/tests/test_crash_gossip.py
+++ b/irisshelf/tests/test_crash_gossip.py
@@ -209,6 +209,26 @@
     assert _stages(fleet) == ["barred"] * 5
 
 
+def test_a_starting_instance_learns_what_has_succeeded_lately(fleet):
+    """Guards against common parts blamed by an instance that saw none yet."""
+    new = entry_module.Entry(
+        name="entry-9",
+        data_centre="a",
+        store=fleet.store.address,
+        bounds=settings.Bounds(),
+        switched=policy.DEFAULT,
+    )
+    fleet.ask("/query/1", Prefix_Hash="common:10,last:10")
+    snapshot = fleet.entries[0].crash_gossip.snapshot()
+    new.crash_gossip.catch_up(lambda: [snapshot])
+    fleet.entries.append(new)
+    part = fingerprints.part_fingerprint("lm", "common")
+    other = fingerprints.part_fingerprint("lm", "last")
+    successes = new.inst.crash_tracker.successes
+    assert successes.has_part(part, boottime.now())
+    assert not successes.has_part(other, boottime.now())
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", b"\x81\x01", b"\x05"])
 def test_an_invalid_snapshot_is_ignored(fleet, data):
     entry = fleet.entries[0]
