--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -11,6 +11,7 @@
 
 from irisshelf.testing import ports
 from soak import checker
+from soak import crash_checks
 from soak import crashing
 from soak import observations
 from soak import plan
@@ -759,3 +760,66 @@
     ]
     record = _record(asked, versions=versions)
     assert bool(stream_checks.refused_resumptions(record, asked)) is broken
+
+
+def _beside(served, of, sent_s, **changes):
+    return [
+        _asked(
+            request_id=f"{sent_s} {number}",
+            kind=_KIND.STREAM,
+            sent_s=sent_s,
+            ended_s=sent_s + 0.1,
+            status=200 if number < served else 503,
+            **changes,
+        )
+        for number in range(of)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("before", "beside", "until_s", "found"),
+    [
+        pytest.param(30, 30, 120.0, False, id="as-before"),
+        pytest.param(30, 15, 120.0, False, id="half"),
+        pytest.param(30, 14, 120.0, True, id="fewer-than-half"),
+        pytest.param(14, 7, 120.0, False, id="half-of-few"),
+        pytest.param(30, 0, 100.5, False, id="none-come-beside"),
+    ],
+)
+def test_refused_sound_requests_are_found(before, beside, until_s, found):
+    """Guards against a check that does not see sound requests refused."""
+    crashing_s = [91.0, 92.0, 93.0, until_s]
+    record = observations.Record(
+        asked=(
+            *_beside(before, 30, 80.0),
+            *_beside(beside, 30, 110.0),
+            *(_asked(sent_s=at_s, crashing=True) for at_s in crashing_s),
+        ),
+        ran=(),
+        withdrawn={},
+        left={},
+        disturbed=(),
+        stopped=(),
+        events=2,
+        ends_s=(91.1, 92.1, 93.1),
+    )
+    detail = crash_checks.refused_beside(record, record.asked)
+    assert bool(detail) is found
+
+
+@pytest.mark.parametrize(
+    ("prefix", "ends"),
+    [("a:1,ends-whoever-runs-it:9,b:1", True), ("a:1", False)],
+)
+def test_a_part_ends_servers_in_seeds_with_parts(prefix, ends):
+    servers = [
+        types.SimpleNamespace(ends_under=None, ends_at=None) for _ in range(2)
+    ]
+    crashing.CrashingRequest(
+        seed=plan.PARTS_FROM + 1,
+        servers=servers,
+        links=[None, None],
+        list_again=lambda number: None,
+    )
+    run = types.SimpleNamespace(headers={"prefix-hash": prefix}, body=b"")
+    assert servers[1].ends_under(run) is ends
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -96,13 +96,18 @@
                 conn = None
             gevent.sleep(_PAUSE_S)
 
-    def _headers(self, request_id: str, key: str) -> dict[str, str]:
+    def _headers(
+        self, request_id: str, key: str, part: str = ""
+    ) -> dict[str, str]:
+        shared = f"aa:300,b{self._serial % 7}:900"
+        if part:
+            shared += f",{part}:90"
         return {
             "Host": world.HOST,
             "Request-Id": request_id,
             "Deadline-Ms": str(int(_DEADLINE_S * 1000)),
             "Authorization": f"Bearer {key}",
-            "Prefix-Hash": f"aa:300,b{self._serial % 7}:900,own:9",
+            "Prefix-Hash": f"{shared},own:9",
         }
 
     def _key(self) -> str:
@@ -112,7 +117,9 @@
             return self._rng.choice(list(withdrawn))
         return self._injector.keys[0]
 
-    def crash(self, kind: observations.RequestKind, body: bytes) -> None:
+    def crash(
+        self, kind: observations.RequestKind, body: bytes, part: str
+    ) -> None:
         """Asks for what ends servers, on a new connection."""
         entry = self._rng.choice(self._entries)
         try:
@@ -120,7 +127,7 @@
             conn = client.connect(address, timeout_s=0.5)
         except errors.TransportError:
             return
-        conn = self._ask(conn, entry.number, kind, body)
+        conn = self._ask(conn, entry.number, kind, body, part)
         if conn is not None:
             conn.close()
 
@@ -130,13 +137,19 @@
         instance: int,
         crashing_kind: observations.RequestKind | None = None,
         crashing_body: bytes = b"",
+        part: str = "",
     ) -> client.Connection | None:
         kind = crashing_kind or self._draw_kind()
         leaves_after = None
         if kind is observations.RequestKind.RESUMABLE and not crashing_body:
             leaves_after = self._draw_leaving()
         asked = self._send(
-            conn, instance, kind, crashing_body, leaves_after=leaves_after
+            conn,
+            instance,
+            kind,
+            crashing_body,
+            leaves_after=leaves_after,
+            part=part,
         )
         if plan.has_versions(self._seed) and not crashing_body:
             self._resume(asked)
@@ -199,6 +212,7 @@
         leaves_after: int | None = None,
         resumes: observations.Asked | None = None,
         after: int = 0,
+        part: str = "",
     ) -> observations.Asked:
         """Sends one attempt and records what came of it."""
         method, target, body = _ROUTES[kind]
@@ -208,7 +222,7 @@
             body += f" {self._serial}".encode()
         request_id = f"s{self._seed}-{self._serial}"
         key = resumes.key if resumes else self._key()
-        headers = self._headers(request_id, key)
+        headers = self._headers(request_id, key, part)
         if resumes is not None:
             headers["Resumes"] = resumes.request_id
             headers["Last-Event-Id"] = str(after)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -7,6 +7,7 @@
 import enum
 from collections.abc import Iterable
 
+from soak import crash_checks
 from soak import observations
 from soak import stream_checks
 from soak import streams
@@ -14,11 +15,6 @@
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _HANDLED = 0.5  # Seconds that an answer may be late at the caller.
-# Servers that may end under a request, and sends that may follow, later than
-# so many seconds after the last of those ends.
-_ENDS_ALLOWED = 3
-_SENDS_ALLOWED = 3
-_ENDS_KNOWN_S = 3.0
 # Requests that may reach a server from an instance in a rest, later than so
 # many seconds after its answer.
 _IN_A_REST_ALLOWED = 2
@@ -52,6 +48,7 @@
     VERSION = "a stream goes on at the version that began it"
     RESUMED = "streams go on half as often as others begin, at least"
     CRASHES = "what three servers ended under is sent on three times at most"
+    BESIDE = "sound requests that share its other parts begin half as often"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -81,7 +78,7 @@
     found = list(_unasked(record, runs))
     for asked in record.asked:
         found += _check_one(record, bounds, asked, runs[asked.request_id])
-    found += _sent_on(record, runs)
+    found += _crashes(record, runs)
     found += _too_many_while_cold(record, bounds)
     found += _sent_against_reports(record, bounds)
     found += _served_worse(record)
@@ -112,26 +109,21 @@
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
-def _sent_on(
+def _crashes(
     record: observations.Record, runs: dict[str, list[observations.Ran]]
 ) -> Iterable[Violation]:
-    if len(record.ends_s) < _ENDS_ALLOWED:
-        return
-    known_s = sorted(record.ends_s)[_ENDS_ALLOWED - 1] + _ENDS_KNOWN_S
-    late = [
-        asked.request_id
-        for asked in record.asked
-        if asked.crashing
-        and asked.sent_s > known_s
-        and not _touches(record.disturbed, asked)
-        for _ in runs[asked.request_id]
+    undisturbed = [
+        one for one in record.asked if not _touches(record.disturbed, one)
     ]
-    if len(late) > _SENDS_ALLOWED:
+    found = crash_checks.sent_on(record, undisturbed, runs)
+    if found:
+        request_id, detail = found
         yield Violation(
-            promise=Promise.CRASHES,
-            request_id=late[-1],
-            detail=f"{len(late)} sends, {len(record.ends_s)} servers ended",
+            promise=Promise.CRASHES, request_id=request_id, detail=detail
         )
+    detail = crash_checks.refused_beside(record, undisturbed)
+    if detail:
+        yield Violation(promise=Promise.BESIDE, request_id="", detail=detail)
 
 
 def _too_many_while_cold(
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -20,6 +20,11 @@
         """Whether it may run once at most."""
         return self in (RequestKind.UNSAFE, RequestKind.STREAM)
 
+    @property
+    def streamed(self) -> bool:
+        """Whether its answer is a stream."""
+        return self in (RequestKind.STREAM, RequestKind.RESUMABLE)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Asked:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -91,6 +91,10 @@
 PARTITIONS_FROM = 5000
 # Seeds from this one on have servers of several software versions.
 VERSIONS_FROM = 6000
+# Seeds from this one on have a part of prompts that ends servers, and servers
+# whose answers end with their connections.
+PARTS_FROM = 7000
+_UNFRAMED_EVERY = 3
 SMALL_KINDS = tuple(
     kind
     for kind in Kind
@@ -213,6 +217,16 @@
     return seed >= VERSIONS_FROM
 
 
+def has_parts(seed: int) -> bool:
+    """Returns whether a part of prompts ends servers, not a whole request."""
+    return seed >= PARTS_FROM
+
+
+def is_unframed(seed: int) -> bool:
+    """Returns whether answers of servers have neither a length nor chunks."""
+    return has_parts(seed) and seed % _UNFRAMED_EVERY == 0
+
+
 def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
     """Returns the faults of a seed, by time; several come together or twice.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -93,6 +93,8 @@
         )
         if plan.has_versions(seed):
             self._injector.of_servers.begin_versions()
+        for one in self.servers:
+            one.unframed = plan.is_unframed(seed)
         self._injector.prepare()
         self._crashing: crashing.CrashingRequest | None = None
         if crashing.is_asked(seed):
@@ -142,7 +144,7 @@
         self._callers.start()
         began_s = time.monotonic()
         if self._crashing is not None:
-            until_s = began_s + plan.FAULTS_UNTIL_S
+            until_s = began_s + self._crashing.until_s
             self._callers.spawn(
                 self._crashing.ask_until, until_s, self._callers.crash
             )
@@ -150,6 +152,8 @@
             gevent.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
             self._injector.inject(fault)
         last_s = max(fault.at_s + fault.for_s for fault in self._faults)
+        if self._crashing is not None and plan.has_parts(self._seed):
+            last_s = max(last_s, self._crashing.until_s)
         gevent.sleep(max(0.0, began_s + last_s - time.monotonic()))
         gevent.sleep(_SETTLE_S)
         self._all_serve(time.monotonic() + _START_S)
