Weak evidence of a crash is sent only about what others suspect as well

At 400 instances a crash with 8 requests in progress would cost about 4.9 KB an instance in messages of 5 fingerprints each (worked out from their size, 110 bytes, not measured), 2.9 KB with content only. Most of these requests had come far, which is weak evidence and changes a decision only about fingerprints that are suspect already: it is sent 0.1 s later, and only for those. Two new cases; the second failed before.

--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -32,6 +32,8 @@
 # from another instance whose message, which is sent twice, is still under way.
 _PRESUMED_CRASH_S = 1.0
 _MAX_LOGGED = 16
+# By then the strong evidence of the same crash has arrived from others.
+_LATE_DELAY_S = 0.1
 # Requests with some of the possible causes wait for others that have been seen
 # within this time and have fewer of them; limit on what is remembered.
 _PARTIAL_KNOWN_S = 5.0
@@ -229,7 +231,9 @@
             for fingerprint, crash in evidence
             if self.suspects.record_crash(fingerprint, crash, self._now())
         ]
-        if new:
+        if new and late:
+            gevent.spawn_later(_LATE_DELAY_S, self._publish_late, new)
+        elif new:
             self.on_crash(new)
         confirm = gevent.spawn(self._confirm, job, server, evidence, new)
         return not wait or confirm.get()
@@ -395,6 +399,20 @@
             server=server.server_id,
         )
 
+    def _publish_late(self, evidence: Evidence) -> None:
+        """Publishes weak evidence, where it may change what others decide.
+
+        Most requests in progress at a crash had come far, and nothing else is
+        held against most of their fingerprints.
+        """
+        needed = [
+            (fingerprint, crash)
+            for fingerprint, crash in evidence
+            if self.suspects.is_suspect(fingerprint)
+        ]
+        if needed:
+            self.on_crash(needed)
+
     def _apply_unconfirmed(self, gone: Collection[bytes]) -> None:
         """Applies crashes of servers that are gone after all."""
         now = self._now()
--- a/irisshelf/routing/crash_suspects.py
+++ b/irisshelf/routing/crash_suspects.py
@@ -191,6 +191,14 @@
         """Tells whether any recorded fingerprint starts with a prefix."""
         return prefix in self._prefix_counts
 
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Returns whether there is any strong evidence, explained or not.
+
+        So it is if early and late reports of one crash have been joined.
+        """
+        crashes = self._crashes.get(fingerprint, ())
+        return any(not crash.late for crash in crashes)
+
     def judge(self, fingerprint: bytes, now: float) -> Verdict:
         """Returns the current assessment of a request with one fingerprint."""
         return self.judge_request((fingerprint,), now)
--- a/irisshelf/tests/test_crash_gossip.py
+++ b/irisshelf/tests/test_crash_gossip.py
@@ -274,3 +274,30 @@
         world.store.drop("servers", crashed.server_id)
         world.wait(lambda: len(world.inst.directory.servers_of("crew")) == 2)
     assert bool(tracker.suspects) is counted
+
+
+@pytest.mark.parametrize(("suspect", "sent"), [(True, True), (False, False)])
+def test_weak_evidence_is_sent_only_where_it_matters(make_world, suspect, sent):
+    """Guards against messages about all requests at a server that crashes."""
+    world = make_world(events=20, data_centres=("a", "a"))
+    here, there = (entry.inst.crash_tracker for entry in world.entries)
+    part = fingerprints.part_fingerprint("lm", "common")
+    if suspect:
+        earlier = crash_evidence.ServerCrash(
+            server_key=b"earlier", at_s=boottime.now()
+        )
+        here.suspects.record_crash(part, earlier, boottime.now())
+    for one in world.engines:
+        one.always = Fault.HANG_MIDWAY
+        one.away_s = 60.0
+    request = gevent.spawn(
+        world.ask, "/query/1", Prefix_Hash="common:10,last:10"
+    )
+    world.wait(lambda: any(one.working for one in world.engines))
+    gevent.sleep(0.1)
+    (busy,) = [one for one in world.engines if one.working]
+    busy.crash()
+    request.get()
+    world.wait(lambda: part in here.suspects)
+    gevent.sleep(0.3)
+    assert (part in there.suspects) is sent
