--- a/irisshelf/testing/busy_service.py
+++ b/irisshelf/testing/busy_service.py
@@ -76,6 +76,8 @@
         rest_s: A server that rests turns all down for so long, and asks for it.
         rests: When servers begin to rest whatever their load, by number.
         rests_when_full: Whether a server that is full begins to rest.
+        first_share: Share of the requests, at a time, that come at the first
+            instance whatever the others get; callers that return go to any.
     """
 
     kinds: tuple[Kind, ...]
@@ -91,6 +93,7 @@
     rest_s: float = 0.0
     rests: tuple[tuple[float, int], ...] = ()
     rests_when_full: bool = False
+    first_share: Callable[[float], float] = lambda at_s: 0.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -233,11 +236,18 @@
             kind=kind,
             team=self._load.team(self._now, self._rng),
             came_s=self._now,
-            instance=self._rng.randrange(self._load.instances),
+            instance=self._instance(),
         )
         self._count(request, "asked")
         self._choose(request)
 
+    def _instance(self) -> int:
+        """Draws the instance that a new request comes at."""
+        share = self._load.first_share(self._now)
+        if share and self._rng.random() < share:
+            return 0
+        return self._rng.randrange(self._load.instances)
+
     def _choose(self, request: _Request) -> None:
         stats = self._stats[request.instance]
         known = self._known[request.instance]
--- a/irisshelf/tests/test_overload_many_instances.py
+++ b/irisshelf/tests/test_overload_many_instances.py
@@ -11,6 +11,8 @@
 0.30 to 0.65 of a kind wait and are not served.
 """
 
+import dataclasses
+
 import pytest
 
 from irisshelf.testing import busy_service
@@ -47,6 +49,8 @@
 _TEAMS = [f"t{number}" for number in range(40)]
 _HOT = _TEAMS[0]
 _SEEDS = (1, 2)
+# Of the servers, as a multiple of the ordinary load.
+_CAPACITY = 1.35
 
 
 def _burst(at_s):
@@ -106,3 +110,34 @@
     assert in_time >= least * sum(seen.asked for seen in others)
     hot = outcome.by_team[_HOT]
     assert hot.share(hot.in_time + hot.late) >= 0.25
+
+
+def _share_begun(load, seed):
+    """Returns the share of requests that begin in time."""
+    seen = busy_service.play(load, seed=seed).by_kind.values()
+    return sum(one.in_time for one in seen) / sum(one.asked for one in seen)
+
+
+@pytest.mark.parametrize("seed", _SEEDS)
+@pytest.mark.parametrize("instances", [6, 24, 68])
+@pytest.mark.parametrize(
+    ("of_capacity", "least"),
+    [
+        pytest.param(0.5, 0.95, id="half"),
+        pytest.param(0.85, 0.95, id="most"),
+        pytest.param(1.2, 0.75, id="too-much"),
+    ],
+)
+def test_an_instance_with_most_of_the_load_serves_it_as_others_do(
+    seed, instances, of_capacity, least
+):
+    """Guards against estimates that take an instance for one of N equals."""
+    even = dataclasses.replace(
+        _load(instances),
+        factor=lambda at_s: _CAPACITY * of_capacity,
+        length_s=16.0,
+    )
+    hot = dataclasses.replace(
+        even, first_share=lambda at_s: 0.9 if at_s >= 3 else 0.0
+    )
+    assert _share_begun(hot, seed) >= least * _share_begun(even, seed)
