Suspect requests in a module of their own; tests of crashing parts wait for what they need

crash_tracker had two jobs: what crashes show, and where suspect requests may go (suspect_requests, request_fingerprints). Nothing but names and places changes.

They wait now for counts, and for what all instances know; sound requests are compared from twice the contact time after the last end on, as the pages do.

--- a/bench/suspects.py
+++ b/bench/suspects.py
@@ -56,7 +56,7 @@
 
 def _serve(inst: instance.Instance, job: messages.Job) -> None:
     inst.log_suspend()
-    inst.crash_tracker.verdict(job)
+    inst.suspect_requests.verdict(job)
     inst.crash_tracker.record_success(job)
 
 
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -116,6 +116,9 @@
             membership=self._peers.membership,
             log=self._log,
         )
+        self._inst.suspect_requests.is_designated = (
+            self._crash_gossip.is_designated
+        )
         self._peers.register_handler(
             crash_gossip.SNAPSHOT_PATH, self._crash_gossip.snapshot
         )
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -22,6 +22,7 @@
 from irisshelf.gateway.servers import eligibility
 from irisshelf.gateway.servers import origin_registry
 from irisshelf.gateway.servers import servers as servers_module
+from irisshelf.gateway.servers import suspect_requests
 from irisshelf.observe import decision_log
 
 # With ``keys_strict``, how long a key stays valid after the store last
@@ -111,6 +112,11 @@
             counts=self.metrics,
             now=now,
         )
+        self.suspect_requests = suspect_requests.SuspectRequests(
+            suspects=self.crash_tracker.suspects,
+            servers=self.servers,
+            now=now,
+        )
         # Start of a store outage that also affects other instances of the data
         # centre, in monotonic seconds; None if there is none or it is unknown.
         self.outage_since_s: float | None = None
--- a/irisshelf/gateway/knowledge/crash_gossip.py
+++ b/irisshelf/gateway/knowledge/crash_gossip.py
@@ -111,7 +111,6 @@
         self._membership = membership
         crashes.on_crash = self._publish_crash
         crashes.on_clear = self._publish_clear
-        crashes.is_designated = self._is_designated
         datagrams.subscribe(_KIND, self.receive)
 
     def receive(self, content: Any) -> None:
@@ -177,7 +176,7 @@
                 crash = _unpack(server_key, now - age_ms / 1000, flags, release)
                 self._crashes.merge_crash(fingerprint, crash)
 
-    def _is_designated(self, fingerprint: bytes) -> bool:
+    def is_designated(self, fingerprint: bytes) -> bool:
         """Returns whether this instance may try a barred fingerprint."""
         own = self._membership.own
         now = boottime.now()
--- a/irisshelf/gateway/requests/crash_gate.py
+++ b/irisshelf/gateway/requests/crash_gate.py
@@ -35,7 +35,7 @@
     def __init__(self, *, inst: instance_module.Instance, job: messages.Job):
         self._inst = inst
         self._job = job
-        self._tracker = inst.crash_tracker
+        self._requests = inst.suspect_requests
         # Fingerprint that only this request of the instance may have in
         # progress.
         self._held = b""
@@ -50,16 +50,16 @@
             that ``place`` has to select its server.
         """
         self._placed = ""
-        verdict = self._tracker.verdict(self._job)
+        verdict = self._requests.verdict(self._job)
         if verdict is None:
             return None
         if verdict.stage is _Stage.BARRED and not verdict.trial:
             return self._reject(verdict)
-        if verdict.trial and not self._tracker.is_designated(
+        if verdict.trial and not self._requests.is_designated(
             verdict.fingerprint
         ):
             return self._reject(verdict)
-        if verdict.cautious and self._tracker.is_riskiest(verdict.shared):
+        if verdict.cautious and self._requests.is_riskiest(verdict.shared):
             return _uncertain()
         if (verdict.trial or verdict.cautious) and not self._hold(
             verdict.fingerprint
@@ -74,9 +74,7 @@
         required: requirements.Requirements,
     ) -> directory.BackendServer | rejection.Rejection | None:
         """Returns the only server that a suspect may be sent to, if any."""
-        placed = self._tracker.place_suspect(
-            self._job, verdict, avoid, required
-        )
+        placed = self._requests.place(self._job, verdict, avoid, required)
         if placed.uncertain:
             return _uncertain()
         if placed.server is not None:
@@ -85,7 +83,7 @@
 
     def allows(self, server: directory.BackendServer) -> bool:
         """Returns whether the request may still go out to a server."""
-        verdict = self._tracker.verdict(self._job)
+        verdict = self._requests.verdict(self._job)
         if verdict is None:
             return True
         if verdict.stage is _Stage.BARRED and not verdict.trial:
@@ -98,14 +96,14 @@
     def close(self) -> None:
         """Lets other requests of the instance be tried in place of this one."""
         if self._held:
-            self._tracker.release(self._held)
+            self._requests.release(self._held)
             self._held = b""
 
     def _hold(self, fingerprint: bytes) -> bool:
         if fingerprint == self._held:
             return True
         self.close()
-        if self._tracker.hold(fingerprint):
+        if self._requests.hold(fingerprint):
             self._held = fingerprint
         return bool(self._held)
 
@@ -115,7 +113,7 @@
         The status is 503, as this attempt has not run. Retry-After tells the
         caller how long further attempts will be rejected.
         """
-        self._tracker.record_refusal(self._job, verdict)
+        self._inst.crash_tracker.record_refusal(self._job, verdict)
         return rejection.Rejection(
             why=send_history.SERVERS_CRASHED,
             retry_after_s=verdict.barred_for_s or _UNCERTAIN_RETRY_S,
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -327,7 +327,7 @@
             and route.repeatable
             and self._sends.count < route.max_attempts
             and budget.remaining(self._inst.now()) >= 1
-            and not self._inst.crash_tracker.verdict(self._job)
+            and not self._inst.suspect_requests.verdict(self._job)
         )
 
     def _connect_to_other(
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -20,28 +20,19 @@
 from irisshelf.gateway import metrics
 from irisshelf.gateway.servers import exit_probe
 from irisshelf.gateway.servers import recent_successes
-from irisshelf.gateway.servers import requirements
+from irisshelf.gateway.servers import request_fingerprints
 from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.observe import decision_log
 from irisshelf.routing import crash_evidence
 from irisshelf.routing import crash_suspects
-from irisshelf.routing import designation
-from irisshelf.routing import fingerprints
 
-# A server that exited within this time may have crashed under a suspect request
-# from another instance whose message, which is sent twice, is still under way.
-_PRESUMED_CRASH_S = 1.0
 _MAX_LOGGED = 16
 # By then the strong evidence of the same crash has arrived from others.
 _LATE_DELAY_S = 0.1
-# Requests with some of the possible causes wait for others that have been seen
-# within this time and have fewer of them; limit on what is remembered.
-_PARTIAL_KNOWN_S = 5.0
 # A server that is gone within this time after connections to it broke has
 # probably crashed then; limit on the servers that this is remembered of.
 _UNCONFIRMED_S = 10.0
 _MAX_UNCONFIRMED = 64
-_MAX_PARTIAL = 64
 
 # Fingerprints that one request had in progress at a server that crashed, with
 # the crash as evidence against each.
@@ -49,14 +40,6 @@
 Evidence = Sequence[tuple[bytes, _Crash]]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SuspectPlacement:
-    """Where a suspect may be sent; see ``designation.DesignatedServer``."""
-
-    server: directory.BackendServer | None
-    uncertain: bool
-
-
 class CrashTracker:
     """Tracks which requests crash servers, and notifies other instances.
 
@@ -73,8 +56,6 @@
         on_crash: Called with the evidence of a crash that this instance
             observed, to notify others.
         on_clear: Called with fingerprints that are cleared, to notify others.
-        is_designated: Returns whether this instance may try requests with a
-            barred fingerprint.
     """
 
     def __init__(
@@ -89,7 +70,6 @@
         self.suspects = crash_suspects.CrashSuspects()
         self.on_crash: Callable[[Evidence], None] = _discard
         self.on_clear: Callable[[Collection[bytes]], None] = _discard
-        self.is_designated: Callable[[bytes], bool] = lambda fingerprint: True
         self._servers = servers
         self._log = log
         self._metrics = counts
@@ -102,102 +82,6 @@
         # what its end would show.
         self._unconfirmed: dict[bytes, list[tuple[bytes, _Crash]]] = {}
         servers.on_gone = self._apply_unconfirmed
-        # Fingerprints of requests in progress of which only one may be.
-        self._held: set[bytes] = set()
-        # When requests with some of the possible causes were last seen, by
-        # these.
-        self._partial_s: dict[frozenset[bytes], float] = {}
-
-    def verdict(self, job: messages.Job) -> crash_suspects.Verdict | None:
-        """Returns the verdict on a request; None if it is not suspect.
-
-        While nothing is suspect, which is nearly always, this is a single
-        check. The body is hashed only if team, method, path and length match a
-        suspect request, as hashing a long body blocks the event loop.
-        """
-        if not self.suspects:
-            return None
-        found = self.suspects.judge_request(
-            self._fingerprints(job), self._now()
-        )
-        if found.stage is crash_suspects.Stage.CLEAR:
-            return None
-        if not found.trial and self._is_of_other_releases(job, found):
-            return dataclasses.replace(found, trial=True)
-        return found
-
-    def is_riskiest(self, shared: frozenset[bytes]) -> bool:
-        """Returns whether others should show first which cause it is.
-
-        Of requests with some of the possible causes, one that has all of those
-        of another one and more is riskier, and shows less if it succeeds.
-
-        Args:
-            shared: The possible causes that the request has.
-        """
-        now = self._now()
-        self._partial_s.pop(shared, None)
-        self._partial_s[shared] = now
-        while len(self._partial_s) > _MAX_PARTIAL:
-            del self._partial_s[next(iter(self._partial_s))]
-        return any(
-            now - seen_s <= _PARTIAL_KNOWN_S and other < shared
-            for other, seen_s in self._partial_s.items()
-        )
-
-    def hold(self, fingerprint: bytes) -> bool:
-        """Reserves a fingerprint of which one request at a time may be sent.
-
-        Returns:
-            Whether no other request of this instance has reserved it.
-        """
-        if fingerprint in self._held:
-            return False
-        self._held.add(fingerprint)
-        return True
-
-    def release(self, fingerprint: bytes) -> None:
-        """Ends what ``hold`` has reserved."""
-        self._held.discard(fingerprint)
-
-    def place_suspect(
-        self,
-        job: messages.Job,
-        verdict: crash_suspects.Verdict,
-        avoid: set[str],
-        required: requirements.Requirements,
-    ) -> SuspectPlacement:
-        """Returns the only server that a suspect request may be sent to."""
-        by_id = {
-            server.server_id: server
-            for server in self._servers.eligible.accepting(
-                job.service, required
-            )
-        }
-        exited = {
-            name
-            for name, server in by_id.items()
-            if self._servers.reach.exits.refused_for_s(server)
-            <= _PRESUMED_CRASH_S
-        }
-        candidates = [
-            name
-            for name, server in by_id.items()
-            if name in exited
-            or (name not in avoid and self._servers.reach.has_path(server))
-        ]
-        keys = {crash.server_key for crash in verdict.crashes}
-        found = designation.designate_server(
-            verdict.fingerprint,
-            candidates,
-            crashed={
-                name for name in candidates if directory.short_id(name) in keys
-            },
-            recently_gone=exited,
-            crash_count=len(verdict.crashes),
-        )
-        server = None if found.server is None else by_id[found.server]
-        return SuspectPlacement(server=server, uncertain=found.uncertain)
 
     def record_disconnect(
         self,
@@ -242,7 +126,13 @@
         """Records that a request has succeeded."""
         self.successes.record(job, self._now())
         if self.suspects:
-            known = [f for f in self._fingerprints(job) if f in self.suspects]
+            known = [
+                f
+                for f in request_fingerprints.possibly_suspect(
+                    job, self.suspects
+                )
+                if f in self.suspects
+            ]
             self._clear(known, job.head.request_id, self._now(), publish=True)
 
     def record_refusal(
@@ -254,7 +144,7 @@
             "request_barred",
             job.head.request_id,
             content=verdict.fingerprint.hex(),
-            part=self._part_name(job, verdict.fingerprint),
+            part=request_fingerprints.part_id(job, verdict.fingerprint),
             servers=[crash.server_key.hex() for crash in verdict.crashes],
             barred_for_s=round(verdict.barred_for_s, 1),
         )
@@ -309,31 +199,6 @@
             server
         )
 
-    def _fingerprints(self, job: messages.Job) -> list[bytes]:
-        """Returns the fingerprints of a request that may be suspect."""
-        found = recent_successes.part_fingerprints(job)
-        inbound = job.inbound
-        prefix = fingerprints.fingerprint_prefix(
-            job.team, inbound.method, inbound.target, len(inbound.body)
-        )
-        if self.suspects.has_prefix(prefix):
-            found.append(_content_fingerprint(job))
-        return found
-
-    def _is_of_other_releases(
-        self, job: messages.Job, verdict: crash_suspects.Verdict
-    ) -> bool:
-        """Returns whether all servers run releases that have not crashed."""
-        crashed = {crash.release for crash in verdict.crashes}
-        if verdict.stage is not crash_suspects.Stage.BARRED or b"" in crashed:
-            return False
-        eligible = self._servers.eligible
-        running = {
-            releases.release_key(server)
-            for server in eligible.usable(job.service)
-        }
-        return bool(running) and not running & crashed
-
     def _evidence(
         self, job: messages.Job, server: directory.BackendServer, *, late: bool
     ) -> Evidence:
@@ -352,10 +217,10 @@
                 fingerprint,
                 sound if self.successes.has_part(fingerprint, now) else crash,
             )
-            for fingerprint in recent_successes.part_fingerprints(job)
+            for fingerprint in request_fingerprints.parts(job)
         ]
         if not late:
-            evidence.append((_content_fingerprint(job), crash))
+            evidence.append((request_fingerprints.content(job), crash))
         return evidence
 
     def _confirm(
@@ -477,19 +342,6 @@
         if cleared and publish:
             self.on_clear(cleared)
 
-    @staticmethod
-    def _part_name(job: messages.Job, fingerprint: bytes) -> str:
-        """Returns the id of the prompt part that has a fingerprint, if any."""
-        for part in job.head.prompt.shared:
-            found = fingerprints.part_fingerprint(job.service, part.part_id)
-            if found == fingerprint:
-                return part.part_id
-        return ""
-
-
-def _content_fingerprint(job: messages.Job) -> bytes:
-    return fingerprints.request_fingerprint(*recent_successes.request_key(job))
-
 
 def _discard(*facts: object) -> None:
     """Default callback, used until gossip is connected."""
--- a/irisshelf/gateway/servers/recent_successes.py
+++ b/irisshelf/gateway/servers/recent_successes.py
@@ -6,6 +6,7 @@
 import itertools
 
 from irisshelf.gateway import messages
+from irisshelf.gateway.servers import request_fingerprints
 from irisshelf.routing import fingerprints
 
 # Number of recent successful requests that are remembered, and the largest body
@@ -16,19 +17,14 @@
 # Prompt parts that are remembered, and for how long they count: about 1 MB.
 _MAX_PARTS = 8192
 _RECENT_S = 60.0
-# Parts of a prompt that are looked at; those after them are the cause of a
-# crash only as far as the whole content of the request is.
-_MAX_PARTS_OF_PROMPT = 512
-
-RequestKey = tuple[str, str, str, bytes]
 
 
 class RecentSuccesses:
     """Remembers successful requests by content and by prompt part."""
 
     def __init__(self):
-        self._requests: collections.deque[RequestKey] = collections.deque(
-            maxlen=_MAX_REQUESTS
+        self._requests: collections.deque[request_fingerprints.RequestKey] = (
+            collections.deque(maxlen=_MAX_REQUESTS)
         )
         # Of the requests above, those that have been hashed.
         self._unhashed = 0
@@ -41,9 +37,9 @@
     def record(self, job: messages.Job, now: float) -> None:
         """Records a successful request."""
         if len(job.inbound.body) <= _MAX_BODY_BYTES:
-            self._requests.append(request_key(job))
+            self._requests.append(request_fingerprints.request_key(job))
             self._unhashed = min(self._unhashed + 1, _MAX_REQUESTS)
-        for fingerprint in part_fingerprints(job):
+        for fingerprint in request_fingerprints.parts(job):
             self._parts_s.pop(fingerprint, None)
             self._parts_s[fingerprint] = now
         while len(self._parts_s) > _MAX_PARTS:
@@ -51,7 +47,7 @@
 
     def has_request(self, job: messages.Job) -> bool:
         """Returns whether a request with the same content has succeeded."""
-        return request_key(job) in self._requests
+        return request_fingerprints.request_key(job) in self._requests
 
     def has_fingerprint(self, fingerprint: bytes) -> bool:
         """Returns whether a request with a content fingerprint succeeded."""
@@ -78,18 +74,3 @@
         """Returns whether a part was in a successful request before a time."""
         last_s = self._parts_s.get(fingerprint, float("-inf"))
         return at_s - last_s <= _RECENT_S
-
-
-def request_key(job: messages.Job) -> RequestKey:
-    """Returns what all repeats of a request have in common."""
-    inbound = job.inbound
-    return (job.team, inbound.method, inbound.target, inbound.body)
-
-
-def part_fingerprints(job: messages.Job) -> list[bytes]:
-    """Returns the fingerprints of the shared parts of a request's prompt."""
-    shared = job.head.prompt.shared[:_MAX_PARTS_OF_PROMPT]
-    return [
-        fingerprints.part_fingerprint(job.service, part.part_id)
-        for part in shared
-    ]
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -141,6 +141,9 @@
             on_fact=self.inst.servers.apply_fact,
             rng=random.Random(2),
         )
+        self.inst.suspect_requests.is_designated = (
+            self.crash_gossip.is_designated
+        )
         self.peers.register_handler(
             crash_gossip.SNAPSHOT_PATH, self.crash_gossip.snapshot
         )
--- a/irisshelf/tests/crashing_parts.py
+++ b/irisshelf/tests/crashing_parts.py
@@ -12,6 +12,8 @@
 import gevent
 
 from irisshelf import boottime
+from irisshelf.platform.stand_in import world as world_module
+from irisshelf.transport import errors
 
 CRASHING = "crashing"
 # Part of every prompt, and of some of them; of the crashing ones too.
@@ -142,10 +144,15 @@
             for run in engine.runs
         )
 
+    def count_since(self, at_s):
+        """Returns how many sound requests sent since then are answered."""
+        return sum(one.at_s >= at_s for one in self.sound)
+
     def share_begun(self, after_s, until_s):
         """Returns the share of sound requests that began at once."""
         sent = [one for one in self.sound if after_s <= one.at_s < until_s]
-        assert len(sent) >= 20
+        if not sent:
+            raise ValueError("no sound request was sent in this time")
         return sum(one.began for one in sent) / len(sent)
 
     def _entry(self, entry):
@@ -160,12 +167,18 @@
 
     def _ask(self, parts, number, entry):
         listed = ",".join(f"{part}:10" for part in [*parts, f"last-{number}"])
-        return self.world.ask(
-            self._target,
-            body=b'{"n": %d}' % number,
-            entry=entry,
-            Prefix_Hash=listed,
-        )
+        try:
+            return self.world.ask(
+                self._target,
+                body=b'{"n": %d}' % number,
+                entry=entry,
+                Prefix_Hash=listed,
+            )
+        except errors.ConnectError:
+            # The instance has been killed since it was drawn.
+            return world_module.Answer(
+                status=0, headers={}, body=b"", whole=False
+            )
 
 
 def shared_parts(run):
--- a/irisshelf/tests/test_barred_parts.py
+++ b/irisshelf/tests/test_barred_parts.py
@@ -3,14 +3,15 @@
 import gevent
 import pytest
 
+from irisshelf import boottime
 from irisshelf.platform.stand_in import proxy
 from irisshelf.routing import crash_suspects
+from irisshelf.routing import fingerprints
 from irisshelf.tests import crashing_parts
 
 _MAX_CRASHES = 3
 _PLACES = ("a", "a", "b")
 _PART = crashing_parts.CRASHING
-# By then the crash has been confirmed at the server and reported everywhere.
 _PAUSE_S = 0.05
 
 
@@ -44,10 +45,31 @@
     for number in range(_MAX_CRASHES):
         answer = _ask(world, *(parts or (_PART,)), entry=number % 3, **options)
         assert answer.status == 502
-        gevent.sleep(_PAUSE_S)
+        world.wait(lambda n=number: _known(world) == n + 1)
     assert _crashes(world) == _MAX_CRASHES
 
 
+def _known(world):
+    """Returns how many crashes under the part all instances know of."""
+    part = fingerprints.part_fingerprint("lm", _PART)
+    now = boottime.now()
+    return min(
+        len(entry.inst.crash_tracker.suspects.judge(part, now).crashes)
+        for entry in world.entries
+    )
+
+
+def _wait_for_versions(world, *expected):
+    """Waits until all instances know which versions the engines have."""
+    world.wait(
+        lambda: all(
+            {s.version for s in entry.inst.directory.servers_of("lm")}
+            == set(expected)
+            for entry in world.entries
+        )
+    )
+
+
 def _crashes(world):
     return sum(engine.ends for engine in world.engines)
 
@@ -153,8 +175,7 @@
     world = _world(make_world)
     _bar(world)
     _make_sound(world)
-    _ask_everywhere(world, 0.8)
-    assert set(_ask_everywhere(world, 0.2)) == {200}
+    world.wait(lambda: set(_ask_everywhere(world, 0.1)) == {200})
 
 
 def test_a_part_is_tried_once_its_software_version_is_gone(make_world):
@@ -169,14 +190,13 @@
         engine.version = "v2"
         engine.sequence += 1
         world.list_server(engine)
-    gevent.sleep(0.2)
+    _wait_for_versions(world, "v1", "v2")
     assert set(_ask_everywhere(world, 0.2)) == {503}
     world.engines[0].version = "v2"
     world.engines[0].sequence += 1
     world.list_server(world.engines[0])
-    gevent.sleep(0.2)
-    _ask_everywhere(world, 0.3)
-    assert set(_ask_everywhere(world, 0.2)) == {200}
+    _wait_for_versions(world, "v2")
+    world.wait(lambda: set(_ask_everywhere(world, 0.1)) == {200})
 
 
 @pytest.mark.parametrize("cut", list(proxy.Cut))
@@ -206,10 +226,10 @@
     world, seen, asked, riskiest
 ):
     """Guards against crashes by what sound requests could have shown."""
-    tracker = world.inst.crash_tracker
+    requests = world.inst.suspect_requests
     for parts in seen:
-        tracker.is_riskiest(frozenset(bytes([one]) for one in parts.encode()))
-    found = tracker.is_riskiest(
+        requests.is_riskiest(frozenset(bytes([one]) for one in parts.encode()))
+    found = requests.is_riskiest(
         frozenset(bytes([one]) for one in asked.encode())
     )
     assert found is riskiest
--- a/irisshelf/tests/test_crashing_parts.py
+++ b/irisshelf/tests/test_crashing_parts.py
@@ -19,8 +19,12 @@
 _PLACES = ("a", "a", "b")
 _ENGINES = 12
 _AWAY_S = 0.4
-_CALM_S = 1.0
 _CRASHING_S = 2.5
+# Sound requests by which shares are compared; ends that are waited for.
+_COUNTED = 40
+_MIN_CRASHES = 3
+# By then what was sent has been answered.
+_ANSWERED_S = 0.2
 _SOUND_PAUSE_S = (0.01, 0.03)
 _CRASHING_PAUSE_S = (0.03, 0.09)
 # The limits of the requirements: ends of servers, and requests that still reach
@@ -51,20 +55,28 @@
     """Sends sound requests, and crashing ones after some time.
 
     Returns:
-        The share of sound requests that begin, as crashing ones are barred.
+        The share of sound requests that begin, from twice ``CONTACT_S`` after
+        the last end on.
     """
     loops = [
         gevent.spawn(callers.keep_sending, callers.send_sound, _SOUND_PAUSE_S)
     ]
-    gevent.sleep(_CALM_S)
-    began_s = boottime.now()
+    callers.world.wait(lambda: len(callers.sound) >= _COUNTED)
     loops += [gevent.spawn(*loop) for loop in crashing_loops]
-    gevent.sleep(_CRASHING_S)
+    callers.world.wait(lambda: len(callers.end_times_s) >= _MIN_CRASHES)
+    callers.world.wait(
+        lambda: (
+            boottime.now() - callers.end_times_s[-1]
+            >= 2 * crashing_parts.CONTACT_S
+        )
+    )
+    from_s = boottime.now()
+    callers.world.wait(lambda: callers.count_since(from_s) >= _COUNTED)
+    until_s = boottime.now()
     callers.stop()
     gevent.joinall(loops)
-    gevent.sleep(0.2)
-    until_s = began_s + _CRASHING_S
-    return callers.share_begun(until_s - _CRASHING_S / 2, until_s)
+    gevent.sleep(_ANSWERED_S)
+    return callers.share_begun(from_s, until_s)
 
 
 def _check(callers, *, parts=1, crashes=_MAX_CRASHES):
@@ -151,12 +163,15 @@
             (callers.send_sound, _SOUND_PAUSE_S),
         )
     ]
+    world.wait(lambda: len(callers.end_times_s) >= _MIN_CRASHES)
     gevent.sleep(2 * _CRASHING_S)
+    from_s = boottime.now()
+    world.wait(lambda: callers.count_since(from_s) >= _COUNTED)
+    until_s = boottime.now()
     callers.stop()
     gevent.joinall(loops)
     _check(callers)
-    now = boottime.now()
-    assert callers.share_begun(now - _CRASHING_S, now) >= _LEAST_SHARE
+    assert callers.share_begun(from_s, until_s) >= _LEAST_SHARE
 
 
 def test_bursts_crash_few_servers(make_world):
@@ -220,10 +235,19 @@
             gevent.sleep(0.2)
             rng.choice(world.engines).crash()
 
+    loops = [
+        gevent.spawn(callers.keep_sending, callers.send_sound, _SOUND_PAUSE_S)
+    ]
+    world.wait(lambda: len(callers.sound) >= _COUNTED)
+    from_s = boottime.now()
     crashes = gevent.spawn(crash_servers)
-    share = _play(callers)
+    world.wait(lambda: len(callers.end_times_s) >= 12)
+    world.wait(lambda: callers.count_since(from_s) >= 2 * _COUNTED)
     crashes.kill()
-    assert len(callers.end_times_s) >= 8
+    callers.stop()
+    gevent.joinall(loops)
+    gevent.sleep(_ANSWERED_S)
+    share = callers.share_begun(from_s, boottime.now())
     assert share >= _LEAST_SHARE
     barred = [one for one in callers.sound if b"servers_ended" in one.body]
     assert not [one for one in barred if one.status == 503]
