--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -34,9 +34,9 @@
 _UNCONFIRMED_S = 10.0
 _MAX_UNCONFIRMED = 64
 
+_Crash = crash_evidence.ServerCrash
 # Fingerprints that one request had in progress at a server that crashed, with
 # the crash as evidence against each.
-_Crash = crash_evidence.ServerCrash
 Evidence = Sequence[tuple[bytes, _Crash]]
 
 
@@ -68,13 +68,13 @@
         now: Callable[[], float],
     ):
         self.suspects = crash_suspects.CrashSuspects()
+        self.successes = recent_successes.RecentSuccesses()
         self.on_crash: Callable[[Evidence], None] = _discard
         self.on_clear: Callable[[Collection[bytes]], None] = _discard
         self._servers = servers
         self._log = log
         self._metrics = counts
         self._now = now
-        self.successes = recent_successes.RecentSuccesses()
         self._probe = exit_probe.ExitProbe(
             servers=servers, listed=listed, counts=counts, now=now
         )
