What most requests at a crash have in common is tried before the rest

Cause: no engine lived long enough to serve a stream, so that some common part was at all crashes that the crashing one was at; of two such parts, a request with either alone was tried as readily, and each trial of the crashing one cost a server.

Fix: a part that crashes servers is in one request or few at each crash, as its first one ends the server; reports are counted, and requests with the part of the fewest wait (503, not run) while others of the cause are seen.

--- a/irisshelf/gateway/requests/crash_gate.py
+++ b/irisshelf/gateway/requests/crash_gate.py
@@ -59,7 +59,7 @@
             verdict.fingerprint
         ):
             return self._reject(verdict)
-        if verdict.cautious and self._requests.is_riskiest(verdict.shared):
+        if verdict.cautious and self._requests.is_riskiest(verdict):
             return _uncertain()
         if (verdict.trial or verdict.cautious) and not self._hold(
             verdict.fingerprint
--- a/irisshelf/gateway/servers/suspect_requests.py
+++ b/irisshelf/gateway/servers/suspect_requests.py
@@ -78,22 +78,26 @@
             return dataclasses.replace(found, trial=True)
         return found
 
-    def is_riskiest(self, shared: frozenset[bytes]) -> bool:
+    def is_riskiest(self, verdict: crash_suspects.Verdict) -> bool:
         """Returns whether others should show first which cause it is.
 
         Of requests with some of the possible causes, one that has all of those
-        of another one and more is riskier, and shows less if it succeeds.
+        of another one and more is riskier, and shows less if it succeeds. So is
+        one that has the most likely cause.
 
         Args:
-            shared: The possible causes that the request has.
+            verdict: The verdict on the request, which is cautious.
         """
         now = self._now()
+        shared = verdict.shared
         self._partial_s.pop(shared, None)
         self._partial_s[shared] = now
         while len(self._partial_s) > _MAX_PARTIAL:
             del self._partial_s[next(iter(self._partial_s))]
+        has_rarest = verdict.rarest in shared
         return any(
-            now - seen_s <= _PARTIAL_KNOWN_S and other < shared
+            now - seen_s <= _PARTIAL_KNOWN_S
+            and (other < shared or (has_rarest and verdict.rarest not in other))
             for other, seen_s in self._partial_s.items()
         )
 
--- a/irisshelf/routing/crash_causes.py
+++ b/irisshelf/routing/crash_causes.py
@@ -25,10 +25,14 @@
     Attributes:
         fingerprints: The fingerprints, which cannot be told apart.
         crashes: What they explain, oldest first.
+        rarest: The one that the fewest requests in progress had, if they
+            differ in that; else empty. The cause crashes a server as soon as
+            one request with it begins, so that few are in progress there.
     """
 
     fingerprints: frozenset[bytes]
     crashes: tuple[crash_evidence.ServerCrash, ...]
+    rarest: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,7 +86,13 @@
             for fingerprint, others in left.items()
             if ids == {crash.crash_id for crash in others}
         )
-        found.append(Cause(fingerprints=group, crashes=tuple(evidence)))
+        found.append(
+            Cause(
+                fingerprints=group,
+                crashes=tuple(evidence),
+                rarest=_rarest({one: left[one] for one in group}),
+            )
+        )
         explained |= ids
         left = {
             fingerprint: remaining
@@ -90,3 +100,13 @@
             if (remaining := [c for c in others if c.crash_id not in ids])
         }
     return Causes(found=tuple(found), explained=frozenset(explained))
+
+
+def _rarest(group: _Evidence) -> bytes:
+    counts = {
+        fingerprint: sum(crash.reports for crash in evidence)
+        for fingerprint, evidence in group.items()
+    }
+    if min(counts.values()) == max(counts.values()):
+        return b""
+    return min(counts, key=lambda one: (counts[one], one))
--- a/irisshelf/routing/crash_evidence.py
+++ b/irisshelf/routing/crash_evidence.py
@@ -36,6 +36,8 @@
         late: Whether the response was well under way.
         sound: Whether a request with the fingerprint had succeeded lately.
         release: Key of the release that the server ran; empty if unknown.
+        reports: How many requests with the fingerprint were in progress, as far
+            as reported; repeated reports count again.
     """
 
     server_key: bytes
@@ -43,6 +45,7 @@
     late: bool = False
     sound: bool = False
     release: bytes = b""
+    reports: int = 1
 
     @property
     def crash_id(self) -> tuple[bytes, float]:
@@ -79,6 +82,7 @@
         late=one.late and other.late,
         sound=one.sound or other.sound or one.late != other.late,
         release=one.release or other.release,
+        reports=one.reports + other.reports,
     )
 
 
--- a/irisshelf/routing/crash_suspects.py
+++ b/irisshelf/routing/crash_suspects.py
@@ -73,6 +73,7 @@
             as it has some of the fingerprints that cannot be told apart from
             the cause.
         shared: These fingerprints, if it is cautious.
+        rarest: Of all of the cause, the one most likely to be it, if any.
     """
 
     stage: Stage
@@ -82,6 +83,7 @@
     trial: bool = False
     cautious: bool = False
     shared: frozenset[bytes] = frozenset()
+    rarest: bytes = b""
 
 
 _CLEAR = Verdict(stage=Stage.CLEAR)
@@ -140,8 +142,6 @@
         if not is_new:
             (same,) = (c for c in known if c.crash_id == crash.crash_id)
             crash = crash_evidence.merge(same, crash)
-            if crash == same:
-                return False
         self._drop(fingerprint)
         latest = sorted((*others, crash), key=lambda c: c.at_s)
         self._add(fingerprint, tuple(latest[-_MAX_CRASHES:]))
@@ -321,6 +321,7 @@
             crashes=cause.crashes,
             cautious=True,
             shared=shared,
+            rarest=cause.rarest,
         )
     crashed_s = cause.crashes[-1].at_s
     remaining_s = crashed_s + BARRED_S - now
--- a/irisshelf/tests/test_barred_parts.py
+++ b/irisshelf/tests/test_barred_parts.py
@@ -211,25 +211,35 @@
     assert 0 < _crashes(world) <= _MAX_CRASHES + 2
 
 
+def _partial(parts, rarest=""):
+    return crash_suspects.Verdict(
+        stage=crash_suspects.Stage.SUSPECT,
+        cautious=True,
+        shared=frozenset(part.encode() for part in parts),
+        rarest=rarest.encode(),
+    )
+
+
 @pytest.mark.parametrize(
-    ("seen", "asked", "riskiest"),
+    ("seen", "asked", "rarest", "riskiest"),
     [
-        ([], "ab", False),
-        (["a"], "ab", True),
-        (["a"], "a", False),
-        (["ab"], "a", False),
-        (["c"], "ab", False),
-        (["abc", "b"], "ab", True),
+        ([], "ab", "", False),
+        (["a"], "ab", "", True),
+        (["a"], "a", "", False),
+        (["ab"], "a", "", False),
+        (["c"], "ab", "", False),
+        (["abc", "b"], "ab", "", True),
+        ([], "a", "a", False),
+        (["b"], "a", "a", True),
+        (["b"], "a", "b", False),
+        (["ab"], "a", "a", False),
     ],
 )
-def test_requests_with_fewer_possible_causes_go_first(
-    world, seen, asked, riskiest
+def test_requests_that_are_less_likely_the_cause_go_first(
+    world, seen, asked, rarest, riskiest
 ):
     """Guards against crashes by what sound requests could have shown."""
     requests = world.inst.suspect_requests
     for parts in seen:
-        requests.is_riskiest(frozenset(bytes([one]) for one in parts.encode()))
-    found = requests.is_riskiest(
-        frozenset(bytes([one]) for one in asked.encode())
-    )
-    assert found is riskiest
+        requests.is_riskiest(_partial(parts))
+    assert requests.is_riskiest(_partial(asked, rarest)) is riskiest
--- a/irisshelf/tests/test_crash_causes.py
+++ b/irisshelf/tests/test_crash_causes.py
@@ -231,3 +231,22 @@
         suspects.record_crash(b"x", _crash(1, late=report == "late"), 10.0)
     (crash,) = suspects.snapshot(10.0)[b"x"]
     assert crash.weight == weight
+
+
+@pytest.mark.parametrize(
+    ("requests", "rarest"),
+    [
+        pytest.param({"x": 1, "common": 3}, "x", id="one-and-three"),
+        pytest.param({"x": 2, "common": 2}, "", id="the-same"),
+        pytest.param({"x": 1}, "", id="alone"),
+    ],
+)
+def test_the_part_of_the_fewest_requests_is_the_likely_cause(requests, rarest):
+    """Guards against a cause that is tried as readily as common parts."""
+    suspects = crash_suspects.CrashSuspects()
+    for number in range(3):
+        for name, count in requests.items():
+            for _ in range(count):
+                suspects.record_crash(name.encode(), _crash(number), 30.0)
+    verdict = suspects.judge(b"x", 31.0)
+    assert verdict.rarest == rarest.encode()
--- a/irisshelf/tests/test_crash_gossip.py
+++ b/irisshelf/tests/test_crash_gossip.py
@@ -299,5 +299,7 @@
     busy.crash()
     request.get()
     world.wait(lambda: part in here.suspects)
+    if sent:
+        world.wait(lambda: part in there.suspects)
     gevent.sleep(0.3)
     assert (part in there.suspects) is sent
