--- a/irisshelf/tests/test_transport.py
+++ b/irisshelf/tests/test_transport.py
@@ -49,7 +49,8 @@
     if soft < 1100:
         resource.setrlimit(resource.RLIMIT_NOFILE, (min(1200, hard), hard))
     pairs = [socket.socketpair() for _ in range(520)]
-    local, remote = pairs[-1]
+    # Descriptors that are freed meanwhile are used for the last pairs.
+    local, remote = max(pairs, key=lambda pair: pair[0].fileno())
     assert local.fileno() > 1024
     conn = client.Connection(sock=local, address="peer")
     assert not conn.is_stale()
