Logs and metrics tell why a resumed stream is not known: releases, list, waits

Cause: a resumption that is rejected as unknown says how many instances were asked, not whether two releases seemed to serve, nor from whom the list of servers came; and nothing shows that origins wait to be sent. Change: stream_resumed has releases and list_source, and irisshelf_stream_origin_wait_seconds counts waits. No choice is changed. Measured: test_stream_origins, test_operations_page and test_streams_of_two_versions pass.

--- a/irisshelf/gateway/knowledge/origin_exchange.py
+++ b/irisshelf/gateway/knowledge/origin_exchange.py
@@ -108,8 +108,9 @@
         self._metrics = counts
         self._rng = rng
         self._bucket = token_bucket.TokenBucket(bytes_per_s=_BYTES_PER_S)
-        # By receiver and whether it forwards them: encoded origins.
-        self._queues: dict[tuple[str, bool], list[bytes]] = {}
+        # By receiver and whether it forwards them: encoded origins, and when
+        # each was queued.
+        self._queues: dict[tuple[str, bool], list[tuple[bytes, float]]] = {}
         self._mixed: frozenset[str] = frozenset()
         datagrams.subscribe(datagrams_module.Kind.STREAM_ORIGINS, self.receive)
         peers.register_handler(PATH, self.answer)
@@ -328,6 +329,7 @@
     def _queue(
         self, records: Iterable[tuple[bytes, bytes]], *, remote: bool
     ) -> None:
+        now = self._now()
         for key, release in records:
             receivers = [
                 (m.address, False) for m in self._replicas(key, _REPLICAS)
@@ -339,7 +341,7 @@
                 ]
             for receiver in receivers:
                 queue = self._queues.setdefault(receiver, [])
-                queue.append(key + release)
+                queue.append((key + release, now))
                 if len(queue) > _MAX_QUEUED_PER_RECEIVER:
                     del queue[0]
                     self._metrics.origins_dropped.inc()
@@ -351,8 +353,11 @@
             queue = self._queues.pop(receiver)
             address, forward = receiver
             for begin in range(0, len(queue), _RECORDS_PER_DATAGRAM):
-                records = queue[begin : begin + _RECORDS_PER_DATAGRAM]
-                self._send(address, b"".join(records), forward=forward)
+                sent = queue[begin : begin + _RECORDS_PER_DATAGRAM]
+                for _, queued_s in sent:
+                    self._metrics.origin_wait.observe(self._now() - queued_s)
+                records = b"".join(record for record, _ in sent)
+                self._send(address, records, forward=forward)
 
     def _send(self, address: str, records: bytes, *, forward: bool) -> None:
         message = _Message(records=records, forward=forward)
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -66,6 +66,12 @@
             "Bytes sent to other instances about the origins of streams.",
             registry=self.registry,
         )
+        self.origin_wait = prometheus_client.Histogram(
+            "irisshelf_stream_origin_wait_seconds",
+            "Time from when an origin of a stream is due until it is sent.",
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
         self.origins_dropped = prometheus_client.Counter(
             "irisshelf_stream_origins_dropped_total",
             "Origins of streams that were not sent, as too many waited.",
--- a/irisshelf/gateway/requests/stream_binding.py
+++ b/irisshelf/gateway/requests/stream_binding.py
@@ -200,6 +200,8 @@
             resumes=self._job.head.resumes,
             after=self._job.head.last_event_id,
             known_by=source.value,
+            releases=self._count_recent(found),
+            list_source=self._inst.list_version.source.value,
             peer=found.by,
             asked=found.asked,
             answers=found.answers,
@@ -207,6 +209,11 @@
             version=self._version_of(self.release),
         )
 
+    def _count_recent(self, found: origin_registry.Finding) -> int:
+        """Returns how many releases may have begun the stream."""
+        recent = self._inst.origins.recent(self._candidates())
+        return len(found.recent | recent)
+
     def _version_of(self, release: bytes | None) -> str | None:
         """Returns the version of a release; None if no server runs it."""
         for service in self._services():
