What an instance passes on about servers includes their versions

Callers saw streams go on at another version of a server's software, and streams that they resumed rejected although a server of the version was there. Cause: ServerRecord, in which a data centre's watcher and the relays encode entries, had no version, and an entry without one decoded as a server that reports none. So wherever one instance follows the store for others (eight in a data centre and more) all others took all servers of a service for one release; beside the few that had read the store, two releases seemed to serve, and resumptions were rejected, also where one version had served all along. Class: what a message does not carry is taken for a value. Change: the record has the version; a record of an earlier build, without one, describes a server of no known release. Fields that are zero take a byte less than eight, so that updates are no longer than before.

--- a/irisshelf/gateway/knowledge/server_records.py
+++ b/irisshelf/gateway/knowledge/server_records.py
@@ -14,7 +14,8 @@
 class ServerRecord(msgspec.Struct, array_like=True):
     """An encoded entry; a removed entry has an id only.
 
-    The fields are those of ``directory.BackendServer``.
+    The fields are those of ``directory.BackendServer``. Instances of earlier
+    builds send no version: such a server may run any.
     """
 
     entry_id: str
@@ -26,6 +27,7 @@
     born_ms: int | None = None
     cold_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_S)] = 0.0
     sequence: Annotated[int, msgspec.Meta(ge=0, le=2**53)] | None = None
+    version: str | None = None
 
 
 def to_record(change: directory.Change) -> ServerRecord:
@@ -41,8 +43,10 @@
         slots=server.slots,
         state=server.state,
         born_ms=server.born_ms,
-        cold_s=server.cold_s,
+        # An integer is shorter in CBOR.
+        cold_s=server.cold_s or 0,
         sequence=server.sequence,
+        version=server.version,
     )
 
 
@@ -61,5 +65,6 @@
         state=record.state,
         cold_s=record.cold_s,
         sequence=record.sequence,
+        version=record.version,
     )
     return directory.Change(entry_id=record.entry_id, server=server)
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -22,6 +22,7 @@
 from irisshelf.gateway.knowledge import follower
 from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import peer_discovery
+from irisshelf.gateway.knowledge import store_updates
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
 from irisshelf.gateway.servers import relays
@@ -127,6 +128,9 @@
         self.follower = follower.Follower(
             inst=self.inst,
             store=store_feed.StoreFeed(address=store),
+            updates=store_updates.StoreUpdates(
+                datagrams=self._datagrams, membership=self.membership, log=log
+            ),
             peers=self.peers,
         )
         self.crash_gossip = crash_gossip.CrashGossip(
