An instance does not take the one release that it lists for the only one

Callers could see a stream go on at another version after most instances had been killed in a rollout: an instance that starts knows only what serves now. Cause: of a stream without a record it was concluded that the only release known to it and to those that answered had begun it, also if all of them had just started, or if it knew nobody to ask. Class: what an instance has not heard of is taken as not having happened. Change: a history of releases says how far back it is complete: since the first list, before that for as long as no listed server can have taken the place of another (by their starts), without limit for a service newer than the list. Answers carry it, unless the instance has lost the store; one that starts asks 4, 8, 16 and more others until it is complete, so that instances replaced one by one pass it on. Only a history that reaches back over two time-outs of a stream rules out other releases. Where one version has served all along nothing is rejected and nothing sent, unless all instances end at once while servers are younger than that: then nobody can know. Stand-in servers tell when they started, as those of the platform do.

--- a/irisshelf/catalog/releases.py
+++ b/irisshelf/catalog/releases.py
@@ -2,17 +2,31 @@
 
 What two versions write does not fit together, and servers do not check that. So
 a stream goes on only at servers of the release that began it.
+
+That only one release is listed proves nothing about the time before the list
+was first read. So a history says how far back it is complete.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 import hashlib
+import math
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from irisshelf.catalog import directory
 
 KEY_BYTES = 6
+# The server that takes the place of another starts first; the other one leaves
+# within this time.
+_REPLACED_WITHIN_S = 15.0
+# A service that has had no servers is new if those that appear have started
+# within this time.
+_NEW_SERVICE_S = 5.0
+_MS_PER_S = 1000.0
 
 
 def release_key(server: directory.BackendServer) -> bytes:
@@ -51,30 +65,75 @@
     return hashlib.blake2b(text, digest_size=KEY_BYTES).digest()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceHistory:
+    """The releases of one service, as an instance knows them.
+
+    Attributes:
+        ages_s: For how long each release has not been listed; 0 if it is.
+        reach_s: For how long back no release is missing.
+    """
+
+    ages_s: Mapping[bytes, float]
+    reach_s: float
+
+
 class ReleaseHistory:
     """Which releases of each service were listed lately.
 
+    Args:
+        life_s: See the attribute.
+
     Attributes:
         life_s: For how long a release is known after it was last listed.
+        horizon_s: Streams that have begun earlier are not resumed any more.
     """
 
     def __init__(self, *, life_s: float):
         self.life_s = life_s
+        self.horizon_s = life_s
         self._listed: dict[str, frozenset[bytes]] = {}
         # By service and release, when it was last listed.
         self._last_s: dict[str, dict[bytes, float]] = {}
+        # When the first list was read.
+        self._began_s = math.inf
+        # By service, since when no release is missing, if that is earlier.
+        self._since_s: dict[str, float] = {}
 
     def update(
-        self, servers: Iterable[directory.BackendServer], now: float
+        self,
+        servers: Collection[directory.BackendServer],
+        now: float,
+        *,
+        wall_s: float = 0.0,
     ) -> None:
-        """Applies the list as it is from now on."""
+        """Applies the list as it is from now on.
+
+        Args:
+            servers: All that are listed.
+            now: Monotonic seconds.
+            wall_s: Unix time in seconds, against which servers report when they
+                started.
+        """
         for service, keys in self._listed.items():
             last_s = self._last_s.setdefault(service, {})
             last_s.update(dict.fromkeys(keys, now))
-        listed: dict[str, set[bytes]] = {}
+        by_service: dict[str, list[directory.BackendServer]] = {}
         for server in servers:
-            listed.setdefault(server.service, set()).add(release_key(server))
-        self._listed = {name: frozenset(keys) for name, keys in listed.items()}
+            by_service.setdefault(server.service, []).append(server)
+        self._listed = {
+            name: frozenset(map(release_key, some))
+            for name, some in by_service.items()
+        }
+        is_first = math.isinf(self._began_s)
+        self._began_s = min(self._began_s, now)
+        for name in by_service.keys() - self._since_s.keys():
+            ages_s = [_age_s(server, wall_s) for server in by_service[name]]
+            if not is_first and _all_new(ages_s):
+                self._since_s[name] = -math.inf
+            else:
+                since_s = now - _settled_s(ages_s)
+                self._since_s[name] = min(self._began_s, since_s)
         self._expire(now)
 
     def recent(self, service: str, now: float) -> frozenset[bytes]:
@@ -86,10 +145,49 @@
         }
         return self._listed.get(service, frozenset()) | gone
 
+    def reach_s(self, service: str, now: float) -> float:
+        """Returns for how long back no release of a service is missing.
+
+        That is the time since the first list was read, and before it the time
+        in which no server can have taken the place of another one. It is
+        infinite if the service is newer than that list.
+
+        Example:
+            >>> history = ReleaseHistory(life_s=60.0)
+            >>> history.reach_s("lm", 5.0)
+            0.0
+        """
+        since_s = self._since_s.get(service, self._began_s)
+        return max(0.0, now - since_s)
+
     def services(self) -> frozenset[str]:
         """Returns the services that have servers now."""
         return frozenset(self._listed)
 
+    def describe(self, service: str, now: float) -> ServiceHistory:
+        """Returns what is known of a service, for other instances."""
+        last_s = self._last_s.get(service, {})
+        listed = self._listed.get(service, frozenset())
+        return ServiceHistory(
+            ages_s={
+                key: 0.0 if key in listed else now - last_s[key]
+                for key in self.recent(service, now)
+            },
+            reach_s=self.reach_s(service, now),
+        )
+
+    def merge(self, service: str, other: ServiceHistory, now: float) -> None:
+        """Adds what another instance, which is up to date, knows of a service.
+
+        Before this instance has read a list, only the releases are added.
+        """
+        last_s = self._last_s.setdefault(service, {})
+        for key, age_s in other.ages_s.items():
+            last_s[key] = max(last_s.get(key, -math.inf), now - age_s)
+        if not math.isinf(self._began_s):
+            since_s = self._since_s.get(service, self._began_s)
+            self._since_s[service] = min(since_s, now - other.reach_s)
+
     def _expire(self, now: float) -> None:
         kept = {
             service: {
@@ -100,3 +198,20 @@
             for service, releases in self._last_s.items()
         }
         self._last_s = {name: last_s for name, last_s in kept.items() if last_s}
+
+
+def _age_s(server: directory.BackendServer, wall_s: float) -> float | None:
+    if server.born_ms is None:
+        return None
+    return wall_s - server.born_ms / _MS_PER_S
+
+
+def _all_new(ages_s: Iterable[float | None]) -> bool:
+    return all(
+        age_s is not None and abs(age_s) <= _NEW_SERVICE_S for age_s in ages_s
+    )
+
+
+def _settled_s(ages_s: Iterable[float | None]) -> float:
+    """Returns for how long no server has taken the place of another one."""
+    return max(0.0, min(age_s or 0.0 for age_s in ages_s) - _REPLACED_WITHIN_S)
--- a/irisshelf/coordination/membership.py
+++ b/irisshelf/coordination/membership.py
@@ -62,6 +62,10 @@
         """Removes an instance that shuts down as planned."""
         self._known.pop(name, None)
 
+    def clear(self) -> None:
+        """Forgets all other instances."""
+        self._known.clear()
+
     def members(
         self, data_centre: str, now: float
     ) -> list[tuple[Member, float]]:
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -25,6 +25,7 @@
 from irisshelf.gateway.knowledge import follower
 from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import peer_discovery
+from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
@@ -129,9 +130,18 @@
             log=self._log,
             counts=self._inst.metrics,
             rng=self._inst.rng,
+            is_current=self._inst.is_in_contact,
             now=self._inst.now,
         )
         self._inst.origins = self._origins
+        self._releases = release_exchange.ReleaseExchange(
+            releases=self._inst.servers.releases,
+            peers=self._peers,
+            log=self._log,
+            rng=self._inst.rng,
+            is_current=self._inst.is_in_contact,
+            now=self._inst.now,
+        )
         self._inst.servers.on_releases_changed = (
             self._origins.on_releases_changed
         )
@@ -201,6 +211,7 @@
         gevent.spawn(self._watch_settings)
         gevent.spawn(self._peers.run)
         gevent.spawn(self._catch_up_with_crashes)
+        gevent.spawn(self._releases.catch_up)
         gevent.spawn(
             catch_up.fetch,
             lambda: self._peers.request_several(catch_up.DEPARTURES_PATH),
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -29,6 +29,8 @@
 # confirmed it, as a share of ``key_withdrawn_ms``. The rest is needed because
 # the store may report a change a second late (when it drops its history).
 KEY_AGE_SHARE = 0.76
+# A stream that is resumed has begun within the time-out of so many attempts.
+_ATTEMPTS_OF_A_STREAM = 2
 # A long poll for the configuration lasts at most ``catalog_in_force_ms`` and is
 # answered within this time afterwards; see ``follower``.
 _LONG_POLL_MARGIN_S = 0.6
@@ -229,6 +231,10 @@
             bound_s = bounds.key_withdrawn_ms / 1000 * KEY_AGE_SHARE
         return self.freshness.age_s(self.now()) <= bound_s
 
+    def is_in_contact(self) -> bool:
+        """Returns whether the store has been heard lately, also by others."""
+        return not self.catalog_may_be_stale()
+
     def catalog_may_be_stale(self) -> bool:
         """Tells whether a newer configuration may have to be in force.
 
@@ -253,8 +259,10 @@
         before = self.catalog.version if self.catalog else 0
         self.catalog = catalog
         self.eligible.services = catalog.services
+        horizon_s = _ATTEMPTS_OF_A_STREAM * catalog.longest_stream_s
+        self.servers.releases.horizon_s = horizon_s
         self.origins.origins.life_s = self.servers.releases.life_s = max(
-            stream_origins.MIN_LIFE_S, 2 * catalog.longest_stream_s
+            stream_origins.MIN_LIFE_S, horizon_s
         )
         self.metrics.catalog_version.set(catalog.version)
         self.log.instance(
--- a/irisshelf/gateway/knowledge/origin_exchange.py
+++ b/irisshelf/gateway/knowledge/origin_exchange.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import Annotated
 from typing import Any
 
 import cbor2
@@ -59,6 +60,11 @@
 _RECORD_BYTES = stream_origins.KEY_BYTES + releases_module.KEY_BYTES
 _RECORDS_PER_DATAGRAM = 90
 _MAX_QUEUED_PER_RECEIVER = 500
+# Longer than any stream.
+_MAX_REACH_S = 1e9
+
+
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_REACH_S)]
 
 
 class _Message(msgspec.Struct, array_like=True):
@@ -74,6 +80,8 @@
     release: bytes | None
     # Releases that the asked services have had lately.
     recent: list[bytes]
+    # For how long back no release of them is missing.
+    reach_s: _Seconds = 0.0
 
 
 class OriginExchange(origin_registry.OriginRegistry):
@@ -86,6 +94,8 @@
         log: Receives decoding errors.
         counts: Metrics.
         rng: Selects instances of other data centres.
+        is_current: Returns whether this instance is in contact with the store,
+            so that no recent release is missing.
         now: Monotonic seconds.
     """
 
@@ -98,6 +108,7 @@
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
         rng: random.Random,
+        is_current: Callable[[], bool],
         now: Callable[[], float],
     ):
         super().__init__(releases=releases, now=now)
@@ -107,6 +118,7 @@
         self._log = log
         self._metrics = counts
         self._rng = rng
+        self._is_current = is_current
         self._bucket = token_bucket.TokenBucket(bytes_per_s=_BYTES_PER_S)
         # By receiver and whether it forwards them: encoded origins, and when
         # each was queued.
@@ -192,6 +204,7 @@
             for member, forward in asked
         ]
         recent: set[bytes] = set()
+        reach_s = 0.0
         answers = 0
         try:
             for question in gevent.iwait(questions, timeout=_FIND_TIMEOUT_S):
@@ -200,6 +213,7 @@
                 member, reply = question.value
                 answers += 1
                 recent.update(reply.recent)
+                reach_s = max(reach_s, reply.reach_s)
                 if reply.known:
                     return origin_registry.Finding(
                         known=True,
@@ -213,6 +227,7 @@
         return origin_registry.Finding(
             known=False,
             recent=frozenset(recent),
+            reach_s=reach_s,
             asked=len(asked),
             answers=answers,
         )
@@ -244,15 +259,22 @@
             known=origin is not None,
             release=origin.release if origin else None,
             recent=sorted(self.recent(services)),
+            reach_s=self._reach_of_reply_s(services),
         )
         if origin is None and fields.get("forward"):
             reply = self._ask_replicas(key, services, reply)
         return cbor2.dumps(msgspec.to_builtins(reply, builtin_types=(bytes,)))
 
+    def _reach_of_reply_s(self, services: Sequence[str]) -> float:
+        if not self._is_current():
+            return 0.0
+        return min(self.reach_s(services), _MAX_REACH_S)
+
     def _ask_replicas(
         self, key: bytes, services: Sequence[str], own: _Reply
     ) -> _Reply:
         recent = set(own.recent)
+        reach_s = own.reach_s
         questions = [
             gevent.spawn(self._ask, member, key, services, forward=False)
             for member in self._replicas(key, _REPLICAS)
@@ -264,7 +286,10 @@
             if reply.known:
                 return reply
             recent.update(reply.recent)
-        return _Reply(known=False, release=None, recent=sorted(recent))
+            reach_s = max(reach_s, reply.reach_s)
+        return _Reply(
+            known=False, release=None, recent=sorted(recent), reach_s=reach_s
+        )
 
     def _ask(
         self,
--- a/irisshelf/gateway/knowledge/peer_discovery.py
+++ b/irisshelf/gateway/knowledge/peer_discovery.py
@@ -10,6 +10,7 @@
 import dataclasses
 import urllib.parse
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -143,12 +144,21 @@
     def request_several(self, path: str) -> list[bytes]:
         """Sends a request to several known instances at once.
 
+        Returns:
+            The bodies of the responses; none if no instance answered.
+        """
+        return self.request_each(self.members()[:_MAX_ASKED], path)
+
+    def request_each(
+        self, members: Iterable[membership_module.Member], path: str
+    ) -> list[bytes]:
+        """Sends a request to several instances at once.
+
         Returns:
             The bodies of the responses; none if no instance answered.
         """
         requests = [
-            gevent.spawn(self._get, member.address, path)
-            for member in self.members()[:_MAX_ASKED]
+            gevent.spawn(self._get, member.address, path) for member in members
         ]
         gevent.joinall(requests)
         responses = [request.value for request in requests]
--- /dev/null
+++ b/irisshelf/gateway/knowledge/release_exchange.py
@@ -0,0 +1,143 @@
+"""Tells instances that have just started which releases servers have had.
+
+The list of servers says what serves now, not what has served within the life of
+a stream. Instances that have followed it for longer know that.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Annotated
+
+import cbor2
+import gevent
+import msgspec
+
+from irisshelf.catalog import releases as releases_module
+from irisshelf.gateway.knowledge import peer_discovery
+from irisshelf.observe import decision_log
+
+# Path at which an instance serves ``ReleaseExchange.encode``.
+PATH = "/releases"
+# Delays, and numbers of instances asked. Others are known some tenths of a
+# second after the start; most may have started then too, and know as little.
+ROUNDS = ((0.05, 4), (0.1, 8), (0.2, 16), (0.4, 32), (0.8, 64), (1.6, 64))
+# Longer than any stream.
+_MAX_REACH_S = 1e9
+
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_REACH_S)]
+_Key = Annotated[
+    bytes,
+    msgspec.Meta(
+        min_length=releases_module.KEY_BYTES,
+        max_length=releases_module.KEY_BYTES,
+    ),
+]
+
+
+class _Service(msgspec.Struct, array_like=True):
+    name: str
+    # By release, for how long it has not been listed.
+    ages_s: dict[_Key, _Seconds]
+    reach_s: _Seconds
+
+
+class ReleaseExchange:
+    """Serves the history of releases to peers, and asks them for theirs.
+
+    Args:
+        releases: What this instance knows.
+        peers: Carries questions.
+        log: Receives decoding errors.
+        rng: Selects whom to ask.
+        is_current: Returns whether this instance is in contact with the store,
+            so that no recent release is missing.
+        now: Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        releases: releases_module.ReleaseHistory,
+        peers: peer_discovery.PeerDiscovery,
+        log: decision_log.DecisionLog,
+        rng: random.Random,
+        is_current: Callable[[], bool],
+        now: Callable[[], float],
+    ):
+        self._releases = releases
+        self._peers = peers
+        self._log = log
+        self._rng = rng
+        self._is_current = is_current
+        self._now = now
+        peers.register_handler(PATH, self.encode)
+
+    def catch_up(self) -> None:
+        """Asks peers until all releases are known, for some seconds."""
+        for delay_s, count in ROUNDS:
+            gevent.sleep(delay_s)
+            self.ask(count)
+        if not self._is_complete():
+            self._log.instance(
+                "releases_not_caught_up",
+                reach_s={
+                    name: round(self._releases.reach_s(name, self._now()), 1)
+                    for name in self._releases.services()
+                },
+            )
+
+    def ask(self, count: int) -> None:
+        """Asks some peers, unless all releases are known."""
+        if self._is_complete():
+            return
+        members = self._peers.members()
+        asked = self._rng.sample(members, min(count, len(members)))
+        for data in self._peers.request_each(asked, PATH):
+            self.apply(data)
+
+    def encode(self, fields: Mapping[str, str] | None = None) -> bytes:
+        """Encodes the history, for ``apply``.
+
+        Args:
+            fields: Query parameters; ignored.
+        """
+        if not self._is_current():
+            return cbor2.dumps([])
+        now = self._now()
+        services = []
+        for name in sorted(self._releases.services()):
+            known = self._releases.describe(name, now)
+            services.append(
+                _Service(
+                    name=name,
+                    ages_s=dict(known.ages_s),
+                    reach_s=min(known.reach_s, _MAX_REACH_S),
+                )
+            )
+        return cbor2.dumps(
+            msgspec.to_builtins(services, builtin_types=(bytes,))
+        )
+
+    def apply(self, data: bytes) -> None:
+        """Applies the result of a peer's ``encode``."""
+        try:
+            services = msgspec.convert(cbor2.loads(data), list[_Service])
+        except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+            self._log.warning("releases_unreadable", detail=str(exc))
+            return
+        for service in services:
+            history = releases_module.ServiceHistory(
+                ages_s=service.ages_s, reach_s=service.reach_s
+            )
+            self._releases.merge(service.name, history, self._now())
+
+    def _is_complete(self) -> bool:
+        now = self._now()
+        names = self._releases.services()
+        return bool(names) and all(
+            self._releases.reach_s(name, now) >= self._releases.horizon_s
+            for name in names
+        )
--- a/irisshelf/gateway/requests/stream_binding.py
+++ b/irisshelf/gateway/requests/stream_binding.py
@@ -23,6 +23,9 @@
 # that is not older.
 _MAX_LIST_AGE_S = 2.5
 
+# It may be infinite, for which JSON has no number.
+_MAX_LOGGED_REACH_S = 1e6
+
 
 class Source(enum.StrEnum):
     """How the release that began a stream is known.
@@ -152,13 +155,14 @@
             return (
                 Source.CONTRADICTING if found.release is None else Source.PEER
             )
-        recent = found.recent | self._inst.origins.recent(self._candidates())
         list_age_s = self._inst.now() - self._inst.list_version.as_of_s
         cut_off = found.asked and not found.answers
-        if len(recent) != 1 or (cut_off and list_age_s > _MAX_LIST_AGE_S):
+        if cut_off and list_age_s > _MAX_LIST_AGE_S:
             return Source.UNKNOWN
-        (self.release,) = recent
-        return Source.ONLY
+        self.release = self._inst.origins.only_release(
+            found, self._candidates()
+        )
+        return Source.UNKNOWN if self.release is None else Source.ONLY
 
     def _services(self) -> list[str]:
         return [split.service for split in self._job.route.split]
@@ -201,6 +205,7 @@
             after=self._job.head.last_event_id,
             known_by=source.value,
             releases=self._count_recent(found),
+            reach_s=round(self._reach_s(found), 1),
             list_source=self._inst.list_version.source.value,
             peer=found.by,
             asked=found.asked,
@@ -214,6 +219,11 @@
         recent = self._inst.origins.recent(self._candidates())
         return len(found.recent | recent)
 
+    def _reach_s(self, found: origin_registry.Finding) -> float:
+        """Returns for how long back all releases are known."""
+        own_s = self._inst.origins.reach_s(self._candidates())
+        return min(max(found.reach_s, own_s), _MAX_LOGGED_REACH_S)
+
     def _version_of(self, release: bytes | None) -> str | None:
         """Returns the version of a release; None if no server runs it."""
         for service in self._services():
--- a/irisshelf/gateway/servers/origin_registry.py
+++ b/irisshelf/gateway/servers/origin_registry.py
@@ -18,6 +18,7 @@
         known: Whether one of them knows the origin.
         release: Key of the release; None if there are contradicting records.
         recent: Releases that the services have had lately, as they know.
+        reach_s: For how long back one of them knows all releases.
         by: The instance that knows the origin.
         asked: Number of instances that were asked.
         answers: Number of answers until the origin was known.
@@ -26,6 +27,7 @@
     known: bool
     release: bytes | None = None
     recent: frozenset[bytes] = frozenset()
+    reach_s: float = 0.0
     by: str = ""
     asked: int = 0
     answers: int = 0
@@ -78,6 +80,31 @@
         """
         return Finding(known=False)
 
+    def only_release(
+        self, finding: Finding, services: Sequence[str]
+    ) -> bytes | None:
+        """Returns the release that must have begun a stream without a record.
+
+        Args:
+            finding: What other instances know.
+            services: The services that it may belong to.
+
+        Returns:
+            None if there may have been another release since the earliest time
+            at which the stream can have begun.
+        """
+        recent = finding.recent | self.recent(services)
+        reach_s = max(finding.reach_s, self.reach_s(services))
+        if len(recent) != 1 or reach_s < self._releases.horizon_s:
+            return None
+        (release,) = recent
+        return release
+
+    def reach_s(self, services: Sequence[str]) -> float:
+        """Returns for how long back no release of the services is missing."""
+        now = self._now()
+        return min(self._releases.reach_s(name, now) for name in services)
+
     def recent(self, services: Sequence[str]) -> frozenset[bytes]:
         """Returns the releases of some services that were listed lately."""
         now = self._now()
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -5,6 +5,7 @@
 import collections
 import functools
 import random
+import time
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -269,7 +270,7 @@
         self.eligible.doubts.retain(names)
         self.eligible.availability.retain(names, self._now())
         self._abort_replaced(servers)
-        self.releases.update(servers, self._now())
+        self.releases.update(servers, self._now(), wall_s=time.time())
         self.on_releases_changed()
         self.on_gone(gone)
         self._metrics.servers.set(len(servers))
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -22,6 +22,7 @@
 from irisshelf.gateway.knowledge import follower
 from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import peer_discovery
+from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
@@ -158,10 +159,19 @@
             log=log,
             counts=self.inst.metrics,
             rng=random.Random(3),
+            is_current=self.inst.is_in_contact,
             now=boottime.now,
         )
         self.inst.origins = self.origins
         self.inst.servers.on_releases_changed = self.origins.on_releases_changed
+        self.releases = release_exchange.ReleaseExchange(
+            releases=self.inst.servers.releases,
+            peers=self.peers,
+            log=log,
+            rng=random.Random(4),
+            is_current=self.inst.is_in_contact,
+            now=boottime.now,
+        )
         self._departures = catch_up.DepartureExchange(
             known=self.inst.eligible.availability.departures,
             on_fact=self.inst.servers.apply_fact,
@@ -189,6 +199,7 @@
         self._greenlets.append(gevent.spawn(self._datagrams.run))
         self._greenlets.append(gevent.spawn(self._gossip.run))
         self._greenlets.append(gevent.spawn(self.origins.run))
+        self._greenlets.append(gevent.spawn(self.releases.catch_up))
         self._greenlets.append(
             gevent.spawn(
                 catch_up.fetch,
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 import itertools
+import time
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -211,7 +212,7 @@
 
     def _return(self, port: int) -> None:
         if self.born_ms is not None:
-            self.born_ms += 1000
+            self.born_ms = max(self.born_ms + 1000, int(time.time() * 1000))
         self._server = self._listener(port)
         self._server.start()
         self.closed = False
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import itertools
+import time
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -110,6 +111,8 @@
         versions: Versions of the engines' software, by turns.
         events: Events of a stream.
         event_s: Pause before each event.
+        servers_age_s: How long ago the servers have started, as their entries
+            tell it; None if they do not.
         linked: Whether each instance reaches each server over a link of its
             own, which can be cut.
 
@@ -136,8 +139,10 @@
         versions: Sequence[str] = (server.FIRST_VERSION,),
         events: int = 4,
         event_s: float = 0.002,
+        servers_age_s: float | None = None,
         linked: bool = False,
     ):
+        self._servers_age_s = servers_age_s
         self._places = places
         self._make_server = functools.partial(
             server.Server, events=events, event_s=event_s
@@ -310,6 +315,7 @@
                 streaming=streaming,
                 data_centre=self._places[number % len(self._places)],
                 version=versions[number % len(versions)],
+                born_ms=self._born_ms(self._servers_age_s),
             ).start()
             for number in range(count)
         ]
@@ -318,6 +324,12 @@
             one.on_return = functools.partial(self.list_server, one)
         return made
 
+    def _born_ms(self, age_s: float | None) -> int | None:
+        """Returns when a server has started, in Unix milliseconds."""
+        if age_s is None or self._servers_age_s is None:
+            return None
+        return int((time.time() - age_s) * 1000)
+
     def add_engine(self, version: str) -> server.Server:
         """Starts one more engine and lists it."""
         made = self._make_server(
@@ -325,6 +337,7 @@
             service="lm",
             streaming=True,
             version=version,
+            born_ms=self._born_ms(0.0),
         ).start()
         self.engines.append(made)
         self.list_server(made)
--- a/irisshelf/testing/origin_network.py
+++ b/irisshelf/testing/origin_network.py
@@ -5,6 +5,7 @@
 import collections
 import os
 import random
+import urllib.parse
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -19,6 +20,7 @@
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import origin_exchange
+from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.observe import decision_log
 
 SERVICE = "lm"
@@ -27,9 +29,13 @@
 
 
 def server(
-    number: int, version: str | None = "v1", service: str = SERVICE
+    number: int,
+    version: str | None = "v1",
+    service: str = SERVICE,
+    *,
+    born_s: float | None = None,
 ) -> directory.BackendServer:
-    """Returns a server of a version."""
+    """Returns a server of a version, which has started at a time."""
     return directory.BackendServer(
         server_id=f"i-{number}",
         service=service,
@@ -37,6 +43,7 @@
         data_centre="a",
         slots=4,
         version=version,
+        born_ms=None if born_s is None else int(born_s * 1000),
     )
 
 
@@ -53,6 +60,7 @@
         sent: Bytes of the datagrams that each instance has sent.
         datagrams: Number of datagrams.
         cut: Names of instances that nothing reaches.
+        born_s: When the servers of a version have started, if they tell it.
         instances: By name.
     """
 
@@ -67,8 +75,14 @@
         self.sent: collections.Counter[str] = collections.Counter()
         self.datagrams = 0
         self.cut: set[str] = set()
+        self.born_s: dict[str, float] = {}
         self._rng = random.Random(7)
         self._loss = loss
+        self._addresses = {
+            name: f"10.0.{number // 250}.{number % 250}:80"
+            for number, (name, _) in enumerate(names)
+        }
+        self._names = {at: name for name, at in self._addresses.items()}
         self.instances = {
             name: Instance(
                 network=self,
@@ -96,22 +110,28 @@
         self.sent[sender] += len(data) + _HEADER_BYTES
         self.datagrams += 1
         lost = self._rng.random() < self._loss
-        if not lost and self._passes(sender, address):
-            self.instances[address].receive(data)
+        name = self._names[address]
+        if not lost and self._passes(sender, name):
+            self.instances[name].receive(data)
 
     def request(
         self, sender: str, address: str, target: str
     ) -> result.Result[bytes, str]:
         """Delivers a question and returns the answer."""
-        if not self._passes(sender, address):
+        name = self._names[address]
+        if not self._passes(sender, name):
             return result.Err("cut off")
         path, _, query = target.partition("?")
-        fields = dict(item.split("=", 1) for item in query.split("&"))
-        body = self.instances[address].handlers[path](fields)
+        fields = dict(urllib.parse.parse_qsl(query))
+        body = self.instances[name].handlers[path](fields)
         return result.Err("refused") if body is None else result.Ok(body)
 
-    def _passes(self, sender: str, address: str) -> bool:
-        return not self.cut & {sender, address}
+    def address_of(self, name: str) -> str:
+        """Returns the address of an instance."""
+        return self._addresses[name]
+
+    def _passes(self, sender: str, receiver: str) -> bool:
+        return not self.cut & {sender, receiver}
 
 
 class Instance:
@@ -119,15 +139,18 @@
 
     Args:
         network: The network.
-        name: Its name, and its address.
+        name: Its name.
         data_centre: Its data centre.
-        versions: Versions of the servers that it lists.
+        versions: Versions of the servers that it lists at first.
 
     Attributes:
+        versions: Versions of the servers that it lists.
+        is_current: Whether it is in contact with the store.
         member: Its membership entry.
         membership: The instances that it knows.
         history: The releases that it has listed.
         exchange: The exchange.
+        releases: Tells others its history, and asks for theirs.
         origins: What it keeps.
         problems: Names of the warnings that it has logged.
     """
@@ -138,11 +161,13 @@
         network: Network,
         name: str,
         data_centre: str,
-        versions: Sequence[str],
+        versions: Sequence[str] = (),
     ):
         self.name = name
+        self.versions: tuple[str, ...] = ()
+        self.is_current = True
         self.member = membership_module.Member(
-            name=name, address=name, data_centre=data_centre
+            name=name, address=network.address_of(name), data_centre=data_centre
         )
         self.membership = membership_module.Membership(own=self.member)
         self.handlers: dict[
@@ -152,7 +177,8 @@
         self._network = network
         self._subscribed: dict[int, Callable[[Any], None]] = {}
         self.history = releases.ReleaseHistory(life_s=stream_origins.MIN_LIFE_S)
-        self.list_servers(versions)
+        if versions:
+            self.list_servers(versions)
         with open(os.devnull, "wb") as sink:
             log = decision_log.DecisionLog(instance=name, fd=sink.fileno())
         log.warning = lambda line, **fields: self.problems.append(line)
@@ -163,14 +189,28 @@
             log=log,
             counts=metrics.Metrics(),
             rng=random.Random(3),
+            is_current=lambda: self.is_current,
             now=lambda: network.now,
         )
         self.origins = self.exchange.origins
+        self.releases = release_exchange.ReleaseExchange(
+            releases=self.history,
+            peers=self,
+            log=log,
+            rng=random.Random(4),
+            is_current=lambda: self.is_current,
+            now=lambda: network.now,
+        )
 
     def list_servers(self, versions: Sequence[str]) -> None:
         """Lists one server of each version from now on."""
-        servers = [server(n, version) for n, version in enumerate(versions)]
-        self.history.update(servers, self._network.now)
+        self.versions = tuple(versions)
+        network = self._network
+        servers = [
+            server(n, version, born_s=network.born_s.get(version))
+            for n, version in enumerate(versions)
+        ]
+        self.history.update(servers, network.now, wall_s=network.now)
 
     def knows(self, key: bytes) -> bool:
         """Returns whether it keeps or finds an origin."""
@@ -179,6 +219,20 @@
             or self.exchange.find(key, [SERVICE]).known
         )
 
+    def ask_for_releases(self, count: int) -> None:
+        """Asks others which releases there have been."""
+        self.releases.ask(count)
+
+    def request_each(
+        self, members: Sequence[membership_module.Member], path: str
+    ) -> list[bytes]:
+        """See ``PeerDiscovery.request_each``."""
+        responses = [
+            self.request(member.address, path, timeout_s=1.0)
+            for member in members
+        ]
+        return [r.ok_value for r in responses if isinstance(r, result.Ok)]
+
     def receive(self, data: bytes) -> None:
         """Handles a datagram."""
         self._subscribed[data[0]](cbor2.loads(data[1:]))
--- a/irisshelf/tests/resumed_streams.py
+++ b/irisshelf/tests/resumed_streams.py
@@ -11,6 +11,8 @@
 from irisshelf.transport import errors
 
 _EVENTS = 12
+# So long that no stream of before the start of all instances is resumed.
+SERVERS_AGE_S = 3600.0
 _EVENT_S = 0.004
 TWO = ("v1", "v1.1")
 THREE = ("v1", "v1.1", "v1.2")
@@ -127,7 +129,12 @@
 
 def make(make_world, **options):
     world = make_world(
-        **{"servers": 6, "versions": TWO, "data_centres": ("a", "a", "b")}
+        **{
+            "servers": 6,
+            "versions": TWO,
+            "data_centres": ("a", "a", "b"),
+            "servers_age_s": SERVERS_AGE_S,
+        }
         | options,
         bounds=_BOUNDS,
         events=_EVENTS,
--- /dev/null
+++ b/irisshelf/tests/test_release_history.py
@@ -0,0 +1,146 @@
+"""How far back an instance knows which releases have served."""
+
+import math
+
+import cbor2
+import pytest
+
+from irisshelf.catalog import releases
+from irisshelf.coordination import stream_origins
+from irisshelf.gateway.knowledge import release_exchange
+from irisshelf.testing import origin_network
+
+_KEYS = {
+    version: releases.release_key(origin_network.server(0, version))
+    for version in ("v1", "v2")
+}
+_HORIZON_S = 24.0
+_STREAM = stream_origins.stream_key("blue", "r1")
+
+
+def _history(*lists):
+    """Returns a history of lists: when, and the servers' starts."""
+    history = releases.ReleaseHistory(life_s=60.0)
+    for at_s, starts_s in lists:
+        servers = [
+            origin_network.server(number, born_s=born_s)
+            for number, born_s in enumerate(starts_s)
+        ]
+        history.update(servers, at_s, wall_s=at_s)
+    return history
+
+
+@pytest.mark.parametrize(
+    ("lists", "now", "reach_s"),
+    [
+        pytest.param([], 100.0, 0.0, id="no-list"),
+        pytest.param([(100.0, [None])], 101.0, 1.0, id="starts-not-reported"),
+        pytest.param([(100.0, [0.0])], 100.0, 85.0, id="old-servers"),
+        pytest.param([(100.0, [0.0, 99.0])], 101.0, 1.0, id="one-is-young"),
+        pytest.param([(100.0, [0.0, None])], 101.0, 1.0, id="one-is-unknown"),
+        pytest.param([(100.0, [99.0])], 101.0, 1.0, id="all-are-young"),
+        pytest.param(
+            [(100.0, []), (101.0, [101.0])], 102.0, math.inf, id="new-service"
+        ),
+        pytest.param(
+            [(100.0, []), (101.0, [0.0])], 102.0, 87.0, id="listed-again"
+        ),
+        pytest.param(
+            [(100.0, []), (101.0, [-7100.0])], 102.0, 7187.0, id="clock-behind"
+        ),
+        pytest.param(
+            [(100.0, []), (101.0, [7300.0])], 102.0, 2.0, id="clock-ahead"
+        ),
+        pytest.param(
+            [(100.0, [0.0]), (110.0, [0.0, 110.0])],
+            110.0,
+            95.0,
+            id="one-starts-later",
+        ),
+    ],
+)
+def test_for_how_long_back_no_release_is_missing(lists, now, reach_s):
+    """Guards against one listed release that is taken for the only one."""
+    assert _history(*lists).reach_s("lm", now) == pytest.approx(reach_s)
+
+
+@pytest.mark.parametrize(
+    ("ages_s", "reach_s", "known", "known_back_s"),
+    [
+        pytest.param({"v1": 0.0}, 500.0, {"v1"}, 500.0, id="same"),
+        pytest.param(
+            {"v1": 0.0, "v2": 5.0}, 500.0, {"v1", "v2"}, 500.0, id="2"
+        ),
+        pytest.param({"v2": 61.0}, 500.0, {"v1"}, 500.0, id="long-ago"),
+        pytest.param({"v1": 0.0}, 0.0, {"v1"}, 1.0, id="knows-less"),
+        pytest.param({}, 0.0, {"v1"}, 1.0, id="knows-nothing"),
+    ],
+)
+def test_what_another_instance_knows_is_added(
+    ages_s, reach_s, known, known_back_s
+):
+    """Guards against instances that start and know only what serves now."""
+    history = _history((100.0, [None]))
+    other = releases.ServiceHistory(
+        ages_s={_KEYS[version]: age_s for version, age_s in ages_s.items()},
+        reach_s=reach_s,
+    )
+    history.merge("lm", other, 101.0)
+    assert history.recent("lm", 101.0) == {_KEYS[v] for v in known}
+    assert history.reach_s("lm", 101.0) == known_back_s
+
+
+def test_what_is_known_is_passed_on_over_several_instances():
+    """Guards against a fleet whose instances are replaced one by one."""
+    first = _history((0.0, [None]))
+    first.update([origin_network.server(0, "v2")], 100.0)
+    second = _history((110.0, []))
+    second.merge("lm", first.describe("lm", 110.0), 110.0)
+    third = _history((120.0, []))
+    third.merge("lm", second.describe("lm", 120.0), 120.0)
+    assert third.recent("lm", 120.0) == set(_KEYS.values())
+    assert third.reach_s("lm", 120.0) == 120.0
+
+
+def _names(count):
+    return [(f"i-{number}", "a") for number in range(count)]
+
+
+@pytest.mark.parametrize("is_current", [True, False])
+def test_only_an_instance_in_contact_with_the_store_tells_what_it_knows(
+    is_current,
+):
+    """Guards against what an instance that is cut off has missed."""
+    network = origin_network.Network(_names(2))
+    one = network.instances["i-0"]
+    one.is_current = is_current
+    one.list_servers(("v1",))
+    network.now = 100.0
+    answer = cbor2.loads(one.handlers[release_exchange.PATH]({}))
+    assert bool(answer) is is_current
+    reply = cbor2.loads(
+        one.handlers["/stream-origin"](
+            {"key": _STREAM.hex(), "services": "lm", "forward": ""}
+        )
+    )
+    assert reply[-1] == (100.0 if is_current else 0.0)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        pytest.param(b"\xff", id="no-cbor"),
+        pytest.param(cbor2.dumps({}), id="no-list"),
+        pytest.param(cbor2.dumps([["lm", {b"short": 0.0}, 1.0]]), id="key"),
+        pytest.param(cbor2.dumps([["lm", {_KEYS["v1"]: -1.0}, 1.0]]), id="age"),
+        pytest.param(
+            cbor2.dumps([["lm", {_KEYS["v1"]: 0.0}, float("nan")]]), id="reach"
+        ),
+    ],
+)
+def test_an_invalid_history_is_not_applied(content):
+    network = origin_network.Network(_names(1), versions=())
+    (one,) = network.instances.values()
+    one.releases.apply(content)
+    assert one.problems == ["releases_unreadable"]
+    assert not one.history.recent("lm", 0.0)
--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -441,6 +441,7 @@
             log=None,
             counts=metrics.Metrics(),
             rng=random.Random(1),
+            is_current=lambda: True,
             now=lambda: 0.0,
         ).origins
 
@@ -464,6 +465,9 @@
     def send(self, address, data):
         """Ignores forwarded datagrams."""
 
+    def members(self):
+        return []
+
     def receive_crash(self, evidence):
         self.ends += evidence
 
