Origins of streams do not wait to be sent, and all instances are asked for them

Callers of fleets of more than eight instances had streams rejected that could have gone on, most of all after many instances had been killed at once. Cause: origins waited for a limit of 1,200 bytes a second, those of before the second version first, so that whoever was killed meanwhile took them along; and five instances were asked, by a ranking of members that names the dead for seconds and of which an instance that has just started knows a few. Change: an origin is sent as its stream begins, to three instances, and below the limit forwarded to two more. Those of earlier streams go to five instances in shared datagrams, the latest first. If the first five asked do not know an origin, all instances are asked by datagrams, which streams resumed at the same moment share; only who keeps it answers, and what is found is kept. Nothing of this happens while one release can have begun the stream.

--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -24,6 +24,7 @@
     STORE_UPDATE = 2
     CRASHES = 3
     STREAM_ORIGINS = 4
+    STREAM_QUESTIONS = 5
 
 
 class Datagrams:
--- a/irisshelf/gateway/knowledge/origin_exchange.py
+++ b/irisshelf/gateway/knowledge/origin_exchange.py
@@ -3,21 +3,25 @@
 As long as the servers of a service run one release, and did for longer than a
 stream can last, that release began all streams, and nothing is sent. Otherwise
 the origin of a stream is sent, before its first event is relayed, to the
-instances that keep it: two of the own data centre and one of another, which
-sends it to two of its own. They are selected by the stream's key, so that an
-instance at which the stream is resumed knows whom to ask. When a second release
-appears, the origins of all streams relayed here until then are sent.
-
-An origin takes 14 bytes, and a datagram about 50. Above a limit on bytes per
-second, origins wait and are sent together.
+instances that keep it: two of the own data centre and one of another. They are
+selected by the stream's key, so that an instance at which the stream is resumed
+knows whom to ask first; if they do not know it, all others are asked, see
+``origin_questions``. When a second release appears, the origins of the streams
+relayed here until then are sent to a few instances.
+
+An origin takes 14 bytes, and a datagram about 50. No limit holds an origin
+back, as its stream is lost if this instance ends before it is sent. Below a
+limit on bytes per second, the instance in the other data centre forwards it to
+two more.
 """
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 import random
 import urllib.parse
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Annotated
@@ -27,6 +31,7 @@
 import gevent
 import msgspec
 import result
+from gevent import event
 
 from irisshelf.catalog import releases as releases_module
 from irisshelf.coordination import membership as membership_module
@@ -34,6 +39,7 @@
 from irisshelf.coordination import token_bucket
 from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import origin_questions
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.servers import origin_registry
 from irisshelf.observe import decision_log
@@ -45,12 +51,14 @@
 # just gone, the views of who is next differ for a moment.
 _ASKED = 3
 _DATA_CENTRES = 1
+# Origins of earlier streams share datagrams, so that copies cost little.
+_REPLICAS_OF_EARLIER = 3
+_DATA_CENTRES_OF_EARLIER = 2
 # The data centre of the instance that sent an origin is not known; if it is the
 # first one for the key, the origin was sent to the second.
 _DATA_CENTRES_ASKED = 2
 # So few are all asked, the instance that began the stream among them.
 _ASK_ALL_UP_TO = 8
-_FIND_TIMEOUT_S = 0.2
 # For an instance that asks others of its data centre first.
 _FORWARDED_TIMEOUT_S = 0.1
 _BYTES_PER_S = 1200.0
@@ -58,12 +66,17 @@
 # IP and UDP headers.
 _HEADER_BYTES = 28
 _RECORD_BYTES = stream_origins.KEY_BYTES + releases_module.KEY_BYTES
+# Takes the place of the release's key if records contradict.
+_CONTRADICTING = bytes(releases_module.KEY_BYTES)
 _RECORDS_PER_DATAGRAM = 90
-_MAX_QUEUED_PER_RECEIVER = 500
+# Origins of earlier streams that wait to be sent.
+_MAX_EARLIER = 2000
+_NO_KEY = bytes(stream_origins.KEY_BYTES)
+_TIMING = origin_questions.Timing()
+
 # Longer than any stream.
 _MAX_REACH_S = 1e9
 
-
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_REACH_S)]
 
 
@@ -97,6 +110,7 @@
         is_current: Returns whether this instance is in contact with the store,
             so that no recent release is missing.
         now: Monotonic seconds.
+        timing: Times of a search.
     """
 
     def __init__(
@@ -110,6 +124,7 @@
         rng: random.Random,
         is_current: Callable[[], bool],
         now: Callable[[], float],
+        timing: origin_questions.Timing = _TIMING,
     ):
         super().__init__(releases=releases, now=now)
         self._datagrams = datagrams
@@ -119,16 +134,27 @@
         self._metrics = counts
         self._rng = rng
         self._is_current = is_current
+        self._timing = timing
         self._bucket = token_bucket.TokenBucket(bytes_per_s=_BYTES_PER_S)
-        # By receiver and whether it forwards them: encoded origins, and when
-        # each was queued.
-        self._queues: dict[tuple[str, bool], list[tuple[bytes, float]]] = {}
+        # Encoded origins of earlier streams that are still to be sent, and
+        # since when.
+        self._earlier: collections.deque[bytes] = collections.deque()
+        self._earlier_since_s = 0.0
         self._mixed: frozenset[str] = frozenset()
+        self._questions = origin_questions.OriginQuestions(
+            datagrams=datagrams,
+            peers=peers,
+            rng=rng,
+            timing=timing,
+            on_question=self._reply,
+            on_sent=self._count_sent,
+            now=now,
+        )
         datagrams.subscribe(datagrams_module.Kind.STREAM_ORIGINS, self.receive)
         peers.register_handler(PATH, self.answer)
 
     def run(self) -> None:
-        """Sends what has had to wait, until the greenlet is killed."""
+        """Sends origins of earlier streams, until the greenlet is killed."""
         while True:
             gevent.sleep(_TICK_S)
             self.flush()
@@ -141,9 +167,17 @@
         See ``OriginRegistry.record``.
         """
         super().record(key, services, release)
-        if len(self.recent(services)) > 1:
-            self._queue([(key, release)], remote=True)
-            self.flush()
+        if len(self.recent(services)) <= 1:
+            return
+        forward = self._bucket.has_tokens(self._now())
+        receivers = [(m.address, False) for m in self._replicas(key, _REPLICAS)]
+        receivers += [
+            (member.address, forward)
+            for member in self._remote_receivers(key, _DATA_CENTRES)
+        ]
+        self._metrics.origin_wait.observe(0.0)
+        for address, forwards in receivers:
+            self._send(address, key + release, forward=forwards)
 
     def on_releases_changed(self) -> None:
         """Sends the origins of earlier streams once a second release serves."""
@@ -160,16 +194,39 @@
         if not added:
             return
         keys = frozenset().union(*(recent[name] for name in added))
-        self._queue(
-            [
-                (key, origin.release)
-                for key, origin in self.origins.own(now)
-                if origin.release in keys
-            ],
-            remote=True,
-        )
+        records = [
+            key + origin.release
+            for key, origin in self.origins.own(now)
+            if origin.release in keys
+        ]
+        # The latest streams are the most likely ones to be resumed.
+        records.reverse()
+        self._metrics.origins_dropped.inc(max(0, len(records) - _MAX_EARLIER))
+        self._earlier = collections.deque(records[:_MAX_EARLIER])
+        self._earlier_since_s = now
         self.flush()
 
+    def flush(self) -> None:
+        """Sends some of the origins of earlier streams.
+
+        They all go to the same instances, so that they share datagrams. Who
+        looks for them asks all instances.
+        """
+        count = min(len(self._earlier), _RECORDS_PER_DATAGRAM)
+        if not count:
+            return
+        waited_s = self._now() - self._earlier_since_s
+        records = b"".join(self._earlier.popleft() for _ in range(count))
+        name = self._membership.own.name
+        key = stream_origins.stream_key("", name)
+        for member in (
+            *self._replicas(key, _REPLICAS_OF_EARLIER),
+            *self._remote_receivers(key, _DATA_CENTRES_OF_EARLIER),
+        ):
+            self._send(member.address, records)
+        for _ in range(count):
+            self._metrics.origin_wait.observe(waited_s)
+
     def receive(self, content: Any) -> None:
         """Handles the content of a datagram.
 
@@ -188,49 +245,83 @@
         ]
         now = self._now()
         for key, release in records:
-            self.origins.record(key, release, now, own=False)
+            known = None if release == _CONTRADICTING else release
+            self.origins.record(key, known, now, own=False)
+        self._questions.record_known(key for key, _ in records)
         if message.forward:
-            self._queue(records, remote=False)
-            self.flush()
+            self._forward(records)
 
     def find(
         self, key: bytes | None, services: Sequence[str]
     ) -> origin_registry.Finding:
-        """See ``OriginRegistry.find``."""
-        key = key or bytes(stream_origins.KEY_BYTES)
-        asked = self._members_to_ask(key)
+        """See ``OriginRegistry.find``.
+
+        The instances that should keep the origin are asked first. All others
+        are asked if these do not know it, unless no other release can have
+        begun the stream.
+        """
+        members = self._members_to_ask(key or _NO_KEY)
+        search = _Search(asked=len(members))
         questions = [
-            gevent.spawn(self._ask, member, key, services, forward=forward)
-            for member, forward in asked
+            gevent.spawn(
+                self._ask, member, key or _NO_KEY, services, forward=forward
+            )
+            for member, forward in members
         ]
-        recent: set[bytes] = set()
-        reach_s = 0.0
-        answers = 0
+        began_s = self._now()
         try:
-            for question in gevent.iwait(questions, timeout=_FIND_TIMEOUT_S):
-                if question.value is None:
-                    continue
-                member, reply = question.value
-                answers += 1
-                recent.update(reply.recent)
-                reach_s = max(reach_s, reply.reach_s)
-                if reply.known:
-                    return origin_registry.Finding(
-                        known=True,
-                        release=reply.release,
-                        by=member.name,
-                        asked=len(asked),
-                        answers=answers,
-                    )
+            self._collect(search, questions, self._timing.all_asked_after_s)
+            left_s = self._timing.find_s - (self._now() - began_s)
+            if not search.known and left_s > 0:
+                self._search_on(search, key, services, questions, left_s)
         finally:
             gevent.killall(questions, block=False)
-        return origin_registry.Finding(
-            known=False,
-            recent=frozenset(recent),
-            reach_s=reach_s,
-            asked=len(asked),
-            answers=answers,
-        )
+        if search.known and key is not None:
+            self.origins.record(key, search.release, self._now(), own=False)
+        return search.finding()
+
+    def _search_on(
+        self,
+        search: _Search,
+        key: bytes | None,
+        services: Sequence[str],
+        questions: list[gevent.Greenlet],
+        timeout_s: float,
+    ) -> None:
+        """Asks all instances, unless no other release can have begun it."""
+        if key is None or self.only_release(search.finding(), services):
+            self._collect(search, questions, timeout_s)
+            return
+        try:
+            known = self._questions.ask(key)
+            self._collect(search, questions, timeout_s, known=known)
+        finally:
+            self._questions.end(key)
+        origin = self.get(key)
+        if not search.known and origin is not None:
+            search.known = True
+            search.release = origin.release
+
+    def _collect(
+        self,
+        search: _Search,
+        questions: list[gevent.Greenlet],
+        timeout_s: float,
+        *,
+        known: event.Event | None = None,
+    ) -> None:
+        """Collects replies until the origin is known."""
+        awaited = [q for q in questions if q not in search.collected]
+        if known is not None:
+            awaited.append(known)
+        for done in gevent.iwait(awaited, timeout=timeout_s):
+            if done is known:
+                return
+            search.collected.add(done)
+            if done.value is not None:
+                search.add(*done.value)
+            if search.known:
+                return
 
     def answer(self, fields: Mapping[str, str]) -> bytes | None:
         """Answers the question of another instance.
@@ -273,22 +364,17 @@
     def _ask_replicas(
         self, key: bytes, services: Sequence[str], own: _Reply
     ) -> _Reply:
-        recent = set(own.recent)
-        reach_s = own.reach_s
+        search = _Search(recent=set(own.recent), reach_s=own.reach_s)
         questions = [
             gevent.spawn(self._ask, member, key, services, forward=False)
             for member in self._replicas(key, _REPLICAS)
         ]
-        for question in gevent.iwait(questions, timeout=_FORWARDED_TIMEOUT_S):
-            if question.value is None:
-                continue
-            _, reply = question.value
-            if reply.known:
-                return reply
-            recent.update(reply.recent)
-            reach_s = max(reach_s, reply.reach_s)
+        self._collect(search, questions, _FORWARDED_TIMEOUT_S)
         return _Reply(
-            known=False, release=None, recent=sorted(recent), reach_s=reach_s
+            known=search.known,
+            release=search.release,
+            recent=sorted(search.recent),
+            reach_s=search.reach_s,
         )
 
     def _ask(
@@ -307,7 +393,7 @@
         response = self._peers.request(
             member.address,
             f"{PATH}?{urllib.parse.urlencode(query)}",
-            timeout_s=_FIND_TIMEOUT_S,
+            timeout_s=self._timing.find_s,
         )
         if isinstance(response, result.Err):
             return None
@@ -351,49 +437,88 @@
         names = stream_origins.rank_data_centres(by_data_centre, key)
         return [self._rng.choice(by_data_centre[n]) for n in names[:count]]
 
-    def _queue(
-        self, records: Iterable[tuple[bytes, bytes]], *, remote: bool
-    ) -> None:
-        now = self._now()
+    def _forward(self, records: Sequence[tuple[bytes, bytes]]) -> None:
+        """Sends origins to the instances of this data centre that keep them."""
+        by_receiver: dict[str, list[bytes]] = {}
         for key, release in records:
-            receivers = [
-                (m.address, False) for m in self._replicas(key, _REPLICAS)
-            ]
-            if remote:
-                receivers += [
-                    (member.address, True)
-                    for member in self._remote_receivers(key, _DATA_CENTRES)
-                ]
-            for receiver in receivers:
-                queue = self._queues.setdefault(receiver, [])
-                queue.append((key + release, now))
-                if len(queue) > _MAX_QUEUED_PER_RECEIVER:
-                    del queue[0]
-                    self._metrics.origins_dropped.inc()
+            for member in self._replicas(key, _REPLICAS):
+                by_receiver.setdefault(member.address, []).append(key + release)
+        for address, some in by_receiver.items():
+            self._send(address, b"".join(some))
+
+    def _reply(self, keys: Sequence[bytes], address: str) -> None:
+        """Sends the origins that are kept here to who looks for them."""
+        origins = [(key, self.get(key)) for key in keys]
+        records = [
+            key + (origin.release or _CONTRADICTING)
+            for key, origin in origins
+            if origin is not None
+        ]
+        for begin in range(0, len(records), _RECORDS_PER_DATAGRAM):
+            some = records[begin : begin + _RECORDS_PER_DATAGRAM]
+            self._send(address, b"".join(some))
 
-    def flush(self) -> None:
-        """Sends queued origins, as the limit on bytes per second allows."""
-        while self._queues and self._bucket.has_tokens(self._now()):
-            receiver = next(iter(self._queues))
-            queue = self._queues.pop(receiver)
-            address, forward = receiver
-            for begin in range(0, len(queue), _RECORDS_PER_DATAGRAM):
-                sent = queue[begin : begin + _RECORDS_PER_DATAGRAM]
-                for _, queued_s in sent:
-                    self._metrics.origin_wait.observe(self._now() - queued_s)
-                records = b"".join(record for record, _ in sent)
-                self._send(address, records, forward=forward)
-
-    def _send(self, address: str, records: bytes, *, forward: bool) -> None:
+    def _send(
+        self, address: str, records: bytes, *, forward: bool = False
+    ) -> None:
         message = _Message(records=records, forward=forward)
         data = datagrams_module.encode(
             datagrams_module.Kind.STREAM_ORIGINS,
             msgspec.to_builtins(message, builtin_types=(bytes,)),
         )
         self._datagrams.send(address, data)
-        size = len(data) + _HEADER_BYTES
-        self._bucket.consume(size)
-        self._metrics.origin_bytes.inc(size)
+        self._count_sent(len(data))
+
+    def _count_sent(self, size: int) -> None:
+        self._bucket.consume(size + _HEADER_BYTES)
+        self._metrics.origin_bytes.inc(size + _HEADER_BYTES)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Search:
+    """A search for a stream's origin.
+
+    Attributes:
+        asked: Number of instances that were asked first.
+        collected: Their questions that have ended.
+        answers: Number of replies.
+        recent: Releases that the services have had lately.
+        reach_s: For how long back no release is missing in one of the replies.
+        known: Whether the origin is known.
+        release: Key of the release; None if there are contradicting records.
+        by: The instance that knows it, if it was among the first.
+    """
+
+    asked: int = 0
+    collected: set[gevent.Greenlet] = dataclasses.field(default_factory=set)
+    answers: int = 0
+    recent: set[bytes] = dataclasses.field(default_factory=set)
+    reach_s: float = 0.0
+    known: bool = False
+    release: bytes | None = None
+    by: str = ""
+
+    def add(self, member: membership_module.Member, reply: _Reply) -> None:
+        """Adds an instance's reply."""
+        self.answers += 1
+        self.recent.update(reply.recent)
+        self.reach_s = max(self.reach_s, reply.reach_s)
+        if reply.known:
+            self.known = True
+            self.release = reply.release
+            self.by = member.name
+
+    def finding(self) -> origin_registry.Finding:
+        """Returns what has been found."""
+        return origin_registry.Finding(
+            known=self.known,
+            release=self.release,
+            recent=frozenset(self.recent),
+            reach_s=self.reach_s,
+            by=self.by,
+            asked=self.asked,
+            answers=self.answers,
+        )
 
 
 def _split(record: bytes) -> tuple[bytes, bytes]:
--- a/irisshelf/testing/origin_network.py
+++ b/irisshelf/testing/origin_network.py
@@ -19,11 +19,18 @@
 from irisshelf.coordination import membership as membership_module
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway import metrics
+from irisshelf.gateway.knowledge import datagrams as datagrams_module
 from irisshelf.gateway.knowledge import origin_exchange
+from irisshelf.gateway.knowledge import origin_questions
 from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.observe import decision_log
 
 SERVICE = "lm"
+# Datagrams and questions arrive at once here, and answers before they are
+# waited for.
+_TIMING = origin_questions.Timing(
+    find_s=0.001, all_asked_after_s=5.0, gather_s=0.0, gather_again_s=0.0
+)
 # IP and UDP headers.
 _HEADER_BYTES = 28
 
@@ -191,6 +198,7 @@
             rng=random.Random(3),
             is_current=lambda: self.is_current,
             now=lambda: network.now,
+            timing=_TIMING,
         )
         self.origins = self.exchange.origins
         self.releases = release_exchange.ReleaseExchange(
@@ -219,6 +227,10 @@
             or self.exchange.find(key, [SERVICE]).known
         )
 
+    def questions(self, content: Any) -> None:
+        """Handles the content of a question about origins."""
+        self._subscribed[datagrams_module.Kind.STREAM_QUESTIONS](content)
+
     def ask_for_releases(self, count: int) -> None:
         """Asks others which releases there have been."""
         self.releases.ask(count)
--- a/irisshelf/tests/test_release_history.py
+++ b/irisshelf/tests/test_release_history.py
@@ -7,6 +7,7 @@
 
 from irisshelf.catalog import releases
 from irisshelf.coordination import stream_origins
+from irisshelf.gateway.knowledge import origin_questions
 from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.testing import origin_network
 
@@ -144,3 +145,51 @@
     one.releases.apply(content)
     assert one.problems == ["releases_unreadable"]
     assert not one.history.recent("lm", 0.0)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        pytest.param([b"", "127.0.0.1:1"], id="no-keys"),
+        pytest.param([b"short", "127.0.0.1:1"], id="not-a-multiple"),
+        pytest.param(["text", "127.0.0.1:1"], id="text"),
+        pytest.param([_STREAM], id="no-address"),
+        pytest.param([_STREAM, "evil.example:1"], id="name"),
+        pytest.param([_STREAM, "127.0.0.1:0"], id="port-0"),
+        pytest.param([_STREAM, "127.0.0.1:99999"], id="port-99999"),
+        pytest.param([_STREAM, "127.0.0.1:x"], id="port-text"),
+        pytest.param([_STREAM, "127.0.0.1:1", "yes"], id="forward-is-text"),
+    ],
+)
+def test_an_invalid_question_is_refused(content):
+    network = origin_network.Network(_names(2))
+    one = network.instances["i-0"]
+    with pytest.raises(ValueError, match=r".+"):
+        one.questions(content)
+    assert not network.datagrams
+
+
+def test_searches_at_the_same_moment_share_questions():
+    """Guards against a datagram for each stream that a killed instance had."""
+    network = origin_network.Network(_names(20))
+    one = network.instances["i-0"]
+    sent = []
+    questions = origin_questions.OriginQuestions(
+        datagrams=one,
+        peers=one,
+        rng=None,
+        timing=origin_questions.Timing(gather_s=0.001, gather_again_s=0.001),
+        on_question=lambda keys, address: None,
+        on_sent=sent.append,
+        now=lambda: 0.0,
+    )
+    keys = [number.to_bytes(8) for number in range(50)]
+    waits = [questions.ask(key) for key in keys]
+    assert not sent
+    network.instances["i-1"].exchange.origins.record(
+        keys[7], _KEYS["v1"], 0.0, own=True
+    )
+    questions.flush()
+    assert len(sent) == 19
+    questions.record_known([keys[7]])
+    assert [number for number, w in enumerate(waits) if w.is_set()] == [7]
