Soak: seeds from 8000 on have herds, rollouts and three data centres

Cause: the soak played versions at three instances as a rule, below the size at which every other instance is asked for a stream's origin, and in one data centre; no more than one instance was killed at a moment.

Change: seeds from 8000 on kill a share of 0.3 to 0.9 of the instances at once, also in series and while a version comes or goes; eight streaming servers, two callers an instance (at most 64), streams resumed up to 6 s later; from 12 instances on they stand in three data centres. With one version all along no resumption may be refused as unknown (as callers read in the answer's body). Seeds below draw as before, by a test with digests of draws made before the change.

--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -1,6 +1,8 @@
 """The soak: its checker finds what is planted; two runs of real processes."""
 
 import dataclasses
+import hashlib
+import math
 import pathlib
 import random
 import socket
@@ -13,6 +15,7 @@
 from soak import checker
 from soak import crash_checks
 from soak import crashing
+from soak import faults
 from soak import observations
 from soak import plan
 from soak import run as run_module
@@ -337,6 +340,7 @@
                     *plan.OUTDATED_KINDS,
                     *plan.PARTITION_KINDS,
                     plan.Kind.VERSION,
+                    plan.Kind.HERD,
                 )
             ),
         ),
@@ -351,6 +355,7 @@
                     *plan.OUTDATED_KINDS,
                     *plan.PARTITION_KINDS,
                     plan.Kind.VERSION,
+                    plan.Kind.HERD,
                 )
             ),
         ),
@@ -360,15 +365,29 @@
             tuple(
                 k
                 for k in plan.Kind
-                if k not in (*plan.PARTITION_KINDS, plan.Kind.VERSION)
+                if k
+                not in (
+                    *plan.PARTITION_KINDS,
+                    plan.Kind.VERSION,
+                    plan.Kind.HERD,
+                )
             ),
         ),
         (
             plan.PARTITIONS_FROM,
             10,
-            tuple(k for k in plan.Kind if k is not plan.Kind.VERSION),
+            tuple(
+                k
+                for k in plan.Kind
+                if k not in (plan.Kind.VERSION, plan.Kind.HERD)
+            ),
+        ),
+        (
+            plan.VERSIONS_FROM,
+            10,
+            tuple(k for k in plan.Kind if k is not plan.Kind.HERD),
         ),
-        (plan.VERSIONS_FROM, 10, tuple(plan.Kind)),
+        (plan.SIZE_FROM, 24, tuple(plan.Kind)),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
@@ -378,6 +397,142 @@
     assert drawn == set(kinds)
 
 
+@pytest.mark.parametrize(
+    ("first", "small", "large"),
+    [
+        (0, "6165110a23a471ac", "a82c217940ec8791"),
+        (1000, "e9903f4274c25b97", "926bc1d59666d304"),
+        (2000, "0ee3ecf71702fd80", "0c1bbb82df4bcd79"),
+        (4000, "e1b58769f7f7bd1f", "9926ef1a9948730e"),
+        (5000, "f3693bbcddf929eb", "8d7824698b13188d"),
+        (6000, "f5a9232105d242ab", "4f1e3090ce8128c0"),
+        (7000, "a50180e48916b756", "dfe6fe946c140311"),
+        (7960, "352b6966727eb616", "21f2d73eabbecde8"),
+    ],
+)
+def test_seeds_without_herds_draw_as_before(first, small, large):
+    """Guards against new kinds of faults that change known seeds."""
+    for instances, expected in ((plan.INSTANCES, small), (24, large)):
+        seeds = range(first, first + 40)
+        drawn = repr([plan.draw(seed, instances) for seed in seeds])
+        digest = hashlib.sha256(drawn.encode()).hexdigest()
+        assert digest[: len(expected)] == expected
+
+
+def test_each_run_with_herds_has_one_unless_its_work_is_planned():
+    """Guards against runs at many instances without what they are for."""
+    for seed in range(plan.SIZE_FROM, plan.SIZE_FROM + 40):
+        kinds = [fault.kind for fault in plan.draw(seed, 24)]
+        assert (plan.Kind.HERD in kinds) is not plan.is_planned(seed)
+        if plan.has_one_version(seed):
+            assert plan.Kind.VERSION not in kinds
+
+
+@pytest.mark.parametrize(
+    ("seed", "instances", "expected"),
+    [
+        (plan.SIZE_FROM, 12, ("a", "b", "c")),
+        (plan.SIZE_FROM, 11, ("a",)),
+        (plan.SIZE_FROM - 1, 24, ("a",)),
+    ],
+)
+def test_many_instances_stand_in_three_data_centres(seed, instances, expected):
+    """Guards against fleets that have one data centre at every size."""
+    assert plan.data_centres(seed, instances) == expected
+
+
+def test_a_herd_is_killed_at_once_and_out_of_touch(monkeypatch):
+    """Guards against herds of another size, and spans that are too long."""
+    monkeypatch.setattr(faults, "_SERIES_PAUSE_S", (0.01, 0.01))
+    killed = []
+    injector = faults.Injector(
+        seed=plan.SIZE_FROM + 1,
+        served=types.SimpleNamespace(forget_history=None),
+        servers=[],
+        links=[],
+    )
+    injector.entries = [
+        types.SimpleNamespace(number=n, kill=lambda n=n: killed.append(n))
+        for n in range(20)
+    ]
+    fault = plan.Fault(
+        at_s=1.0,
+        kind=plan.Kind.HERD,
+        target=0,
+        for_s=6.0,
+        variant="series",
+        share=0.6,
+    )
+    injector.inject(fault)
+    gevent.sleep(0.2)
+    assert len(killed) == 3 * 12
+    assert len(set(killed[:12])) == 12
+    assert [span.target for span in injector.disturbed] == killed
+    lengths_s = {round(s.to_s - s.from_s, 3) for s in injector.disturbed}
+    assert lengths_s == {4.0}
+
+
+@pytest.mark.parametrize(
+    ("variant", "most_at_once", "ends_with"),
+    [("version_comes", 2, 2), ("version_goes", 3, 2)],
+)
+def test_a_rollout_changes_many_engines(
+    variant, most_at_once, ends_with, monkeypatch
+):
+    """Guards against rollouts in which no version comes or goes."""
+    for name in ("_ROLLED_OUT_S", "_BETWEEN_S", "_LISTED_BEFORE_S", "_ALONE_S"):
+        monkeypatch.setattr(server_faults, name, 0.01)
+    seed = plan.SIZE_FROM + 1
+    servers = [_server(number) for number in range(11)]
+    link = types.SimpleNamespace(address="x:1", set_mode=lambda mode: None)
+    of_servers = server_faults.ServerFaults(
+        seed=seed,
+        rng=random.Random(seed),
+        served=_Listed(),
+        servers=servers,
+        links=[link] * len(servers),
+    )
+    of_servers.begin_versions()
+    fault = plan.Fault(
+        at_s=1.0, kind=plan.Kind.HERD, target=0, for_s=6.0, variant=variant
+    )
+    rolling = gevent.spawn(of_servers.roll_out, fault)
+    rolling.join()
+    gevent.sleep(0.1)
+    serving = [s.version for s in of_servers.versions if s.to_s == math.inf]
+    assert len(serving) == 8
+    assert 1 < len(set(serving)) <= most_at_once
+    assert len({s.version for s in of_servers.versions}) >= ends_with
+
+
+_UNKNOWN_BODY = b'{"error": "stream_version_unknown", "outcome": "not_run"}'
+
+
+@pytest.mark.parametrize(
+    ("body", "resumes", "second_from_s", "broken"),
+    [
+        pytest.param(_UNKNOWN_BODY, "t1", None, True, id="one-version"),
+        pytest.param(_UNKNOWN_BODY, "t1", 100.2, True, id="before-the-second"),
+        pytest.param(_UNKNOWN_BODY, "t1", 100.0, False, id="two-versions"),
+        pytest.param(_UNKNOWN_BODY, "", None, False, id="not-resumed"),
+        pytest.param(
+            b'{"error": "no_server"}', "t1", None, False, id="other-reason"
+        ),
+    ],
+)
+def test_streams_refused_as_unknown_at_one_version_are_found(
+    body, resumes, second_from_s, broken
+):
+    """Guards against a check that sees no refusal, or any as one."""
+    versions = _versions("v1", "v1")
+    if second_from_s is not None:
+        versions += _versions("v1.1", from_s=second_from_s)
+    asked = _asked(kind=_KIND.RESUMABLE, status=503, body=body, resumes=resumes)
+    record = _record([asked], versions=versions)
+    found = {v.promise for v in checker.check(record, _BOUNDS)}
+    assert (_PROMISE.ONE_VERSION in found) is broken
+
+
 def test_many_faults_of_a_wide_run_hit_the_first_instance():
     faults = [f for seed in range(30) for f in plan.draw(seed, 10)]
     hits = sum(fault.hits_first for fault in faults)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,9 @@
 EVENTS = 12
 _CALLERS = 8
 _CALLERS_WITH_VERSIONS = 16
+# In runs with herds: callers for each instance, and how many there are at most.
+_CALLERS_PER_INSTANCE = 2
+_MOST_CALLERS = 64
 _PAUSE_S = 0.02
 _DEADLINE_S = 2.0
 # Share of the callers of resumable streams that leave midway, and how often a
@@ -29,6 +32,10 @@
 # Least share of resumable streams among requests, in runs with versions.
 _RESUMABLE_SHARE = 0.6
 _RESUMPTIONS = 2
+# In runs with herds streams are resumed more often, half of the time at once,
+# else so much later.
+_RESUMPTIONS_IN_HERDS = 4
+_RESUMED_LATER_S = (0.05, 6.0)
 _ROUTES = {
     observations.RequestKind.SAFE: ("GET", "/valve/1", b""),
     observations.RequestKind.UNSAFE: ("POST", "/alarm/1", b"burst"),
@@ -70,7 +77,11 @@
     def start(self) -> None:
         """Starts all callers."""
         versions = plan.has_versions(self._seed)
-        for _ in range(_CALLERS_WITH_VERSIONS if versions else _CALLERS):
+        count = _CALLERS_WITH_VERSIONS if versions else _CALLERS
+        if plan.has_herds(self._seed):
+            wanted = _CALLERS_PER_INSTANCE * len(self._entries)
+            count = max(count, min(wanted, _MOST_CALLERS))
+        for _ in range(count):
             self.spawn(self._call)
 
     def spawn(self, run: Callable[..., None], *args: Any) -> None:
@@ -80,7 +91,9 @@
     def stop(self) -> None:
         """Waits for the answers to what has been sent."""
         self._over = True
-        gevent.joinall(self._greenlets)
+        # Those that end may have started others.
+        while not all(one.dead for one in self._greenlets):
+            gevent.joinall(self._greenlets)
 
     def _call(self) -> None:
         """One caller: keeps its connection as long as it can."""
@@ -151,7 +164,9 @@
             leaves_after=leaves_after,
             part=part,
         )
-        if plan.has_versions(self._seed) and not crashing_body:
+        if plan.has_herds(self._seed) and not crashing_body:
+            self.spawn(self._resume, asked)
+        elif plan.has_versions(self._seed) and not crashing_body:
             self._resume(asked)
         if conn.reusable:
             return conn
@@ -176,7 +191,8 @@
         """Takes up a resumable stream elsewhere, until it is whole."""
         body = first.body
         whole = first.whole
-        for _ in range(_RESUMPTIONS):
+        herds = plan.has_herds(self._seed)
+        for _ in range(_RESUMPTIONS_IN_HERDS if herds else _RESUMPTIONS):
             after = streams.last_event_id(body)
             if (
                 first.kind is not observations.RequestKind.RESUMABLE
@@ -184,6 +200,10 @@
                 or after is None
             ):
                 return
+            if herds and self._rng.random() < 0.5:
+                gevent.sleep(self._rng.uniform(*_RESUMED_LATER_S))
+            if herds and self._over:
+                return
             entry = self._rng.choice(self._entries)
             try:
                 address = entry.caller_link.address
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -47,6 +47,7 @@
     REST = "two requests at the most go to a server that has asked for rest"
     VERSION = "a stream goes on at the version that began it"
     RESUMED = "streams go on half as often as others begin, at least"
+    ONE_VERSION = "with one version no stream is refused as unknown"
     CRASHES = "what three servers ended under is sent on three times at most"
     BESIDE = "sound requests that share its other parts begin half as often"
 
@@ -91,6 +92,12 @@
         yield Violation(
             promise=Promise.VERSION, request_id=first_id, detail="two versions"
         )
+    for request_id in stream_checks.refused_at_one_version(record):
+        yield Violation(
+            promise=Promise.ONE_VERSION,
+            request_id=request_id,
+            detail="version unknown",
+        )
     detail = stream_checks.refused_resumptions(
         record, [o for o in record.asked if not _touches(record.disturbed, o)]
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,13 @@
 # An instance counts as in touch again so long after a disturbance.
 _IN_TOUCH_S = 3.0
 _NEXT_KEYS = 40
+# Instances that are killed at once count as in touch again so long after it,
+# and are killed so often in a series, with such pauses. A herd comes so long
+# after a rollout has begun.
+_HERD_IN_TOUCH_S = 4.0
+_SERIES = 3
+_SERIES_PAUSE_S = (1.0, 2.5)
+_ROLLOUT_LEAD_S = (0.3, 2.0)
 # How long the store is away before it comes back from a copy, and until what it
 # lost is written again, at the most.
 _COPY_AWAY_S = 0.3
@@ -172,6 +179,7 @@
                 self.of_servers.change_version, fault
             ),
             plan.Kind.PARTITION: lambda: self._partition(fault),
+            plan.Kind.HERD: lambda: gevent.spawn(self._herd, fault),
         }
         actions[fault.kind]()
         self._note(fault)
@@ -180,9 +188,11 @@
         """Returns a fault with its target, where that is the first instance."""
         if not fault.hits_first:
             return fault
+        place = self._entry(fault).data_centre
         members = [
-            membership.Member(name=e.name, address=e.peers, data_centre="a")
+            membership.Member(name=e.name, address=e.peers, data_centre=place)
             for e in self.entries
+            if e.data_centre == place
         ]
         first = membership.rank(members)[0].name
         numbers = [e.number for e in self.entries if e.name == first]
@@ -292,6 +302,24 @@
                 pair.cut(proxy.Cut(fault.variant))
                 gevent.spawn_later(fault.for_s, pair.heal)
 
+    def _herd(self, fault: plan.Fault) -> None:
+        """A large share of the instances is killed at the same moment."""
+        if fault.variant in ("version_comes", "version_goes"):
+            gevent.spawn(self.of_servers.roll_out, fault)
+            gevent.sleep(self._rng.uniform(*_ROLLOUT_LEAD_S))
+        for _ in range(_SERIES if fault.variant == "series" else 1):
+            count = max(1, round(fault.share * len(self.entries)))
+            now = time.monotonic()
+            for entry in self._rng.sample(self.entries, count):
+                entry.kill()
+                span = observations.Span(
+                    target=entry.number,
+                    from_s=now,
+                    to_s=now + _HERD_IN_TOUCH_S,
+                )
+                self.disturbed.append(span)
+            gevent.sleep(self._rng.uniform(*_SERIES_PAUSE_S))
+
     def _lag(self, fault: plan.Fault) -> None:
         """The history is lost, and whole lists come as they were."""
         if self._served.lagging is not None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,8 @@
         peers: Its address for other instances.
         block: Where its ports come from.
         seeds: Those of all instances.
+        data_centre: Where it stands.
+        data_centres: Where the instances stand.
     """
 
     def __init__(
@@ -44,10 +46,14 @@
         peers: str,
         block: ports.Block,
         seeds: list[str],
+        data_centre: str = "a",
+        data_centres: tuple[str, ...] = ("a",),
     ):
         self.number = number
         self.peers = peers
         self._seeds = seeds
+        self.data_centre = data_centre
+        self._data_centres = data_centres
         self.name = f"entry-{number}"
         self.front = f"127.0.0.1:{block.take()}"
         self.ready = f"127.0.0.1:{block.take()}"
@@ -154,7 +160,8 @@
     def _write_settings(self, lines_per_s: float = 200) -> None:
         document = {
             "instance": self.name,
-            "data_centre": "a",
+            "data_centre": self.data_centre,
+            "data_centres": self._data_centres,
             "listen": {
                 "front": self.front,
                 "ready": self.ready,
--- a/soak/main.py
+++ b/soak/main.py
@@ -102,6 +102,7 @@
         "served": verdict.served,
         "own_exits": verdict.own_exits,
         "resumed": verdict.resumed,
+        "unknown": verdict.unknown,
         "ends": verdict.ends,
         "violations": [
             f"{v.promise.value}: {v.request_id} {v.detail}"
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -11,6 +11,12 @@
 # further kinds of faults, and most of those of instances hit that one.
 WIDE = 8
 SERVERS = 3  # Of each service.
+# Of the streaming service, in seeds with herds, so that two of each version
+# serve as a rule.
+_STREAMING_SERVERS = 8
+# From so many instances on they stand in all data centres, in such seeds.
+_SPREAD_FROM = 12
+DATA_CENTRES = ("a", "b", "c")
 # Faults begin in this span; the rest of a run is calm.
 FAULTS_FROM_S = 1.0
 FAULTS_UNTIL_S = 9.0
@@ -59,6 +65,8 @@
     PARTITION = "partition"
     # Of seeds with versions alone.
     VERSION = "version"
+    # Of seeds with herds alone.
+    HERD = "herd"
 
 
 WIDE_KINDS = (
@@ -80,6 +88,7 @@
 PARTITION_KINDS = (Kind.PARTITION,)
 # With instances that are killed, as their streams go on elsewhere.
 VERSION_KINDS = (Kind.VERSION, Kind.VERSION, Kind.KILL)
+HERD_KINDS = (Kind.HERD,)
 # Seeds from this one on have further kinds; those before draw as they always
 # did.
 FURTHER_FROM = 1000
@@ -94,7 +103,14 @@
 # Seeds from this one on have a part of prompts that ends servers, and servers
 # whose answers end with their connections.
 PARTS_FROM = 7000
+# Seeds from this one on are for many instances: a large share of them is killed
+# at once, and more streams are in flight.
+SIZE_FROM = 8000
 _UNFRAMED_EVERY = 3
+# Of so many seeds with herds, one has servers of one version all the time; of
+# so many, four have parts that end servers.
+_ONE_VERSION_EVERY = 4
+_HERD_PARTS_EVERY = 16
 SMALL_KINDS = tuple(
     kind
     for kind in Kind
@@ -106,8 +122,24 @@
         *OUTDATED_KINDS,
         *PARTITION_KINDS,
         Kind.VERSION,
+        Kind.HERD,
     )
 )
+# Seldom what disturbs all instances, as refused streams count at the others.
+_SIZE_KINDS = (
+    *SMALL_KINDS,
+    *WIDE_KINDS,
+    *_FURTHER_KINDS,
+    *REPORT_KINDS,
+    *OUTDATED_KINDS,
+    *PARTITION_KINDS,
+    *(8 * VERSION_KINDS),
+    *(10 * HERD_KINDS),
+)
+# How long a herd takes with what comes before and after it, and the share of
+# the instances that are killed at once.
+_HERD_S = 6.0
+_HERD_SHARE = (0.3, 0.9)
 # Share of a wide run's faults of instances that hit the first of them.
 _FIRST_SHARE = 0.5
 
@@ -129,6 +161,7 @@
     Kind.CALLER_LINK: ("reset", "slow"),
     Kind.STORE_TURNS_AWAY: ("silent", "reset"),
     Kind.PARTITION: ("hang", "reset", "refuse", "hang_new"),
+    Kind.HERD: ("once", "series", "version_comes", "version_goes"),
     Kind.SERVER_FAULTS: (
         "refuse",
         "fail",
@@ -148,19 +181,22 @@
         "slow",
     ),
 }
-_TARGETS = {
-    Kind.SERVER_LINK: 2 * SERVERS,
-    Kind.SERVER_FAULTS: 2 * SERVERS,
-    Kind.SERVER_CRASH: 2 * SERVERS,
-    Kind.SERVER_LEAVES: 2 * SERVERS,
-    Kind.SERVER_MUTE: 2 * SERVERS,
-    Kind.SERVER_RESTARTS: 2 * SERVERS,
-    Kind.SERVER_COLD: 2 * SERVERS,
-    Kind.SERVER_SAYS_LEAVING: 2 * SERVERS,
-    Kind.SERVER_RESTS: 2 * SERVERS,
-    Kind.LATE_ENTRY: 2 * SERVERS,
-    Kind.VERSION: SERVERS,
-}
+# Kinds whose targets are servers; those of versions are streaming ones.
+_OF_SERVERS = frozenset(
+    {
+        Kind.SERVER_LINK,
+        Kind.SERVER_FAULTS,
+        Kind.SERVER_CRASH,
+        Kind.SERVER_LEAVES,
+        Kind.SERVER_MUTE,
+        Kind.SERVER_RESTARTS,
+        Kind.SERVER_COLD,
+        Kind.SERVER_SAYS_LEAVING,
+        Kind.SERVER_RESTS,
+        Kind.LATE_ENTRY,
+        Kind.VERSION,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -219,9 +255,39 @@
 
 def has_parts(seed: int) -> bool:
     """Returns whether a part of prompts ends servers, not a whole request."""
+    if has_herds(seed):
+        return seed % _HERD_PARTS_EVERY >= _HERD_PARTS_EVERY - 4
     return seed >= PARTS_FROM
 
 
+def has_herds(seed: int) -> bool:
+    """Returns whether many instances are killed at once."""
+    return seed >= SIZE_FROM
+
+
+def has_one_version(seed: int) -> bool:
+    """Returns whether all servers of a seed with herds have one version."""
+    every = _ONE_VERSION_EVERY
+    return has_herds(seed) and seed % every == every // 2
+
+
+def streaming_servers(seed: int) -> int:
+    """Returns how many servers of the streaming service there are."""
+    return _STREAMING_SERVERS if has_herds(seed) else SERVERS
+
+
+def data_centres(seed: int, instances: int) -> tuple[str, ...]:
+    """Returns where the instances stand, by turns.
+
+    Args:
+        seed: Of the run.
+        instances: How many there are.
+    """
+    if has_herds(seed) and instances >= _SPREAD_FROM:
+        return DATA_CENTRES
+    return DATA_CENTRES[:1]
+
+
 def is_unframed(seed: int) -> bool:
     """Returns whether answers of servers have neither a length nor chunks."""
     return has_parts(seed) and seed % _UNFRAMED_EVERY == 0
@@ -249,10 +315,17 @@
         kinds = (*kinds, *(20 * PARTITION_KINDS))
     if has_versions(seed):
         kinds = (*kinds, *(20 * VERSION_KINDS))
+    if has_herds(seed):
+        kinds = _SIZE_KINDS
+    if has_one_version(seed):
+        kinds = tuple(kind for kind in kinds if kind is not Kind.VERSION)
     if is_planned(seed):
         kinds = _PLANNED
     count = rng.randint(8, 16)
-    faults = [_draw_one(rng, kinds, instances) for _ in range(count)]
+    streaming = streaming_servers(seed)
+    faults = [_draw_one(rng, kinds, instances, streaming) for _ in range(count)]
+    if has_herds(seed) and not is_planned(seed):
+        faults.append(_draw_one(rng, HERD_KINDS, instances, streaming))
     if rng.random() < 0.5:
         twin = rng.choice(faults)
         again_s = min(FAULTS_UNTIL_S, twin.at_s + rng.uniform(0.05, 1.5))
@@ -261,21 +334,30 @@
 
 
 def _draw_one(
-    rng: random.Random, kinds: tuple[Kind, ...], instances: int
+    rng: random.Random,
+    kinds: tuple[Kind, ...],
+    instances: int,
+    streaming: int,
 ) -> Fault:
     kind = rng.choice(kinds)
+    targets = instances
+    if kind in _OF_SERVERS:
+        targets = streaming + (0 if kind is Kind.VERSION else SERVERS)
     variants = _VARIANTS.get(kind, ("",))
     fault = Fault(
         at_s=rng.uniform(FAULTS_FROM_S, FAULTS_UNTIL_S),
         kind=kind,
-        target=rng.randrange(_TARGETS.get(kind, instances)),
+        target=rng.randrange(targets),
         for_s=rng.uniform(0.3, LONGEST_S),
         variant=rng.choice(variants),
         share=rng.choice((0.3, 1.0)),
     )
     if kind is Kind.PARTITION:
         return dataclasses.replace(fault, for_s=fault.for_s + PARTITION_S)
-    if instances < WIDE or kind in _TARGETS:
+    if kind is Kind.HERD:
+        share = rng.uniform(*_HERD_SHARE)
+        return dataclasses.replace(fault, for_s=_HERD_S, share=share)
+    if instances < WIDE or kind in _OF_SERVERS:
         return fault
     first = rng.random() < _FIRST_SHARE
     return dataclasses.replace(fault, hits_first=first)
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
 from soak import observations
 from soak import plan
 from soak import server_links
+from soak import stream_checks
 
 _START_S = 20.0
 _EVENT_S = 0.01
@@ -45,6 +46,7 @@
         served: How many of these were served whole.
         own_exits: Processes that ended of themselves.
         resumed: Resumptions of streams, and how many of them went on.
+        unknown: How many were refused as it is not known which version began.
         ends: Servers that ended under the crashing request.
         violations: Promises that were broken.
     """
@@ -55,6 +57,7 @@
     served: int
     own_exits: int
     resumed: tuple[int, int]
+    unknown: int
     ends: int
     violations: tuple[checker.Violation, ...]
 
@@ -76,11 +79,14 @@
         instances: int = plan.INSTANCES,
     ):
         self._seed = seed
+        self._instances = instances
         self._faults = plan.draw(seed, instances)
         self.store = store.Store().start()
         self.servers = [
-            *self._make_servers("crew", streaming=False),
-            *self._make_servers("lm", streaming=True),
+            *self._make_servers("crew", plan.SERVERS, streaming=False),
+            *self._make_servers(
+                "lm", plan.streaming_servers(seed), streaming=True
+            ),
         ]
         self.links = [
             server_links.ServerLink(target=one.address) for one in self.servers
@@ -106,6 +112,7 @@
             )
         self._ports = ports.Block()
         peers = [f"127.0.0.1:{self._ports.take()}" for _ in range(instances)]
+        places = plan.data_centres(seed, instances)
         self.entries = [
             fleet.Entry(
                 number=number,
@@ -113,7 +120,10 @@
                 store=self._open_store(),
                 peers=peers[number],
                 block=self._ports,
-                seeds=peers[: plan.INSTANCES],
+                # By turns, so that there is one of each data centre.
+                seeds=peers[: max(len(places), plan.INSTANCES)],
+                data_centre=places[number % len(places)],
+                data_centres=places,
             )
             for number in range(instances)
         ]
@@ -218,12 +228,15 @@
                     for a in self._callers.asked
                 ),
             ),
+            unknown=sum(
+                stream_checks.is_unknown(a) for a in self._callers.asked
+            ),
             ends=len(record.ends_s),
             violations=tuple(checker.check(record, _BOUNDS)),
         )
 
     def _make_servers(
-        self, service: str, *, streaming: bool
+        self, service: str, count: int, *, streaming: bool
     ) -> list[server.Server]:
         return [
             server.Server(
@@ -236,7 +249,7 @@
                 born_ms=_BORN_MS,
                 data_centre=self._place(number),
             ).start()
-            for number in range(plan.SERVERS)
+            for number in range(count)
         ]
 
     def _event_s(self) -> float:
@@ -266,6 +279,9 @@
 
     def _place(self, number: int) -> str:
         """Returns where a server stands."""
+        places = plan.data_centres(self._seed, self._instances)
+        if len(places) > 1:
+            return places[number % len(places)]
         far = plan.is_further(self._seed) and number % 2
         return faults.FAR if far else "a"
 
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -7,6 +7,7 @@
 import random
 import time
 from collections.abc import Callable
+from collections.abc import Sequence
 
 import gevent
 
@@ -29,6 +30,11 @@
 # so long before it accepts requests.
 _LONGEST_CHANGE_S = 1.5
 _LISTED_BEFORE_S = 0.3
+# In a rollout a server is away for so long, the next one goes so much later,
+# and a version serves alone for so long.
+_ROLLED_OUT_S = 0.2
+_BETWEEN_S = 0.1
+_ALONE_S = 4.0
 # What another writer may leave in the list.
 _FOREIGN = (
     None,
@@ -191,16 +197,56 @@
 
     def begin_versions(self) -> None:
         """Gives the model engines versions, two of them at first."""
-        for number in range(plan.SERVERS, 2 * plan.SERVERS):
-            version = _VERSIONS[number % 2]
+        at_first = 1 if plan.has_one_version(self._seed) else 2
+        for number in self._engines():
+            version = _VERSIONS[number % at_first]
             self._servers[number].version = version
             self._record_version(number)
 
-    def change_version(self, fault: plan.Fault) -> None:
+    def roll_out(self, fault: plan.Fault) -> None:
+        """Many model engines take one version, one soon after the other.
+
+        Either every second one, so that a version comes, or all of them, so
+        that the others go; then another version comes after a while.
+        """
+        if plan.has_one_version(self._seed):
+            return
+        version = self._rng.choice(_VERSIONS)
+        numbers = self._engines()
+        if fault.variant == "version_comes":
+            self._give(numbers[::2], version, fault)
+            return
+        if fault.variant != "version_goes":
+            return
+        self._give(numbers, version, fault)
+        gevent.sleep(_ALONE_S)
+        others = [v for v in _VERSIONS if v != version]
+        self._give(numbers[::2], self._rng.choice(others), fault)
+
+    def _give(
+        self, numbers: Sequence[int], version: str, fault: plan.Fault
+    ) -> None:
+        for number in numbers:
+            if self._servers[number].version != version:
+                one = dataclasses.replace(
+                    fault, target=number - plan.SERVERS, for_s=_ROLLED_OUT_S
+                )
+                gevent.spawn(self.change_version, one, version)
+                gevent.sleep(_BETWEEN_S)
+
+    def _engines(self) -> range:
+        """Returns the numbers of the model engines."""
+        return range(plan.SERVERS, len(self._servers))
+
+    def change_version(self, fault: plan.Fault, version: str = "") -> None:
         """A model engine ends and comes back with another version.
 
         Its entry is written before it accepts requests. Versions change in
         both directions.
+
+        Args:
+            fault: Tells which one, and for how long it is away.
+            version: What it comes back with; drawn if empty.
         """
         number = plan.SERVERS + fault.target
         one = self._servers[number]
@@ -212,7 +258,7 @@
         self._end_version(number)
         gevent.sleep(min(fault.for_s, _LONGEST_CHANGE_S))
         others = [v for v in _VERSIONS if v != one.version]
-        one.version = self._rng.choice(others)
+        one.version = version or self._rng.choice(others)
         one.born_ms += 1000
         self.list_unless_left(number)
         gevent.sleep(_LISTED_BEFORE_S)
--- a/soak/stream_checks.py
+++ b/soak/stream_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Iterable
 
 from soak import observations
@@ -13,6 +14,8 @@
 _MIXED_ALLOWED = 2
 _RESUMED_COUNTED = 12
 _LEAST_SHARE = 0.5
+# How an instance says that it does not know which version began a stream.
+_UNKNOWN = b'"stream_version_unknown"'
 
 
 def mixed(record: observations.Record) -> list[str]:
@@ -61,6 +64,32 @@
     )
 
 
+def is_unknown(asked: observations.Asked) -> bool:
+    """Returns whether a resumption is refused as its origin is unknown."""
+    refused = asked.status == 503 and bool(asked.resumes)
+    return refused and _UNKNOWN in asked.body
+
+
+def refused_at_one_version(record: observations.Record) -> list[str]:
+    """Returns resumptions refused as unknown while one version had served.
+
+    They count at all instances, whatever disturbed them: there is no other
+    version that can have begun the stream.
+    """
+    if not record.versions:
+        return []
+    first = record.versions[0].version
+    two_from_s = min(
+        (s.from_s for s in record.versions if s.version != first),
+        default=math.inf,
+    )
+    return [
+        one.request_id
+        for one in record.asked
+        if is_unknown(one) and one.ended_s < two_from_s
+    ]
+
+
 def _begun_at(
     record: observations.Record, asked: observations.Asked
 ) -> str | None:
