Soak: a verdict tells how many resumptions were compared

A run in which too few resumptions count compares nothing; the verdict now has how many counted and how many of them went on. The check is as it was.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -98,13 +98,16 @@
             request_id=request_id,
             detail="version unknown",
         )
-    detail = stream_checks.refused_resumptions(
-        record, [o for o in record.asked if not _touches(record.disturbed, o)]
-    )
+    detail = stream_checks.refused_resumptions(record, in_touch(record))
     if detail:
         yield Violation(promise=Promise.RESUMED, request_id="", detail=detail)
 
 
+def in_touch(record: observations.Record) -> list[observations.Asked]:
+    """Returns what was asked at instances that were in touch."""
+    return [o for o in record.asked if not _touches(record.disturbed, o)]
+
+
 def whole_body(asked: observations.Asked, events: int) -> bytes:
     """Returns the body that a whole answer has."""
     if asked.kind in (
@@ -119,9 +122,7 @@
 def _crashes(
     record: observations.Record, runs: dict[str, list[observations.Ran]]
 ) -> Iterable[Violation]:
-    undisturbed = [
-        one for one in record.asked if not _touches(record.disturbed, one)
-    ]
+    undisturbed = in_touch(record)
     found = crash_checks.sent_on(record, undisturbed, runs)
     if found:
         request_id, detail = found
@@ -304,8 +305,8 @@
         late_s = asked.sent_s - withdrawn_s
         if late_s > bounds.key_s:
             broken.append((Promise.KEY, f"sent {late_s:.2f} s later"))
-    in_touch = not _touches(record.disturbed, asked)
-    if in_touch:
+    undisturbed = not _touches(record.disturbed, asked)
+    if undisturbed:
         broken += _left_late(record, bounds, asked, runs)
         broken += _sent_far(record, bounds, asked, runs)
         took_s = asked.ended_s - asked.sent_s
@@ -313,7 +314,7 @@
             broken.append((Promise.TIME, f"took {took_s:.2f} s"))
     if asked.calm and asked.status != 200:
         broken.append((Promise.SERVED, f"status {asked.status}"))
-    stopped = _touches(record.stopped, asked) and in_touch and not asked.left
+    stopped = _touches(record.stopped, asked) and undisturbed and not asked.left
     if stopped and runs and (asked.status == 0 or not asked.whole):
         broken.append((Promise.STOP, f"status {asked.status}, cut"))
     for promise, detail in broken:
--- a/soak/main.py
+++ b/soak/main.py
@@ -103,6 +103,7 @@
         "own_exits": verdict.own_exits,
         "resumed": verdict.resumed,
         "unknown": verdict.unknown,
+        "counted": verdict.counted,
         "ends": verdict.ends,
         "violations": [
             f"{v.promise.value}: {v.request_id} {v.detail}"
--- a/soak/run.py
+++ b/soak/run.py
@@ -47,6 +47,8 @@
         own_exits: Processes that ended of themselves.
         resumed: Resumptions of streams, and how many of them went on.
         unknown: How many were refused as it is not known which version began.
+        counted: Resumptions that are compared with streams that begin, and how
+            many of them went on.
         ends: Servers that ended under the crashing request.
         violations: Promises that were broken.
     """
@@ -58,6 +60,7 @@
     own_exits: int
     resumed: tuple[int, int]
     unknown: int
+    counted: tuple[int, int]
     ends: int
     violations: tuple[checker.Violation, ...]
 
@@ -213,6 +216,7 @@
                 for one in served.arrivals
             ),
         )
+        counted, _ = stream_checks.compared(record, checker.in_touch(record))
         return Verdict(
             seed=self._seed,
             faults=len(self._faults),
@@ -231,6 +235,7 @@
             unknown=sum(
                 stream_checks.is_unknown(a) for a in self._callers.asked
             ),
+            counted=(len(counted), sum(counted)),
             ends=len(record.ends_s),
             violations=tuple(checker.check(record, _BOUNDS)),
         )
--- a/soak/stream_checks.py
+++ b/soak/stream_checks.py
@@ -34,12 +34,30 @@
 ) -> str:
     """Compares streams that go on with new ones that begin.
 
-    Counted are resumptions of which a server of the version is there all the
-    time, and new streams of the times in which there are two versions.
-
     Returns:
         What was seen, if too few go on; else an empty text.
     """
+    resumed, begun = compared(record, undisturbed)
+    if len(resumed) < _RESUMED_COUNTED or not begun:
+        return ""
+    share = sum(resumed) / len(resumed)
+    least = _LEAST_SHARE * sum(begun) / len(begun)
+    if share >= least:
+        return ""
+    return (
+        f"{sum(resumed)} of {len(resumed)} go on, "
+        f"{sum(begun)} of {len(begun)} begin"
+    )
+
+
+def compared(
+    record: observations.Record, undisturbed: Iterable[observations.Asked]
+) -> tuple[list[bool], list[bool]]:
+    """Returns which counted resumptions go on, and which new streams begin.
+
+    Counted are resumptions of which a server of the version is there all the
+    time, and new streams of the times in which there are two versions.
+    """
     asked = [
         one
         for one in undisturbed
@@ -52,16 +70,7 @@
         for one in asked
         if one.resumes and _is_served(record, one, _begun_at(record, one))
     ]
-    if len(resumed) < _RESUMED_COUNTED or not begun:
-        return ""
-    share = sum(resumed) / len(resumed)
-    least = _LEAST_SHARE * sum(begun) / len(begun)
-    if share >= least:
-        return ""
-    return (
-        f"{sum(resumed)} of {len(resumed)} go on, "
-        f"{sum(begun)} of {len(begun)} begin"
-    )
+    return resumed, begun
 
 
 def is_unknown(asked: observations.Asked) -> bool:
