--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+import json
 import math
 import pathlib
 import random
@@ -441,6 +442,33 @@
     assert plan.data_centres(seed, instances) == expected
 
 
+@pytest.mark.parametrize(
+    ("instances", "places", "told"),
+    [(3, ["a"] * 3, []), (12, [*"abc"] * 4, ["a", "b", "c"])],
+)
+def test_settings_tell_all_data_centres_if_there_are_several(
+    tmp_path, instances, places, told
+):
+    """Guards against settings that know of no server's data centre.
+
+    With a single one in them, an evacuation of the servers' other one would
+    not be accepted. Seeds are of each data centre.
+    """
+    run = run_module.Run(
+        seed=plan.SIZE_FROM + 1, folder=tmp_path, instances=instances
+    )
+    documents = [
+        json.loads((tmp_path / f"entry-{number}.json").read_text())
+        for number in range(instances)
+    ]
+    run.close()
+    assert [one["data_centre"] for one in documents] == places
+    assert all(one["data_centres"] == told for one in documents)
+    by_address = {one["listen"]["peers"]: one for one in documents}
+    seeds = [by_address[seed]["data_centre"] for seed in documents[0]["seeds"]]
+    assert seeds == places[:3]
+
+
 def test_a_herd_is_killed_at_once_and_out_of_touch(monkeypatch):
     """Guards against herds of another size, and spans that are too long."""
     monkeypatch.setattr(faults, "_SERIES_PAUSE_S", (0.01, 0.01))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -34,7 +34,8 @@
         block: Where its ports come from.
         seeds: Those of all instances.
         data_centre: Where it stands.
-        data_centres: Where the instances stand.
+        data_centres: Names of all data centres, as its settings have them; none
+            if they are not told.
     """
 
     def __init__(
@@ -47,7 +48,7 @@
         block: ports.Block,
         seeds: list[str],
         data_centre: str = "a",
-        data_centres: tuple[str, ...] = ("a",),
+        data_centres: tuple[str, ...] = (),
     ):
         self.number = number
         self.peers = peers
--- a/soak/run.py
+++ b/soak/run.py
@@ -126,7 +126,8 @@
                 # By turns, so that there is one of each data centre.
                 seeds=peers[: max(len(places), plan.INSTANCES)],
                 data_centre=places[number % len(places)],
-                data_centres=places,
+                # Servers of a single one's instances may stand elsewhere.
+                data_centres=places if len(places) > 1 else (),
             )
             for number in range(instances)
         ]
@@ -140,14 +141,18 @@
         try:
             return self._play()
         finally:
-            for entry in self.entries:
-                entry.close()
-            for link in self.links:
-                link.close()
-            for one in self.servers:
-                one.close()
-            self.store.close()
-            self._ports.close()
+            self.close()
+
+    def close(self) -> None:
+        """Ends all that the run has started."""
+        for entry in self.entries:
+            entry.close()
+        for link in self.links:
+            link.close()
+        for one in self.servers:
+            one.close()
+        self.store.close()
+        self._ports.close()
 
     def _play(self) -> Verdict:
         for entry in self.entries:
