--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,7 +27,8 @@
 _HERD_IN_TOUCH_S = 4.0
 _SERIES = 3
 _SERIES_PAUSE_S = (1.0, 2.5)
-_ROLLOUT_LEAD_S = (0.3, 2.0)
+# Once the others have gone, instances that start know of one version alone.
+_ROLLOUT_LEAD_S = {"version_comes": (0.3, 2.0), "version_goes": (1.3, 3.0)}
 # How long the store is away before it comes back from a copy, and until what it
 # lost is written again, at the most.
 _COPY_AWAY_S = 0.3
@@ -304,9 +305,10 @@
 
     def _herd(self, fault: plan.Fault) -> None:
         """A large share of the instances is killed at the same moment."""
-        if fault.variant in ("version_comes", "version_goes"):
+        lead_s = _ROLLOUT_LEAD_S.get(fault.variant)
+        if lead_s:
             gevent.spawn(self.of_servers.roll_out, fault)
-            gevent.sleep(self._rng.uniform(*_ROLLOUT_LEAD_S))
+            gevent.sleep(self._rng.uniform(*lead_s))
         for _ in range(_SERIES if fault.variant == "series" else 1):
             count = max(1, round(fault.share * len(self.entries)))
             now = time.monotonic()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -138,7 +138,7 @@
 )
 # How long a herd takes with what comes before and after it, and the share of
 # the instances that are killed at once.
-_HERD_S = 6.0
+_HERD_S = 7.0
 _HERD_SHARE = (0.3, 0.9)
 # Share of a wide run's faults of instances that hit the first of them.
 _FIRST_SHARE = 0.5
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -34,7 +34,7 @@
 # and a version serves alone for so long.
 _ROLLED_OUT_S = 0.2
 _BETWEEN_S = 0.1
-_ALONE_S = 4.0
+_ALONE_S = 5.0
 # What another writer may leave in the list.
 _FOREIGN = (
     None,
