--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -17,6 +17,7 @@
 from soak import crash_checks
 from soak import crashing
 from soak import faults
+from soak import main
 from soak import observations
 from soak import plan
 from soak import run as run_module
@@ -442,6 +443,17 @@
     assert plan.data_centres(seed, instances) == expected
 
 
+def test_listed_seeds_at_size_have_herds_in_three_data_centres():
+    """Guards against a list that is played at a size that shows nothing."""
+    path = pathlib.Path(main.__file__).with_name("at_size.json")
+    instances = json.loads(path.read_text())["instances"]
+    seeds = main.numbers("at-size")
+    assert seeds
+    assert len(set(seeds)) == len(seeds)
+    assert all(plan.has_herds(seed) for seed in seeds)
+    assert all(len(plan.data_centres(s, instances)) == 3 for s in seeds)
+
+
 @pytest.mark.parametrize(
     ("instances", "places", "told"),
     [(3, ["a"] * 3, []), (12, [*"abc"] * 4, ["a", "b", "c"])],
--- a/soak/main.py
+++ b/soak/main.py
@@ -16,6 +16,8 @@
 from soak import run as run_module
 
 _REGRESSIONS = pathlib.Path(__file__).parent / "regressions.json"
+# Seeds that take many instances, with how many; too long for each landing.
+_AT_SIZE = pathlib.Path(__file__).parent / "at_size.json"
 # Instances that run side by side, of all seeds that do.
 _INSTANCES_AT_A_TIME = 12
 
@@ -28,7 +30,9 @@
 def _soak(
     seeds: Annotated[
         str,
-        typer.Option(help="Such as 1-50; 'fresh:20' draws; 'regressions'."),
+        typer.Option(
+            help="Such as 1-50; 'fresh:20' draws; 'regressions'; 'at-size'."
+        ),
     ] = "regressions",
     logs: Annotated[
         pathlib.Path | None, typer.Option(help="Folder to keep logs in.")
@@ -39,16 +43,18 @@
     one: Annotated[bool, typer.Option(hidden=True)] = False,
 ) -> None:
     """Plays seeds; each is a fleet of its own. Exit code 1: a promise broke."""
-    numbers = _numbers(seeds)
+    chosen = numbers(seeds)
+    if seeds == "at-size":
+        instances = json.loads(_AT_SIZE.read_text())["instances"]
     if one:
-        _play(numbers[0], instances, logs)
+        _play(chosen[0], instances, logs)
         return
     folder = logs or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     total = {"seeds": 0, "faults": 0, "requests": 0, "violations": 0}
     broken = []
     together = max(1, _INSTANCES_AT_A_TIME // instances)
-    for start in range(0, len(numbers), together):
-        some = numbers[start : start + together]
+    for start in range(0, len(chosen), together):
+        some = chosen[start : start + together]
         for seed, text in _side_by_side(some, instances, folder):
             typer.echo(text.strip())
             if not _add(total, text):
@@ -57,17 +63,21 @@
     raise typer.Exit(1 if broken else 0)
 
 
-def _numbers(seeds: str) -> list[int]:
+def numbers(seeds: str) -> list[int]:
+    """Returns the seeds that a text names; see the program's help."""
     if seeds == "regressions":
         return [item["seed"] for item in json.loads(_REGRESSIONS.read_text())]
+    if seeds == "at-size":
+        listed = json.loads(_AT_SIZE.read_text())["seeds"]
+        return [item["seed"] for item in listed]
     if seeds.startswith("fresh:"):
         count = int(seeds.partition(":")[2])
         return [secrets.randbelow(10**9) for _ in range(count)]
-    numbers = []
+    found = []
     for item in seeds.split(","):
         first, _, last = item.partition("-")
-        numbers += range(int(first), int(last or first) + 1)
-    return numbers
+        found += range(int(first), int(last or first) + 1)
+    return found
 
 
 def _side_by_side(
