--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -620,18 +620,22 @@
 # Each starts several processes, so that one runs at a time.
 @pytest.mark.xdist_group("processes")
 @pytest.mark.parametrize(
-    "seed",
+    ("seed", "instances"),
     [
-        1,
-        4,
-        plan.FURTHER_FROM + 5,
-        plan.OUTDATED_FROM + 3,
-        plan.PARTITIONS_FROM + 1,
-        plan.VERSIONS_FROM + 3,
+        (1, plan.INSTANCES),
+        (4, plan.INSTANCES),
+        (plan.FURTHER_FROM + 5, plan.INSTANCES),
+        (plan.OUTDATED_FROM + 3, plan.INSTANCES),
+        (plan.PARTITIONS_FROM + 1, plan.INSTANCES),
+        (plan.VERSIONS_FROM + 3, plan.INSTANCES),
+        # One version, killed instances, and one that follows the store for the
+        # others.
+        (plan.SIZE_FROM + 2, 9),
     ],
 )
-def test_real_processes_keep_the_promises(tmp_path, seed):
-    verdict = run_module.Run(seed=seed, folder=tmp_path).play()
+def test_real_processes_keep_the_promises(tmp_path, seed, instances):
+    run = run_module.Run(seed=seed, folder=tmp_path, instances=instances)
+    verdict = run.play()
     assert (verdict.violations, verdict.own_exits) == ((), 0)
     assert bool(verdict.ends) is crashing.is_asked(seed)
     assert verdict.served > 0
