--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 import gevent
+import result
 from gevent import socket
 
 from irisshelf import boottime
@@ -36,6 +37,7 @@
 _ANY_PORT = "127.0.0.1:0"
 _PORT_ATTEMPTS = 20
 _MAX_RELAYED = 100
+_CONNECT_TIMEOUT_S = 0.15
 
 
 class _Listener(listener.Listener):
@@ -58,6 +60,45 @@
             self._socks.discard(sock)
 
 
+class _Datagrams(datagrams.Datagrams):
+    """Datagrams that do not reach some instances.
+
+    Attributes:
+        unreachable: Addresses of these.
+    """
+
+    def __init__(self, *, unreachable: set[str], **options):
+        super().__init__(**options)
+        self.unreachable = unreachable
+
+    def send(self, address: str, data: bytes) -> None:
+        """See ``datagrams.Datagrams.send``."""
+        if address not in self.unreachable:
+            super().send(address, data)
+
+
+class _PeerDiscovery(peer_discovery.PeerDiscovery):
+    """Requests that do not reach some instances.
+
+    Attributes:
+        unreachable: Addresses of these.
+    """
+
+    def __init__(self, *, unreachable: set[str], **options):
+        super().__init__(**options)
+        self.unreachable = unreachable
+
+    def _get(self, address: str, *args, **options) -> result.Result[bytes, str]:
+        if address in self.unreachable:
+            gevent.sleep(_CONNECT_TIMEOUT_S)
+        else:
+            response = super()._get(address, *args, **options)
+            # The link may have been cut meanwhile.
+            if address not in self.unreachable:
+                return response
+        return result.Err(f"{address} cannot be reached")
+
+
 class Entry:
     """One entry instance, put together as the daemon does it.
 
@@ -77,6 +118,7 @@
         peers: Its exchanges with other instances.
         closed: Whether it has ended.
         membership: The instances that it knows.
+        unreachable: Addresses of instances that it does not reach.
     """
 
     def __init__(
@@ -91,6 +133,7 @@
         regions: Mapping[str, str] | None = None,
     ):
         self.closed = False
+        self.unreachable: set[str] = set()
         self._log_fd = os.open(os.devnull, os.O_WRONLY)
         log = decision_log.DecisionLog(instance=name, fd=self._log_fd)
         self.inst = instance.Instance(
@@ -181,7 +224,7 @@
         self.peers.register_stream_handler(
             relays.PATH, self.relay_endpoint.handle
         )
-        self.inst.servers.reach.relays.members = self.peers.members
+        self.inst.servers.reach.relays.members = self._reachable_members
         self._greenlets = [
             gevent.spawn(self.follower.run, table) for table in feed.Table
         ]
@@ -200,14 +243,19 @@
     def _listen_for_peers(self) -> None:
         """Binds a port that is free for both datagrams and connections."""
         for attempt in range(_PORT_ATTEMPTS):
-            bound = datagrams.Datagrams(address=_ANY_PORT, log=self._log)
+            bound = _Datagrams(
+                address=_ANY_PORT, log=self._log, unreachable=self.unreachable
+            )
             self.member = membership.Member(
                 name=self.inst.cfg.instance,
                 address=bound.address,
                 data_centre=self.inst.cfg.data_centre,
             )
-            self.peers = peer_discovery.PeerDiscovery(
-                own=self.member, seeds=(), log=self._log
+            self.peers = _PeerDiscovery(
+                own=self.member,
+                seeds=(),
+                log=self._log,
+                unreachable=self.unreachable,
             )
             self._peer_listener = _Listener(
                 address=bound.address,
@@ -228,7 +276,21 @@
     def meet(self, others: Sequence[Entry]) -> None:
         """Makes other instances known to this one."""
         for other in others:
-            self.membership.record_alive(other.member, boottime.now())
+            if other.member.address not in self.unreachable:
+                self.membership.record_alive(other.member, boottime.now())
+
+    def part(self, others: Sequence[Entry]) -> None:
+        """Cuts the links between this instance and others."""
+        for other in others:
+            self.unreachable.add(other.member.address)
+            other.unreachable.add(self.member.address)
+
+    def _reachable_members(self) -> list[membership.Member]:
+        return [
+            member
+            for member in self.peers.members()
+            if member.address not in self.unreachable
+        ]
 
     def kill(self) -> None:
         """Ends as a killed process does, all its connections with it."""
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import itertools
+import time
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -112,6 +113,8 @@
         event_s: Pause before each event.
         linked: Whether each instance reaches each server over a link of its
             own, which can be cut.
+        lived_s: For how long the servers have run at the start, as their
+            entries tell it; None if entries do not.
 
     Attributes:
         entries: The instances.
@@ -137,17 +140,22 @@
         events: int = 4,
         event_s: float = 0.002,
         linked: bool = False,
+        lived_s: float | None = None,
     ):
         self._places = places
         self._make_server = functools.partial(
             server.Server, events=events, event_s=event_s
         )
+        self._tells_start = lived_s is not None
         self._linked = linked
         self.links: list[dict[str, proxy.Proxy]] = []
         self.store = store.Store().start()
-        self.plain = self._servers("crew", servers, streaming=False)
+        born_ms = self._born_ms(lived_s or 0.0)
+        self.plain = self._servers(
+            "crew", servers, streaming=False, born_ms=born_ms
+        )
         self.engines = self._servers(
-            "lm", servers, streaming=True, versions=versions
+            "lm", servers, streaming=True, versions=versions, born_ms=born_ms
         )
         if configured:
             self.store.put("op", "config", config(1))
@@ -302,6 +310,7 @@
         *,
         streaming: bool,
         versions: Sequence[str] = (server.FIRST_VERSION,),
+        born_ms: int | None = None,
     ) -> list[server.Server]:
         made = [
             self._make_server(
@@ -310,6 +319,7 @@
                 streaming=streaming,
                 data_centre=self._places[number % len(self._places)],
                 version=versions[number % len(versions)],
+                born_ms=born_ms,
             ).start()
             for number in range(count)
         ]
@@ -324,12 +334,20 @@
             server_id=f"lm-{len(self.engines)}",
             service="lm",
             streaming=True,
+            data_centre=self._places[len(self.engines) % len(self._places)],
             version=version,
+            born_ms=self._born_ms(0.0),
         ).start()
         self.engines.append(made)
         self.list_server(made)
         return made
 
+    def _born_ms(self, lived_s: float) -> int | None:
+        """Returns the start of a server by its own clock, if entries tell."""
+        if not self._tells_start:
+            return None
+        return int((time.time() - lived_s) * 1000)
+
     def remove_engine(self, one: server.Server) -> None:
         """Ends an engine for good, with its connections and its entry."""
         one.on_return = lambda: None
