--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -336,6 +336,7 @@
             server_id=f"lm-{len(self.engines)}",
             service="lm",
             streaming=True,
+            data_centre=self._places[len(self.engines) % len(self._places)],
             version=version,
             born_ms=self._born_ms(0.0),
         ).start()
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -124,7 +124,7 @@
         """
         self.crash(fault)
         one = self._servers[fault.target]
-        one.born_ms += self._rng.choice((1000, -3_600_000))
+        one.born_ms = _start_ms(one) + self._rng.choice((0, -3_600_000))
         gevent.spawn_later(fault.for_s, self.list_unless_left, fault.target)
 
     def cool(self, fault: plan.Fault) -> None:
@@ -139,7 +139,7 @@
         if one.server_id in self.left:
             link.set_mode("pass")
             return
-        one.born_ms += 1000
+        one.born_ms = _start_ms(one)
         until_s = time.monotonic() + COLD_S
         self._cold_until_s[number] = until_s
         self._list(number, "ready")
@@ -259,7 +259,7 @@
         gevent.sleep(min(fault.for_s, _LONGEST_CHANGE_S))
         others = [v for v in _VERSIONS if v != one.version]
         one.version = version or self._rng.choice(others)
-        one.born_ms += 1000
+        one.born_ms = _start_ms(one)
         self.list_unless_left(number)
         gevent.sleep(_LISTED_BEFORE_S)
         link.set_mode("pass")
@@ -300,7 +300,7 @@
         """Another life of a server that left takes its place."""
         one = self._servers[number]
         one.leaving = False
-        one.born_ms += 1000
+        one.born_ms = _start_ms(one)
         self.list_unless_left(number)
         self._record_version(number)
 
@@ -317,6 +317,11 @@
         return {**one.entry(state), "address": self._links[number].address}
 
 
+def _start_ms(one: server.Server) -> int:
+    """Returns when a server's next life starts, in Unix milliseconds."""
+    return max(one.born_ms + 1, int(time.time() * 1000))
+
+
 def _heal(one: server.Server, chosen_by: Callable[[], server.Fault]) -> None:
     """Ends a fault, unless a later one has taken its place."""
     if one.choose_fault is chosen_by:
