Changes that a watcher repeats do not take an entry back to an earlier life

Cause: updates repeat the changes of the last seconds. An instance that has read the list after them applied them again: the earlier life took the place of the later one, which then counted as replaced for good. Only instances that had seen the change itself knew better. Change: of an entry that has changed several times in an update, of which a part is known already, only the latest state is applied.

--- a/irisshelf/coordination/shared_watch.py
+++ b/irisshelf/coordination/shared_watch.py
@@ -200,6 +200,22 @@
     return Verdict.FETCH
 
 
+def new_changes(
+    update: ServersUpdate, known: position_module.Position
+) -> tuple[directory.Change, ...]:
+    """Returns the changes of an update to apply at a known position.
+
+    An update repeats changes that may be included in what is known. Applied
+    again, they would take entries back to earlier states. So of an entry that
+    has changed several times only the latest state is returned, unless all
+    changes are new.
+    """
+    if known == update.since:
+        return update.changes
+    latest = {change.entry_id: change for change in update.changes}
+    return tuple(latest.values())
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Entry:
     at_s: float
--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -201,7 +201,8 @@
                 position=update.position
             )
         if verdict is _Verdict.APPLY:
-            self.servers.apply_changes(update.changes, update.position, now)
+            changes = shared_watch.new_changes(update, watch.position)
+            self.servers.apply_changes(changes, update.position, now)
             watch.advance_to(update.position)
         if verdict in (_Verdict.APPLY, _Verdict.CURRENT):
             self._record_version(
--- a/irisshelf/tests/test_relayed_versions.py
+++ b/irisshelf/tests/test_relayed_versions.py
@@ -15,7 +15,9 @@
 
 from irisshelf.catalog import directory
 from irisshelf.catalog import releases
+from irisshelf.coordination import shared_watch
 from irisshelf.gateway.knowledge import server_records
+from irisshelf.store import feed
 from irisshelf.tests import resumed_streams
 
 # So many in one data centre that one of them follows the store for all.
@@ -126,3 +128,63 @@
         stream.first_id = ""
     resumed_streams.take_up_all(world, entry, streams)
     assert {stream.statuses[-1] for stream in streams} == {200}
+
+
+def _life(born_ms, sequence, version):
+    """Returns the entry of one life of a server."""
+    return directory.Change(
+        entry_id="i-1",
+        server=dataclasses.replace(
+            _SERVER,
+            server_id=directory.incarnation_id("i-1", born_ms),
+            born_ms=born_ms,
+            sequence=sequence,
+            version=version,
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    "repeated",
+    [
+        pytest.param([_life(1000, 3, "v1")], id="earlier-life"),
+        pytest.param([_life(2000, 3, "v1.2")], id="earlier-entry"),
+        pytest.param(
+            [directory.Change(entry_id="i-1", server=None)], id="was-removed"
+        ),
+        pytest.param(
+            [_life(500, 1, "v1"), _life(1000, 3, "v1")], id="two-earlier-lives"
+        ),
+    ],
+)
+def test_changes_that_are_sent_again_take_no_entry_back(make_world, repeated):
+    """Guards against an instance that starts and then lists a life that ended.
+
+    It has read the list after these changes, and so does not know that one life
+    has replaced the other.
+    """
+    world = make_world()
+    current = _life(2000, 4, "v1.2")
+    position = _wait_for_position(world)
+    world.inst.directory.replace(
+        [current.server], recovered_s=0.0, after_outage=False
+    )
+    world.follower.apply_update(
+        shared_watch.ServersUpdate(
+            store_s=0.0,
+            since=dataclasses.replace(position, revision=0),
+            position=dataclasses.replace(
+                position, revision=position.revision + 1
+            ),
+            changes=(*repeated, current),
+        )
+    )
+    assert world.inst.directory.get("i-1") == current.server
+    again = (*repeated, current)
+    assert world.inst.directory.outdated(again[-1:]) == ()
+
+
+def _wait_for_position(world):
+    watch = world.follower.tables.watches[feed.Table.SERVERS]
+    world.wait(lambda: watch.position is not None)
+    return watch.position
