A send that a server rejects as not run is no attempt

Cause: maxAttempts was compared with all sends, so that a request of a route with one attempt got 503 attempts_used when its first server answered 421 (back at its address under another id) or Not-Executed, while other servers were free.

Change: only sends that may have run count towards maxAttempts. Each rejected one takes from the retry budget, and a request gets at most three sends beyond maxAttempts. A server that rejected a request is not chosen again for it, also if it had answered it with an error before. Retry-After is worked out once for each caller that is rejected: each rejected send reserved a time of its own for the caller's retry, so that several of them gave 6 s where 0.2 s is due (test_gateway_overload found this).

--- a/irisshelf/catalog/model.py
+++ b/irisshelf/catalog/model.py
@@ -43,8 +43,8 @@
             of a stream.
         priority: 0 is the most urgent.
         split: Services with their weights; at least one.
-        max_attempts: Maximum number of backend servers to which a request is
-            sent.
+        max_attempts: Maximum number of backend servers that may run a request;
+            those that reject it as not run are left out.
         public: Whether requests need no key.
         resumable: Whether a stream may be resumed on another backend server.
         regions: Regions in which requests may be served; empty for all.
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -325,7 +325,7 @@
         return (
             self._inst.cfg.policy.patience
             and route.repeatable
-            and self._sends.count < route.max_attempts
+            and self._sends.attempts_left
             and budget.remaining(self._inst.now()) >= 1
             and not self._inst.suspect_requests.verdict(self._job)
         )
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -58,7 +58,8 @@
     ):
         self._inst = inst
         self._caller = caller
-        self._retry_after_s = admission.RETRY_SOON_S
+        self._retry_after_s: float | None = None
+        self._rejected_choice: server_choice.Choice | None = None
         self._binding = stream_binding.StreamBinding(inst=inst, job=job)
         self._prepare(job)
         self._events_before_send = 0
@@ -109,7 +110,7 @@
                 return self._give_up(stop)
 
     def _reject(self, refusal: rejection.Rejection) -> str:
-        self._retry_after_s = refusal.retry_after_s or self._retry_after_s
+        self._retry_after_s = refusal.retry_after_s
         if refusal.elsewhere:
             self._caller.close_after_answer()
         return self._give_up(refusal.why)
@@ -172,7 +173,7 @@
         if not exc.stale_connection:
             self._record_observation(server, exc.server_outcome, str(exc))
         if exc.request_outcome is outcome.Outcome.NOT_RUN:
-            self._retry_after_s = admission.retry_after_s(self._inst, choice)
+            self._rejected_choice = choice
         self._sends.record_failure(server, exc)
         stop = self._sends.stop_reason(
             exc, crashed_server=crashed_server, remaining_s=self._remaining_s()
@@ -231,7 +232,7 @@
             self._caller.close_after_answer()
         request_outcome = self._sends.outcome
         if request_outcome is outcome.Outcome.NOT_RUN:
-            status, retry_after_s = _UNAVAILABLE, self._retry_after_s
+            status, retry_after_s = _UNAVAILABLE, self._retry_in_s()
         else:
             timed_out = self._remaining_s() <= 0
             status = _GATEWAY_TIMEOUT if timed_out else _BAD_GATEWAY
@@ -243,6 +244,17 @@
         self._caller.answer(status, headers, body.encode())
         return f"{request_outcome.value}_{why}"
 
+    def _retry_in_s(self) -> float:
+        """Returns when the caller should retry a request that has not run.
+
+        Each call may reserve a time for one caller's retry.
+        """
+        if self._retry_after_s:
+            return self._retry_after_s
+        if self._rejected_choice is None:
+            return admission.RETRY_SOON_S
+        return admission.retry_after_s(self._inst, self._rejected_choice)
+
     def _record_observation(
         self,
         server: directory.BackendServer,
--- a/irisshelf/gateway/requests/send_history.py
+++ b/irisshelf/gateway/requests/send_history.py
@@ -11,6 +11,9 @@
 # Reason given when a request is rejected or not retried because backend servers
 # crashed while they processed it.
 SERVERS_CRASHED = "servers_ended_under_it"
+# Limit on sends of a request beyond the maximum of its route. These replace
+# sends that servers rejected as not run.
+MAX_EXTRA_SENDS = 3
 
 
 class SendHistory:
@@ -22,8 +25,9 @@
 
     Attributes:
         avoid: Ids of servers that are not tried again.
-        failed: Those of them that returned a complete error response.
-        count: Number of sends.
+        failed: Those of them that returned a complete error response, and have
+            not rejected the request since.
+        count: Number of sends, the one in progress included.
         outcome: Whether any of the sends may have run the request.
         last_response: The latest complete error response of a server.
     """
@@ -37,6 +41,17 @@
         self._inst = inst
         self._job = job
         self._retry_taken = False
+        self._rejections = 0
+
+    @property
+    def attempts_left(self) -> bool:
+        """Whether the maximum of the route allows one more send.
+
+        The maximum limits the sends that may have run the request.
+        """
+        limit = self._job.route.max_attempts
+        may_have_run = self.count - self._rejections
+        return may_have_run < limit and self.count < limit + MAX_EXTRA_SENDS
 
     def record_failure(
         self, server: directory.BackendServer, exc: attempt.SendError
@@ -46,6 +61,10 @@
             self.avoid.add(server.server_id)
         if exc.request_outcome is outcome.Outcome.UNKNOWN:
             self.outcome = outcome.Outcome.UNKNOWN
+        else:
+            # It does not run this request, or is another server by now.
+            self._rejections += 1
+            self.failed.discard(server.server_id)
         if exc.response is not None:
             self.last_response = exc.response
             self.failed.add(server.server_id)
@@ -75,7 +94,7 @@
             return "server_says_so"
         if remaining_s <= 0:
             return "timeout"
-        if self.count >= route.max_attempts or not policy.second_sends:
+        if not (self.attempts_left and policy.second_sends):
             return "attempts_used"
         if crashed_server:
             # It would crash the next server as well. If it was not the cause,
