A list that the store has just sent has an age before the store's clock is known

Callers of instances that had just started had streams rejected, although one version had served all along: 5 to 7 of 48 where all 24 instances start at once and nobody answers in time. Cause: the age of a list was worked out from the store's clock, which an instance knows only after an answer on the configuration. A list that came first had no age until the next one, ten seconds later, and without an answer of others such a list proves nothing. Class: what is not known yet is taken for the worst, for good. Change: a list that the store sends is at least as recent as the call for it.

--- a/irisshelf/gateway/knowledge/tables.py
+++ b/irisshelf/gateway/knowledge/tables.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import functools
+import math
 
 from irisshelf.catalog import position as position_module
 from irisshelf.coordination import facts
@@ -110,7 +111,12 @@
                 self._confirm(batch, sent_s, now, replaced=replaced)
         if batch.complete:
             self._record_version(
-                table, batch.position, batch.store_s, now, _Source.STORE
+                table,
+                batch.position,
+                batch.store_s,
+                now,
+                _Source.STORE,
+                called_s=batch.began_s,
             )
         return True
 
@@ -258,7 +264,20 @@
         store_s: float,
         now: float,
         source: instance_module.ListSource,
+        *,
+        called_s: float = -math.inf,
     ) -> None:
+        """Records the version that a table has now.
+
+        Args:
+            table: The table.
+            position: Its position.
+            store_s: When it was the latest, on the store's clock.
+            now: Monotonic seconds.
+            source: Where it came from.
+            called_s: When the store was called that answered with it. The
+                store's clock may not be known yet.
+        """
         self._seen.record(position, now)
         known = self._as_of.get(table)
         if known is not None and known.position > position:
@@ -267,8 +286,9 @@
             position=position, store_s=store_s
         )
         if table is _SERVERS:
-            as_of_s = self._inst.freshness.to_local_time(
-                store_s, now, position.era
+            as_of_s = max(
+                called_s,
+                self._inst.freshness.to_local_time(store_s, now, position.era),
             )
             self._inst.list_version = instance_module.ListVersion(
                 as_of_s=as_of_s, revision=position.revision, source=source
