An instance whose list lacks the release of a stream fetches the list from others

Callers had streams rejected (no_server_of_version) at instances of a data centre that had lost the store just before a second version came: 0 of the new version's streams went on, while they began at all others. Cause: other instances told the release that began a stream, and nobody asked for its servers. Change: if a resumed stream began at a release that this instance has never listed, it fetches the list from four others, in 0.2 s, twice a second at the most; the latest one takes effect as relayed lists do, with its position, its age and the servers that leave. A release that was listed and is gone costs nothing.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -128,6 +128,8 @@
         self.origins = origin_registry.OriginRegistry(
             releases=self.servers.releases, now=now
         )
+        # Fetches the list of servers from peers.
+        self.refresh_servers: Callable[[], None] = _do_nothing
         # Whether peers have answered which requests crash servers, or are not
         # waited for any longer.
         self.crashes_known = True
@@ -295,3 +297,7 @@
         """Records that the server list has been read from the store."""
         self._server_list_loaded = True
         self.servers.on_list_changed()
+
+
+def _do_nothing() -> None:
+    """Default for ``refresh_servers``, used until peers are known."""
--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 import gevent
 import result
@@ -36,6 +37,11 @@
 # second.
 _PEERS_TIMEOUT_S = 0.6
 _PEERS_POLL_INTERVAL_S = 0.02
+# Of a list that other instances know to be outdated: how many are asked for
+# theirs, for how long, and how often.
+_REFRESH_ASKED = 4
+_REFRESH_TIMEOUT_S = 0.2
+_REFRESH_INTERVAL_S = 0.5
 
 
 class Follower:
@@ -76,7 +82,11 @@
         self._outages = outage_check.OutageCheck(
             inst=inst, listed=self.tables.servers, peers=peers
         )
+        self._peers = peers
         self._relay: table_relay.TableRelay | None = None
+        self._refresh: gevent.Greenlet | None = None
+        self._refreshed_s = -math.inf
+        inst.refresh_servers = self.refresh_servers
         if updates is not None:
             updates.subscribe(self.apply_update)
         if peers is not None:
@@ -215,6 +225,36 @@
         self._notify_relay()
         return is_newer
 
+    def refresh_servers(self) -> None:
+        """Fetches the list of servers from some other instances.
+
+        Called when others know of servers that this instance does not list, as
+        its link to the store may be cut. Waits for a fetch in progress.
+        """
+        if self._relay is None:
+            return
+        if self._refresh is None or self._refresh.ready():
+            since_s = boottime.now() - self._refreshed_s
+            if since_s < _REFRESH_INTERVAL_S:
+                return
+            self._refreshed_s = boottime.now()
+            self._refresh = gevent.spawn(self._refresh_servers)
+        self._refresh.join()
+
+    def _refresh_servers(self) -> None:
+        members = self._peers.members()
+        asked = self._inst.rng.sample(
+            members, min(_REFRESH_ASKED, len(members))
+        )
+        snapshots = self._relay.fetch_each(
+            feed.Table.SERVERS, asked, timeout_s=_REFRESH_TIMEOUT_S
+        )
+        for snapshot in snapshots:
+            self.tables.apply_snapshot(
+                feed.Table.SERVERS, snapshot, boottime.now()
+            )
+        self._notify_relay()
+
     def _role(self) -> shared_watch.Role:
         can_share = self._updates is not None
         if not (can_share and self._inst.cfg.policy.shared_watch):
--- a/irisshelf/gateway/knowledge/table_relay.py
+++ b/irisshelf/gateway/knowledge/table_relay.py
@@ -15,8 +15,10 @@
 
 import dataclasses
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
+import gevent
 import msgspec
 import result
 from gevent import event
@@ -25,6 +27,7 @@
 from irisshelf.catalog import directory
 from irisshelf.catalog import evacuations
 from irisshelf.catalog import position as position_module
+from irisshelf.coordination import membership as membership_module
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway.knowledge import operator_state
 from irisshelf.gateway.knowledge import peer_discovery
@@ -41,6 +44,21 @@
 _HOLD_SHARE = 0.8
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Response:
+    """An encoded snapshot.
+
+    Attributes:
+        member: Name of the instance that sent it.
+        data: The snapshot.
+        sent_s: When it was requested, in monotonic seconds.
+    """
+
+    member: str
+    data: bytes
+    sent_s: float
+
+
 class TableRelay:
     """Serves snapshots to other instances, and fetches them from others.
 
@@ -100,23 +118,73 @@
             remaining_s = deadline_s - boottime.now()
             if remaining_s <= 0:
                 return None
-            target = _request_target(table, minimum, remaining_s)
-            sent_s = boottime.now()
-            response = self._peers.request(
-                member.address, target, timeout_s=remaining_s
-            )
-            if isinstance(response, result.Err):
-                continue
-            snapshot = self._decode_table(
-                table, response.ok_value, minimum, sent_s
-            )
-            if snapshot is not None:
-                self._log_relayed(
-                    table, snapshot, member.name, len(response.ok_value)
-                )
-            return snapshot
+            response = self._request(member, table, minimum, remaining_s)
+            if response is not None:
+                return self._decode_response(table, response, minimum)
         return None
 
+    def fetch_each(
+        self,
+        table: feed.Table,
+        members: Iterable[membership_module.Member],
+        *,
+        timeout_s: float,
+    ) -> list[table_snapshot.RelayedSnapshot]:
+        """Fetches snapshots, as they are, from several instances at once.
+
+        Args:
+            table: The table.
+            members: The instances.
+            timeout_s: Timeout for all of them.
+
+        Returns:
+            What has been received in time.
+        """
+        requests = [
+            gevent.spawn(self._request, member, table, None, timeout_s)
+            for member in members
+        ]
+        gevent.joinall(requests, timeout=timeout_s)
+        responses = [one.value for one in requests if one.value is not None]
+        gevent.killall(requests, block=False)
+        snapshots = [
+            self._decode_response(table, response, None)
+            for response in responses
+        ]
+        return [one for one in snapshots if one is not None]
+
+    def _request(
+        self,
+        member: membership_module.Member,
+        table: feed.Table,
+        minimum: table_snapshot.MinimumVersion | None,
+        timeout_s: float,
+    ) -> _Response | None:
+        target = _request_target(table, minimum, timeout_s)
+        sent_s = boottime.now()
+        response = self._peers.request(
+            member.address, target, timeout_s=timeout_s
+        )
+        if isinstance(response, result.Err):
+            return None
+        return _Response(
+            member=member.name, data=response.ok_value, sent_s=sent_s
+        )
+
+    def _decode_response(
+        self,
+        table: feed.Table,
+        response: _Response,
+        minimum: table_snapshot.MinimumVersion | None,
+    ) -> table_snapshot.RelayedSnapshot | None:
+        snapshot = self._decode_table(
+            table, response.data, minimum, response.sent_s
+        )
+        if snapshot is not None:
+            size_bytes = len(response.data)
+            self._log_relayed(table, snapshot, response.member, size_bytes)
+        return snapshot
+
     def _request_handler(self, table: feed.Table) -> peer_discovery.Handler:
         def handle(fields: Mapping[str, str]) -> bytes | None:
             try:
--- a/irisshelf/gateway/requests/stream_binding.py
+++ b/irisshelf/gateway/requests/stream_binding.py
@@ -117,6 +117,9 @@
         self._log(source, found, self._inst.now() - began_s)
         if self.release is None:
             return self._reject(found)
+        if self.release not in self._inst.origins.recent(self._services()):
+            # It has begun at a server that this instance has never listed.
+            self._inst.refresh_servers()
         self.service = self._service_of(self.release)
         return None
 
--- a/irisshelf/testing/rollout_fleet.py
+++ b/irisshelf/testing/rollout_fleet.py
@@ -393,6 +393,7 @@
             metrics=self._metrics,
             log=self._log,
             directory=types.SimpleNamespace(servers_of=lambda service: ()),
+            refresh_servers=lambda: None,
             eligible=types.SimpleNamespace(release_of=releases.release_key),
         )
         return stream_binding.StreamBinding(
