All instances are asked for an origin although the process stood still before

A caller had one of 144 streams rejected, of a version that served (0 of 5 answers): the process that looked for its origin stood still, the time for the search was over when it went on, and nobody else was asked. Change: asking all instances has a time of its own.

--- a/irisshelf/gateway/knowledge/origin_exchange.py
+++ b/irisshelf/gateway/knowledge/origin_exchange.py
@@ -268,12 +268,13 @@
             )
             for member, forward in members
         ]
-        began_s = self._now()
         try:
             self._collect(search, questions, self._timing.all_asked_after_s)
-            left_s = self._timing.find_s - (self._now() - began_s)
-            if not search.known and left_s > 0:
-                self._search_on(search, key, services, questions, left_s)
+            if not search.known:
+                # Not less if this process stood still until now.
+                self._search_on(
+                    search, key, services, questions, self._timing.find_s
+                )
         finally:
             gevent.killall(questions, block=False)
         if search.known and key is not None:
--- a/irisshelf/gateway/knowledge/origin_questions.py
+++ b/irisshelf/gateway/knowledge/origin_questions.py
@@ -40,14 +40,14 @@
     """Times of a search for an origin, in seconds.
 
     Attributes:
-        find_s: How long it takes at most.
         all_asked_after_s: After which time without success all are asked.
+        find_s: How long that may take.
         gather_s: How long questions are gathered to share datagrams.
         gather_again_s: The same for those that soon follow others.
     """
 
-    find_s: float = 0.2
     all_asked_after_s: float = 0.02
+    find_s: float = 0.18
     gather_s: float = 0.004
     gather_again_s: float = 0.04
 
