--- a/irisshelf/gateway/knowledge/origin_exchange.py
+++ b/irisshelf/gateway/knowledge/origin_exchange.py
@@ -18,47 +18,32 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import random
-import urllib.parse
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
-from typing import Annotated
 from typing import Any
 
-import cbor2
 import gevent
 import msgspec
-import result
-from gevent import event
 
 from irisshelf.catalog import releases as releases_module
-from irisshelf.coordination import membership as membership_module
 from irisshelf.coordination import stream_origins
 from irisshelf.coordination import token_bucket
 from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import origin_placement
 from irisshelf.gateway.knowledge import origin_questions
+from irisshelf.gateway.knowledge import origin_search
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.servers import origin_registry
 from irisshelf.observe import decision_log
 
-# Path at which an instance serves ``OriginExchange.answer``.
-PATH = "/stream-origin"
-_REPLICAS = 2
-# Instances of the own data centre that are asked: when one of the replicas has
-# just gone, the views of who is next differ for a moment.
-_ASKED = 3
+PATH = origin_search.PATH
 _DATA_CENTRES = 1
 # Origins of earlier streams share datagrams, so that copies cost little.
 _REPLICAS_OF_EARLIER = 3
 _DATA_CENTRES_OF_EARLIER = 2
-# The data centre of the instance that sent an origin is not known; if it is the
-# first one for the key, the origin was sent to the second.
-_DATA_CENTRES_ASKED = 2
-# So few are all asked, the instance that began the stream among them.
-_ASK_ALL_UP_TO = 8
 # For an instance that asks others of its data centre first.
 _FORWARDED_TIMEOUT_S = 0.1
 _BYTES_PER_S = 1200.0
@@ -74,11 +59,6 @@
 _NO_KEY = bytes(stream_origins.KEY_BYTES)
 _TIMING = origin_questions.Timing()
 
-# Longer than any stream.
-_MAX_REACH_S = 1e9
-
-_Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_REACH_S)]
-
 
 class _Message(msgspec.Struct, array_like=True):
     # Keys of streams, each followed by the key of its release.
@@ -87,16 +67,6 @@
     forward: bool = False
 
 
-class _Reply(msgspec.Struct, array_like=True):
-    # Whether the origin is known; without a release, records contradict.
-    known: bool
-    release: bytes | None
-    # Releases that the asked services have had lately.
-    recent: list[bytes]
-    # For how long back no release of them is missing.
-    reach_s: _Seconds = 0.0
-
-
 class OriginExchange(origin_registry.OriginRegistry):
     """Sends, receives and finds origins of streams.
 
@@ -128,11 +98,15 @@
     ):
         super().__init__(releases=releases, now=now)
         self._datagrams = datagrams
-        self._peers = peers
         self._membership = peers.membership
         self._log = log
         self._metrics = counts
-        self._rng = rng
+        self._placement = origin_placement.OriginPlacement(
+            peers=peers, rng=rng, now=now
+        )
+        self._requests = origin_search.OriginRequests(
+            peers=peers, log=log, timeout_s=timing.find_s
+        )
         self._is_current = is_current
         self._timing = timing
         self._bucket = token_bucket.TokenBucket(bytes_per_s=_BYTES_PER_S)
@@ -170,10 +144,10 @@
         if len(self.recent(services)) <= 1:
             return
         forward = self._bucket.has_tokens(self._now())
-        receivers = [(m.address, False) for m in self._replicas(key, _REPLICAS)]
+        receivers = [(m.address, False) for m in self._placement.replicas(key)]
         receivers += [
             (member.address, forward)
-            for member in self._remote_receivers(key, _DATA_CENTRES)
+            for member in self._placement.remote(key, _DATA_CENTRES)
         ]
         self._metrics.origin_wait.observe(0.0)
         for address, forwards in receivers:
@@ -220,8 +194,8 @@
         name = self._membership.own.name
         key = stream_origins.stream_key("", name)
         for member in (
-            *self._replicas(key, _REPLICAS_OF_EARLIER),
-            *self._remote_receivers(key, _DATA_CENTRES_OF_EARLIER),
+            *self._placement.replicas(key, _REPLICAS_OF_EARLIER),
+            *self._placement.remote(key, _DATA_CENTRES_OF_EARLIER),
         ):
             self._send(member.address, records)
         for _ in range(count):
@@ -260,42 +234,39 @@
         are asked if these do not know it, unless no other release can have
         begun the stream.
         """
-        members = self._members_to_ask(key or _NO_KEY)
-        search = _Search(asked=len(members))
-        questions = [
-            gevent.spawn(
-                self._ask, member, key or _NO_KEY, services, forward=forward
-            )
-            for member, forward in members
-        ]
+        members = self._placement.asked_first(key or _NO_KEY)
+        search = origin_search.Search(asked=len(members))
+        requests = self._requests.send(members, key or _NO_KEY, services)
         try:
-            self._collect(search, questions, self._timing.all_asked_after_s)
+            self._requests.collect(
+                search, requests, self._timing.all_asked_after_s
+            )
             if not search.known:
                 # Not less if this process stood still until now.
                 self._search_on(
-                    search, key, services, questions, self._timing.find_s
+                    search, key, services, requests, self._timing.find_s
                 )
         finally:
-            gevent.killall(questions, block=False)
+            gevent.killall(requests, block=False)
         if search.known and key is not None:
             self.origins.record(key, search.release, self._now(), own=False)
         return search.finding()
 
     def _search_on(
         self,
-        search: _Search,
+        search: origin_search.Search,
         key: bytes | None,
         services: Sequence[str],
-        questions: list[gevent.Greenlet],
+        requests: list[gevent.Greenlet],
         timeout_s: float,
     ) -> None:
         """Asks all instances, unless no other release can have begun it."""
         if key is None or self.only_release(search.finding(), services):
-            self._collect(search, questions, timeout_s)
+            self._requests.collect(search, requests, timeout_s)
             return
         try:
             known = self._questions.ask(key)
-            self._collect(search, questions, timeout_s, known=known)
+            self._requests.collect(search, requests, timeout_s, known=known)
         finally:
             self._questions.end(key)
         origin = self.get(key)
@@ -303,27 +274,6 @@
             search.known = True
             search.release = origin.release
 
-    def _collect(
-        self,
-        search: _Search,
-        questions: list[gevent.Greenlet],
-        timeout_s: float,
-        *,
-        known: event.Event | None = None,
-    ) -> None:
-        """Collects replies until the origin is known."""
-        awaited = [q for q in questions if q not in search.collected]
-        if known is not None:
-            awaited.append(known)
-        for done in gevent.iwait(awaited, timeout=timeout_s):
-            if done is known:
-                return
-            search.collected.add(done)
-            if done.value is not None:
-                search.add(*done.value)
-            if search.known:
-                return
-
     def answer(self, fields: Mapping[str, str]) -> bytes | None:
         """Answers the question of another instance.
 
@@ -335,19 +285,13 @@
         Returns:
             The encoded answer; None if the question is invalid.
         """
-        try:
-            key = bytes.fromhex(fields.get("key", ""))
-        except ValueError:
-            key = b""
-        if len(key) != stream_origins.KEY_BYTES:
+        request = origin_search.read_request(fields)
+        if request is None:
             self._log.warning("question_unreadable", detail="key of a stream")
             return None
-        services = [
-            urllib.parse.unquote(name)
-            for name in fields.get("services", "").split(",")
-        ]
+        key, services = request
         origin = self.get(key)
-        reply = _Reply(
+        reply = origin_search.Reply(
             known=origin is not None,
             release=origin.release if origin else None,
             recent=sorted(self.recent(services)),
@@ -355,94 +299,38 @@
         )
         if origin is None and fields.get("forward"):
             reply = self._ask_replicas(key, services, reply)
-        return cbor2.dumps(msgspec.to_builtins(reply, builtin_types=(bytes,)))
+        return origin_search.encode(reply)
 
     def _reach_of_reply_s(self, services: Sequence[str]) -> float:
         if not self._is_current():
             return 0.0
-        return min(self.reach_s(services), _MAX_REACH_S)
+        return min(self.reach_s(services), origin_search.MAX_REACH_S)
 
     def _ask_replicas(
-        self, key: bytes, services: Sequence[str], own: _Reply
-    ) -> _Reply:
-        search = _Search(recent=set(own.recent), reach_s=own.reach_s)
-        questions = [
-            gevent.spawn(self._ask, member, key, services, forward=False)
-            for member in self._replicas(key, _REPLICAS)
-        ]
-        self._collect(search, questions, _FORWARDED_TIMEOUT_S)
-        return _Reply(
+        self,
+        key: bytes,
+        services: Sequence[str],
+        own: origin_search.Reply,
+    ) -> origin_search.Reply:
+        search = origin_search.Search(
+            recent=set(own.recent), reach_s=own.reach_s
+        )
+        replicas = [(m, False) for m in self._placement.replicas(key)]
+        requests = self._requests.send(replicas, key, services)
+        self._requests.collect(search, requests, _FORWARDED_TIMEOUT_S)
+        gevent.killall(requests, block=False)
+        return origin_search.Reply(
             known=search.known,
             release=search.release,
             recent=sorted(search.recent),
             reach_s=search.reach_s,
         )
 
-    def _ask(
-        self,
-        member: membership_module.Member,
-        key: bytes,
-        services: Sequence[str],
-        *,
-        forward: bool,
-    ) -> tuple[membership_module.Member, _Reply] | None:
-        """Returns the instance with its answer; None if there is none."""
-        names = ",".join(urllib.parse.quote(n, safe="") for n in services)
-        query = {"key": key.hex(), "services": names}
-        if forward:
-            query["forward"] = "1"
-        response = self._peers.request(
-            member.address,
-            f"{PATH}?{urllib.parse.urlencode(query)}",
-            timeout_s=self._timing.find_s,
-        )
-        if isinstance(response, result.Err):
-            return None
-        try:
-            reply = msgspec.convert(cbor2.loads(response.ok_value), _Reply)
-        except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
-            self._log.warning(
-                "stream_origin_unreadable",
-                address=member.address,
-                detail=str(exc),
-            )
-            return None
-        return member, reply
-
-    def _members_to_ask(
-        self, key: bytes
-    ) -> list[tuple[membership_module.Member, bool]]:
-        """Returns instances, and whether each asks others in turn."""
-        members = self._peers.members()
-        if len(members) <= _ASK_ALL_UP_TO:
-            return [(member, False) for member in members]
-        local = [(m, False) for m in self._replicas(key, _ASKED)]
-        remote = self._remote_receivers(key, _DATA_CENTRES_ASKED)
-        return [*local, *((member, True) for member in remote)]
-
-    def _replicas(
-        self, key: bytes, count: int
-    ) -> list[membership_module.Member]:
-        own = self._membership.own.data_centre
-        members = self._membership.members(own, self._now())
-        ranked = stream_origins.rank_replicas((m for m, _ in members), key)
-        return ranked[:count]
-
-    def _remote_receivers(
-        self, key: bytes, count: int
-    ) -> list[membership_module.Member]:
-        """Returns an instance of each of the first other data centres."""
-        by_data_centre: dict[str, list[membership_module.Member]] = {}
-        for member in self._membership.remote_members(self._now()):
-            by_data_centre.setdefault(member.data_centre, []).append(member)
-        names = stream_origins.rank_data_centres(by_data_centre, key)
-        return [self._rng.choice(by_data_centre[n]) for n in names[:count]]
-
     def _forward(self, records: Sequence[tuple[bytes, bytes]]) -> None:
         """Sends origins to the instances of this data centre that keep them."""
         by_receiver: dict[str, list[bytes]] = {}
         for key, release in records:
-            for member in self._replicas(key, _REPLICAS):
+            for member in self._placement.replicas(key):
                 by_receiver.setdefault(member.address, []).append(key + release)
         for address, some in by_receiver.items():
             self._send(address, b"".join(some))
@@ -475,53 +363,6 @@
         self._metrics.origin_bytes.inc(size + _HEADER_BYTES)
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Search:
-    """A search for a stream's origin.
-
-    Attributes:
-        asked: Number of instances that were asked first.
-        collected: Their questions that have ended.
-        answers: Number of replies.
-        recent: Releases that the services have had lately.
-        reach_s: For how long back no release is missing in one of the replies.
-        known: Whether the origin is known.
-        release: Key of the release; None if there are contradicting records.
-        by: The instance that knows it, if it was among the first.
-    """
-
-    asked: int = 0
-    collected: set[gevent.Greenlet] = dataclasses.field(default_factory=set)
-    answers: int = 0
-    recent: set[bytes] = dataclasses.field(default_factory=set)
-    reach_s: float = 0.0
-    known: bool = False
-    release: bytes | None = None
-    by: str = ""
-
-    def add(self, member: membership_module.Member, reply: _Reply) -> None:
-        """Adds an instance's reply."""
-        self.answers += 1
-        self.recent.update(reply.recent)
-        self.reach_s = max(self.reach_s, reply.reach_s)
-        if reply.known:
-            self.known = True
-            self.release = reply.release
-            self.by = member.name
-
-    def finding(self) -> origin_registry.Finding:
-        """Returns what has been found."""
-        return origin_registry.Finding(
-            known=self.known,
-            release=self.release,
-            recent=frozenset(self.recent),
-            reach_s=self.reach_s,
-            by=self.by,
-            asked=self.asked,
-            answers=self.answers,
-        )
-
-
 def _split(record: bytes) -> tuple[bytes, bytes]:
     """Returns the keys of a stream and of the release that began it."""
     return (
