A server whose entry is in doubt goes on with no stream, whoever else doubts it

Cause: what begins at a doubted server has a key made from the server's id, and a doubted server had the same key at every instance, so that the two doubts fitted each other. Class: not knowing is kept as a value that can be equal to another. Change: a doubted server fits no release that a request requires; what has begun at one goes on nowhere.

--- a/irisshelf/gateway/servers/eligibility.py
+++ b/irisshelf/gateway/servers/eligibility.py
@@ -81,7 +81,7 @@
         servers = self._not_evacuated(self._listed.servers_of(service))
         if required.release is not None:
             servers = tuple(
-                s for s in servers if self.release_of(s) == required.release
+                s for s in servers if self._runs(s, required.release)
             )
         return self._in_regions(servers, required.regions)
 
@@ -118,9 +118,7 @@
         if required.release is None:
             return True
         listed = self._listed.get(server.entry_id)
-        return (
-            listed is not None and self.release_of(listed) == required.release
-        )
+        return listed is not None and self._runs(listed, required.release)
 
     def release_of(self, server: directory.BackendServer) -> bytes:
         """Returns the key of the release that a server runs.
@@ -131,6 +129,16 @@
             return releases.unproven_key(server)
         return releases.release_key(server)
 
+    def _runs(self, server: directory.BackendServer, release: bytes) -> bool:
+        """Returns whether it is certain that a server runs a release.
+
+        A server whose entry is in doubt runs none, not even what has begun
+        there while another instance had the same doubt.
+        """
+        return releases.release_key(server) == release and not self.is_doubtful(
+            server
+        )
+
     def is_doubtful(self, server: directory.BackendServer) -> bool:
         """Returns whether a server's entry may describe an earlier process."""
         return self.doubts.is_doubtful(
--- a/irisshelf/tests/test_streams_of_two_versions.py
+++ b/irisshelf/tests/test_streams_of_two_versions.py
@@ -9,6 +9,7 @@
 import pytest
 
 from irisshelf.coordination import stream_origins
+from irisshelf.gateway.servers import requirements
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.tests import resumed_streams
@@ -380,3 +381,31 @@
     sock.close()
     one.end()
     conn.close()
+
+
+@pytest.mark.parametrize(
+    ("began_in_doubt", "doubted"),
+    [
+        pytest.param(False, False, id="never"),
+        pytest.param(False, True, id="as-it-is-resumed"),
+        pytest.param(True, False, id="as-it-begins"),
+        pytest.param(True, True, id="both-times"),
+    ],
+)
+def test_what_begins_at_a_doubted_server_goes_on_nowhere(
+    make_world, began_in_doubt, doubted
+):
+    """Guards against doubts of two instances that fit each other."""
+    world = resumed_streams.make(
+        make_world, servers=1, versions=("v1",), data_centres=("a", "a")
+    )
+    first, second = (entry.inst.eligible for entry in world.entries)
+    (server,) = world.inst.directory.servers_of("lm")
+    if began_in_doubt:
+        first.doubts.record_return(server, world.inst.now())
+    required = requirements.Requirements(release=first.release_of(server))
+    if doubted:
+        second.doubts.record_return(server, world.inst.now())
+    may_go_on = not began_in_doubt and not doubted
+    assert bool(second.usable("lm", required)) is may_go_on
+    assert second.meets(server, required) is may_go_on
