An instance that starts asks on until one that has lived for long answers

Cause: after a herd of killed instances, those that start asked the first four members for departures and crashes and ended with the first answers. These came from instances that had just started too: what they had not heard of was taken as not having happened, and an entry written late made a server that had left ready again.

Change: one piece of code asks in rounds (random samples of 4, 8, 16, 32, then all, within 3.2 s) for releases, departures and crashes. For the latter two an answer is a map of the content and of for how long its sender has heard of everything (its uptime less 5 s, 3600 s at most); the search ends once one of 30 s (departures: RETURN_S) or 600 s (crashes: BARRED_S) has answered with a readable content. All answers are applied. Rounds in which no instance is known do not count, so that one that starts alone sends four requests. The map is sent only to those that ask for it by a query field; older builds get, and send, an array, which is applied and proves nothing. Deep nesting is unreadable, not an error, and a log line has at most 200 characters of detail. request_several is gone. Its test uses request_each.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -120,8 +120,14 @@
         self._inst.suspect_requests.is_designated = (
             self._crash_gossip.is_designated
         )
-        self._peers.register_handler(
-            crash_gossip.SNAPSHOT_PATH, self._crash_gossip.snapshot
+        self._crash_catch_up = catch_up.CatchUp(
+            path=crash_gossip.SNAPSHOT_PATH,
+            encode=self._crash_gossip.snapshot,
+            apply=self._crash_gossip.apply_snapshot,
+            needed_s=crash_gossip.NEEDED_S,
+            peers=self._peers,
+            rng=self._inst.rng,
+            now=self._inst.now,
         )
         self._origins = origin_exchange.OriginExchange(
             releases=self._inst.servers.releases,
@@ -145,13 +151,19 @@
         self._inst.servers.on_releases_changed = (
             self._origins.on_releases_changed
         )
-        self._departures = catch_up.DepartureExchange(
+        departures = catch_up.DepartureExchange(
             known=self._inst.eligible.availability.departures,
             on_fact=self._inst.servers.apply_fact,
             log=self._log,
         )
-        self._peers.register_handler(
-            catch_up.DEPARTURES_PATH, self._departures.encode
+        self._departure_catch_up = catch_up.CatchUp(
+            path=catch_up.DEPARTURES_PATH,
+            encode=departures.encode,
+            apply=departures.apply,
+            needed_s=catch_up.DEPARTURES_NEEDED_S,
+            peers=self._peers,
+            rng=self._inst.rng,
+            now=self._inst.now,
         )
         self._follower = follower.Follower(
             inst=self._inst,
@@ -212,11 +224,7 @@
         gevent.spawn(self._peers.run)
         gevent.spawn(self._catch_up_with_crashes)
         gevent.spawn(self._releases.catch_up)
-        gevent.spawn(
-            catch_up.fetch,
-            lambda: self._peers.request_several(catch_up.DEPARTURES_PATH),
-            self._departures.apply,
-        )
+        gevent.spawn(self._departure_catch_up.run)
         cfg = self._inst.cfg
         self._log.instance(
             "start", data_centre=cfg.data_centre, front=cfg.listen.front
@@ -232,10 +240,7 @@
 
         Peers that cannot be reached do not keep the instance from serving.
         """
-        asking = gevent.spawn(
-            self._crash_gossip.catch_up,
-            lambda: self._peers.request_several(crash_gossip.SNAPSHOT_PATH),
-        )
+        asking = gevent.spawn(self._crash_catch_up.run)
         asking.join(timeout=_CATCH_UP_LIMIT_S)
         if not asking.ready():
             self._log.instance("crashes_not_caught_up")
--- a/irisshelf/gateway/knowledge/crash_gossip.py
+++ b/irisshelf/gateway/knowledge/crash_gossip.py
@@ -13,10 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Mapping
-from collections.abc import Sequence
 from typing import Annotated
 from typing import Any
 
@@ -31,12 +28,15 @@
 from irisshelf.gateway.servers import crash_tracker
 from irisshelf.observe import decision_log
 from irisshelf.routing import crash_evidence
+from irisshelf.routing import crash_suspects
 from irisshelf.routing import designation
 from irisshelf.routing import fingerprints
 
 _KIND = datagrams_module.Kind.CRASHES
 # Path at which an instance serves ``CrashGossip.snapshot``.
 SNAPSHOT_PATH = "/crashes"
+# A bar that an instance does not know of lasts for this time at most.
+NEEDED_S = crash_suspects.BARRED_S
 _RESEND_DELAY_S = 0.4
 # Number of receivers in each other data centre.
 _REMOTE_FAN_OUT = 3
@@ -129,23 +129,8 @@
         # receive loop.
         gevent.spawn(self._apply, message)
 
-    def catch_up(
-        self, request_snapshots: Callable[[], Sequence[bytes]]
-    ) -> None:
-        """Fetches all known crashes from peers, retrying until one answers.
-
-        Args:
-            request_snapshots: Returns the ``snapshot`` of each peer that
-                answered.
-        """
-        catch_up.fetch(request_snapshots, self._apply_snapshot)
-
-    def snapshot(self, fields: Mapping[str, str] | None = None) -> bytes:
-        """Encodes known crashes and recent successes, for ``catch_up``.
-
-        Args:
-            fields: Query parameters; ignored.
-        """
+    def snapshot(self) -> bytes:
+        """Encodes known crashes and recent successes."""
         now = boottime.now()
         crashes = [
             (fingerprint, [_pack(crash, now) for crash in crashes])
@@ -161,13 +146,18 @@
         ]
         return cbor2.dumps([crashes, successes])
 
-    def _apply_snapshot(self, data: bytes) -> None:
+    def apply_snapshot(self, data: bytes) -> bool:
+        """Applies the result of a peer's ``snapshot``.
+
+        Returns:
+            Whether it was readable.
+        """
         now = boottime.now()
         try:
-            found = msgspec.convert(cbor2.loads(data), _Snapshot)
-        except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+            found = catch_up.decode(data, _Snapshot)
+        except ValueError as exc:
             self._log.warning("crashes_unreadable", detail=str(exc))
-            return
+            return False
         for fingerprint, age_ms in found.successes:
             at_s = now - age_ms / 1000
             self._crashes.successes.add_part(fingerprint, at_s)
@@ -175,6 +165,7 @@
             for server_key, age_ms, flags, release in crashes:
                 crash = _unpack(server_key, now - age_ms / 1000, flags, release)
                 self._crashes.merge_crash(fingerprint, crash)
+        return True
 
     def is_designated(self, fingerprint: bytes) -> bool:
         """Returns whether this instance may try a barred fingerprint."""
--- a/irisshelf/gateway/knowledge/peer_discovery.py
+++ b/irisshelf/gateway/knowledge/peer_discovery.py
@@ -40,8 +40,6 @@
 _INITIAL_RETRY_DELAYS_S = (0.3, 0.6, 1.2)
 # Number of instances of each other data centre in a response.
 _REMOTE_SAMPLE_SIZE = 3
-# Number of instances that are asked at once for what one of them may not know.
-_MAX_ASKED = 4
 
 _LinkMbps = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 Handler = Callable[[Mapping[str, str]], bytes | None]
@@ -141,14 +139,6 @@
         """
         return self._get(address, target, timeout_s)
 
-    def request_several(self, path: str) -> list[bytes]:
-        """Sends a request to several known instances at once.
-
-        Returns:
-            The bodies of the responses; none if no instance answered.
-        """
-        return self.request_each(self.members()[:_MAX_ASKED], path)
-
     def request_each(
         self, members: Iterable[membership_module.Member], path: str
     ) -> list[bytes]:
--- a/irisshelf/gateway/knowledge/release_exchange.py
+++ b/irisshelf/gateway/knowledge/release_exchange.py
@@ -12,18 +12,15 @@
 from typing import Annotated
 
 import cbor2
-import gevent
 import msgspec
 
 from irisshelf.catalog import releases as releases_module
+from irisshelf.gateway.knowledge import catch_up
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.observe import decision_log
 
 # Path at which an instance serves ``ReleaseExchange.encode``.
 PATH = "/releases"
-# Delays, and numbers of instances asked. Others are known some tenths of a
-# second after the start; most may have started then too, and know as little.
-ROUNDS = ((0.05, 4), (0.1, 8), (0.2, 16), (0.4, 32), (0.8, 64), (1.6, 64))
 # Longer than any stream.
 _MAX_REACH_S = 1e9
 
@@ -68,19 +65,24 @@
         now: Callable[[], float],
     ):
         self._releases = releases
-        self._peers = peers
         self._log = log
-        self._rng = rng
         self._is_current = is_current
         self._now = now
+        self._rounds = catch_up.Rounds(
+            target=PATH,
+            peers=peers,
+            rng=rng,
+            apply=self.apply,
+            is_complete=self._is_complete,
+        )
         peers.register_handler(PATH, self.encode)
 
     def catch_up(self) -> None:
-        """Asks peers until all releases are known, for some seconds."""
-        for delay_s, count in ROUNDS:
-            gevent.sleep(delay_s)
-            self.ask(count)
-        if not self._is_complete():
+        """Asks peers until all releases are known, for some seconds.
+
+        A service that is listed only later makes more of them needed.
+        """
+        if not self._rounds.run(until_complete=False):
             self._log.instance(
                 "releases_not_caught_up",
                 reach_s={
@@ -91,12 +93,7 @@
 
     def ask(self, count: int) -> None:
         """Asks some peers, unless all releases are known."""
-        if self._is_complete():
-            return
-        members = self._peers.members()
-        asked = self._rng.sample(members, min(count, len(members)))
-        for data in self._peers.request_each(asked, PATH):
-            self.apply(data)
+        self._rounds.ask(count)
 
     def encode(self, fields: Mapping[str, str] | None = None) -> bytes:
         """Encodes the history, for ``apply``.
@@ -124,8 +121,8 @@
     def apply(self, data: bytes) -> None:
         """Applies the result of a peer's ``encode``."""
         try:
-            services = msgspec.convert(cbor2.loads(data), list[_Service])
-        except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+            services = catch_up.decode(data, list[_Service])
+        except ValueError as exc:
             self._log.warning("releases_unreadable", detail=str(exc))
             return
         for service in services:
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -149,8 +149,14 @@
         self.inst.suspect_requests.is_designated = (
             self.crash_gossip.is_designated
         )
-        self.peers.register_handler(
-            crash_gossip.SNAPSHOT_PATH, self.crash_gossip.snapshot
+        self.crash_catch_up = catch_up.CatchUp(
+            path=crash_gossip.SNAPSHOT_PATH,
+            encode=self.crash_gossip.snapshot,
+            apply=self.crash_gossip.apply_snapshot,
+            needed_s=crash_gossip.NEEDED_S,
+            peers=self.peers,
+            rng=random.Random(5),
+            now=boottime.now,
         )
         self.origins = origin_exchange.OriginExchange(
             releases=self.inst.servers.releases,
@@ -172,13 +178,19 @@
             is_current=self.inst.is_in_contact,
             now=boottime.now,
         )
-        self._departures = catch_up.DepartureExchange(
+        departures = catch_up.DepartureExchange(
             known=self.inst.eligible.availability.departures,
             on_fact=self.inst.servers.apply_fact,
             log=log,
         )
-        self.peers.register_handler(
-            catch_up.DEPARTURES_PATH, self._departures.encode
+        self._departure_catch_up = catch_up.CatchUp(
+            path=catch_up.DEPARTURES_PATH,
+            encode=departures.encode,
+            apply=departures.apply,
+            needed_s=catch_up.DEPARTURES_NEEDED_S,
+            peers=self.peers,
+            rng=random.Random(6),
+            now=boottime.now,
         )
         self.inst.servers.publish = self._gossip.publish
         self.relay_endpoint = relay_endpoint.RelayEndpoint(
@@ -200,13 +212,7 @@
         self._greenlets.append(gevent.spawn(self._gossip.run))
         self._greenlets.append(gevent.spawn(self.origins.run))
         self._greenlets.append(gevent.spawn(self.releases.catch_up))
-        self._greenlets.append(
-            gevent.spawn(
-                catch_up.fetch,
-                lambda: self.peers.request_several(catch_up.DEPARTURES_PATH),
-                self._departures.apply,
-            )
-        )
+        self._greenlets.append(gevent.spawn(self._departure_catch_up.run))
 
     def _listen_for_peers(self) -> None:
         """Binds a port that is free for both datagrams and connections."""
--- a/irisshelf/testing/rollout_fleet.py
+++ b/irisshelf/testing/rollout_fleet.py
@@ -22,7 +22,7 @@
 from irisshelf.catalog import model
 from irisshelf.catalog import releases
 from irisshelf.gateway import metrics
-from irisshelf.gateway.knowledge import release_exchange
+from irisshelf.gateway.knowledge import catch_up
 from irisshelf.gateway.requests import stream_binding
 from irisshelf.testing import origin_network
 
@@ -230,7 +230,7 @@
         self._see_list(name, self._versions)
         self._discover(name, self._network.now, -math.inf, 0)
         delay_s = 0.0
-        for wait_s, asked in release_exchange.ROUNDS:
+        for wait_s, asked in catch_up.ROUNDS:
             delay_s += wait_s
             at_s = self.now_s + delay_s
             self.at(at_s, self._catch_up, name, self._network.now, asked)
--- a/irisshelf/tests/test_crash_gossip.py
+++ b/irisshelf/tests/test_crash_gossip.py
@@ -203,8 +203,8 @@
         switched=policy.DEFAULT,
     )
     fleet.wait(lambda: _stages(fleet) == ["barred"] * 4)
-    answers = [[], [fleet.entries[1].crash_gossip.snapshot()]]
-    new.crash_gossip.catch_up(lambda: answers.pop(0))
+    new.meet(fleet.entries)
+    new.crash_catch_up.run()
     fleet.entries.append(new)
     assert _stages(fleet) == ["barred"] * 5
 
@@ -220,7 +220,7 @@
     )
     fleet.ask("/query/1", Prefix_Hash="common:10,last:10")
     snapshot = fleet.entries[0].crash_gossip.snapshot()
-    new.crash_gossip.catch_up(lambda: [snapshot])
+    assert new.crash_gossip.apply_snapshot(snapshot)
     fleet.entries.append(new)
     part = fingerprints.part_fingerprint("lm", "common")
     other = fingerprints.part_fingerprint("lm", "last")
@@ -229,10 +229,12 @@
     assert not successes.has_part(other, boottime.now())
 
 
-@pytest.mark.parametrize("data", [b"", b"\xff", b"\x81\x01", b"\x05"])
+@pytest.mark.parametrize(
+    "data", [b"", b"\xff", b"\x81\x01", b"\x05", b"\x81" * 100_000, b"\xa0"]
+)
 def test_an_invalid_snapshot_is_ignored(fleet, data):
     entry = fleet.entries[0]
-    entry.crash_gossip.catch_up(lambda: [data])
+    assert not entry.crash_gossip.apply_snapshot(data)
     assert not entry.inst.crash_tracker.suspects
 
 
--- a/irisshelf/tests/test_crashing_parts.py
+++ b/irisshelf/tests/test_crashing_parts.py
@@ -210,7 +210,7 @@
         gevent.sleep(crashing_parts.CONTACT_S)
         new = world.add_entry("a")
         world.wait(lambda: new.inst.ready)
-        new.crash_gossip.catch_up(lambda: new.peers.request_several("/crashes"))
+        assert new.crash_catch_up.ask(4)
         for entry in world.entries[:-1]:
             entry.kill()
 
--- a/irisshelf/tests/test_peer_discovery.py
+++ b/irisshelf/tests/test_peer_discovery.py
@@ -154,14 +154,20 @@
 def test_a_request_is_sent_to_several_instances():
     first = _Instance("1")
     requester = _Instance("2", seeds=(first.address,))
-    assert requester.peers.request_several("/what") == []
+    assert (
+        requester.peers.request_each(requester.peers.members(), "/what") == []
+    )
     greenlet = gevent.spawn(requester.peers.run)
     _wait(lambda: first.names() == ["2"])
     gone = membership_module.Member(
         name="0", address="127.0.0.1:9", data_centre="a"
     )
     requester.peers.membership.record_alive(gone, boottime.now())
-    assert requester.peers.request_several("/what") == []
+    assert (
+        requester.peers.request_each(requester.peers.members(), "/what") == []
+    )
     first.peers.register_handler("/what", lambda fields: b"this")
-    assert requester.peers.request_several("/what") == [b"this"]
+    assert requester.peers.request_each(requester.peers.members(), "/what") == [
+        b"this"
+    ]
     greenlet.kill()
