Who has asked all others in vain answers that nothing more is known

In a fleet younger than ten minutes every start asked over 200 instances for crashes and departures, as nobody had lived for long enough to end the search. Change: an instance that has asked all rounds, and has been known to all for 5 s, knows what can be known; its answer ends the search of others. Rounds are 4, 8, 16 and 100 instances.

--- a/irisshelf/gateway/knowledge/catch_up.py
+++ b/irisshelf/gateway/knowledge/catch_up.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import random
-import sys
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Annotated
@@ -28,11 +27,9 @@
 DEPARTURES_PATH = "/departures"
 # Later, no entry that was written late contradicts a departure.
 DEPARTURES_NEEDED_S = departures_module.RETURN_S
-# A number of instances that no fleet has.
-_ALL = sys.maxsize
 # Delays, and numbers of instances asked. Others are known some tenths of a
 # second after the start; most may have started then too, and know as little.
-ROUNDS = ((0.05, 4), (0.1, 8), (0.2, 16), (0.4, 32), (0.8, _ALL), (1.6, _ALL))
+ROUNDS = ((0.05, 4), (0.1, 8), (0.2, 16), (0.8, 100))
 # Further attempts if no instance was known or none answered.
 _LATER_DELAY_S = 0.5
 _LATER_ATTEMPTS = 18
@@ -90,8 +87,8 @@
         counts = [count for _, count in ROUNDS]
         for delay_s in [*delays_s, *[_LATER_DELAY_S] * _LATER_ATTEMPTS]:
             gevent.sleep(delay_s)
-            if self.ask(counts[0] if counts else _ALL):
-                del counts[:1]
+            if self.ask(counts[0] if counts else ROUNDS[-1][1]):
+                counts = counts[1:]
             is_over = self._answered and not counts
             if is_over or (until_complete and self._is_complete()):
                 break
@@ -154,6 +151,8 @@
         self._now = now
         self._began_s = now()
         self._reach_s = 0.0
+        # Whether all that others know has been asked for.
+        self._has_asked = False
         self._rounds = Rounds(
             target=f"{path}?{_ENVELOPE_FIELD}=1",
             peers=peers,
@@ -165,7 +164,9 @@
 
     def run(self) -> bool:
         """Asks peers in rounds; returns whether everything needed is known."""
-        return self._rounds.run()
+        is_complete = self._rounds.run()
+        self._has_asked = True
+        return is_complete
 
     def ask(self, count: int) -> bool:
         """Asks some peers, see ``Rounds.ask``."""
@@ -185,6 +186,9 @@
         if _ENVELOPE_FIELD not in fields:
             return content
         reach_s = self._now() - self._began_s - _KNOWN_AFTER_S
+        if self._has_asked and reach_s >= 0:
+            # What none of those that were asked knew, nobody knows.
+            reach_s = _MAX_REACH_S
         return cbor2.dumps(
             {
                 "reach_s": min(max(0.0, reach_s), _MAX_REACH_S),
