Servers that an earlier build passes on without versions are read from the store

This takes the place of taking such servers for ones of an unknown release. Test: test_relayed_versions, an_earlier_build.

--- a/irisshelf/gateway/knowledge/server_records.py
+++ b/irisshelf/gateway/knowledge/server_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated
 
 import msgspec
@@ -15,7 +16,7 @@
     """An encoded entry; a removed entry has an id only.
 
     The fields are those of ``directory.BackendServer``. Instances of earlier
-    builds send no version: such a server may run any.
+    builds send no version.
     """
 
     entry_id: str
@@ -27,14 +28,14 @@
     born_ms: int | None = None
     cold_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_COLD_S)] = 0.0
     sequence: Annotated[int, msgspec.Meta(ge=0, le=2**53)] | None = None
-    version: str | None = None
+    version: str | msgspec.UnsetType | None = msgspec.UNSET
 
 
 def to_record(change: directory.Change) -> ServerRecord:
     """Encodes a changed entry."""
     server = change.server
     if server is None:
-        return ServerRecord(entry_id=change.entry_id)
+        return ServerRecord(entry_id=change.entry_id, version="")
     return ServerRecord(
         entry_id=server.entry_id,
         service=server.service,
@@ -51,7 +52,7 @@
 
 
 def to_change(record: ServerRecord) -> directory.Change:
-    """Decodes a record to a changed entry."""
+    """Decodes a record to a changed entry; see ``are_complete``."""
     if record.state is None:
         return directory.Change(entry_id=record.entry_id, server=None)
     server = directory.BackendServer(
@@ -65,6 +66,17 @@
         state=record.state,
         cold_s=record.cold_s,
         sequence=record.sequence,
-        version=record.version,
+        version=None if record.version is msgspec.UNSET else record.version,
     )
     return directory.Change(entry_id=record.entry_id, server=server)
+
+
+def are_complete(records: Iterable[ServerRecord]) -> bool:
+    """Returns whether records tell all that the store's entries do.
+
+    Those of an instance of an earlier build do not; the store has to be read.
+    """
+    return not any(
+        record.state is not None and record.version is msgspec.UNSET
+        for record in records
+    )
--- a/irisshelf/gateway/knowledge/store_updates.py
+++ b/irisshelf/gateway/knowledge/store_updates.py
@@ -188,6 +188,11 @@
             evacuated=frozenset(message.evacuated),
             digest=message.digest,
         )
+    if not server_records.are_complete(message.servers):
+        # Does not follow the known position, so that the changes are fetched.
+        return shared_watch.ServersUpdate(
+            store_s=message.store_s, since=position, position=position
+        )
     return shared_watch.ServersUpdate(
         store_s=message.store_s,
         since=position_module.Position(era=message.era, revision=message.base),
--- a/irisshelf/gateway/knowledge/table_relay.py
+++ b/irisshelf/gateway/knowledge/table_relay.py
@@ -312,6 +312,8 @@
         minimum: table_snapshot.MinimumVersion | None,
     ) -> feed.Batch:
         if table is feed.Table.SERVERS:
+            if not server_records.are_complete(message.servers):
+                raise ValueError("servers have no versions")
             items = tuple(map(_server_item, message.servers))
         else:
             items = (
--- a/irisshelf/tests/test_relayed_versions.py
+++ b/irisshelf/tests/test_relayed_versions.py
@@ -14,7 +14,6 @@
 import pytest
 
 from irisshelf.catalog import directory
-from irisshelf.catalog import releases
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway.knowledge import server_records
 from irisshelf.store import feed
@@ -64,19 +63,41 @@
     assert _relay(server).version == version
 
 
-def test_a_record_without_version_is_of_no_known_release():
-    """Guards against records of instances that do not send versions."""
-    change = directory.Change(entry_id=_SERVER.entry_id, server=_SERVER)
-    *without, _ = msgspec.to_builtins(server_records.to_record(change))
-    record = msgspec.convert(without, server_records.ServerRecord)
-    received = server_records.to_change(record).server
-    others = [
-        dataclasses.replace(_SERVER, server_id="i-2", version=version)
-        for version in ("", "v1", None)
-    ]
-    assert releases.release_key(received) not in map(
-        releases.release_key, others
+def _without_version(change):
+    fields = msgspec.to_builtins(server_records.to_record(change))
+    return fields if change.server is None else fields[:-1]
+
+
+_CHANGE = directory.Change(entry_id=_SERVER.entry_id, server=_SERVER)
+_REMOVAL = directory.Change(entry_id=_SERVER.entry_id, server=None)
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_complete"),
+    [
+        pytest.param([], True, id="none"),
+        pytest.param([_REMOVAL], True, id="removal"),
+        pytest.param([_CHANGE], False, id="server"),
+        pytest.param([_REMOVAL, _CHANGE], False, id="both"),
+    ],
+)
+def test_what_an_earlier_build_passes_on_is_read_from_the_store(
+    make_world, changes, is_complete
+):
+    """Guards against servers whose versions stay unknown after an upgrade."""
+    records = msgspec.convert(
+        [_without_version(change) for change in changes],
+        list[server_records.ServerRecord],
+    )
+    assert server_records.are_complete(records) is is_complete
+    world = make_world()
+    position = _wait_for_position(world)
+    later = dataclasses.replace(position, revision=position.revision + 1)
+    update = shared_watch.ServersUpdate(
+        store_s=0.0, since=later, position=later
     )
+    verdict = shared_watch.classify_servers_update(update, position)
+    assert verdict is shared_watch.Verdict.FETCH
 
 
 @pytest.mark.parametrize("killed", [False, True], ids=["alive", "killed"])
