That a service is new follows from the store's revision, not from young servers

Cause: a service whose servers had all just started counted as new. Change: nothing has been removed from a list if the store has had fewer transactions than that takes; such a list reaches back without limit. Young servers prove nothing. Releases of services that have no servers now are told to others as well.

--- a/irisshelf/catalog/releases.py
+++ b/irisshelf/catalog/releases.py
@@ -23,9 +23,6 @@
 # The server that takes the place of another starts first; the other one leaves
 # within this time.
 _REPLACED_WITHIN_S = 15.0
-# A service that has had no servers is new if those that appear have started
-# within this time.
-_NEW_SERVICE_S = 5.0
 _MS_PER_S = 1000.0
 
 
@@ -95,8 +92,8 @@
         self._listed: dict[str, frozenset[bytes]] = {}
         # By service and release, when it was last listed.
         self._last_s: dict[str, dict[bytes, float]] = {}
-        # When the first list was read.
-        self._began_s = math.inf
+        # Since when the list is known.
+        self._began_s: float | None = None
         # By service, since when no release is missing, if that is earlier.
         self._since_s: dict[str, float] = {}
 
@@ -106,6 +103,7 @@
         now: float,
         *,
         wall_s: float = 0.0,
+        is_complete: bool = False,
     ) -> None:
         """Applies the list as it is from now on.
 
@@ -114,6 +112,7 @@
             now: Monotonic seconds.
             wall_s: Unix time in seconds, against which servers report when they
                 started.
+            is_complete: Whether no server has ever been removed from the list.
         """
         for service, keys in self._listed.items():
             last_s = self._last_s.setdefault(service, {})
@@ -125,15 +124,11 @@
             name: frozenset(map(release_key, some))
             for name, some in by_service.items()
         }
-        is_first = math.isinf(self._began_s)
-        self._began_s = min(self._began_s, now)
+        if self._began_s is None:
+            self._began_s = -math.inf if is_complete else now
         for name in by_service.keys() - self._since_s.keys():
-            ages_s = [_age_s(server, wall_s) for server in by_service[name]]
-            if not is_first and _all_new(ages_s):
-                self._since_s[name] = -math.inf
-            else:
-                since_s = now - _settled_s(ages_s)
-                self._since_s[name] = min(self._began_s, since_s)
+            since_s = now - _settled_s(by_service[name], wall_s)
+            self._since_s[name] = min(self._began_s, since_s)
         self._expire(now)
 
     def recent(self, service: str, now: float) -> frozenset[bytes]:
@@ -150,19 +145,21 @@
 
         That is the time since the first list was read, and before it the time
         in which no server can have taken the place of another one. It is
-        infinite if the service is newer than that list.
+        infinite if no server had been removed by then.
 
         Example:
             >>> history = ReleaseHistory(life_s=60.0)
             >>> history.reach_s("lm", 5.0)
             0.0
         """
+        if self._began_s is None:
+            return 0.0
         since_s = self._since_s.get(service, self._began_s)
         return max(0.0, now - since_s)
 
     def services(self) -> frozenset[str]:
-        """Returns the services that have servers now."""
-        return frozenset(self._listed)
+        """Returns the services that have servers, or had lately."""
+        return frozenset(self._listed.keys() | self._last_s.keys())
 
     def describe(self, service: str, now: float) -> ServiceHistory:
         """Returns what is known of a service, for other instances."""
@@ -184,7 +181,7 @@
         last_s = self._last_s.setdefault(service, {})
         for key, age_s in other.ages_s.items():
             last_s[key] = max(last_s.get(key, -math.inf), now - age_s)
-        if not math.isinf(self._began_s):
+        if self._began_s is not None:
             since_s = self._since_s.get(service, self._began_s)
             self._since_s[service] = min(since_s, now - other.reach_s)
 
@@ -200,18 +197,12 @@
         self._last_s = {name: last_s for name, last_s in kept.items() if last_s}
 
 
-def _age_s(server: directory.BackendServer, wall_s: float) -> float | None:
-    if server.born_ms is None:
-        return None
-    return wall_s - server.born_ms / _MS_PER_S
-
-
-def _all_new(ages_s: Iterable[float | None]) -> bool:
-    return all(
-        age_s is not None and abs(age_s) <= _NEW_SERVICE_S for age_s in ages_s
-    )
-
-
-def _settled_s(ages_s: Iterable[float | None]) -> float:
+def _settled_s(
+    servers: Iterable[directory.BackendServer], wall_s: float
+) -> float:
     """Returns for how long no server has taken the place of another one."""
-    return max(0.0, min(age_s or 0.0 for age_s in ages_s) - _REPLACED_WITHIN_S)
+    ages_s = [
+        0.0 if server.born_ms is None else wall_s - server.born_ms / _MS_PER_S
+        for server in servers
+    ]
+    return max(0.0, min(ages_s) - _REPLACED_WITHIN_S)
--- a/irisshelf/gateway/knowledge/server_list.py
+++ b/irisshelf/gateway/knowledge/server_list.py
@@ -18,6 +18,8 @@
 # Servers write their entries about every second, and the store drops an entry
 # after three missed writes. The delay after a restore covers both and a margin.
 _REREAD_DELAY_S = 6.0
+# Transactions of an entry that has been written and removed.
+_TRANSACTIONS_OF_REMOVED = 2
 
 
 class ServerList:
@@ -140,6 +142,7 @@
         now: float,
         restored: frozenset[str],
     ) -> None:
+        self._inst.servers.list_is_complete = _is_complete(entries, position)
         outdated = self._outdated(entries, position, whole=True)
         entries = _without(entries, outdated) + tuple(
             directory.Change(entry_id=c.entry_id, server=known)
@@ -340,6 +343,18 @@
     return directory.Change(entry_id=item.key, server=item.value)
 
 
+def _is_complete(
+    entries: tuple[directory.Change, ...], position: position_module.Position
+) -> bool:
+    """Returns whether no entry can have been removed from a whole list.
+
+    An entry that is gone has taken two transactions of the store, one that is
+    listed has taken one at least.
+    """
+    others = position.revision - len(entries)
+    return position.era == 0 and others < _TRANSACTIONS_OF_REMOVED
+
+
 def _without(
     changes: tuple[directory.Change, ...], removed: Iterable[directory.Change]
 ) -> tuple[directory.Change, ...]:
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -90,6 +90,8 @@
         self.releases = releases.ReleaseHistory(
             life_s=stream_origins.MIN_LIFE_S
         )
+        # Whether no server has ever been removed from the first list.
+        self.list_is_complete = False
         self.on_releases_changed: Callable[[], None] = _do_nothing
         self.on_gone: Callable[[Collection[bytes]], None] = _ignore
         self.reports = server_reports.ReportHandler(
@@ -270,7 +272,12 @@
         self.eligible.doubts.retain(names)
         self.eligible.availability.retain(names, self._now())
         self._abort_replaced(servers)
-        self.releases.update(servers, self._now(), wall_s=time.time())
+        self.releases.update(
+            servers,
+            self._now(),
+            wall_s=time.time(),
+            is_complete=self.list_is_complete,
+        )
         self.on_releases_changed()
         self.on_gone(gone)
         self._metrics.servers.set(len(servers))
--- a/irisshelf/testing/origin_network.py
+++ b/irisshelf/testing/origin_network.py
@@ -67,6 +67,7 @@
         sent: Bytes of the datagrams that each instance has sent.
         datagrams: Number of datagrams.
         cut: Names of instances that nothing reaches.
+        is_new: Whether no server has been removed yet.
         born_s: When the servers of a version have started, if they tell it.
         instances: By name.
     """
@@ -83,6 +84,7 @@
         self.datagrams = 0
         self.cut: set[str] = set()
         self.born_s: dict[str, float] = {}
+        self.is_new = False
         self._rng = random.Random(7)
         self._loss = loss
         self._addresses = {
@@ -197,6 +199,7 @@
             counts=metrics.Metrics(),
             rng=random.Random(3),
             is_current=lambda: self.is_current,
+            has_recent_list=lambda: self.is_current,
             now=lambda: network.now,
             timing=_TIMING,
         )
@@ -206,7 +209,8 @@
             peers=self,
             log=log,
             rng=random.Random(4),
-            is_current=lambda: self.is_current,
+            on_changed=self.exchange.on_releases_changed,
+            has_recent_list=lambda: self.is_current,
             now=lambda: network.now,
         )
 
@@ -218,7 +222,12 @@
             server(n, version, born_s=network.born_s.get(version))
             for n, version in enumerate(versions)
         ]
-        self.history.update(servers, network.now, wall_s=network.now)
+        self.history.update(
+            servers,
+            network.now,
+            wall_s=network.now,
+            is_complete=network.is_new,
+        )
 
     def knows(self, key: bytes) -> bool:
         """Returns whether it keeps or finds an origin."""
--- a/irisshelf/testing/rollout_fleet.py
+++ b/irisshelf/testing/rollout_fleet.py
@@ -130,9 +130,10 @@
         self._active: list[_Stream] = []
         self._metrics = metrics.Metrics()
         self._log = _Log()
+        self._network.is_new = True
         for name, _ in names:
-            self._network.instances[name].list_servers(())
             self._start(name, is_new=True)
+        self._network.is_new = False
 
     @property
     def now_s(self) -> float:
@@ -234,6 +235,7 @@
             delay_s += wait_s
             at_s = self.now_s + delay_s
             self.at(at_s, self._catch_up, name, self._network.now, asked)
+        self.at(self.now_s + delay_s, self._end_catch_up, name)
 
     def _see_list(self, name: str, versions: Mapping[str, int]) -> None:
         if name not in self._down:
@@ -245,6 +247,10 @@
         if name not in self._down and self._started_s[name] == started_s:
             self._network.instances[name].ask_for_releases(asked)
 
+    def _end_catch_up(self, name: str) -> None:
+        if name not in self._down:
+            self._network.instances[name].exchange.record_asked_in_vain()
+
     def _discover(
         self, name: str, started_s: float, seeds_s: float, step: int
     ) -> None:
--- a/irisshelf/tests/test_rollouts_at_size.py
+++ b/irisshelf/tests/test_rollouts_at_size.py
@@ -132,3 +132,15 @@
     assert fleet.resumptions
     assert all(one.goes_on_at == "v1" for one in fleet.resumptions)
     assert not fleet.bytes_per_s()
+
+
+@pytest.mark.parametrize("count", [24, 85])
+def test_a_version_that_was_taken_back_is_not_forgotten(count):
+    """Guards against ages of servers that tell nothing of those removed."""
+    fleet = rollout_fleet.RolloutFleet(count=count, streams_per_s=60.0)
+    fleet.at(20.0, fleet.list_versions, {"v1": 10, "v2": 5})
+    fleet.at(23.5, fleet.list_versions, {"v1": 10})
+    fleet.at(24.0, fleet.kill, 1.0, 1.0)
+    fleet.run(27.0)
+    assert fleet.resumptions
+    assert not fleet.mixed()
