Instances cut off together do not guess; origins are not left behind

Now somebody of another data centre has to have answered, where there are any (test_streams_at_size, cut_off_together). - Earlier origins of one service took the place of another's that had not been sent, uncounted (test_stream_origins, of_all_services). - All instances were not asked if the list had seemed to settle it before an answer told of another release (test_stream_origins, once_an_answer_tells). - Two searches for the same stream ended each other. - An instance that has asked in vain which releases there have been sends its origins although it lists one release only, and sends earlier ones when it hears of a second. - Questions are gathered for longer in larger fleets. - What an instance knew until ten seconds ago is told, as the store may be away for all.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -137,6 +137,7 @@
             counts=self._inst.metrics,
             rng=self._inst.rng,
             is_current=self._inst.is_in_contact,
+            has_recent_list=self._inst.has_recent_list,
             now=self._inst.now,
         )
         self._inst.origins = self._origins
@@ -145,7 +146,9 @@
             peers=self._peers,
             log=self._log,
             rng=self._inst.rng,
-            is_current=self._inst.is_in_contact,
+            on_changed=self._origins.on_releases_changed,
+            on_in_vain=self._origins.record_asked_in_vain,
+            has_recent_list=self._inst.has_recent_list,
             now=self._inst.now,
         )
         self._inst.servers.on_releases_changed = (
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -29,6 +29,8 @@
 # confirmed it, as a share of ``key_withdrawn_ms``. The rest is needed because
 # the store may report a change a second late (when it drops its history).
 KEY_AGE_SHARE = 0.76
+# Outages of the store are shorter.
+_LONGEST_OUTAGE_S = 10.0
 # A stream that is resumed has begun within the time-out of so many attempts.
 _ATTEMPTS_OF_A_STREAM = 2
 # A long poll for the configuration lasts at most ``catalog_in_force_ms`` and is
@@ -233,6 +235,13 @@
             bound_s = bounds.key_withdrawn_ms / 1000 * KEY_AGE_SHARE
         return self.freshness.age_s(self.now()) <= bound_s
 
+    def has_recent_list(self) -> bool:
+        """Returns whether this instance misses changes of some seconds at most.
+
+        The store may be away for as long, for all instances.
+        """
+        return self.freshness.age_s(self.now()) <= _LONGEST_OUTAGE_S
+
     def is_in_contact(self) -> bool:
         """Returns whether the store has been heard lately, also by others."""
         return not self.catalog_may_be_stale()
--- a/irisshelf/gateway/knowledge/origin_exchange.py
+++ b/irisshelf/gateway/knowledge/origin_exchange.py
@@ -79,8 +79,13 @@
         rng: Selects instances of other data centres.
         is_current: Returns whether this instance is in contact with the store,
             so that no recent release is missing.
+        has_recent_list: Returns whether it was until lately.
         now: Monotonic seconds.
         timing: Times of a search.
+
+    Attributes:
+        asked_in_vain: Whether no other instance has told, after a start, of all
+            releases that there have been.
     """
 
     def __init__(
@@ -93,6 +98,7 @@
         counts: metrics.Metrics,
         rng: random.Random,
         is_current: Callable[[], bool],
+        has_recent_list: Callable[[], bool],
         now: Callable[[], float],
         timing: origin_questions.Timing = _TIMING,
     ):
@@ -108,6 +114,7 @@
             peers=peers, log=log, timeout_s=timing.find_s
         )
         self._is_current = is_current
+        self._has_recent_list = has_recent_list
         self._timing = timing
         self._bucket = token_bucket.TokenBucket(bytes_per_s=_BYTES_PER_S)
         # Encoded origins of earlier streams that are still to be sent, and
@@ -115,6 +122,9 @@
         self._earlier: collections.deque[bytes] = collections.deque()
         self._earlier_since_s = 0.0
         self._mixed: frozenset[str] = frozenset()
+        self.asked_in_vain = False
+        # Whether there are, or have been, other data centres.
+        self._has_remote = False
         self._questions = origin_questions.OriginQuestions(
             datagrams=datagrams,
             peers=peers,
@@ -141,7 +151,7 @@
         See ``OriginRegistry.record``.
         """
         super().record(key, services, release)
-        if len(self.recent(services)) <= 1:
+        if len(self.recent(services)) <= 1 and not self._may_be_more(services):
             return
         forward = self._bucket.has_tokens(self._now())
         receivers = [(m.address, False) for m in self._placement.replicas(key)]
@@ -153,6 +163,15 @@
         for address, forwards in receivers:
             self._send(address, key + release, forward=forwards)
 
+    def record_asked_in_vain(self) -> None:
+        """Records that nobody has told of all releases that there have been."""
+        self.asked_in_vain = True
+
+    def _may_be_more(self, services: Sequence[str]) -> bool:
+        """Returns whether there may be releases that nobody has told of."""
+        reach_s = self.reach_s(services)
+        return self.asked_in_vain and reach_s < self._releases.horizon_s
+
     def on_releases_changed(self) -> None:
         """Sends the origins of earlier streams once a second release serves."""
         now = self._now()
@@ -175,6 +194,7 @@
         ]
         # The latest streams are the most likely ones to be resumed.
         records.reverse()
+        records += self._earlier
         self._metrics.origins_dropped.inc(max(0, len(records) - _MAX_EARLIER))
         self._earlier = collections.deque(records[:_MAX_EARLIER])
         self._earlier_since_s = now
@@ -261,9 +281,20 @@
         timeout_s: float,
     ) -> None:
         """Asks all instances, unless no other release can have begun it."""
-        if key is None or self.only_release(search.finding(), services):
+        began_s = self._now()
+        if key is None:
             self._requests.collect(search, requests, timeout_s)
             return
+        if self._is_conclusive(search, services):
+            self._requests.collect(
+                search,
+                requests,
+                timeout_s,
+                is_over=lambda: not self._is_conclusive(search, services),
+            )
+            timeout_s -= self._now() - began_s
+            if search.known or self._is_conclusive(search, services):
+                return
         try:
             known = self._questions.ask(key)
             self._requests.collect(search, requests, timeout_s, known=known)
@@ -274,6 +305,25 @@
             search.known = True
             search.release = origin.release
 
+    def _is_conclusive(
+        self, search: origin_search.Search, services: Sequence[str]
+    ) -> bool:
+        return self.only_release(search.finding(), services) is not None
+
+    def only_release(
+        self, finding: origin_registry.Finding, services: Sequence[str]
+    ) -> bytes | None:
+        """See ``OriginRegistry.only_release``.
+
+        An instance without the store may be cut off together with those that
+        answer, while another release serves elsewhere.
+        """
+        members = self._membership.remote_members(self._now())
+        self._has_remote = self._has_remote or bool(members)
+        if self._has_remote and not (finding.is_remote or self._is_current()):
+            return None
+        return super().only_release(finding, services)
+
     def answer(self, fields: Mapping[str, str]) -> bytes | None:
         """Answers the question of another instance.
 
@@ -302,7 +352,7 @@
         return origin_search.encode(reply)
 
     def _reach_of_reply_s(self, services: Sequence[str]) -> float:
-        if not self._is_current():
+        if not self._has_recent_list():
             return 0.0
         return min(self.reach_s(services), origin_search.MAX_REACH_S)
 
--- a/irisshelf/gateway/knowledge/origin_questions.py
+++ b/irisshelf/gateway/knowledge/origin_questions.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import ipaddress
 import math
@@ -33,6 +34,10 @@
 _MAX_REMOTE = 32
 _KEYS_PER_DATAGRAM = 120
 _PORT_COUNT = 65536
+# Questions are gathered for longer if there are more instances than these, up
+# to a share of the time for the search.
+_GATHERED_UP_TO = 85
+_GATHER_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,8 +108,9 @@
         self._on_question = on_question
         self._on_sent = on_sent
         self._now = now
-        # What is looked for: by key, set once it is known.
+        # What is looked for: by key, set once it is known, and how many wait.
         self._searches: dict[bytes, event.Event] = {}
+        self._waiting: collections.Counter[bytes] = collections.Counter()
         self._gathered: set[bytes] = set()
         self._sent_s = -math.inf
         datagrams.subscribe(
@@ -117,6 +123,7 @@
         Searches for the same key share the event.
         """
         found = self._searches.setdefault(key, event.Event())
+        self._waiting[key] += 1
         is_first = not self._gathered
         self._gathered.add(key)
         gather_s = self._gather_s()
@@ -127,8 +134,11 @@
         return found
 
     def end(self, key: bytes) -> None:
-        """Ends a search."""
-        self._searches.pop(key, None)
+        """Ends a search, of which others for the same key may go on."""
+        self._waiting[key] -= 1
+        if self._waiting[key] <= 0:
+            del self._waiting[key]
+            self._searches.pop(key, None)
 
     def record_known(self, keys: Iterable[bytes]) -> None:
         """Wakes those that look for origins which are known now."""
@@ -162,8 +172,11 @@
                     self._send(member.address, question.keys, question.address)
 
     def _gather_s(self) -> float:
-        soon = self._now() - self._sent_s < self._timing.gather_again_s
-        return self._timing.gather_again_s if soon else self._timing.gather_s
+        again_s = self._timing.gather_again_s
+        again_s *= max(1.0, len(self._peers.members()) / _GATHERED_UP_TO)
+        again_s = min(again_s, _GATHER_SHARE * self._timing.find_s)
+        soon = self._now() - self._sent_s < again_s
+        return again_s if soon else self._timing.gather_s
 
     def flush(self) -> None:
         """Sends the questions that have been gathered."""
--- a/irisshelf/gateway/knowledge/origin_search.py
+++ b/irisshelf/gateway/knowledge/origin_search.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import urllib.parse
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Annotated
@@ -50,6 +51,7 @@
         answers: Number of replies.
         recent: Releases that the services have had lately.
         reach_s: For how long back no release is missing in one of the replies.
+        is_remote: Whether an instance of another data centre has replied.
         known: Whether the origin is known.
         release: Key of the release; None if there are contradicting records.
         by: The instance that knows it, if it was among the first.
@@ -60,15 +62,23 @@
     answers: int = 0
     recent: set[bytes] = dataclasses.field(default_factory=set)
     reach_s: float = 0.0
+    is_remote: bool = False
     known: bool = False
     release: bytes | None = None
     by: str = ""
 
-    def add(self, member: membership_module.Member, reply: Reply) -> None:
+    def add(
+        self,
+        member: membership_module.Member,
+        reply: Reply,
+        *,
+        is_remote: bool,
+    ) -> None:
         """Adds an instance's reply."""
         self.answers += 1
         self.recent.update(reply.recent)
         self.reach_s = max(self.reach_s, reply.reach_s)
+        self.is_remote = self.is_remote or is_remote
         if reply.known:
             self.known = True
             self.release = reply.release
@@ -81,6 +91,7 @@
             release=self.release,
             recent=frozenset(self.recent),
             reach_s=self.reach_s,
+            is_remote=self.is_remote,
             by=self.by,
             asked=self.asked,
             answers=self.answers,
@@ -135,6 +146,7 @@
         timeout_s: float,
         *,
         known: event.Event | None = None,
+        is_over: Callable[[], bool] = lambda: False,
     ) -> None:
         """Collects replies until the origin is known.
 
@@ -143,6 +155,7 @@
             requests: The result of ``send``.
             timeout_s: For how long.
             known: Set once the origin is known otherwise.
+            is_over: Asked after each reply whether to end.
         """
         awaited = [q for q in requests if q not in search.collected]
         if known is not None:
@@ -152,8 +165,11 @@
                 return
             search.collected.add(done)
             if done.value is not None:
-                search.add(*done.value)
-            if search.known:
+                member, reply = done.value
+                own = self._peers.membership.own.data_centre
+                is_remote = member.data_centre != own
+                search.add(member, reply, is_remote=is_remote)
+            if search.known or is_over():
                 return
 
     def _ask(
--- a/irisshelf/gateway/knowledge/release_exchange.py
+++ b/irisshelf/gateway/knowledge/release_exchange.py
@@ -49,8 +49,10 @@
         peers: Carries questions.
         log: Receives decoding errors.
         rng: Selects whom to ask.
-        is_current: Returns whether this instance is in contact with the store,
-            so that no recent release is missing.
+        has_recent_list: Returns whether this instance has heard from the store
+            lately, so that it can tell of all releases until then.
+        on_changed: Called after releases have been added.
+        on_in_vain: Called if nobody has told of all releases.
         now: Monotonic seconds.
     """
 
@@ -61,12 +63,16 @@
         peers: peer_discovery.PeerDiscovery,
         log: decision_log.DecisionLog,
         rng: random.Random,
-        is_current: Callable[[], bool],
+        has_recent_list: Callable[[], bool],
+        on_changed: Callable[[], None] = lambda: None,
+        on_in_vain: Callable[[], None] = lambda: None,
         now: Callable[[], float],
     ):
         self._releases = releases
         self._log = log
-        self._is_current = is_current
+        self._has_recent_list = has_recent_list
+        self._on_changed = on_changed
+        self._on_in_vain = on_in_vain
         self._now = now
         self._rounds = catch_up.Rounds(
             target=PATH,
@@ -83,6 +89,7 @@
         A service that is listed only later makes more of them needed.
         """
         if not self._rounds.run(until_complete=False):
+            self._on_in_vain()
             self._log.instance(
                 "releases_not_caught_up",
                 reach_s={
@@ -101,7 +108,7 @@
         Args:
             fields: Query parameters; ignored.
         """
-        if not self._is_current():
+        if not self._has_recent_list():
             return cbor2.dumps([])
         now = self._now()
         services = []
@@ -130,6 +137,7 @@
                 ages_s=service.ages_s, reach_s=service.reach_s
             )
             self._releases.merge(service.name, history, self._now())
+        self._on_changed()
 
     def _is_complete(self) -> bool:
         now = self._now()
--- a/irisshelf/gateway/servers/origin_registry.py
+++ b/irisshelf/gateway/servers/origin_registry.py
@@ -19,6 +19,7 @@
         release: Key of the release; None if there are contradicting records.
         recent: Releases that the services have had lately, as they know.
         reach_s: For how long back one of them knows all releases.
+        is_remote: Whether an instance of another data centre has answered.
         by: The instance that knows the origin.
         asked: Number of instances that were asked.
         answers: Number of answers until the origin was known.
@@ -28,6 +29,7 @@
     release: bytes | None = None
     recent: frozenset[bytes] = frozenset()
     reach_s: float = 0.0
+    is_remote: bool = False
     by: str = ""
     asked: int = 0
     answers: int = 0
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -209,6 +209,7 @@
             counts=self.inst.metrics,
             rng=random.Random(3),
             is_current=self.inst.is_in_contact,
+            has_recent_list=self.inst.has_recent_list,
             now=boottime.now,
         )
         self.inst.origins = self.origins
@@ -218,7 +219,9 @@
             peers=self.peers,
             log=log,
             rng=random.Random(4),
-            is_current=self.inst.is_in_contact,
+            on_changed=self.origins.on_releases_changed,
+            on_in_vain=self.origins.record_asked_in_vain,
+            has_recent_list=self.inst.has_recent_list,
             now=boottime.now,
         )
         departures = catch_up.DepartureExchange(
--- a/irisshelf/tests/test_knowledge_of_herds.py
+++ b/irisshelf/tests/test_knowledge_of_herds.py
@@ -168,7 +168,7 @@
         peers=peers,
         log=log,
         rng=random.Random(seed),
-        is_current=lambda: True,
+        has_recent_list=lambda: True,
         now=clock.now,
     )
     history.update([origin_network.server(0, "v2")], clock.now())
--- a/irisshelf/tests/test_stream_origins.py
+++ b/irisshelf/tests/test_stream_origins.py
@@ -10,6 +10,7 @@
 from irisshelf.catalog import releases
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway.knowledge import origin_exchange
+from irisshelf.gateway.knowledge import origin_questions
 from irisshelf.testing import origin_network
 
 _KEY = stream_origins.stream_key("blue", "r1")
@@ -279,6 +280,54 @@
     assert per_stream <= _BYTES_PER_STREAM
 
 
+def test_earlier_origins_of_all_services_are_sent():
+    """Guards against a second rollout that takes the place of the first."""
+    network = origin_network.Network(_LARGE, versions=("v1",))
+    one = network.instances["a-0"]
+    keys = {"lm": [], "crew": []}
+    for service, added in keys.items():
+        old, new = (
+            origin_network.server(number, version, service)
+            for number, version in enumerate(("v1", "v2"))
+        )
+        for number in range(200):
+            added.append(stream_origins.stream_key(service, str(number)))
+            release = releases.release_key(old)
+            one.exchange.record(added[-1], [service], release)
+        listed = [origin_network.server(0), old, new]
+        one.history.update(listed, network.now)
+        one.exchange.on_releases_changed()
+    for _ in range(10):
+        one.exchange.flush()
+    others = [o for name, o in network.instances.items() if name != "a-0"]
+    for key in (*keys["lm"], *keys["crew"]):
+        assert any(o.origins.get(key, network.now) for o in others)
+
+
+def test_all_are_asked_once_an_answer_tells_of_another_release(monkeypatch):
+    """Guards against a list that seems to settle it before anybody answers."""
+    network = origin_network.Network(_LARGE, versions=())
+    network.is_new = True
+    for name, one in network.instances.items():
+        one.list_servers(("v1",) if name == "b-0" else ("v1", "v2"))
+    asker = network.instances["b-0"]
+    monkeypatch.setattr(
+        asker,
+        "request",
+        lambda *args, **options: (
+            gevent.sleep(0.02),
+            network.request("b-0", *args),
+        )[1],
+    )
+    timing = origin_questions.Timing(
+        all_asked_after_s=0.0, find_s=5.0, gather_s=0.0, gather_again_s=0.0
+    )
+    monkeypatch.setattr(asker.exchange, "_timing", timing)
+    kept_by = network.instances["a-19"].origins
+    kept_by.record(_KEY, _V["v2"], network.now, own=True)
+    assert asker.exchange.find(_KEY, ["lm"]).release == _V["v2"]
+
+
 def test_what_has_to_wait_arrives():
     network = origin_network.Network(_LARGE)
     keys = _record_many(network, "a-0", count=200, rate=20)
--- a/irisshelf/tests/test_streams_at_size.py
+++ b/irisshelf/tests/test_streams_at_size.py
@@ -176,6 +176,29 @@
     assert not streams_at_size.mixed(streams)
 
 
+def test_instances_that_are_cut_off_together_do_not_guess(make_world):
+    """Guards against answers of those that are cut off as well."""
+    world = streams_at_size.make(make_world, versions=("v1",))
+    callers = streams_at_size.Callers(world)
+    streams_at_size.lose_store(world, _ONE_DATA_CENTRE)
+    others = [place for place in _ALL if place not in _ONE_DATA_CENTRE]
+    for place in _ONE_DATA_CENTRE:
+        world.entries[place].part([world.entries[other] for other in others])
+    _start_second_version(world, _ONE_DATA_CENTRE)
+    streams = callers.begin_all(others * 3, 1.0)
+    assert {v for s in streams for v in s.versions} == {b"v1", b"v2"}
+    world.wait(
+        lambda: (
+            not any(
+                world.entries[place].inst.is_in_contact()
+                for place in _ONE_DATA_CENTRE
+            )
+        )
+    )
+    callers.resume_all(streams, 1.0, _ONE_DATA_CENTRE)
+    assert not streams_at_size.mixed(streams)
+
+
 def test_instances_restart_one_by_one_in_a_rollout(make_world):
     """Guards against the last instance that remembers, as it goes."""
     world = streams_at_size.make(make_world, versions=("v1",))
--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -442,6 +442,7 @@
             counts=metrics.Metrics(),
             rng=random.Random(1),
             is_current=lambda: True,
+            has_recent_list=lambda: True,
             now=lambda: 0.0,
         ).origins
 
