--- a/irisshelf/tests/test_streams_at_size.py
+++ b/irisshelf/tests/test_streams_at_size.py
@@ -9,6 +9,8 @@
 import gevent
 import pytest
 
+from irisshelf.catalog import directory
+from irisshelf.coordination import facts
 from irisshelf.tests import resumed_streams
 from irisshelf.tests import streams_at_size
 
@@ -251,3 +253,51 @@
         return
     assert not streams_at_size.mixed(streams)
     assert streams_at_size.share_on(streams) == 1.0
+
+
+def _exit_and_departure(entry):
+    """Publishes that a server leaves and that another one has returned."""
+    leaving, returned = entry.inst.directory.servers_of("lm")[:2]
+    entry.inst.servers.publish_leaving([leaving])
+    entry.inst.servers.apply_fact(
+        facts.ServerExited(
+            server=directory.short_id(returned.server_id), returned=True
+        )
+    )
+    entry.inst.servers.publish(
+        facts.ServerExited(
+            server=directory.short_id(returned.server_id), returned=True
+        )
+    )
+    return leaving, returned
+
+
+def test_facts_about_servers_reach_all_while_their_leader_is_dead(make_world):
+    """Guards against exits and departures that only the dead are told of."""
+    world = streams_at_size.make(make_world, versions=("v1",))
+    for entry in list(world.entries):
+        if entry.membership.leader(entry.inst.now()) is None:
+            entry.kill()
+    alive = [entry for entry in world.entries if not entry.closed]
+    leaving, returned = _exit_and_departure(alive[0])
+    gevent.sleep(1.5)
+    assert all(entry.inst.eligible.is_leaving(leaving) for entry in alive)
+    assert all(entry.inst.eligible.is_doubtful(returned) for entry in alive)
+
+
+def test_instances_that_start_learn_which_entries_are_in_doubt(make_world):
+    """Guards against streams that go on at a process of another version."""
+    world = streams_at_size.make(make_world, versions=("v1",))
+    server = world.inst.directory.servers_of("lm")[0]
+    for entry in world.entries:
+        entry.inst.servers.apply_fact(
+            facts.ServerExited(
+                server=directory.short_id(server.server_id), returned=False
+            )
+        )
+    started = streams_at_size.restart(world, _ALL[:3])
+    gevent.sleep(1.0)
+    assert all(
+        world.entries[place].inst.eligible.is_doubtful(server)
+        for place in started
+    )
