An instance serves once any peer has answered which requests crash servers

Cause: a start waited until an instance that had lived for long had answered, though there was none. Test: test_catch_up, keep_nobody_from_serving.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -241,11 +241,11 @@
     def _catch_up_with_crashes(self) -> None:
         """Asks peers which requests crash servers, before any is served.
 
-        Peers that cannot be reached do not keep the instance from serving.
+        Neither peers that cannot be reached nor peers that have just started as
+        well keep the instance from serving; it goes on asking meanwhile.
         """
-        asking = gevent.spawn(self._crash_catch_up.run)
-        asking.join(timeout=_CATCH_UP_LIMIT_S)
-        if not asking.ready():
+        gevent.spawn(self._crash_catch_up.run)
+        if not self._crash_catch_up.answered.wait(_CATCH_UP_LIMIT_S):
             self._log.instance("crashes_not_caught_up")
         self._inst.crashes_known = True
 
--- a/irisshelf/gateway/knowledge/catch_up.py
+++ b/irisshelf/gateway/knowledge/catch_up.py
@@ -17,6 +17,7 @@
 import cbor2
 import gevent
 import msgspec
+from gevent import event
 
 from irisshelf.catalog import departures as departures_module
 from irisshelf.coordination import facts
@@ -132,6 +133,9 @@
         peers: Carries requests.
         rng: Selects whom to ask.
         now: Monotonic seconds.
+
+    Attributes:
+        answered: Set once an answer has been applied, whatever it proves.
     """
 
     def __init__(
@@ -150,6 +154,7 @@
         self._needed_s = needed_s
         self._now = now
         self._began_s = now()
+        self.answered = event.Event()
         self._reach_s = 0.0
         # Whether all that others know has been asked for.
         self._has_asked = False
@@ -201,6 +206,7 @@
         envelope = _open(data)
         if self._apply_content(envelope.content):
             self._reach_s = max(self._reach_s, envelope.reach_s)
+            self.answered.set()
 
 
 def decode(data: bytes, form: type[_Form]) -> _Form:
--- a/irisshelf/tests/test_catch_up.py
+++ b/irisshelf/tests/test_catch_up.py
@@ -201,6 +201,20 @@
     assert [len(asked) for asked in peers.asked if asked] == [4]
 
 
+@pytest.mark.parametrize(
+    ("new", "is_answered"), [(0, False), (1, True), (84, True)]
+)
+def test_peers_that_have_just_started_keep_nobody_from_serving(
+    clock, new, is_answered
+):
+    """Guards against a fleet that starts at once and then waits for itself."""
+    own, peers, _ = _catch_up(clock)
+    peers.known = _fleet(clock, old=0, new=new)
+    own.ask(4)
+    assert own.answered.is_set() is is_answered
+    assert not own.is_complete()
+
+
 def test_instances_that_start_all_at_once_end_their_search(clock):
     """Guards against instances that ask each other for ever."""
     own, peers, known = _catch_up(clock)
