--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -61,6 +61,8 @@
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
 
+Decoder = Callable[[bytes], result.Result[settings.Settings, str]]
+
 
 class Daemon:
     """One entry instance.
@@ -70,6 +72,7 @@
         path: The settings file.
         make_dialect: Creates the dialect of callers and backend servers.
         make_store: Creates the store client for an address.
+        decode_settings: Validates the content of the settings file.
     """
 
     def __init__(
@@ -79,8 +82,10 @@
         path: pathlib.Path,
         make_dialect: Callable[[], dialect.Dialect],
         make_store: Callable[[str], feed.Feed],
+        decode_settings: Decoder = settings.decode,
     ):
         self._path = path
+        self._decode_settings = decode_settings
         self._data = _read_file(path)
         self._log = decision_log.DecisionLog(
             instance=cfg.instance, lines_per_s=cfg.log_lines_per_s
@@ -337,7 +342,7 @@
     def _reload(self, why: str) -> None:
         """Applies changed settings; some take effect at the next start only."""
         self._data = _read_file(self._path)
-        loaded = settings.decode(self._data)
+        loaded = self._decode_settings(self._data)
         if isinstance(loaded, result.Err):
             self._log.warning("reload_refused", why=why, detail=loaded.err())
             return
@@ -373,9 +378,10 @@
     *,
     make_dialect: Callable[[], dialect.Dialect],
     make_store: Callable[[str], feed.Feed],
+    decode_settings: Decoder = settings.decode,
 ) -> int:
     """Runs an instance from a settings file; returns the exit code."""
-    loaded = settings.load(path)
+    loaded = settings.load(path, decode_settings)
     if isinstance(loaded, result.Err):
         print(loaded.err_value, file=sys.stderr)
         return EXIT_BAD_SETTINGS
@@ -385,6 +391,7 @@
             path=path,
             make_dialect=make_dialect,
             make_store=make_store,
+            decode_settings=decode_settings,
         ).run()
     except OSError as exc:
         print(f"cannot listen: {exc}", file=sys.stderr)
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import ipaddress
 import pathlib
+from collections.abc import Callable
 from typing import Annotated
 
 import msgspec
@@ -81,6 +83,43 @@
     retry_window_s: _Positive = 10.0
 
 
+class FleetAdmission(enum.StrEnum):
+    """Where requests are admitted by the demand and capacity of the fleet.
+
+    Attributes:
+        OFF: Nowhere; each instance decides by what it observes itself.
+        REPORTED: For services whose servers report their slowdown, that is,
+            whose capacity changes within fractions of a second.
+        ON: For all services.
+    """
+
+    OFF = "off"
+    REPORTED = "reported"
+    ON = "on"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Overload:
+    """Behaviour while callers ask for more than the servers can process.
+
+    Attributes:
+        fleet_admission: For which services requests are admitted by the demand
+            and the capacity of the whole fleet.
+        team_weights: Weight of a team when capacity is shared among teams; 1
+            for teams that are not listed.
+        response_buffer_mb: Memory for responses that callers have not read yet,
+            of all callers together. With 0 a response is read from its server
+            only as fast as its caller reads it.
+        slow_caller_s: A caller that has read nothing of its response for this
+            time is disconnected.
+    """
+
+    fleet_admission: FleetAdmission = FleetAdmission.REPORTED
+    team_weights: dict[str, _Positive] = dataclasses.field(default_factory=dict)
+    response_buffer_mb: _NotNegative = 0.0
+    slow_caller_s: _Positive = 10.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Settings:
     """All settings.
@@ -97,6 +136,7 @@
             to be running. Without seeds, the instance assumes that it is the
             only one until another instance contacts it.
         bounds: Limits required by the operators.
+        overload: Behaviour under overload.
         log_lines_per_s: Maximum rate of log lines about requests.
         max_requests: Maximum number of requests in flight; further requests are
             refused.
@@ -114,6 +154,7 @@
     regions: dict[str, str] = dataclasses.field(default_factory=dict)
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
+    overload: Overload = Overload()
     log_lines_per_s: _Positive = 200.0
     max_requests: _Count = 1000
     descriptors: _Count = 4096
@@ -121,9 +162,16 @@
     policy: policy.Policy = policy.DEFAULT
 
 
-def load(path: pathlib.Path) -> result.Result[Settings, str]:
+def load(
+    path: pathlib.Path,
+    decode_data: Callable[[bytes], result.Result[Settings, str]] | None = None,
+) -> result.Result[Settings, str]:
     """Reads and validates a settings file.
 
+    Args:
+        path: The file.
+        decode_data: Validates its content; ``decode`` by default.
+
     Returns:
         The settings, or a message with the field, its value and the allowed
         values.
@@ -132,7 +180,7 @@
         data = path.read_bytes()
     except OSError as exc:
         return result.Err(f"cannot read settings file {str(path)!r}: {exc}")
-    return decode(data)
+    return (decode_data or decode)(data)
 
 
 def decode(data: bytes) -> result.Result[Settings, str]:
--- a/irisshelf/platform/__main__.py
+++ b/irisshelf/platform/__main__.py
@@ -17,6 +17,7 @@
     lifetime_signals.hold()
     # These imports take most of the start, so that signals are held first.
     from irisshelf.gateway import daemon
+    from irisshelf.platform import deployment
     from irisshelf.platform import http_dialect
     from irisshelf.platform import store_feed
 
@@ -25,6 +26,7 @@
             pathlib.Path(os.environ[_SETTINGS_VARIABLE]),
             make_dialect=http_dialect.HttpDialect,
             make_store=lambda address: store_feed.StoreFeed(address=address),
+            decode_settings=deployment.decode,
         )
     finally:
         lifetime_signals.block()
--- /dev/null
+++ b/irisshelf/platform/deployment.py
@@ -0,0 +1,53 @@
+"""Settings of an instance on the users' platform.
+
+The template of the settings passes on the list of rules that are in force and
+the memory of the machine, which the product's settings do not contain.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+import result
+
+from irisshelf.gateway import settings
+
+# Rule that callers may ask for more than the servers can process.
+_PRESSURE = "pressure"
+# Share of the memory for responses that callers have not read yet. An instance
+# without load takes a tenth of the smallest machine, so that a quarter leaves
+# room for connections and requests in progress.
+_RESPONSE_BUFFER_SHARE = 0.25
+
+
+class _Deployment(msgspec.Struct):
+    contracts: list[str] | None = None
+    memory_mb: float | None = None
+
+
+def decode(data: bytes) -> result.Result[settings.Settings, str]:
+    """Validates settings that the platform has filled in.
+
+    Returns:
+        The settings, or a message with the field, its value and the allowed
+        values.
+    """
+    decoded = settings.decode(data)
+    if isinstance(decoded, result.Err):
+        return decoded
+    try:
+        deployment = msgspec.json.decode(data, type=_Deployment)
+    except msgspec.ValidationError as exc:
+        return result.Err(f"settings of the platform: {exc}")
+    cfg = decoded.ok_value
+    overload = dataclasses.replace(
+        cfg.overload,
+        response_buffer_mb=(deployment.memory_mb or 0.0)
+        * _RESPONSE_BUFFER_SHARE,
+    )
+    if _PRESSURE in (deployment.contracts or ()):
+        overload = dataclasses.replace(
+            overload, fleet_admission=settings.FleetAdmission.ON
+        )
+    return result.Ok(dataclasses.replace(cfg, overload=overload))
--- a/irisshelf/tests/test_deploy.py
+++ b/irisshelf/tests/test_deploy.py
@@ -9,6 +9,7 @@
 
 import irisshelf
 from irisshelf.gateway import settings
+from irisshelf.platform import deployment
 
 _DEPLOY = pathlib.Path(irisshelf.__file__).parent.parent / "deploy"
 _FIELDS = {
@@ -22,7 +23,8 @@
         "control": "10.1.0.40:8229",
     },
     "internalPorts": [7340, 7355],
-    "limits": {"maxFds": 4100, "linkMbps": 10.0},
+    "limits": {"maxFds": 4100, "linkMbps": 10.0, "memoryMb": 200},
+    "contracts": ["base", "platform"],
     "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
     "bounds": {
         "configMs": 2000,
@@ -117,6 +119,23 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("contracts", "mode"),
+    [
+        (["base", "pressure"], settings.FleetAdmission.ON),
+        (["base"], settings.FleetAdmission.REPORTED),
+        (None, settings.FleetAdmission.REPORTED),
+    ],
+)
+def test_the_rules_in_force_say_whether_the_fleet_admits(contracts, mode):
+    """Guards against overload control that a deployment never asked for."""
+    text = (_DEPLOY / "settings.json.tmpl").read_text()
+    filled = _render(text, _FIELDS | {"contracts": contracts})
+    overload = deployment.decode(filled.encode()).unwrap().overload
+    assert overload.fleet_admission is mode
+    assert overload.response_buffer_mb == 50.0
+
+
 def test_the_template_knows_no_key_of_an_entry_as_json():
     """The platform gives null for it; only the bare key is filled in."""
     assert "{{@|" not in (_DEPLOY / "settings.json.tmpl").read_text()
--- a/irisshelf/tests/test_layers.py
+++ b/irisshelf/tests/test_layers.py
@@ -30,7 +30,7 @@
 
 
 def _pure_files():
-    for folder in ("routing", "coordination", "charts", "bundle"):
+    for folder in ("routing", "coordination", "charts", "bundle", "overload"):
         for path in sorted((_ROOT / folder).rglob("*.py")):
             name = path.relative_to(_ROOT)
             yield pytest.param(path, id=str(name))
