Requests wait for the start-up of an instance instead of being rejected

Cause: after all instances lost power, 1,352 requests in one second got 503 'no configuration yet' and a retry after 0.3 s, which met the same; an instance is ready 0.5 to 0.9 s after its start. Change: setting overload.start_wait_s (0 by default: as before); requests wait for the configuration, for half of their caller's time at most.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from gevent import event
+
 from irisshelf import boottime
 from irisshelf.catalog import directory
 from irisshelf.catalog import evacuations
@@ -132,10 +134,9 @@
         )
         # Fetches the list of servers from peers.
         self.refresh_servers: Callable[[], None] = _do_nothing
-        # Whether peers have answered which requests crash servers, or are not
-        # waited for any longer.
-        self.crashes_known = True
+        self._crashes_known = True
         self._server_list_loaded = False
+        self._configured_event = event.Event()
         self._last_ready = False
         self.stopping_since_s: float | None = None
         self.in_flight = 0
@@ -176,6 +177,36 @@
             and self.crashes_known
         )
 
+    @property
+    def crashes_known(self) -> bool:
+        """Whether it is known which requests crash servers.
+
+        Peers have answered, or are not waited for any longer.
+        """
+        return self._crashes_known
+
+    @crashes_known.setter
+    def crashes_known(self, known: bool) -> None:
+        self._crashes_known = known
+        self._notify_if_configured()
+
+    def await_configured(self, timeout_s: float) -> bool:
+        """Waits until the instance is configured.
+
+        Args:
+            timeout_s: Time limit in seconds.
+
+        Returns:
+            Whether it is configured.
+        """
+        if not self.configured and timeout_s > 0:
+            self._configured_event.wait(timeout_s)
+        return self.configured
+
+    def _notify_if_configured(self) -> None:
+        if self.configured:
+            self._configured_event.set()
+
     @property
     def stopping(self) -> bool:
         """Whether a graceful stop has begun."""
@@ -275,6 +306,7 @@
         self.origins.origins.life_s = self.servers.releases.life_s = max(
             stream_origins.MIN_LIFE_S, horizon_s
         )
+        self._notify_if_configured()
         self.metrics.catalog_version.set(catalog.version)
         self.log.instance(
             "catalog_in_force",
@@ -306,6 +338,7 @@
         """Records that the server list has been read from the store."""
         self._server_list_loaded = True
         self.servers.on_list_changed()
+        self._notify_if_configured()
 
 
 def _do_nothing() -> None:
--- a/irisshelf/gateway/requests/frontend.py
+++ b/irisshelf/gateway/requests/frontend.py
@@ -26,6 +26,8 @@
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
 _RETRY_WHILE_STARTING_S = 0.3
+# Share of a caller's time for which its request waits for the start-up.
+_MAX_START_WAIT_SHARE = 0.5
 
 
 class Frontend:
@@ -132,7 +134,7 @@
     ) -> messages.Job | None:
         """Returns the job for a request; None if it has been rejected."""
         inst = self._inst
-        if not inst.configured:
+        if not self._await_configured(inbound, head):
             conn.close_after_answer()
             why = "no configuration yet"
             self._reject_unavailable(conn, head, why, _RETRY_WHILE_STARTING_S)
@@ -158,6 +160,32 @@
             return None
         return self._job(inbound, head, catalog.version, route, team)
 
+    def _await_configured(
+        self, inbound: messages.InboundRequest, head: messages.RequestHead
+    ) -> bool:
+        """Waits until the instance has started up, but not for long.
+
+        Callers' deadlines are not waited for: a request that is rejected after
+        more than a part of its time has no time left to be served elsewhere.
+
+        Returns:
+            Whether requests can be served.
+        """
+        inst = self._inst
+        if inst.configured:
+            return True
+        if inst.in_flight >= inst.cfg.max_requests:
+            return False
+        limit_s = inst.cfg.overload.start_wait_s
+        if head.deadline_s is not None:
+            limit_s = min(limit_s, head.deadline_s * _MAX_START_WAIT_SHARE)
+        elapsed_s = inst.now() - inbound.arrived_s
+        inst.in_flight += 1
+        try:
+            return inst.await_configured(limit_s - elapsed_s)
+        finally:
+            inst.in_flight -= 1
+
     def _job(
         self,
         inbound: messages.InboundRequest,
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -112,12 +112,17 @@
             only as fast as its caller reads it.
         slow_caller_s: A caller that has read nothing of its response for this
             time is disconnected.
+        start_wait_s: For how long a request that arrives before an instance
+            has started up waits, rather than being rejected at once. Callers
+            that are rejected while all instances restart have no other one to
+            turn to.
     """
 
     fleet_admission: FleetAdmission = FleetAdmission.REPORTED
     team_weights: dict[str, _Positive] = dataclasses.field(default_factory=dict)
     response_buffer_mb: _NotNegative = 0.0
     slow_caller_s: _Positive = 10.0
+    start_wait_s: _NotNegative = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/irisshelf/platform/deployment.py
+++ b/irisshelf/platform/deployment.py
@@ -19,6 +19,8 @@
 # without load takes a tenth of the smallest machine, so that a quarter leaves
 # room for connections and requests in progress.
 _RESPONSE_BUFFER_SHARE = 0.25
+# All instances that restart at once are ready after 0.5 to 0.9 s.
+_START_WAIT_S = 1.0
 
 
 class _Deployment(msgspec.Struct):
@@ -48,6 +50,8 @@
     )
     if _PRESSURE in (deployment.contracts or ()):
         overload = dataclasses.replace(
-            overload, fleet_admission=settings.FleetAdmission.ON
+            overload,
+            fleet_admission=settings.FleetAdmission.ON,
+            start_wait_s=_START_WAIT_S,
         )
     return result.Ok(dataclasses.replace(cfg, overload=overload))
