Load reports with a slowdown are read and exchanged

Cause: a Server-Load header with four figures was discarded as a whole and without a log line, so that instances knew no load of such servers. Change: three, four and more figures are read; of other forms what is readable is used, and an unreadable_header line is logged once in 10 s for each server. Instances exchange the slowdown in a new list at the end of the message, which the earlier build ignores; messages without it are read as before. Conclusion: servers with four figures count with their load from now on; the slowdown itself is not used yet.

--- a/irisshelf/coordination/facts.py
+++ b/irisshelf/coordination/facts.py
@@ -19,11 +19,14 @@
         server: Key of the server.
         work: Number of requests running or queued on it.
         at_s: Time of the report, in the reader's monotonic seconds.
+        slowdown: Its current processing time relative to normal; None if it
+            does not report that.
     """
 
     server: bytes
     work: int
     at_s: float
+    slowdown: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/irisshelf/gateway/knowledge/fact_gossip.py
+++ b/irisshelf/gateway/knowledge/fact_gossip.py
@@ -28,6 +28,7 @@
 from irisshelf.coordination import facts
 from irisshelf.coordination import membership as membership_module
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.routing.direct import slowdown as slowdown_module
 
 # Responses take about a second; batched facts are a fraction of that old.
 _TICK_S = 0.25
@@ -38,19 +39,24 @@
 _MAX_EXITED = 20
 _LEAVING_SENDS = 2
 # Upper bounds of encoded sizes: the header, a load (a cold start, a pause and a
-# leaving server take no more), a prompt part, and a server's key before its
-# first part.
+# leaving server take no more), its slowdown, a prompt part, and a server's key
+# before its first part.
 _HEADER_BYTES = 60
 _LOAD_BYTES = 16
+_SLOWDOWN_BYTES = 3
 _PART_BYTES = 6
 _SERVER_BYTES = 9
 # Parts queued for the next datagrams; beyond this the oldest are dropped.
 _MAX_QUEUED_PARTS = 1000
+# Stands for the slowdown of a server that reports none.
+_NO_SLOWDOWN = 0
 # Facts older than this indicate a faulty clock or link, and are dropped.
 _MAX_AGE_MS = 5000
 # A server with a negative load would attract all requests.
 _Work = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Ms = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
+_MAX_PERCENT = slowdown_module.to_percent(slowdown_module.MAX_SLOWDOWN)
+_Percent = Annotated[int, msgspec.Meta(ge=_NO_SLOWDOWN, le=_MAX_PERCENT)]
 
 _T = TypeVar("_T")
 
@@ -86,6 +92,10 @@
     # Keys of servers whose processes have exited, and whether the next ones
     # accept requests.
     exited: list[tuple[bytes, bool]] = []
+    # Slowdowns in percent of the servers in ``loads``, in the same order; empty
+    # if none of them reports one. Earlier builds ignore this list and send
+    # messages without it.
+    slowdowns: list[_Percent] = []
 
 
 class _Outbox:
@@ -172,6 +182,8 @@
         count = sum(map(len, (loads, cold_starts, pauses, leaving, exited)))
         remaining_bytes = datagrams_module.MAX_DATAGRAM_BYTES - _HEADER_BYTES
         remaining_bytes -= _LOAD_BYTES * count
+        slowdowns = _encode_slowdowns(loads)
+        remaining_bytes -= _SLOWDOWN_BYTES * len(slowdowns)
         cached_parts: dict[bytes, list[bytes]] = {}
         while (
             self.cached_parts and remaining_bytes >= _PART_BYTES + _SERVER_BYTES
@@ -195,6 +207,7 @@
             pauses=[(p.server, _remaining_ms(p.until_s, now)) for p in pauses],
             leaving=leaving,
             exited=exited,
+            slowdowns=slowdowns,
         )
 
     def _count_sent(self, key: bytes) -> None:
@@ -315,6 +328,39 @@
     return max(0, int((until_s - now) * 1000))
 
 
+def _encode_slowdowns(loads: Sequence[facts.ServerLoad]) -> list[int]:
+    """Returns ``_Message.slowdowns`` for the loads of a message."""
+    if all(load.slowdown is None for load in loads):
+        return []
+    return [
+        _NO_SLOWDOWN
+        if load.slowdown is None
+        else slowdown_module.to_percent(load.slowdown)
+        for load in loads
+    ]
+
+
+def _decode_slowdowns(message: _Message) -> list[float | None]:
+    """Returns the slowdown for each load of a message; None if unknown.
+
+    Raises:
+        ValueError: Their number is not that of the loads.
+    """
+    if not message.slowdowns:
+        return [None] * len(message.loads)
+    if len(message.slowdowns) != len(message.loads):
+        raise ValueError(
+            f"number of slowdowns is {len(message.slowdowns)}, "
+            f"allowed: 0 or {len(message.loads)}, that of the loads"
+        )
+    return [
+        None
+        if percent == _NO_SLOWDOWN
+        else slowdown_module.from_percent(percent)
+        for percent in message.slowdowns
+    ]
+
+
 def _encode(message: _Message) -> bytes:
     content = msgspec.to_builtins(message, builtin_types=(bytes,))
     return datagrams_module.encode(datagrams_module.Kind.SERVER_FACTS, content)
@@ -323,10 +369,19 @@
 def _decode(message: _Message) -> list[facts.Fact]:
     decoded = _Outbox()
     now = boottime.now()
-    for server, work, age_ms in message.loads:
+    slowdowns = _decode_slowdowns(message)
+    for (server, work, age_ms), slowdown in zip(
+        message.loads, slowdowns, strict=True
+    ):
         if 0 <= age_ms <= _MAX_AGE_MS:
-            at_s = now - age_ms / 1000
-            decoded.add(facts.ServerLoad(server=server, work=work, at_s=at_s))
+            decoded.add(
+                facts.ServerLoad(
+                    server=server,
+                    work=work,
+                    at_s=now - age_ms / 1000,
+                    slowdown=slowdown,
+                )
+            )
     for server, parts in message.cached_parts.items():
         for part in parts:
             decoded.add(facts.PartCached(server=server, part=part))
--- a/irisshelf/gateway/messages.py
+++ b/irisshelf/gateway/messages.py
@@ -110,11 +110,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Load:
-    """Load reported by a backend server."""
+    """Load reported by a backend server.
+
+    Attributes:
+        running: Requests being processed.
+        waiting: Requests in its queue.
+        slots: Requests that it processes concurrently; None if unreadable.
+        slowdown: Its current processing time relative to normal; 1.0 is normal.
+        reports_slowdown: Whether it has reported the slowdown; if not, 1.0 is
+            assumed.
+    """
 
     running: int
     waiting: int
-    slots: int
+    slots: int | None
+    slowdown: float = 1.0
+    reports_slowdown: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +140,8 @@
         absent: Whether the address belongs to a different server. The other
             fields are then the report of that server.
         keep_alive_s: How long it keeps idle connections; None if not reported.
-        unreadable: Names of headers with invalid values.
+        unreadable: Names of headers with invalid values, also of those that are
+            used in part.
     """
 
     load: Load | None = None
--- a/irisshelf/gateway/servers/server_reports.py
+++ b/irisshelf/gateway/servers/server_reports.py
@@ -12,6 +12,10 @@
 from irisshelf.observe import decision_log
 from irisshelf.routing.direct import availability as availability_module
 
+# An unreadable header is logged once per server and header in this time: a
+# server repeats it in each response.
+_UNREADABLE_LOG_INTERVAL_S = 10.0
+
 
 class ReportHandler:
     """Applies and logs servers' reports, and publishes them to other instances.
@@ -44,6 +48,8 @@
         self._log = log
         self._metrics = counts
         self._now = now
+        # By server and header: when it was last logged as unreadable.
+        self._logged_unreadable_s: dict[tuple[str, str], float] = {}
 
     def handle(
         self,
@@ -137,6 +143,18 @@
         self, server: directory.BackendServer, header: str, request: str
     ) -> None:
         self._metrics.reports.labels("unreadable").inc()
+        now = self._now()
+        logged_s = self._logged_unreadable_s.get(
+            (server.server_id, header), float("-inf")
+        )
+        if now - logged_s < _UNREADABLE_LOG_INTERVAL_S:
+            return
+        self._logged_unreadable_s = {
+            logged: at_s
+            for logged, at_s in self._logged_unreadable_s.items()
+            if now - at_s < _UNREADABLE_LOG_INTERVAL_S
+        }
+        self._logged_unreadable_s[server.server_id, header] = now
         self._log.request(
             "unreadable_header",
             request,
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -161,7 +161,10 @@
         stats = self.chooser(server.service).stats
         stats.record_load_report(server.server_id, work=work, at_s=now)
         key = directory.short_id(server.server_id)
-        self.publish(facts.ServerLoad(server=key, work=work, at_s=now))
+        slowdown = load.slowdown if load.reports_slowdown else None
+        self.publish(
+            facts.ServerLoad(server=key, work=work, at_s=now, slowdown=slowdown)
+        )
 
     def record_sent_prompt(
         self, server: directory.BackendServer, sent: prompt.Prompt
--- a/irisshelf/platform/http_dialect.py
+++ b/irisshelf/platform/http_dialect.py
@@ -9,6 +9,7 @@
 from irisshelf.gateway import dialect
 from irisshelf.gateway import messages
 from irisshelf.routing.direct import prompt
+from irisshelf.routing.direct import slowdown
 
 _REQUEST_ID = b"request-id"
 _SIGNATURE = b"response-signature"
@@ -29,6 +30,11 @@
 # Fifteen digits are exact in any number format; a count has fewer.
 _MOST_DIGITS = 15
 _LONGEST_KEEP_ALIVE_S = 86400
+# Figures of a load report that are read.
+_LOAD_FIGURES = 4
+# A server that reports less makes a mistake: none is so much faster than
+# normal, and 0 would mean infinitely fast.
+_MIN_SLOWDOWN_PERCENT = slowdown.to_percent(slowdown.MIN_SLOWDOWN)
 # What an error shows of a value.
 _SHOWN = 60
 # They belong to one connection, not to the message (RFC 9110, 7.6.1), or
@@ -145,6 +151,9 @@
         text = value.decode("latin-1").strip()
         found[name] = f"{found[name]},{text}" if name in found else text
     unreadable = []
+    load, load_is_valid = _load(headers)
+    if not load_is_valid:
+        unreadable.append("Server-Load")
     leaving = _flag(found.get(_LEAVING, ""))
     if _LEAVING in found and leaving is None:
         unreadable.append("Server-Leaving")
@@ -154,7 +163,7 @@
         if rest_s is None:
             unreadable.append("Retry-After")
     return messages.ServerReport(
-        load=_load(found.get(_LOAD, "")),
+        load=load,
         leaving=bool(leaving),
         rest_s=rest_s or 0.0,
         absent=status == _MISDIRECTED,
@@ -290,14 +299,41 @@
     return frozenset(named)
 
 
-def _load(text: str) -> messages.Load | None:
-    """Reads running, waiting and slots; None if the server tells none."""
-    fields = [item.strip() for item in text.split(",")]
-    counts = [_count(item) for item in fields]
-    if len(counts) != 3 or None in counts:
-        return None
-    running, waiting, slots = counts
-    return messages.Load(running=running, waiting=waiting, slots=slots)
+def _load(headers: messages.Headers) -> tuple[messages.Load | None, bool]:
+    """Reads running, waiting, slots and slowdown in percent.
+
+    Servers without a slowdown report three figures. Figures beyond the fourth
+    are reserved for later servers. What is readable of an invalid header is
+    used, if that includes running and waiting. A header that is repeated is
+    invalid, and the first one is used: the figures of the second one would be
+    taken for the slowdown and later ones.
+
+    Returns:
+        The load, None if there is none; whether the header is valid or absent.
+    """
+    texts = [
+        value.decode("latin-1")
+        for name, value in headers
+        if name.lower() == _LOAD
+    ]
+    if not texts:
+        return None, True
+    fields = texts[0].split(",", _LOAD_FIGURES)[:_LOAD_FIGURES]
+    counts = [_count(field.strip()) for field in fields]
+    percent = counts[3] if len(counts) > 3 else None
+    if percent is not None and percent < _MIN_SLOWDOWN_PERCENT:
+        percent = counts[3] = None
+    is_valid = len(texts) == 1 and len(counts) >= 3 and None not in counts
+    if len(counts) < 2 or counts[0] is None or counts[1] is None:
+        return None, is_valid
+    load = messages.Load(
+        running=counts[0],
+        waiting=counts[1],
+        slots=counts[2] if len(counts) > 2 else None,
+        slowdown=1.0 if percent is None else slowdown.from_percent(percent),
+        reports_slowdown=percent is not None,
+    )
+    return load, is_valid
 
 
 def _keep_alive_s(text: str) -> float | None:
--- a/irisshelf/tests/test_fact_gossip.py
+++ b/irisshelf/tests/test_fact_gossip.py
@@ -5,6 +5,7 @@
 
 import cbor2
 import gevent
+import msgspec
 import pytest
 
 from irisshelf import boottime
@@ -88,18 +89,90 @@
     assert condition()
 
 
-def _load():
-    return facts.ServerLoad(server=_KEY, work=7, at_s=boottime.now())
+def _load(slowdown=None):
+    return facts.ServerLoad(
+        server=_KEY, work=7, at_s=boottime.now(), slowdown=slowdown
+    )
 
 
+@pytest.mark.parametrize("slowdown", [None, 0.1, 1.0, 2.5, 100.0])
 @pytest.mark.parametrize("sender", range(4))
-def test_a_load_reaches_all_instances(four, sender):
-    four[sender].gossip.publish(_load())
+def test_a_load_reaches_all_instances(four, sender, slowdown):
+    four[sender].gossip.publish(_load(slowdown))
     others = [one for one in four if one is not four[sender]]
     _wait(lambda: all(one.loads for one in others))
-    assert {(load.server, load.work) for one in four for load in one.loads} == {
-        (_KEY, 7)
+    assert {
+        (load.server, load.work, load.slowdown)
+        for one in four
+        for load in one.loads
+    } == {(_KEY, 7, slowdown)}
+
+
+class _EarlierMessage(msgspec.Struct, array_like=True):
+    """The message of the build before slowdowns were exchanged."""
+
+    data_centre: str
+    hop: int
+    loads: list[tuple[bytes, int, int]] = []
+    cached_parts: dict[bytes, list[bytes]] = {}
+    cold_starts: list[tuple[bytes, int]] = []
+    pauses: list[tuple[bytes, int]] = []
+    leaving: list[bytes] = []
+    exited: list[tuple[bytes, bool]] = []
+
+
+@pytest.mark.parametrize("slowdown", [None, 2.5])
+def test_the_earlier_build_reads_messages(four, slowdown):
+    """Guards against fleets of two builds that do not exchange loads."""
+    sent = []
+    four[0].datagrams.send = lambda address, data: sent.append(data)
+    four[0].gossip.publish(_load(slowdown))
+    four[0].gossip.publish(facts.ServerExited(server=_KEY, returned=True))
+    four[0].gossip.flush()
+    assert sent
+    for data in sent:
+        content = cbor2.loads(data[1:])
+        read = msgspec.convert(content, _EarlierMessage)
+        assert [load[:2] for load in read.loads] == [(_KEY, 7)]
+        assert read.exited == [(_KEY, True)]
+
+
+def test_messages_of_the_earlier_build_are_read(four):
+    earlier = _EarlierMessage(
+        data_centre="a", hop=2, loads=[(_KEY, 7, 3)], leaving=[_KEY]
+    )
+    content = msgspec.to_builtins(earlier, builtin_types=(bytes,))
+    four[0].gossip.receive(content)
+    assert [(load.work, load.slowdown) for load in four[0].loads] == [(7, None)]
+    assert four[0].leaving == [_KEY]
+
+
+def test_each_load_keeps_its_slowdown(four):
+    """Guards against slowdowns that are attributed to another server."""
+    slowdowns = {
+        directory.short_id(f"s{n}"): None if n % 3 else 1 + n / 10
+        for n in range(90)
     }
+    for key, slowdown in slowdowns.items():
+        four[0].gossip.publish(
+            facts.ServerLoad(
+                server=key, work=1, at_s=boottime.now(), slowdown=slowdown
+            )
+        )
+    _wait(lambda: len({load.server for load in four[3].loads}) == 90)
+    assert {load.server: load.slowdown for load in four[3].loads} == slowdowns
+
+
+@pytest.mark.parametrize(
+    "slowdowns", [[250], [250] * 3, [250, -1], [250, 10_001], [250, "100"], 250]
+)
+def test_messages_with_invalid_slowdowns_are_rejected_as_a_whole(
+    four, slowdowns
+):
+    loads = [[_KEY, 1, 0], [directory.short_id("s2"), 1, 0]]
+    with pytest.raises(ValueError, match=r"slowdown|Expected"):
+        four[0].gossip.receive(["a", 2, loads, {}, [], [], [], [], slowdowns])
+    assert four[0].loads == []
 
 
 @pytest.mark.parametrize("sender", range(4))
@@ -196,15 +269,21 @@
     assert [one.loads for one in four] == [[], [], [], []]
 
 
+@pytest.mark.parametrize("slowdown", [None, 100.0])
 @pytest.mark.parametrize("servers", [1, 40, 300])
-def test_a_datagram_carries_as_many_facts_as_fit(four, servers):
+def test_a_datagram_carries_as_many_facts_as_fit(four, servers, slowdown):
     """With a fixed limit of parts per datagram, parts arrive seconds late."""
     sent = []
     four[0].datagrams.send = lambda address, data: sent.append(data)
     for number in range(300):
         key = directory.short_id(f"s{number % servers}")
         four[0].gossip.publish(
-            facts.ServerLoad(server=key, work=10**6, at_s=boottime.now() - 4.9)
+            facts.ServerLoad(
+                server=key,
+                work=10**6,
+                at_s=boottime.now() - 4.9,
+                slowdown=slowdown,
+            )
         )
         part = number.to_bytes(4, "big")
         four[0].gossip.publish(facts.PartCached(server=key, part=part))
