Demand and available capacity: meter, sums, room, and inst.demand

Cause: admission and retry times of the whole fleet need its demand and the slots that servers provide. Conclusion: the interface is usable; nothing feeds the meter yet.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -21,6 +21,7 @@
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
 from irisshelf.gateway.servers import crash_tracker
+from irisshelf.gateway.servers import demand_monitor
 from irisshelf.gateway.servers import eligibility
 from irisshelf.gateway.servers import origin_registry
 from irisshelf.gateway.servers import servers as servers_module
@@ -111,6 +112,14 @@
             rng=rng,
             now=now,
         )
+        self.demand = demand_monitor.DemandMonitor(
+            cfg=cfg,
+            eligible=self.eligible,
+            stats_of=lambda service: self.servers.chooser(service).stats,
+            log=log,
+            counts=self.metrics,
+            now=now,
+        )
         self.crash_tracker = crash_tracker.CrashTracker(
             servers=self.servers,
             listed=self.directory,
@@ -147,6 +156,7 @@
         self.cfg = cfg
         self.servers.cfg = cfg
         self.eligible.cfg = cfg
+        self.demand.cfg = cfg
 
     def log_suspend(self) -> None:
         """Logs whether the machine was suspended since the last call.
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -104,6 +104,26 @@
             "relayed_connections",
             "Open connections to servers for other instances.",
         )
+        self.offered_slots = self._gauge(
+            "service_offered_slots",
+            "Load that the fleet receives, in slots.",
+            "service",
+        )
+        self.admitted_slots = self._gauge(
+            "service_admitted_slots",
+            "Load that the fleet admits, in slots.",
+            "service",
+        )
+        self.available_slots = self._gauge(
+            "service_available_slots",
+            "Slots of the servers that accept requests, by their speed.",
+            "service",
+        )
+        self.in_time_share = self._gauge(
+            "service_in_time_share",
+            "Share of the admitted requests that began within the objective.",
+            "service",
+        )
         self.slept = prometheus_client.Counter(
             "irisshelf_slept_seconds_total",
             "Time that the machine was suspended.",
@@ -135,6 +155,16 @@
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
 
+    def forget_demand(self, service: str) -> None:
+        """Removes the demand and capacity of a service."""
+        for gauge in (
+            self.offered_slots,
+            self.admitted_slots,
+            self.available_slots,
+            self.in_time_share,
+        ):
+            gauge.remove(service)
+
     def _counter(
         self, name: str, text: str, *labels: str
     ) -> prometheus_client.Counter:
@@ -142,9 +172,11 @@
             f"irisshelf_{name}_total", text, labels, registry=self.registry
         )
 
-    def _gauge(self, name: str, text: str) -> prometheus_client.Gauge:
+    def _gauge(
+        self, name: str, text: str, *labels: str
+    ) -> prometheus_client.Gauge:
         return prometheus_client.Gauge(
-            f"irisshelf_{name}", text, registry=self.registry
+            f"irisshelf_{name}", text, labels, registry=self.registry
         )
 
     def _histogram(
