Requests feed the demand meter

Cause: nothing recorded what requests an instance receives and what comes of them. Change: RequestDemand counts each request once as arrived, admitted or rejected, begun in time or failed, and measures the slot time without the wait in the server's queue.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -9,6 +9,7 @@
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import monitored_connection
+from irisshelf.gateway.requests import request_demand
 from irisshelf.gateway.requests import stream_binding
 from irisshelf.routing import outcome
 from irisshelf.routing.direct import event_stream
@@ -81,6 +82,7 @@
         caller: The caller's connection.
         progress: Progress of the response; updated here.
         binding: The release that a stream is bound to; bound here.
+        demand: Counts the response and its time.
         choice: The server, and why it was chosen.
         conn: The connection to it.
         response_timeout_s: Returns how long to wait for more data; its argument
@@ -97,6 +99,7 @@
         caller: caller_side.Connection,
         progress: Progress,
         binding: stream_binding.StreamBinding,
+        demand: request_demand.RequestDemand,
         choice: server_choice.Choice,
         conn: client.Connection,
         response_timeout_s: Callable[[bool], float],
@@ -107,6 +110,7 @@
         self._caller = caller
         self._progress = progress
         self._binding = binding
+        self._demand = demand
         self._choice = choice
         self._conn = conn
         self._response_timeout_s = response_timeout_s
@@ -152,6 +156,9 @@
             overload = self._inst.servers.overload(server.service)
             overload.record_service_time(self._inst.now() - began_s)
             stats.record_residence_time(self._inst.now() - sent_s)
+            self._demand.record_slot_time(
+                self._choice, sent_s=sent_s, head_s=head_s
+            )
         finally:
             stats.record_end(server.server_id, self._inst.now())
             # A connection in the middle of a response is not reusable. Closing
@@ -345,6 +352,7 @@
     def _record_first_byte(self) -> None:
         elapsed_s = self._inst.now() - self._job.inbound.arrived_s
         self._progress.first_byte_s = elapsed_s
+        self._demand.record_begun()
         kind = self._job.route.kind.value
         self._inst.metrics.first_byte.labels(kind).observe(elapsed_s)
 
--- a/irisshelf/gateway/requests/frontend.py
+++ b/irisshelf/gateway/requests/frontend.py
@@ -11,6 +11,7 @@
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
+from irisshelf.gateway.requests import request_demand
 from irisshelf.gateway.requests import request_handler
 from irisshelf.routing.direct import outage
 from irisshelf.transport import errors
@@ -154,11 +155,16 @@
             text = "key is not known"
             self._reject_unknown(conn, head, _UNKNOWN_KEY, text)
             return None
+        job = self._job(inbound, head, catalog.version, route, team)
         why = self._why_busy(route, inbound.arrived_s)
         if why:
+            if not inst.stopping:
+                refused = request_demand.RequestDemand(inst=inst, job=job)
+                refused.record_arrival()
+                refused.record_failed()
             self._reject_unavailable(conn, head, why, admission.RETRY_SOON_S)
             return None
-        return self._job(inbound, head, catalog.version, route, team)
+        return job
 
     def _await_configured(
         self, inbound: messages.InboundRequest, head: messages.RequestHead
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -11,6 +11,7 @@
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import crash_gate
 from irisshelf.gateway.requests import rejection
+from irisshelf.gateway.requests import request_demand
 from irisshelf.gateway.requests import send_history
 from irisshelf.gateway.requests import stream_binding
 from irisshelf.gateway.servers import reachability
@@ -62,6 +63,7 @@
         sends: Its sends so far; unreachable servers are added to those that it
             avoids.
         binding: The release that its stream is bound to.
+        demand: Counts whether it is admitted.
     """
 
     def __init__(
@@ -71,11 +73,13 @@
         job: messages.Job,
         sends: send_history.SendHistory,
         binding: stream_binding.StreamBinding,
+        demand: request_demand.RequestDemand,
     ):
         self._inst = inst
         self._job = job
         self._sends = sends
         self._binding = binding
+        self._demand = demand
         self._chooser = inst.servers.chooser(job.service)
         self._gate = crash_gate.CrashGate(inst=inst, job=job)
         self._admitted = False
@@ -316,6 +320,7 @@
                 why="overloaded", retry_after_s=refusal.retry_after_s
             )
         self._admitted = True
+        self._demand.record_admitted()
         return None
 
     def _may_send_again(self) -> bool:
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -14,6 +14,7 @@
 from irisshelf.gateway.requests import attempt as attempt_module
 from irisshelf.gateway.requests import placement as placement_module
 from irisshelf.gateway.requests import rejection
+from irisshelf.gateway.requests import request_demand
 from irisshelf.gateway.requests import send_history
 from irisshelf.gateway.requests import stream_binding
 from irisshelf.routing import outcome
@@ -21,6 +22,7 @@
 from irisshelf.routing.direct import server_choice
 from irisshelf.routing.direct import server_stats
 from irisshelf.transport import client
+from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
 
 # Time-outs for a silent server while another one may still be tried: a share of
@@ -35,6 +37,7 @@
 _MAX_LOGGED_PARTS = 8
 # A response with more events than this was well under way.
 _EARLY_EVENTS = 4
+_SERVER_ERROR = 500
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
@@ -70,8 +73,13 @@
     def _prepare(self, job: messages.Job) -> None:
         self._job = job
         self._sends = send_history.SendHistory(inst=self._inst, job=job)
+        self._demand = request_demand.RequestDemand(inst=self._inst, job=job)
         self._placement = placement_module.Placement(
-            inst=self._inst, job=job, sends=self._sends, binding=self._binding
+            inst=self._inst,
+            job=job,
+            sends=self._sends,
+            binding=self._binding,
+            demand=self._demand,
         )
 
     def run(self) -> str:
@@ -88,10 +96,14 @@
         self._inst.servers.budget(self._job.service).record_request(
             self._inst.now()
         )
+        self._demand.record_arrival()
         if refusal is not None:
             return self._reject(refusal)
         try:
             return self._run()
+        except (errors.CallerDisconnectedError, OSError):
+            self._demand.record_caller_left()
+            raise
         finally:
             self._placement.close()
 
@@ -133,6 +145,7 @@
             caller=self._caller,
             progress=self._progress,
             binding=self._binding,
+            demand=self._demand,
             choice=choice,
             conn=conn,
             response_timeout_s=self._response_timeout_s,
@@ -219,14 +232,17 @@
         """Sends the final response to a request that is not served."""
         request = self._job.head.request_id
         if self._caller.response_started:
+            self._demand.record_failed()
             self._caller.abort()
             return f"cut_{why}"
         response = self._sends.last_response
         if response is not None and response.status not in _NOT_RUN_STATUSES:
+            self._record_error_response(response)
             self._caller.answer(
                 response.status, list(response.headers), response.body
             )
             return "failed_by_server"
+        self._demand.record_failed()
         if self._inst.isolated:
             # Other instances can serve the caller's next request better.
             self._caller.close_after_answer()
@@ -244,6 +260,13 @@
         self._caller.answer(status, headers, body.encode())
         return f"{request_outcome.value}_{why}"
 
+    def _record_error_response(self, response: messages.CompleteAnswer) -> None:
+        """Counts a response that rejects the request as such like others."""
+        if response.status < _SERVER_ERROR:
+            self._demand.record_begun()
+        else:
+            self._demand.record_failed()
+
     def _retry_in_s(self) -> float:
         """Returns when the caller should retry a request that has not run.
 
