Instances exchange their demand; the fleet's total is inst.demand.service

Cause: each instance knew only the demand that it receives itself. Estimates are smoothed while chance explains their difference.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -21,6 +21,7 @@
 from irisshelf.gateway.knowledge import catch_up
 from irisshelf.gateway.knowledge import crash_gossip
 from irisshelf.gateway.knowledge import datagrams
+from irisshelf.gateway.knowledge import demand_exchange
 from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import follower
 from irisshelf.gateway.knowledge import origin_exchange
@@ -134,6 +135,14 @@
             rng=self._inst.rng,
             now=self._inst.now,
         )
+        self._demand_exchange = demand_exchange.DemandExchange(
+            monitor=self._inst.demand,
+            datagrams=self._datagrams,
+            membership=self._peers.membership,
+            log=self._log,
+            rng=self._inst.rng,
+            now=self._inst.now,
+        )
         self._origins = origin_exchange.OriginExchange(
             releases=self._inst.servers.releases,
             datagrams=self._datagrams,
@@ -274,6 +283,7 @@
         )
         self._inst.servers.publish = gossip.publish
         gevent.spawn(gossip.run)
+        gevent.spawn(self._demand_exchange.run)
 
     def _update_fleet_size(self, local_peers: int) -> None:
         """Updates the fleet size from the size of the own data centre.
--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -25,6 +25,7 @@
     CRASHES = 3
     STREAM_ORIGINS = 4
     STREAM_QUESTIONS = 5
+    DEMAND = 6
 
 
 class Datagrams:
--- a/irisshelf/gateway/servers/demand_monitor.py
+++ b/irisshelf/gateway/servers/demand_monitor.py
@@ -15,6 +15,7 @@
 from irisshelf.overload import detector
 from irisshelf.overload import meter
 from irisshelf.overload import room
+from irisshelf.overload import smoothing
 from irisshelf.routing.direct import server_stats
 
 # For how long the last known demand of the fleet is used.
@@ -129,7 +130,16 @@
 
     def record_total(self, total: demand.InstanceDemand) -> None:
         """Records the demand of the fleet, which has just become known."""
-        self._total = _Total(demand=total, at_s=self._now())
+        now = self._now()
+        before = self._total
+        if before is not None and now - before.at_s <= TOTAL_EXPIRY_S:
+            total = {
+                name: smoothing.smooth(before.demand[name], of_service)
+                if name in before.demand
+                else of_service
+                for name, of_service in total.items()
+            }
+        self._total = _Total(demand=total, at_s=now)
 
     def report(self) -> None:
         """Updates the metrics and logs the begin and end of overloads."""
