Keep what slow callers have not read, so that they occupy no server slot

Cause: a response was written with sendall by the request's greenlet, so that a caller that does not read kept its server's slot. A cut response to an HTTP/1.0 caller is reset.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -197,7 +197,10 @@
         self._front = frontend.Frontend(inst=self._inst)
         self._listeners = [
             self._make_listener(
-                cfg.listen.front, self._front.limits, self._front.handle
+                cfg.listen.front,
+                self._front.limits,
+                self._front.handle,
+                self._front.slow_callers.buffers,
             ),
             self._make_listener(
                 cfg.listen.ready, _admin_limits, self._handle_ready
@@ -296,7 +299,9 @@
     def _local_instance_names(self) -> tuple[str, ...]:
         return self._members.names(self._inst.now())
 
-    def _make_listener(self, address, limits, handle) -> listener.Listener:
+    def _make_listener(
+        self, address, limits, handle, buffers=None
+    ) -> listener.Listener:
         return listener.Listener(
             address=address,
             limits=limits,
@@ -306,6 +311,7 @@
             max_connections=max(
                 1, int(_CALLER_DESCRIPTOR_SHARE * self._inst.cfg.descriptors)
             ),
+            buffers=buffers,
         )
 
     def _begin_stop(self) -> None:
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -74,6 +74,10 @@
         log: Decision log.
         rng: Used for weighted choices and to break ties.
         now: Returns monotonic seconds.
+
+    Attributes:
+        reports_slowdown: Returns whether a server of a service has reported
+            that it is slower or faster than normal.
     """
 
     def __init__(
@@ -134,6 +138,7 @@
         )
         # Fetches the list of servers from peers.
         self.refresh_servers: Callable[[], None] = _do_nothing
+        self.reports_slowdown: Callable[[str], bool] = _reports_none
         self._crashes_known = True
         self._server_list_loaded = False
         self._configured_event = event.Event()
@@ -148,6 +153,13 @@
         self.servers.cfg = cfg
         self.eligible.cfg = cfg
 
+    def buffers_responses(self) -> bool:
+        """Returns whether responses are kept for callers that read slowly."""
+        admission = self.cfg.overload.fleet_admission
+        return admission is settings.FleetAdmission.ON or any(
+            map(self.reports_slowdown, self._service_names())
+        )
+
     def log_suspend(self) -> None:
         """Logs whether the machine was suspended since the last call.
 
@@ -341,5 +353,10 @@
         self._notify_if_configured()
 
 
+def _reports_none(service: str) -> bool:
+    """Default for ``reports_slowdown``: no server has reported one."""
+    return False
+
+
 def _do_nothing() -> None:
     """Default for ``refresh_servers``, used until peers are known."""
--- a/irisshelf/gateway/listener.py
+++ b/irisshelf/gateway/listener.py
@@ -16,6 +16,7 @@
 from gevent import socket
 
 from irisshelf.observe import decision_log
+from irisshelf.transport import response_buffer
 from irisshelf.transport import server as caller_server
 
 _BACKLOG = 512
@@ -31,6 +32,8 @@
         refuse: Builds the response to a request that cannot be parsed.
         log: Log for errors.
         max_connections: Maximum number of open connections; None for no limit.
+        buffers: Keeps what callers have not read yet of their responses; None
+            if nothing is kept.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         refuse: Callable[[int, str], tuple[list[tuple[bytes, bytes]], bytes]],
         log: decision_log.DecisionLog,
         max_connections: int | None = None,
+        buffers: response_buffer.ResponseBuffers | None = None,
     ):
         host, _, port = address.rpartition(":")
         self._limits = limits
@@ -51,6 +55,7 @@
         self._refuse = refuse
         self._log = log
         self._max_connections = max_connections
+        self._buffers = buffers
         # In the order in which they were opened.
         self._conns: dict[caller_server.Connection, None] = {}
         self._server = server.StreamServer(
@@ -90,6 +95,7 @@
             limits=self._limits,
             handle=self._handle,
             refuse=self._refuse,
+            buffers=self._buffers,
         )
         self._conns[conn] = None
         if (
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -104,6 +104,15 @@
             "relayed_connections",
             "Open connections to servers for other instances.",
         )
+        self.buffered_bytes = self._gauge(
+            "response_buffer_bytes",
+            "Bytes of responses that callers have not read yet.",
+        )
+        self.slow_callers = self._counter(
+            "slow_callers_ended",
+            "Callers disconnected as they did not read, by reason.",
+            "reason",
+        )
         self.slept = prometheus_client.Counter(
             "irisshelf_slept_seconds_total",
             "Time that the machine was suspended.",
--- a/irisshelf/gateway/requests/frontend.py
+++ b/irisshelf/gateway/requests/frontend.py
@@ -12,6 +12,7 @@
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import request_handler
+from irisshelf.gateway.requests import slow_callers
 from irisshelf.routing.direct import outage
 from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
@@ -35,10 +36,14 @@
 
     Args:
         inst: The instance.
+
+    Attributes:
+        slow_callers: Its callers that read slowly.
     """
 
     def __init__(self, *, inst: instance_module.Instance):
         self._inst = inst
+        self.slow_callers = slow_callers.SlowCallers(inst=inst)
 
     def limits(self) -> caller_side.Limits:
         """Returns the limits on requests under the configuration in force."""
@@ -81,6 +86,7 @@
         if isinstance(parsed, result.Err):
             self._reject(conn, "", _BAD_REQUEST, parsed.err_value)
             return
+        conn.label_response(parsed.ok_value.request_id)
         job = self._admit(inbound, parsed.ok_value, conn)
         if job is not None:
             self._serve(job, conn)
@@ -89,11 +95,17 @@
         handler = request_handler.RequestHandler(
             inst=self._inst, job=job, caller=conn
         )
-        self._inst.in_flight += 1
-        self._inst.metrics.in_flight.set(self._inst.in_flight)
         ended = "failed_inside"
         try:
-            ended = handler.run()
+            label = self._run(handler)
+            # The request has ended at its server. It does not count as in
+            # flight while its caller reads, since slow callers would otherwise
+            # use up the limit on requests.
+            conn.await_delivery()
+            ended = label
+        except errors.SlowCallerError:
+            ended = "slow_caller"
+            raise
         except errors.CallerDisconnectedError:
             ended = "caller_left"
             raise
@@ -101,10 +113,18 @@
             ended = "caller_lost"
             raise
         finally:
-            self._inst.in_flight -= 1
-            self._inst.metrics.in_flight.set(self._inst.in_flight)
             self._record_end(job, ended, handler)
 
+    def _run(self, handler: request_handler.RequestHandler) -> str:
+        inst = self._inst
+        inst.in_flight += 1
+        inst.metrics.in_flight.set(inst.in_flight)
+        try:
+            return handler.run()
+        finally:
+            inst.in_flight -= 1
+            inst.metrics.in_flight.set(inst.in_flight)
+
     def _record_end(
         self,
         job: messages.Job,
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -14,6 +14,8 @@
 from irisshelf.gateway.requests import attempt as attempt_module
 from irisshelf.gateway.requests import placement as placement_module
 from irisshelf.gateway.requests import rejection
+from irisshelf.gateway.requests import response_relay
+from irisshelf.gateway.requests import send_error
 from irisshelf.gateway.requests import send_history
 from irisshelf.gateway.requests import stream_binding
 from irisshelf.routing import outcome
@@ -63,7 +65,7 @@
         self._binding = stream_binding.StreamBinding(inst=inst, job=job)
         self._prepare(job)
         self._events_before_send = 0
-        self._progress = attempt_module.Progress(
+        self._progress = response_relay.Progress(
             last_event_id=job.head.last_event_id
         )
 
@@ -104,7 +106,7 @@
                 return self._reject(selected)
             try:
                 return self._send(selected.choice, selected.conn)
-            except attempt_module.SendError as exc:
+            except send_error.SendError as exc:
                 stop = self._handle_failure(selected.choice, exc)
             if stop:
                 return self._give_up(stop)
@@ -159,7 +161,7 @@
         return min(remaining_s, max(_MIN_RESPONSE_TIMEOUT_S, timeout_s))
 
     def _handle_failure(
-        self, choice: server_choice.Choice, exc: attempt_module.SendError
+        self, choice: server_choice.Choice, exc: send_error.SendError
     ) -> str:
         """Records a failed send and decides whether to retry.
 
--- a/irisshelf/gateway/requests/send_history.py
+++ b/irisshelf/gateway/requests/send_history.py
@@ -5,7 +5,7 @@
 from irisshelf.catalog import directory
 from irisshelf.gateway import instance
 from irisshelf.gateway import messages
-from irisshelf.gateway.requests import attempt
+from irisshelf.gateway.requests import send_error
 from irisshelf.routing import outcome
 
 # Reason given when a request is rejected or not retried because backend servers
@@ -54,7 +54,7 @@
         return may_have_run < limit and self.count < limit + MAX_EXTRA_SENDS
 
     def record_failure(
-        self, server: directory.BackendServer, exc: attempt.SendError
+        self, server: directory.BackendServer, exc: send_error.SendError
     ) -> None:
         """Records a failed send."""
         if not exc.stale_connection:
@@ -71,7 +71,7 @@
 
     def stop_reason(
         self,
-        exc: attempt.SendError,
+        exc: send_error.SendError,
         *,
         crashed_server: bool,
         remaining_s: float,
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -164,6 +164,7 @@
             handle=self._front.handle,
             refuse=self._front.refuse,
             log=log,
+            buffers=self._front.slow_callers.buffers,
         )
         self.listener.start()
         self._log = log
--- a/irisshelf/transport/errors.py
+++ b/irisshelf/transport/errors.py
@@ -45,5 +45,9 @@
     """The caller has closed its connection."""
 
 
+class SlowCallerError(CallerDisconnectedError):
+    """The caller is disconnected, as it does not read its response."""
+
+
 class CloseIdleError(Exception):
     """Raised in an idle connection's greenlet when the instance closes it."""
--- a/irisshelf/transport/server.py
+++ b/irisshelf/transport/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import http
 from collections.abc import Callable
@@ -11,62 +10,23 @@
 import h11
 from gevent import socket
 
-from irisshelf import boottime
+from irisshelf.transport import closing
 from irisshelf.transport import errors
+from irisshelf.transport import request_reader
+from irisshelf.transport import response_buffer
 
-_READ_BYTES = 65536
 # No more data is read from a caller that has sent this much before it received
 # the response to its current request.
 _MAX_PIPELINED_BYTES = 65536
-# Time limit for a caller to read one part of a response.
+# Time limit for a caller to read one part of a response, unless the listener's
+# response buffers set another one.
 _WRITE_TIMEOUT_S = 10.0
-# Before a socket is closed, input is read and discarded until none arrives for
-# this long: closing it with unread input sends a reset, which discards a
-# response that the caller has not read yet.
-_LINGER_S = 0.5
 _UNAVAILABLE = 503
 # In seconds. Short, because another instance may have capacity at once.
 _RETRY_AFTER_S = b"0.1"
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Limits:
-    """Size and time limits for the requests of a caller.
-
-    Attributes:
-        head_bytes: Maximum size of a request head.
-        body_bytes: Maximum size of a request body.
-        head_s: Time limit for a request head, from its first byte.
-        idle_s: Time limit for an idle connection, and for each read of a body.
-    """
-
-    head_bytes: int
-    body_bytes: int
-    head_s: float
-    idle_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Request:
-    """A complete request.
-
-    Attributes:
-        method: The HTTP method, such as ``POST``.
-        target: Path and query, unchanged.
-        headers: Names and values as sent; the case of names is unchanged.
-        body: The body without its transfer framing.
-        has_body: Whether the headers announce a body, which may be empty.
-        arrived_s: Time at which the head was complete, monotonic seconds.
-        connection_reused: Whether the connection has served a request before.
-    """
-
-    method: str
-    target: str
-    headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
-    has_body: bool
-    arrived_s: float
-    connection_reused: bool
+Limits = request_reader.Limits
+Request = request_reader.Request
 
 
 class _Phase(enum.Enum):
@@ -75,12 +35,6 @@
     ANSWERING = "answering"
 
 
-class _BadRequestError(Exception):
-    def __init__(self, status: int, text: str):
-        super().__init__(text)
-        self.status = status
-
-
 class Connection:
     """Serves the requests on one connection.
 
@@ -90,6 +44,8 @@
         handle: Handles a request and responds through this connection.
         refuse: Returns the headers and body of an error response, given the
             status and a text.
+        buffers: Keeps what the caller has not read yet; without it, responses
+            are written as fast as the caller reads.
     """
 
     def __init__(
@@ -99,6 +55,7 @@
         limits: Callable[[], Limits],
         handle: Callable[[Request, Connection], None],
         refuse: Callable[[int, str], tuple[list[tuple[bytes, bytes]], bytes]],
+        buffers: response_buffer.ResponseBuffers | None = None,
     ):
         self._sock = sock
         self._limits = limits
@@ -107,12 +64,28 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().head_bytes
         )
+        self._reader = request_reader.RequestReader(
+            sock=sock,
+            parser=self._http,
+            send_continue=self._send_continue,
+            on_first_byte=self._on_first_byte,
+        )
+        self._buffers = buffers
+        self._buffer: response_buffer.ResponseBuffer | None = None
+        if buffers is not None:
+            self._buffer = response_buffer.ResponseBuffer(
+                sock=sock, buffers=buffers, on_failed=self._on_undelivered
+            )
+        # Whether the current response may be kept for the caller.
+        self._buffered = False
         self._output = b""
         self._phase = _Phase.IDLE
         self._pipelined = b""
         self._reused = False
         self._close_after = False
         self._aborted = False
+        # Whether the connection failed while a request was handled.
+        self._failed = False
         self._taken_over = False
         self._greenlet = gevent.getcurrent()
         self._watcher: gevent.Greenlet | None = None
@@ -132,15 +105,32 @@
         try:
             while self._serve_one():
                 self._reused = True
-        except (OSError, errors.CallerDisconnectedError, errors.CloseIdleError):
-            # The caller disconnected, or a shutdown closes idle connections.
+        except errors.CloseIdleError:
+            # A shutdown, or the limit on connections, closes idle ones.
             pass
+        except (OSError, errors.CallerDisconnectedError):
+            # The caller disconnected or does not read.
+            self._failed = True
         except h11.LocalProtocolError:
             self.abort()
             raise
         finally:
-            self._stop_watching()
-            self._close_socket()
+            self._clean_up()
+
+    def label_response(self, label: str) -> None:
+        """Names the current response in reports about slow callers."""
+        if self._buffer is not None:
+            self._buffer.label = label
+
+    def await_delivery(self) -> None:
+        """Waits until the whole response has been handed to the socket.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller did not read it, or the
+                connection failed.
+        """
+        if self._buffer is not None:
+            self._buffer.await_delivery()
 
     def reject_over_limit(self) -> None:
         """Makes the connection answer its first request with status 503.
@@ -182,7 +172,11 @@
         self._flush()
 
     def write(self, data: bytes) -> None:
-        """Sends a part of the response immediately."""
+        """Sends a part of the response immediately.
+
+        What the caller's socket does not accept is kept, if the listener keeps
+        responses; otherwise this waits for the caller to read.
+        """
         self._queue(h11.Data(data=data))
         self._flush()
 
@@ -217,8 +211,8 @@
 
     def _serve_one(self) -> bool:
         try:
-            request = self._read_request()
-        except _BadRequestError as exc:
+            request = self._reader.read(self._limits(), reused=self._reused)
+        except request_reader.BadRequestError as exc:
             self._send_error(exc)
             return False
         if request is None:
@@ -227,6 +221,8 @@
         self._start_watching()
         try:
             self._handle(request, self)
+            # Also if the response was aborted: the caller gets what there is.
+            self.await_delivery()
         finally:
             self._stop_watching()
         return self._next_cycle()
@@ -244,11 +240,14 @@
             self._http.receive_data(self._pipelined)
             self._pipelined = b""
         self.response_started = False
+        self._buffered = False
         self._phase = _Phase.IDLE
         return True
 
     def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         self.response_started = True
+        if self._buffers is not None:
+            self._buffered = self._buffers.begin()
         if self._close_after:
             headers = [*headers, (b"Connection", b"close")]
         self._output = b""
@@ -263,96 +262,34 @@
 
     def _flush(self) -> None:
         data, self._output = self._output, b""
-        self._sock.settimeout(_WRITE_TIMEOUT_S)
+        if self._buffered:
+            self._buffer.write(data)
+            return
+        timeout_s = _WRITE_TIMEOUT_S
+        if self._buffers is not None:
+            timeout_s = self._buffers.stalled_s
+        self._sock.settimeout(timeout_s)
         self._sock.sendall(data)
 
-    def _read_request(self) -> Request | None:
-        limits = self._limits()
-        head = self._read_head(limits)
-        if head is None:
-            return None
-        arrived_s = boottime.now()
-        headers = tuple(head.headers.raw_items())
-        has_body = _check_framing(headers, limits)
-        if self._http.they_are_waiting_for_100_continue:
-            self._output = b""
-            self._queue(h11.InformationalResponse(status_code=100, headers=[]))
-            self._flush()
-        body = self._read_body(limits)
-        return Request(
-            method=head.method.decode("ascii"),
-            target=head.target.decode("latin-1"),
-            headers=headers,
-            body=body,
-            has_body=has_body,
-            arrived_s=arrived_s,
-            connection_reused=self._reused,
-        )
+    def _on_undelivered(self, failure: errors.CallerDisconnectedError) -> None:
+        """Ends the request whose response cannot be delivered.
 
-    def _read_head(self, limits: Limits) -> h11.Request | None:
-        deadline_s = boottime.now() + limits.idle_s
-        while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise _BadRequestError(exc.error_status_hint, str(exc)) from exc
-            if isinstance(event, h11.Request):
-                return event
-            if isinstance(event, h11.ConnectionClosed):
-                return None
-            if event is not h11.NEED_DATA:
-                raise _BadRequestError(400, f"{event!r} before a request")
-            data = self._receive(deadline_s)
-            if data is None and self.idle:
-                return None
-            if data is None:
-                raise _BadRequestError(408, f"no head in {limits.head_s} s")
-            if self.idle and data:
-                self._phase = _Phase.READING
-                deadline_s = boottime.now() + limits.head_s
-            self._feed(data)
-
-    def _read_body(self, limits: Limits) -> bytes:
-        parts = []
-        size = 0
-        while True:
-            deadline_s = boottime.now() + limits.idle_s
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as exc:
-                raise _BadRequestError(exc.error_status_hint, str(exc)) from exc
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    raise _body_too_large(size, limits)
-                parts.append(bytes(event.data))
-            elif event is h11.NEED_DATA:
-                data = self._receive(deadline_s)
-                if data is None:
-                    raise _BadRequestError(408, "the body stopped coming in")
-                self._feed(data)
-            else:
-                raise errors.CallerDisconnectedError
+        A request that must run is not ended; ``await_delivery`` reports it.
+        """
+        if self._greenlet is gevent.getcurrent():
+            raise failure
+        if self._watching:
+            self._greenlet.kill(failure, block=False)
 
-    def _feed(self, data: bytes) -> None:
-        try:
-            self._http.receive_data(data)
-        except h11.RemoteProtocolError as exc:
-            raise _BadRequestError(exc.error_status_hint, str(exc)) from exc
-
-    def _receive(self, deadline_s: float) -> bytes | None:
-        remaining_s = deadline_s - boottime.now()
-        if remaining_s <= 0:
-            return None
-        self._sock.settimeout(remaining_s)
-        try:
-            return self._sock.recv(_READ_BYTES)
-        except TimeoutError:
-            return None
+    def _send_continue(self) -> None:
+        self._output = b""
+        self._queue(h11.InformationalResponse(status_code=100, headers=[]))
+        self._flush()
 
-    def _send_error(self, problem: _BadRequestError) -> None:
+    def _on_first_byte(self) -> None:
+        self._phase = _Phase.READING
+
+    def _send_error(self, problem: request_reader.BadRequestError) -> None:
         """Sends an error response to an unreadable request, then closes."""
         if self._http.our_state is not h11.SEND_RESPONSE and (
             self._http.our_state is not h11.IDLE
@@ -361,6 +298,7 @@
         self._close_after = True
         headers, body = self._refuse(problem.status, str(problem))
         self.answer(problem.status, headers, body)
+        self.await_delivery()
 
     def _start_watching(self) -> None:
         """Starts to watch for a disconnect while a request is handled."""
@@ -373,7 +311,7 @@
                 # The socket's time-out is set by the writer, so it cannot be
                 # used for reading here.
                 socket.wait_read(self._sock.fileno())
-                data = self._sock.recv(_READ_BYTES)
+                data = self._sock.recv(request_reader.READ_BYTES)
             except TimeoutError:
                 continue
             except (OSError, ValueError):
@@ -392,41 +330,35 @@
         if watcher is not None and watcher is not gevent.getcurrent():
             watcher.kill(block=True)
 
-    def _close_socket(self) -> None:
+    def _clean_up(self) -> None:
+        undelivered = False
         try:
-            if self._aborted or self._taken_over:
-                self._sock.close()
-                return
-            self._sock.shutdown(socket.SHUT_WR)
-            if not self.idle:
-                self._sock.settimeout(_LINGER_S)
-                while self._sock.recv(_READ_BYTES):
-                    pass
-        except (OSError, errors.CloseIdleError, errors.CallerDisconnectedError):
+            if self._buffer is not None:
+                undelivered = self._buffer.failed
+                self._buffer.discard()
+            self._stop_watching()
+        except errors.CallerDisconnectedError:
+            # The watcher and a failed delivery may both report the end of one
+            # connection.
             pass
         finally:
-            self._sock.close()
-
+            if undelivered or self._would_look_complete():
+                closing.reset(self._sock)
+            elif self._aborted or self._taken_over:
+                self._sock.close()
+            else:
+                closing.close(self._sock, discard_input=not self.idle)
 
-def _check_framing(
-    headers: tuple[tuple[bytes, bytes], ...], limits: Limits
-) -> bool:
-    """Returns whether the headers announce a body.
+    def _would_look_complete(self) -> bool:
+        """Returns whether a response that is cut off would look complete.
 
-    Ambiguous framing is rejected, since it allows request smuggling.
-    """
-    names = [name.lower() for name, _ in headers]
-    chunked = b"transfer-encoding" in names
-    lengths = [v for n, v in headers if n.lower() == b"content-length"]
-    if chunked and lengths:
-        raise _BadRequestError(
-            400, "both Content-Length and Transfer-Encoding, allowed: one"
+        Without chunks, as for HTTP/1.0, the end of the connection ends it.
+        """
+        return (
+            self.response_started
+            and (self._aborted or self._failed)
+            and (self._http.their_http_version or b"1.1") < b"1.1"
         )
-    if names.count(b"host") > 1:
-        raise _BadRequestError(400, "more than one Host header")
-    if lengths and int(lengths[0]) > limits.body_bytes:
-        raise _body_too_large(int(lengths[0]), limits)
-    return chunked or bool(lengths)
 
 
 def _reason(status: int) -> bytes:
@@ -434,9 +366,3 @@
         return http.HTTPStatus(status).phrase.encode()
     except ValueError:
         return b""
-
-
-def _body_too_large(size: int, limits: Limits) -> _BadRequestError:
-    return _BadRequestError(
-        413, f"body has {size} bytes or more, allowed: {limits.body_bytes}"
-    )
