--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -48,6 +48,12 @@
         super().__init__(**options)
         self._socks: set[socket.socket] = set()
 
+    def limit_send_buffers(self, size: int) -> None:
+        """Limits what the kernel holds for each new connection, in bytes."""
+        self._server.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, size
+        )
+
     def kill(self) -> None:
         """Stops accepting connections and ends those that are open."""
         self.stop_accepting()
@@ -115,6 +121,7 @@
     Attributes:
         inst: Its state.
         listener: Its listener for callers.
+        slow_callers: Its callers that read slowly.
         follower: What follows the store.
         peers: Its exchanges with other instances.
         closed: Whether it has ended.
@@ -158,6 +165,7 @@
             rng=random.Random(1),
         )
         self._front = frontend.Frontend(inst=self.inst)
+        self.slow_callers = self._front.slow_callers
         self.listener = _Listener(
             address=_ANY_PORT,
             limits=self._front.limits,
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -160,6 +160,8 @@
         self.before_end_s = 0.0
         # How long it is away after that.
         self.away_s = 0.2
+        # Bytes that each plain answer and each event is longer by.
+        self.padding_bytes = 0
         # How long a slow answer, or one with a pause, stands still.
         self.pause_s = 0.2
         self.on_end: Callable[[], None] = lambda: None
@@ -429,6 +431,7 @@
 
     def _plain(self, fault: Fault, run: Run, conn: http.Connection) -> None:
         body = b"answer to " + run.request_id.encode()
+        body += b"." * self._owner.padding_bytes
         if fault is Fault.STRAY_FIRST:
             self._sock.sendall(_raw_answer(b"an-earlier-one", b"not yours"))
         if fault is Fault.UNFRAMED or self._owner.unframed:
@@ -478,6 +481,7 @@
 
     def _event(self, number: int, version: str) -> bytes:
         suffix = "" if version == FIRST_VERSION else f" of {version}"
+        suffix += "." * self._owner.padding_bytes
         return f"id: {number}\ndata: piece {number}{suffix}\n\n".encode()
 
 
--- a/irisshelf/transport/response_buffer.py
+++ b/irisshelf/transport/response_buffer.py
@@ -127,6 +127,7 @@
 
     Attributes:
         kept_bytes: Memory that is in use.
+        stalled_s: For how long a caller may read nothing, in seconds.
     """
 
     def __init__(
@@ -140,17 +141,14 @@
         self.now = now
         self._limits = limits
         self._on_ended = on_ended
-        self._current = limits()
+        current = limits()
+        self.stalled_s = current.stalled_s
+        self._total_bytes = current.total_bytes
         # In the order in which they began to keep something.
         self._buffers: dict[ResponseBuffer, None] = {}
         # Held by the one writer that waits for memory; others wait for it.
         self._making_room = lock.BoundedSemaphore()
 
-    @property
-    def stalled_s(self) -> float:
-        """For how long a caller may read nothing, in seconds."""
-        return self._current.stalled_s
-
     @property
     def count(self) -> int:
         """Number of responses of which something is kept."""
@@ -159,14 +157,12 @@
     def begin(self) -> bool:
         """Reads the limits; returns whether a new response may be kept."""
         limits = self._limits()
+        self.stalled_s = limits.stalled_s
         if limits.total_bytes:
-            self._current = limits
-            return True
-        # Responses that have begun under another limit go on under it.
-        self._current = dataclasses.replace(
-            limits, total_bytes=self._current.total_bytes
-        )
-        return False
+            # Otherwise responses that are kept already go on under the limit
+            # that they have begun under.
+            self._total_bytes = limits.total_bytes
+        return bool(limits.total_bytes)
 
     def add(self, buffer: ResponseBuffer, size: int) -> None:
         """Counts memory that a response occupies from now on."""
@@ -203,7 +199,7 @@
         self._on_ended(ended)
 
     def _is_within_limit(self) -> bool:
-        return self.kept_bytes <= self._current.total_bytes
+        return self.kept_bytes <= self._total_bytes
 
     def _end_one(self, *, spare_readers: bool) -> bool:
         """Ends a response; returns whether there was one to end."""
