--- a/irisshelf/daemon/admit.py
+++ b/irisshelf/daemon/admit.py
@@ -7,7 +7,7 @@
 
 from gevent import event
 
-from irisshelf.routing.owned import admission
+from irisshelf.overload import waiting
 from irisshelf.routing.owned import service
 
 
@@ -20,12 +20,12 @@
     def enter(
         self,
         router: service.ServiceRouter,
-        ticket: admission.Ticket,
+        ticket: waiting.Ticket,
         now: float,
-    ) -> admission.Admitted | admission.Rejection:
+    ) -> waiting.Admitted | waiting.Rejection:
         """Waits until a request may start or is refused."""
         step = router.admission.submit(ticket, now)
-        if not isinstance(step, admission.Queued):
+        if not isinstance(step, waiting.Queued):
             return step
         decided = event.AsyncResult()
         self._waiting[ticket.request_id] = decided
@@ -43,12 +43,12 @@
         """Counts a request that no longer runs; others may start."""
         self._tell(router.admission.record_end(team, lasted_s))
 
-    def give_up(self, refused: admission.Rejection) -> None:
+    def give_up(self, refused: waiting.Rejection) -> None:
         """Tells a waiting request that it is refused."""
         self._tell([refused])
 
     def _tell(
-        self, steps: Iterable[admission.Admitted | admission.Rejection]
+        self, steps: Iterable[waiting.Admitted | waiting.Rejection]
     ) -> None:
         for step in steps:
             decided = self._waiting.get(step.ticket.request_id)
--- a/irisshelf/daemon/gate.py
+++ b/irisshelf/daemon/gate.py
@@ -9,8 +9,8 @@
 from irisshelf.daemon import node
 from irisshelf.observe import log
 from irisshelf.observe import timeline
+from irisshelf.overload import waiting
 from irisshelf.routing import outcome
-from irisshelf.routing.owned import admission
 from irisshelf.routing.owned import service
 
 MAX_KEY_CHARS = 255
@@ -35,14 +35,14 @@
         """Waits for admission; returns the refusal if it is not granted."""
         now = self._nd.now()
         router.budget.record_request(now)
-        ticket = admission.Ticket(
+        ticket = waiting.Ticket(
             request_id=request_id,
             team=team.name,
             priority=team.cfg.priority,
             deadline_s=now + router.cfg.timeouts.queue_s,
         )
         step = self._admitter.enter(router, ticket, now)
-        if isinstance(step, admission.Admitted):
+        if isinstance(step, waiting.Admitted):
             return None
         return outcome.Refusal(
             outcome=outcome.Outcome.NOT_RUN,
--- a/irisshelf/gateway/requests/admission.py
+++ b/irisshelf/gateway/requests/admission.py
@@ -4,7 +4,7 @@
 
 from irisshelf.gateway import instance
 from irisshelf.gateway import messages
-from irisshelf.routing.direct import overload
+from irisshelf.overload import admission
 from irisshelf.routing.direct import server_choice
 
 # Retry-After for a caller that another instance or server could probably serve
@@ -18,7 +18,7 @@
     choice: server_choice.Choice,
     *,
     resumes: bool = False,
-) -> overload.Refusal | None:
+) -> admission.Refusal | None:
     """Decides whether a request that has not been sent yet is admitted.
 
     Args:
@@ -34,7 +34,7 @@
         return None
     control = inst.servers.overload(job.service)
     now = inst.now()
-    arrival = overload.Arrival(
+    arrival = admission.Arrival(
         priority=job.priority,
         team=job.team,
         objective_s=job.route.latency_target_s,
@@ -67,7 +67,7 @@
     inst: instance.Instance,
     job: messages.Job,
     choice: server_choice.Choice,
-    refusal: overload.Refusal,
+    refusal: admission.Refusal,
 ) -> None:
     inst.log.request(
         "overloaded",
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -23,8 +23,8 @@
 from irisshelf.gateway.servers import server_reach
 from irisshelf.gateway.servers import server_reports
 from irisshelf.observe import decision_log
+from irisshelf.overload import local_admission
 from irisshelf.routing import retry_budget
-from irisshelf.routing.direct import overload
 from irisshelf.routing.direct import prompt
 from irisshelf.routing.direct import server_choice
 from irisshelf.routing.direct import server_stats
@@ -115,8 +115,8 @@
         self._delisted_s: dict[bytes, float] = {}
         self._choosers: dict[str, server_choice.Chooser] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
-        self._overloads: dict[str, overload.AdmissionControl] = (
-            collections.defaultdict(overload.AdmissionControl)
+        self._overloads: dict[str, local_admission.AdmissionControl] = (
+            collections.defaultdict(local_admission.AdmissionControl)
         )
 
     def chooser(self, service: str) -> server_choice.Chooser:
@@ -132,7 +132,7 @@
             self._choosers[service] = found
         return found
 
-    def overload(self, service: str) -> overload.AdmissionControl:
+    def overload(self, service: str) -> local_admission.AdmissionControl:
         """Returns the admission control of a service."""
         return self._overloads[service]
 
--- a/irisshelf/routing/owned/admission.py
+++ b/irisshelf/overload/waiting.py
@@ -16,11 +16,13 @@
 import math
 
 from irisshelf.bundle import schema
+from irisshelf.overload import service_time
 
 RESERVED_SHARE = 0.1
 MAX_WAITING = 4096
 # Weight of the latest request in the moving average of the service time.
 _SERVICE_TIME_WEIGHT = 0.1
+_INITIAL_SERVICE_TIME_S = 1.0
 _RANKS = {
     schema.Priority.URGENT: 0,
     schema.Priority.NORMAL: 1,
@@ -76,7 +78,9 @@
         self._total = 0
         self._queues: dict[tuple[int, str], collections.deque[Ticket]] = {}
         self._waiting = 0
-        self._service_s = 1.0
+        self._service_time = service_time.ServiceTime(
+            initial_s=_INITIAL_SERVICE_TIME_S, weight=_SERVICE_TIME_WEIGHT
+        )
 
     @property
     def running(self) -> int:
@@ -123,7 +127,7 @@
         if self._running[team] <= 0:
             del self._running[team]
         self._total -= 1
-        self._service_s += _SERVICE_TIME_WEIGHT * (duration_s - self._service_s)
+        self._service_time.record(duration_s)
         return self._start_queued()
 
     def expire(self, now: float) -> list[Rejection]:
@@ -156,10 +160,9 @@
             for (other, team), queue in self._queues.items()
             if other < rank or (other == rank and team == ticket.team)
         )
-        interval_s = self._service_s / max(
-            1.0, self._guaranteed_slots(ticket.team)
+        return self._service_time.wait_s(
+            ahead + 1, max(1.0, self._guaranteed_slots(ticket.team))
         )
-        return (ahead + 1) * interval_s
 
     def _guaranteed_slots(self, team: str) -> float:
         share = self._shares.get(team, 1.0)
--- a/irisshelf/routing/owned/service.py
+++ b/irisshelf/routing/owned/service.py
@@ -13,8 +13,8 @@
 from collections.abc import Sequence
 
 from irisshelf.bundle import schema
+from irisshelf.overload import waiting
 from irisshelf.routing import retry_budget
-from irisshelf.routing.owned import admission
 from irisshelf.routing.owned import context
 from irisshelf.routing.owned import health
 from irisshelf.routing.owned import load
@@ -90,7 +90,7 @@
         self._owners: ownership.OwnershipMap | None = None
         self._instance = ""
         self.cfg: schema.Service | None = None
-        self.admission = admission.Admission(limit=1, shares={})
+        self.admission = waiting.Admission(limit=1, shares={})
         self.budget = _budget(schema.RetryBudget(ratio=0.0, burst=0.0))
 
     @property
@@ -297,7 +297,7 @@
         )
         return max(1, round(min(expected, limit) if limit else expected))
 
-    def tick(self, now: float) -> list[admission.Rejection]:
+    def tick(self, now: float) -> list[waiting.Rejection]:
         """Drops old load reports and rejects requests past their deadline."""
         self.placer.loads.expire(now)
         return self.admission.expire(now)
--- a/irisshelf/testing/busy_service.py
+++ b/irisshelf/testing/busy_service.py
@@ -16,8 +16,9 @@
 from collections.abc import Callable
 
 from irisshelf.catalog import directory
+from irisshelf.overload import admission
+from irisshelf.overload import local_admission
 from irisshelf.routing.direct import availability
-from irisshelf.routing.direct import overload
 from irisshelf.routing.direct import prompt
 from irisshelf.routing.direct import server_choice
 
@@ -194,7 +195,7 @@
         ]
         self._stats = [chooser.stats for chooser in self._choosers]
         self._gates = [
-            overload.AdmissionControl() for _ in range(load.instances)
+            local_admission.AdmissionControl() for _ in range(load.instances)
         ]
         self._known = [
             availability.Availability(rng=random.Random(seed + number))
@@ -308,7 +309,7 @@
     ) -> bool:
         gate = self._gates[request.instance]
         refusal = gate.admit(
-            overload.Arrival(
+            admission.Arrival(
                 priority=request.kind.priority,
                 team=request.team,
                 objective_s=request.kind.objective_s,
--- a/irisshelf/tests/test_admission.py
+++ b/irisshelf/tests/test_admission.py
@@ -4,9 +4,9 @@
 
 from irisshelf.bundle import schema
 from irisshelf.charts import chart
+from irisshelf.overload import waiting
 from irisshelf.routing import outcome
 from irisshelf.routing import retry_budget
-from irisshelf.routing.owned import admission
 from irisshelf.routing.owned import health
 from irisshelf.routing.owned import retry
 from irisshelf.routing.owned import stream
@@ -15,7 +15,7 @@
 
 
 def _ticket(name, team="a", priority=_NORMAL, deadline_s=100.0):
-    return admission.Ticket(
+    return waiting.Ticket(
         request_id=name, team=team, priority=priority, deadline_s=deadline_s
     )
 
@@ -26,20 +26,18 @@
 
 
 def test_small_team_is_admitted_during_surge_of_large_team():
-    admission_control = admission.Admission(
+    admission_control = waiting.Admission(
         limit=20, shares={"big": 3.0, "small": 1.0}
     )
     _fill(admission_control, "big", 40)
     assert admission_control.running == 18  # Reserved slots stay free.
     assert isinstance(
-        admission_control.submit(_ticket("s", "small"), 0.0), admission.Admitted
+        admission_control.submit(_ticket("s", "small"), 0.0), waiting.Admitted
     )
 
 
 def test_queued_requests_start_by_priority_then_by_share():
-    admission_control = admission.Admission(
-        limit=1, shares={"a": 1.0, "b": 4.0}
-    )
+    admission_control = waiting.Admission(limit=1, shares={"a": 1.0, "b": 4.0})
     admission_control.submit(_ticket("running"), 0.0)
     admission_control.submit(_ticket("a1", "a"), 0.0)
     admission_control.submit(_ticket("b1", "b"), 0.0)
@@ -54,16 +52,16 @@
 
 
 def test_request_that_cannot_start_in_time_is_rejected_at_once():
-    admission_control = admission.Admission(limit=1, shares={})
+    admission_control = waiting.Admission(limit=1, shares={})
     admission_control.submit(_ticket("running"), 0.0)
     step = admission_control.submit(_ticket("late", deadline_s=0.1), 0.0)
-    assert isinstance(step, admission.Rejection)
+    assert isinstance(step, waiting.Rejection)
     assert step.retry_after_s > 0
     assert admission_control.waiting == 0
 
 
 def test_queued_request_is_rejected_at_its_deadline():
-    admission_control = admission.Admission(limit=1, shares={})
+    admission_control = waiting.Admission(limit=1, shares={})
     admission_control.submit(_ticket("running"), 0.0)
     admission_control.submit(_ticket("queued", deadline_s=5.0), 0.0)
     assert admission_control.expire(4.9) == []
@@ -73,7 +71,7 @@
 
 
 def test_cancelled_request_leaves_the_queue():
-    admission_control = admission.Admission(limit=1, shares={})
+    admission_control = waiting.Admission(limit=1, shares={})
     admission_control.submit(_ticket("running"), 0.0)
     queued = _ticket("queued")
     admission_control.submit(queued, 0.0)
--- a/irisshelf/tests/test_calls.py
+++ b/irisshelf/tests/test_calls.py
@@ -10,6 +10,7 @@
 from irisshelf import boottime
 from irisshelf.bundle import schema
 from irisshelf.coordination import claim
+from irisshelf.overload import service_time
 from irisshelf.store import messages
 from irisshelf.testing import engine
 from irisshelf.testing import faulty
@@ -356,7 +357,9 @@
     made = fleet(token_s=0.2)
     router = made.instances[0].node.services["lm"]
     router.admission.configure(limit=1, shares={"team-a": 1.0})
-    router.admission._service_s = 60.0
+    router.admission._service_time = service_time.ServiceTime(
+        initial_s=60.0, weight=0.1
+    )
     running = gevent.spawn(made.chat)
     gevent.sleep(0.02)
     got = made.chat("n")
--- a/irisshelf/tests/test_overload.py
+++ b/irisshelf/tests/test_overload.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from irisshelf.routing.direct import overload
+from irisshelf.overload import admission as admission_module
+from irisshelf.overload import local_admission
 from irisshelf.testing import busy_service
 
 # Callers wait for a third of their deadlines at most before a retry. Slots are
@@ -123,7 +124,7 @@
         for seen in (burst[0].by_kind[k] for k in ("chat", "report", "label"))
     ]
     assert served[0] >= max(served[1:])
-    assert min(served) >= overload.MIN_SERVED_RATIO * served[0]
+    assert min(served) >= local_admission.MIN_SERVED_RATIO * served[0]
 
 
 def test_retries_of_rejected_callers_are_spread_over_time(burst):
@@ -169,7 +170,7 @@
 def _arrival(
     priority=0, team="a", objective_s=0.3, remaining_s=2.4, resumes=False
 ):
-    return overload.Arrival(
+    return admission_module.Arrival(
         priority=priority,
         team=team,
         objective_s=objective_s,
@@ -188,7 +189,7 @@
     ],
 )
 def test_estimated_wait_by_queue_length(load, slots, wait_s):
-    assert overload.AdmissionControl().estimated_wait_s(
+    assert local_admission.AdmissionControl().estimated_wait_s(
         load, slots
     ) == pytest.approx(wait_s)
 
@@ -207,7 +208,7 @@
     priority, wait_s, new, resumed
 ):
     for resumes, admitted in ((False, new), (True, resumed)):
-        admission = overload.AdmissionControl()
+        admission = local_admission.AdmissionControl()
         for n in range(20):
             admission.admit(_arrival(priority=n % 2), 0.0, n / 100)
         arrival = _arrival(priority=priority, resumes=resumes)
@@ -219,14 +220,14 @@
     ("wait_s", "refused"), [(0.0, False), (0.17, False), (0.19, True)]
 )
 def test_a_request_is_rejected_if_it_would_wait_too_long(wait_s, refused):
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     for n in range(20):
         admission.admit(_arrival(), 0.0, n / 100)
     assert (admission.admit(_arrival(), wait_s, 0.2) is not None) is refused
 
 
 def test_less_urgent_requests_are_rejected_first():
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     for n in range(40):
         admission.admit(_arrival(priority=n % 2), 0.0, n / 100)
     assert admission.admit(_arrival(priority=1), 0.12, 0.4) is not None
@@ -245,25 +246,25 @@
     [("a", 0.0, False), ("a", 0.1, True), ("b", 0.1, False)],
 )
 def test_a_team_far_above_its_share_gets_only_free_slots(team, wait_s, refused):
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     _send_from_teams(admission, "a", 2.0)
     found = admission.admit(_arrival(team=team), wait_s, 2.0)
     assert (found is not None) is refused
 
 
 def test_a_team_at_its_usual_large_share_is_not_limited():
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     _send_from_teams(admission, "a", 600.0)
     assert admission.admit(_arrival(team="a"), 0.1, 600.0) is None
 
 
 def test_a_wait_beyond_the_remaining_time_is_rejected():
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     assert admission.admit(_arrival(remaining_s=0.05), 0.1, 0.0) is not None
 
 
 def test_a_request_that_cannot_start_before_its_deadline_is_rejected():
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     for n in range(20):
         admission.admit(
             _arrival(priority=n % 2), 0.0 if n % 2 else 5.0, n / 100
@@ -272,7 +273,7 @@
 
 
 def test_retry_after_grows_with_the_length_of_an_overload():
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     delays_s = [admission.retry_after_s(0.1, n / 10) for n in range(40)]
     assert delays_s[0] == pytest.approx(0.2)
     assert delays_s[39] == pytest.approx(2 * 3.9)
@@ -280,7 +281,7 @@
 
 
 def test_retry_after_has_an_upper_limit():
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     for n in range(200):
         admission.admit(_arrival(), 0.0 if n < 5 else 9.0, n / 100)
     delays_s = [admission.retry_after_s(9.0, 2.0 + n / 2) for n in range(400)]
@@ -288,6 +289,6 @@
 
 
 def test_a_route_without_an_objective_does_not_set_one():
-    admission = overload.AdmissionControl()
+    admission = local_admission.AdmissionControl()
     admission.admit(_arrival(objective_s=0.0), 0.0, 0.0)
     assert admission.admit(_arrival(objective_s=0.3), 0.1, 0.1) is None
