--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -100,6 +100,8 @@
         full: bool,
         demand: demand_module.ServiceDemand,
         capacity_slots: float,
+        backlog_s: float | None = None,
+        idle: float = 0.0,
     ) -> Refusal | None:
         """Admits or rejects a request.
 
@@ -110,6 +112,9 @@
             full: Whether that server would reject it.
             demand: Demand of the fleet for the service.
             capacity_slots: Available capacity of the service, in slots.
+            backlog_s: Mean expected wait at the servers of the service; by
+                default that at the selected server.
+            idle: Share of the slots of the service that are idle, from 0 to 1.
 
         Returns:
             None if the request is admitted.
@@ -120,13 +125,19 @@
         max_wait_s = _max_wait_s(arrival)
         quotas = self._current_quotas(demand, capacity_slots, now)
         self._correction.update(
-            wait_share=wait_s / max_wait_s if max_wait_s > 0 else math.inf,
+            backlog_s=wait_s if backlog_s is None else backlog_s,
+            idle=idle,
+            max_wait_s=max_wait_s,
             in_time=_in_time(demand),
-            overloaded=quotas.overall_fraction < 1,
+            overloaded=demand.offered_slots > capacity_slots,
             now=now,
         )
         team = demand_module.team_key(arrival.team)
         fraction = quotas.fraction(arrival.priority, team)
+        if self._correction.backlog_s > _backlog_limit_s(
+            arrival.priority, quotas, max_wait_s
+        ):
+            fraction = min(fraction, quotas.least_fraction)
         has_credit = self._has_credit(arrival, team, fraction)
         admitted = has_credit and not full and wait_s <= max_wait_s
         self._admitted.add(admitted, now)
@@ -155,6 +166,10 @@
             quotas = quotas_module.allocate(
                 demand, capacity_slots * self.factor, self._team_weights
             )
+            if self._correction.excess:
+                quotas = quotas.without(
+                    self._correction.excess * capacity_slots
+                )
             self._quotas, self._demand, self._quotas_s = quotas, demand, now
             if quotas.overall_fraction >= 1:
                 self._credits.reset()
@@ -178,6 +193,18 @@
         )
 
 
+def _backlog_limit_s(
+    priority: int, quotas: quotas_module.Quotas, max_wait_s: float
+) -> float:
+    """Returns the backlog up to which a priority gets more than its minimum.
+
+    An overload that has just begun shows in the backlog before it shows in the
+    demand. The least urgent requests make room first.
+    """
+    rank = sum(other < priority for other in quotas.slots_by_priority)
+    return max_wait_s / (1 + rank)
+
+
 def _max_wait_s(arrival: Arrival) -> float:
     """Returns the longest expected wait at which a request is admitted.
 
--- a/irisshelf/overload/quotas.py
+++ b/irisshelf/overload/quotas.py
@@ -51,6 +51,34 @@
             return 1.0
         return self.capacity_slots / self.offered_slots
 
+    @property
+    def least_fraction(self) -> float:
+        """Fraction of its requests that each group is guaranteed."""
+        return MIN_FRACTION_RATIO * self.overall_fraction
+
+    def without(self, slots: float) -> Quotas:
+        """Returns quotas for less load; the least urgent requests make room.
+
+        Unlike ``allocate``, this ignores the guaranteed minimums: it is for a
+        moment in which queues are too long.
+
+        Args:
+            slots: Load by which the quotas are reduced, in slots.
+        """
+        kept = {}
+        for priority in sorted(self.slots_by_priority, reverse=True):
+            allocated = self.slots_by_priority[priority]
+            removed = min(slots, allocated)
+            slots -= removed
+            kept[priority] = 1 - removed / allocated if allocated > 0 else 1.0
+        return dataclasses.replace(
+            self,
+            slots_by_priority=_scale(self.slots_by_priority, kept),
+            fraction_by_priority=_scale(self.fraction_by_priority, kept),
+            slots_by_team=_scale_teams(self.slots_by_team, kept),
+            fraction_by_team=_scale_teams(self.fraction_by_team, kept),
+        )
+
     def fraction(self, priority: int, team: bytes) -> float:
         """Returns the admitted fraction of a team's requests.
 
@@ -126,6 +154,18 @@
     )
 
 
+def _scale(
+    figures: Mapping[int, float], kept: Mapping[int, float]
+) -> dict[int, float]:
+    return {key: figure * kept[key] for key, figure in figures.items()}
+
+
+def _scale_teams(
+    figures: Mapping[Group, float], kept: Mapping[int, float]
+) -> dict[Group, float]:
+    return {key: figure * kept[key[0]] for key, figure in figures.items()}
+
+
 def _overall(offered: float, capacity: float) -> float:
     return 1.0 if offered <= capacity else capacity / offered
 
--- a/irisshelf/testing/busy_service.py
+++ b/irisshelf/testing/busy_service.py
@@ -11,7 +11,6 @@
 import dataclasses
 import heapq
 import itertools
-import math
 import random
 from collections.abc import Callable
 
@@ -21,9 +20,11 @@
 from irisshelf.routing.direct import availability
 from irisshelf.routing.direct import prompt
 from irisshelf.routing.direct import server_choice
+from irisshelf.testing import busy_load
+from irisshelf.testing import busy_server
 
 _SERVICE = "busy"
-_DATA_CENTRE = "here"
+DATA_CENTRE = "here"
 # How long the way from an instance to a server and back takes together.
 _WAY_S = 0.004
 # Instances tell each other the loads of servers four times a second.
@@ -33,131 +34,25 @@
 _REST_KNOWN_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Kind:
-    """A kind of request.
+class Play:
+    """One run of a load.
 
-    Attributes:
-        name: For the outcome.
-        priority: Its rank, 0 is the most urgent.
-        per_s: How many come in a second, on an ordinary day.
-        place_s: How long one takes a place at a server.
-        objective_s: Time within which it should begin.
-        patience_s: Its caller leaves if it has not begun by then.
-        returns_within_s: A refused caller comes back once, when it is told to,
-            but stays away no longer than this.
-    """
-
-    name: str
-    priority: int
-    per_s: float
-    place_s: float
-    objective_s: float
-    patience_s: float
-    returns_within_s: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Load:
-    """What comes, and what is there to serve it.
-
-    Attributes:
-        kinds: Kinds of requests.
-        servers: Servers of the service.
-        slots: Requests that one runs at a time.
-        queue: Requests that may wait at one; more are turned down.
-        instances: Entry instances.
-        length_s: How long requests come.
-        factor: How many times the ordinary load comes at a time.
-        team: Draws a request's team at a time.
-        callers_return: Whether refused callers come back.
-        subjects: How many shared histories the requests are about, each with
-            servers ranked for it, as ``server_choice`` takes them; none:
-            requests share nothing, and ``server_choice`` itself is asked.
-        rest_s: A server that rests turns all down for so long, and asks for it.
-        rests: When servers begin to rest whatever their load, by number.
-        rests_when_full: Whether a server that is full begins to rest.
-        first_share: Share of the requests, at a time, that come at the first
-            instance whatever the others get; callers that return go to any.
-    """
-
-    kinds: tuple[Kind, ...]
-    servers: int
-    slots: int
-    queue: int
-    instances: int
-    length_s: float
-    factor: Callable[[float], float] = lambda at_s: 1.0
-    team: Callable[[float, random.Random], str] = lambda at_s, rng: "team"
-    callers_return: bool = False
-    subjects: int = 0
-    rest_s: float = 0.0
-    rests: tuple[tuple[float, int], ...] = ()
-    rests_when_full: bool = False
-    first_share: Callable[[float], float] = lambda at_s: 0.0
-
-
-@dataclasses.dataclass(kw_only=True)
-class Seen:
-    """What callers saw.
+    Args:
+        load: The load.
+        seed: Of arrivals, teams and ties.
+        admitting: Whether instances refuse early; if not, all is sent.
+        fixed_retry_after_s: Refused callers retry after this time; None: as the
+            instance says.
+        heeding: Whether instances send nothing to servers that rest.
 
     Attributes:
-        asked: Requests that came.
-        in_time: Begun within their objective.
-        late: Begun later.
-        refused: Told at once to come back.
-        turned_down: Found the queue of a server full.
-        left: Callers that left, having waited for nothing.
-        returned: Callers that came back after a refusal.
-        served_at_return: Those of them that were admitted then.
-        retry_after_s: When each refused caller was told to come back, seconds
-            from the start, in the order of the refusals.
+        by_kind: What callers saw, by kind.
+        by_team: The same by team.
     """
 
-    asked: int = 0
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    turned_down: int = 0
-    left: int = 0
-    returned: int = 0
-    served_at_return: int = 0
-    retry_after_s: list[float] = dataclasses.field(default_factory=list)
-
-    def share(self, count: int) -> float:
-        """Returns a count as a share of what came."""
-        return count / self.asked if self.asked else 0.0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Request:
-    kind: Kind
-    team: str
-    came_s: float
-    instance: int
-    returning: bool = False
-    sent_s: float = 0.0
-
-
-class _Server:
-    def __init__(self, slots: int):
-        self.free = slots
-        self.rests_until_s = -math.inf
-        self.rested_s = -math.inf
-        # When it turned down requests, by instance, in each of its rests.
-        self.in_rests: list[dict[int, list[float]]] = []
-        self.waiting: list[tuple[int, int, _Request]] = []
-        self.running = 0
-
-    @property
-    def work(self) -> int:
-        return self.running + len(self.waiting)
-
-
-class _Play:
     def __init__(
         self,
-        load: Load,
+        load: busy_load.Load,
         seed: int,
         admitting: bool,
         fixed_retry_after_s: float | None,
@@ -171,14 +66,16 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._now = 0.0
-        self._servers = [_Server(load.slots) for _ in range(load.servers)]
+        self._servers = [
+            busy_server.Server(load.slots) for _ in range(load.servers)
+        ]
         self._names = [str(n) for n in range(load.servers)]
         self._listed = {
             name: directory.BackendServer(
                 server_id=name,
                 service=_SERVICE,
                 address=name,
-                data_centre=_DATA_CENTRE,
+                data_centre=DATA_CENTRE,
                 slots=load.slots,
             )
             for name in self._names
@@ -189,7 +86,7 @@
         ]
         self._choosers = [
             server_choice.Chooser(
-                data_centre=_DATA_CENTRE, rng=random.Random(seed + number)
+                data_centre=DATA_CENTRE, rng=random.Random(seed + number)
             )
             for number in range(load.instances)
         ]
@@ -201,10 +98,15 @@
             availability.Availability(rng=random.Random(seed + number))
             for number in range(load.instances)
         ]
-        self.by_kind: dict[str, Seen] = collections.defaultdict(Seen)
-        self.by_team: dict[str, Seen] = collections.defaultdict(Seen)
+        self.by_kind: dict[str, busy_load.Seen] = collections.defaultdict(
+            busy_load.Seen
+        )
+        self.by_team: dict[str, busy_load.Seen] = collections.defaultdict(
+            busy_load.Seen
+        )
 
     def run(self) -> None:
+        """Runs the load to its end."""
         for kind in self._load.kinds:
             self._after(self._gap_s(kind), lambda kind=kind: self._come(kind))
         self._after(_TELL_S, self._tell)
@@ -219,7 +121,7 @@
         event = (self._now + wait_s, next(self._order), what)
         heapq.heappush(self._events, event)
 
-    def _gap_s(self, kind: Kind) -> float:
+    def _gap_s(self, kind: busy_load.Kind) -> float:
         return self._rng.expovariate(kind.per_s * self._load.factor(self._now))
 
     def _tell(self) -> None:
@@ -229,11 +131,11 @@
         if self._now < self._load.length_s:
             self._after(_TELL_S, self._tell)
 
-    def _come(self, kind: Kind) -> None:
+    def _come(self, kind: busy_load.Kind) -> None:
         if self._now > self._load.length_s:
             return
         self._after(self._gap_s(kind), lambda: self._come(kind))
-        request = _Request(
+        request = busy_server.Request(
             kind=kind,
             team=self._load.team(self._now, self._rng),
             came_s=self._now,
@@ -249,7 +151,7 @@
             return 0
         return self._rng.randrange(self._load.instances)
 
-    def _choose(self, request: _Request) -> None:
+    def _choose(self, request: busy_server.Request) -> None:
         stats = self._stats[request.instance]
         known = self._known[request.instance]
         names = [n for n in self._names if not known.block(n, self._now)]
@@ -296,7 +198,7 @@
             report_age_s=0.0,
         )
 
-    def _refuse_all_resting(self, request: _Request) -> None:
+    def _refuse_all_resting(self, request: busy_server.Request) -> None:
         if not request.returning:
             self._count(request, "refused")
             if self._load.callers_return:
@@ -305,7 +207,7 @@
                 self._return(request, min(b.remaining_s for b in blocks))
 
     def _is_refused(
-        self, request: _Request, choice: server_choice.Choice
+        self, request: busy_server.Request, choice: server_choice.Choice
     ) -> bool:
         gate = self._gates[request.instance]
         refusal = gate.admit(
@@ -336,7 +238,9 @@
             seen.retry_after_s.append(self._now + retry_after_s)
         return True
 
-    def _return(self, request: _Request, retry_after_s: float) -> None:
+    def _return(
+        self, request: busy_server.Request, retry_after_s: float
+    ) -> None:
         again = dataclasses.replace(
             request,
             instance=self._rng.randrange(self._load.instances),
@@ -346,17 +250,21 @@
         wait_s = min(retry_after_s, request.kind.returns_within_s)
         self._after(wait_s, lambda: self._choose(again))
 
-    def _reach(self, request: _Request, name: str) -> None:
+    def _reach(self, request: busy_server.Request, name: str) -> None:
         server = self._servers[int(name)]
         rests = self._now < server.rests_until_s
         if rests or len(server.waiting) >= self._load.queue:
             self._turn_down(request, name, server)
             return
-        rank = (request.kind.priority, next(self._order), request)
-        heapq.heappush(server.waiting, rank)
+        server.enqueue(request, request.kind.priority)
         self._start(server, name)
 
-    def _turn_down(self, request: _Request, name: str, server: _Server) -> None:
+    def _turn_down(
+        self,
+        request: busy_server.Request,
+        name: str,
+        server: busy_server.Server,
+    ) -> None:
         self._count(request, "turned_down")
         self._stats[request.instance].record_end(name, self._now)
         if self._now >= server.rests_until_s:
@@ -373,14 +281,14 @@
                 name, self._now
             )
 
-    def _begin_rest(self, server: _Server) -> None:
+    def _begin_rest(self, server: busy_server.Server) -> None:
         server.rested_s = self._now
         server.rests_until_s = self._now + self._load.rest_s
         server.in_rests.append(collections.defaultdict(list))
 
-    def _start(self, server: _Server, name: str) -> None:
+    def _start(self, server: busy_server.Server, name: str) -> None:
         while server.waiting and server.free:
-            _, _, request = heapq.heappop(server.waiting)
+            request = server.next_request()
             stats = self._stats[request.instance]
             stats.record_load_report(name, work=server.work + 1, at_s=self._now)
             waited_s = self._now - request.came_s
@@ -399,7 +307,12 @@
                 lambda request=request: self._end(server, name, request),
             )
 
-    def _end(self, server: _Server, name: str, request: _Request) -> None:
+    def _end(
+        self,
+        server: busy_server.Server,
+        name: str,
+        request: busy_server.Request,
+    ) -> None:
         server.free += 1
         server.running -= 1
         stats = self._stats[request.instance]
@@ -408,10 +321,12 @@
         self._gates[request.instance].record_service_time(request.kind.place_s)
         self._start(server, name)
 
-    def _seen(self, request: _Request) -> tuple[Seen, Seen]:
+    def _seen(
+        self, request: busy_server.Request
+    ) -> tuple[busy_load.Seen, busy_load.Seen]:
         return self.by_kind[request.kind.name], self.by_team[request.team]
 
-    def outcome(self) -> Outcome:
+    def outcome(self) -> busy_load.Outcome:
         """Returns what callers and servers saw."""
         counts = [
             sum(at_s > times_s[0] + _REST_KNOWN_S for at_s in times_s)
@@ -419,7 +334,7 @@
             for rest in server.in_rests
             for times_s in rest.values()
         ]
-        return Outcome(
+        return busy_load.Outcome(
             by_kind=dict(self.by_kind),
             by_team=dict(self.by_team),
             rests=tuple(len(server.in_rests) for server in self._servers),
@@ -427,39 +342,19 @@
             most_in_a_rest=max(counts, default=0),
         )
 
-    def _count(self, request: _Request, what: str) -> None:
+    def _count(self, request: busy_server.Request, what: str) -> None:
         for seen in self._seen(request):
             setattr(seen, what, getattr(seen, what) + 1)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Outcome:
-    """What callers saw, by the kind of their request and by their team.
-
-    Attributes:
-        by_kind: By kind.
-        by_team: By team.
-        rests: How many rests each server took.
-        last_rest_s: When the last rest began; minus infinity without.
-        most_in_a_rest: Requests of one instance that a resting server turned
-            down half a second after the first or later, at the most.
-    """
-
-    by_kind: dict[str, Seen]
-    by_team: dict[str, Seen]
-    rests: tuple[int, ...] = ()
-    last_rest_s: float = -math.inf
-    most_in_a_rest: int = 0
-
-
 def play(
-    load: Load,
+    load: busy_load.Load,
     *,
     seed: int,
     admitting: bool = True,
     fixed_retry_after_s: float | None = None,
     heeding: bool = True,
-) -> Outcome:
+) -> busy_load.Outcome:
     """Plays a load from start to end.
 
     Args:
@@ -473,6 +368,6 @@
     Returns:
         What callers saw.
     """
-    run = _Play(load, seed, admitting, fixed_retry_after_s, heeding)
+    run = Play(load, seed, admitting, fixed_retry_after_s, heeding)
     run.run()
     return run.outcome()
--- a/irisshelf/tests/test_backoff_under_load.py
+++ b/irisshelf/tests/test_backoff_under_load.py
@@ -8,9 +8,10 @@
 
 import pytest
 
+from irisshelf.testing import busy_load
 from irisshelf.testing import busy_service
 
-_KIND = busy_service.Kind(
+_KIND = busy_load.Kind(
     name="query",
     priority=0,
     per_s=100.0,
@@ -30,7 +31,7 @@
 
 
 def _load(backoffs, *, rests_when_full=False):
-    return busy_service.Load(
+    return busy_load.Load(
         kinds=(_KIND,),
         servers=4,
         slots=4,
--- a/irisshelf/tests/test_overload.py
+++ b/irisshelf/tests/test_overload.py
@@ -13,12 +13,13 @@
 
 from irisshelf.overload import admission as admission_module
 from irisshelf.overload import local_admission
+from irisshelf.testing import busy_load
 from irisshelf.testing import busy_service
 
 # Callers wait for a third of their deadlines at most before a retry. Slots are
 # occupied for the events of a response at the rate of a full server: 385, 294
 # and 21 tokens at 5.5 ms.
-_CHAT = busy_service.Kind(
+_CHAT = busy_load.Kind(
     name="chat",
     priority=0,
     per_s=67,
@@ -27,7 +28,7 @@
     patience_s=2.4,
     returns_within_s=3.3,
 )
-_REPORT = busy_service.Kind(
+_REPORT = busy_load.Kind(
     name="report",
     priority=1,
     per_s=47,
@@ -36,7 +37,7 @@
     patience_s=2.4,
     returns_within_s=4.0,
 )
-_LABEL = busy_service.Kind(
+_LABEL = busy_load.Kind(
     name="label",
     priority=2,
     per_s=80,
@@ -69,7 +70,7 @@
 
 
 def _load(factor, team=_any_team, callers_return=False):
-    return busy_service.Load(
+    return busy_load.Load(
         kinds=(_CHAT, _REPORT, _LABEL),
         servers=6,
         slots=48,
--- a/irisshelf/tests/test_overload_many_instances.py
+++ b/irisshelf/tests/test_overload_many_instances.py
@@ -15,11 +15,12 @@
 
 import pytest
 
+from irisshelf.testing import busy_load
 from irisshelf.testing import busy_service
 
 # Callers wait for a third of their deadlines at most before a retry. Slots are
 # occupied for the events of a response at the rate of a busy server.
-_QUERY = busy_service.Kind(
+_QUERY = busy_load.Kind(
     name="query",
     priority=0,
     per_s=83.1,
@@ -28,7 +29,7 @@
     patience_s=2.4,
     returns_within_s=3.3,
 )
-_DIGEST = busy_service.Kind(
+_DIGEST = busy_load.Kind(
     name="digest",
     priority=1,
     per_s=46.4,
@@ -37,7 +38,7 @@
     patience_s=4.8,
     returns_within_s=4.0,
 )
-_LABEL = busy_service.Kind(
+_LABEL = busy_load.Kind(
     name="label",
     priority=2,
     per_s=71.1,
@@ -69,7 +70,7 @@
 
 
 def _load(instances, team=_any_team):
-    return busy_service.Load(
+    return busy_load.Load(
         kinds=(_QUERY, _DIGEST, _LABEL),
         servers=9,
         slots=36,
