--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -26,6 +26,7 @@
 from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.knowledge import release_exchange
+from irisshelf.gateway.knowledge import return_exchange
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
@@ -146,6 +147,13 @@
             now=self._inst.now,
         )
         self._inst.origins = self._origins
+        self._inst.returns = return_exchange.ReturnExchange(
+            datagrams=self._datagrams,
+            membership=self._peers.membership,
+            counts=self._inst.metrics,
+            rng=self._inst.rng,
+            now=self._inst.now,
+        )
         self._releases = release_exchange.ReleaseExchange(
             releases=self._inst.servers.releases,
             peers=self._peers,
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -23,6 +23,7 @@
 from irisshelf.gateway.servers import crash_tracker
 from irisshelf.gateway.servers import eligibility
 from irisshelf.gateway.servers import origin_registry
+from irisshelf.gateway.servers import return_registry
 from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.gateway.servers import suspect_requests
 from irisshelf.observe import decision_log
@@ -132,6 +133,8 @@
         self.origins = origin_registry.OriginRegistry(
             releases=self.servers.releases, now=now
         )
+        # Replaced by one that also asks other instances.
+        self.returns = return_registry.ReturnRegistry(draw=rng.random, now=now)
         # Fetches the list of servers from peers.
         self.refresh_servers: Callable[[], None] = _do_nothing
         self._crashes_known = True
--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import ipaddress
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,7 @@
 # One Ethernet frame less the headers, so that datagrams are not fragmented.
 MAX_DATAGRAM_BYTES = 1400
 _RETRY_DELAY_S = 0.25
+_PORT_COUNT = 65536
 
 
 class Kind(enum.IntEnum):
@@ -25,6 +27,8 @@
     CRASHES = 3
     STREAM_ORIGINS = 4
     STREAM_QUESTIONS = 5
+    RETURN_PLACES = 7
+    RETURN_QUESTIONS = 8
 
 
 class Datagrams:
@@ -99,6 +103,21 @@
             self.dispatch(data)
 
 
+def check_address(address: str) -> None:
+    """Checks an address that another instance has sent.
+
+    Raises:
+        ValueError: It is not an IP address and a port. A name is not allowed,
+            as it would have to be resolved.
+    """
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host)
+    if not port.isdecimal() or not 0 < int(port) < _PORT_COUNT:
+        raise ValueError(
+            f"address is {address!r}, allowed: IP address and port"
+        )
+
+
 def encode(kind: Kind, content: Any) -> bytes:
     """Encodes content as a datagram of the given kind."""
     return bytes([kind]) + cbor2.dumps(content)
--- a/irisshelf/gateway/knowledge/origin_questions.py
+++ b/irisshelf/gateway/knowledge/origin_questions.py
@@ -12,7 +12,6 @@
 
 import collections
 import dataclasses
-import ipaddress
 import math
 import random
 from collections.abc import Callable
@@ -33,7 +32,6 @@
 # Most instances of another data centre that are asked.
 _MAX_REMOTE = 32
 _KEYS_PER_DATAGRAM = 120
-_PORT_COUNT = 65536
 # Questions are gathered for longer if there are more instances than these, up
 # to a share of the time for the search.
 _GATHERED_UP_TO = 85
@@ -66,13 +64,7 @@
     forward: bool = False
 
     def __post_init__(self):
-        host, _, port = self.address.rpartition(":")
-        # Raises ValueError for a name, which would have to be resolved.
-        ipaddress.ip_address(host)
-        if not port.isdecimal() or not 0 < int(port) < _PORT_COUNT:
-            raise ValueError(
-                f"address is {self.address!r}, allowed: IP address and port"
-            )
+        datagrams_module.check_address(self.address)
 
 
 class OriginQuestions:
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -77,6 +77,22 @@
             "Origins of streams that were not sent, as too many waited.",
             registry=self.registry,
         )
+        self.returns = self._counter(
+            "returns",
+            "Rejected callers, by whether they have a time to return at.",
+            "service",
+            "result",
+        )
+        self.return_bytes = prometheus_client.Counter(
+            "irisshelf_return_bytes_total",
+            "Bytes sent to other instances about returning callers.",
+            registry=self.registry,
+        )
+        self.silent_holders = prometheus_client.Counter(
+            "irisshelf_return_holders_silent_total",
+            "Questions about returning callers that were not answered in time.",
+            registry=self.registry,
+        )
         self.connects = self._counter(
             "connects", "New connections to servers.", "service"
         )
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -313,9 +313,12 @@
         )
         if refusal is not None:
             return rejection.Rejection(
-                why="overloaded", retry_after_s=refusal.retry_after_s
+                why=refusal.why, retry_after_s=refusal.retry_after_s
             )
         self._admitted = True
+        self._inst.returns.record_admitted(
+            self._job.service, self._job.priority
+        )
         return None
 
     def _may_send_again(self) -> bool:
--- a/irisshelf/overload/reservations.py
+++ b/irisshelf/overload/reservations.py
@@ -40,10 +40,12 @@
     Attributes:
         state: What is known of the reservation.
         wait_s: How long until it is due; 0 unless ``EARLY``.
+        silent: Number of instances that were asked and have not answered.
     """
 
     state: State
     wait_s: float = 0.0
+    silent: int = 0
 
 
 UNKNOWN = Claim(state=State.UNKNOWN)
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -24,6 +24,7 @@
 from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.knowledge import release_exchange
+from irisshelf.gateway.knowledge import return_exchange
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
@@ -213,6 +214,13 @@
             now=boottime.now,
         )
         self.inst.origins = self.origins
+        self.inst.returns = return_exchange.ReturnExchange(
+            datagrams=self._datagrams,
+            membership=self.membership,
+            counts=self.inst.metrics,
+            rng=random.Random(7),
+            now=boottime.now,
+        )
         self.inst.servers.on_releases_changed = self.origins.on_releases_changed
         self.releases = release_exchange.ReleaseExchange(
             releases=self.inst.servers.releases,
--- a/irisshelf/routing/direct/overload.py
+++ b/irisshelf/routing/direct/overload.py
@@ -82,11 +82,13 @@
         retry_after_s: After which time its caller should retry.
         wait_s: The expected wait.
         max_wait_s: The longest wait at which it would have been admitted.
+        why: The reason, for the response.
     """
 
     retry_after_s: float
     wait_s: float
     max_wait_s: float
+    why: str = "overloaded"
 
 
 class AdmissionControl:
--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -30,6 +30,7 @@
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
 from irisshelf.gateway.knowledge import fact_gossip
 from irisshelf.gateway.knowledge import origin_exchange
+from irisshelf.gateway.knowledge import return_exchange
 from irisshelf.gateway.knowledge import server_list
 from irisshelf.gateway.knowledge import store_updates
 from irisshelf.platform import documents
@@ -445,6 +446,13 @@
             has_recent_list=lambda: True,
             now=lambda: 0.0,
         ).origins
+        self.returns = return_exchange.ReturnExchange(
+            datagrams=self,
+            membership=members,
+            counts=metrics.Metrics(),
+            rng=random.Random(1),
+            now=lambda: 0.0,
+        )
 
     def register_handler(self, path, handler):
         """Ignores handlers of questions."""
@@ -492,13 +500,15 @@
         ),
         (datagrams_module.Kind.STREAM_ORIGINS, [b"k" * 8 + b"r" * 6, False]),
         (datagrams_module.Kind.STREAM_ORIGINS, [b"k" * 8 + b"r" * 6]),
+        (datagrams_module.Kind.RETURN_PLACES, [b"f" * 16 + bytes(4)]),
     ],
 )
 def test_a_valid_datagram_is_accepted(kind, content):
     receivers = _Receivers()
     receivers.take(kind, content)
     accepted = [*receivers.updates, *receivers.loads, *receivers.ends]
-    assert len(accepted) + len(receivers.origins) == 1
+    kept = len(receivers.origins) + receivers.returns.kept_count
+    assert len(accepted) + kept == 1
 
 
 @hypothesis.given(
