--- a/irisshelf/gateway/requests/returning.py
+++ b/irisshelf/gateway/requests/returning.py
@@ -16,10 +16,35 @@
 NO_PLACE = "no_place_before_deadline"
 
 
+def recognise(
+    inst: instance_module.Instance, job: messages.Job
+) -> reservations.Claim | None:
+    """Looks for the caller's reservation before admission control decides.
+
+    Otherwise a caller that returns early would be admitted as a new one with
+    the same chance at each attempt, and the more often it comes, the better. A
+    claim in the state ``EARLY`` or ``DUE`` has to be passed to ``resolve``; for
+    others, admission control decides first.
+
+    Args:
+        inst: The instance.
+        job: The request; it has not been sent to a server.
+
+    Returns:
+        The result; None while this instance rejects no requests to the service.
+        Nothing is sent then.
+    """
+    if not inst.returns.is_rejecting(job.service):
+        return None
+    return inst.returns.claim(request_fingerprints.content(job))
+
+
 def resolve(
     inst: instance_module.Instance,
     job: messages.Job,
     refusal: overload.Refusal,
+    *,
+    claim: reservations.Claim | None = None,
 ) -> overload.Refusal | None:
     """Decides what becomes of a request that is about to be rejected.
 
@@ -31,7 +56,9 @@
     Args:
         inst: The instance.
         job: The request.
-        refusal: Why it would be rejected.
+        refusal: Why it would be rejected; ``retry_after_s`` is replaced.
+        claim: What ``recognise`` has returned for this request; if None, the
+            reservation is looked for here.
 
     Returns:
         None if the caller's reservation is due, so that the request is
@@ -39,7 +66,8 @@
         return.
     """
     fingerprint = request_fingerprints.content(job)
-    claim = inst.returns.claim(fingerprint)
+    if claim is None:
+        claim = inst.returns.claim(fingerprint)
     if claim.state is reservations.State.DUE:
         _count(inst, job, "place_used")
         inst.log.request(
--- a/irisshelf/gateway/servers/return_registry.py
+++ b/irisshelf/gateway/servers/return_registry.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from irisshelf.overload import admitted_rates
 from irisshelf.overload import reservations
 from irisshelf.overload import returns
 
+# A service rejects requests until none has been rejected for this time.
+_REJECTING_S = 1.0
+
 
 class ReturnRegistry:
     """Keeps reservations at this instance alone.
@@ -29,6 +33,8 @@
         self._schedules: dict[str, returns.ReturnSchedule] = {}
         self._admitted = admitted_rates.AdmittedRates()
         self._kept = reservations.Reservations()
+        # When a caller of a service was last rejected.
+        self._rejected_s: dict[str, float] = {}
         self.rate_per_s: Callable[[str, int], float] = self._own_rate_per_s
 
     @property
@@ -49,6 +55,8 @@
         not_before_s: float = 0.0,
     ) -> returns.Place | returns.NoPlace:
         """Assigns a reservation; see ``ReturnSchedule.assign``."""
+        now = self._now()
+        self._rejected_s[service] = now
         schedule = self._schedules.get(service)
         if schedule is None:
             schedule = returns.ReturnSchedule(draw=self._draw)
@@ -57,10 +65,15 @@
             priority,
             remaining_s=remaining_s,
             rate_per_s=self.rate_per_s(service, priority),
-            now=self._now(),
+            now=now,
             not_before_s=not_before_s,
         )
 
+    def is_rejecting(self, service: str) -> bool:
+        """Returns whether this instance rejects requests to a service now."""
+        rejected_s = self._rejected_s.get(service, -math.inf)
+        return self._now() - rejected_s <= _REJECTING_S
+
     def record(self, fingerprint: bytes, due_s: float) -> None:
         """Records a reservation that this instance has assigned.
 
--- a/irisshelf/tests/test_returning.py
+++ b/irisshelf/tests/test_returning.py
@@ -251,3 +251,39 @@
         assert world.inst.returns.rate_per_s("lm", 1) > 0
     finally:
         world.close()
+
+
+@pytest.mark.parametrize(
+    ("after_s", "expected"),
+    [
+        pytest.param(0.0, "EARLY", id="early"),
+        pytest.param(0.9, "DUE", id="due"),
+        pytest.param(1.05, None, id="none-rejected-since"),
+    ],
+)
+def test_reservations_are_looked_for_only_while_requests_are_rejected(
+    after_s, expected
+):
+    fleet = _Fleet(count=1)
+    inst, job = fleet.insts[0], _job(fleet.network)
+    assert returning.recognise(inst, job) is None
+    due_s = fleet.network.now + fleet.reject(0).retry_after_s
+    assert due_s < fleet.network.now + 0.25
+    fleet.network.now += after_s
+    claim = returning.recognise(inst, job)
+    assert (claim.state.name if claim else None) == expected
+
+
+@pytest.mark.parametrize(
+    ("after_s", "name"), [(0.0, "returned_early"), (0.9, "place_used")]
+)
+def test_what_was_recognised_is_not_looked_for_again(after_s, name):
+    # Guards against a reservation that is due and is then taken for used.
+    fleet = _Fleet(count=1)
+    inst, job = fleet.insts[0], _job(fleet.network)
+    fleet.reject(0)
+    fleet.network.now += after_s
+    claim = returning.recognise(inst, job)
+    refusal = returning.resolve(inst, job, _REFUSAL, claim=claim)
+    assert (refusal is None) is (name == "place_used")
+    assert fleet.lines[-1][0] == name
