--- a/irisshelf/gateway/requests/admission.py
+++ b/irisshelf/gateway/requests/admission.py
@@ -4,6 +4,8 @@
 
 from irisshelf.gateway import instance
 from irisshelf.gateway import messages
+from irisshelf.gateway.requests import fleet_admission
+from irisshelf.gateway.requests import overload_log
 from irisshelf.overload import admission
 from irisshelf.routing.direct import server_choice
 
@@ -32,6 +34,8 @@
     """
     if not inst.cfg.policy.admission:
         return None
+    if inst.demand.in_effect(job.service):
+        return fleet_admission.check(inst, job, choice, resumes=resumes)
     control = inst.servers.overload(job.service)
     now = inst.now()
     arrival = admission.Arrival(
@@ -44,7 +48,7 @@
     wait_s = control.estimated_wait_s(choice.load, choice.server.slots)
     refusal = control.admit(arrival, wait_s, now, full=choice.full)
     if refusal is not None:
-        _log(inst, job, choice, refusal)
+        overload_log.log_rejection(inst, job, choice, refusal)
     return refusal
 
 
@@ -61,23 +65,3 @@
     if not wait_s:
         return RETRY_SOON_S
     return control.retry_after_s(wait_s, inst.now())
-
-
-def _log(
-    inst: instance.Instance,
-    job: messages.Job,
-    choice: server_choice.Choice,
-    refusal: admission.Refusal,
-) -> None:
-    inst.log.request(
-        "overloaded",
-        job.head.request_id,
-        server=choice.server.server_id,
-        load=round(choice.load, 1),
-        priority=job.priority,
-        team=job.team,
-        full=choice.full,
-        wait_s=round(refusal.wait_s, 3),
-        accepted_s=round(refusal.max_wait_s, 3),
-        retry_after_s=round(refusal.retry_after_s, 3),
-    )
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -23,6 +23,7 @@
 from irisshelf.gateway.servers import server_reach
 from irisshelf.gateway.servers import server_reports
 from irisshelf.observe import decision_log
+from irisshelf.overload import admission
 from irisshelf.overload import local_admission
 from irisshelf.routing import retry_budget
 from irisshelf.routing.direct import prompt
@@ -118,6 +119,7 @@
         self._overloads: dict[str, local_admission.AdmissionControl] = (
             collections.defaultdict(local_admission.AdmissionControl)
         )
+        self._fleet_admissions: dict[str, admission.FleetAdmission] = {}
 
     def chooser(self, service: str) -> server_choice.Chooser:
         """Returns the chooser for a service."""
@@ -136,6 +138,15 @@
         """Returns the admission control of a service."""
         return self._overloads[service]
 
+    def fleet_admission(self, service: str) -> admission.FleetAdmission:
+        """Returns the admission control of a service by the fleet's demand."""
+        found = self._fleet_admissions.get(service)
+        if found is None:
+            weights = self.cfg.overload.team_weights
+            found = admission.FleetAdmission(team_weights=weights)
+            self._fleet_admissions[service] = found
+        return found
+
     def budget(self, service: str) -> retry_budget.RetryBudget:
         """Returns the retry budget of a service."""
         found = self._budgets.get(service)
--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -58,12 +58,14 @@
         wait_s: The expected wait.
         max_wait_s: The longest wait at which it would have been admitted.
         fraction: Admitted fraction of the requests of its priority and team.
+        why: The reason, for the response.
     """
 
     retry_after_s: float
     wait_s: float
     max_wait_s: float
     fraction: float = 1.0
+    why: str = "overloaded"
 
 
 class FleetAdmission:
@@ -86,6 +88,11 @@
         self._demand: demand_module.ServiceDemand | None = None
         self._quotas_s = -math.inf
 
+    @property
+    def quotas(self) -> quotas_module.Quotas | None:
+        """The latest quotas; None before the first request."""
+        return self._quotas
+
     @property
     def factor(self) -> float:
         """Factor by which the estimated capacity is corrected."""
