--- a/irisshelf/testing/returning_callers.py
+++ b/irisshelf/testing/returning_callers.py
@@ -19,9 +19,9 @@
 from irisshelf.catalog import model
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import returning
+from irisshelf.overload import admission
 from irisshelf.overload import reservations
 from irisshelf.overload import returns
-from irisshelf.routing.direct import overload
 from irisshelf.testing import return_network
 
 _SERVICE = "plain"
@@ -199,9 +199,9 @@
             return
         self._return_later(caller, refusal)
 
-    def _admit(self, name: str, caller: Caller) -> overload.Refusal | None:
+    def _admit(self, name: str, caller: Caller) -> admission.Refusal | None:
         wait_s = max(0.0, self._free_s[0] - self._network.now)
-        refusal = overload.Refusal(
+        refusal = admission.Refusal(
             retry_after_s=0.0, wait_s=wait_s, max_wait_s=_MAX_WAIT_S
         )
         has_room = wait_s <= _MAX_WAIT_S
@@ -230,7 +230,7 @@
         self._credit[name] = (credit, now)
         return has_credit
 
-    def _return_later(self, caller: Caller, refusal: overload.Refusal) -> None:
+    def _return_later(self, caller: Caller, refusal: admission.Refusal) -> None:
         now = self._network.now
         remaining_s = caller.arrived_s + _DEADLINE_S - now
         if caller.ignores:
--- a/irisshelf/tests/test_returning.py
+++ b/irisshelf/tests/test_returning.py
@@ -10,13 +10,13 @@
 from irisshelf.gateway.requests import admission
 from irisshelf.gateway.requests import returning
 from irisshelf.gateway.servers import request_fingerprints
+from irisshelf.overload import admission
 from irisshelf.platform.stand_in import world as world_module
-from irisshelf.routing.direct import overload
 from irisshelf.testing import return_network
 
 _SERVICE = "plain"
 _RATE_PER_S = 10.0
-_REFUSAL = overload.Refusal(retry_after_s=9.0, wait_s=0.1, max_wait_s=0.3)
+_REFUSAL = admission.Refusal(retry_after_s=9.0, wait_s=0.1, max_wait_s=0.3)
 
 
 def _job(network, *, request_id="r1", body=b"{}", timeout_s=3.0, team="blue"):
@@ -172,7 +172,7 @@
 def test_a_caller_returns_no_sooner_than_the_queue_admits_it():
     # Guards against reservations at which servers are still full.
     fleet = _Fleet()
-    refusal = overload.Refusal(retry_after_s=9.0, wait_s=1.2, max_wait_s=0.3)
+    refusal = admission.Refusal(retry_after_s=9.0, wait_s=1.2, max_wait_s=0.3)
     told = fleet.reject(0, refusal, timeout_s=30.0)
     assert told.retry_after_s == pytest.approx(0.9)
 
