--- a/irisshelf/testing/returning_callers.py
+++ b/irisshelf/testing/returning_callers.py
@@ -30,7 +30,7 @@
 _CAPACITY_PER_S = _SLOTS / _SERVICE_S
 _OBJECTIVE_S = 0.6
 _DEADLINE_S = 2.5
-_MAX_WAIT_S = _OBJECTIVE_S * overload.MAX_WAIT_SHARE
+_MAX_WAIT_S = _OBJECTIVE_S * admission.MAX_WAIT_SHARE
 _DECISIVE = (reservations.State.EARLY, reservations.State.DUE)
 # Part of the capacity that an instance can save up, and owe, in seconds.
 _MAX_CREDIT_S = 0.2
--- a/irisshelf/tests/test_returning.py
+++ b/irisshelf/tests/test_returning.py
@@ -7,7 +7,7 @@
 
 from irisshelf.catalog import model
 from irisshelf.gateway import messages
-from irisshelf.gateway.requests import admission
+from irisshelf.gateway.requests import admission as admission_module
 from irisshelf.gateway.requests import returning
 from irisshelf.gateway.servers import request_fingerprints
 from irisshelf.overload import admission
@@ -213,7 +213,7 @@
 
 
 def test_the_response_says_that_there_is_no_reservation(world, monkeypatch):
-    monkeypatch.setattr(admission, "check", _resolve_all)
+    monkeypatch.setattr(admission_module, "check", _resolve_all)
     world.inst.returns.rate_per_s = lambda service, priority: 0.01
     # The first reservation is within 100 s, of which nobody would wait a third.
     world.inst.returns.assign("lm", 1, remaining_s=300.0)
@@ -227,7 +227,7 @@
 
 
 def test_a_caller_that_returns_in_time_is_served(world, monkeypatch):
-    monkeypatch.setattr(admission, "check", _resolve_all)
+    monkeypatch.setattr(admission_module, "check", _resolve_all)
     world.inst.returns.rate_per_s = lambda service, priority: 1000.0
     answer = world.ask("/query/1", Request_Id="first")
     assert (answer.status, world.runs("first")) == (503, 0)
