A server that reads a request slowly is not cut off

Cause: the kernel ends a connection whose sent data is not acknowledged for 1.5 s, also while the server's window is closed. A server that read a long body slowly was therefore cut off, and the request counted as one that may have crashed it. The send was bounded by the first response time-out, after which the server could not complete the request any more. Change: for requests over 8 KB, both limits are the caller's deadline; leaving a silent server is decided where its response is awaited, as before. The body is not copied for sending. Between a relay and its server the short limit remains.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -144,6 +144,10 @@
                 headers,
                 job.inbound.body,
                 timeout_s=timeout_s,
+                # The server may read a long body slowly, and counts as loaded
+                # meanwhile. Whether to abandon it is decided while the response
+                # is awaited.
+                body_timeout_s=self._job.deadline_s - self._inst.now(),
             )
         except errors.TransportError as exc:
             raise send_error.transport_failure(exc, self._conn) from exc
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -66,6 +66,7 @@
         # Whether the server has closed its side.
         self._ended = False
         self.idle_s = 0.0
+        self._unread_limit_ms = _USER_TIMEOUT_MS
 
     @property
     def ended_with_response(self) -> bool:
@@ -104,9 +105,19 @@
         body: bytes,
         *,
         timeout_s: float,
+        body_timeout_s: float | None = None,
     ) -> None:
         """Sends a request.
 
+        Args:
+            method: The HTTP method.
+            target: Path and query.
+            headers: Names and values.
+            body: The body.
+            timeout_s: Time limit for the server to read a short request.
+            body_timeout_s: Time limit for it to read a long one, which is sent
+                while the response is awaited; ``timeout_s`` by default.
+
         Raises:
             errors.BrokenConnectionError: The connection failed.
             errors.PeerTimeoutError: The server did not read the request in
@@ -119,17 +130,21 @@
         ]
         if body:
             self._request.insert(1, h11.Data(data=body))
-        data = self._encode_request()
+        parts = self._encode_request()
         self._write_failed = False
-        if len(data) > _BACKGROUND_WRITE_BYTES:
+        if sum(map(len, parts)) > _BACKGROUND_WRITE_BYTES:
+            if body_timeout_s is None:
+                body_timeout_s = timeout_s
+            self._limit_unread(int(body_timeout_s * 1000))
             self._writer = gevent.spawn(
-                self._write_in_background, data, timeout_s
+                self._write_in_background, parts, body_timeout_s
             )
             return
         self._writer = None
+        self._limit_unread(_USER_TIMEOUT_MS)
         try:
             self._sock.settimeout(max(0.001, timeout_s))
-            self._sock.sendall(data)
+            self._sock.sendall(b"".join(parts))
         except TimeoutError as exc:
             raise errors.PeerTimeoutError(
                 "server did not read the request in time"
@@ -220,14 +235,41 @@
             self._writer.kill(block=False)
         self._sock.close()
 
-    def _encode_request(self) -> bytes:
+    def _limit_unread(self, limit_ms: int) -> None:
+        """Sets for how long the server may leave sent data unread.
+
+        The kernel does not distinguish a server that reads nothing, so that no
+        more data may be sent, from one that is out of reach. Between an
+        instance that relays and its server, the short limit remains.
+        """
+        if self.relay:
+            return
+        limit_ms = max(_USER_TIMEOUT_MS, limit_ms)
+        if limit_ms == self._unread_limit_ms:
+            return
+        self._unread_limit_ms = limit_ms
+        try:
+            self._sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms
+            )
+        except OSError as exc:
+            raise errors.BrokenConnectionError(
+                f"connection failed before sending: {exc}"
+            ) from exc
+
+    def _encode_request(self) -> list[bytes]:
+        """Returns the request in parts, without a copy of its body."""
         parts = [self._http.send(event) for event in self._request]
-        return b"".join(part for part in parts if part)
+        return [part for part in parts if part]
 
-    def _write_in_background(self, data: bytes, timeout_s: float) -> None:
+    def _write_in_background(
+        self, parts: list[bytes], timeout_s: float
+    ) -> None:
+        until_s = boottime.now() + timeout_s
         try:
-            self._sock.settimeout(max(0.001, timeout_s))
-            self._sock.sendall(data)
+            for part in parts:
+                self._sock.settimeout(max(0.001, until_s - boottime.now()))
+                self._sock.sendall(part)
         except OSError:
             # Reported by the reading side, which learns how the exchange ended.
             self._write_failed = True
