A request is not kept in memory while its caller reads

Change: the handler returns when the response has been read; the end of the request is reported after delivery (when_delivered). client.py and frontend.py are split (polling, request_end).

--- a/irisshelf/gateway/requests/frontend.py
+++ b/irisshelf/gateway/requests/frontend.py
@@ -11,10 +11,10 @@
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
 from irisshelf.gateway.requests import admission
+from irisshelf.gateway.requests import request_end
 from irisshelf.gateway.requests import request_handler
 from irisshelf.gateway.requests import slow_callers
 from irisshelf.routing.direct import outage
-from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
 
 # After a signal to stop, new streams are accepted for this long, as they may
@@ -95,25 +95,22 @@
         handler = request_handler.RequestHandler(
             inst=self._inst, job=job, caller=conn
         )
-        ended = "failed_inside"
         try:
-            label = self._run(handler)
-            # The request has ended at its server. It does not count as in
-            # flight while its caller reads, since slow callers would otherwise
-            # use up the limit on requests.
-            conn.await_delivery()
-            ended = label
-        except errors.SlowCallerError:
-            ended = "slow_caller"
+            ended = self._run(handler)
+        except BaseException as exc:
+            self._record_end(
+                request_end.summarize(job, handler), request_end.describe(exc)
+            )
             raise
-        except errors.CallerDisconnectedError:
-            ended = "caller_left"
-            raise
-        except OSError:
-            ended = "caller_lost"
-            raise
-        finally:
-            self._record_end(job, ended, handler)
+        # The request has ended at its server. It does not count as in flight
+        # while its caller reads, since slow callers would otherwise use up the
+        # limit on requests.
+        summary = request_end.summarize(job, handler)
+        conn.when_delivered(
+            lambda exc: self._record_end(
+                summary, ended if exc is None else request_end.describe(exc)
+            )
+        )
 
     def _run(self, handler: request_handler.RequestHandler) -> str:
         inst = self._inst
@@ -125,25 +122,19 @@
             inst.in_flight -= 1
             inst.metrics.in_flight.set(inst.in_flight)
 
-    def _record_end(
-        self,
-        job: messages.Job,
-        ended: str,
-        handler: request_handler.RequestHandler,
-    ) -> None:
-        kind = job.route.kind.value
-        lasted_s = self._inst.now() - job.inbound.arrived_s
-        self._inst.metrics.requests.labels(kind, ended).inc()
-        self._inst.metrics.duration.labels(kind).observe(lasted_s)
+    def _record_end(self, summary: request_end.Summary, ended: str) -> None:
+        lasted_s = self._inst.now() - summary.arrived_s
+        self._inst.metrics.requests.labels(summary.kind, ended).inc()
+        self._inst.metrics.duration.labels(summary.kind).observe(lasted_s)
         self._inst.log.request(
             "answered",
-            job.head.request_id,
+            summary.request_id,
             ended=ended,
-            route=job.route.name,
-            team=job.team,
-            catalog=job.version,
+            route=summary.route,
+            team=summary.team,
+            catalog=summary.version,
             lasted_s=round(lasted_s, 4),
-            **handler.summary(),
+            **summary.fields,
         )
 
     def _admit(
--- a/irisshelf/tests/test_slow_callers.py
+++ b/irisshelf/tests/test_slow_callers.py
@@ -1,16 +1,19 @@
 """Callers that read slowly occupy neither servers nor unlimited memory."""
 
 import dataclasses
+import gc
 import re
 
 import gevent
 import pytest
 from gevent import socket
 
+from irisshelf.gateway import messages
 from irisshelf.gateway import settings
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.platform.stand_in.server import Fault
 from irisshelf.transport import client
+from irisshelf.transport import server
 
 _EVENTS = 40
 _PADDING_BYTES = 100_000
@@ -153,6 +156,18 @@
     assert _read(sock).whole
 
 
+def test_a_request_is_not_kept_while_its_caller_reads(world):
+    """Guards memory against the long bodies of many slow callers."""
+    sock = _ask_without_reading(world, Request_Id="slow")
+    _wait_for_servers(world, "slow")
+    assert _buffers(world).kept_bytes > 0
+    gc.collect()
+    requests = (messages.InboundRequest, server.Request)
+    found = [one for one in gc.get_objects() if isinstance(one, requests)]
+    assert not [one for one in found if one.target == "/digest/1"]
+    assert _read(sock).whole
+
+
 def test_events_are_passed_on_as_they_come(world):
     """Guards against a buffer that collects before it sends."""
     for one in world.engines:
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -11,6 +11,7 @@
 
 from irisshelf import boottime
 from irisshelf.transport import errors
+from irisshelf.transport import polling
 
 _READ_BYTES = 65536
 # Larger requests are written by a separate greenlet while the response is read:
@@ -95,7 +96,7 @@
         """Returns whether an idle connection was closed or has unread input."""
         if not self._open:
             return True
-        return _is_ready(self._sock, select.POLLIN)
+        return polling.is_ready(self._sock, select.POLLIN)
 
     def send(
         self,
@@ -213,7 +214,7 @@
 
     def has_input(self) -> bool:
         """Returns whether unread data has arrived."""
-        return self._open and _is_ready(self._sock, select.POLLIN)
+        return self._open and polling.is_ready(self._sock, select.POLLIN)
 
     def shutdown(self) -> None:
         """Shuts the connection down while another greenlet may wait on it.
@@ -354,7 +355,7 @@
         sock.settimeout(max(0.001, timeout_s))
         sock.connect((host, int(port)))
     except TimeoutError as exc:
-        if not _is_connected(sock):
+        if not polling.is_connected(sock):
             sock.close()
             raise errors.ConnectError(
                 f"{address}: {exc}", timed_out=True
@@ -365,27 +366,6 @@
     return sock
 
 
-def _is_connected(sock: socket.socket) -> bool:
-    """Returns whether the connect has succeeded in spite of a time-out.
-
-    When a process resumes after a pause, its timers have expired although the
-    connection may have been established.
-    """
-    if not _is_ready(sock, select.POLLOUT):
-        return False
-    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
-
-
-def _is_ready(sock: socket.socket, events: int) -> bool:
-    """Polls a socket without waiting.
-
-    Uses poll, because select supports only file descriptors below 1,024.
-    """
-    poll = select.poll()
-    poll.register(sock, events)
-    return bool(poll.poll(0))
-
-
 def set_options(sock: socket.socket) -> None:
     """Makes a socket fail soon after the other side has gone silent."""
     options = [
--- a/irisshelf/transport/server.py
+++ b/irisshelf/transport/server.py
@@ -76,6 +76,7 @@
             self._buffer = response_buffer.ResponseBuffer(
                 sock=sock, buffers=buffers, on_failed=self._on_undelivered
             )
+        self._report = _report_to_none
         # Whether the current response may be kept for the caller.
         self._buffered = False
         self._output = b""
@@ -122,15 +123,20 @@
         if self._buffer is not None:
             self._buffer.label = label
 
-    def await_delivery(self) -> None:
-        """Waits until the whole response has been handed to the socket.
+    def when_delivered(
+        self, report: Callable[[BaseException | None], None]
+    ) -> None:
+        """Reports how the delivery of the current response ends.
 
-        Raises:
-            errors.CallerDisconnectedError: The caller did not read it, or the
-                connection failed.
+        The handler returns meanwhile, so that the request is not kept in
+        memory while its caller reads.
+
+        Args:
+            report: Called once after the handler has returned: with None as
+                soon as the whole response has been handed to the socket, or
+                with the error that prevents it.
         """
-        if self._buffer is not None:
-            self._buffer.await_delivery()
+        self._report = report
 
     def reject_over_limit(self) -> None:
         """Makes the connection answer its first request with status 503.
@@ -221,12 +227,32 @@
         self._start_watching()
         try:
             self._handle(request, self)
-            # Also if the response was aborted: the caller gets what there is.
-            self.await_delivery()
+            # Its body may be long, and is not needed any more.
+            del request
+            self._deliver()
         finally:
             self._stop_watching()
         return self._next_cycle()
 
+    def _deliver(self) -> None:
+        """Waits until all that was written has been handed to the socket.
+
+        This is also done if the response was aborted: the caller gets what
+        there is.
+
+        Raises:
+            errors.CallerDisconnectedError: The caller did not read it, or the
+                connection failed.
+        """
+        report, self._report = self._report, _report_to_none
+        try:
+            if self._buffer is not None:
+                self._buffer.await_delivery()
+        except BaseException as exc:
+            report(exc)
+            raise
+        report(None)
+
     def _next_cycle(self) -> bool:
         done = (
             self._http.our_state is h11.DONE
@@ -298,7 +324,7 @@
         self._close_after = True
         headers, body = self._refuse(problem.status, str(problem))
         self.answer(problem.status, headers, body)
-        self.await_delivery()
+        self._deliver()
 
     def _start_watching(self) -> None:
         """Starts to watch for a disconnect while a request is handled."""
@@ -361,6 +387,10 @@
         )
 
 
+def _report_to_none(failure: BaseException | None) -> None:
+    """Default for ``when_delivered``."""
+
+
 def _reason(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
