Admission by fleet demand at the gateway, where it is in effect

Cause: each instance admitted by what it observed itself. Service times are recorded for both kinds of admission. Conclusion: decisions are unchanged until inst.demand is replaced.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -26,6 +26,7 @@
 from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.gateway.servers import suspect_requests
 from irisshelf.observe import decision_log
+from irisshelf.overload import fleet_view
 
 # With ``keys_strict``, how long a key stays valid after the store last
 # confirmed it, as a share of ``key_withdrawn_ms``. The rest is needed because
@@ -132,6 +133,8 @@
         self.origins = origin_registry.OriginRegistry(
             releases=self.servers.releases, now=now
         )
+        # Replaced by one that exchanges demand with other instances.
+        self.demand: fleet_view.FleetView = fleet_view.NoFleetView()
         # Fetches the list of servers from peers.
         self.refresh_servers: Callable[[], None] = _do_nothing
         self._crashes_known = True
--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -149,8 +149,9 @@
                 self._relay_stream(head)
             else:
                 self._relay_complete(head)
-            overload = self._inst.servers.overload(server.service)
-            overload.record_service_time(self._inst.now() - began_s)
+            self._inst.servers.record_service_time(
+                server.service, self._inst.now() - began_s
+            )
             stats.record_residence_time(self._inst.now() - sent_s)
         finally:
             stats.record_end(server.server_id, self._inst.now())
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -23,6 +23,7 @@
 from irisshelf.gateway.servers import server_reach
 from irisshelf.gateway.servers import server_reports
 from irisshelf.observe import decision_log
+from irisshelf.overload import admission
 from irisshelf.overload import local_admission
 from irisshelf.routing import retry_budget
 from irisshelf.routing.direct import prompt
@@ -115,6 +116,7 @@
         self._delisted_s: dict[bytes, float] = {}
         self._choosers: dict[str, server_choice.Chooser] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._fleet_admissions: dict[str, admission.FleetAdmission] = {}
         self._overloads: dict[str, local_admission.AdmissionControl] = (
             collections.defaultdict(local_admission.AdmissionControl)
         )
@@ -132,6 +134,21 @@
             self._choosers[service] = found
         return found
 
+    def fleet_admission(self, service: str) -> admission.FleetAdmission:
+        """Returns the admission control of a service by fleet demand."""
+        found = self._fleet_admissions.get(service)
+        if found is None:
+            found = admission.FleetAdmission(
+                team_weights=self.cfg.overload.team_weights
+            )
+            self._fleet_admissions[service] = found
+        return found
+
+    def record_service_time(self, service: str, service_time_s: float) -> None:
+        """Records for how long a request occupied a slot of a server."""
+        self.overload(service).record_service_time(service_time_s)
+        self.fleet_admission(service).record_service_time(service_time_s)
+
     def overload(self, service: str) -> local_admission.AdmissionControl:
         """Returns the admission control of a service."""
         return self._overloads[service]
--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -18,6 +18,7 @@
 from irisshelf.overload import demand as demand_module
 from irisshelf.overload import quotas as quotas_module
 from irisshelf.overload import retry_times
+from irisshelf.overload import service_time
 
 # The most urgent requests may wait for a slot for this share of the shortest
 # latency objective of the service's routes. The rest of the objective is for
@@ -26,6 +27,8 @@
 # Quotas are computed at most this often, for their cost: a fraction of a
 # millisecond for 32 teams of each priority.
 _QUOTAS_LIFE_S = 0.05
+_INITIAL_SERVICE_TIME_S = 0.5
+_SERVICE_TIME_WEIGHT = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -80,6 +83,12 @@
         }
         self._correction = correction.CapacityCorrection()
         self._credits = credits_module.Credits()
+        self._service_time = service_time.ServiceTime(
+            initial_s=_INITIAL_SERVICE_TIME_S,
+            weight=_SERVICE_TIME_WEIGHT,
+            averages_first=True,
+        )
+        self._min_objective_s = math.inf
         self._admitted = admitted_share.AdmittedShare()
         self._retry_times = retry_times.RetryTimes()
         self._quotas: quotas_module.Quotas | None = None
@@ -91,6 +100,21 @@
         """Factor by which the estimated capacity is corrected."""
         return self._correction.factor
 
+    def record_service_time(self, service_time_s: float) -> None:
+        """Records for how long a request occupied a slot of a server."""
+        self._service_time.record(service_time_s)
+
+    def estimated_wait_s(self, load: float, slots: float) -> float:
+        """Estimates how long one more request waits at a server.
+
+        Args:
+            load: Number of running and waiting requests at the server.
+            slots: Number of requests that it processes concurrently.
+        """
+        if slots <= 0:
+            return 0.0
+        return self._service_time.wait_s(max(0.0, load + 1 - slots), slots)
+
     def admit(
         self,
         arrival: Arrival,
@@ -111,7 +135,8 @@
             now: Time in seconds.
             full: Whether that server would reject it.
             demand: Demand of the fleet for the service.
-            capacity_slots: Available capacity of the service, in slots.
+            capacity_slots: Available capacity of the service, in slots; 0 if
+                it is not known. Then only the expected wait limits requests.
             backlog_s: Mean expected wait at the servers of the service; by
                 default that at the selected server.
             idle: Share of the slots of the service that are idle, from 0 to 1.
@@ -123,18 +148,24 @@
             ValueError: The capacity is out of range.
         """
         max_wait_s = _max_wait_s(arrival)
+        if arrival.objective_s > 0:
+            self._min_objective_s = min(
+                self._min_objective_s, arrival.objective_s
+            )
         quotas = self._current_quotas(demand, capacity_slots, now)
         self._correction.update(
             backlog_s=wait_s if backlog_s is None else backlog_s,
             idle=idle,
-            max_wait_s=max_wait_s,
+            max_wait_s=self._min_objective_s * MAX_WAIT_SHARE,
             in_time=_in_time(demand),
             overloaded=demand.offered_slots > capacity_slots,
             now=now,
         )
         team = demand_module.team_key(arrival.team)
         fraction = quotas.fraction(arrival.priority, team)
-        if self._correction.backlog_s > _backlog_limit_s(
+        if capacity_slots <= 0:
+            fraction = 1.0
+        elif self._correction.backlog_s > _backlog_limit_s(
             arrival.priority, quotas, max_wait_s
         ):
             fraction = min(fraction, quotas.least_fraction)
@@ -145,7 +176,7 @@
             self._credits.charge((arrival.priority, team))
             return None
         return Refusal(
-            retry_after_s=self._retry_after_s(wait_s, now),
+            retry_after_s=self.retry_after_s(wait_s, now),
             wait_s=wait_s,
             max_wait_s=max_wait_s,
             fraction=fraction,
@@ -185,7 +216,13 @@
         has_credit = self._credits.add((arrival.priority, team), fraction)
         return has_credit or arrival.returning or arrival.resumes
 
-    def _retry_after_s(self, wait_s: float, now: float) -> float:
+    def retry_after_s(self, wait_s: float, now: float) -> float:
+        """Returns after which time a caller that is rejected now should retry.
+
+        Args:
+            wait_s: Expected wait at the server, in seconds.
+            now: Time in seconds.
+        """
         return self._retry_times.next_s(
             wait_s=wait_s,
             admitted_per_s=self._admitted.admitted_per_s(now),
@@ -209,11 +246,12 @@
     """Returns the longest expected wait at which a request is admitted.
 
     Only its deadline limits the wait of a resumed stream, as the objective is
-    for a first byte that its caller has received.
+    for a first byte that its caller has received, and that of a request whose
+    route has no objective.
     """
-    objective_s = (
-        arrival.remaining_s if arrival.resumes else arrival.objective_s
-    )
+    objective_s = arrival.objective_s
+    if arrival.resumes or objective_s <= 0:
+        objective_s = arrival.remaining_s
     return min(objective_s * MAX_WAIT_SHARE, arrival.remaining_s)
 
 
--- a/irisshelf/overload/correction.py
+++ b/irisshelf/overload/correction.py
@@ -18,7 +18,7 @@
 # empty waste slots; if they are longer, requests at the servers with more than
 # the mean are late.
 MIN_BACKLOG_SHARE = 0.15
-MAX_BACKLOG_SHARE = 0.4
+MAX_BACKLOG_SHARE = 0.5
 # Least fraction of admitted requests that begin in time; below it, the capacity
 # is reduced although queues seem short.
 MIN_IN_TIME = 0.95
@@ -29,7 +29,7 @@
 # If more than this share of the slots is idle while requests are rejected, the
 # demand has fallen since it was reported. The factor then grows exponentially,
 # by this rate per unit of the idle share, until the slots are in use.
-_IDLE_SHARE = 0.15
+_IDLE_SHARE = 0.3
 _IDLE_GROWTH_PER_S = 2.0
 _IDLE_GAIN_PER_S = 8.0
 _IDLE_FALL_PER_S = 1.5
@@ -37,18 +37,21 @@
 _MAX_IDLE_GROWTH = 3.0
 # Change of the integral part per second and per second of backlog beyond the
 # range.
-_INTEGRAL_GAIN = 0.5
+_INTEGRAL_GAIN = 0.3
 # Change of the integral part per second and unit of the fraction below
 # ``MIN_IN_TIME``. The fraction is older than load reports.
-_LATE_GAIN_PER_S = 0.3
+_LATE_GAIN_PER_S = 0.1
 # Limits of the integral part: estimated service times are rarely wrong by more
 # than a factor of two.
 _MIN_INTEGRAL = 0.5
 _MAX_INTEGRAL = 2.0
 # The integral part returns to 1 with this time constant, so that the reaction
 # to a moment of delayed figures does not last.
-_RESET_S = 2.0
+_RESET_S = 10.0
 _BACKLOG_HALF_LIFE_S = 0.05
+# The fraction in time is as old as this. If queues were long then, they are the
+# reason for late answers, and the proportional part has reacted to them.
+_USUAL_HALF_LIFE_S = 1.0
 # After a pause without requests, only so much time counts.
 _MAX_STEP_S = 0.5
 
@@ -59,6 +62,7 @@
     def __init__(self):
         self._integral = 1.0
         self._backlog_s = 0.0
+        self._usual_backlog_s = 0.0
         self._idle = 0.0
         self._idle_growth = 0.0
         self._max_wait_s = math.inf
@@ -107,18 +111,22 @@
         step = 1 - 0.5 ** (elapsed_s / _BACKLOG_HALF_LIFE_S)
         self._backlog_s += step * (backlog_s - self._backlog_s)
         self._idle += step * (idle - self._idle)
+        usual_step = 1 - 0.5 ** (elapsed_s / _USUAL_HALF_LIFE_S)
+        self._usual_backlog_s += usual_step * (
+            backlog_s - self._usual_backlog_s
+        )
         self._update_idle_growth(elapsed_s)
         deviation_s = self._deviation_s()
         if overloaded:
-            late = max(0.0, MIN_IN_TIME - in_time)
+            late = 0.0
+            if self._usual_backlog_s <= MAX_BACKLOG_SHARE * max_wait_s:
+                late = max(0.0, MIN_IN_TIME - in_time)
             self._integral += elapsed_s * (
                 _INTEGRAL_GAIN * deviation_s - _LATE_GAIN_PER_S * late
             )
         reset = min(1.0, elapsed_s / _RESET_S)
         self._integral += reset * (1.0 - self._integral)
-        self._integral = min(
-            max(self._integral, _MIN_INTEGRAL), _MAX_INTEGRAL
-        )
+        self._integral = min(max(self._integral, _MIN_INTEGRAL), _MAX_INTEGRAL)
 
     def _update_idle_growth(self, elapsed_s: float) -> None:
         excess = self._idle - _IDLE_SHARE
@@ -139,5 +147,7 @@
         least_s = MIN_BACKLOG_SHARE * self._max_wait_s
         most_s = MAX_BACKLOG_SHARE * self._max_wait_s
         if self._backlog_s < least_s:
-            return least_s - self._backlog_s
+            # Idle slots are a negative backlog; of requests that take about as
+            # long as they may wait.
+            return least_s - self._backlog_s + self._idle * self._max_wait_s
         return min(0.0, most_s - self._backlog_s)
--- a/irisshelf/overload/credits.py
+++ b/irisshelf/overload/credits.py
@@ -14,8 +14,9 @@
 from irisshelf.overload import quotas
 
 # Credit that is not used, as a server was full, is lost beyond this number of
-# requests, so that it does not cause a burst later.
-_MAX_CREDIT = 1.0
+# requests, so that it does not cause a burst later. Errors of fractions near 1
+# and of groups that take turns stay below it.
+_MAX_CREDIT = 3.0
 # Returning callers are admitted without credit. What they owe is remembered up
 # to this number of requests.
 _MAX_DEBT = 8.0
--- a/irisshelf/overload/quotas.py
+++ b/irisshelf/overload/quotas.py
@@ -17,6 +17,9 @@
 # Least admitted fraction of a priority or team, relative to that of all
 # requests. Users require a quarter; the rest covers errors of the estimates.
 MIN_FRACTION_RATIO = 0.3
+# Demand of which this share fits is admitted as a whole: estimates vary by more
+# within a second, and each rejection of a request that fits is a loss.
+FITTING_SHARE = 0.9
 # Bounds the weight of the teams that are not listed: a listed team whose demand
 # has almost decayed would otherwise make it arbitrarily large.
 _MAX_OTHER_TEAMS = 512
@@ -171,7 +174,9 @@
 
 
 def _fraction(slots: float, offered: float) -> float:
-    return min(1.0, slots / offered) if offered > 0 else 1.0
+    if offered <= 0 or slots >= FITTING_SHARE * offered:
+        return 1.0
+    return slots / offered
 
 
 def _by_priority(
--- a/irisshelf/overload/service_time.py
+++ b/irisshelf/overload/service_time.py
@@ -9,11 +9,18 @@
     Args:
         initial_s: Assumed mean before any request has ended.
         weight: Weight of the latest request, above 0 and at most 1.
+        averages_first: Whether the first requests count equally and the assumed
+            mean counts as one of them, so that an instance with few requests
+            does not keep the assumed mean for long.
     """
 
-    def __init__(self, *, initial_s: float, weight: float):
+    def __init__(
+        self, *, initial_s: float, weight: float, averages_first: bool = False
+    ):
         self._mean_s = initial_s
         self._weight = weight
+        self._averages_first = averages_first
+        self._count = 1
 
     @property
     def mean_s(self) -> float:
@@ -22,7 +29,11 @@
 
     def record(self, service_time_s: float) -> None:
         """Records for how long a request has occupied a slot."""
-        self._mean_s += self._weight * (service_time_s - self._mean_s)
+        weight = self._weight
+        if self._averages_first:
+            self._count += 1
+            weight = max(weight, 1 / self._count)
+        self._mean_s += weight * (service_time_s - self._mean_s)
 
     def wait_s(self, requests: float, slots: float) -> float:
         """Returns the time in which slots process a number of requests.
--- a/irisshelf/testing/busy_fleet.py
+++ b/irisshelf/testing/busy_fleet.py
@@ -214,6 +214,8 @@
         self, request: _Request, choice: server_choice.Choice
     ) -> bool:
         gate = self._gates[request.instance]
+        if self._load.fleet_admission:
+            gate = self._fleet_gates[request.instance]
         wait_s = gate.estimated_wait_s(choice.load, self._load.slots)
         caller = request.caller
         deadline_s = caller.came_s + caller.kind.patience_s
@@ -223,8 +225,8 @@
             objective_s=request.kind.objective_s,
             remaining_s=deadline_s - self._now,
         )
-        if self._load.fleet_admission:
-            refusal = self._fleet_gates[request.instance].admit(
+        if isinstance(gate, admission.FleetAdmission):
+            refusal = gate.admit(
                 arrival,
                 wait_s=wait_s,
                 now=self._now,
@@ -306,7 +308,8 @@
         stats.record_residence_time(self._now - request.sent_s)
         stats.record_end(name, self._now)
         stats.record_load_report(name, work=server.work, at_s=self._now)
-        self._gates[request.instance].record_service_time(request.kind.place_s)
+        for gates in (self._gates, self._fleet_gates):
+            gates[request.instance].record_service_time(request.kind.place_s)
         caller = request.caller
         if caller.answered_s is None:
             caller.answered_s = self._now
--- a/irisshelf/tests/test_gateway_overload.py
+++ b/irisshelf/tests/test_gateway_overload.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from irisshelf.overload import demand
 from irisshelf.platform.stand_in import server as server_module
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.routing.direct import policy
@@ -56,3 +57,69 @@
     answer = world.ask("/query/1")
     assert answer.status == 503
     assert least_s <= float(answer.headers["retry-after"]) <= most_s
+
+
+class _FleetDemand:
+    """Demand and capacity as other instances might have reported them."""
+
+    def __init__(self, *, offered_slots, services=("lm",)):
+        self._offered_slots = offered_slots
+        self._services = services
+
+    def service(self, name):
+        """Returns the same load of each of three priorities."""
+        assert name in self._services
+        rates = demand.GroupRates(offered_slots=self._offered_slots / 3)
+        return demand.ServiceDemand(by_priority=dict.fromkeys(range(3), rates))
+
+    def capacity_slots(self, name):
+        """Returns the capacity of a service."""
+        assert name in self._services
+        return 64.0
+
+    def in_effect(self, service):
+        """Tells whether the demand is used for a service."""
+        return service in self._services
+
+
+@pytest.mark.parametrize(
+    ("offered_slots", "least", "most"),
+    [
+        pytest.param(60.0, 10, 10, id="fits"),
+        # A twentieth of the requests fits, so that each priority is guaranteed
+        # 0.015 of its requests, and the most urgent one gets the rest.
+        pytest.param(1280.0, 0, 2, id="twenty-times-the-capacity"),
+    ],
+)
+def test_requests_are_admitted_by_the_demand_of_the_fleet(
+    world, offered_slots, least, most
+):
+    """Guards against instances that use only what they observe themselves.
+
+    All slots are in use, and little waits: an instance alone would admit all.
+    """
+    world.inst.demand = _FleetDemand(offered_slots=offered_slots)
+    _report_load(world, 64)
+    statuses = [world.ask("/query/1").status for _ in range(10)]
+    assert set(statuses) <= {200, 503}
+    assert least <= statuses.count(200) <= most
+
+
+def test_other_services_are_not_admitted_by_the_demand_of_the_fleet(world):
+    world.inst.demand = _FleetDemand(offered_slots=1280.0)
+    assert world.ask("/alarm/1").status == 200
+
+
+@pytest.mark.parametrize(
+    ("work", "least_s", "most_s"), [(0, 0.1, 0.1), (64 + 13, 0.2, 0.3)]
+)
+def test_retry_after_is_short_if_the_fleet_had_free_slots(
+    world, work, least_s, most_s
+):
+    world.inst.demand = _FleetDemand(offered_slots=60.0)
+    for engine in world.engines:
+        engine.always = server_module.Fault.REFUSE
+    _report_load(world, work)
+    answer = world.ask("/query/1")
+    assert answer.status == 503
+    assert least_s <= float(answer.headers["retry-after"]) <= most_s
