--- a/irisshelf/gateway/requests/admission.py
+++ b/irisshelf/gateway/requests/admission.py
@@ -7,6 +7,7 @@
 from irisshelf.gateway.requests import fleet_admission
 from irisshelf.gateway.requests import overload_log
 from irisshelf.overload import admission
+from irisshelf.overload import local_admission
 from irisshelf.routing.direct import server_choice
 
 # Retry-After for a caller that another instance or server could probably serve
@@ -60,7 +61,12 @@
     It is short if the server had free slots as far as is known: the rejection
     is then not due to load, and a retry may reach another server.
     """
-    control = inst.servers.overload(choice.server.service)
+    service = choice.server.service
+    control: local_admission.AdmissionControl | admission.FleetAdmission
+    if inst.demand.in_effect(service):
+        control = inst.servers.fleet_admission(service)
+    else:
+        control = inst.servers.overload(service)
     wait_s = control.estimated_wait_s(choice.load, choice.server.slots)
     if not wait_s:
         return RETRY_SOON_S
--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -113,8 +113,9 @@
                 self._relay.relay_stream(head)
             else:
                 self._relay.relay_complete(head)
-            overload = self._inst.servers.overload(server.service)
-            overload.record_service_time(self._inst.now() - began_s)
+            self._inst.servers.record_service_time(
+                server.service, self._inst.now() - began_s
+            )
             stats.record_residence_time(self._inst.now() - sent_s)
             self._demand.record_slot_time(
                 self._choice, sent_s=sent_s, head_s=head_s
--- a/irisshelf/gateway/requests/fleet_admission.py
+++ b/irisshelf/gateway/requests/fleet_admission.py
@@ -116,6 +116,6 @@
     inst: instance.Instance, choice: server_choice.Choice, load: float
 ) -> float:
     """Returns how long a request waits at a server with a load, in seconds."""
-    control = inst.servers.overload(choice.server.service)
+    control = inst.servers.fleet_admission(choice.server.service)
     wait_s = control.estimated_wait_s(load, choice.server.slots)
     return wait_s * inst.demand.slowdown(choice.server)
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -116,10 +116,10 @@
         self._delisted_s: dict[bytes, float] = {}
         self._choosers: dict[str, server_choice.Chooser] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._fleet_admissions: dict[str, admission.FleetAdmission] = {}
         self._overloads: dict[str, local_admission.AdmissionControl] = (
             collections.defaultdict(local_admission.AdmissionControl)
         )
-        self._fleet_admissions: dict[str, admission.FleetAdmission] = {}
 
     def chooser(self, service: str) -> server_choice.Chooser:
         """Returns the chooser for a service."""
@@ -134,6 +134,11 @@
             self._choosers[service] = found
         return found
 
+    def record_service_time(self, service: str, service_time_s: float) -> None:
+        """Records for how long a request occupied a slot of a server."""
+        self.overload(service).record_service_time(service_time_s)
+        self.fleet_admission(service).record_service_time(service_time_s)
+
     def overload(self, service: str) -> local_admission.AdmissionControl:
         """Returns the admission control of a service."""
         return self._overloads[service]
