--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import pathlib
 import random
 import signal
@@ -30,7 +29,6 @@
 from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.gateway.knowledge import return_exchange
 from irisshelf.gateway.knowledge import store_updates
-from irisshelf.gateway.requests import fleet_admission
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
 from irisshelf.gateway.servers import relays
@@ -158,15 +156,14 @@
             now=self._inst.now,
         )
         self._inst.origins = self._origins
-        self._inst.returns = return_exchange.ReturnExchange(
-            datagrams=self._datagrams,
-            membership=self._peers.membership,
-            counts=self._inst.metrics,
-            rng=self._inst.rng,
-            now=self._inst.now,
-        )
-        self._inst.returns.rate_per_s = functools.partial(
-            fleet_admission.return_rate_per_s, self._inst
+        self._inst.use_returns(
+            return_exchange.ReturnExchange(
+                datagrams=self._datagrams,
+                membership=self._peers.membership,
+                counts=self._inst.metrics,
+                rng=self._inst.rng,
+                now=self._inst.now,
+            )
         )
         self._releases = release_exchange.ReleaseExchange(
             releases=self._inst.servers.releases,
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 import math
 import random
 from collections.abc import Callable
@@ -28,6 +29,7 @@
 from irisshelf.gateway.servers import servers as servers_module
 from irisshelf.gateway.servers import suspect_requests
 from irisshelf.observe import decision_log
+from irisshelf.overload import return_rate
 
 # With ``keys_strict``, how long a key stays valid after the store last
 # confirmed it, as a share of ``key_withdrawn_ms``. The rest is needed because
@@ -147,7 +149,9 @@
             releases=self.servers.releases, now=now
         )
         # Replaced by one that also asks other instances.
-        self.returns = return_registry.ReturnRegistry(draw=rng.random, now=now)
+        self.use_returns(
+            return_registry.ReturnRegistry(draw=rng.random, now=now)
+        )
         # Fetches the list of servers from peers.
         self.refresh_servers: Callable[[], None] = _do_nothing
         self.reports_slowdown: Callable[[str], bool] = _reports_none
@@ -166,6 +170,41 @@
         self.eligible.cfg = cfg
         self.demand.cfg = cfg
 
+    def use_returns(self, returns: return_registry.ReturnRegistry) -> None:
+        """Sets where reservations of returning callers are kept."""
+        self.returns = returns
+        returns.rate_per_s = functools.partial(
+            self._return_rate_per_s, returns.rate_per_s
+        )
+
+    def _return_rate_per_s(
+        self,
+        by_own_requests: Callable[[str, int], float],
+        service: str,
+        priority: int,
+    ) -> float:
+        """Returns this instance's part of the rate at which callers may return.
+
+        Args:
+            by_own_requests: Returns the same by what this instance has admitted
+                itself; used until the service's capacity has been allocated.
+            service: The service.
+            priority: Priority of the callers.
+
+        Returns:
+            Requests per second.
+        """
+        quotas = self.servers.fleet_admission(service).quotas
+        if quotas is None:
+            return by_own_requests(service, priority)
+        return return_rate.rate_per_s(
+            priority,
+            quotas=quotas,
+            fleet=self.demand.service(service),
+            own=self.demand.own(service),
+            slot_time_s=self.demand.meter.slot_time_s(service, priority),
+        )
+
     def buffers_responses(self) -> bool:
         """Returns whether responses are kept for callers that read slowly."""
         admission = self.cfg.overload.fleet_admission
--- a/irisshelf/gateway/requests/fleet_admission.py
+++ b/irisshelf/gateway/requests/fleet_admission.py
@@ -12,7 +12,6 @@
 from irisshelf.gateway.requests import returning
 from irisshelf.overload import admission
 from irisshelf.overload import reservations
-from irisshelf.overload import return_rate
 from irisshelf.routing.direct import server_choice
 
 
@@ -42,32 +41,6 @@
     return refusal
 
 
-def return_rate_per_s(
-    inst: instance.Instance, service: str, priority: int
-) -> float:
-    """Returns this instance's part of the rate at which callers may return.
-
-    Args:
-        inst: The instance.
-        service: The service.
-        priority: Priority of the callers.
-
-    Returns:
-        Requests per second; 0 before any request of the service was decided
-        about.
-    """
-    quotas = inst.servers.fleet_admission(service).quotas
-    if quotas is None:
-        return 0.0
-    return return_rate.rate_per_s(
-        priority,
-        quotas=quotas,
-        fleet=inst.demand.service(service),
-        own=inst.demand.own(service),
-        slot_time_s=inst.demand.meter.slot_time_s(service, priority),
-    )
-
-
 def _decide(
     inst: instance.Instance,
     job: messages.Job,
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -223,12 +223,14 @@
             now=boottime.now,
         )
         self.inst.origins = self.origins
-        self.inst.returns = return_exchange.ReturnExchange(
-            datagrams=self._datagrams,
-            membership=self.membership,
-            counts=self.inst.metrics,
-            rng=random.Random(7),
-            now=boottime.now,
+        self.inst.use_returns(
+            return_exchange.ReturnExchange(
+                datagrams=self._datagrams,
+                membership=self.membership,
+                counts=self.inst.metrics,
+                rng=random.Random(7),
+                now=boottime.now,
+            )
         )
         self.inst.servers.on_releases_changed = self.origins.on_releases_changed
         self.releases = release_exchange.ReleaseExchange(
