--- a/irisshelf/tests/test_gateway_fleet_admission.py
+++ b/irisshelf/tests/test_gateway_fleet_admission.py
@@ -31,12 +31,13 @@
 def _record_demand(world, **offered):
     """Records the fleet's demand by priority, such as ``p0``, in capacities.
 
-    All slots are busy: demand does not count while servers are idle.
+    All slots are busy and the queues are as short as they should be, so that
+    the capacity is not corrected.
     """
     stats = world.inst.servers.chooser(_SERVICE).stats
     for engine in world.engines:
         stats.record_load_report(
-            engine.server_id, work=70, at_s=world.inst.now()
+            engine.server_id, work=66, at_s=world.inst.now()
         )
     rates = {
         int(name[1:]): demand.GroupRates(
