Servers are chosen by the slowdown that they report

Cause: the slowdown was not used. While servers are slow in turn, requests went on to the slow one; servers that are slow for good stayed idle until the others had long queues, since their whole slowdown multiplied their cost. The part of a slowdown above the average multiplies the cost; the lasting part adds a constant and steepens the cost beyond the slots. Load bounds are weighted by what servers sustain. Where slowdowns are reported, the cap holds for requests without shared parts too, and a server that was slow is not chosen next by all instances at once. Servers with three figures are chosen as before.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -140,7 +140,7 @@
                 self._inst.servers.reports.record_response(server, sent_s)
             self._check(head)
             head_s = self._inst.now()
-            stats.record_duration(server.server_id, head_s - sent_s)
+            stats.record_response_time(server.server_id, sent_s, head_s)
             # A stream holds a slot at the server from its first event on. The
             # time before that shows how busy the server is, not how fast.
             began_s = sent_s
--- a/irisshelf/gateway/servers/server_reach.py
+++ b/irisshelf/gateway/servers/server_reach.py
@@ -25,6 +25,7 @@
 from irisshelf.observe import decision_log
 from irisshelf.routing.direct import own_link
 from irisshelf.routing.direct import server_paths
+from irisshelf.routing.direct import server_state
 from irisshelf.routing.direct import server_stats
 from irisshelf.transport import client
 from irisshelf.transport import errors
@@ -182,14 +183,14 @@
 
     def connect_failure(
         self, server: directory.BackendServer
-    ) -> server_stats.ConnectFailure | None:
+    ) -> server_state.ConnectFailure | None:
         """Returns how connections to an unreachable server have failed."""
         stats = self._stats_of(server.service)
         return stats.connect_failure(server.server_id)
 
     def recent_connect_failure(
         self, server: directory.BackendServer
-    ) -> server_stats.ConnectFailure | None:
+    ) -> server_state.ConnectFailure | None:
         """Returns the failures if another attempt now would fail as well.
 
         That is so if the server is probed in the background, and the latest of
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -152,6 +152,16 @@
         )
         return found
 
+    def reports_slowdown(self, service: str) -> bool:
+        """Returns whether servers of a service have reported slowdowns lately.
+
+        That is, in ``slowdown.REPORTED_S``, to this or another instance.
+        """
+        chooser = self._choosers.get(service)
+        return chooser is not None and chooser.stats.slowdowns.is_reported(
+            self._now()
+        )
+
     def record_reported_load(
         self, server: directory.BackendServer, load: messages.Load
     ) -> None:
@@ -159,9 +169,11 @@
         now = self._now()
         work = load.running + load.waiting
         stats = self.chooser(server.service).stats
-        stats.record_load_report(server.server_id, work=work, at_s=now)
-        key = directory.short_id(server.server_id)
         slowdown = load.slowdown if load.reports_slowdown else None
+        stats.record_load_report(
+            server.server_id, work=work, at_s=now, slowdown=slowdown
+        )
+        key = directory.short_id(server.server_id)
         self.publish(
             facts.ServerLoad(server=key, work=work, at_s=now, slowdown=slowdown)
         )
@@ -232,7 +244,10 @@
         if server is not None:
             stats = self.chooser(server.service).stats
             stats.record_load_report(
-                server.server_id, work=fact.work, at_s=fact.at_s
+                server.server_id,
+                work=fact.work,
+                at_s=fact.at_s,
+                slowdown=fact.slowdown,
             )
 
     def publish_cold(self, changes: Iterable[directory.Change]) -> None:
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -26,6 +26,7 @@
 from irisshelf.catalog import directory
 from irisshelf.routing.direct import cache_locations
 from irisshelf.routing.direct import fetch_source
+from irisshelf.routing.direct import load_bounds
 from irisshelf.routing.direct import load_limits
 from irisshelf.routing.direct import policy as policy_module
 from irisshelf.routing.direct import prompt
@@ -238,8 +239,8 @@
         mean = total / (len(loads) + len(idle))
         held = self._reachable_holders(sources, requested.affinity_key, now)
         ranked = self._by_preference(pool, requested, held, now)
-        bound = self._load_bound(requested, loads, mean)
-        server, reason = self._first_within(bound, ranked, held, loads, now)
+        bounds = self._load_bounds(requested, loads, mean, now)
+        server, reason = self._first_within(bounds, ranked, held, loads, now)
         return self._choice(
             server,
             reason,
@@ -249,31 +250,44 @@
             source=self._source(sources, server, requested, now),
         )
 
-    def _load_bound(
-        self, requested: prompt.Prompt, loads: dict[str, float], mean: float
-    ) -> float:
-        if not self._policy.load_bound:
-            return math.inf
+    def _load_bounds(
+        self,
+        requested: prompt.Prompt,
+        loads: dict[str, float],
+        mean: float,
+        now: float,
+    ) -> load_bounds.LoadBounds:
+        is_long = requested.shared_tokens >= LONG_PREFIX_TOKENS
+        factor = LONG_LOAD_FACTOR if is_long else LOAD_FACTOR
         active_mean = sum(loads.values()) / len(loads)
-        bound = max(
-            _bound(requested, mean),
-            _ACTIVE_MEAN_FACTOR * active_mean + LOAD_EXTRA,
+        return load_bounds.LoadBounds(
+            weights=self.stats.slowdowns.weights(loads, now),
+            mean_multiple=factor * mean,
+            active_multiple=_ACTIVE_MEAN_FACTOR * active_mean,
+            extra=LONG_LOAD_EXTRA if is_long else LOAD_EXTRA,
+            active_extra=LOAD_EXTRA,
+            cap=CAP_FACTOR * mean + CAP_EXTRA,
         )
-        return min(bound, CAP_FACTOR * mean + CAP_EXTRA)
 
     def _first_within(
         self,
-        bound: float,
+        bounds: load_bounds.LoadBounds,
         ranked: Sequence[directory.BackendServer],
         held: dict[str, cache_locations.CacheEntry],
         loads: dict[str, float],
         now: float,
     ) -> tuple[directory.BackendServer, Reason]:
         for rank, server in enumerate(ranked):
-            limit = min(bound, self._load_limit(server, now))
-            if loads[server.server_id] + 1 <= limit:
+            name = server.server_id
+            limit = self._load_limit(server, now)
+            if self._policy.load_bound:
+                limit = min(limit, bounds.bound(name))
+            if loads[name] + 1 <= limit:
                 return server, _reason(server, rank, held)
-        least = min(ranked, key=lambda s: loads[s.server_id])
+        least = min(
+            ranked,
+            key=lambda s: bounds.excess(s.server_id, loads[s.server_id]),
+        )
         return least, Reason.LEAST_LOADED
 
     def _by_preference(
@@ -340,15 +354,20 @@
         added = stale_load.spread_unreported(costs, unreported)
         known = {one.name: one.known_requests for one in costs}
         loads = {name: known[name] + added[name] for name in known}
+        mean = sum(loads.values()) / len(loads)
+        # Without slowdowns, costs keep servers of equal speed below the cap.
+        cap = math.inf
+        if self.stats.slowdowns:
+            cap = CAP_FACTOR * mean + CAP_EXTRA
         open_names = {
             server.server_id
             for server in pool
-            if loads[server.server_id] + 1 <= self._load_limit(server, now)
+            if loads[server.server_id] + 1
+            <= min(cap, self._load_limit(server, now))
         }
         open_costs = [one for one in costs if one.name in open_names]
         name = stale_load.choose(open_costs or costs, added, self._rng)
         server = next(s for s in pool if s.server_id == name)
-        mean = sum(loads.values()) / len(loads)
         return dataclasses.replace(
             self._choice(server, Reason.FASTEST, loads[name], mean, now),
             # Requests are not rejected for load that is only estimated, nor for
@@ -410,12 +429,6 @@
     return firsts.get(data_centre)
 
 
-def _bound(requested: prompt.Prompt, mean: float) -> float:
-    if requested.shared_tokens >= LONG_PREFIX_TOKENS:
-        return LONG_LOAD_FACTOR * mean + LONG_LOAD_EXTRA
-    return LOAD_FACTOR * mean + LOAD_EXTRA
-
-
 def _reason(
     server: directory.BackendServer,
     rank: int,
--- a/irisshelf/routing/direct/server_stats.py
+++ b/irisshelf/routing/direct/server_stats.py
@@ -7,17 +7,16 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
 import enum
 import math
 
+from irisshelf.routing.direct import server_state
+from irisshelf.routing.direct import slowdown as slowdown_module
+
 # A load report loses weight exponentially, since the requests that it counts
 # end: responses last about a second. After three time constants it is ignored.
 REPORT_DECAY_S = 1.5
 MAX_REPORT_AGE_S = 4.5
-# Starts and ends of own requests that are kept for each server.
-_MAX_CHANGES = 64
 # A failing server is ejected for this time before a single trial request;
 # doubled with each ejection, up to the maximum.
 FIRST_EJECTION_S = 0.6
@@ -54,78 +53,29 @@
     RELAY_LOST = "relay_lost"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LoadEstimate:
-    """Estimate of a server's current load.
-
-    Attributes:
-        remaining: Known requests that it still has.
-        sent: Those of them that this instance has sent since the last report.
-        ended: Requests counted in the last report that have ended since.
-    """
-
-    remaining: float
-    sent: int
-    ended: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConnectFailure:
-    """Failed attempts to connect to a server.
-
-    Attributes:
-        timed_out: Whether the latest one got no response at all.
-        count: Number of attempts in a row.
-        at_s: When the latest one failed, monotonic seconds.
-    """
-
-    timed_out: bool
-    count: int
-    at_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Server:
-    own_requests: int = 0
-    last_send_number: float = float("-inf")
-    sent_since_report: int = 0
-    reported_requests: int = 0
-    reported_s: float = float("-inf")
-    changes: collections.deque[tuple[float, int]] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=_MAX_CHANGES)
-    )
-    failure_rate: float = 0.0
-    outcomes: int = 0
-    consecutive_failures: int = 0
-    ejections: int = 0
-    ejected_until_s: float = float("-inf")
-    awaiting_outcome: bool = False
-    unreachable: bool = False
-    connect_failures: int = 0
-    timed_out: bool = True
-    last_unreachable_s: float = float("-inf")
-    last_received_s: float = float("-inf")
-    duration_s: float = 0.0
-
-
 class ServerStats:
     """Statistics of the servers of one service.
 
     Args:
         ejects: Whether servers that fail requests are ejected for a while.
+
+    Attributes:
+        slowdowns: What servers report about their speed.
     """
 
     def __init__(self, *, ejects: bool = True):
         self._ejects = ejects
-        self._servers: dict[str, _Server] = {}
+        self._servers: dict[str, server_state.ServerState] = {}
         self._residence_time_s = 0.0
         self._sends = 0
+        self.slowdowns = slowdown_module.Slowdowns()
 
     def retain(self, names: frozenset[str]) -> None:
         """Removes unlisted servers without requests of this instance."""
         for name in [n for n in self._servers if n not in names]:
             if not self._servers[name].own_requests:
                 del self._servers[name]
+        self.slowdowns.retain(names)
 
     def record_start(self, name: str, now: float) -> None:
         """Counts a request that this instance sends to a server."""
@@ -143,7 +93,14 @@
         server.own_requests = max(0, server.own_requests - 1)
         server.changes.append((now, -1))
 
-    def record_load_report(self, name: str, *, work: int, at_s: float) -> bool:
+    def record_load_report(
+        self,
+        name: str,
+        *,
+        work: int,
+        at_s: float,
+        slowdown: float | None = None,
+    ) -> bool:
         """Records a server's load report.
 
         Args:
@@ -151,6 +108,8 @@
             work: Number of requests that run or wait there.
             at_s: Time of the report; reports not newer than the last one are
                 ignored.
+            slowdown: Its processing time relative to normal; None if it does
+                not report that.
 
         Returns:
             Whether the report was used.
@@ -158,6 +117,8 @@
         server = self._get(name)
         if at_s <= server.reported_s:
             return False
+        if slowdown is not None:
+            self.slowdowns.record(name, slowdown, at_s)
         server.reported_requests = work
         server.reported_s = at_s
         server.sent_since_report = sum(
@@ -174,6 +135,22 @@
         step = duration_s - server.duration_s
         server.duration_s += _DURATION_WEIGHT * step
 
+    def record_response_time(
+        self, name: str, sent_s: float, answered_s: float
+    ) -> None:
+        """Records when a server was sent a request and when it answered.
+
+        The time is divided by the server's slowdown meanwhile, so that its
+        normal speed and its slowdown are not counted twice.
+
+        Args:
+            name: The server.
+            sent_s: When it was sent, monotonic seconds.
+            answered_s: When the response or its first byte was received.
+        """
+        slowdown = self.slowdowns.mean(name, sent_s, answered_s)
+        self.record_duration(name, (answered_s - sent_s) / slowdown)
+
     def record_residence_time(self, residence_time_s: float) -> None:
         """Records the time from the sending of a request to its end."""
         if not self._residence_time_s:
@@ -186,6 +163,10 @@
         """Returns a server's average response time; 0 if unknown."""
         return self._get(name).duration_s
 
+    def slowdown(self, name: str, now: float) -> float:
+        """Returns a server's slowdown; 1.0 if it has never reported any."""
+        return self.slowdowns.current(name, now)
+
     def own_requests(self, name: str) -> int:
         """Returns the number of requests that this instance has at a server."""
         return self._get(name).own_requests
@@ -232,7 +213,7 @@
         others = sum(fresh) / len(fresh) if fresh else 0.0
         return {name: self.load(name, now, others=others) for name in names}
 
-    def estimate(self, name: str, now: float) -> LoadEstimate:
+    def estimate(self, name: str, now: float) -> server_state.LoadEstimate:
         """Estimates how many of the known requests a server still has.
 
         The share of the reported requests that has ended since follows from the
@@ -245,7 +226,7 @@
             -age_s / (self._residence_time_s or REPORT_DECAY_S)
         )
         sent = min(server.sent_since_report, server.own_requests)
-        return LoadEstimate(
+        return server_state.LoadEstimate(
             remaining=max(float(server.own_requests), left + sent),
             sent=sent,
             ended=server.reported_requests - left,
@@ -320,12 +301,12 @@
         server.timed_out = timed_out
         server.last_unreachable_s = now
 
-    def connect_failure(self, name: str) -> ConnectFailure | None:
+    def connect_failure(self, name: str) -> server_state.ConnectFailure | None:
         """Returns the latest failure to connect to an unreachable server."""
         server = self._get(name)
         if not server.unreachable:
             return None
-        return ConnectFailure(
+        return server_state.ConnectFailure(
             timed_out=server.timed_out,
             count=server.connect_failures,
             at_s=server.last_unreachable_s,
@@ -373,22 +354,26 @@
         """Returns a server's recent failure rate, from 0 to 1."""
         return self._get(name).failure_rate
 
-    def _get(self, name: str) -> _Server:
+    def _get(self, name: str) -> server_state.ServerState:
         server = self._servers.get(name)
         if server is None:
-            server = self._servers[name] = _Server()
+            server = self._servers[name] = server_state.ServerState()
         return server
 
-    def _mark_unreachable(self, server: _Server, now: float) -> str:
+    def _mark_unreachable(
+        self, server: server_state.ServerState, now: float
+    ) -> str:
         before, server.unreachable = server.unreachable, True
         server.last_unreachable_s = now
         return "" if before else "unreachable"
 
-    def _end_ejection(self, server: _Server) -> None:
+    def _end_ejection(self, server: server_state.ServerState) -> None:
         server.ejections = 0
         server.ejected_until_s = float("-inf")
 
-    def _eject(self, server: _Server, now: float, why: str) -> str:
+    def _eject(
+        self, server: server_state.ServerState, now: float, why: str
+    ) -> str:
         if now < server.ejected_until_s or not self._ejects:
             return ""
         ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**server.ejections)
@@ -396,7 +381,7 @@
         server.ejected_until_s = now + ejection_s
         return why
 
-    def _is_outlier(self, name: str, server: _Server) -> bool:
+    def _is_outlier(self, name: str, server: server_state.ServerState) -> bool:
         other_rates = [
             s.failure_rate for n, s in self._servers.items() if n != name
         ]
--- a/irisshelf/routing/direct/stale_load.py
+++ b/irisshelf/routing/direct/stale_load.py
@@ -47,7 +47,7 @@
         cost: Cost at the known load, in any unit.
         marginal_cost: Added by each further request, in the same unit; above 0.
         known_requests: Requests known to be there, see
-            ``server_stats.LoadEstimate``.
+            ``server_state.LoadEstimate``.
         sent: Those of them that this instance has sent since the last report.
         ended: Requests that have ended since the report.
         sends_to_others: Requests that this instance has sent to other servers
--- a/irisshelf/testing/busy_service.py
+++ b/irisshelf/testing/busy_service.py
@@ -20,6 +20,7 @@
 from irisshelf.routing.direct import overload
 from irisshelf.routing.direct import prompt
 from irisshelf.routing.direct import server_choice
+from irisshelf.testing import slow_servers
 
 _SERVICE = "busy"
 _DATA_CENTRE = "here"
@@ -78,6 +79,8 @@
         rests_when_full: Whether a server that is full begins to rest.
         first_share: Share of the requests, at a time, that come at the first
             instance whatever the others get; callers that return go to any.
+        slowdowns: How slow servers are, which they report; None: they are of
+            normal speed and report nothing of it.
     """
 
     kinds: tuple[Kind, ...]
@@ -94,6 +97,7 @@
     rests: tuple[tuple[float, int], ...] = ()
     rests_when_full: bool = False
     first_share: Callable[[float], float] = lambda at_s: 0.0
+    slowdowns: slow_servers.Slowdowns | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -200,6 +204,10 @@
             availability.Availability(rng=random.Random(seed + number))
             for number in range(load.instances)
         ]
+        self.observer = slow_servers.Observer(
+            cap_factor=server_choice.CAP_FACTOR,
+            cap_extra=server_choice.CAP_EXTRA,
+        )
         self.by_kind: dict[str, Seen] = collections.defaultdict(Seen)
         self.by_team: dict[str, Seen] = collections.defaultdict(Seen)
 
@@ -224,7 +232,12 @@
     def _tell(self) -> None:
         for stats in self._stats:
             for name, server in zip(self._names, self._servers, strict=True):
-                stats.record_load_report(name, work=server.work, at_s=self._now)
+                stats.record_load_report(
+                    name,
+                    work=server.work,
+                    at_s=self._now,
+                    slowdown=self._slowdown(name),
+                )
         if self._now < self._load.length_s:
             self._after(_TELL_S, self._tell)
 
@@ -353,6 +366,9 @@
             return
         rank = (request.kind.priority, next(self._order), request)
         heapq.heappush(server.waiting, rank)
+        self.observer.record_arrival(
+            [one.work for one in self._servers], int(name), self._now
+        )
         self._start(server, name)
 
     def _turn_down(self, request: _Request, name: str, server: _Server) -> None:
@@ -381,7 +397,12 @@
         while server.waiting and server.free:
             _, _, request = heapq.heappop(server.waiting)
             stats = self._stats[request.instance]
-            stats.record_load_report(name, work=server.work + 1, at_s=self._now)
+            stats.record_load_report(
+                name,
+                work=server.work + 1,
+                at_s=self._now,
+                slowdown=self._slowdown(name),
+            )
             waited_s = self._now - request.came_s
             if waited_s > request.kind.patience_s and not request.returning:
                 self._count(request, "left")
@@ -394,7 +415,7 @@
             server.free -= 1
             server.running += 1
             self._after(
-                request.kind.place_s,
+                self._duration_s(name, request.kind.place_s),
                 lambda request=request: self._end(server, name, request),
             )
 
@@ -402,11 +423,28 @@
         server.free += 1
         server.running -= 1
         stats = self._stats[request.instance]
+        self.observer.served.append(
+            slow_servers.Served(
+                server=int(name), came_s=request.came_s, ended_s=self._now
+            )
+        )
+        if self._load.slowdowns is not None:
+            stats.record_response_time(name, request.sent_s, self._now)
         stats.record_residence_time(self._now - request.sent_s)
         stats.record_end(name, self._now)
         self._gates[request.instance].record_service_time(request.kind.place_s)
         self._start(server, name)
 
+    def _slowdown(self, name: str) -> float | None:
+        if self._load.slowdowns is None:
+            return None
+        return self._load.slowdowns.at(int(name), self._now)
+
+    def _duration_s(self, name: str, normal_s: float) -> float:
+        if self._load.slowdowns is None:
+            return normal_s
+        return self._load.slowdowns.duration_s(int(name), self._now, normal_s)
+
     def _seen(self, request: _Request) -> tuple[Seen, Seen]:
         return self.by_kind[request.kind.name], self.by_team[request.team]
 
@@ -424,6 +462,7 @@
             rests=tuple(len(server.in_rests) for server in self._servers),
             last_rest_s=max(server.rested_s for server in self._servers),
             most_in_a_rest=max(counts, default=0),
+            observer=self.observer,
         )
 
     def _count(self, request: _Request, what: str) -> None:
@@ -442,6 +481,7 @@
         last_rest_s: When the last rest began; minus infinity without.
         most_in_a_rest: Requests of one instance that a resting server turned
             down half a second after the first or later, at the most.
+        observer: What servers did.
     """
 
     by_kind: dict[str, Seen]
@@ -449,6 +489,7 @@
     rests: tuple[int, ...] = ()
     last_rest_s: float = -math.inf
     most_in_a_rest: int = 0
+    observer: slow_servers.Observer | None = None
 
 
 def play(
