--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -78,10 +78,6 @@
         log: Decision log.
         rng: Used for weighted choices and to break ties.
         now: Returns monotonic seconds.
-
-    Attributes:
-        reports_slowdown: Returns whether a server of a service has reported
-            that it is slower or faster than normal.
     """
 
     def __init__(
@@ -123,6 +119,9 @@
             cfg=cfg,
             eligible=self.eligible,
             stats_of=lambda service: self.servers.chooser(service).stats,
+            reports_slowdown=lambda service: self.servers.reports_slowdown(
+                service
+            ),
             log=log,
             counts=self.metrics,
             now=now,
@@ -154,7 +153,6 @@
         )
         # Fetches the list of servers from peers.
         self.refresh_servers: Callable[[], None] = _do_nothing
-        self.reports_slowdown: Callable[[str], bool] = _reports_none
         self._crashes_known = True
         self._server_list_loaded = False
         self._configured_event = event.Event()
@@ -209,7 +207,7 @@
         """Returns whether responses are kept for callers that read slowly."""
         admission = self.cfg.overload.fleet_admission
         return admission is settings.FleetAdmission.ON or any(
-            map(self.reports_slowdown, self._service_names())
+            map(self.servers.reports_slowdown, self._service_names())
         )
 
     def log_suspend(self) -> None:
@@ -405,10 +403,5 @@
         self._notify_if_configured()
 
 
-def _reports_none(service: str) -> bool:
-    """Default for ``reports_slowdown``: no server has reported one."""
-    return False
-
-
 def _do_nothing() -> None:
     """Default for ``refresh_servers``, used until peers are known."""
--- a/irisshelf/gateway/servers/demand_monitor.py
+++ b/irisshelf/gateway/servers/demand_monitor.py
@@ -46,15 +46,14 @@
         cfg: The settings; replaced when they are reloaded.
         eligible: Which servers accept requests.
         stats_of: Returns the statistics of a service's servers.
+        reports_slowdown: Returns whether servers of a service report their
+            slowdown.
         log: The decision log.
         counts: Metrics.
         now: Monotonic seconds.
 
     Attributes:
         meter: Measures the demand that this instance receives.
-        slowdown: Returns the current processing time of a server relative to
-            normal.
-        reports_slowdown: Returns whether servers of a service report it.
     """
 
     def __init__(
@@ -63,16 +62,16 @@
         cfg: settings.Settings,
         eligible: eligibility.Eligibility,
         stats_of: Callable[[str], server_stats.ServerStats],
+        reports_slowdown: Callable[[str], bool],
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
         now: Callable[[], float],
     ):
         self.cfg = cfg
         self.meter = meter.DemandMeter()
-        self.slowdown: Callable[[directory.BackendServer], float] = _normal
-        self.reports_slowdown: Callable[[str], bool] = _never
         self._eligible = eligible
         self._stats_of = stats_of
+        self.reports_slowdown = reports_slowdown
         self._log = log
         self._metrics = counts
         self._now = now
@@ -88,6 +87,11 @@
             return self.reports_slowdown(service)
         return setting is settings.FleetAdmission.ON
 
+    def slowdown(self, server: directory.BackendServer) -> float:
+        """Returns a server's current processing time relative to normal."""
+        stats = self._stats_of(server.service)
+        return stats.slowdown(server.server_id, self._now())
+
     def own(self, service: str) -> demand.ServiceDemand:
         """Returns the demand for a service that this instance receives."""
         return self._own_demand().get(service, demand.ServiceDemand())
@@ -205,13 +209,3 @@
         return room.ServerCapacity(
             slots=server.slots, slowdown=self.slowdown(server)
         )
-
-
-def _normal(server: directory.BackendServer) -> float:
-    """Default for ``slowdown``, until servers' reports are connected."""
-    return 1.0
-
-
-def _never(service: str) -> bool:
-    """Default for ``reports_slowdown``, until reports are connected."""
-    return False
--- a/irisshelf/testing/busy_load.py
+++ b/irisshelf/testing/busy_load.py
@@ -7,6 +7,8 @@
 import random
 from collections.abc import Callable
 
+from irisshelf.testing import slow_servers
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Kind:
@@ -54,6 +56,8 @@
         rests_when_full: Whether a server that is full begins to rest.
         first_share: Share of the requests, at a time, that come at the first
             instance whatever the others get; callers that return go to any.
+        slowdowns: How slow servers are, which they report; None: they are of
+            normal speed and report nothing of it.
     """
 
     kinds: tuple[Kind, ...]
@@ -70,6 +74,7 @@
     rests: tuple[tuple[float, int], ...] = ()
     rests_when_full: bool = False
     first_share: Callable[[float], float] = lambda at_s: 0.0
+    slowdowns: slow_servers.Slowdowns | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -115,6 +120,7 @@
         last_rest_s: When the last rest began; minus infinity without.
         most_in_a_rest: Requests of one instance that a resting server turned
             down half a second after the first or later, at the most.
+        observer: What servers did.
     """
 
     by_kind: dict[str, Seen]
@@ -122,3 +128,4 @@
     rests: tuple[int, ...] = ()
     last_rest_s: float = -math.inf
     most_in_a_rest: int = 0
+    observer: slow_servers.Observer | None = None
--- a/irisshelf/testing/busy_service.py
+++ b/irisshelf/testing/busy_service.py
@@ -22,6 +22,7 @@
 from irisshelf.routing.direct import server_choice
 from irisshelf.testing import busy_load
 from irisshelf.testing import busy_server
+from irisshelf.testing import slow_servers
 
 _SERVICE = "busy"
 DATA_CENTRE = "here"
@@ -98,6 +99,10 @@
             availability.Availability(rng=random.Random(seed + number))
             for number in range(load.instances)
         ]
+        self.observer = slow_servers.Observer(
+            cap_factor=server_choice.CAP_FACTOR,
+            cap_extra=server_choice.CAP_EXTRA,
+        )
         self.by_kind: dict[str, busy_load.Seen] = collections.defaultdict(
             busy_load.Seen
         )
@@ -127,7 +132,12 @@
     def _tell(self) -> None:
         for stats in self._stats:
             for name, server in zip(self._names, self._servers, strict=True):
-                stats.record_load_report(name, work=server.work, at_s=self._now)
+                stats.record_load_report(
+                    name,
+                    work=server.work,
+                    at_s=self._now,
+                    slowdown=self._slowdown(name),
+                )
         if self._now < self._load.length_s:
             self._after(_TELL_S, self._tell)
 
@@ -257,6 +267,9 @@
             self._turn_down(request, name, server)
             return
         server.enqueue(request, request.kind.priority)
+        self.observer.record_arrival(
+            [one.work for one in self._servers], int(name), self._now
+        )
         self._start(server, name)
 
     def _turn_down(
@@ -290,7 +303,12 @@
         while server.waiting and server.free:
             request = server.next_request()
             stats = self._stats[request.instance]
-            stats.record_load_report(name, work=server.work + 1, at_s=self._now)
+            stats.record_load_report(
+                name,
+                work=server.work + 1,
+                at_s=self._now,
+                slowdown=self._slowdown(name),
+            )
             waited_s = self._now - request.came_s
             if waited_s > request.kind.patience_s and not request.returning:
                 self._count(request, "left")
@@ -303,7 +321,7 @@
             server.free -= 1
             server.running += 1
             self._after(
-                request.kind.place_s,
+                self._duration_s(name, request.kind.place_s),
                 lambda request=request: self._end(server, name, request),
             )
 
@@ -316,11 +334,28 @@
         server.free += 1
         server.running -= 1
         stats = self._stats[request.instance]
+        self.observer.served.append(
+            slow_servers.Served(
+                server=int(name), came_s=request.came_s, ended_s=self._now
+            )
+        )
+        if self._load.slowdowns is not None:
+            stats.record_response_time(name, request.sent_s, self._now)
         stats.record_residence_time(self._now - request.sent_s)
         stats.record_end(name, self._now)
         self._gates[request.instance].record_service_time(request.kind.place_s)
         self._start(server, name)
 
+    def _slowdown(self, name: str) -> float | None:
+        if self._load.slowdowns is None:
+            return None
+        return self._load.slowdowns.at(int(name), self._now)
+
+    def _duration_s(self, name: str, normal_s: float) -> float:
+        if self._load.slowdowns is None:
+            return normal_s
+        return self._load.slowdowns.duration_s(int(name), self._now, normal_s)
+
     def _seen(
         self, request: busy_server.Request
     ) -> tuple[busy_load.Seen, busy_load.Seen]:
@@ -340,6 +375,7 @@
             rests=tuple(len(server.in_rests) for server in self._servers),
             last_rest_s=max(server.rested_s for server in self._servers),
             most_in_a_rest=max(counts, default=0),
+            observer=self.observer,
         )
 
     def _count(self, request: busy_server.Request, what: str) -> None:
--- a/irisshelf/tests/test_slow_callers.py
+++ b/irisshelf/tests/test_slow_callers.py
@@ -141,7 +141,7 @@
     _configure(
         world, fleet_admission=admission, response_buffer_mb=response_buffer_mb
     )
-    world.inst.reports_slowdown = lambda service: service in reports
+    world.inst.servers.reports_slowdown = lambda service: service in reports
     for one in world.engines:
         # More than the kernel holds between server and instance.
         one.padding_bytes = 4 * _PADDING_BYTES
