Loads of servers are computed once per choice

Cause: a choice computed the load of each server twice, each time over all kept starts and ends of requests; reading slowdowns added to its cost. Change: loads are computed once, and only changes since the report are read. The results are the same.

--- a/irisshelf/routing/direct/server_stats.py
+++ b/irisshelf/routing/direct/server_stats.py
@@ -195,9 +195,11 @@
         age_s = now - server.reported_s
         if age_s > MAX_REPORT_AGE_S:
             return server.own_requests + others
-        since = sum(
-            step for at_s, step in server.changes if at_s > server.reported_s
-        )
+        since = 0
+        for at_s, step in reversed(server.changes):
+            if at_s <= server.reported_s:
+                break
+            since += step
         left = (server.reported_requests + since) * math.exp(
             -max(0.0, age_s) / REPORT_DECAY_S
         )
@@ -205,13 +207,18 @@
 
     def loads(self, names: list[str], now: float) -> dict[str, float]:
         """Estimates the loads of servers; unknown ones from the known ones."""
-        fresh = [
-            max(0.0, self.load(name, now) - self.own_requests(name))
+        own = {name: self._get(name).own_requests for name in names}
+        fresh = {
+            name: self.load(name, now)
             for name in names
-            if now - self._get(name).reported_s <= MAX_REPORT_AGE_S
-        ]
-        others = sum(fresh) / len(fresh) if fresh else 0.0
-        return {name: self.load(name, now, others=others) for name in names}
+            if now - self._servers[name].reported_s <= MAX_REPORT_AGE_S
+        }
+        others = 0.0
+        if fresh:
+            others = sum(
+                max(0.0, load - own[name]) for name, load in fresh.items()
+            ) / len(fresh)
+        return {name: fresh.get(name, own[name] + others) for name in names}
 
     def estimate(self, name: str, now: float) -> server_state.LoadEstimate:
         """Estimates how many of the known requests a server still has.
