Tests of slowdowns through an instance and from other instances

Cause: reading, storing and publishing of slowdowns were tested apart only. Change: the stand-in server reports a slowdown, also in rejections, if asked to; tests follow it into the statistics and the published fact. Conclusion: reports of answers and rejections take effect. Instances send no health requests of their own, so that there are no such answers to read.

--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -156,6 +156,9 @@
         # Whether answers have neither a length nor chunks, and end with their
         # connection.
         self.unframed = False
+        # Processing time relative to normal in percent, as it reports it, also
+        # when it rejects requests; None: it does not.
+        self.slowdown_percent: int | None = None
         # Work on such a request before the end.
         self.before_end_s = 0.0
         # How long it is away after that.
@@ -257,6 +260,9 @@
             headers.append((b"Server-Leaving", b"1"))
         if self.rest_s is not None and status == 503:
             headers.append((b"Retry-After", f"{self.rest_s:g}".encode()))
+        if self.slowdown_percent is not None:
+            load = f"{self.working},0,64,{self.slowdown_percent}"
+            headers.append((b"Server-Load", load.encode()))
         return headers
 
     def ran(self, request_id: str) -> int:
@@ -418,9 +424,11 @@
         signature = f"{self._owner.server_id}.{next(self._owner._serial)}"
         headers = [
             (b"Request-Id", request_id.encode()),
-            (b"Server-Load", f"{self._owner.working},0,64".encode()),
             *self._owner.report(status),
         ]
+        if self._owner.slowdown_percent is None:
+            load = f"{self._owner.working},0,64"
+            headers.append((b"Server-Load", load.encode()))
         if fault is not Fault.UNSIGNED:
             headers.append((_SIGNATURE, signature.encode()))
         if fault is Fault.ENCODED:
--- a/irisshelf/tests/test_load_reports.py
+++ b/irisshelf/tests/test_load_reports.py
@@ -5,6 +5,7 @@
 import pytest
 
 from irisshelf.catalog import directory
+from irisshelf.coordination import facts
 from irisshelf.gateway import messages
 from irisshelf.gateway import metrics
 from irisshelf.gateway.servers import server_reports
@@ -110,3 +111,50 @@
     assert sorted(lines) == sorted(
         [("a", "Server-Load"), ("b", "Server-Load")] * times_logged
     )
+
+
+@pytest.mark.parametrize(
+    ("percent", "refuses", "slowdown", "reported"),
+    [
+        (None, False, 1.0, False),
+        (100, False, 1.0, True),
+        (250, False, 2.5, True),
+        (250, True, 2.5, True),
+    ],
+)
+def test_slowdowns_in_responses_are_used_and_published(
+    world, percent, refuses, slowdown, reported
+):
+    """Guards against reports that are read but have no effect."""
+    published = []
+    servers = world.inst.servers
+    servers.publish = published.append
+    for engine in world.engines:
+        engine.slowdown_percent = percent
+        engine.refuses = refuses
+    assert not servers.reports_slowdown("lm")
+    status = world.ask("/query/1").status
+    assert status == (503 if refuses else 200)
+    assert servers.reports_slowdown("lm") is reported
+    assert not servers.reports_slowdown("unknown")
+    loads = [one for one in published if isinstance(one, facts.ServerLoad)]
+    assert bool(loads) is (reported or not refuses)
+    expected = slowdown if reported else None
+    assert {load.slowdown for load in loads} <= {expected}
+    assert max(
+        servers.chooser("lm").stats.slowdown(engine.server_id, world.inst.now())
+        for engine in world.engines
+    ) == pytest.approx(slowdown, abs=0.4)
+
+
+@pytest.mark.parametrize("slowdown", [None, 2.5])
+def test_slowdowns_from_other_instances_are_used(world, slowdown):
+    servers = world.inst.servers
+    name = world.engines[0].server_id
+    now = world.inst.now()
+    fact = facts.ServerLoad(
+        server=directory.short_id(name), work=3, at_s=now, slowdown=slowdown
+    )
+    servers.apply_fact(fact)
+    assert servers.chooser("lm").stats.slowdown(name, now) == (slowdown or 1.0)
+    assert servers.reports_slowdown("lm") is (slowdown is not None)
