--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -236,10 +236,11 @@
     """Returns the backlog up to which a priority gets more than its minimum.
 
     An overload that has just begun shows in the backlog before it shows in the
-    demand. The least urgent requests make room first.
+    demand. The least urgent requests make room first; the most urgent ones are
+    limited only by the wait at their own server.
     """
     rank = sum(other < priority for other in quotas.slots_by_priority)
-    return max_wait_s / (1 + rank)
+    return max_wait_s / (1 + rank) if rank else math.inf
 
 
 def _max_wait_s(arrival: Arrival) -> float:
--- a/irisshelf/overload/correction.py
+++ b/irisshelf/overload/correction.py
@@ -30,8 +30,8 @@
 # demand has fallen since it was reported. The factor then grows exponentially,
 # by this rate per unit of the idle share, until the slots are in use.
 _IDLE_SHARE = 0.3
-_IDLE_GROWTH_PER_S = 2.0
-_IDLE_GAIN_PER_S = 8.0
+_IDLE_GROWTH_PER_S = 6.0
+_IDLE_GAIN_PER_S = 20.0
 _IDLE_FALL_PER_S = 1.5
 _LONG_QUEUE_FALL_PER_S = 15.0
 _MAX_IDLE_GROWTH = 3.0
--- a/irisshelf/overload/quotas.py
+++ b/irisshelf/overload/quotas.py
@@ -19,7 +19,7 @@
 MIN_FRACTION_RATIO = 0.3
 # Demand of which this share fits is admitted as a whole: estimates vary by more
 # within a second, and each rejection of a request that fits is a loss.
-FITTING_SHARE = 0.9
+FITTING_SHARE = 0.8
 # Bounds the weight of the teams that are not listed: a listed team whose demand
 # has almost decayed would otherwise make it arbitrarily large.
 _MAX_OTHER_TEAMS = 512
@@ -140,7 +140,10 @@
             for group, load in teams.items()
             if group[0] == priority
         }
-        by_team |= fair_shares.allocate(claims, slots)
+        fits = slots >= FITTING_SHARE * offered[priority]
+        by_team |= fair_shares.allocate(
+            claims, offered[priority] if fits else slots
+        )
     return Quotas(
         offered_slots=sum(offered.values()),
         capacity_slots=capacity_slots,
