--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -27,6 +27,11 @@
 # Quotas are computed at most this often, for their cost: a fraction of a
 # millisecond for 32 teams of each priority.
 _QUOTAS_LIFE_S = 0.05
+# Mean backlog, as a share of the longest wait allowed, up to which a priority
+# gets more than its guaranteed minimum while demand fits: 1 less the step for
+# each more urgent priority, but not less than the minimum.
+_BACKLOG_STEP = 0.2
+_MIN_BACKLOG_LIMIT = 0.3
 _INITIAL_SERVICE_TIME_S = 0.5
 _SERVICE_TIME_WEIGHT = 0.05
 
@@ -197,7 +202,7 @@
             quotas = quotas_module.allocate(
                 demand, capacity_slots * self.factor, self._team_weights
             )
-            if self._correction.excess:
+            if self._correction.excess and not quotas.explains_queues:
                 quotas = quotas.without(
                     self._correction.excess * capacity_slots
                 )
@@ -240,7 +245,11 @@
     limited only by the wait at their own server.
     """
     rank = sum(other < priority for other in quotas.slots_by_priority)
-    return max_wait_s / (1 + rank) if rank else math.inf
+    if not rank:
+        return math.inf
+    if quotas.explains_queues:
+        return max_wait_s * max(_MIN_BACKLOG_LIMIT, 1 - _BACKLOG_STEP * rank)
+    return max_wait_s / (1 + rank)
 
 
 def _max_wait_s(arrival: Arrival) -> float:
--- a/irisshelf/overload/quotas.py
+++ b/irisshelf/overload/quotas.py
@@ -20,6 +20,10 @@
 # Demand of which this share fits is admitted as a whole: estimates vary by more
 # within a second, and each rejection of a request that fits is a loss.
 FITTING_SHARE = 0.8
+# The same for all demand. A lasting excess shows in the queues.
+FITTING_TOTAL = 0.9
+# From this share of the capacity on, demand that fits causes queues.
+_BUSY_SHARE = 0.8
 # Bounds the weight of the teams that are not listed: a listed team whose demand
 # has almost decayed would otherwise make it arbitrarily large.
 _MAX_OTHER_TEAMS = 512
@@ -50,15 +54,24 @@
     @property
     def overall_fraction(self) -> float:
         """Fraction of all requests that the capacity suffices for."""
-        if self.offered_slots <= self.capacity_slots:
-            return 1.0
-        return self.capacity_slots / self.offered_slots
+        return _overall(self.offered_slots, self.capacity_slots)
 
     @property
     def least_fraction(self) -> float:
         """Fraction of its requests that each group is guaranteed."""
         return MIN_FRACTION_RATIO * self.overall_fraction
 
+    @property
+    def explains_queues(self) -> bool:
+        """Whether the demand fits and is high enough for queues.
+
+        Queues at less demand show an overload that has not been reported yet.
+        """
+        return (
+            self.overall_fraction >= 1
+            and self.offered_slots >= _BUSY_SHARE * self.capacity_slots
+        )
+
     def without(self, slots: float) -> Quotas:
         """Returns quotas for less load; the least urgent requests make room.
 
@@ -173,7 +186,9 @@
 
 
 def _overall(offered: float, capacity: float) -> float:
-    return 1.0 if offered <= capacity else capacity / offered
+    if offered <= 0 or capacity >= FITTING_TOTAL * offered:
+        return 1.0
+    return min(1.0, capacity / offered)
 
 
 def _fraction(slots: float, offered: float) -> float:
