--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -50,6 +50,8 @@
         publish: Sends a fact to other instances.
         releases: The releases that services have had lately.
         on_releases_changed: Called after ``releases`` may have changed.
+        is_hard_load: Returns whether the deployment asks for overload control
+            by the whole fleet for a service.
         on_gone: Called with the keys of servers that are no longer listed, or
             whose exit another instance has confirmed.
     """
@@ -93,6 +95,7 @@
         )
         # Whether no server has ever been removed from the first list.
         self.list_is_complete = False
+        self.is_hard_load: Callable[[str], bool] = _never
         self.on_releases_changed: Callable[[], None] = _do_nothing
         self.on_gone: Callable[[Collection[bytes]], None] = _ignore
         self.reports = server_reports.ReportHandler(
@@ -131,9 +134,15 @@
                 policy=self.cfg.policy,
             )
             found.is_relayed = self.reach.relays.may_reach
+            found.cached_parts.avoids_silent = functools.partial(
+                self._is_hard_load, service
+            )
             self._choosers[service] = found
         return found
 
+    def _is_hard_load(self, service: str) -> bool:
+        return self.is_hard_load(service)
+
     def record_service_time(self, service: str, service_time_s: float) -> None:
         """Records for how long a request occupied a slot of a server."""
         self.overload(service).record_service_time(service_time_s)
@@ -402,6 +411,11 @@
     """Default for ``on_gone``."""
 
 
+def _never(service: str) -> bool:
+    """Default for ``is_hard_load``."""
+    return False
+
+
 def _do_nothing() -> None:
     """Default for ``on_releases_changed``."""
 
--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -25,7 +25,7 @@
 
 from irisshelf.catalog import directory
 from irisshelf.routing.direct import cache_locations
-from irisshelf.routing.direct import fetch_source
+from irisshelf.routing.direct import cached_parts
 from irisshelf.routing.direct import load_bounds
 from irisshelf.routing.direct import load_limits
 from irisshelf.routing.direct import policy as policy_module
@@ -110,6 +110,7 @@
     Attributes:
         is_relayed: Returns whether a server to which this instance cannot
             connect is reached through other instances.
+        cached_parts: Prompt parts in the servers' caches.
     """
 
     def __init__(
@@ -124,7 +125,10 @@
         self._policy = policy
         self._data_centre = data_centre
         self._rng = rng
-        self.cache_locations = cache_locations.CacheLocations()
+        self.cached_parts = cached_parts.CachedParts(
+            stats=self.stats, has_path=self._has_path, policy=policy
+        )
+        self.cache_locations = self.cached_parts.locations
         self.load_limits = load_limits.LoadLimits()
 
     def choose(
@@ -183,47 +187,8 @@
     def record_sent(
         self, requested: prompt.Prompt, server_id: str, now: float
     ) -> list[bytes]:
-        """Records that a server caches a prompt's shared parts.
-
-        Returns:
-            Keys of the parts to announce to other instances.
-        """
-        keys = [
-            cache_locations.part_key(part.part_id) for part in requested.shared
-        ]
-        for key in keys:
-            self.cache_locations.record(key, server_id, now)
-        return [
-            k
-            for k in keys
-            if self.cache_locations.should_announce(k, server_id, now)
-        ]
-
-    def _holders_of(
-        self, part_id: str, now: float
-    ) -> dict[str, cache_locations.CacheEntry]:
-        return self.cache_locations.holders(
-            cache_locations.part_key(part_id), now
-        )
-
-    def _reachable_holders(
-        self,
-        servers: Sequence[directory.BackendServer],
-        part_id: str,
-        now: float,
-    ) -> dict[str, cache_locations.CacheEntry]:
-        """Returns the servers that have a part cached and can serve it.
-
-        Servers that are shutting down can, and so can those that are ejected
-        because they fail requests.
-        """
-        listed = {s.server_id for s in servers}
-        held = self._holders_of(part_id, now)
-        return {
-            name: one
-            for name, one in held.items()
-            if name in listed and self._has_path(name)
-        }
+        """Records a sent prompt; see ``CachedParts.record_sent``."""
+        return self.cached_parts.record_sent(requested, server_id, now)
 
     def _by_affinity(
         self,
@@ -237,7 +202,9 @@
         total = sum(loads.values())
         total += sum(self.stats.load(s.server_id, now) for s in idle)
         mean = total / (len(loads) + len(idle))
-        held = self._reachable_holders(sources, requested.affinity_key, now)
+        held = self.cached_parts.reachable_holders(
+            sources, requested.affinity_key, now
+        )
         ranked = self._by_preference(pool, requested, held, now)
         bounds = self._load_bounds(requested, loads, mean, now)
         server, reason = self._first_within(bounds, ranked, held, loads, now)
@@ -247,7 +214,7 @@
             loads[server.server_id],
             mean,
             now,
-            source=self._source(sources, server, requested, now),
+            source=self.cached_parts.source(sources, server, requested, now),
         )
 
     def _load_bounds(
@@ -309,36 +276,6 @@
             home = _home(ranked, requested, self._data_centre)
         return sorted(ranked, key=lambda server: server is not home)
 
-    def _source(
-        self,
-        servers: Sequence[directory.BackendServer],
-        selected: directory.BackendServer,
-        requested: prompt.Prompt,
-        now: float,
-    ) -> directory.BackendServer | None:
-        """Returns a server that may have the parts the selected one lacks.
-
-        Servers that are shutting down still serve fetches. A cache is readable
-        only to servers of the version that wrote it.
-        """
-        if not self._policy.fetches:
-            return None
-        others = [
-            s
-            for s in servers
-            if s.server_id != selected.server_id
-            and s.version == selected.version
-            and s.version is not None
-            and self._has_path(s.server_id)
-        ]
-        return fetch_source.choose(
-            self._policy.sources,
-            others,
-            selected,
-            requested,
-            lambda part_id: self._holders_of(part_id, now),
-        )
-
     def _fastest(
         self, pool: Sequence[directory.BackendServer], now: float
     ) -> Choice:
--- a/irisshelf/routing/direct/server_stats.py
+++ b/irisshelf/routing/direct/server_stats.py
@@ -10,6 +10,7 @@
 import enum
 import math
 
+from irisshelf.routing.direct import report_rate
 from irisshelf.routing.direct import server_state
 from irisshelf.routing.direct import slowdown as slowdown_module
 
@@ -61,6 +62,7 @@
 
     Attributes:
         slowdowns: What servers report about their speed.
+        report_rate: How often servers report their loads.
     """
 
     def __init__(self, *, ejects: bool = True):
@@ -69,6 +71,7 @@
         self._residence_time_s = 0.0
         self._sends = 0
         self.slowdowns = slowdown_module.Slowdowns()
+        self.report_rate = report_rate.ReportRate()
 
     def retain(self, names: frozenset[str]) -> None:
         """Removes unlisted servers without requests of this instance."""
@@ -119,6 +122,7 @@
             return False
         if slowdown is not None:
             self.slowdowns.record(name, slowdown, at_s)
+        self.report_rate.record(at_s)
         server.reported_requests = work
         server.reported_s = at_s
         server.sent_since_report = sum(
--- /dev/null
+++ b/irisshelf/tests/test_silent_sources.py
@@ -0,0 +1,94 @@
+"""Parts are not fetched from servers that nobody has heard of lately.
+
+Guards against requests that wait for a fetch from a server that has crashed,
+while other instances have found out that it does not respond.
+"""
+
+import random
+
+import pytest
+
+from irisshelf.catalog import directory
+from irisshelf.routing.direct import prompt
+from irisshelf.routing.direct import report_rate
+from irisshelf.routing.direct import server_choice
+
+_COUNT = 8
+_REPORT_S = 0.25
+_PROMPT = prompt.Prompt(
+    parts=(
+        prompt.Part(part_id="history", tokens=800),
+        prompt.Part(part_id="own", tokens=50),
+    ),
+    max_answer_tokens=20,
+)
+
+
+def _servers():
+    return [
+        directory.BackendServer(
+            server_id=str(number),
+            service="lm",
+            address=f"10.0.0.{number}:80",
+            data_centre="a",
+            slots=16,
+            version="v1",
+        )
+        for number in range(_COUNT)
+    ]
+
+
+def _source(silent_s, *, avoids=True):
+    """Returns the source after the only holder has been silent for a while."""
+    chooser = server_choice.Chooser(data_centre="a", rng=random.Random(1))
+    chooser.cached_parts.avoids_silent = lambda: avoids
+    servers = _servers()
+    home = chooser.choose(servers, _PROMPT, avoid=frozenset(), now=0.0).server
+    chooser.record_sent(_PROMPT, home.server_id, 0.0)
+    now = 10.0
+    for step in range(int(now / _REPORT_S) + 1):
+        at_s = step * _REPORT_S
+        for server in servers:
+            if server is not home or at_s <= now - silent_s:
+                chooser.stats.record_load_report(
+                    server.server_id, work=1, at_s=at_s
+                )
+    chosen = chooser.choose(
+        [s for s in servers if s is not home],
+        _PROMPT,
+        avoid=frozenset(),
+        now=now,
+        sources=servers,
+    )
+    return chosen.source is not None and chosen.source is home
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "avoids", "fetched"),
+    [
+        pytest.param(0.0, True, True, id="heard-of"),
+        pytest.param(1.5, True, True, id="a-few-reports-missing"),
+        pytest.param(2.5, True, False, id="silent"),
+        pytest.param(9.0, True, False, id="silent-for-long"),
+        pytest.param(9.0, False, True, id="as-before"),
+    ],
+)
+def test_a_silent_server_is_no_source(silent_s, avoids, fetched):
+    assert _source(silent_s, avoids=avoids) is fetched
+
+
+@pytest.mark.parametrize(
+    ("per_s", "age_s", "silent"),
+    [
+        pytest.param(100.0, 0.6, False, id="often-recent"),
+        pytest.param(100.0, 1.1, True, id="often-old"),
+        pytest.param(4.0, 9.0, False, id="seldom"),
+        pytest.param(0.0, 9.0, False, id="no-reports-at-all"),
+    ],
+)
+def test_silence_is_measured_by_how_often_servers_report(per_s, age_s, silent):
+    """Guards against servers with little traffic that are taken for dead."""
+    rate = report_rate.ReportRate()
+    for number in range(int(20 * per_s)):
+        rate.record(number / per_s)
+    assert rate.is_silent(age_s, 8, 20.0) is silent
