Tests: broken streams count once; leaders that ended in all data centres

Change: a stream that breaks counts as begun once; the sums of data centres whose leaders and first instances have ended reach the next leaders. Conclusion: no change of behaviour.

--- a/irisshelf/tests/test_demand_exchange.py
+++ b/irisshelf/tests/test_demand_exchange.py
@@ -169,8 +169,17 @@
 def test_other_data_centres_find_the_next_leader():
     """Guards against sums sent to ended instances, which are known for 20 s."""
     net = _settled(24, 3, 3000.0)
-    first = next(n for n, m in net.members.items() if m.data_centre == "dc-01")
-    _kill(net, {*net.leaders("dc-01")[:1], first})
+    ended = set()
+    for data_centre in ("dc-00", "dc-01", "dc-02"):
+        ended.add(net.leaders(data_centre)[0])
+        ended.add(
+            next(
+                name
+                for name, member in net.members.items()
+                if member.data_centre == data_centre
+            )
+        )
+    _kill(net, ended)
     net.run(6.0)
     assert max(_errors(net)) < _TOLERANCE
 
--- a/irisshelf/tests/test_request_demand.py
+++ b/irisshelf/tests/test_request_demand.py
@@ -88,6 +88,17 @@
     assert rates.begun_per_s == one_in_window
 
 
+def test_a_stream_that_breaks_counts_once(world):
+    """Guards against a stream that counts as begun and as failed."""
+    for one in world.engines:
+        one.always = Fault.CUT
+    answer = world.ask("/query/1")
+    assert (answer.status, answer.whole) == (200, False)
+    rates, _ = _rates(world, "lm")
+    one_in_window = pytest.approx(1 / meter.WINDOW_S, rel=0.2)
+    assert rates.begun_per_s == rates.in_time_per_s == one_in_window
+
+
 def test_slot_times_are_divided_by_the_slowdown(make_world):
     worlds = [make_world(), make_world()]
     worlds[1].inst.demand.slowdown = lambda server: 100.0
