The kernel holds little for a caller that does not read

Cause: the kernel held megabytes for each slow caller, outside the limit, and accepted more only after a third of that was read, so that a caller on a slow link seemed to read nothing. Change: where responses are buffered, 128 KiB at most wait unsent in the kernel (TCP_NOTSENT_LOWAT). The tests of the buffers use TCP.

--- a/irisshelf/tests/test_response_buffer.py
+++ b/irisshelf/tests/test_response_buffer.py
@@ -10,6 +10,7 @@
 from irisshelf.transport import response_buffer
 
 _BIG = 3_000_000
+_SOCKET_BYTES = 65536
 
 
 class _Clock:
@@ -41,7 +42,7 @@
 
     def open(self, label=""):
         """Returns a buffer and the socket at its caller's end."""
-        local, remote = socket.socketpair()
+        local, remote = _connect()
         made = response_buffer.ResponseBuffer(
             sock=local,
             buffers=self.buffers,
@@ -51,6 +52,19 @@
         return made, remote
 
 
+def _connect():
+    """Returns both ends of a connection that holds little unread data."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    remote = socket.socket()
+    remote.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SOCKET_BYTES)
+    remote.connect(listener.getsockname())
+    local, _ = listener.accept()
+    listener.close()
+    return local, remote
+
+
 def _read(sock, size):
     parts = []
     while size > 0 and (data := sock.recv(min(size, 65536))):
@@ -65,6 +79,14 @@
             gevent.sleep(0.001)
 
 
+def _settle(rig):
+    """Waits until the kernel holds all that it can hold."""
+    before_bytes = -1
+    while rig.buffers.kept_bytes != before_bytes:
+        before_bytes = rig.buffers.kept_bytes
+        gevent.sleep(0.1)
+
+
 _NOW_S = 100.0
 
 
@@ -151,6 +173,7 @@
     opened = [rig.open(str(number)) for number in range(2)]
     for buffer, _ in opened:
         buffer.write(b"x" * _BIG)
+    _settle(rig)
     rig.clock.now_s += response_buffer.PROGRESS_S
     reading, caller = opened[1 - stalled]
     before_bytes = reading.kept_bytes
--- a/irisshelf/tests/test_slow_callers.py
+++ b/irisshelf/tests/test_slow_callers.py
@@ -306,3 +306,21 @@
     for sock in socks:
         sock.close()
     world.wait(lambda: _buffers(world).kept_bytes == 0)
+
+
+def test_the_kernel_holds_little_for_a_caller_that_does_not_read():
+    """Guards memory, and the notice that a caller has read something.
+
+    The kernel would hold megabytes for each caller, and accept more only after
+    a third of that has been read.
+    """
+    made = world_module.World(events=_EVENTS, event_s=0.0)
+    for one in made.engines:
+        one.padding_bytes = _PADDING_BYTES
+    _configure(made)
+    sock = _ask_without_reading(made, Request_Id="slow")
+    _wait_for_servers(made, "slow")
+    whole_bytes = _EVENTS * _PADDING_BYTES
+    assert _buffers(made).kept_bytes > whole_bytes - 1_000_000
+    assert _read(sock).whole
+    made.close()
--- a/irisshelf/transport/response_buffer.py
+++ b/irisshelf/transport/response_buffer.py
@@ -26,6 +26,10 @@
 PROGRESS_S = 0.5
 # Size of the pieces of memory that are released as soon as they are sent.
 _PIECE_BYTES = 65536
+# What the kernel may hold of a response beyond what is under way. Without it,
+# the kernel holds megabytes for each caller, and reports that a caller has read
+# something only after a third of that.
+_UNSENT_BYTES = 131072
 # Interval at which a writer that waits for memory looks for some.
 _ROOM_CHECK_S = 0.02
 
@@ -244,6 +248,7 @@
         self._progress_s = buffers.now()
         self._pieces: collections.deque[bytearray] = collections.deque()
         self._sender: gevent.Greenlet | None = None
+        self._is_limited = False
         self._awaited = False
         self._failure: errors.CallerDisconnectedError | None = None
 
@@ -324,6 +329,8 @@
 
     def _send_at_once(self, data: bytes) -> int:
         """Sends what the socket accepts now; returns how much that is."""
+        if not self._is_limited:
+            self._limit_unsent()
         try:
             sent = self._sock.send(data, 0, 0.0)
         except BlockingIOError:
@@ -332,6 +339,12 @@
             self._progress_s = self._buffers.now()
         return sent
 
+    def _limit_unsent(self) -> None:
+        self._is_limited = True
+        self._sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_BYTES
+        )
+
     def _keep(self, data: memoryview) -> None:
         size = len(data)
         while data:
