Settings: what overload.response_buffer_mb has to exceed

Cause: a response larger than the whole limit is ended when its caller pauses. Change: the field says so. Conclusion: documentation.

--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -108,8 +108,9 @@
         team_weights: Weight of a team when capacity is shared among teams; 1
             for teams that are not listed.
         response_buffer_mb: Memory for responses that callers have not read yet,
-            of all callers together. With 0 a response is read from its server
-            only as fast as its caller reads it.
+            of all callers together; more than the largest response. With 0 a
+            response is read from its server only as fast as its caller reads
+            it.
         slow_caller_s: A caller that has read nothing of its response for this
             time is disconnected.
         start_wait_s: For how long a request that arrives before an instance
