Prompt parts are not fetched from a data centre that is silent

Cause: while a data centre is cut off, its servers are still named as sources; a fetch from them delays a request by 0.3 to 0.4 s. By each server's own reports this shows after seconds. Change: the latest report of a data centre's servers counts as well.

--- a/irisshelf/routing/direct/cached_parts.py
+++ b/irisshelf/routing/direct/cached_parts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import math
 from collections.abc import Callable
 from collections.abc import Sequence
 
@@ -12,6 +14,17 @@
 from irisshelf.routing.direct import prompt
 from irisshelf.routing.direct import server_stats
 
+# A choice must not look at all servers of a large service each time.
+_HEARD_LIFE_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _DataCentre:
+    """The servers of a data centre, and when one of them last reported."""
+
+    servers: int = 0
+    latest_s: float = -math.inf
+
 
 class CachedParts:
     """Shared prompt parts in the caches of one service's servers.
@@ -37,6 +50,8 @@
     ):
         self.locations = cache_locations.CacheLocations()
         self.avoids_silent: Callable[[], bool] = lambda: False
+        self._heard: dict[str, _DataCentre] = {}
+        self._heard_s = -math.inf
         self._stats = stats
         self._has_path = has_path
         self._policy = policy
@@ -112,17 +127,48 @@
             requested,
             lambda part_id: self._holders_of(part_id, now),
         )
-        if found is None or not self._is_silent(found, len(servers), now):
+        if found is None or not self._is_silent(found, servers, now):
             return found
         return None
 
     def _is_silent(
-        self, server: directory.BackendServer, servers: int, now: float
+        self,
+        server: directory.BackendServer,
+        servers: Sequence[directory.BackendServer],
+        now: float,
     ) -> bool:
+        """Returns whether a server, or its data centre, seems to be cut off.
+
+        A data centre is heard more often than each of its servers, so that its
+        silence shows sooner.
+        """
         if not self.avoids_silent():
             return False
+        rate = self._stats.report_rate
         age_s = self._stats.report_age_s(server.server_id, now)
-        return self._stats.report_rate.is_silent(age_s, servers, now)
+        if rate.is_silent(age_s, len(servers), now):
+            return True
+        if now - self._heard_s > _HEARD_LIFE_S:
+            self._heard_s = now
+            self._heard = self._hear(servers)
+        heard = self._heard.get(server.data_centre)
+        return heard is not None and rate.is_silent(
+            now - heard.latest_s, len(servers) / heard.servers, now
+        )
+
+    def _hear(
+        self, servers: Sequence[directory.BackendServer]
+    ) -> dict[str, _DataCentre]:
+        """Returns when each data centre's servers were last heard of."""
+        found: dict[str, _DataCentre] = {}
+        for server in servers:
+            known = found.get(server.data_centre, _DataCentre())
+            reported_s = self._stats.reported_s(server.server_id)
+            found[server.data_centre] = _DataCentre(
+                servers=known.servers + 1,
+                latest_s=max(known.latest_s, reported_s),
+            )
+        return found
 
     def _holders_of(
         self, part_id: str, now: float
--- a/irisshelf/routing/direct/report_rate.py
+++ b/irisshelf/routing/direct/report_rate.py
@@ -25,12 +25,13 @@
         self._count = self._decayed(at_s) + 1.0
         self._at_s = max(self._at_s, at_s)
 
-    def is_silent(self, age_s: float, servers: int, now: float) -> bool:
+    def is_silent(self, age_s: float, servers: float, now: float) -> bool:
         """Returns whether a server has reported nothing for unusually long.
 
         Args:
             age_s: Age of its last report, in seconds.
-            servers: Number of servers that report.
+            servers: Number of servers that report, for each one that the age
+                is that of.
             now: Monotonic seconds.
 
         Returns:
--- a/irisshelf/routing/direct/server_stats.py
+++ b/irisshelf/routing/direct/server_stats.py
@@ -182,6 +182,10 @@
         """
         return self._sends - self._get(name).last_send_number
 
+    def reported_s(self, name: str) -> float:
+        """Returns when a server last reported; minus infinity if never."""
+        return self._get(name).reported_s
+
     def report_age_s(self, name: str, now: float) -> float:
         """Returns the age of a server's last report."""
         return now - self._get(name).reported_s
--- a/irisshelf/tests/test_silent_sources.py
+++ b/irisshelf/tests/test_silent_sources.py
@@ -4,6 +4,7 @@
 while other instances have found out that it does not respond.
 """
 
+import dataclasses
 import random
 
 import pytest
@@ -92,3 +93,43 @@
     for number in range(int(20 * per_s)):
         rate.record(number / per_s)
     assert rate.is_silent(age_s, 8, 20.0) is silent
+
+
+@pytest.mark.parametrize(
+    ("cut_s", "fetched"),
+    [
+        pytest.param(0.0, True, id="connected"),
+        pytest.param(1.8, False, id="cut-off"),
+    ],
+)
+def test_a_data_centre_that_is_cut_off_shows_sooner_than_its_servers(
+    cut_s, fetched
+):
+    """Each server reports every second, one data centre every eighth of it."""
+    chooser = server_choice.Chooser(data_centre="a", rng=random.Random(1))
+    chooser.cached_parts.avoids_silent = lambda: True
+    servers = [
+        dataclasses.replace(
+            server, server_id=f"{name}{server.server_id}", data_centre=name
+        )
+        for name in ("a", "b")
+        for server in _servers()
+    ]
+    holder = servers[-1]
+    chooser.record_sent(_PROMPT, holder.server_id, 9.0)
+    now = 10.0
+    for step in range(int(now * _COUNT) + 1):
+        at_s = step / _COUNT
+        for server in (servers[step % _COUNT], servers[_COUNT + step % _COUNT]):
+            if server.data_centre == "a" or at_s <= now - cut_s:
+                chooser.stats.record_load_report(
+                    server.server_id, work=1, at_s=at_s
+                )
+    chosen = chooser.choose(
+        [s for s in servers if s.data_centre == "a"],
+        _PROMPT,
+        avoid=frozenset(),
+        now=now,
+        sources=servers,
+    )
+    assert (chosen.source is holder) is fetched
