--- a/irisshelf/tests/test_slowdown.py
+++ b/irisshelf/tests/test_slowdown.py
@@ -99,6 +99,19 @@
     assert max(counts) <= 1.2 * mean
 
 
+@pytest.mark.parametrize(
+    "slowdowns", [_NORMAL, _IN_TURN], ids=["normal", "turn"]
+)
+@pytest.mark.parametrize("seed", _SEEDS)
+def test_no_server_of_the_service_exceeds_the_cap(slowdowns, seed):
+    """Guards against instances that all choose the same server.
+
+    In the first second no instance knows how long requests stay.
+    """
+    observer, _ = _play(slowdowns, 0.75, seed)
+    assert [one for one in observer.above_cap if one[0] > 1.0] == []
+
+
 def _slowdowns(*reports):
     slowdowns = slowdown_module.Slowdowns()
     for at_s, slowdown in reports:
