Waiting requests of a team start by earliest deadline

Cause: a request behind one with a later deadline was not rejected at its own deadline, since only the first of a queue was looked at. Change: the queue of a priority and team is ordered by deadline. Among teams of a priority the one with the least use relative to its share still goes first, as the tests of fair shares ask. Figures: test_admission with 2 new cases, test_layers, test_fleet_admission and test_calls pass.

--- a/irisshelf/overload/waiting.py
+++ b/irisshelf/overload/waiting.py
@@ -5,12 +5,14 @@
 share, so that a small team is admitted immediately during a surge of a large
 one. Other requests wait in a queue per priority and team. The next request to
 start is one of the highest priority, from the team with the fewest running
-requests relative to its share. A request that is not expected to start before
-its deadline is rejected on arrival.
+requests relative to its share, and of these the one with the earliest deadline.
+A request that is not expected to start before its deadline is rejected on
+arrival.
 """
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 import math
@@ -109,7 +111,11 @@
         if self._waiting >= MAX_WAITING or now + wait_s > ticket.deadline_s:
             return Rejection(ticket=ticket, retry_after_s=wait_s)
         key = (_RANKS[ticket.priority], ticket.team)
-        self._queues.setdefault(key, collections.deque()).append(ticket)
+        queue = self._queues.setdefault(key, collections.deque())
+        index = bisect.bisect_right(
+            queue, ticket.deadline_s, key=lambda other: other.deadline_s
+        )
+        queue.insert(index, ticket)
         self._waiting += 1
         return Queued(ticket=ticket)
 
--- a/irisshelf/tests/test_admission.py
+++ b/irisshelf/tests/test_admission.py
@@ -70,6 +70,21 @@
     assert admission_control.record_end("a", 1.0) == []
 
 
+@pytest.mark.parametrize("deadlines_s", [(9.0, 5.0, 7.0), (5.0, 7.0, 9.0)])
+def test_queued_requests_start_by_earliest_deadline(deadlines_s):
+    """Guards against requests that expire behind ones that could wait."""
+    admission_control = waiting.Admission(limit=1, shares={})
+    admission_control.submit(_ticket("running"), 0.0)
+    for deadline_s in deadlines_s:
+        admission_control.submit(
+            _ticket(str(deadline_s), deadline_s=deadline_s), 0.0
+        )
+    (expired,) = admission_control.expire(6.0)
+    assert expired.ticket.deadline_s == 5.0
+    started = [admission_control.record_end("a", 0.1) for _ in range(2)]
+    assert [one.ticket.deadline_s for (one,) in started] == [7.0, 9.0]
+
+
 def test_cancelled_request_leaves_the_queue():
     admission_control = waiting.Admission(limit=1, shares={})
     admission_control.submit(_ticket("running"), 0.0)
