--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -164,6 +164,8 @@
 
     def apply_settings(self, cfg: settings.Settings) -> None:
         """Applies reloaded settings."""
+        if cfg.overload.team_weights != self.cfg.overload.team_weights:
+            self.servers.reset_fleet_admission()
         self.cfg = cfg
         self.servers.cfg = cfg
         self.eligible.cfg = cfg
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -161,6 +161,10 @@
             self._fleet_admissions[service] = found
         return found
 
+    def reset_fleet_admission(self) -> None:
+        """Makes changed weights of teams take effect."""
+        self._fleet_admissions.clear()
+
     def budget(self, service: str) -> retry_budget.RetryBudget:
         """Returns the retry budget of a service."""
         found = self._budgets.get(service)
--- a/irisshelf/testing/demand_network.py
+++ b/irisshelf/testing/demand_network.py
@@ -219,6 +219,7 @@
             cfg=_settings(member),
             eligible=self,
             stats_of=lambda service: stats,
+            reports_slowdown=lambda service: False,
             log=log,
             counts=counts,
             now=lambda: network.now,
