Reads of a long configuration leave more than half of the link to callers

Change: where fleet admission is on, a reader coalesces changes for 0.4 instead of 0.25 of the time limit if the transfer takes 0.2 s or more.

--- a/irisshelf/gateway/knowledge/follower.py
+++ b/irisshelf/gateway/knowledge/follower.py
@@ -17,6 +17,7 @@
 from irisshelf.catalog import position as position_module
 from irisshelf.coordination import shared_watch
 from irisshelf.gateway import instance as instance_module
+from irisshelf.gateway import settings
 from irisshelf.gateway.knowledge import outage_check
 from irisshelf.gateway.knowledge import peer_discovery
 from irisshelf.gateway.knowledge import store_timing
@@ -77,6 +78,8 @@
         self._up.set()
         self._lost_s: float | None = None
         self._updated = {table: event.Event() for table in feed.Table}
+        # Of the last response with a configuration.
+        self._transfer_s = 0.0
         self.change_counts = dict.fromkeys(feed.Table, 0)
         self.tables = tables_module.Tables(inst=inst)
         self._outages = outage_check.OutageCheck(
@@ -283,7 +286,13 @@
         cfg = self._inst.cfg
         if not cfg.policy.gathering:
             return 0.0
-        delay_s = store_timing.coalesce_s(table, cfg.bounds, self._role())
+        overloads = cfg.overload.fleet_admission is settings.FleetAdmission.ON
+        delay_s = store_timing.coalesce_s(
+            table,
+            cfg.bounds,
+            self._role(),
+            transfer_s=self._transfer_s if overloads else 0.0,
+        )
         if table is feed.Table.CATALOG:
             delay_s -= self._inst.freshness.age_s(boottime.now())
         return max(delay_s, 0.0)
@@ -318,6 +327,8 @@
         now = boottime.now()
         if table is feed.Table.CATALOG:
             self._handle_recovery(now)
+            if batch.items:
+                self._transfer_s = batch.transfer_s
         before = self._inst.catalog
         newest = self.tables.apply_answer(table, batch, sent_s, now)
         self._notify_relay()
--- a/irisshelf/gateway/knowledge/store_timing.py
+++ b/irisshelf/gateway/knowledge/store_timing.py
@@ -47,6 +47,11 @@
 # A reader's poll for a new configuration transfers the whole document, and
 # waits for this share of the time limit for a new configuration.
 _COALESCE_READER_CATALOG_SHARE = 0.25
+# The same for a document whose transfer takes so long that responses to callers
+# wait for it: the link is then free for more than half of the time, and 0.6 of
+# the limit remain for a transfer that competes with these responses.
+_COALESCE_READER_LONG_CATALOG_SHARE = 0.4
+_LONG_TRANSFER_S = 0.2
 
 
 def long_poll_s(table: feed.Table, bounds: settings.Bounds) -> float:
@@ -95,14 +100,25 @@
     table: feed.Table,
     bounds: settings.Bounds,
     role: shared_watch.Role = shared_watch.Role.STANDALONE,
+    *,
+    transfer_s: float = 0.0,
 ) -> float:
-    """Returns how long changes are coalesced after a poll, in seconds."""
+    """Returns how long changes are coalesced after a poll, in seconds.
+
+    Args:
+        table: The table.
+        bounds: The operators' bounds.
+        role: Role of this instance.
+        transfer_s: How long the transfer of the document took, if responses to
+            callers are to be spared; in seconds.
+    """
     if role is shared_watch.Role.WATCHER:
         return _COALESCE_WATCHER_S
     if role is shared_watch.Role.READER and table is feed.Table.CATALOG:
-        return (
-            _COALESCE_READER_CATALOG_SHARE * bounds.catalog_in_force_ms / 1000
-        )
+        share = _COALESCE_READER_CATALOG_SHARE
+        if transfer_s >= _LONG_TRANSFER_S:
+            share = _COALESCE_READER_LONG_CATALOG_SHARE
+        return share * bounds.catalog_in_force_ms / 1000
     if table is feed.Table.CATALOG:
         return _COALESCE_CATALOG_S
     return _COALESCE_LEAVING_SHARE * bounds.server_leaving_ms / 1000
--- a/irisshelf/tests/test_catalog_catch_up.py
+++ b/irisshelf/tests/test_catalog_catch_up.py
@@ -231,7 +231,17 @@
 class _Simulation:
     """One instance that follows the store, checked ten times a second."""
 
-    def __init__(self, monkeypatch, *, role, bound_s, body_bytes, end_s):
+    def __init__(
+        self,
+        monkeypatch,
+        *,
+        role,
+        bound_s,
+        body_bytes,
+        end_s,
+        overload=None,
+    ):
+        self._overload = overload or settings.Overload()
         self.clock = _Clock(end_s=end_s)
         self.store = _Store(clock=self.clock, body_bytes=body_bytes)
         self._bound_s = bound_s
@@ -267,6 +277,7 @@
             listen=settings.Listen(front="", ready="", metrics="", peers=""),
             store="",
             bounds=bounds,
+            overload=self._overload,
         )
         self._log_fd = os.open(os.devnull, os.O_WRONLY)
         log = decision_log.DecisionLog(instance="entry-1", fd=self._log_fd)
@@ -415,6 +426,31 @@
     assert sim.store.fetched_bytes <= 2 * (1 + changes) * body_bytes
 
 
+@pytest.mark.parametrize("gap_s", [0.1, 0.3, 0.6])
+def test_reads_of_a_long_configuration_leave_half_of_the_link_to_callers(
+    monkeypatch, gap_s
+):
+    """Guards against responses that wait for configurations.
+
+    The watcher has lost the store while changes go on, so that a reader reads
+    each of them itself; the time limit holds.
+    """
+    overload = settings.Overload(fleet_admission=settings.FleetAdmission.ON)
+    sim = _Simulation(
+        monkeypatch,
+        role=_Role.READER,
+        bound_s=3.0,
+        body_bytes=310_000,
+        end_s=40.0,
+        overload=overload,
+    )
+    sim.watcher.lost_from_s = 4.0
+    sim.change_every(gap_s, begin_s=5.0, end_s=38.0)
+    sim.run()
+    assert (sim.late, sim.underestimated) == ([], [])
+    assert sim.store.fetched_bytes / _LINK_BYTES_S <= 0.5 * 35.0
+
+
 @pytest.mark.parametrize("end_s", [18.0, 18.4, 18.8, 19.2, 19.6, 20.0])
 def test_update_wakes_a_reader_that_waits_to_retry(monkeypatch, end_s):
     """Otherwise it waits up to 2.2 s longer while callers are rejected.
