--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -126,7 +126,7 @@
             counts=self.metrics,
             now=now,
         )
-        self.servers.is_hard_load = self.demand.in_effect
+        self.servers.controls_overload = self.demand.in_effect
         self.crash_tracker = crash_tracker.CrashTracker(
             servers=self.servers,
             listed=self.directory,
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -50,7 +50,7 @@
         publish: Sends a fact to other instances.
         releases: The releases that services have had lately.
         on_releases_changed: Called after ``releases`` may have changed.
-        is_hard_load: Returns whether the deployment asks for overload control
+        controls_overload: Returns whether the deployment asks for overload control
             by the whole fleet for a service.
         on_gone: Called with the keys of servers that are no longer listed, or
             whose exit another instance has confirmed.
@@ -95,7 +95,7 @@
         )
         # Whether no server has ever been removed from the first list.
         self.list_is_complete = False
-        self.is_hard_load: Callable[[str], bool] = _never
+        self.controls_overload: Callable[[str], bool] = _never
         self.on_releases_changed: Callable[[], None] = _do_nothing
         self.on_gone: Callable[[Collection[bytes]], None] = _ignore
         self.reports = server_reports.ReportHandler(
@@ -135,13 +135,13 @@
             )
             found.is_relayed = self.reach.relays.may_reach
             found.cached_parts.avoids_silent = functools.partial(
-                self._is_hard_load, service
+                self._controls_overload, service
             )
             self._choosers[service] = found
         return found
 
-    def _is_hard_load(self, service: str) -> bool:
-        return self.is_hard_load(service)
+    def _controls_overload(self, service: str) -> bool:
+        return self.controls_overload(service)
 
     def record_service_time(self, service: str, service_time_s: float) -> None:
         """Records for how long a request occupied a slot of a server."""
@@ -416,7 +416,7 @@
 
 
 def _never(service: str) -> bool:
-    """Default for ``is_hard_load``."""
+    """Default for ``controls_overload``."""
     return False
 
 
