Soak: seeds with servers that are slow by turns, bursts and surges

Cause: no seed has more load than the servers can process, nor servers that report a slowdown. Change: seeds from 1,000,000,000 on, above all fresh ones, give plain servers 2 slots and a queue of 6, and draw slow servers, bursts and surges (the callers follow). Before and after: seeds below draw the same faults (digests of 40 seeds each at 7960, 8000 and below the new number, for 3 and 24 instances).

--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -15,6 +15,7 @@
 from gevent import socket
 
 from irisshelf import boottime
+from irisshelf.platform.stand_in import slots
 from irisshelf.transport import server as http
 
 _LIMITS = http.Limits(
@@ -159,6 +160,8 @@
         # Processing time relative to normal in percent, as it reports it, also
         # when it rejects requests; None: it does not.
         self.slowdown_percent: int | None = None
+        # Limits its concurrency; None: it has no limit.
+        self.slots: slots.Slots | None = None
         # Work on such a request before the end.
         self.before_end_s = 0.0
         # How long it is away after that.
@@ -237,7 +240,7 @@
             "address": self.address,
             "zone": self.data_centre,
             "version": self.version,
-            "slots": 64,
+            "slots": self.slots.count if self.slots else 64,
             "state": state,
             "coldRemainingMs": self.cold_ms,
             "sequence": self.sequence,
@@ -263,7 +266,8 @@
         if self.rest_s is not None and status == 503:
             headers.append((b"Retry-After", f"{self.rest_s:g}".encode()))
         if self.slowdown_percent is not None:
-            load = f"{self.working},0,64,{self.slowdown_percent}"
+            load = self.slots.load() if self.slots else f"{self.working},0,64"
+            load += f",{self.slowdown_percent}"
             headers.append((b"Server-Load", load.encode()))
         return headers
 
@@ -388,7 +392,9 @@
         conn.abort()
 
     def _turned_down(self, fault: Fault, conn: http.Connection) -> bool:
-        if fault is Fault.REFUSE or self._owner.refuses:
+        limit = self._owner.slots
+        is_full = limit is not None and limit.is_full
+        if fault is Fault.REFUSE or self._owner.refuses or is_full:
             report = self._owner.report(503)
             conn.answer(503, [(b"Not-Executed", b"1"), *report], b"")
         elif fault is Fault.NOT_ME:
@@ -400,7 +406,12 @@
         return True
 
     def _answer(self, fault: Fault, run: Run, conn: http.Connection) -> None:
-        gevent.sleep(self._owner.work_s)
+        owner = self._owner
+        work_s = owner.work_s * (owner.slowdown_percent or 100) / 100
+        if owner.slots is None:
+            gevent.sleep(work_s)
+        else:
+            owner.slots.work(work_s)
         if fault is Fault.HANG:
             gevent.sleep(3600)
         if fault is Fault.SLOW:
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -26,6 +26,8 @@
 
 _KIND = observations.RequestKind
 _PROMISE = checker.Promise
+# All kinds of faults but those of hard load.
+_KINDS = tuple(k for k in plan.Kind if k not in plan.HARD_KINDS)
 _BOUNDS = checker.Bounds(key_s=5.0, left_s=2.5)
 _STREAM = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
 
@@ -335,7 +337,7 @@
             10,
             tuple(
                 k
-                for k in plan.Kind
+                for k in _KINDS
                 if k
                 not in (
                     *plan.REPORT_KINDS,
@@ -351,7 +353,7 @@
             10,
             tuple(
                 k
-                for k in plan.Kind
+                for k in _KINDS
                 if k
                 not in (
                     *plan.OUTDATED_KINDS,
@@ -366,7 +368,7 @@
             10,
             tuple(
                 k
-                for k in plan.Kind
+                for k in _KINDS
                 if k
                 not in (
                     *plan.PARTITION_KINDS,
@@ -380,16 +382,25 @@
             10,
             tuple(
                 k
-                for k in plan.Kind
+                for k in _KINDS
                 if k not in (plan.Kind.VERSION, plan.Kind.HERD)
             ),
         ),
         (
             plan.VERSIONS_FROM,
             10,
-            tuple(k for k in plan.Kind if k is not plan.Kind.HERD),
+            tuple(k for k in _KINDS if k is not plan.Kind.HERD),
+        ),
+        (
+            plan.SIZE_FROM,
+            24,
+            _KINDS,
+        ),
+        (
+            plan.HARD_FROM,
+            3,
+            (*plan.HARD_KINDS, plan.Kind.KILL, plan.Kind.TERM, plan.Kind.HUP),
         ),
-        (plan.SIZE_FROM, 24, tuple(plan.Kind)),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
@@ -410,9 +421,11 @@
         (6000, "f5a9232105d242ab", "4f1e3090ce8128c0"),
         (7000, "a50180e48916b756", "dfe6fe946c140311"),
         (7960, "352b6966727eb616", "21f2d73eabbecde8"),
+        (8000, "2a890bfce6f3c35f", "4b5cced435a7c4d3"),
+        (10**9 - 40, "bfa07c178a08398f", "8f41f2dfe37417d8"),
     ],
 )
-def test_seeds_without_herds_draw_as_before(first, small, large):
+def test_seeds_without_hard_load_draw_as_before(first, small, large):
     """Guards against new kinds of faults that change known seeds."""
     for instances, expected in ((plan.INSTANCES, small), (24, large)):
         seeds = range(first, first + 40)
--- a/soak/crashing.py
+++ b/soak/crashing.py
@@ -41,6 +41,8 @@
     Not those with planned work alone: a server that ends under it breaks off
     streams beside a planned stop, which are not that stop's doing.
     """
+    if plan.is_hard(seed):
+        return False
     if plan.has_herds(seed) and not plan.has_parts(seed):
         return False
     every = 1 if plan.has_parts(seed) else _EVERY
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -89,6 +89,8 @@
         evacuated: Spans in which the far data centre was evacuated.
         unlisted: Spans in which the store lacked what it had lost.
         lagged: Spans in which the store's list lagged.
+        bursts: Spans in which all callers of hard load send more.
+        surges: Spans in which one team sends more.
     """
 
     def __init__(
@@ -121,6 +123,8 @@
         self.evacuated: list[observations.Span] = []
         self.unlisted: list[observations.Span] = []
         self.lagged: list[observations.Span] = []
+        self.bursts: list[observations.Span] = []
+        self.surges: list[observations.Span] = []
 
     def prepare(self) -> None:
         """Writes the list of servers and the first configuration."""
@@ -179,12 +183,24 @@
             plan.Kind.VERSION: lambda: gevent.spawn(
                 self.of_servers.change_version, fault
             ),
+            plan.Kind.SERVER_SLOW: lambda: self.of_servers.slow(fault),
+            plan.Kind.BURST: lambda: self._raise_load(self.bursts, fault),
+            plan.Kind.SURGE: lambda: self._raise_load(self.surges, fault),
             plan.Kind.PARTITION: lambda: self._partition(fault),
             plan.Kind.HERD: lambda: gevent.spawn(self._herd, fault),
         }
         actions[fault.kind]()
         self._note(fault)
 
+    def _raise_load(
+        self, spans: list[observations.Span], fault: plan.Fault
+    ) -> None:
+        """Notes for the callers that they send more, from now on."""
+        now = time.monotonic()
+        spans.append(
+            observations.Span(target=0, from_s=now, to_s=now + fault.for_s)
+        )
+
     def _aimed(self, fault: plan.Fault) -> plan.Fault:
         """Returns a fault with its target, where that is the first instance."""
         if not fault.hits_first:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -67,6 +67,10 @@
     VERSION = "version"
     # Of seeds with herds alone.
     HERD = "herd"
+    # Of seeds with hard load alone.
+    SERVER_SLOW = "server_slow"
+    BURST = "burst"
+    SURGE = "surge"
 
 
 WIDE_KINDS = (
@@ -89,6 +93,7 @@
 # With instances that are killed, as their streams go on elsewhere.
 VERSION_KINDS = (Kind.VERSION, Kind.VERSION, Kind.KILL)
 HERD_KINDS = (Kind.HERD,)
+HARD_KINDS = (Kind.SERVER_SLOW, Kind.BURST, Kind.SURGE)
 # Seeds from this one on have further kinds; those before draw as they always
 # did.
 FURTHER_FROM = 1000
@@ -106,6 +111,9 @@
 # Seeds from this one on are for many instances: a large share of them is killed
 # at once, and more streams are in flight.
 SIZE_FROM = 8000
+# Seeds from this one on have more load than the servers can process, and none
+# of the further kinds above. They lie above all that are drawn as fresh ones.
+HARD_FROM = 1_000_000_000
 _UNFRAMED_EVERY = 3
 # Of so many seeds with herds, one has servers of one version all the time; of
 # so many, four have parts that end servers.
@@ -123,8 +131,10 @@
         *PARTITION_KINDS,
         Kind.VERSION,
         Kind.HERD,
+        *HARD_KINDS,
     )
 )
+_HARD_SEED_KINDS = (*(4 * HARD_KINDS), Kind.KILL, Kind.TERM, Kind.HUP)
 # Seldom what disturbs all instances, as refused streams count at the others.
 _SIZE_KINDS = (
     *SMALL_KINDS,
@@ -161,6 +171,8 @@
     Kind.CALLER_LINK: ("reset", "slow"),
     Kind.STORE_TURNS_AWAY: ("silent", "reset"),
     Kind.PARTITION: ("hang", "reset", "refuse", "hang_new"),
+    # Processing time relative to normal, in percent.
+    Kind.SERVER_SLOW: ("150", "250", "400"),
     Kind.HERD: ("once", "series", "version_comes", "version_goes"),
     Kind.SERVER_FAULTS: (
         "refuse",
@@ -195,6 +207,7 @@
         Kind.SERVER_RESTS,
         Kind.LATE_ENTRY,
         Kind.VERSION,
+        Kind.SERVER_SLOW,
     }
 )
 
@@ -225,44 +238,49 @@
 
 def is_planned(seed: int) -> bool:
     """Tells whether a seed's run has planned work alone."""
-    return seed % _PLANNED_EVERY == 0
+    return seed % _PLANNED_EVERY == 0 and not is_hard(seed)
+
+
+def is_hard(seed: int) -> bool:
+    """Returns whether callers send more than the servers can process."""
+    return seed >= HARD_FROM
 
 
 def is_further(seed: int) -> bool:
     """Tells whether a seed's run has evacuations, cold servers and copies."""
-    return seed >= FURTHER_FROM
+    return FURTHER_FROM <= seed < HARD_FROM
 
 
 def has_reports(seed: int) -> bool:
     """Tells whether servers leave or rest by what their answers say."""
-    return seed >= REPORTS_FROM
+    return REPORTS_FROM <= seed < HARD_FROM
 
 
 def has_outdated(seed: int) -> bool:
     """Returns whether something older contradicts that servers leave."""
-    return seed >= OUTDATED_FROM
+    return OUTDATED_FROM <= seed < HARD_FROM
 
 
 def has_partitions(seed: int) -> bool:
     """Returns whether instances lose their links to servers."""
-    return seed >= PARTITIONS_FROM
+    return PARTITIONS_FROM <= seed < HARD_FROM
 
 
 def has_versions(seed: int) -> bool:
     """Returns whether servers run several software versions."""
-    return seed >= VERSIONS_FROM
+    return VERSIONS_FROM <= seed < HARD_FROM
 
 
 def has_parts(seed: int) -> bool:
     """Returns whether a part of prompts ends servers, not a whole request."""
     if has_herds(seed):
         return seed % _HERD_PARTS_EVERY >= _HERD_PARTS_EVERY - 4
-    return seed >= PARTS_FROM
+    return PARTS_FROM <= seed < HARD_FROM
 
 
 def has_herds(seed: int) -> bool:
     """Returns whether many instances are killed at once."""
-    return seed >= SIZE_FROM
+    return SIZE_FROM <= seed < HARD_FROM
 
 
 def has_one_version(seed: int) -> bool:
@@ -319,6 +337,8 @@
         kinds = _SIZE_KINDS
     if has_one_version(seed):
         kinds = tuple(kind for kind in kinds if kind is not Kind.VERSION)
+    if is_hard(seed):
+        kinds = _HARD_SEED_KINDS
     if is_planned(seed):
         kinds = _PLANNED
     count = rng.randint(8, 16)
--- a/soak/run.py
+++ b/soak/run.py
@@ -100,6 +100,8 @@
             servers=self.servers,
             links=self.links,
         )
+        if plan.is_hard(seed):
+            self._injector.of_servers.limit()
         if plan.has_versions(seed):
             self._injector.of_servers.begin_versions()
         for one in self.servers:
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -13,6 +13,7 @@
 
 from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import server
+from irisshelf.platform.stand_in import slots
 from irisshelf.platform.stand_in import store
 from soak import observations
 from soak import plan
@@ -35,6 +36,11 @@
 _ROLLED_OUT_S = 0.2
 _BETWEEN_S = 0.1
 _ALONE_S = 5.0
+# Slots and queue of a plain server under hard load, and its processing time.
+SLOTS = 2
+_QUEUE = 6
+WORK_S = 0.1
+_NORMAL_PERCENT = 100
 # What another writer may leave in the list.
 _FOREIGN = (
     None,
@@ -111,6 +117,24 @@
         one.choose_fault = choose_fault
         gevent.spawn_later(fault.for_s, _heal, one, choose_fault)
 
+    def limit(self) -> None:
+        """Gives plain servers few slots; all servers report their slowdown."""
+        for one in self._servers:
+            one.slowdown_percent = _NORMAL_PERCENT
+        for one in self._servers[: plan.SERVERS]:
+            one.slots = slots.Slots(count=SLOTS, queue=_QUEUE)
+            one.work_s = WORK_S
+
+    def slow(self, fault: plan.Fault) -> None:
+        """A plain server is slow for a while, and reports it."""
+        one = self._servers[fault.target % plan.SERVERS]
+        if one.slowdown_percent != _NORMAL_PERCENT:
+            return
+        one.slowdown_percent = int(fault.variant)
+        gevent.spawn_later(
+            fault.for_s, setattr, one, "slowdown_percent", _NORMAL_PERCENT
+        )
+
     def crash(self, fault: plan.Fault) -> None:
         """A crashed server says nothing to the store; it comes back."""
         link = self._links[fault.target]
