Soak: callers of hard load; priority order, starvation and rejections checked

Cause: seeds with hard load had no load, and no check of shares. Odd seeds set overload.fleet_admission to on and a response buffer. Rejections of repeatable requests of hard load are checked against runs too. First attempts count for shares, from 100 requests on.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,7 @@
 EVENTS = 12
 _CALLERS = 8
 _CALLERS_WITH_VERSIONS = 16
+_CALLERS_BESIDE_HARD_LOAD = 3
 # In runs with herds: callers for each instance, and how many there are at most.
 _CALLERS_PER_INSTANCE = 2
 _MOST_CALLERS = 64
@@ -78,6 +79,8 @@
         """Starts all callers."""
         versions = plan.has_versions(self._seed)
         count = _CALLERS_WITH_VERSIONS if versions else _CALLERS
+        if plan.is_hard(self._seed):
+            count = _CALLERS_BESIDE_HARD_LOAD
         if plan.has_herds(self._seed):
             wanted = _CALLERS_PER_INSTANCE * len(self._entries)
             count = max(count, min(wanted, _MOST_CALLERS))
@@ -248,7 +251,7 @@
             headers["Last-Event-Id"] = str(after)
         calm = self.calm and key not in self._injector.withdrawn
         sent_s = time.monotonic()
-        answer = _exchange(
+        answer = exchange(
             conn, method, target, crashing_body or body, headers, leaves_after
         )
         asked = observations.Asked(
@@ -274,13 +277,14 @@
         return asked
 
 
-def _exchange(
+def exchange(
     conn: client.Connection,
     method: str,
     target: str,
     body: bytes,
     headers: dict[str, str],
     leaves_after: int | None = None,
+    pause_s: float = 0.0,
 ) -> world.Answer:
     """Sends a request and collects what comes of the answer.
 
@@ -291,6 +295,10 @@
         body: The request's body.
         headers: The request's headers.
         leaves_after: After how many events the caller leaves; None if it stays.
+        pause_s: Pause of the caller before each read of the body.
+
+    Returns:
+        What came of the answer; status 0 if nothing came.
     """
     if body:
         headers["Content-Length"] = str(len(body))
@@ -306,4 +314,6 @@
         return world.Answer(status=0, headers={}, body=b"", whole=False)
     if leaves_after is not None:
         return streams.read_part(conn, leaves_after)
+    if pause_s:
+        return streams.read_slowly(conn, pause_s)
     return world.read_answer(conn)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -8,12 +8,11 @@
 from collections.abc import Iterable
 
 from soak import crash_checks
+from soak import load_checks
 from soak import observations
 from soak import stream_checks
 from soak import streams
 
-# Statuses that promise that a request has not run and never will.
-_NOT_RUN = frozenset({408, 421, 429, 503})
 _HANDLED = 0.5  # Seconds that an answer may be late at the caller.
 # Requests that may reach a server from an instance in a rest, later than so
 # many seconds after its answer.
@@ -49,6 +48,8 @@
     RESUMED = "streams go on half as often as others begin, at least"
     ONE_VERSION = "with one version no stream is refused as unknown"
     CRASHES = "what three servers ended under is sent on three times at most"
+    ORDER = "no priority is admitted more often than a more urgent one"
+    STARVED = "each team and priority is served a quarter as often as all"
     BESIDE = "sound requests that share its other parts begin half as often"
 
 
@@ -84,9 +85,17 @@
     found += _sent_against_reports(record, bounds)
     found += _served_worse(record)
     found += _streams(record)
+    found += _shares(record)
     return found
 
 
+def _shares(record: observations.Record) -> Iterable[Violation]:
+    for detail in load_checks.out_of_order(record):
+        yield Violation(promise=Promise.ORDER, request_id="", detail=detail)
+    for detail in load_checks.starved(record):
+        yield Violation(promise=Promise.STARVED, request_id="", detail=detail)
+
+
 def _streams(record: observations.Record) -> Iterable[Violation]:
     for first_id in stream_checks.mixed(record):
         yield Violation(
@@ -108,7 +117,9 @@
     return [o for o in record.asked if not _touches(record.disturbed, o)]
 
 
-def whole_body(asked: observations.Asked, events: int) -> bytes:
+def whole_body(
+    asked: observations.Asked, events: int, padding_bytes: int = 0
+) -> bytes:
     """Returns the body that a whole answer has."""
     if asked.kind in (
         observations.RequestKind.SAFE,
@@ -116,7 +127,10 @@
     ):
         return b"answer to " + asked.request_id.encode()
     numbers = range(asked.after_event + 1, events + 1)
-    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+    padding = b"." * padding_bytes
+    return b"".join(
+        b"id: %d\ndata: piece %d%s\n\n" % (n, n, padding) for n in numbers
+    )
 
 
 def _crashes(
@@ -288,7 +302,7 @@
     runs: list[observations.Ran],
 ) -> Iterable[Violation]:
     broken: list[tuple[Promise, str]] = []
-    expected = whole_body(asked, record.events)
+    expected = whole_body(asked, record.events, record.padding_bytes)
     body = streams.without_versions(asked.body)
     sound = body == expected and asked.signature and runs
     if asked.status == 200 and asked.whole and not sound:
@@ -298,7 +312,9 @@
     if asked.kind.once and len(runs) > 1:
         servers = [ran.server_id for ran in runs]
         broken.append((Promise.ONCE, f"ran at {servers}"))
-    if asked.kind.once and asked.status in _NOT_RUN and runs:
+    # Requests of hard load that may be repeated are rejected as truthfully.
+    told = asked.kind.once or asked.team
+    if told and asked.status in observations.NOT_RUN and runs:
         broken.append((Promise.NOT_RUN, f"{asked.status}, ran {len(runs)}"))
     withdrawn_s = record.withdrawn.get(asked.key)
     if withdrawn_s is not None and runs:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,7 @@
 from soak import observations
 from soak import plan
 from soak import server_faults
+from soak import teams
 
 # An instance counts as in touch again so long after a disturbance.
 _IN_TOUCH_S = 3.0
@@ -375,8 +376,10 @@
         self._write_configuration()
 
     def _write_configuration(self) -> None:
-        teams = [{"name": "blue", "apiKeys": self.keys}]
-        document = world.config(self._version, tenants=teams)
+        tenants = [{"name": "blue", "apiKeys": self.keys}]
+        document = world.config(self._version, tenants=tenants)
+        if plan.is_hard(self._seed):
+            teams.add_to(document)
         if plan.is_further(self._seed):
             for service in document["services"]:
                 service |= {
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 
 import gevent
 
@@ -36,6 +37,7 @@
         data_centre: Where it stands.
         data_centres: Names of all data centres, as its settings have them; none
             if they are not told.
+        overload: That section of its settings.
     """
 
     def __init__(
@@ -49,12 +51,14 @@
         seeds: list[str],
         data_centre: str = "a",
         data_centres: tuple[str, ...] = (),
+        overload: Mapping[str, object] | None = None,
     ):
         self.number = number
         self.peers = peers
         self._seeds = seeds
         self.data_centre = data_centre
         self._data_centres = data_centres
+        self._overload = dict(overload or {})
         self.name = f"entry-{number}"
         self.front = f"127.0.0.1:{block.take()}"
         self.ready = f"127.0.0.1:{block.take()}"
@@ -177,6 +181,7 @@
                 "cold_overage": 1.5,
                 "cold_slack": 5.0,
             },
+            "overload": self._overload,
             "log_lines_per_s": lines_per_s,
         }
         aside = self._settings.with_suffix(".new")
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -6,6 +6,9 @@
 import enum
 import math
 
+# Statuses that promise that a request has not run and never will.
+NOT_RUN = frozenset({408, 421, 429, 503})
+
 
 class RequestKind(enum.StrEnum):
     """Kinds of request by what may be repeated."""
@@ -47,6 +50,9 @@
         resumes: Id of the attempt that began the stream that it resumes.
         after_event: The last event that its caller had before.
         left: Whether its caller left before the answer's end.
+        team: Its team, in requests of hard load; empty otherwise.
+        priority: Its priority, in requests of hard load.
+        retries: Whether an earlier attempt was rejected.
     """
 
     request_id: str
@@ -65,6 +71,9 @@
     resumes: str = ""
     after_event: int = 0
     left: bool = False
+    team: str = ""
+    priority: int = 0
+    retries: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -147,6 +156,7 @@
         lagged: Spans in which the store's list lagged. What servers announced
             before them stays known.
         versions: Spans in which servers served streams at versions.
+        padding_bytes: Bytes that each event of a stream is longer by.
     """
 
     asked: tuple[Asked, ...]
@@ -164,3 +174,4 @@
     arrived: tuple[Arrived, ...] = ()
     lagged: tuple[Span, ...] = ()
     versions: tuple[VersionSpan, ...] = ()
+    padding_bytes: int = 0
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -246,6 +246,13 @@
     return seed >= HARD_FROM
 
 
+def overload(seed: int) -> dict[str, object]:
+    """Returns a section of the settings, in a part of the seeds."""
+    if not is_hard(seed) or not seed % 2:
+        return {}
+    return {"fleet_admission": "on", "response_buffer_mb": 8}
+
+
 def is_further(seed: int) -> bool:
     """Tells whether a seed's run has evacuations, cold servers and copies."""
     return FURTHER_FROM <= seed < HARD_FROM
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,8 +19,10 @@
 from soak import crashing
 from soak import faults
 from soak import fleet
+from soak import hard_load
 from soak import observations
 from soak import plan
+from soak import server_faults
 from soak import server_links
 from soak import stream_checks
 
@@ -130,6 +132,7 @@
                 data_centre=places[number % len(places)],
                 # Servers of a single one's instances may stand elsewhere.
                 data_centres=places if len(places) > 1 else (),
+                overload=plan.overload(seed),
             )
             for number in range(instances)
         ]
@@ -138,6 +141,16 @@
             seed=seed, entries=self.entries, injector=self._injector
         )
 
+        self._hard_load: hard_load.HardLoad | None = None
+        if plan.is_hard(seed):
+            self._hard_load = hard_load.HardLoad(
+                seed=seed,
+                entries=self.entries,
+                others=self._callers,
+                bursts=self._injector.bursts,
+                surges=self._injector.surges,
+            )
+
     def play(self) -> Verdict:
         """Plays the run to its end."""
         try:
@@ -168,10 +181,12 @@
             self._callers.spawn(
                 self._crashing.ask_until, until_s, self._callers.crash
             )
+        last_s = max(fault.at_s + fault.for_s for fault in self._faults)
+        if self._hard_load is not None:
+            self._callers.spawn(self._hard_load.run_until, began_s + last_s)
         for fault in self._faults:
             gevent.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
             self._injector.inject(fault)
-        last_s = max(fault.at_s + fault.for_s for fault in self._faults)
         if self._crashing is not None and plan.has_parts(self._seed):
             last_s = max(last_s, self._crashing.until_s)
         gevent.sleep(max(0.0, began_s + last_s - time.monotonic()))
@@ -210,6 +225,9 @@
             unlisted=tuple(self._injector.unlisted),
             lagged=tuple(self._injector.lagged),
             versions=tuple(self._injector.of_servers.versions),
+            padding_bytes=(
+                server_faults.PADDING_BYTES if plan.is_hard(self._seed) else 0
+            ),
             arrived=tuple(
                 observations.Arrived(
                     request_id=one.request_id,
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -41,6 +41,8 @@
 _QUEUE = 6
 WORK_S = 0.1
 _NORMAL_PERCENT = 100
+# Makes a stream larger than the buffers between an instance and a slow reader.
+PADDING_BYTES = 32_768
 # What another writer may leave in the list.
 _FOREIGN = (
     None,
@@ -121,6 +123,8 @@
         """Gives plain servers few slots; all servers report their slowdown."""
         for one in self._servers:
             one.slowdown_percent = _NORMAL_PERCENT
+        for number in self._engines():
+            self._servers[number].padding_bytes = PADDING_BYTES
         for one in self._servers[: plan.SERVERS]:
             one.slots = slots.Slots(count=SLOTS, queue=_QUEUE)
             one.work_s = WORK_S
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
+
+import gevent
 
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import world
@@ -35,6 +38,25 @@
 
 def read_part(conn: client.Connection, most: int) -> world.Answer:
     """Collects an answer until it has so many events; then leaves."""
+    answer = _read(conn, lambda body: body.count(b"\n\n") < most)
+    conn.close()
+    return answer
+
+
+def read_slowly(conn: client.Connection, pause_s: float) -> world.Answer:
+    """Collects an answer, with a pause before each read of its body."""
+
+    def pause(body: bytes) -> bool:
+        gevent.sleep(pause_s)
+        return True
+
+    return _read(conn, pause)
+
+
+def _read(
+    conn: client.Connection, goes_on: Callable[[bytes], bool]
+) -> world.Answer:
+    """Collects an answer as long as its caller goes on."""
     try:
         status, raw = conn.read_head(timeout_s=_READ_S)
     except errors.TransportError:
@@ -42,7 +64,7 @@
     body = b""
     whole = False
     try:
-        while body.count(b"\n\n") < most:
+        while goes_on(body):
             data = conn.read_data(timeout_s=_READ_S)
             if data is None:
                 whole = True
@@ -51,6 +73,5 @@
     except errors.TransportError:
         # What has come counts as it is.
         whole = False
-    conn.close()
     headers = {n.decode().lower(): v.decode() for n, v in raw}
     return world.Answer(status=status, headers=headers, body=body, whole=whole)
