--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -644,6 +644,7 @@
         # One version, killed instances, and one that follows the store for the
         # others.
         (plan.SIZE_FROM + 2, 9),
+        (plan.HARD_FROM + 1, plan.INSTANCES),
     ],
 )
 def test_real_processes_keep_the_promises(tmp_path, seed, instances):
