Quotas follow the queues that the arriving request finds

Cause: an instance allocated quotas before it recorded the queues that the request found, so that they followed those of its previous request; with 64 instances up to a second had passed since.

Change: the correction is updated first.

--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -164,7 +164,6 @@
             self._min_objective_s = min(
                 self._min_objective_s, arrival.objective_s
             )
-        quotas = self._current_quotas(demand, capacity_slots, now)
         self._correction.update(
             backlog_s=wait_s if backlog_s is None else backlog_s,
             idle=idle,
@@ -173,6 +172,7 @@
             overloaded=demand.offered_slots > capacity_slots,
             now=now,
         )
+        quotas = self._current_quotas(demand, capacity_slots, now)
         team = demand_module.team_key(arrival.team)
         fraction = quotas.fraction(arrival.priority, team)
         if capacity_slots <= 0:
--- a/irisshelf/tests/test_fleet_admission.py
+++ b/irisshelf/tests/test_fleet_admission.py
@@ -342,3 +342,28 @@
         )
     assert control.factor == pytest.approx(1.0, abs=0.02)
     assert control.excess == 0.0
+
+
+@pytest.mark.parametrize(
+    ("backlog_s", "is_limited"), [(0.1, False), (0.3, True)]
+)
+def test_quotas_follow_the_queues_that_a_request_finds(backlog_s, is_limited):
+    """Guards against quotas by the queues that the last request found.
+
+    At 64 instances, a second may have passed since.
+    """
+    control = admission.FleetAdmission(team_weights={})
+    rates = {p: demand_module.GroupRates(offered_slots=8.0) for p in (0, 1)}
+    arrival = admission.Arrival(
+        priority=0, team="a", objective_s=0.6, remaining_s=2.5
+    )
+    for now, found_s in ((0.0, 0.1), (1.0, backlog_s)):
+        control.admit(
+            arrival,
+            wait_s=found_s,
+            now=now,
+            full=False,
+            demand=demand_module.ServiceDemand(by_priority=rates),
+            capacity_slots=32.0,
+        )
+    assert (control.quotas.fraction_by_priority[1] < 1) is is_limited
