--- a/irisshelf/testing/busy_fleet.py
+++ b/irisshelf/testing/busy_fleet.py
@@ -16,6 +16,7 @@
 from irisshelf.overload import admission
 from irisshelf.overload import demand as demand_module
 from irisshelf.overload import local_admission
+from irisshelf.overload import slot_time
 from irisshelf.routing.direct import server_choice
 from irisshelf.testing import busy_load
 from irisshelf.testing import busy_server
@@ -60,7 +61,7 @@
         ends: When instances end for good, by number. Their callers come back
             elsewhere; what was sent for them is lost.
         service_time_error: Instances take the time that requests occupy a slot
-            for this multiple of the true one in the demand.
+            for this multiple of the measured one in the demand.
         team_weights: Weights of teams in fair shares.
     """
 
@@ -88,6 +89,8 @@
         refusals: How often it was refused.
         asked_s: When it came last.
         sent: Whether it was admitted.
+        load: Requests that its server had when it was admitted, as the instance
+            knew it.
         answered_s: When it was answered; None if it was not.
     """
 
@@ -98,6 +101,7 @@
     refusals: int = 0
     asked_s: float = 0.0
     sent: bool = False
+    load: float = 0.0
     answered_s: float | None = None
 
     @property
@@ -135,7 +139,7 @@
         self._load: FleetLoad = load
         self._seed = seed
         self._alive = set(range(load.instances))
-        self._exchange = demand_play.Exchange(load.instances)
+        self._exchange = demand_play.Exchange(load.instances, after=self._after)
         self._fleet_gates = [self._new_gate() for _ in range(load.instances)]
         self.callers: list[Caller] = []
         # Requests at each server at each exchange, for the balance of loads.
@@ -143,7 +147,8 @@
 
     def run(self) -> None:
         """Runs the load to its end."""
-        self._after(demand_play.EXCHANGE_S, self._tell_demand)
+        first_s = demand_play.CYCLE_S - demand_play.LEAD_S
+        self._after(first_s, self._tell_demand)
         for at_s, instance in self._load.restarts:
             self._after(at_s, lambda n=instance: self._restart(n))
         for at_s, instance in self._load.ends:
@@ -154,10 +159,10 @@
         return admission.FleetAdmission(team_weights=self._load.team_weights)
 
     def _tell_demand(self) -> None:
-        self._exchange.tell(sorted(self._alive), self._now)
+        self._exchange.begin_cycle(sorted(self._alive), self._now)
         self.factors.append((self._now, self._fleet_gates[0].factor))
         if self._now < self._load.length_s:
-            self._after(demand_play.EXCHANGE_S, self._tell_demand)
+            self._after(demand_play.CYCLE_S, self._tell_demand)
 
     def _restart(self, instance: int) -> None:
         self._choosers[instance] = server_choice.Chooser(
@@ -199,16 +204,35 @@
         self._choose(request)
 
     def _count_arrival(self, request: _Request) -> None:
-        priority = request.kind.priority
-        slots = request.kind.place_s * self._load.service_time_error
-        team = demand_module.team_key(request.team)
-        meter = self._exchange.meters[request.instance]
-        meter.add("offered_slots", priority, slots, self._now)
-        meter.add("team", (priority, team), slots, self._now)
+        self._exchange.meter(request.instance).record_arrival(
+            demand_play.SERVICE,
+            request.kind.priority,
+            demand_module.team_key(request.team),
+            self._now,
+        )
+
+    def _record_begun(self, request: _Request, *, in_time: bool) -> None:
+        self._exchange.meter(request.instance).record_begun(
+            demand_play.SERVICE,
+            request.kind.priority,
+            self._now,
+            in_time=in_time,
+        )
 
-    def _meter(self, request: _Request, what: str) -> None:
-        meter = self._exchange.meters[request.instance]
-        meter.add(what, request.kind.priority, 1.0, self._now)
+    def _record_slot_time(
+        self, request: _Request, server: busy_server.Server
+    ) -> None:
+        measured_s = slot_time.estimate_s(
+            self._now - request.sent_s,
+            load=request.caller.load,
+            slots=self._load.slots,
+            load_after=server.work,
+        )
+        self._exchange.meter(request.instance).record_slot_time(
+            demand_play.SERVICE,
+            request.kind.priority,
+            measured_s * self._load.service_time_error,
+        )
 
     def _is_refused(
         self, request: _Request, choice: server_choice.Choice
@@ -231,7 +255,7 @@
                 wait_s=wait_s,
                 now=self._now,
                 full=choice.full,
-                demand=self._exchange.total,
+                demand=self._exchange.demand(request.instance, self._now),
                 capacity_slots=float(self._load.servers * self._load.slots),
                 backlog_s=gate.estimated_wait_s(
                     choice.mean_load, self._load.slots
@@ -240,16 +264,20 @@
             )
         else:
             refusal = gate.admit(arrival, wait_s, self._now, full=choice.full)
+        meter = self._exchange.meter(request.instance)
+        service, priority = demand_play.SERVICE, request.kind.priority
         if refusal is None:
+            meter.record_admitted(service, priority, self._now)
             caller.sent = True
+            caller.load = choice.load
             return False
+        meter.record_rejected(service, priority, self._now)
         self._refuse(request, refusal.retry_after_s)
         return True
 
     def _refuse(self, request: _Request, retry_after_s: float) -> None:
         caller = request.caller
         caller.refusals += 1
-        self._meter(request, "rejected_per_s")
         remaining_s = caller.came_s + caller.kind.patience_s - self._now
         wait_s = min(retry_after_s, remaining_s * _PATIENT_SHARE)
         most = self._load.retries
@@ -276,6 +304,8 @@
         stats = self._stats[request.instance]
         stats.record_end(name, self._now)
         stats.record_load_report(name, work=server.work, at_s=self._now)
+        # It has been admitted, so that it counts as late and not as rejected.
+        self._record_begun(request, in_time=False)
         self._refuse(request, _RECONNECT_S)
 
     def _start(self, server: busy_server.Server, name: str) -> None:
@@ -285,7 +315,7 @@
             waited_s = self._now - request.came_s
             if waited_s > request.kind.patience_s:
                 stats.record_end(name, self._now)
-                self._meter(request, "begun_per_s")
+                self._record_begun(request, in_time=False)
                 continue
             server.free -= 1
             server.running += 1
@@ -313,9 +343,8 @@
         caller = request.caller
         if caller.answered_s is None:
             caller.answered_s = self._now
-        self._meter(request, "begun_per_s")
-        if caller.in_time_of_return:
-            self._meter(request, "in_time_per_s")
+        self._record_begun(request, in_time=caller.in_time_of_return)
+        self._record_slot_time(request, server)
 
     def _ask_elsewhere(self, caller: Caller) -> None:
         if self._now - caller.came_s < caller.kind.patience_s:
--- a/irisshelf/testing/demand_play.py
+++ b/irisshelf/testing/demand_play.py
@@ -1,56 +1,64 @@
-"""Simulated exchange of demand between the instances of a fleet."""
+"""Simulated exchange of demand between the instances of a fleet.
+
+It has the delays of ``demand_exchange.DemandExchange`` in one data centre, but
+no messages: instances take snapshots shortly before a cycle begins, their sum
+is formed at its begin and known to all instances ``GATHER_S`` later.
+"""
 
 from __future__ import annotations
 
-import collections
+import dataclasses
 import math
+from collections.abc import Callable
 
+from irisshelf.gateway.servers import demand_monitor
 from irisshelf.overload import demand as demand_module
-
-# Instances exchange their demand twice a second; what they decide by is older
-# by one more interval.
-EXCHANGE_S = 0.5
-_HALF_LIFE_S = 0.5
-# What an instance has told counts for this time after it has ended.
-_EXPIRES_S = 2.0
-
-
-class Meter:
-    """Decayed rates of what arrives, begins and is in time at one instance."""
-
-    def __init__(self):
-        self._sums: dict[tuple, float] = collections.defaultdict(float)
-        self._at_s = 0.0
-
-    def add(self, what: str, key: object, amount: float, now: float) -> None:
-        """Adds an amount of something that is counted by a key."""
-        self._decay(now)
-        self._sums[what, key] += amount
+from irisshelf.overload import fleet
+from irisshelf.overload import meter as meter_module
+from irisshelf.overload import smoothing
+
+SERVICE = "busy"
+CYCLE_S = 0.5
+# Time from the begin of a cycle until its total is known.
+GATHER_S = 0.1
+# Mean time from the snapshot of an instance to the begin of the cycle.
+LEAD_S = 0.045
+# An instance's own demand is computed again after this time.
+_OWN_LIFE_S = 0.05
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Known:
+    """What one instance has measured and been told."""
+
+    meter: meter_module.DemandMeter = dataclasses.field(
+        default_factory=meter_module.DemandMeter
+    )
+    total: demand_module.ServiceDemand | None = None
+    total_s: float = -math.inf
+    own: demand_module.ServiceDemand = dataclasses.field(
+        default_factory=demand_module.ServiceDemand
+    )
+    own_s: float = -math.inf
+
+    def record_total(
+        self, total: demand_module.ServiceDemand, now: float
+    ) -> None:
+        if self.total is not None and self._is_valid(now):
+            total = smoothing.smooth(self.total, total)
+        self.total, self.total_s = total, now
 
     def demand(self, now: float) -> demand_module.ServiceDemand:
-        """Returns the rates."""
-        self._decay(now)
-        rate = math.log(2) / _HALF_LIFE_S
-        fields: dict[int, dict[str, float]] = collections.defaultdict(dict)
-        teams = {}
-        for (what, key), amount in self._sums.items():
-            if what == "team":
-                teams[key] = amount * rate
-            else:
-                fields[key][what] = amount * rate
-        return demand_module.ServiceDemand(
-            by_priority={
-                priority: demand_module.GroupRates(**rates)
-                for priority, rates in fields.items()
-            },
-            by_team=teams,
-        )
-
-    def _decay(self, now: float) -> None:
-        kept = 0.5 ** ((now - self._at_s) / _HALF_LIFE_S)
-        self._at_s = now
-        for key in self._sums:
-            self._sums[key] *= kept
+        if self.total is not None and self._is_valid(now):
+            return self.total
+        if now - self.own_s >= _OWN_LIFE_S:
+            snapshot = self.meter.snapshot(now)
+            self.own = snapshot.get(SERVICE, demand_module.ServiceDemand())
+            self.own_s = now
+        return self.own
+
+    def _is_valid(self, now: float) -> bool:
+        return now - self.total_s <= demand_monitor.TOTAL_EXPIRY_S
 
 
 class Exchange:
@@ -58,24 +66,52 @@
 
     Args:
         instances: Number of instances.
+        after: Calls a function after a time in seconds.
     """
 
-    def __init__(self, instances: int):
-        self.meters = [Meter() for _ in range(instances)]
-        self._told: dict[int, tuple[float, demand_module.ServiceDemand]] = {}
-        self._next = demand_module.ServiceDemand()
-        self.total = demand_module.ServiceDemand()
+    def __init__(
+        self,
+        instances: int,
+        *,
+        after: Callable[[float, Callable[[], None]], None],
+    ):
+        self._known = [_Known() for _ in range(instances)]
+        self._entries = fleet.FleetDemand()
+        self._after = after
+
+    def meter(self, instance: int) -> meter_module.DemandMeter:
+        """Returns the meter of an instance."""
+        return self._known[instance].meter
+
+    def demand(self, instance: int, now: float) -> demand_module.ServiceDemand:
+        """Returns the demand of the fleet, as an instance knows it.
+
+        It is that of this instance alone while no other one is known.
+        """
+        return self._known[instance].demand(now)
 
     def restart(self, instance: int) -> None:
         """Lets an instance start anew."""
-        self.meters[instance] = Meter()
+        self._known[instance] = _Known()
+
+    def begin_cycle(self, alive: list[int], now: float) -> None:
+        """Takes the snapshots of a cycle, ``LEAD_S`` before it begins.
 
-    def tell(self, alive: list[int], now: float) -> None:
-        """Exchanges the demand; called every ``EXCHANGE_S``."""
+        Args:
+            alive: The instances that have not ended.
+            now: Time in seconds.
+        """
         for instance in alive:
-            self._told[instance] = (now, self.meters[instance].demand(now))
-        self.total = self._next
-        self._next = demand_module.ServiceDemand()
-        for at_s, demand in self._told.values():
-            if now - at_s < _EXPIRES_S:
-                self._next += demand
+            snapshot = self._known[instance].meter.snapshot(now)
+            self._entries.record(str(instance), snapshot, now)
+        self._after(LEAD_S, lambda: self._sum(now + LEAD_S))
+
+    def _sum(self, now: float) -> None:
+        total = self._entries.service(SERVICE, now)
+        self._after(GATHER_S, lambda: self._tell(total, now + GATHER_S))
+
+    def _tell(self, total: demand_module.ServiceDemand, now: float) -> None:
+        if not total.by_priority:
+            return
+        for known in self._known:
+            known.record_total(total, now)
