--- a/irisshelf/routing/direct/cached_parts.py
+++ b/irisshelf/routing/direct/cached_parts.py
@@ -36,9 +36,9 @@
 
     Attributes:
         locations: Which servers are assumed to have which parts.
-        avoids_silent: Returns whether no parts are fetched from servers that
-            nobody has heard of lately. A fetch from a server that has failed
-            delays the request until the other server gives it up.
+        avoids_silent: Returns whether no parts are fetched from a data centre
+            whose servers nobody has heard of lately. Such a fetch delays the
+            request until the selected server gives it up.
     """
 
     def __init__(
@@ -137,17 +137,14 @@
         servers: Sequence[directory.BackendServer],
         now: float,
     ) -> bool:
-        """Returns whether a server, or its data centre, seems to be cut off.
+        """Returns whether a server's data centre seems to be cut off.
 
-        A data centre is heard more often than each of its servers, so that its
-        silence shows sooner.
+        A single server's silence does not count: one that gets few requests
+        reports as seldom as one that has failed.
         """
         if not self.avoids_silent():
             return False
         rate = self._stats.report_rate
-        age_s = self._stats.report_age_s(server.server_id, now)
-        if rate.is_silent(age_s, len(servers), now):
-            return True
         if now - self._heard_s > _HEARD_LIFE_S:
             self._heard_s = now
             self._heard = self._hear(servers)
