--- a/irisshelf/routing/direct/cached_parts.py
+++ b/irisshelf/routing/direct/cached_parts.py
@@ -15,7 +15,7 @@
 from irisshelf.routing.direct import server_stats
 
 # A choice must not look at all servers of a large service each time.
-_HEARD_LIFE_S = 0.1
+_SUMMARY_LIFE_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,7 +37,7 @@
     Attributes:
         locations: Which servers are assumed to have which parts.
         avoids_silent: Returns whether no parts are fetched from a data centre
-            whose servers nobody has heard of lately. Such a fetch delays the
+            whose servers have reported nothing lately. Such a fetch delays the
             request until the selected server gives it up.
     """
 
@@ -50,8 +50,8 @@
     ):
         self.locations = cache_locations.CacheLocations()
         self.avoids_silent: Callable[[], bool] = lambda: False
-        self._heard: dict[str, _DataCentre] = {}
-        self._heard_s = -math.inf
+        self._summary: dict[str, _DataCentre] = {}
+        self._summary_s = -math.inf
         self._stats = stats
         self._has_path = has_path
         self._policy = policy
@@ -145,18 +145,18 @@
         if not self.avoids_silent():
             return False
         rate = self._stats.report_rate
-        if now - self._heard_s > _HEARD_LIFE_S:
-            self._heard_s = now
-            self._heard = self._hear(servers)
-        heard = self._heard.get(server.data_centre)
-        return heard is not None and rate.is_silent(
-            now - heard.latest_s, len(servers) / heard.servers, now
+        if now - self._summary_s > _SUMMARY_LIFE_S:
+            self._summary_s = now
+            self._summary = self._summarise(servers)
+        known = self._summary.get(server.data_centre)
+        return known is not None and rate.is_silent(
+            now - known.latest_s, len(servers) / known.servers, now
         )
 
-    def _hear(
+    def _summarise(
         self, servers: Sequence[directory.BackendServer]
     ) -> dict[str, _DataCentre]:
-        """Returns when each data centre's servers were last heard of."""
+        """Returns when a server of each data centre last reported."""
         found: dict[str, _DataCentre] = {}
         for server in servers:
             known = found.get(server.data_centre, _DataCentre())
--- a/irisshelf/routing/direct/report_rate.py
+++ b/irisshelf/routing/direct/report_rate.py
@@ -1,4 +1,4 @@
-"""How often servers of a service are heard of, and which ones are silent."""
+"""How often servers of a service report, and which ones are silent."""
 
 from __future__ import annotations
 
--- a/irisshelf/tests/test_silent_sources.py
+++ b/irisshelf/tests/test_silent_sources.py
@@ -1,4 +1,4 @@
-"""Parts are not fetched from a data centre that nobody has heard of lately.
+"""Parts are not fetched from a data centre that has reported nothing lately.
 
 Guards against requests that wait for a fetch from a data centre that is cut
 off, and against parts that are read again as their holder gets few requests.
