--- a/irisshelf/overload/fleet.py
+++ b/irisshelf/overload/fleet.py
@@ -120,6 +120,7 @@
     def add(
         self, name: str, of_service: demand.ServiceDemand, weight: float
     ) -> None:
+        """Adds a part of the demand for a service."""
         by_priority = self._rates.setdefault(name, {})
         for priority, rates in of_service.by_priority.items():
             total = by_priority.setdefault(priority, [0.0] * 5)
@@ -133,6 +134,7 @@
             by_team[group] = by_team.get(group, 0.0) + weight * offered
 
     def result(self) -> demand.InstanceDemand:
+        """Returns the sum, by service."""
         return {
             name: demand.ServiceDemand(
                 by_priority={
--- a/irisshelf/overload/meter.py
+++ b/irisshelf/overload/meter.py
@@ -15,8 +15,8 @@
 from irisshelf.overload import demand
 
 # Rates are means over this time. What instances know 1 s after a step in load
-# was measured at least 0.35 s after it, so that the step is complete; with
-# 0.4 s the estimate was up to 15 percent too low.
+# was measured at least 0.35 s after it, so that a longer mean would still
+# contain the load before the step.
 WINDOW_S = 0.35
 _INTERVAL_S = 0.05
 _INTERVALS = round(WINDOW_S / _INTERVAL_S)
