Readers that an update has brought up to date do not poll the store

The reader then read the whole configuration from the store. Change: a position that an update advances to clears the mark if it covers what was announced.

--- a/irisshelf/coordination/table_watch.py
+++ b/irisshelf/coordination/table_watch.py
@@ -233,5 +233,11 @@
 
     def advance_to(self, position: position_module.Position) -> None:
         """Records that an update has brought all data up to a position."""
-        if self.position is not None:
-            self.position = max(self.position, position)
+        if self.position is None:
+            return
+        self.position = max(self.position, position)
+        announced = self._update_position
+        if announced is not None and announced <= self.position:
+            # What was announced while a snapshot was in transit is no newer
+            # than that snapshot: nothing is left to read from the store.
+            self._behind = False
--- a/irisshelf/tests/test_shared_watch.py
+++ b/irisshelf/tests/test_shared_watch.py
@@ -208,3 +208,29 @@
     watch.record_history_lost()
     assert not watch.record_response(_at(31), 1.1, whole=False)
     assert watch.position is None
+
+
+@pytest.mark.parametrize(
+    ("announced", "advanced", "suffice"),
+    [
+        pytest.param(35, 35, True, id="caught-up"),
+        pytest.param(35, 40, True, id="beyond"),
+        pytest.param(40, 35, False, id="still-behind"),
+    ],
+)
+def test_a_reader_that_an_update_brings_up_to_date_does_not_poll(
+    announced, advanced, suffice
+):
+    """Guards against readers that read a configuration again from the store.
+
+    The watcher announces a position while an older snapshot is in transit, and
+    then that this snapshot is what the store has at the announced position.
+    """
+    watch = table_watch.TableWatch()
+    watch.record_update(1.0, _at(announced), _Verdict.FETCH)
+    assert watch.record_relayed_table(_at(30), 1.1)
+    watch.record_update(1.2, _at(advanced), _Verdict.CURRENT)
+    watch.advance_to(_at(advanced))
+    timing = shared_watch.timing(4.0)
+    until_s = watch.updates_suffice_until_s(shared_watch.Role.READER, timing)
+    assert (until_s > 1.2) is suffice
