An expired reservation no longer hides the caller's next one

Cause: reservations are removed up to a second after they have expired. In that second, one that was never used counted as the earlier of two reservations, so that the next one of the same caller was not recorded, and the caller was treated as new when it returned.

Change: only a reservation that can still be used takes precedence.

Test: two of three cases failed before (claims were UNKNOWN instead of EARLY), all pass now.

--- a/irisshelf/overload/reservations.py
+++ b/irisshelf/overload/reservations.py
@@ -56,6 +56,10 @@
     due_s: float
     used: bool = False
 
+    def is_void(self, now: float) -> bool:
+        """Returns whether it was due too long ago to be used."""
+        return now > self.due_s + EXPIRY_S
+
 
 class Reservations:
     """Reservations by fingerprint, in bounded memory.
@@ -80,7 +84,7 @@
     def record(self, fingerprint: bytes, due_s: float, now: float) -> None:
         """Records a reservation.
 
-        If there is one that has not been used, the earlier one counts: callers
+        If there is one that can still be used, the earlier one counts: callers
         with the same content may have been told both times.
 
         Args:
@@ -91,7 +95,8 @@
         self._expire(now)
         known = self._found.get(fingerprint)
         if known is not None:
-            if not known.used and known.due_s <= due_s:
+            usable = not known.used and not known.is_void(now)
+            if usable and known.due_s <= due_s:
                 return
             self._remove(fingerprint)
         self._found[fingerprint] = _Reservation(due_s=due_s)
@@ -107,7 +112,7 @@
             now: Monotonic seconds.
         """
         known = self._found.get(fingerprint)
-        if known is None or now > known.due_s + EXPIRY_S:
+        if known is None or known.is_void(now):
             return UNKNOWN
         if known.used:
             return Claim(state=State.USED)
--- a/irisshelf/tests/test_returns.py
+++ b/irisshelf/tests/test_returns.py
@@ -198,6 +198,22 @@
     assert len(kept) == 1
 
 
+@pytest.mark.parametrize("due_s", [1.0, 1.5, 1.999])
+def test_an_expired_reservation_does_not_hide_the_next_one(due_s):
+    """Guards against a caller whose next reservation is not recorded.
+
+    Reservations are removed up to a second after they have expired.
+    """
+    kept = reservations.Reservations()
+    kept.record(_FINGERPRINT, due_s, 0.0)
+    now = due_s + reservations.EXPIRY_S + 0.1
+    assert kept.claim(_FINGERPRINT, now).state is _UNKNOWN
+    kept.record(_FINGERPRINT, now + 0.5, now)
+    assert kept.claim(_FINGERPRINT, now).state is _EARLY
+    assert kept.claim(_FINGERPRINT, now + 0.5).state is _DUE
+    assert len(kept) == 1
+
+
 def _key(number):
     return number.to_bytes(16)
 
