Smoothed demand forgets teams that are no longer listed

Cause: smoothing halves the load of a team that a message no longer lists, but kept its entry for as long as the demand did not change. Which of many teams are listed changes by chance, so that each team that was ever listed was kept and took part in each computation of quotas. A decayed load close to 0 also set the weight of the teams that are not listed to its upper bound.

Change: a team that is not listed is left out below 0.0005 of all load, which it reaches within about five estimates for an average team; its load counts with that of the other teams.

--- a/irisshelf/overload/smoothing.py
+++ b/irisshelf/overload/smoothing.py
@@ -20,6 +20,11 @@
 # error after a change stays below half of it.
 _MAX_DIFFERENCE = 0.25
 _LATEST_WEIGHT = 0.5
+# A team that is no longer among those listed keeps half of its load with each
+# estimate. Below this share of all load it is left out: the load is counted
+# with that of the teams that are not listed. Without a limit, all teams that
+# were ever listed would be kept while the demand does not change.
+_MIN_TEAM_SHARE = 0.0005
 
 
 def smooth(
@@ -33,7 +38,10 @@
     """
     if _has_changed(before, latest):
         return latest
-    return _scale(before, 1 - _LATEST_WEIGHT) + _scale(latest, _LATEST_WEIGHT)
+    smoothed = _scale(before, 1 - _LATEST_WEIGHT) + _scale(
+        latest, _LATEST_WEIGHT
+    )
+    return _without_smallest(smoothed, listed=latest)
 
 
 def _has_changed(
@@ -55,6 +63,21 @@
     )
 
 
+def _without_smallest(
+    smoothed: demand.ServiceDemand, *, listed: demand.ServiceDemand
+) -> demand.ServiceDemand:
+    """Leaves out teams that are not listed and whose load has decayed."""
+    least = _MIN_TEAM_SHARE * smoothed.offered_slots
+    return demand.ServiceDemand(
+        by_priority=smoothed.by_priority,
+        by_team={
+            group: offered
+            for group, offered in smoothed.by_team.items()
+            if offered >= least or group in listed.by_team
+        },
+    )
+
+
 def _scale(
     of_service: demand.ServiceDemand, factor: float
 ) -> demand.ServiceDemand:
