Requests of routes without objective do not all count as late

Cause: a route without targetLatencyMs has the objective 0, and each of its responses counted as late. While such a service was overloaded, the fraction in time was 0 and the correction reduced the capacity to half of the estimate.

Change: without an objective, a response is in time if it begins before the deadline, as admission control already has it.

Test: the two cases before the deadline failed before, all four pass now.

--- a/irisshelf/gateway/requests/request_demand.py
+++ b/irisshelf/gateway/requests/request_demand.py
@@ -116,5 +116,8 @@
         )
 
     def _is_late(self) -> bool:
-        elapsed_s = self._inst.now() - self._job.inbound.arrived_s
-        return elapsed_s > self._job.route.latency_target_s
+        """Returns whether the objective has passed, or the deadline if none."""
+        objective_s = self._job.route.latency_target_s
+        if objective_s <= 0:
+            return self._inst.now() > self._job.deadline_s
+        return self._inst.now() - self._job.inbound.arrived_s > objective_s
--- a/irisshelf/tests/test_request_demand.py
+++ b/irisshelf/tests/test_request_demand.py
@@ -104,6 +104,39 @@
     assert rates.begun_per_s == rates.in_time_per_s == one_in_window
 
 
+@pytest.mark.parametrize("objective_s", [0.0, -1.0])
+@pytest.mark.parametrize(
+    ("elapsed_s", "in_time"),
+    [
+        pytest.param(0.5, True, id="before-deadline"),
+        pytest.param(1.5, False, id="after-deadline"),
+    ],
+)
+def test_without_an_objective_the_deadline_decides(
+    world, objective_s, elapsed_s, in_time
+):
+    """Guards against routes without objective that reduce the capacity.
+
+    If all their requests counted as late, the correction would take it for
+    queues that are too long.
+    """
+    inst = world.inst
+    arrived_s = inst.now() - elapsed_s
+    job = types.SimpleNamespace(
+        service="crew",
+        priority=1,
+        route=types.SimpleNamespace(latency_target_s=objective_s),
+        inbound=types.SimpleNamespace(arrived_s=arrived_s),
+        deadline_s=arrived_s + 1.0,
+    )
+    counted = request_demand.RequestDemand(inst=inst, job=job)
+    counted.record_admitted()
+    counted.record_begun()
+    rates = inst.demand.meter.snapshot(inst.now())["crew"].by_priority[1]
+    assert rates.begun_per_s > 0
+    assert bool(rates.in_time_per_s) is in_time
+
+
 def test_slot_times_are_divided_by_the_slowdown(make_world):
     worlds = [make_world(), make_world()]
     worlds[1].inst.demand.slowdown = lambda server: 100.0
