Waits under fleet admission count queue and slowdown once

Cause: fleet admission estimates a wait from the load of a server, the mean time of a request and the current slowdown. The gateway recorded the whole time from send to response as that mean, which contains the wait in the server's queue and the slowdown. Both therefore counted twice, and requests that fit were rejected while queues were long or servers slow.

Change: fleet admission gets the slot time that the demand meter gets. Admission by what one instance observes gets the whole time, as before.

Conclusion: real fleets admit more than before at slow servers and long queues; this has not been measured with real processes here.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -113,8 +113,8 @@
                 self._relay.relay_stream(head)
             else:
                 self._relay.relay_complete(head)
-            self._inst.servers.record_service_time(
-                server.service, self._inst.now() - began_s
+            self._inst.servers.overload(server.service).record_service_time(
+                self._inst.now() - began_s
             )
             stats.record_residence_time(self._inst.now() - sent_s)
             self._demand.record_slot_time(
--- a/irisshelf/gateway/requests/request_demand.py
+++ b/irisshelf/gateway/requests/request_demand.py
@@ -103,17 +103,20 @@
             load = 0.0
         elif reported is not None:
             load_after = reported.running + reported.waiting
+        slot_time_s = slot_time.estimate_s(
+            self._inst.now() - began_s,
+            load=load,
+            load_after=load_after,
+            slots=server.slots,
+            slowdown=self._inst.demand.slowdown(server),
+        )
+        service = self._job.service
         self._inst.demand.meter.record_slot_time(
-            self._job.service,
-            self._job.priority,
-            slot_time.estimate_s(
-                self._inst.now() - began_s,
-                load=load,
-                load_after=load_after,
-                slots=server.slots,
-                slowdown=self._inst.demand.slowdown(server),
-            ),
+            service, self._job.priority, slot_time_s
         )
+        # Waits are estimated from it, and from the current load and slowdown.
+        control = self._inst.servers.fleet_admission(service)
+        control.record_service_time(slot_time_s)
 
     def _is_late(self) -> bool:
         """Returns whether the objective has passed, or the deadline if none."""
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -143,11 +143,6 @@
     def _controls_overload(self, service: str) -> bool:
         return self.controls_overload(service)
 
-    def record_service_time(self, service: str, service_time_s: float) -> None:
-        """Records for how long a request occupied a slot of a server."""
-        self.overload(service).record_service_time(service_time_s)
-        self.fleet_admission(service).record_service_time(service_time_s)
-
     def overload(self, service: str) -> local_admission.AdmissionControl:
         """Returns the admission control of a service."""
         return self._overloads[service]
--- a/irisshelf/tests/test_request_demand.py
+++ b/irisshelf/tests/test_request_demand.py
@@ -151,6 +151,57 @@
     assert found[1] < 0.2 * found[0]
 
 
+def test_waits_of_a_slow_server_contain_its_slowdown_once(world):
+    """Guards against waits that grow with the square of the slowdown."""
+    inst = world.inst
+    inst.demand.slowdown = lambda server: 100.0
+    for _ in range(120):
+        assert world.ask("/query/1").status == 200
+    # The time is recorded after the caller has read the response.
+    gevent.sleep(0.05)
+    one_request_s = inst.servers.fleet_admission("lm").estimated_wait_s(1, 1)
+    # The initial estimates have lost their weight in both means. A measured
+    # time is 100 times as long as the slot time.
+    assert one_request_s < 20 * inst.demand.meter.slot_time_s("lm", 1)
+
+
+@pytest.mark.parametrize("load", [0, 8])
+@pytest.mark.parametrize("slowdown", [1.0, 2.5])
+def test_waits_are_estimated_from_times_without_queue_and_slowdown(
+    world, load, slowdown
+):
+    """Guards against the queue and the slowdown counting twice in a wait.
+
+    Both raise the measured times, and the wait is estimated from the mean time,
+    the current load and the current slowdown.
+    """
+    inst, true_s, slots = world.inst, 0.25, 4
+    inst.demand.slowdown = lambda server: slowdown
+    route = types.SimpleNamespace(kind=model.RouteKind.SAFE)
+    job = types.SimpleNamespace(service="crew", priority=1, route=route)
+    counted = request_demand.RequestDemand(inst=inst, job=job)
+    server = dataclasses.replace(
+        inst.servers.eligible.accepting("crew")[0], slots=slots
+    )
+    choice = server_choice.Choice(
+        server=server,
+        reason=server_choice.Reason.HOME,
+        load=load,
+        mean_load=load,
+        report_age_s=0.0,
+    )
+    turns = max(0, load + 1 - slots)
+    elapsed_s = (true_s + max(0.0, turns - 0.5) * true_s / slots) * slowdown
+    for _ in range(200):
+        now = inst.now()
+        counted.record_slot_time(
+            choice, sent_s=now - elapsed_s, head_s=now, reported=None
+        )
+    control = inst.servers.fleet_admission("crew")
+    one_request_s = control.estimated_wait_s(slots, slots) * slots
+    assert one_request_s == pytest.approx(true_s, rel=0.06)
+
+
 @pytest.mark.parametrize("load", [0, 3, 4, 8, 15])
 @pytest.mark.parametrize("slowdown", [1.0, 2.5])
 def test_the_wait_in_a_queue_is_no_slot_time(load, slowdown):
