A response that is discarded while it is sent is released once

Cause: discard ends the sending greenlet in the next turn of the event loop. If the socket became writable in the same turn, the greenlet ran once more and counted its piece as released a second time, so that the memory of all responses was under-counted for good and the limit grew by up to 64 kB each time. A time-out or error in that turn was reported although the response had ended.

Change: the greenlet counts and reports only while it is the current sender.

--- a/irisshelf/tests/test_response_buffer.py
+++ b/irisshelf/tests/test_response_buffer.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from gevent import event
 from gevent import socket
 
 from irisshelf.transport import errors
@@ -245,6 +246,60 @@
     assert (rig.buffers.kept_bytes, rig.buffers.count) == (0, 0)
 
 
+class _HeldSocket:
+    """Accepts nothing until it is released, then all or an error."""
+
+    def __init__(self, error):
+        self.released = event.Event()
+        self._error = error
+
+    def settimeout(self, timeout_s):
+        pass
+
+    def setsockopt(self, *option):
+        pass
+
+    def send(self, data, flags=0, timeout_s=None):
+        if timeout_s == 0.0:
+            raise BlockingIOError
+        self.released.wait()
+        if self._error is not None:
+            raise self._error
+        return len(data)
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        pytest.param(None, id="sent"),
+        pytest.param(TimeoutError(), id="stalled"),
+        pytest.param(ConnectionResetError(), id="reset"),
+    ],
+)
+def test_what_is_discarded_while_it_is_sent_is_released_once(error):
+    """Guards against memory that is released twice, and a limit that grows.
+
+    The greenlet that sends may run once more before it is ended.
+    """
+    rig = _Rig(10_000_000)
+    sock = _HeldSocket(error)
+    made = response_buffer.ResponseBuffer(
+        sock=sock,
+        buffers=rig.buffers,
+        on_failed=rig.failures["discarded"].append,
+    )
+    made.write(b"a" * 1000)
+    gevent.sleep(0)
+    sock.released.set()
+    made.discard()
+    gevent.sleep(0)
+    gevent.sleep(0)
+    assert (made.kept_bytes, rig.buffers.kept_bytes) == (0, 0)
+    assert rig.buffers.count == 0
+    assert not rig.ended
+    assert not rig.failures["discarded"]
+
+
 def test_responses_that_are_kept_outlive_the_end_of_the_feature():
     """Settings may be reloaded while callers read."""
     rig = _Rig(_BIG)
--- a/irisshelf/transport/response_buffer.py
+++ b/irisshelf/transport/response_buffer.py
@@ -361,17 +361,24 @@
             self._sender = gevent.spawn(self._send_pieces)
 
     def _send_pieces(self) -> None:
+        sender = gevent.getcurrent()
         try:
             while self._pieces:
                 # Nothing is added to a piece that is being sent.
                 piece = self._pieces.popleft()
                 self._send_piece(piece)
+                if self._sender is not sender:
+                    # Everything has been discarded, this piece included, before
+                    # the greenlet was ended.
+                    return
                 self.kept_bytes -= len(piece)
                 self._buffers.remove(self, len(piece))
         except TimeoutError:
-            self.end(EndReason.STALLED)
+            if self._sender is sender:
+                self.end(EndReason.STALLED)
         except OSError as exc:
-            self._fail(errors.CallerDisconnectedError(str(exc)))
+            if self._sender is sender:
+                self._fail(errors.CallerDisconnectedError(str(exc)))
         else:
             self._sender = None
 
