A full send buffer of datagrams blocks nobody and ends no greenlet

Cause: sendto of a gevent socket waits while the send buffer is full, as on a saturated link, and raises ConcurrentObjectUseError, an AssertionError, in each other greenlet that sends meanwhile. It ended the receiver of datagrams or the exchange of demand for good, or the request that asked for its reservation. A rejection waited for the link, and a caller that left in this wait left behind the number of its question.

Change: datagrams are sent through a second descriptor without time-out. What the buffer does not accept is lost, as receivers tolerate.

--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -47,6 +47,11 @@
         self._logged_kinds: set[int | None] = set()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((host, int(port)))
+        # The same socket without time-out. On ``_sock``, gevent would let a
+        # greenlet wait while the send buffer is full, as on a saturated link,
+        # and raise an AssertionError in each other one that sends meanwhile.
+        self._sending = self._sock.dup()
+        self._sending.settimeout(0.0)
 
     @property
     def address(self) -> str:
@@ -65,12 +70,16 @@
         self._handlers[kind] = handler
 
     def send(self, address: str, data: bytes) -> None:
-        """Sends the bytes from ``encode``; delivery is not guaranteed."""
+        """Sends the bytes from ``encode`` at once, or not at all.
+
+        Delivery is not guaranteed.
+        """
         host, _, port = address.rpartition(":")
         try:
-            self._sock.sendto(data, (host, int(port)))
+            self._sending.sendto(data, (host, int(port)))
         except OSError:
-            # Equivalent to a lost datagram, which receivers tolerate.
+            # Equivalent to a lost datagram, which receivers tolerate. This
+            # includes BlockingIOError, if the send buffer is full.
             return
 
     def dispatch(self, data: bytes) -> None:
