--- a/irisshelf/gateway/requests/request_demand.py
+++ b/irisshelf/gateway/requests/request_demand.py
@@ -103,18 +103,24 @@
             load = 0.0
         elif reported is not None:
             load_after = reported.running + reported.waiting
+        slot_time_s = slot_time.estimate_s(
+            self._inst.now() - began_s,
+            load=load,
+            load_after=load_after,
+            slots=server.slots,
+            slowdown=self._inst.demand.slowdown(server),
+        )
+        service = self._job.service
         self._inst.demand.meter.record_slot_time(
-            self._job.service,
-            self._job.priority,
-            slot_time.estimate_s(
-                self._inst.now() - began_s,
-                load=load,
-                load_after=load_after,
-                slots=server.slots,
-                slowdown=self._inst.demand.slowdown(server),
-            ),
+            service, self._job.priority, slot_time_s
         )
+        # Waits are estimated from it, and from the current load and slowdown.
+        control = self._inst.servers.fleet_admission(service)
+        control.record_service_time(slot_time_s)
 
     def _is_late(self) -> bool:
-        elapsed_s = self._inst.now() - self._job.inbound.arrived_s
-        return elapsed_s > self._job.route.latency_target_s
+        """Returns whether the objective has passed, or the deadline if none."""
+        objective_s = self._job.route.latency_target_s
+        if objective_s <= 0:
+            return self._inst.now() > self._job.deadline_s
+        return self._inst.now() - self._job.inbound.arrived_s > objective_s
