Do not count pauses of the asking process against a relay

Cause: the time-out of a tunnel's handshake ran while the process that asked for it was paused. After the pause it had expired before the answer could be read, the relay was recorded as lost and avoided, and requests that only relays could serve got 503 no_server. The limit on all attempts for one connection was used up by the same pause.

Change: the answer is awaited in waits of 0.03 s, of which each counts at most its own length, and input that has arrived is read after the last one. The connection and the answer each have the limit; a relay that is silent in the handshake is still given up after 0.15 s.

--- a/irisshelf/gateway/servers/relays.py
+++ b/irisshelf/gateway/servers/relays.py
@@ -147,14 +147,18 @@
             regions: Regions that the request may pass through, beside the data
                 centre of this instance; None for all.
         """
-        until_s = self._now() + _MAX_ATTEMPTS_S
+        spent_s = 0.0
         conn = None
         verdicts = []
         for relay in self._candidates(server, regions)[:_MAX_RELAYS]:
+            started_s = self._now()
             tried = self._try(relay, server, timeout_s)
+            # An attempt that took longer was held up by a pause of this
+            # process, which leaves time for the others.
+            spent_s += min(timeout_s, self._now() - started_s)
             conn = tried.conn
             verdicts.append(tried.verdict)
-            if _is_conclusive(verdicts) or self._now() >= until_s:
+            if _is_conclusive(verdicts) or spent_s >= _MAX_ATTEMPTS_S:
                 break
         verdict = next((one for one in _PRECEDENCE if one in verdicts), None)
         # Without the relays of other regions, the others may still reach it.
--- a/irisshelf/tests/test_tunnel.py
+++ b/irisshelf/tests/test_tunnel.py
@@ -2,6 +2,7 @@
 
 import random
 import struct
+import time
 
 import gevent
 import pytest
@@ -78,11 +79,13 @@
     """Opens a tunnel to a server that a function serves."""
     servers = []
 
-    def make(serve, **options):
+    def make(serve, timeout_s=2.0, **options):
         target = _Target(serve)
         relaying = _Relaying(target.address, **options)
         servers.extend((target.server, relaying.server))
-        sock = tunnel.connect(relaying.address, "/relay?x=1", timeout_s=2.0)
+        sock = tunnel.connect(
+            relaying.address, "/relay?x=1", timeout_s=timeout_s
+        )
         return sock, target, relaying
 
     yield make
@@ -267,3 +270,46 @@
     sock._sock.sendall(rng.randbytes(rng.randint(200, 5000)))
     sock._sock.shutdown(socket.SHUT_WR)
     _wait(lambda: relaying.ended == 1 and target.ended == 1)
+
+
+@pytest.mark.parametrize("pause_s", [0.2, 0.3])
+@pytest.mark.parametrize(
+    ("module", "step"),
+    [
+        pytest.param(client, "open_socket", id="connected"),
+        pytest.param(tunnel, "_flush", id="asked"),
+    ],
+)
+def test_a_pause_of_the_process_is_no_silence_of_the_relay(
+    open_tunnel, monkeypatch, module, step, pause_s
+):
+    """Guards against relays avoided for a pause of the instance that asks.
+
+    After the pause the time-out has expired, before the answer could be read.
+    """
+    original = getattr(module, step)
+
+    def pause_after(*args, **options):
+        monkeypatch.setattr(module, step, original)
+        made = original(*args, **options)
+        gevent.spawn(time.sleep, pause_s)
+        return made
+
+    monkeypatch.setattr(module, step, pause_after)
+    sock, _, _ = open_tunnel(_echo, timeout_s=0.15)
+    sock.settimeout(2.0)
+    sock.sendall(b"x")
+    assert _read(sock, 1) == b"x"
+
+
+def test_a_relay_that_does_not_answer_is_noticed_in_time():
+    """Guards against callers that wait for an instance that stands still."""
+    silent = server.StreamServer(
+        ("127.0.0.1", 0), lambda sock, peer: gevent.sleep(60)
+    )
+    silent.start()
+    address = f"127.0.0.1:{silent.server_port}"
+    with gevent.Timeout(5.0), pytest.raises(errors.ConnectError) as found:
+        tunnel.connect(address, "/relay?x=1", timeout_s=0.15)
+    silent.stop(timeout=0)
+    assert found.value.timed_out
--- a/irisshelf/transport/tunnel.py
+++ b/irisshelf/transport/tunnel.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+import select
 
 import gevent
 from gevent import lock
@@ -25,12 +26,18 @@
 from irisshelf import boottime
 from irisshelf.transport import client as client_transport
 from irisshelf.transport import errors
+from irisshelf.transport import polling
 from irisshelf.transport import server as server_transport
 
 _READ_BYTES = 16_384
 _MAX_FRAME_BYTES = 65_536
 # Time limit for the other side to read one piece of data.
 _WRITE_TIMEOUT_S = 10.0
+# The answer to a handshake is awaited in waits of at most this length. A pause
+# of this process is counted as one of them at most: after it, all timers have
+# expired, although the answer may have arrived or is about to.
+_MAX_WAIT_S = 0.03
+_MIN_WAIT_S = 0.001
 # A tunnel without data in either direction for this long has been abandoned;
 # requests take seconds, and idle connections are closed sooner.
 _IDLE_TIMEOUT_S = 60.0
@@ -165,20 +172,20 @@
     Args:
         address: Address of the other instance.
         target: Path and query that name the server.
-        timeout_s: Limit on the whole exchange.
+        timeout_s: Limit on the time for the connection, and on the time for the
+            answer after it. Pauses of this process do not count.
 
     Raises:
         errors.ConnectError: The other instance cannot be reached, or did not
             answer in time.
         RejectedError: It does not open the tunnel.
     """
-    until_s = boottime.now() + timeout_s
     sock = client_transport.open_socket(address, timeout_s=timeout_s)
     proto = client.ClientProtocol(
         uri.parse_uri(f"ws://{address}{target}"), max_size=_MAX_FRAME_BYTES
     )
     try:
-        _shake_hands(sock, proto, until_s)
+        _shake_hands(sock, proto, timeout_s)
     except (TimeoutError, RejectedError, errors.ConnectError) as exc:
         sock.close()
         if isinstance(exc, TimeoutError):
@@ -192,13 +199,23 @@
 
 
 def _shake_hands(
-    sock: socket.socket, proto: client.ClientProtocol, until_s: float
+    sock: socket.socket, proto: client.ClientProtocol, timeout_s: float
 ) -> None:
     proto.send_request(proto.connect())
     _flush(proto, sock)
+    remaining_s = timeout_s
     while proto.state is protocol.State.CONNECTING:
-        sock.settimeout(max(0.001, until_s - boottime.now()))
-        data = sock.recv(_READ_BYTES)
+        wait_s = max(_MIN_WAIT_S, min(remaining_s, _MAX_WAIT_S))
+        started_s = boottime.now()
+        sock.settimeout(wait_s)
+        try:
+            data = sock.recv(_READ_BYTES)
+        except TimeoutError:
+            remaining_s -= wait_s
+            if remaining_s <= 0.0 and not polling.is_ready(sock, select.POLLIN):
+                raise
+            continue
+        remaining_s -= min(wait_s, boottime.now() - started_s)
         if data:
             proto.receive_data(data)
         else:
