Weights of teams and memory for responses have upper limits

Cause: weights whose sum is beyond the range of floats gave shares of 1 slot each where 5.5 fit, and response_buffer_mb of 1e303 would raise an OverflowError in each response.

Change: both are at most 1,000,000. The error names the value of an entry of an object as well, which was shown as 'an object'.

Test: two cases, which were accepted before.

--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -18,6 +18,11 @@
 _NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 _Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
+# Weights of teams, and memory in MB. Larger figures are mistakes: the sum of
+# the weights, or the figure in bytes, could leave the range of floats, so that
+# shares would be wrong or each response would fail.
+_Weight = Annotated[float, msgspec.Meta(gt=0, le=1e6)]
+_Megabytes = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 _PORT_COUNT = 65536
 
 
@@ -120,8 +125,8 @@
     """
 
     fleet_admission: FleetAdmission = FleetAdmission.REPORTED
-    team_weights: dict[str, _Positive] = dataclasses.field(default_factory=dict)
-    response_buffer_mb: _NotNegative = 0.0
+    team_weights: dict[str, _Weight] = dataclasses.field(default_factory=dict)
+    response_buffer_mb: _Megabytes = 0.0
     slow_caller_s: _Positive = 10.0
     start_wait_s: _NotNegative = 0.0
 
@@ -212,11 +217,14 @@
     """Adds the invalid value to msgspec's message about field and rule."""
     allowed, _, path = text.partition(" - at `$")
     value = document
-    for name in path.rstrip("`").strip(".").split("."):
+    # An entry of an object or array is named as ``field[...]``.
+    path = path.rstrip("`").strip(".")
+    for name in path.replace("[...]", "").split("."):
         if isinstance(value, dict) and name in value:
             value = value[name]
-    field = path.rstrip("`").strip(".") or "(whole file)"
-    shown = repr(value) if not isinstance(value, dict) else "an object"
+    field = path or "(whole file)"
+    is_object = isinstance(value, dict) and not path.endswith("[...]")
+    shown = "an object" if is_object else repr(value)
     return f"field {field!r} is {shown}: {allowed}"
 
 
--- a/irisshelf/tests/test_gateway_settings.py
+++ b/irisshelf/tests/test_gateway_settings.py
@@ -48,6 +48,20 @@
         ({"store": "here"}, "store", "here", "an IP address"),
         ({"store": "10.0.0.1:99999"}, "store", "99999", "a port"),
         ({"max_requests": "many"}, "max_requests", "many", "int"),
+        # Guards against shares of 0 by an infinite sum of weights, and against
+        # an OverflowError in each response.
+        (
+            {"overload": {"team_weights": {"a": 1e308}}},
+            "overload.team_weights",
+            "1e+308",
+            "<= 1000000",
+        ),
+        (
+            {"overload": {"response_buffer_mb": 1e303}},
+            "overload.response_buffer_mb",
+            "1e+303",
+            "<= 1000000",
+        ),
     ],
 )
 def test_error_names_field_value_and_allowed_values(
