The objective of a withdrawn route no longer limits the others for good

Cause: admission control limits waits by the shortest objective of a service's routes, which it kept for as long as the instance ran. After a route with a short objective had been withdrawn or corrected, the others were still rejected at queues that are long for it only.

Change: an objective counts for 60 to 120 s after the last request of its route.

Test: with one request of a 0.05 s objective, requests of 0.6 s were still rejected after 181 s, by the demand of the fleet and by one instance alone; they are admitted now, and limited after 50 and 119 s as before.

--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -16,6 +16,7 @@
 from irisshelf.overload import correction
 from irisshelf.overload import credits as credits_module
 from irisshelf.overload import demand as demand_module
+from irisshelf.overload import least_objective
 from irisshelf.overload import quotas as quotas_module
 from irisshelf.overload import retry_times
 from irisshelf.overload import service_time
@@ -95,7 +96,7 @@
             weight=_SERVICE_TIME_WEIGHT,
             averages_first=True,
         )
-        self._min_objective_s = math.inf
+        self._least_objective = least_objective.LeastObjective()
         self._admitted = admitted_share.AdmittedShare()
         self._retry_times = retry_times.RetryTimes()
         self._quotas: quotas_module.Quotas | None = None
@@ -160,14 +161,11 @@
             ValueError: The capacity is out of range.
         """
         max_wait_s = _max_wait_s(arrival)
-        if arrival.objective_s > 0:
-            self._min_objective_s = min(
-                self._min_objective_s, arrival.objective_s
-            )
+        self._least_objective.record(arrival.objective_s, now)
         self._correction.update(
             backlog_s=wait_s if backlog_s is None else backlog_s,
             idle=idle,
-            max_wait_s=self._min_objective_s * MAX_WAIT_SHARE,
+            max_wait_s=self._least_objective.value_s * MAX_WAIT_SHARE,
             in_time=_in_time(demand),
             overloaded=demand.offered_slots > capacity_slots,
             now=now,
--- a/irisshelf/overload/local_admission.py
+++ b/irisshelf/overload/local_admission.py
@@ -19,10 +19,10 @@
 from __future__ import annotations
 
 import collections
-import math
 
 from irisshelf.overload import admission
 from irisshelf.overload import admitted_share
+from irisshelf.overload import least_objective
 from irisshelf.overload import retry_times
 from irisshelf.overload import service_time
 from irisshelf.routing import popularity
@@ -48,7 +48,7 @@
         self._service_time = service_time.ServiceTime(
             initial_s=_INITIAL_SERVICE_TIME_S, weight=_SERVICE_TIME_WEIGHT
         )
-        self._min_objective_s = math.inf
+        self._least_objective = least_objective.LeastObjective()
         self._priorities: set[int] = set()
         self._baseline_rate = popularity.Popularity(half_life_s=_BASELINE_S)
         self._recent_rate = popularity.Popularity(
@@ -125,10 +125,7 @@
         if self._first_arrival_s is None:
             self._first_arrival_s = now
         self._priorities.add(arrival.priority)
-        if arrival.objective_s > 0:
-            self._min_objective_s = min(
-                self._min_objective_s, arrival.objective_s
-            )
+        self._least_objective.record(arrival.objective_s, now)
         self._baseline_rate.add(arrival.team, 1.0, now)
         self._recent_rate.add(arrival.team, 1.0, now)
 
@@ -140,7 +137,7 @@
         of its priority: only its deadline limits its wait, as the objective is
         for a first byte that its caller has received.
         """
-        objective_s = self._min_objective_s
+        objective_s = self._least_objective.value_s
         if arrival.resumes:
             objective_s = arrival.remaining_s
         limit_s = min(
--- a/irisshelf/tests/test_fleet_admission.py
+++ b/irisshelf/tests/test_fleet_admission.py
@@ -12,6 +12,7 @@
 from irisshelf.overload import credits as credits_module
 from irisshelf.overload import demand as demand_module
 from irisshelf.overload import fair_shares
+from irisshelf.overload import local_admission
 from irisshelf.overload import quotas as quotas_module
 
 _A, _B, _C = (demand_module.team_key(team) for team in "abc")
@@ -256,6 +257,40 @@
     assert (refusal is None) is admitted
 
 
+@pytest.mark.parametrize("by_fleet", [True, False], ids=["fleet", "local"])
+@pytest.mark.parametrize(
+    ("seconds", "is_limited"), [(50, True), (119, True), (181, False)]
+)
+def test_the_objective_of_a_withdrawn_route_is_forgotten(
+    by_fleet, seconds, is_limited
+):
+    """Guards against a route that limits the others after its withdrawal.
+
+    The queues are short for the objective of 0.6 s and long for that of 0.05 s.
+    """
+    if by_fleet:
+        control = admission.FleetAdmission(team_weights={})
+        queues = {
+            "full": False,
+            "demand": _demand({0: 6.0, 1: 6.0}),
+            "capacity_slots": 32.0,
+        }
+    else:
+        control = local_admission.AdmissionControl()
+        queues = {}
+    control.admit(
+        _arrival(objective_s=0.05, priority=1), wait_s=0.0, now=0.0, **queues
+    )
+    refusals = [
+        control.admit(
+            _arrival(priority=n % 2), wait_s=0.15, now=n / 20, **queues
+        )
+        for n in range(1, seconds * 20)
+    ]
+    late = refusals[-20:]
+    assert any(late) is is_limited
+
+
 def test_a_returning_caller_is_admitted_beyond_the_fraction():
     control = admission.FleetAdmission(team_weights={})
     refusals = [
