Requests of unknown duration do not shorten the expected wait

Cause: the queue at an instance takes 0 as the duration of a request whose duration is not known, and recorded it in the mean service time. The expected wait fell towards 0, so that requests were queued that could not start in time.

Change: only known durations are recorded.

Test: after 50 such requests the expected wait had fallen to less than a hundredth of 1 s, and is unchanged now.

--- a/irisshelf/overload/waiting.py
+++ b/irisshelf/overload/waiting.py
@@ -133,7 +133,8 @@
         if self._running[team] <= 0:
             del self._running[team]
         self._total -= 1
-        self._service_time.record(duration_s)
+        if duration_s > 0:
+            self._service_time.record(duration_s)
         return self._start_queued()
 
     def expire(self, now: float) -> list[Rejection]:
--- a/irisshelf/tests/test_admission.py
+++ b/irisshelf/tests/test_admission.py
@@ -85,6 +85,16 @@
     assert [one.ticket.deadline_s for (one,) in started] == [7.0, 9.0]
 
 
+def test_requests_of_unknown_duration_do_not_shorten_the_expected_wait():
+    """Guards against a queue of requests that cannot start in time."""
+    admission_control = waiting.Admission(limit=1, shares={})
+    before_s = admission_control.expected_wait_s(_ticket("next"))
+    for _ in range(50):
+        admission_control.submit(_ticket("ended"), 0.0)
+        admission_control.record_end("a", 0.0)
+    assert admission_control.expected_wait_s(_ticket("next")) == before_s
+
+
 def test_cancelled_request_leaves_the_queue():
     admission_control = waiting.Admission(limit=1, shares={})
     admission_control.submit(_ticket("running"), 0.0)
