A server is selected again after a wait for a caller's reservation

Cause: while an instance rejects requests, it asks the holders of a reservation after it has selected a server, and waits up to 10 ms for them. All requests of that time were sent on the same figures, to the same servers.

Change: after a wait of more than 1 ms the server is selected again before the request is sent. Without a wait nothing is selected twice.

Test: all of five requests ran at a server that had filled up meanwhile; now none does.

--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -32,6 +32,10 @@
 # Callers' retries are spread over this time after the servers' backoff ends, as
 # the servers take one request at a time at first.
 _BACKOFF_JITTER_S = 1.0
+# If admission control takes longer, as it waits for the holders of a
+# reservation, other requests have been sent meanwhile, and the server is
+# selected again. Without a wait it takes a fraction of this.
+_MAX_ADMISSION_S = 0.001
 # Upper factor on Retry-After while servers are cold, to spread the retries.
 _COLD_JITTER = 1.3
 # Servers of a region return after seconds, if at all.
@@ -107,9 +111,13 @@
                 return choice
             if choice is None:
                 return self._no_server()
+            chosen_s = self._inst.now()
             refusal = self._admit(choice)
             if refusal is not None:
                 return refusal
+            waited = self._inst.now() - chosen_s > _MAX_ADMISSION_S
+            if waited and not verdict:
+                choice = self._choose() or choice
             assignment = self._connect(choice)
         if assignment is None or self._record_send(assignment.choice.server):
             return assignment
--- a/irisshelf/tests/test_gateway_fleet_admission.py
+++ b/irisshelf/tests/test_gateway_fleet_admission.py
@@ -6,11 +6,13 @@
 
 import dataclasses
 
+import gevent
 import pytest
 
 from irisshelf.gateway import settings
 from irisshelf.overload import correction
 from irisshelf.overload import demand
+from irisshelf.overload import reservations
 
 _SERVICE = "lm"
 # Two engines of 64 slots each.
@@ -105,3 +107,35 @@
     for number in rejected:
         assert fleet.runs(f"asked-{number}") == 0
         assert float(answers[number].headers["retry-after"]) > 0
+
+
+def test_a_server_that_fills_up_during_the_claim_is_not_used(fleet):
+    """Guards against requests that are sent on old figures, all to one server.
+
+    While requests are rejected, each one waits for the answers of the holders
+    of its reservation.
+    """
+    stats = fleet.inst.servers.chooser(_SERVICE).stats
+    first, second = (engine.server_id for engine in fleet.engines)
+
+    def record(work_by_server):
+        for server_id, work in work_by_server.items():
+            stats.record_load_report(
+                server_id, work=work, at_s=fleet.inst.now()
+            )
+
+    def claim(fingerprint):
+        gevent.sleep(0.005)
+        record({first: 60, second: 0})
+        return reservations.UNKNOWN
+
+    fleet.inst.returns.is_rejecting = lambda service: True
+    fleet.inst.returns.claim = claim
+    for number in range(5):
+        record({first: 0, second: 60})
+        answer = fleet.ask(f"/query/{number}", Request_Id=f"asked-{number}")
+        assert answer.status == 200
+    ran = [
+        engine.ran(f"asked-{n}") for engine in fleet.engines for n in range(5)
+    ]
+    assert ran == [0] * 5 + [1] * 5
