--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -65,15 +65,30 @@
     }
 
 
-def config(version: int, **more: Any) -> dict[str, Any]:
-    """Returns a configuration with one route of each kind."""
+# Latency targets from which no time-out follows that ends before a request's
+# deadline: an instance waits for a silent server that it can reach. For cases
+# in which nothing is silent, as a pause of the process looks like silence.
+PATIENT = {"targetLatencyMs": 5000, "gapTargetMs": 5000}
+
+
+def config(
+    version: int, *, targets: Mapping[str, Any] | None = None, **more: Any
+) -> dict[str, Any]:
+    """Returns a configuration with one route of each kind.
+
+    Args:
+        version: Its version.
+        targets: Latency targets of all routes, such as ``PATIENT``.
+        **more: Further fields.
+    """
+    own = targets or {}
     return {
         "version": version,
         "routes": [
-            route("/digest/", "streaming", "lm", resumable=True),
-            route("/query/", "streaming", "lm", maxAttempts=1),
-            route("/alarm/", "unsafe", "crew"),
-            route("/valve/", "safe", "crew"),
+            route("/digest/", "streaming", "lm", resumable=True, **own),
+            route("/query/", "streaming", "lm", maxAttempts=1, **own),
+            route("/alarm/", "unsafe", "crew", **own),
+            route("/valve/", "safe", "crew", **own),
         ],
         "services": [{"name": "lm"}, {"name": "crew"}],
         "limits": {},
@@ -115,6 +130,7 @@
             tell it; None if they do not.
         linked: Whether each instance reaches each server over a link of its
             own, which can be cut.
+        targets: Latency targets of all routes.
 
     Attributes:
         entries: The instances.
@@ -141,6 +157,7 @@
         event_s: float = 0.002,
         servers_age_s: float | None = None,
         linked: bool = False,
+        targets: Mapping[str, Any] | None = None,
     ):
         self._servers_age_s = servers_age_s
         self._places = places
@@ -155,7 +172,7 @@
             "lm", servers, streaming=True, versions=versions
         )
         if configured:
-            self.store.put("op", "config", config(1))
+            self.store.put("op", "config", config(1, targets=targets))
         self._ids = itertools.count(1)
         self.store_ports: list[store.Port] = []
         self.entries: list[entry_module.Entry] = []
