Servers is split by concept

The listed servers by key, the application of other instances' facts, and the admission control and retry budget of each service are modules of their own: listed_servers, fact_application and service_limits.

--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import functools
 import random
 import time
@@ -20,8 +19,11 @@
 from irisshelf.gateway import settings
 from irisshelf.gateway.servers import connection_pool
 from irisshelf.gateway.servers import eligibility
+from irisshelf.gateway.servers import fact_application
+from irisshelf.gateway.servers import listed_servers
 from irisshelf.gateway.servers import server_reach
 from irisshelf.gateway.servers import server_reports
+from irisshelf.gateway.servers import service_limits
 from irisshelf.observe import decision_log
 from irisshelf.overload import admission
 from irisshelf.overload import local_admission
@@ -30,9 +32,6 @@
 from irisshelf.routing.direct import server_choice
 from irisshelf.routing.direct import server_stats
 
-# How long a server is remembered after it is no longer listed.
-_DELISTED_KNOWN_S = 60.0
-
 
 class Servers:
     """Servers of all services: selection, load, health, connections.
@@ -113,15 +112,21 @@
         self._metrics = counts
         self._rng = rng
         self._now = now
-        self._by_key: dict[bytes, directory.BackendServer] = {}
-        # Entry ids by their keys; these differ from the keys of server ids.
-        self._entry_ids: dict[bytes, str] = {}
-        self._delisted_s: dict[bytes, float] = {}
+        self._keys = listed_servers.ListedServers(now=now)
         self._choosers: dict[str, server_choice.Chooser] = {}
-        self._budgets: dict[str, retry_budget.RetryBudget] = {}
-        self._fleet_admissions: dict[str, admission.FleetAdmission] = {}
-        self._overloads: dict[str, local_admission.AdmissionControl] = (
-            collections.defaultdict(local_admission.AdmissionControl)
+        self._limits = service_limits.ServiceLimits(
+            current=lambda: self.cfg,
+            instance_count=lambda: self.fleet.estimate(now()),
+        )
+        self._facts = fact_application.FactApplication(
+            listed=listed,
+            keys=self._keys,
+            eligible=eligible,
+            chooser=self.chooser,
+            reports=self.reports,
+            on_backoff=self._on_backoff,
+            on_exit=self._on_peer_exit,
+            now=now,
         )
 
     def chooser(self, service: str) -> server_choice.Chooser:
@@ -145,36 +150,19 @@
 
     def overload(self, service: str) -> local_admission.AdmissionControl:
         """Returns the admission control of a service."""
-        return self._overloads[service]
+        return self._limits.overload(service)
 
     def fleet_admission(self, service: str) -> admission.FleetAdmission:
         """Returns the admission control of a service by the fleet's demand."""
-        found = self._fleet_admissions.get(service)
-        if found is None:
-            weights = self.cfg.overload.team_weights
-            found = admission.FleetAdmission(team_weights=weights)
-            self._fleet_admissions[service] = found
-        return found
+        return self._limits.fleet_admission(service)
 
     def reset_fleet_admission(self) -> None:
         """Makes changed weights of teams take effect."""
-        self._fleet_admissions.clear()
+        self._limits.reset_fleet_admission()
 
     def budget(self, service: str) -> retry_budget.RetryBudget:
         """Returns the retry budget of a service."""
-        found = self._budgets.get(service)
-        if found is None:
-            found = retry_budget.RetryBudget(
-                ratio=self.cfg.bounds.retry_share
-                * retry_budget.FLEET_SAFETY_FACTOR,
-                slack=0.0,
-                window_s=self.cfg.bounds.retry_window_s,
-            )
-            self._budgets[service] = found
-        found.slack = retry_budget.instance_slack(
-            self.cfg.bounds.retry_slack, self.fleet.estimate(self._now())
-        )
-        return found
+        return self._limits.budget(service)
 
     def reports_slowdown(self, service: str) -> bool:
         """Returns whether servers of a service have reported slowdowns lately.
@@ -212,67 +200,9 @@
         for part in new_parts:
             self.publish(facts.PartCached(server=key, part=part))
 
-    @functools.singledispatchmethod
     def apply_fact(self, fact: facts.Fact) -> None:
         """Applies a fact about a server that another instance published."""
-        raise TypeError(f"fact is {fact!r}, allowed: {facts.Fact}")
-
-    @apply_fact.register
-    def _(self, fact: facts.PartCached) -> None:
-        server = self._by_key.get(fact.server)
-        if server is not None:
-            cache = self.chooser(server.service).cache_locations
-            cache.record_from_peer(fact.part, server.server_id, self._now())
-
-    @apply_fact.register
-    def _(self, fact: facts.ServerCold) -> None:
-        entry_id = self._entry_ids.get(fact.server)
-        server = None if entry_id is None else self._listed.get(entry_id)
-        if server is not None:
-            now = self._now()
-            remaining_s = fact.until_s - now
-            self.eligible.cold.assume_cold(server.server_id, remaining_s, now)
-
-    @apply_fact.register
-    def _(self, fact: facts.ServerPause) -> None:
-        server = self._by_key.get(fact.server)
-        if server is not None:
-            now = self._now()
-            remaining_s = fact.until_s - now
-            self.eligible.availability.record_peer_pause(
-                server.server_id, remaining_s, now
-            )
-            self._on_backoff(server)
-
-    @apply_fact.register
-    def _(self, fact: facts.ServerLeaving) -> None:
-        departures = self.eligible.availability.departures
-        server = self._by_key.get(fact.server)
-        if server is None:
-            departures.announce_unlisted(fact.server, self._now())
-        else:
-            self.reports.handle_peer_report(server)
-
-    @apply_fact.register
-    def _(self, fact: facts.ServerExited) -> None:
-        server = self._by_key.get(fact.server)
-        if server is not None:
-            self._doubt_entry(
-                server, "exit seen by peer", returned=fact.returned
-            )
-            self.on_gone([fact.server])
-
-    @apply_fact.register
-    def _(self, fact: facts.ServerLoad) -> None:
-        server = self._by_key.get(fact.server)
-        if server is not None:
-            stats = self.chooser(server.service).stats
-            stats.record_load_report(
-                server.server_id,
-                work=fact.work,
-                at_s=fact.at_s,
-                slowdown=fact.slowdown,
-            )
+        self._facts.apply(fact)
 
     def publish_cold(self, changes: Iterable[directory.Change]) -> None:
         """Publishes which servers the store lists as cold."""
@@ -295,16 +225,7 @@
         """Drops the state of servers that are no longer listed."""
         servers = self._listed.servers()
         names = frozenset(server.server_id for server in servers)
-        before = self._by_key
-        self._by_key = {
-            directory.short_id(server.server_id): server for server in servers
-        }
-        self._entry_ids = {
-            directory.short_id(server.entry_id): server.entry_id
-            for server in servers
-        }
-        gone = before.keys() - self._by_key.keys()
-        self._note_delisted(gone)
+        gone = self._keys.update(servers)
         for chooser in self._choosers.values():
             chooser.stats.retain(names)
             chooser.load_limits.retain(names)
@@ -326,21 +247,11 @@
 
     def by_key(self, key: bytes) -> directory.BackendServer | None:
         """Returns the listed server that has a key, if any."""
-        return self._by_key.get(key)
+        return self._keys.by_key(key)
 
     def recently_delisted(self, key: bytes) -> bool:
         """Returns whether a server was listed until recently."""
-        delisted_s = self._delisted_s.get(key, float("-inf"))
-        return self._now() - delisted_s < _DELISTED_KNOWN_S
-
-    def _note_delisted(self, keys: Iterable[bytes]) -> None:
-        now = self._now()
-        self._delisted_s = {
-            key: delisted_s
-            for key, delisted_s in self._delisted_s.items()
-            if now - delisted_s < _DELISTED_KNOWN_S
-        }
-        self._delisted_s |= dict.fromkeys(keys, now)
+        return self._keys.recently_delisted(key)
 
     def _abort_replaced(
         self, servers: tuple[directory.BackendServer, ...]
@@ -350,6 +261,12 @@
         if count:
             self._log.instance("exchanges_of_ended_lives", broken_off=count)
 
+    def _on_peer_exit(
+        self, server: directory.BackendServer, *, returned: bool
+    ) -> None:
+        self._doubt_entry(server, "exit seen by peer", returned=returned)
+        self.on_gone([directory.short_id(server.server_id)])
+
     def _on_exit(
         self, server: directory.BackendServer, *, returned: bool
     ) -> None:
