Names and comments of demand exchange, credits and fleet admission

The time by which instances send before their leader is no longer called lead; times say what happens at them (totals due, passed over until, counted until); figures of speech (leaders that are heard, what callers owe, credits that are forgotten) are replaced. The refusal that stands for an admitted request is defined before its use. Behaviour is unchanged.

--- a/irisshelf/gateway/knowledge/demand_exchange.py
+++ b/irisshelf/gateway/knowledge/demand_exchange.py
@@ -38,7 +38,7 @@
 _GATHER_S = 0.1
 # An instance sends this long before its leader's cycle begins; not all of them
 # at once, as computing time is scarce.
-_LEAD_S = (0.03, 0.06)
+_SEND_AHEAD_S = (0.03, 0.06)
 # Demand that differs from what was sent last by more than this share is sent
 # again after these times, in this cycle and in the next one, by which the
 # change is complete. The sum of a data centre is sent most often, as all
@@ -54,7 +54,7 @@
 # one; otherwise forged messages could stop an instance from sending.
 _MIN_CYCLE_S = 0.25
 _MAX_CYCLE_S = 0.75
-# A leader that was not heard for this time may have ended.
+# A leader that has sent nothing for this time may have ended.
 _SILENT_S = 2.0
 _OMITTED_LOG_INTERVAL_S = 10.0
 
@@ -77,7 +77,7 @@
         monitor: Has the demand of this instance; gets that of the fleet.
         datagrams: Carries the messages.
         membership: The other instances.
-        log: Tells of services that did not fit into a message.
+        log: Records services that did not fit into a message.
         rng: Spreads the datagrams; chooses receivers in other data centres.
         now: Monotonic seconds.
     """
@@ -104,10 +104,11 @@
         self._data_centres = fleet.FleetDemand()
         # The other data centres of which instances were known in this cycle.
         self._known_data_centres: frozenset[str] = frozenset()
-        # Name of each other data centre's leader, and when it was heard.
+        # By other data centre: the name of its leader, and when that one has
+        # last sent something.
         self._leaders: dict[str, tuple[str, float]] = {}
         # By stage, until when figures that were sent still count elsewhere.
-        self._known_until_s: dict[_Stage, float] = {}
+        self._counted_until_s: dict[_Stage, float] = {}
         self._last_sent: dict[_Stage, demand.InstanceDemand] = {}
         self._changed_s: dict[_Stage, float] = {}
         self._repeats: list[_Repeat] = []
@@ -115,7 +116,7 @@
         self._leads = False
         self._began_s = now()
         self._next_s = self._began_s + rng.uniform(0.0, _CYCLE_S)
-        self._totals_s: float | None = None
+        self._totals_due_s: float | None = None
         self._omitted_logged_s = float("-inf")
         self._rescheduled = event.Event()
         datagrams.subscribe(datagrams_module.Kind.DEMAND, self.receive)
@@ -142,16 +143,16 @@
         """
         now = self._now()
         self._send_repeats(now)
-        if self._totals_s is not None and now >= self._totals_s:
-            self._totals_s = None
+        if self._totals_due_s is not None and now >= self._totals_due_s:
+            self._totals_due_s = None
             self._send_totals(now)
         if now >= self._next_s:
             # Keeps the phase unless it is behind by a cycle or more.
             self._next_s = max(self._next_s, now - _CYCLE_S) + _CYCLE_S
             self._begin_cycle(now)
         due_s = [self._next_s, *(repeat.at_s for repeat in self._repeats)]
-        if self._totals_s is not None:
-            due_s.append(self._totals_s)
+        if self._totals_due_s is not None:
+            due_s.append(self._totals_due_s)
         return max(0.0, min(due_s) - now)
 
     def receive(self, content: Any) -> None:
@@ -167,8 +168,8 @@
             # Instances that have just started may take themselves for leaders.
             if self._leader.record_answer(message.sender, now):
                 self._monitor.record_total(reported)
-                lead_s = self._rng.uniform(*_LEAD_S)
-                self._align(now - _GATHER_S - lead_s)
+                ahead_s = self._rng.uniform(*_SEND_AHEAD_S)
+                self._align(now - _GATHER_S - ahead_s)
             return
         leader = self._leader.get(now)
         if leader is None:
@@ -198,13 +199,13 @@
                 self._align(now)
 
     def _first_data_centre(self, now: float) -> str:
-        """Returns the first by name of those whose leaders are heard."""
-        heard = [
+        """Returns the first by name of those whose leaders send."""
+        active = [
             name
-            for name, (_, heard_s) in self._leaders.items()
-            if now - heard_s <= _SILENT_S
+            for name, (_, received_s) in self._leaders.items()
+            if now - received_s <= _SILENT_S
         ]
-        return min([*heard, self._membership.own.data_centre])
+        return min([*active, self._membership.own.data_centre])
 
     def _align(self, at_s: float) -> None:
         """Moves the next cycle to the nearest time at which one is due.
@@ -236,7 +237,7 @@
             # Instances send to a new leader shortly before the cycle of the
             # last one, as this one would have. Their demand would be missing
             # in the first sum, which replaces that of the last leader.
-            self._next_s = now + _LEAD_S[1]
+            self._next_s = now + _SEND_AHEAD_S[1]
             return
         self._began_s = now
         member = self._membership.own
@@ -245,7 +246,7 @@
         source = f"{member.data_centre}/{member.name}"
         self._data_centres.record(source, total, now)
         self._send(_Stage.DATA_CENTRE, total, self._remote_receivers(now), now)
-        self._totals_s = now + _GATHER_S
+        self._totals_due_s = now + _GATHER_S
 
     def _send_totals(self, now: float) -> None:
         if self._leader.get(now) is not None:
@@ -262,7 +263,7 @@
 
         Any instance forwards to its leader. The one that would be the leader of
         the known instances may have ended and is known for 20 s afterwards, so
-        that the receiver is chosen at random until the leader is heard.
+        that the receiver is chosen at random until the leader sends something.
         """
         by_data_centre: dict[str, dict[str, membership_module.Member]] = {}
         for member in self._membership.remote_members(now):
@@ -271,8 +272,8 @@
         self._known_data_centres = frozenset(by_data_centre)
         receivers = []
         for data_centre, known in by_data_centre.items():
-            name, heard_s = self._leaders.get(data_centre, ("", 0.0))
-            if name in known and now - heard_s <= _SILENT_S:
+            name, received_s = self._leaders.get(data_centre, ("", 0.0))
+            if name in known and now - received_s <= _SILENT_S:
                 receivers.append(known[name])
             else:
                 receivers.append(self._rng.choice(list(known.values())))
@@ -288,8 +289,8 @@
         """Sends demand; that there is none, as long as figures still count."""
         if reported:
             expiry_s = demand_monitor.TOTAL_EXPIRY_S
-            self._known_until_s[stage] = now + expiry_s
-        elif now > self._known_until_s.get(stage, float("-inf")):
+            self._counted_until_s[stage] = now + expiry_s
+        elif now > self._counted_until_s.get(stage, float("-inf")):
             return
         own = self._membership.own
         names = own.data_centre.encode() + own.name.encode()
--- a/irisshelf/gateway/knowledge/demand_leader.py
+++ b/irisshelf/gateway/knowledge/demand_leader.py
@@ -13,7 +13,7 @@
 # sent some, is passed over. The last known demand is in use for 2 s; in this
 # time three cycles of 0.5 s begin, so that lost datagrams rarely cause it.
 _UNANSWERED_S = 1.4
-# Afterwards it gets another chance.
+# Afterwards it is selected again, and passed over again without an answer.
 _PASSED_OVER_S = 30.0
 # The members are ranked again after this time. A leader of 28 instances asks
 # for each of 160 datagrams a second.
@@ -32,10 +32,10 @@
         self._ranking: list[membership_module.Member] = []
         self._ranked_s = float("-inf")
         self._retired = False
-        # Until when an instance is passed over.
-        self._until_s: dict[str, float] = {}
+        # By name of the instance.
+        self._passed_over_until_s: dict[str, float] = {}
         # The current leader, and since when it has not answered.
-        self._name = ""
+        self._leader_name = ""
         self._unanswered_since_s: float | None = None
 
     def retire(self) -> None:
@@ -50,7 +50,7 @@
         """Returns the leader; None if it is this instance."""
         own = self._membership.own
         for member in self._ranked(now):
-            if now >= self._until_s.get(member.name, now):
+            if now >= self._passed_over_until_s.get(member.name, now):
                 return None if member == own else member
         return None
 
@@ -68,8 +68,8 @@
         if leader is None or not expects_answer:
             self._unanswered_since_s = None
             return leader
-        if leader.name != self._name or self._unanswered_since_s is None:
-            self._name = leader.name
+        if leader.name != self._leader_name or self._unanswered_since_s is None:
+            self._leader_name = leader.name
             self._unanswered_since_s = now
         elif now - self._unanswered_since_s >= _UNANSWERED_S:
             self._pass_over(leader.name, now)
@@ -77,12 +77,12 @@
         return leader
 
     def _pass_over(self, name: str, now: float) -> None:
-        self._until_s = {
+        self._passed_over_until_s = {
             passed: until_s
-            for passed, until_s in self._until_s.items()
+            for passed, until_s in self._passed_over_until_s.items()
             if until_s > now
         }
-        self._until_s[name] = now + _PASSED_OVER_S
+        self._passed_over_until_s[name] = now + _PASSED_OVER_S
         self._unanswered_since_s = None
 
     def record_answer(self, name: str, now: float) -> bool:
@@ -96,8 +96,8 @@
             if member == self._membership.own:
                 return False
             if member.name == name:
-                self._until_s.pop(name, None)
-                if name == self._name:
+                self._passed_over_until_s.pop(name, None)
+                if name == self._leader_name:
                     self._unanswered_since_s = None
                 return True
             if member == leader:
--- a/irisshelf/gateway/requests/fleet_admission.py
+++ b/irisshelf/gateway/requests/fleet_admission.py
@@ -1,7 +1,8 @@
 """Admission by the demand and the capacity of the whole fleet.
 
-Callers that return are recognised first: one whose reservation is due goes
-before new callers, one that returns early is told the rest of its time.
+Callers that return are recognised first: one whose reservation is due takes
+precedence over new callers, one that returns early gets the remaining time as
+its Retry-After.
 """
 
 from __future__ import annotations
@@ -14,6 +15,9 @@
 from irisshelf.overload import reservations
 from irisshelf.routing.direct import server_choice
 
+# Stands for the refusal of a request that is admitted.
+_NO_REFUSAL = admission.Refusal(retry_after_s=0.0, wait_s=0.0, max_wait_s=0.0)
+
 
 def check(
     inst: instance.Instance,
@@ -82,9 +86,6 @@
     return returning.resolve(inst, job, refusal, claim=claim)
 
 
-_NO_REFUSAL = admission.Refusal(retry_after_s=0.0, wait_s=0.0, max_wait_s=0.0)
-
-
 def _wait_s(
     inst: instance.Instance, choice: server_choice.Choice, load: float
 ) -> float:
--- a/irisshelf/overload/credits.py
+++ b/irisshelf/overload/credits.py
@@ -17,13 +17,13 @@
 # requests, so that it does not cause a burst later. Errors of fractions near 1
 # and of groups that take turns stay below it.
 _MAX_CREDIT = 3.0
-# Returning callers are admitted without credit. What they owe is remembered up
-# to this number of requests.
+# Returning callers are admitted without credit. Their debt is kept up to
+# this number of requests.
 _MAX_DEBT = 8.0
 # A group of which all requests are to be admitted is only limited by the debt
 # of returning callers, not by the errors of the other groups.
 _NEEDED_FOR_ALL = -1.0
-# Teams come and go; the credits of all are forgotten beyond this number.
+# Teams come and go; all credits are cleared beyond this number.
 _MAX_GROUPS = 4096
 
 
@@ -57,7 +57,7 @@
         self._change(group[0], -1.0)
 
     def reset(self) -> None:
-        """Forgets all credits, as after an overload."""
+        """Clears all credits, as after an overload."""
         self._credits.clear()
 
     def _change(self, key: Hashable, change: float) -> None:
