Reservations: one that is due does not hide the next one of its caller

Cause: a reservation that was not used is removed up to a second after its expiry, and until then an earlier one counts. The next reservation of its caller, assigned in that time, was not kept, and the caller was treated as new when it returned at the time that it had been told. Change: the earlier one counts only while it is not due. Result: test_a_reservation_that_is_due_does_not_hide_the_next_one, three cases: 3 of 3 failed before, all pass after; test_returns.py and test_returning_load.py pass.

--- a/irisshelf/overload/reservations.py
+++ b/irisshelf/overload/reservations.py
@@ -80,8 +80,10 @@
     def record(self, fingerprint: bytes, due_s: float, now: float) -> None:
         """Records a reservation.
 
-        If there is one that has not been used, the earlier one counts: callers
-        with the same content may have been told both times.
+        If there is one that is not due yet, the earlier one counts: callers
+        with the same content may have been told both times. One that is due is
+        replaced: its caller has used it in another data centre, where it is
+        kept as well, or has come too late for it.
 
         Args:
             fingerprint: Fingerprint of the caller's request.
@@ -91,7 +93,8 @@
         self._expire(now)
         known = self._found.get(fingerprint)
         if known is not None:
-            if not known.used and known.due_s <= due_s:
+            is_ahead = not known.used and now < known.due_s - EARLY_S
+            if is_ahead and known.due_s <= due_s:
                 return
             self._remove(fingerprint)
         self._found[fingerprint] = _Reservation(due_s=due_s)
--- a/irisshelf/tests/test_returns.py
+++ b/irisshelf/tests/test_returns.py
@@ -198,6 +198,25 @@
     assert len(kept) == 1
 
 
+@pytest.mark.parametrize(
+    "recorded_s",
+    [
+        # It is removed with others, up to a second after its expiry.
+        pytest.param(2.5, id="expired"),
+        pytest.param(2.0, id="not-used"),
+        pytest.param(1.0, id="due-now"),
+    ],
+)
+def test_a_reservation_that_is_due_does_not_hide_the_next_one(recorded_s):
+    # Guards against callers that are told a time that is not kept, as the
+    # reservation before has not been used here.
+    kept = reservations.Reservations()
+    kept.record(_FINGERPRINT, 1.0, 0.0)
+    kept.record(_FINGERPRINT, 4.0, recorded_s)
+    assert kept.claim(_FINGERPRINT, 4.0).state is _DUE
+    assert len(kept) == 1
+
+
 def _key(number):
     return number.to_bytes(16)
 
