Returning callers: messages in a module of their own

Change: return_messages.py has the messages and the records of kinds 7 and 8; nothing is encoded or checked differently.

--- a/irisshelf/gateway/knowledge/return_exchange.py
+++ b/irisshelf/gateway/knowledge/return_exchange.py
@@ -20,7 +20,6 @@
 import random
 from collections.abc import Callable
 from collections.abc import Sequence
-from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -30,52 +29,14 @@
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import return_messages
 from irisshelf.gateway.servers import return_registry
 from irisshelf.overload import reservations
-from irisshelf.overload import returns
-from irisshelf.routing import fingerprints
 
 _HOLDERS = 2
 # How long the answers of holders are waited for. A rejection must not take
 # longer than some milliseconds.
 ANSWER_TIMEOUT_S = 0.01
-_REMAINING_BYTES = 4
-RECORD_BYTES = fingerprints.CONTENT_BYTES + _REMAINING_BYTES
-_MAX_REMAINING_MS = int(returns.MAX_AHEAD_S * 1000)
-_NUMBER_BITS = 32
-# IP and UDP headers.
-_HEADER_BYTES = 28
-
-_Number = Annotated[int, msgspec.Meta(ge=0, lt=2**_NUMBER_BITS)]
-_RemainingMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_REMAINING_MS)]
-
-
-class _Places(msgspec.Struct, array_like=True):
-    # Fingerprints, each followed by the time until it is due in ms.
-    records: bytes
-
-
-class _Question(msgspec.Struct, array_like=True, tag=0):
-    # Repeated in the answer; random, so that answers cannot be forged blindly.
-    number: _Number
-    fingerprint: bytes
-    # Address to which the answer is to be sent.
-    address: str
-
-    def __post_init__(self):
-        if len(self.fingerprint) != fingerprints.CONTENT_BYTES:
-            raise ValueError(
-                f"fingerprint has {len(self.fingerprint)} bytes, "
-                f"allowed: {fingerprints.CONTENT_BYTES}"
-            )
-        datagrams_module.check_address(self.address)
-
-
-class _Answer(msgspec.Struct, array_like=True, tag=1):
-    number: _Number
-    state: reservations.State
-    # Time until the reservation is due.
-    remaining_ms: _RemainingMs
 
 
 class _Query:
@@ -159,14 +120,14 @@
             due_s: When it is due, in monotonic seconds.
         """
         super().record(fingerprint, due_s)
-        remaining_ms = _milliseconds(due_s - self._now())
-        record = fingerprint + remaining_ms.to_bytes(_REMAINING_BYTES)
+        remaining_ms = return_messages.milliseconds(due_s - self._now())
+        record = return_messages.encode_record(fingerprint, remaining_ms)
         for member in self._holders(fingerprint):
             if member != self._membership.own:
                 self._send(
                     member.address,
                     datagrams_module.Kind.RETURN_PLACES,
-                    _Places(records=record),
+                    return_messages.Places(records=record),
                 )
 
     def claim(self, fingerprint: bytes) -> reservations.Claim:
@@ -201,14 +162,11 @@
         Raises:
             ValueError: The content is not a valid message.
         """
-        records = msgspec.convert(content, _Places).records
-        if not records or len(records) % RECORD_BYTES:
-            raise ValueError(
-                f"records has {len(records)} bytes, "
-                f"allowed: multiples of {RECORD_BYTES}"
-            )
+        records = msgspec.convert(content, return_messages.Places).records
         now = self._now()
-        for fingerprint, remaining_ms in _split(records):
+        for fingerprint, remaining_ms in return_messages.decode_records(
+            records
+        ):
             self._kept.record(fingerprint, now + remaining_ms / 1000, now)
 
     def receive_question(self, content: Any) -> None:
@@ -217,26 +175,32 @@
         Raises:
             ValueError: The content is not a valid message.
         """
-        self._handle(msgspec.convert(content, _Question | _Answer))
+        self._handle(
+            msgspec.convert(
+                content, return_messages.Question | return_messages.Answer
+            )
+        )
 
     @functools.singledispatchmethod
-    def _handle(self, message: _Question | _Answer) -> None:
+    def _handle(
+        self, message: return_messages.Question | return_messages.Answer
+    ) -> None:
         raise TypeError(f"message is {message!r}, allowed: a question, answer")
 
     @_handle.register
-    def _(self, message: _Question) -> None:
+    def _(self, message: return_messages.Question) -> None:
         claim = super().claim(message.fingerprint)
-        answer = _Answer(
+        answer = return_messages.Answer(
             number=message.number,
             state=claim.state,
-            remaining_ms=_milliseconds(claim.wait_s),
+            remaining_ms=return_messages.milliseconds(claim.wait_s),
         )
         self._send(
             message.address, datagrams_module.Kind.RETURN_QUESTIONS, answer
         )
 
     @_handle.register
-    def _(self, message: _Answer) -> None:
+    def _(self, message: return_messages.Answer) -> None:
         asked = self._open.get(message.number)
         if asked is None:
             # Its query has ended: its result was clear or it came too late,
@@ -280,7 +244,7 @@
             number = self._unused_number()
             numbers.append(number)
             self._open[number] = (query, rank)
-            question = _Question(
+            question = return_messages.Question(
                 number=number, fingerprint=fingerprint, address=own.address
             )
             self._send(
@@ -291,7 +255,9 @@
         return numbers
 
     def _unused_number(self) -> int:
-        while (number := self._rng.getrandbits(_NUMBER_BITS)) in self._open:
+        while (
+            number := self._rng.getrandbits(return_messages.NUMBER_BITS)
+        ) in self._open:
             pass
         return number
 
@@ -299,33 +265,11 @@
         self,
         address: str,
         kind: datagrams_module.Kind,
-        message: _Places | _Question | _Answer,
+        message: return_messages.Places
+        | return_messages.Question
+        | return_messages.Answer,
     ) -> None:
         content = msgspec.to_builtins(message, builtin_types=(bytes,))
         data = datagrams_module.encode(kind, content)
         self._datagrams.send(address, data)
-        self._metrics.return_bytes.inc(len(data) + _HEADER_BYTES)
-
-
-def _milliseconds(remaining_s: float) -> int:
-    return min(max(0, round(remaining_s * 1000)), _MAX_REMAINING_MS)
-
-
-def _split(records: bytes) -> list[tuple[bytes, int]]:
-    """Returns fingerprints and the times until they are due in ms.
-
-    Raises:
-        ValueError: A time is too long.
-    """
-    found = []
-    for begin in range(0, len(records), RECORD_BYTES):
-        record = records[begin : begin + RECORD_BYTES]
-        fingerprint = record[: fingerprints.CONTENT_BYTES]
-        remaining_ms = int.from_bytes(record[fingerprints.CONTENT_BYTES :])
-        if remaining_ms > _MAX_REMAINING_MS:
-            raise ValueError(
-                f"remaining time is {remaining_ms} ms, "
-                f"allowed: at most {_MAX_REMAINING_MS}"
-            )
-        found.append((fingerprint, remaining_ms))
-    return found
+        self._metrics.return_bytes.inc(len(data) + return_messages.HEADER_BYTES)
