Token bucket: how much is saved up is an argument

Cause: a sender of few large bursts is to save up more than 2 s of its rate. Change: burst_s, 2 s unless given, as before. Result: test_gossip.py and test_fact_gossip.py pass unchanged.

--- a/irisshelf/coordination/token_bucket.py
+++ b/irisshelf/coordination/token_bucket.py
@@ -14,18 +14,25 @@
 
     Args:
         bytes_per_s: Refill rate.
+        burst_s: The bucket holds what is refilled in this time.
     """
 
-    def __init__(self, *, bytes_per_s: float = BUDGET_BYTES_PER_S):
+    def __init__(
+        self,
+        *,
+        bytes_per_s: float = BUDGET_BYTES_PER_S,
+        burst_s: float = _BURST_S,
+    ):
         self._rate = bytes_per_s
-        self._tokens = bytes_per_s * _BURST_S
+        self._most = bytes_per_s * burst_s
+        self._tokens = self._most
         self._refilled_s: float | None = None
 
     def has_tokens(self, now: float) -> bool:
         """Refills the bucket and returns whether anything may be sent now."""
         if self._refilled_s is not None:
             refilled = self._tokens + (now - self._refilled_s) * self._rate
-            self._tokens = min(self._rate * _BURST_S, refilled)
+            self._tokens = min(self._most, refilled)
         self._refilled_s = now
         return self._tokens > 0
 
