Returning callers: recognised in other data centres

Cause: a reservation was known in the data centre that assigned it; a caller that returned in another one was treated as new. Change: reservations are sent to the first holder of each other data centre (remote_reservations.py, datagram kind 9), and to the second one while less than half of a limit of bytes is in use. A receiver that is no holder passes them on as kind 7. New log line reservations_not_sent, metric irisshelf_return_reservations_not_sent_total.

--- a/bench/main.py
+++ b/bench/main.py
@@ -15,6 +15,7 @@
 from bench import gossip
 from bench import relay
 from bench import relayed
+from bench import returning
 from bench import rollout
 from bench import stream_origins
 from bench import suspects
@@ -39,6 +40,7 @@
         "suspects": suspects.measure,
         "crashing parts": crash_parts.measure,
         "demand": demand.measure,
+        "returning callers": returning.measure,
         "stream origins": stream_origins.measure,
         "rollout": rollout.measure,
         "routing": _routing,
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -161,6 +161,7 @@
                 datagrams=self._datagrams,
                 membership=self._peers.membership,
                 counts=self._inst.metrics,
+                log=self._log,
                 rng=self._inst.rng,
                 now=self._inst.now,
             )
--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -30,6 +30,7 @@
     DEMAND = 6
     RETURN_PLACES = 7
     RETURN_QUESTIONS = 8
+    REMOTE_RETURN_PLACES = 9
 
 
 class Datagrams:
--- a/irisshelf/gateway/knowledge/return_exchange.py
+++ b/irisshelf/gateway/knowledge/return_exchange.py
@@ -1,16 +1,17 @@
-"""Recognises returning callers at all instances of a data centre.
+"""Recognises returning callers at all instances.
 
 An instance that assigns a reservation sends it to its two holders, the first
 two instances of the data centre, itself included, in the ranking by the
-caller's fingerprint. An instance that is about to reject a request asks them,
-and waits 10 ms at most. The question uses the reservation if it is due, so that
-one of two instances that ask at the same time is told that it has been used.
-Holders may be asked in different orders: of two answers, that of the first
-holder counts.
+caller's fingerprint, and to one in each other data centre. An instance that is
+about to reject a request asks the holders of its data centre, and waits 10 ms
+at most. The question uses the reservation if it is due, so that one of two
+instances that ask at the same time is told that it has been used. Holders may
+be asked in different orders: of two answers, that of the first holder counts.
 
 If no holder answers, the caller is treated as one that has not been rejected
-before: it loses its reservation, not its request. Nothing is sent while nothing
-is rejected.
+before: it loses its reservation, not its request. So does one that returns in a
+data centre that the reservation has not reached. What has been used is known
+in one data centre only. Nothing is sent while nothing is rejected.
 """
 
 from __future__ import annotations
@@ -29,8 +30,10 @@
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import remote_reservations
 from irisshelf.gateway.knowledge import return_messages
 from irisshelf.gateway.servers import return_registry
+from irisshelf.observe import decision_log
 from irisshelf.overload import reservations
 
 _HOLDERS = 2
@@ -78,6 +81,7 @@
         datagrams: Carries reservations, questions and answers.
         membership: The other instances.
         counts: Metrics.
+        log: Tells of reservations that were not sent.
         rng: Used for the schedule and for the numbers of questions.
         now: Monotonic seconds.
         answer_timeout_s: How long answers are waited for.
@@ -89,6 +93,7 @@
         datagrams: datagrams_module.Datagrams,
         membership: membership_module.Membership,
         counts: metrics.Metrics,
+        log: decision_log.DecisionLog,
         rng: random.Random,
         now: Callable[[], float],
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
@@ -99,6 +104,14 @@
         self._metrics = counts
         self._rng = rng
         self._answer_timeout_s = answer_timeout_s
+        self._remote = remote_reservations.RemoteReservations(
+            datagrams=datagrams,
+            membership=membership,
+            counts=counts,
+            log=log,
+            rng=rng,
+            now=now,
+        )
         # Queries that wait for an answer, and the rank of the holder that was
         # asked, by the number of the question.
         self._open: dict[int, tuple[_Query, int]] = {}
@@ -108,10 +121,16 @@
         datagrams.subscribe(
             datagrams_module.Kind.RETURN_QUESTIONS, self.receive_question
         )
+        datagrams.subscribe(
+            datagrams_module.Kind.REMOTE_RETURN_PLACES,
+            self.receive_remote_place,
+        )
 
     def record(self, fingerprint: bytes, due_s: float) -> None:
         """Records a reservation and sends it to its holders at once.
 
+        Other data centres get it as well.
+
         A caller that ignores its Retry-After returns within milliseconds; the
         holders have to know the reservation by then.
 
@@ -129,6 +148,7 @@
                     datagrams_module.Kind.RETURN_PLACES,
                     return_messages.Places(records=record),
                 )
+        self._remote.send(fingerprint, remaining_ms)
 
     def claim(self, fingerprint: bytes) -> reservations.Claim:
         """Uses the reservation of a caller that returns now, if it is due.
@@ -169,6 +189,26 @@
         ):
             self._kept.record(fingerprint, now + remaining_ms / 1000, now)
 
+    def receive_remote_place(self, content: Any) -> None:
+        """Handles the content of a datagram from another data centre.
+
+        Raises:
+            ValueError: The content is not a valid message.
+        """
+        records = msgspec.convert(content, return_messages.Places).records
+        found = return_messages.decode_records(records)
+        if len(found) > 1:
+            # Each may have to be passed on, so that a sender could cause much
+            # more traffic than its own.
+            raise ValueError(f"number of records is {len(found)}, allowed: 1")
+        ((fingerprint, remaining_ms),) = found
+        holders = self._holders(fingerprint)
+        if self._membership.own in holders:
+            now = self._now()
+            self._kept.record(fingerprint, now + remaining_ms / 1000, now)
+        else:
+            self._remote.pass_on(fingerprint, remaining_ms, holders)
+
     def receive_question(self, content: Any) -> None:
         """Handles the content of a datagram with a question or an answer.
 
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -93,6 +93,11 @@
             "Questions about returning callers that were not answered in time.",
             registry=self.registry,
         )
+        self.reservations_not_sent = prometheus_client.Counter(
+            "irisshelf_return_reservations_not_sent_total",
+            "Reservations not sent to a data centre, as too many bytes were.",
+            registry=self.registry,
+        )
         self.connects = self._counter(
             "connects", "New connections to servers.", "service"
         )
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -228,6 +228,7 @@
                 datagrams=self._datagrams,
                 membership=self.membership,
                 counts=self.inst.metrics,
+                log=log,
                 rng=random.Random(7),
                 now=boottime.now,
             )
--- a/irisshelf/testing/returning_callers.py
+++ b/irisshelf/testing/returning_callers.py
@@ -12,6 +12,7 @@
 import heapq
 import itertools
 import random
+import string
 import types
 from collections.abc import Callable
 from typing import Any
@@ -38,6 +39,8 @@
 _RECONNECT_S = 0.005
 _IMMEDIATE_RETRIES = 3
 _HEARTBEAT_S = 1.0
+# Time that datagrams take between two data centres.
+_REMOTE_S = (0.01, 0.03)
 _ROUTE = model.Route(
     name="valve",
     host="h",
@@ -90,6 +93,10 @@
         ignoring_share: Share of the callers that ignore Retry-After.
         duration_s: For how long callers come.
         killed: Number of instances that end in the middle.
+        data_centres: Over how many data centres the instances are spread;
+            callers return in any of them.
+        is_earlier: Whether the instances keep reservations in their data
+            centre, as the earlier build does.
         recognises: Whether instances look for reservations before they admit.
         seed: Of the random numbers.
 
@@ -107,14 +114,21 @@
         ignoring_share: float = 0.0,
         duration_s: float = 8.0,
         killed: int = 0,
+        data_centres: int = 1,
+        is_earlier: bool = False,
         recognises: bool = True,
         seed: int = 1,
     ):
         self._recognises = recognises
         self._rng = random.Random(seed)
+        names = [
+            f"{string.ascii_lowercase[n % data_centres]}-{n}"
+            for n in range(instances)
+        ]
         self._network = return_network.Network(
-            [f"a-{n}" for n in range(instances)]
+            names, earlier=names if is_earlier else ()
         )
+        self._network.remote_s = _REMOTE_S
         self._alive = list(self._network.instances)
         self._part_per_s = _CAPACITY_PER_S / instances
         self._credit = {name: (0.0, self._network.now) for name in self._alive}
@@ -149,7 +163,7 @@
         """Plays until all callers have been answered."""
         while self._events:
             at_s, _, action = heapq.heappop(self._events)
-            self._network.now = at_s
+            self._network.advance(at_s - self._network.now)
             action()
 
     @property
--- a/irisshelf/tests/test_return_exchange.py
+++ b/irisshelf/tests/test_return_exchange.py
@@ -19,6 +19,7 @@
 _FINGERPRINT = b"f" * 16
 _PLACES = datagrams_module.Kind.RETURN_PLACES
 _QUESTIONS = datagrams_module.Kind.RETURN_QUESTIONS
+_REMOTE = datagrams_module.Kind.REMOTE_RETURN_PLACES
 _DUE = reservations.State.DUE
 _EARLY = reservations.State.EARLY
 _UNKNOWN = reservations.State.UNKNOWN
@@ -184,6 +185,15 @@
         ),
         pytest.param(_PLACES, ["x" * 20], id="text"),
         pytest.param(_PLACES, 7, id="number"),
+        pytest.param(_REMOTE, [], id="remote-empty"),
+        pytest.param(_REMOTE, [b""], id="remote-no-record"),
+        pytest.param(_REMOTE, [_RECORD[:-1]], id="remote-truncated"),
+        pytest.param(_REMOTE, [_RECORD + _RECORD[:7]], id="remote-longer"),
+        # Each of them might be passed on.
+        pytest.param(_REMOTE, [_RECORD + b"g" * 20], id="remote-two"),
+        pytest.param(_REMOTE, [b"f" * 16 + b"\xff" * 4], id="remote-far-ahead"),
+        pytest.param(_REMOTE, ["x" * 20], id="remote-text"),
+        pytest.param(_REMOTE, 7, id="remote-number"),
         pytest.param(_QUESTIONS, [], id="no-tag"),
         pytest.param(_QUESTIONS, [2, 1, 1, 1], id="unknown-tag"),
         pytest.param(_QUESTIONS, [0, 1, b"f" * 15, _ADDRESS], id="short-key"),
@@ -231,7 +241,9 @@
 class _Real:
     """An instance that exchanges datagrams on loopback."""
 
-    def __init__(self, name, *, is_old=False, answer_timeout_s=5.0):
+    def __init__(
+        self, name, *, is_old=False, answer_timeout_s=5.0, data_centre="a"
+    ):
         self._fd = os.open(os.devnull, os.O_WRONLY)
         self.log = decision_log.DecisionLog(instance=name, fd=self._fd)
         self.problems = []
@@ -240,7 +252,9 @@
             address="127.0.0.1:0", log=self.log
         )
         self.member = membership_module.Member(
-            name=name, address=self.datagrams.address, data_centre="a"
+            name=name,
+            address=self.datagrams.address,
+            data_centre=data_centre,
         )
         self.membership = membership_module.Membership(own=self.member)
         self.exchange = None
@@ -249,6 +263,7 @@
                 datagrams=self.datagrams,
                 membership=self.membership,
                 counts=metrics.Metrics(),
+                log=self.log,
                 rng=random.Random(name),
                 now=boottime.now,
                 answer_timeout_s=answer_timeout_s,
@@ -299,6 +314,24 @@
     assert not any(one.problems for one in ranked)
 
 
+def test_real_datagrams_carry_reservations_to_another_data_centre(start):
+    one, other = start(), start(data_centre="b")
+    one.exchange.record(_FINGERPRINT, boottime.now())
+    _wait(lambda: other.exchange.kept_count)
+    assert other.exchange.claim(_FINGERPRINT).state is _DUE
+    assert not one.problems
+    assert not other.problems
+
+
+def test_an_instance_of_another_data_centre_logs_an_unknown_kind_once(start):
+    new, old = start(), start(is_old=True, data_centre="b")
+    for _ in range(3):
+        new.exchange.record(_FINGERPRINT, boottime.now() + 1.0)
+    _wait(lambda: old.problems)
+    assert old.problems == ["news_unreadable"]
+    assert not old.greenlet.dead
+
+
 def test_a_silent_holder_is_waited_for_only_so_long(start):
     # The process is there and reads nothing, as one that stands still.
     ranked = _ranked(
@@ -337,6 +370,10 @@
         bytes([_QUESTIONS]),
         datagrams_module.encode(_QUESTIONS, [0, 1, b"", ""]),
         datagrams_module.encode(_QUESTIONS, [1, 1, 77, 0]),
+        bytes([_REMOTE]),
+        bytes([_REMOTE, 0x81, 0x5F]),
+        datagrams_module.encode(_REMOTE, [_RECORD[:5]]),
+        datagrams_module.encode(_REMOTE, [_RECORD * 2]),
         random.Random(1).randbytes(1400),
     ):
         one.datagrams.send(other.member.address, data)
--- a/irisshelf/tests/test_returning.py
+++ b/irisshelf/tests/test_returning.py
@@ -55,8 +55,10 @@
 class _Fleet:
     """Instances that reject every request, on simulated time."""
 
-    def __init__(self, count=5, rate_per_s=_RATE_PER_S):
-        self.network = return_network.Network([f"a-{n}" for n in range(count)])
+    def __init__(self, count=5, rate_per_s=_RATE_PER_S, data_centres="a"):
+        self.network = return_network.Network(
+            [f"{name}-{n}" for name in data_centres for n in range(count)]
+        )
         self.lines = []
         self.insts = [self._inst(i) for i in self.network.instances.values()]
         for inst in self.insts:
@@ -99,6 +101,33 @@
     assert _counts(fleet.insts[other])["place_used"] == 1.0
 
 
+@pytest.mark.parametrize("remote_s", [0.0, 0.03, 0.06])
+def test_a_caller_that_returns_in_another_data_centre_is_admitted(remote_s):
+    fleet = _Fleet(count=3, data_centres="ab")
+    fleet.network.remote_s = (remote_s, remote_s)
+    told_s = fleet.reject(0, timeout_s=30.0).retry_after_s
+    # The last instance is in the other data centre.
+    fleet.network.advance(remote_s)
+    early = fleet.reject(-1, request_id="r2")
+    assert early.retry_after_s == pytest.approx(told_s - remote_s, abs=0.05)
+    fleet.network.advance(told_s - remote_s)
+    assert fleet.reject(-1, request_id="r3") is None
+    names = [name for name, _ in fleet.lines]
+    assert names == ["place_given", "returned_early", "place_used"]
+
+
+def test_a_caller_that_returns_in_a_data_centre_cut_off_is_treated_as_new():
+    fleet = _Fleet(count=3, data_centres="ab")
+    fleet.network.partitioned = {"b"}
+    told_s = fleet.reject(0).retry_after_s
+    fleet.network.advance(told_s)
+    assert fleet.reject(-1, request_id="r2").retry_after_s > 0
+    name, fields = fleet.lines[-1]
+    assert name == "place_given"
+    # No instance has been waited for in vain.
+    assert (fields["before"], fields["silent"]) == ("unknown", 0)
+
+
 def test_a_caller_that_returns_early_again_and_again_gains_nothing():
     fleet = _Fleet(rate_per_s=2.0)
     fleet.reject(0, body=b"other")
@@ -240,8 +269,9 @@
     assert world.runs("second") == 1
 
 
-def test_nothing_is_sent_or_kept_while_nothing_is_rejected():
-    world = world_module.World(data_centres=("a", "a"))
+@pytest.mark.parametrize("data_centres", [("a", "a"), ("a", "b")])
+def test_nothing_is_sent_or_kept_while_nothing_is_rejected(data_centres):
+    world = world_module.World(data_centres=data_centres)
     try:
         for number in range(5):
             assert world.ask(f"/query/{number}").status == 200
--- a/irisshelf/tests/test_returning_load.py
+++ b/irisshelf/tests/test_returning_load.py
@@ -43,6 +43,29 @@
     assert _in_time_share(told) >= _LEAST_IN_TIME
 
 
+def _told_in_time_share(simulation):
+    told = [c for c in simulation.callers if c.told_s is not None]
+    assert len(told) >= _LEAST_TOLD
+    return _in_time_share(told)
+
+
+@pytest.mark.parametrize(
+    ("instances", "data_centres", "killed"),
+    [(4, 2, 0), (24, 4, 0), (64, 4, 0), (24, 4, 8), (64, 4, 21)],
+)
+def test_callers_that_return_in_any_data_centre_are_served(
+    instances, data_centres, killed
+):
+    simulation = _simulated(instances, killed=killed, data_centres=data_centres)
+    assert _told_in_time_share(simulation) >= _LEAST_IN_TIME
+
+
+def test_reservations_of_one_data_centre_are_not_enough():
+    # Shows that the simulation is able to tell.
+    simulation = _simulated(24, killed=0, data_centres=4, is_earlier=True)
+    assert _told_in_time_share(simulation) < _LEAST_IN_TIME
+
+
 @pytest.mark.parametrize("instances", [4, 24, 64])
 def test_callers_that_return_at_once_cost_the_others_little(instances):
     honest = _honest(_simulated(instances, killed=0))
--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -451,6 +451,7 @@
             datagrams=self,
             membership=members,
             counts=metrics.Metrics(),
+            log=None,
             rng=random.Random(1),
             now=lambda: 0.0,
         )
@@ -510,6 +511,7 @@
         (datagrams_module.Kind.STREAM_ORIGINS, [b"k" * 8 + b"r" * 6, False]),
         (datagrams_module.Kind.STREAM_ORIGINS, [b"k" * 8 + b"r" * 6]),
         (datagrams_module.Kind.RETURN_PLACES, [b"f" * 16 + bytes(4)]),
+        (datagrams_module.Kind.REMOTE_RETURN_PLACES, [b"f" * 16 + bytes(4)]),
     ],
 )
 def test_a_valid_datagram_is_accepted(kind, content):
