--- a/irisshelf/gateway/knowledge/return_exchange.py
+++ b/irisshelf/gateway/knowledge/return_exchange.py
@@ -1,16 +1,17 @@
-"""Recognises returning callers at all instances of a data centre.
+"""Recognises returning callers at all instances.
 
 An instance that assigns a reservation sends it to its two holders, the first
 two instances of the data centre, itself included, in the ranking by the
-caller's fingerprint. An instance that is about to reject a request asks them,
-and waits 10 ms at most. The question uses the reservation if it is due, so that
-one of two instances that ask at the same time is told that it has been used.
-Holders may be asked in different orders: of two answers, that of the first
-holder counts.
+caller's fingerprint, and to one in each other data centre. An instance that is
+about to reject a request asks the holders of its data centre, and waits 10 ms
+at most. The question uses the reservation if it is due, so that one of two
+instances that ask at the same time is told that it has been used. Holders may
+be asked in different orders: of two answers, that of the first holder counts.
 
 If no holder answers, the caller is treated as one that has not been rejected
-before: it loses its reservation, not its request. Nothing is sent while nothing
-is rejected.
+before: it loses its reservation, not its request. So does one that returns in a
+data centre that the reservation has not reached. What has been used is known
+in one data centre only. Nothing is sent while nothing is rejected.
 """
 
 from __future__ import annotations
@@ -20,7 +21,6 @@
 import random
 from collections.abc import Callable
 from collections.abc import Sequence
-from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -30,52 +30,16 @@
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway import metrics
 from irisshelf.gateway.knowledge import datagrams as datagrams_module
+from irisshelf.gateway.knowledge import remote_reservations
+from irisshelf.gateway.knowledge import return_messages
 from irisshelf.gateway.servers import return_registry
+from irisshelf.observe import decision_log
 from irisshelf.overload import reservations
-from irisshelf.overload import returns
-from irisshelf.routing import fingerprints
 
 _HOLDERS = 2
 # How long the answers of holders are waited for. A rejection must not take
 # longer than some milliseconds.
 ANSWER_TIMEOUT_S = 0.01
-_REMAINING_BYTES = 4
-RECORD_BYTES = fingerprints.CONTENT_BYTES + _REMAINING_BYTES
-_MAX_REMAINING_MS = int(returns.MAX_AHEAD_S * 1000)
-_NUMBER_BITS = 32
-# IP and UDP headers.
-_HEADER_BYTES = 28
-
-_Number = Annotated[int, msgspec.Meta(ge=0, lt=2**_NUMBER_BITS)]
-_RemainingMs = Annotated[int, msgspec.Meta(ge=0, le=_MAX_REMAINING_MS)]
-
-
-class _Places(msgspec.Struct, array_like=True):
-    # Fingerprints, each followed by the time until it is due in ms.
-    records: bytes
-
-
-class _Question(msgspec.Struct, array_like=True, tag=0):
-    # Repeated in the answer; random, so that answers cannot be forged blindly.
-    number: _Number
-    fingerprint: bytes
-    # Address to which the answer is to be sent.
-    address: str
-
-    def __post_init__(self):
-        if len(self.fingerprint) != fingerprints.CONTENT_BYTES:
-            raise ValueError(
-                f"fingerprint has {len(self.fingerprint)} bytes, "
-                f"allowed: {fingerprints.CONTENT_BYTES}"
-            )
-        datagrams_module.check_address(self.address)
-
-
-class _Answer(msgspec.Struct, array_like=True, tag=1):
-    number: _Number
-    state: reservations.State
-    # Time until the reservation is due.
-    remaining_ms: _RemainingMs
 
 
 class _Query:
@@ -117,6 +81,7 @@
         datagrams: Carries reservations, questions and answers.
         membership: The other instances.
         counts: Metrics.
+        log: Tells of reservations that were not sent.
         rng: Used for the schedule and for the numbers of questions.
         now: Monotonic seconds.
         answer_timeout_s: How long answers are waited for.
@@ -128,6 +93,7 @@
         datagrams: datagrams_module.Datagrams,
         membership: membership_module.Membership,
         counts: metrics.Metrics,
+        log: decision_log.DecisionLog,
         rng: random.Random,
         now: Callable[[], float],
         answer_timeout_s: float = ANSWER_TIMEOUT_S,
@@ -138,6 +104,14 @@
         self._metrics = counts
         self._rng = rng
         self._answer_timeout_s = answer_timeout_s
+        self._remote = remote_reservations.RemoteReservations(
+            datagrams=datagrams,
+            membership=membership,
+            counts=counts,
+            log=log,
+            rng=rng,
+            now=now,
+        )
         # Queries that wait for an answer, and the rank of the holder that was
         # asked, by the number of the question.
         self._open: dict[int, tuple[_Query, int]] = {}
@@ -147,10 +121,16 @@
         datagrams.subscribe(
             datagrams_module.Kind.RETURN_QUESTIONS, self.receive_question
         )
+        datagrams.subscribe(
+            datagrams_module.Kind.REMOTE_RETURN_PLACES,
+            self.receive_remote_place,
+        )
 
     def record(self, fingerprint: bytes, due_s: float) -> None:
         """Records a reservation and sends it to its holders at once.
 
+        Other data centres get it as well.
+
         A caller that ignores its Retry-After returns within milliseconds; the
         holders have to know the reservation by then.
 
@@ -159,15 +139,16 @@
             due_s: When it is due, in monotonic seconds.
         """
         super().record(fingerprint, due_s)
-        remaining_ms = _milliseconds(due_s - self._now())
-        record = fingerprint + remaining_ms.to_bytes(_REMAINING_BYTES)
+        remaining_ms = return_messages.milliseconds(due_s - self._now())
+        record = return_messages.encode_record(fingerprint, remaining_ms)
         for member in self._holders(fingerprint):
             if member != self._membership.own:
                 self._send(
                     member.address,
                     datagrams_module.Kind.RETURN_PLACES,
-                    _Places(records=record),
+                    return_messages.Places(records=record),
                 )
+        self._remote.send(fingerprint, remaining_ms)
 
     def claim(self, fingerprint: bytes) -> reservations.Claim:
         """Uses the reservation of a caller that returns now, if it is due.
@@ -201,42 +182,65 @@
         Raises:
             ValueError: The content is not a valid message.
         """
-        records = msgspec.convert(content, _Places).records
-        if not records or len(records) % RECORD_BYTES:
-            raise ValueError(
-                f"records has {len(records)} bytes, "
-                f"allowed: multiples of {RECORD_BYTES}"
-            )
+        records = msgspec.convert(content, return_messages.Places).records
         now = self._now()
-        for fingerprint, remaining_ms in _split(records):
+        for fingerprint, remaining_ms in return_messages.decode_records(
+            records
+        ):
             self._kept.record(fingerprint, now + remaining_ms / 1000, now)
 
+    def receive_remote_place(self, content: Any) -> None:
+        """Handles the content of a datagram from another data centre.
+
+        Raises:
+            ValueError: The content is not a valid message.
+        """
+        records = msgspec.convert(content, return_messages.Places).records
+        found = return_messages.decode_records(records)
+        if len(found) > 1:
+            # Each may have to be passed on, so that a sender could cause much
+            # more traffic than its own.
+            raise ValueError(f"number of records is {len(found)}, allowed: 1")
+        ((fingerprint, remaining_ms),) = found
+        holders = self._holders(fingerprint)
+        if self._membership.own in holders:
+            now = self._now()
+            self._kept.record(fingerprint, now + remaining_ms / 1000, now)
+        else:
+            self._remote.pass_on(fingerprint, remaining_ms, holders)
+
     def receive_question(self, content: Any) -> None:
         """Handles the content of a datagram with a question or an answer.
 
         Raises:
             ValueError: The content is not a valid message.
         """
-        self._handle(msgspec.convert(content, _Question | _Answer))
+        self._handle(
+            msgspec.convert(
+                content, return_messages.Question | return_messages.Answer
+            )
+        )
 
     @functools.singledispatchmethod
-    def _handle(self, message: _Question | _Answer) -> None:
+    def _handle(
+        self, message: return_messages.Question | return_messages.Answer
+    ) -> None:
         raise TypeError(f"message is {message!r}, allowed: a question, answer")
 
     @_handle.register
-    def _(self, message: _Question) -> None:
+    def _(self, message: return_messages.Question) -> None:
         claim = super().claim(message.fingerprint)
-        answer = _Answer(
+        answer = return_messages.Answer(
             number=message.number,
             state=claim.state,
-            remaining_ms=_milliseconds(claim.wait_s),
+            remaining_ms=return_messages.milliseconds(claim.wait_s),
         )
         self._send(
             message.address, datagrams_module.Kind.RETURN_QUESTIONS, answer
         )
 
     @_handle.register
-    def _(self, message: _Answer) -> None:
+    def _(self, message: return_messages.Answer) -> None:
         asked = self._open.get(message.number)
         if asked is None:
             # Its query has ended: its result was clear or it came too late,
@@ -280,7 +284,7 @@
             number = self._unused_number()
             numbers.append(number)
             self._open[number] = (query, rank)
-            question = _Question(
+            question = return_messages.Question(
                 number=number, fingerprint=fingerprint, address=own.address
             )
             self._send(
@@ -291,7 +295,9 @@
         return numbers
 
     def _unused_number(self) -> int:
-        while (number := self._rng.getrandbits(_NUMBER_BITS)) in self._open:
+        while (
+            number := self._rng.getrandbits(return_messages.NUMBER_BITS)
+        ) in self._open:
             pass
         return number
 
@@ -299,33 +305,11 @@
         self,
         address: str,
         kind: datagrams_module.Kind,
-        message: _Places | _Question | _Answer,
+        message: return_messages.Places
+        | return_messages.Question
+        | return_messages.Answer,
     ) -> None:
         content = msgspec.to_builtins(message, builtin_types=(bytes,))
         data = datagrams_module.encode(kind, content)
         self._datagrams.send(address, data)
-        self._metrics.return_bytes.inc(len(data) + _HEADER_BYTES)
-
-
-def _milliseconds(remaining_s: float) -> int:
-    return min(max(0, round(remaining_s * 1000)), _MAX_REMAINING_MS)
-
-
-def _split(records: bytes) -> list[tuple[bytes, int]]:
-    """Returns fingerprints and the times until they are due in ms.
-
-    Raises:
-        ValueError: A time is too long.
-    """
-    found = []
-    for begin in range(0, len(records), RECORD_BYTES):
-        record = records[begin : begin + RECORD_BYTES]
-        fingerprint = record[: fingerprints.CONTENT_BYTES]
-        remaining_ms = int.from_bytes(record[fingerprints.CONTENT_BYTES :])
-        if remaining_ms > _MAX_REMAINING_MS:
-            raise ValueError(
-                f"remaining time is {remaining_ms} ms, "
-                f"allowed: at most {_MAX_REMAINING_MS}"
-            )
-        found.append((fingerprint, remaining_ms))
-    return found
+        self._metrics.return_bytes.inc(len(data) + return_messages.HEADER_BYTES)
--- a/irisshelf/overload/reservations.py
+++ b/irisshelf/overload/reservations.py
@@ -84,8 +84,10 @@
     def record(self, fingerprint: bytes, due_s: float, now: float) -> None:
         """Records a reservation.
 
-        If there is one that can still be used, the earlier one counts: callers
-        with the same content may have been told both times.
+        If there is one that is not due yet, the earlier one counts: callers
+        with the same content may have been told both times. One that is due is
+        replaced: its caller has used it in another data centre, where it is
+        kept as well, or has come too late for it.
 
         Args:
             fingerprint: Fingerprint of the caller's request.
@@ -95,8 +97,8 @@
         self._expire(now)
         known = self._found.get(fingerprint)
         if known is not None:
-            usable = not known.used and not known.is_void(now)
-            if usable and known.due_s <= due_s:
+            is_ahead = not known.used and now < known.due_s - EARLY_S
+            if is_ahead and known.due_s <= due_s:
                 return
             self._remove(fingerprint)
         self._found[fingerprint] = _Reservation(due_s=due_s)
