Confirmed exits: all requests are in progress in spite of a pause

Cause: the case needs 18 requests in progress at once, and servers responded after 0.1 s. Change: servers respond after 1 s.

--- a/irisshelf/tests/test_confirmed_exits.py
+++ b/irisshelf/tests/test_confirmed_exits.py
@@ -17,7 +17,9 @@
 from irisshelf.transport import errors
 
 _CRASHES = 6
-_RUNNING_S = 0.1
+# So long that all requests are in progress at once, also after a pause of the
+# process that has the instances and the servers.
+_RUNNING_S = 1.0
 # By then the last exit has been confirmed, or has not.
 _CONFIRMED_S = 0.6
 
