Partitioned instances are served by relays through pauses of the process

Cause of served_as_others[one-reset] (0.5 of the requests served): a pause of the process while a relay was asked made the relay count as lost; after two in a row none is tried for a second, and all requests that need one get 503 no_server.

Change: a case that pauses the process for 0.3 s in 12 connections to relays.

--- a/irisshelf/tests/test_partitioned_from_servers.py
+++ b/irisshelf/tests/test_partitioned_from_servers.py
@@ -5,11 +5,14 @@
 every server, and they reached those.
 """
 
+import time
+
 import gevent
 import pytest
 
 from irisshelf.platform.stand_in import proxy
 from irisshelf.platform.stand_in import world as world_module
+from irisshelf.transport import client
 
 _KINDS = [
     pytest.param("/query/1", id="stream-once"),
@@ -24,6 +27,11 @@
 _ROUNDS = 5
 # Of the others' share of first attempts served, the least that is allowed.
 _LEAST_SHARE = 2 / 3
+# Longer than an instance waits for a relay.
+_PAUSE_S = 0.3
+# Relay connections that are opened until the instance has found that it is
+# partitioned, and two more.
+_PAUSES = 12
 
 
 def _served(world, entry, rounds=_ROUNDS, targets=_TARGETS):
@@ -75,6 +83,46 @@
         assert _share(_served(world, entry)) >= _LEAST_SHARE * others
 
 
+@pytest.fixture
+def pause_in_relay_connections(monkeypatch):
+    """Returns a function after which the process pauses in the next of them."""
+    open_socket = client.open_socket
+    relays = set()
+    left = 0
+
+    def open_and_pause(address, *, timeout_s):
+        nonlocal left
+        sock = open_socket(address, timeout_s=timeout_s)
+        if left and address in relays:
+            left -= 1
+            gevent.spawn(time.sleep, _PAUSE_S)
+        return sock
+
+    def pause(world, count):
+        nonlocal left
+        relays.update(entry.member.address for entry in world.entries)
+        left = count
+
+    monkeypatch.setattr(client, "open_socket", open_and_pause)
+    return pause
+
+
+def test_callers_are_served_while_the_process_pauses(
+    make_world, pause_in_relay_connections
+):
+    """Guards against relays given up for pauses of the instance itself.
+
+    All of them counted as lost then, and its callers were refused.
+    """
+    world = make_world(servers=3, data_centres=("a", "a", "b"), linked=True)
+    _use(world, range(3))
+    pause_in_relay_connections(world, _PAUSES)
+    _cut(world, 0, proxy.Cut.RESET)
+    gevent.sleep(_NOTICED_S)
+    others = _share(_served(world, 2))
+    assert _share(_served(world, 0)) >= _LEAST_SHARE * others
+
+
 @pytest.mark.parametrize("how", proxy.Cut)
 @pytest.mark.parametrize("service", ["crew", "lm"])
 def test_callers_are_served_if_one_service_is_out_of_reach(
