Hard load: what is rejected in the second after an overload is due to returning callers

Cause, as measured on simulated time: callers that are rejected until the end of the overload return a third of their time later, up to 0.83 s. The load stays at about 2.2 times the capacity until 0.85 s after the end. The callers are late from their first attempt, but are admitted like new ones and count as demand, which is known up to 0.6 s later.

Change: a test that guards against rejections by a demand that has ended, without returns.

--- a/irisshelf/tests/test_hard_load.py
+++ b/irisshelf/tests/test_hard_load.py
@@ -108,6 +108,12 @@
     return busy_fleet.play(load, seed=seed)
 
 
+@functools.cache
+def _burst_without_returns(instances, fleet, seed):
+    load = _load(instances, _burst, retries=0, **_changes(fleet, instances))
+    return busy_fleet.play(load, seed=seed)
+
+
 @functools.cache
 def _surge_callers(instances, seed):
     load = _load(instances, _surge, _surging_team)
@@ -205,6 +211,21 @@
     assert _share(one.in_time for one in later) >= 0.98
 
 
+@pytest.mark.parametrize("seed", _SEEDS)
+@pytest.mark.parametrize(("instances", "fleet"), _FLEETS)
+def test_a_second_after_an_overload_without_returns_all_are_served(
+    instances, fleet, seed
+):
+    """Guards against rejections by a demand that has ended.
+
+    Rejected callers do not return here. If they do, they exceed the capacity
+    for 0.83 s after the overload, a third of their time.
+    """
+    callers = _burst_without_returns(instances, fleet, seed)
+    later = _between(callers, _END_S + 1.0, _LENGTH_S)
+    assert _share(one.in_time for one in later) >= 0.98
+
+
 @pytest.mark.parametrize("seed", _SEEDS)
 @pytest.mark.parametrize(("instances", "fleet"), _FLEETS)
 def test_a_load_below_the_capacity_is_not_rejected(instances, fleet, seed):
