--- a/irisshelf/overload/admission.py
+++ b/irisshelf/overload/admission.py
@@ -18,9 +18,7 @@
 from irisshelf.overload import demand as demand_module
 from irisshelf.overload import least_objective
 from irisshelf.overload import quotas as quotas_module
-from irisshelf.overload import first_attempts
 from irisshelf.overload import retry_times
-from irisshelf.overload import send_budget
 from irisshelf.overload import service_time
 
 # The most urgent requests may wait for a slot for this share of the shortest
@@ -35,18 +33,6 @@
 # each more urgent priority, but not less than the minimum.
 _BACKLOG_STEP = 0.2
 _MIN_BACKLOG_LIMIT = 0.3
-_TARGET_SHARE = 0.45
-_FIT_SHARE = 0.8
-_FILL_S = 0.25
-_CREDIT_LEVEL = -0.4
-_MIN_RULE = 1.01
-GATE = True
-EXTRA = True
-_LATE_IDLE = 0.2
-_NEAR = 1.35
-_NO_QUEUE_SHARE = 0.15
-_RANK_LEVEL = 0.5
-_RANK_PART = 0.25
 _INITIAL_SERVICE_TIME_S = 0.5
 _SERVICE_TIME_WEIGHT = 0.05
 
@@ -105,8 +91,6 @@
         }
         self._correction = correction.CapacityCorrection()
         self._credits = credits_module.Credits()
-        self._budget = send_budget.SendBudget()
-        self._usual = first_attempts.UsualTimes()
         self._service_time = service_time.ServiceTime(
             initial_s=_INITIAL_SERVICE_TIME_S,
             weight=_SERVICE_TIME_WEIGHT,
@@ -195,51 +179,11 @@
             arrival.priority, quotas, max_wait_s
         ):
             fraction = min(fraction, quotas.least_fraction)
-        late = self.is_late(arrival, now)
-        self._budget.update(
-            rate_per_s=self._send_rate_per_s(quotas, capacity_slots),
-            fleet_per_s=demand.offered_slots / self._service_time.mean_s,
-            counts=not late,
-            full_per_s=(
-                capacity_slots / self._service_time.mean_s
-                if not self._is_near(quotas)
-                else 0.0
-            ),
-            now=now,
-        )
-        rank = _rank(arrival.priority, quotas)
-        if late:
-            rank = len(quotas.slots_by_priority)
-        within = self._budget.level > rank * max(_RANK_LEVEL, self._budget.most * _RANK_PART)
-        if late:
-            within = within and (
-                self._correction.idle >= _LATE_IDLE
-            )
-        if arrival.returning or arrival.resumes or capacity_slots <= 0:
-            within = True
-        has_credit = not late and self._has_credit(arrival, team, fraction)
-        if not late and rank == 0 and arrival.priority in demand.by_priority and (
-            demand.by_priority[arrival.priority].offered_slots
-            <= 0.9 * capacity_slots
-        ):
-            has_credit = True
-        if has_credit and not within and GATE:
-            has_credit = (
-                self._budget.level > _CREDIT_LEVEL
-                or rank == 0
-                or fraction <= _MIN_RULE * quotas.least_fraction
-                or self._correction.backlog_s
-                <= _NO_QUEUE_SHARE * max_wait_s
-            )
-        fits = not full and wait_s <= max_wait_s
-        if not late and not EXTRA:
-            within = False
-        admitted = fits and (has_credit or within)
+        has_credit = self._has_credit(arrival, team, fraction)
+        admitted = has_credit and not full and wait_s <= max_wait_s
         self._admitted.add(admitted, now)
         if admitted:
-            self._budget.charge()
-            if has_credit:
-                self._credits.charge((arrival.priority, team))
+            self._credits.charge((arrival.priority, team))
             return None
         return Refusal(
             retry_after_s=self.retry_after_s(wait_s, now),
@@ -248,29 +192,6 @@
             fraction=fraction,
         )
 
-    def is_late(self, arrival: Arrival, now: float) -> bool:
-        if arrival.objective_s <= 0:
-            return False
-        usual = self._usual.add((arrival.team, arrival.objective_s), arrival.remaining_s, now)
-        age = usual - arrival.remaining_s
-        return age > arrival.objective_s - self._service_time.mean_s
-
-    def _is_near(self, quotas: quotas_module.Quotas) -> bool:
-        return 0.8 * quotas.capacity_slots <= quotas.offered_slots <= _NEAR * quotas.capacity_slots
-
-    def _send_rate_per_s(
-        self, quotas: quotas_module.Quotas, capacity_slots: float
-    ) -> float:
-        """Returns the rate at which all instances together may send."""
-        rate = capacity_slots * self._correction.integral
-        max_wait_s = self._min_objective_s * MAX_WAIT_SHARE
-        if not math.isinf(max_wait_s):
-            share = _FIT_SHARE if self._is_near(quotas) else _TARGET_SHARE
-            room_s = share * max_wait_s - self._correction.backlog_s
-            room = self._correction.idle * self._service_time.mean_s + room_s
-            rate += capacity_slots * room / _FILL_S
-        return max(0.0, rate) / self._service_time.mean_s
-
     def _current_quotas(
         self,
         demand: demand_module.ServiceDemand,
@@ -328,7 +249,7 @@
     demand. The least urgent requests make room first; the most urgent ones are
     limited only by the wait at their own server.
     """
-    rank = _rank(priority, quotas)
+    rank = sum(other < priority for other in quotas.slots_by_priority)
     if not rank:
         return math.inf
     if quotas.explains_queues:
@@ -356,8 +277,3 @@
     if begun <= 0:
         return 1.0
     return sum(one.in_time_per_s for one in rates) / begun
-
-
-def _rank(priority: int, quotas: quotas_module.Quotas) -> int:
-    """Returns the number of more urgent priorities."""
-    return sum(other < priority for other in quotas.slots_by_priority)
--- a/irisshelf/overload/correction.py
+++ b/irisshelf/overload/correction.py
@@ -73,16 +73,6 @@
         """Mean expected wait at the servers, smoothed."""
         return self._backlog_s
 
-    @property
-    def integral(self) -> float:
-        """Part of the factor that corrects a lasting error of the estimates."""
-        return self._integral
-
-    @property
-    def idle(self) -> float:
-        """Share of the servers' slots that are idle, smoothed."""
-        return self._idle
-
     @property
     def factor(self) -> float:
         """The factor; 1 if the estimates seem right."""
--- a/irisshelf/overload/quotas.py
+++ b/irisshelf/overload/quotas.py
@@ -16,7 +16,7 @@
 
 # Least admitted fraction of a priority or team, relative to that of all
 # requests. Users require a quarter; the rest covers errors of the estimates.
-MIN_FRACTION_RATIO = 0.32
+MIN_FRACTION_RATIO = 0.3
 # Demand of which this share fits is admitted as a whole: estimates vary by more
 # within a second, and each rejection of a request that fits is a loss.
 FITTING_SHARE = 0.8
--- a/irisshelf/testing/busy_fleet.py
+++ b/irisshelf/testing/busy_fleet.py
@@ -204,15 +204,6 @@
         self._choose(request)
 
     def _count_arrival(self, request: _Request) -> None:
-        caller = request.caller
-        deadline_s = caller.came_s + caller.kind.patience_s
-        if self._load.fleet_admission and self._fleet_gates[request.instance].is_late(admission.Arrival(
-            priority=request.kind.priority,
-            team=request.team,
-            objective_s=request.kind.objective_s,
-            remaining_s=deadline_s - self._now,
-        ), self._now):
-            return
         self._exchange.meter(request.instance).record_arrival(
             demand_play.SERVICE,
             request.kind.priority,
