Give a hot part further servers before its home reaches its load bound

A part with more requests than its home sustains filled the home up to the load bound. Requests for the other parts of that home were then sent to other servers, which had to fetch these parts. A part that takes more than half of its home's bound now goes to the first servers of its ranking, as many as its share of this instance's requests requires and one more. Each takes up to half of its bound, in the order of the ranking. This applies to services whose servers report a slowdown, and to parts with one home: for parts with a home in each of three data centres it was tried and taken back.

--- a/irisshelf/routing/direct/server_choice.py
+++ b/irisshelf/routing/direct/server_choice.py
@@ -9,15 +9,16 @@
 responses are long in relation to the parts, the homes in other data centres
 fetch the parts from there on first use, so that a data centre that is cut off
 does not interrupt responses of others. A server at its load bound is skipped in
-favour of the next one, which fetches the parts from it. Requests without shared
-parts go to the server with the lowest expected response time.
+favour of the next one, which fetches the parts from it. If the servers report
+slowdowns, requests for a hot part go to the next servers in its ranking before
+that, see ``hot_parts``. Requests without shared parts go to the server with the
+lowest expected response time.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import enum
-import itertools
 import math
 import random
 from collections.abc import Callable
@@ -26,6 +27,8 @@
 from irisshelf.catalog import directory
 from irisshelf.routing.direct import cache_locations
 from irisshelf.routing.direct import cached_parts
+from irisshelf.routing.direct import homes
+from irisshelf.routing.direct import hot_parts
 from irisshelf.routing.direct import load_bounds
 from irisshelf.routing.direct import load_limits
 from irisshelf.routing.direct import policy as policy_module
@@ -56,11 +59,6 @@
 # serve it to others: the longest prompts, 30,000 tokens, take 0.6 s to process,
 # and longer next to other requests.
 PREFILL_S = 1.0
-# A home in the caller's own data centre protects a response in progress from a
-# network partition between data centres; the longer the response, the greater
-# the benefit. It costs a copy of the shared parts, so it is used only if the
-# shared tokens are at most this multiple of the tokens of the response.
-_MAX_COPIED_PER_ANSWER_TOKEN = 4
 
 
 class Reason(enum.StrEnum):
@@ -130,6 +128,7 @@
         )
         self.cache_locations = self.cached_parts.locations
         self.load_limits = load_limits.LoadLimits()
+        self._part_rates = hot_parts.PartRates()
 
     def choose(
         self,
@@ -157,7 +156,7 @@
         ready = _ready(servers, avoid)
         if not ready:
             return None
-        available = self._available(ready, now)
+        available = [s for s in ready if self._is_available(s.server_id, now)]
         pool = available or ready
         if requested.affinity_key:
             choice = self._by_affinity(pool, requested, sources, idle, now)
@@ -167,11 +166,6 @@
             choice = dataclasses.replace(choice, reason=Reason.LAST_RESORT)
         return choice
 
-    def _available(
-        self, servers: Sequence[directory.BackendServer], now: float
-    ) -> list[directory.BackendServer]:
-        return [s for s in servers if self._is_available(s.server_id, now)]
-
     def _is_available(self, name: str, now: float) -> bool:
         if self.stats.is_available(name, now):
             return True
@@ -188,6 +182,7 @@
         self, requested: prompt.Prompt, server_id: str, now: float
     ) -> list[bytes]:
         """Records a sent prompt; see ``CachedParts.record_sent``."""
+        self._part_rates.record(requested.affinity_key, now)
         return self.cached_parts.record_sent(requested, server_id, now)
 
     def _by_affinity(
@@ -207,7 +202,10 @@
         )
         ranked = self._by_preference(pool, requested, held, now)
         bounds = self._load_bounds(requested, loads, mean, now)
-        server, reason = self._first_within(bounds, ranked, held, loads, now)
+        part_load = total * self._hot_share(requested, now)
+        server, reason = self._spread(
+            bounds, ranked, held, loads, requested, part_load, now
+        ) or self._first_within(bounds, ranked, held, loads, now)
         return self._choice(
             server,
             reason,
@@ -236,6 +234,47 @@
             cap=CAP_FACTOR * mean + CAP_EXTRA,
         )
 
+    def _hot_share(self, requested: prompt.Prompt, now: float) -> float:
+        """Returns the share of requests for a part; 0 if it is not needed."""
+        if not self.stats.slowdowns or not self._policy.load_bound:
+            return 0.0
+        return self._part_rates.share(requested.affinity_key, now)
+
+    def _spread(
+        self,
+        bounds: load_bounds.LoadBounds,
+        ranked: Sequence[directory.BackendServer],
+        held: dict[str, cache_locations.CacheEntry],
+        loads: dict[str, float],
+        requested: prompt.Prompt,
+        part_load: float,
+        now: float,
+    ) -> tuple[directory.BackendServer, Reason] | None:
+        """Selects one of the servers of a hot part.
+
+        A part with a home in each of several data centres gets no further ones:
+        copies of it at each home's next server cost more than they save.
+
+        Returns:
+            None if the part is not hot or its servers are at their bounds.
+        """
+        count = hot_parts.required_servers(
+            part_load, bounds.bound(ranked[0].server_id)
+        )
+        if count == 1 or (
+            self._policy.near_homes and homes.are_several(ranked, requested)
+        ):
+            return None
+        rank = hot_parts.choose_rank(
+            (loads[server.server_id] + 1) / bounds.bound(server.server_id)
+            if loads[server.server_id] + 1 <= self._load_limit(server, now)
+            else math.inf
+            for server in ranked[:count]
+        )
+        if rank is None:
+            return None
+        return ranked[rank], _reason(ranked[rank], rank, held)
+
     def _first_within(
         self,
         bounds: load_bounds.LoadBounds,
@@ -273,7 +312,7 @@
         if self._policy.near_homes and any(
             now - one.first_sent_s >= PREFILL_S for one in held.values()
         ):
-            home = _home(ranked, requested, self._data_centre)
+            home = homes.home(ranked, requested, self._data_centre)
         return sorted(ranked, key=lambda server: server is not home)
 
     def _fastest(
@@ -349,23 +388,6 @@
     ]
 
 
-def _home(
-    ranked: Sequence[directory.BackendServer],
-    requested: prompt.Prompt,
-    data_centre: str,
-) -> directory.BackendServer | None:
-    """Returns the home of a prompt in a data centre; None if it has none."""
-    firsts: dict[str, directory.BackendServer] = {}
-    for server in ranked:
-        firsts.setdefault(server.data_centre, server)
-    if (
-        requested.shared_tokens
-        > _MAX_COPIED_PER_ANSWER_TOKEN * requested.max_answer_tokens
-    ):
-        firsts = dict(itertools.islice(firsts.items(), 1))
-    return firsts.get(data_centre)
-
-
 def _reason(
     server: directory.BackendServer,
     rank: int,
--- a/irisshelf/testing/shared_parts.py
+++ b/irisshelf/testing/shared_parts.py
@@ -67,6 +67,23 @@
     returns_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Copy:
+    """A part that a server did not have and has got.
+
+    Attributes:
+        at_s: When.
+        part_id: The part.
+        server_id: The server.
+        source_id: The server that it was fetched from; empty if it was read.
+    """
+
+    at_s: float
+    part_id: str
+    server_id: str
+    source_id: str
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Tokens:
     """Tokens of shared parts that servers lacked, and load above the cap.
@@ -75,7 +92,7 @@
         first: Read for the first time in the fleet.
         moved: Fetched from a server that had them.
         again: Read although a server of the fleet had read them before.
-        copies: Pairs of a part and a server that has got it.
+        copies: Parts that servers have got.
         above_cap: Requests that reached a server that then had more than twice
             the mean and 3 requests.
         rejected: Requests that a server has rejected.
@@ -86,7 +103,7 @@
     first: int = 0
     moved: int = 0
     again: int = 0
-    copies: int = 0
+    copies: list[Copy] = dataclasses.field(default_factory=list)
     above_cap: int = 0
     rejected: int = 0
     unserved: int = 0
@@ -411,7 +428,15 @@
         if self._now < self._counts_from_s:
             return
         setattr(self.tokens, what, getattr(self.tokens, what) + part.tokens)
-        self.tokens.copies += 1
+        source = choice.source if what == "moved" else None
+        self.tokens.copies.append(
+            Copy(
+                at_s=self._now,
+                part_id=part.part_id,
+                server_id=choice.server.server_id,
+                source_id="" if source is None else source.server_id,
+            )
+        )
         self.tokens.by_cause[what, why, choice.reason.value] += part.tokens
 
     def _end(self, one: Arrival, server: _Server) -> None:
--- a/irisshelf/tests/test_shared_parts.py
+++ b/irisshelf/tests/test_shared_parts.py
@@ -9,7 +9,10 @@
 
 import pytest
 
+from irisshelf.catalog import directory
 from irisshelf.routing.direct import prompt
+from irisshelf.routing.direct import ranking
+from irisshelf.routing.direct import server_choice
 from irisshelf.testing import shared_parts
 
 _INSTANCES = 6
@@ -18,6 +21,8 @@
 _SYSTEM_PARTS = 5
 _SYSTEM_TOKENS = 400
 _HOT_TOKENS = 9_000
+# A quarter of the requests is 2.6 times the load bound of one server.
+_MAX_HOT_SERVERS = 8
 _MAX_ANSWER_TOKENS = 300
 # With such a limit each data centre gets a home for the longest parts.
 _LONG_ANSWER_TOKENS = 4_000
@@ -113,3 +118,85 @@
     after = _tokens(seed, **traffic)
     assert after.again <= 0.8 * before.again
     assert after.cost <= 0.95 * before.cost
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("hot_share", [0.25, 0.0])
+def test_a_hot_part_leaves_room_for_the_other_parts_of_its_home(
+    hot_share, seed
+):
+    """Pattern: one part gets a quarter of the requests, or popularity as usual.
+
+    If a hot part fills its home up to the load bound, the requests for the
+    other parts of this home move them to other servers.
+    """
+    traffic = {"duration_s": 30.0, "hot_share": hot_share}
+    before = _tokens(seed, reported=False, **traffic)
+    after = _tokens(seed, **traffic)
+    assert after.cost <= 0.95 * before.cost
+    assert after.above_cap <= 0.6 * before.above_cap
+    assert len(_servers_of_hot_part(after)) <= _MAX_HOT_SERVERS
+
+
+def _servers_of_hot_part(tokens):
+    return {one.server_id for one in tokens.copies if one.part_id == "hot"}
+
+
+@pytest.mark.parametrize(
+    ("others", "hot", "reports", "servers"),
+    [
+        pytest.param(30, 1, True, 1, id="not-hot"),
+        pytest.param(15, 8, True, 2, id="hot"),
+        pytest.param(15, 8, False, 1, id="without-reported-slowdowns"),
+    ],
+)
+def test_a_hot_part_gets_the_same_second_server_at_each_instance(
+    others, hot, reports, servers
+):
+    """Guards against copies of one part at servers that instances differ in.
+
+    Each instance has sent the same share of its requests for the part, and the
+    home's load is above the part's share of its bound, but below the bound.
+    """
+    listed = [
+        directory.BackendServer(
+            server_id=f"s{number}",
+            service="lm",
+            address=f"10.0.0.{number}:80",
+            data_centre="a",
+            slots=16,
+            version="v1",
+        )
+        for number in range(8)
+    ]
+    ranked = ranking.rank(listed, "hot")
+    selected = set()
+    for instance in range(5):
+        chooser = server_choice.Chooser(
+            data_centre="a", rng=random.Random(instance)
+        )
+        for number in range(others):
+            chooser.record_sent(_requested(f"part-{number}"), "s0", 1.0)
+        for _ in range(hot):
+            chooser.record_sent(_requested("hot"), ranked[0].server_id, 1.0)
+        for server in listed:
+            work = 8 if server is ranked[0] else 5
+            chooser.stats.record_load_report(
+                server.server_id,
+                work=work,
+                at_s=1.0,
+                slowdown=1.0 if reports else None,
+            )
+        choice = chooser.choose(
+            listed, _requested("hot"), avoid=frozenset(), now=1.0
+        )
+        selected.add(choice.server.server_id)
+    assert selected == {ranked[servers - 1].server_id}
+
+
+def _requested(part_id):
+    parts = (
+        prompt.Part(part_id=part_id, tokens=_HOT_TOKENS),
+        prompt.Part(part_id="own", tokens=50),
+    )
+    return prompt.Prompt(parts=parts, max_answer_tokens=_MAX_ANSWER_TOKENS)
