Skip the search for a source if the selected server has the part

The servers that may be a source were collected, each with a check of its path, before it was found that the selected server has the last shared part and needs no source. That result does not depend on them.

--- a/irisshelf/routing/direct/cached_parts.py
+++ b/irisshelf/routing/direct/cached_parts.py
@@ -112,6 +112,9 @@
         """
         if not self._policy.fetches:
             return None
+        if selected.server_id in self._holders_of(requested.affinity_key, now):
+            # No strategy names a source then; most requests end here.
+            return None
         others = [
             s
             for s in servers
