--- a/irisshelf/tests/test_shared_parts.py
+++ b/irisshelf/tests/test_shared_parts.py
@@ -5,6 +5,8 @@
 part at many servers. A moved token costs a seventh of one that is read.
 """
 
+import collections
+import math
 import random
 
 import pytest
@@ -120,6 +122,25 @@
     assert after.cost <= 0.95 * before.cost
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_part_of_a_draining_server_is_moved_to_one_server(seed):
+    """Pattern: rolling replacement, one home.
+
+    Guards against instances that move a part to different servers while its
+    home drains. A few parts move again as the next home is at its bound.
+    """
+    replacements = _rolling_replacement()
+    tokens = _tokens(seed, duration_s=45.0, replacements=replacements)
+    servers = collections.defaultdict(set)
+    drains_s = {f"s{one.number}-0": one.drains_s for one in replacements}
+    for copy in tokens.copies:
+        if copy.at_s >= drains_s.get(copy.source_id, math.inf):
+            servers[copy.source_id, copy.part_id].add(copy.server_id)
+    moved_once = sum(len(names) == 1 for names in servers.values())
+    assert len(servers) >= 50
+    assert moved_once >= 0.85 * len(servers)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("hot_share", [0.25, 0.0])
 def test_a_hot_part_leaves_room_for_the_other_parts_of_its_home(
