--- a/bench/main.py
+++ b/bench/main.py
@@ -8,6 +8,7 @@
 
 from bench import bundle
 from bench import chart
+from bench import choice
 from bench import claims
 from bench import crash_parts
 from bench import demand
@@ -33,6 +34,7 @@
         "charts": chart.measure,
         "bundle": bundle.measure,
         "decisions": decision.measure,
+        "choices": choice.measure,
         "relay": relay.measure,
         "relayed requests": relayed.measure,
         "claims": claims.measure,
