Log lines and comments in the terms of the field

Cause: a review of the wording found figurative names and sentences. Change: news_unreadable and news_not_received are datagram_unreadable and datagrams_not_received; comments of catch-up, releases, the store's contact and the window of demand are reworded. No behaviour changes; the tests that name the log lines name the new ones and are otherwise unchanged, and pass.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -339,7 +339,7 @@
         return self.freshness.age_s(self.now()) <= _LONGEST_OUTAGE_S
 
     def is_in_contact(self) -> bool:
-        """Returns whether the store has been heard lately, also by others."""
+        """Returns whether any instance has recently reached the store."""
         return not self.catalog_may_be_stale()
 
     def catalog_may_be_stale(self) -> bool:
--- a/irisshelf/gateway/knowledge/catch_up.py
+++ b/irisshelf/gateway/knowledge/catch_up.py
@@ -1,9 +1,9 @@
 """Asks peers for what an instance that starts cannot read elsewhere.
 
-What an instance has not heard of may have happened all the same: peers that
-have just started know no more than the one that asks. So an answer says for how
-long its sender has heard of everything, and more instances are asked until one
-that has for long enough has answered.
+The data of a peer may be incomplete: one that has just started has received no
+more than the instance that asks. An answer therefore contains for how long its
+sender has received all data, and further instances are asked until one that has
+done so for long enough has answered.
 """
 
 from __future__ import annotations
@@ -112,7 +112,7 @@
 
 
 class _Envelope(msgspec.Struct):
-    # For how long the sender has heard of everything.
+    # For how long the sender has received all data.
     reach_s: Annotated[float, msgspec.Meta(ge=0, le=_MAX_REACH_S)]
     content: bytes
 
@@ -120,10 +120,10 @@
 class CatchUp:
     """Serves what this instance knows to peers, and asks them for theirs.
 
-    An answer is a map with the content and for how long its sender has heard of
-    everything. It is sent only to instances that ask for it; others get the
-    content alone, which is an array, as older builds send it. That proves
-    nothing about what it does not contain.
+    An answer is a map with the content and for how long its sender has received
+    all data. It is sent only to instances that ask for it; others get the
+    content alone, which is an array, as older builds send it. Such an answer
+    does not show that it is complete.
 
     Args:
         path: Where the content is served.
--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -98,7 +98,7 @@
                 # Logged once per kind: unauthenticated senders could otherwise
                 # flood the log.
                 self._logged_kinds.add(kind)
-                self._log.warning("news_unreadable", detail=str(exc))
+                self._log.warning("datagram_unreadable", detail=str(exc))
 
     def run(self) -> None:
         """Receives datagrams until the greenlet is killed."""
@@ -108,7 +108,7 @@
             except OSError as exc:
                 # Typically ECONNREFUSED, reported for a peer whose port is
                 # closed; datagrams from other peers still arrive.
-                self._log.warning("news_not_received", detail=str(exc))
+                self._log.warning("datagrams_not_received", detail=str(exc))
                 gevent.sleep(_RETRY_DELAY_S)
                 continue
             self.dispatch(data)
--- a/irisshelf/gateway/knowledge/release_exchange.py
+++ b/irisshelf/gateway/knowledge/release_exchange.py
@@ -1,7 +1,8 @@
-"""Tells instances that have just started which releases servers have had.
+"""Sends recent releases of the servers to instances that have just started.
 
-The list of servers says what serves now, not what has served within the life of
-a stream. Instances that have followed it for longer know that.
+The list of servers contains the current releases only, but a stream may have
+begun with an earlier one. Instances that have followed the list for longer know
+those as well.
 """
 
 from __future__ import annotations
@@ -49,10 +50,10 @@
         peers: Carries questions.
         log: Receives decoding errors.
         rng: Selects whom to ask.
-        has_recent_list: Returns whether this instance has heard from the store
-            lately, so that it can tell of all releases until then.
+        has_recent_list: Returns whether this instance has recently received
+            the list of servers, so that it knows all releases until then.
         on_changed: Called after releases have been added.
-        on_in_vain: Called if nobody has told of all releases.
+        on_in_vain: Called if no instance has sent all releases.
         now: Monotonic seconds.
     """
 
--- a/irisshelf/overload/meter.py
+++ b/irisshelf/overload/meter.py
@@ -14,9 +14,9 @@
 
 from irisshelf.overload import demand
 
-# Rates are means over this time. What instances know 1 s after a step in load
-# was measured at least 0.35 s after it, so that a longer mean would still
-# contain the load before the step.
+# Rates are means over this time. Exchange takes up to 0.65 s, and all instances
+# have to know a step in load 1 s after it: a longer mean would still contain
+# the load before the step.
 WINDOW_S = 0.35
 _INTERVAL_S = 0.05
 _INTERVALS = round(WINDOW_S / _INTERVAL_S)
--- a/irisshelf/testing/demand_network.py
+++ b/irisshelf/testing/demand_network.py
@@ -257,7 +257,7 @@
         try:
             self._handler(cbor2.loads(data[1:]))
         except ValueError:
-            self.problems.append("news_unreadable")
+            self.problems.append("datagram_unreadable")
         self._network.cpu_s[self._name] += time.process_time() - began_s
         # The exchange may have to send earlier now.
         self._due_s = self._network.now
--- a/irisshelf/tests/test_demand_datagrams.py
+++ b/irisshelf/tests/test_demand_datagrams.py
@@ -93,5 +93,5 @@
             five[0].datagrams.send(one.member.address, garbled)
     gevent.sleep(2.5)
     for one in five:
-        assert one.problems == ["news_unreadable"]
+        assert one.problems == ["datagram_unreadable"]
         assert one.monitor.totals[-1] == pytest.approx(31.0, rel=0.001)
--- a/irisshelf/tests/test_fact_gossip.py
+++ b/irisshelf/tests/test_fact_gossip.py
@@ -252,7 +252,7 @@
 def test_invalid_datagrams_are_logged_once_and_dropped(four, data):
     four[0].datagrams.dispatch(data)
     four[0].datagrams.dispatch(data)
-    assert four[0].problems == ["news_unreadable"]
+    assert four[0].problems == ["datagram_unreadable"]
     assert four[0].loads == []
 
 
--- a/irisshelf/tests/test_return_exchange.py
+++ b/irisshelf/tests/test_return_exchange.py
@@ -328,7 +328,7 @@
     for _ in range(3):
         new.exchange.record(_FINGERPRINT, boottime.now() + 1.0)
     _wait(lambda: old.problems)
-    assert old.problems == ["news_unreadable"]
+    assert old.problems == ["datagram_unreadable"]
     assert not old.greenlet.dead
 
 
@@ -356,7 +356,7 @@
     # One warning for reservations; one for questions, if it ranks first or
     # this instance's own answer is not needed.
     _wait(lambda: old.problems)
-    assert set(old.problems) == {"news_unreadable"}
+    assert set(old.problems) == {"datagram_unreadable"}
     assert len(old.problems) <= 2
 
 
--- a/irisshelf/tests/test_store_updates.py
+++ b/irisshelf/tests/test_store_updates.py
@@ -183,7 +183,7 @@
     pair[1].updates.subscribe(received.append)
     for _ in range(2):
         pair[1].datagrams.dispatch(_KIND + cbor2.dumps(content))
-    assert (received, pair[1].problems) == ([], ["news_unreadable"])
+    assert (received, pair[1].problems) == ([], ["datagram_unreadable"])
 
 
 def test_updates_of_another_data_centre_are_ignored(pair):
--- a/irisshelf/tests/test_untrusted_input.py
+++ b/irisshelf/tests/test_untrusted_input.py
@@ -380,7 +380,7 @@
         datagrams.dispatch(bytes([kind]) + nested)
         datagrams.dispatch(bytes([kind]) + cbor2.dumps([1]))
         assert received == [[1]]
-    assert lines == ["news_unreadable"] * len(datagrams_module.Kind)
+    assert lines == ["datagram_unreadable"] * len(datagrams_module.Kind)
 
 
 _NUMBERS = strategies.one_of(
