Withdrawing the last key no longer opens all routes

Cause: the decoder kept teams only as a table from keys to teams, and admission took an empty table for a deployment without teams. The log shows it: catalog_in_force version=7 keys=0, then answered catalog=7 team="" for each of these requests; an outdated configuration is ruled out by the same lines.

Change: Catalog.teams holds all teams, Catalog.keys the team of each key, and Catalog.needs_key decides. The setting keys_required (by the platform's rules in force) covers a list that has lost its last team. Null and missing keys count as none; an empty text is no key.

The neighbouring tests (path, store, settings, regions, untrusted input) pass: 306. Conclusion: decisions depend on configuration and settings alone, so instances that start with such a configuration agree with those that have seen it come.

--- a/irisshelf/catalog/model.py
+++ b/irisshelf/catalog/model.py
@@ -143,12 +143,23 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Catalog:
-    """A complete version of the configuration."""
+    """A complete version of the configuration.
+
+    Attributes:
+        version: Its version.
+        routes: All routes.
+        services: The services by name.
+        teams: All teams, also those without a key; None if the configuration
+            does not mention teams.
+        keys: The team of each valid key.
+        limits: Limits on callers.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
-    teams: Mapping[str, Team]
+    teams: tuple[Team, ...] | None
+    keys: Mapping[str, Team]
     limits: CallerLimits
 
     @functools.cached_property
@@ -188,5 +199,23 @@
         )
 
     def team(self, key: str) -> Team | None:
-        """Returns the team to which a key belongs."""
-        return self.teams.get(key)
+        """Returns the team to which a key belongs; an empty key has none."""
+        return self.keys.get(key) if key else None
+
+    def needs_key(self, route: Route, key: str, *, keys_required: bool) -> bool:
+        """Returns whether a request runs only if its key is valid.
+
+        Teams that have lost their last key are still teams: withdrawing it must
+        not open their routes.
+
+        Args:
+            route: The route of the request.
+            key: The key of the request; empty if it has none.
+            keys_required: Whether callers of this deployment have keys; if not,
+                only the teams of a configuration show that they do.
+        """
+        if route.public:
+            return False
+        if self.teams or not keys_required:
+            return bool(self.teams)
+        return self.teams is not None or bool(key)
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -378,7 +378,8 @@
             version=catalog.version,
             before=before,
             routes=len(catalog.routes),
-            keys=len(catalog.teams),
+            teams=None if catalog.teams is None else len(catalog.teams),
+            keys=len(catalog.keys),
         )
         return True
 
--- a/irisshelf/gateway/requests/frontend.py
+++ b/irisshelf/gateway/requests/frontend.py
@@ -161,7 +161,9 @@
             self._reject_unknown(conn, head, _UNKNOWN_ROUTE, text)
             return None
         team = catalog.team(head.key)
-        needs_key = bool(catalog.teams) and not route.public
+        needs_key = catalog.needs_key(
+            route, head.key, keys_required=inst.cfg.keys_required
+        )
         if needs_key and team is None:
             text = "key is not known"
             self._reject_unknown(conn, head, _UNKNOWN_KEY, text)
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -148,6 +148,9 @@
             only one until another instance contacts it.
         bounds: Limits required by the operators.
         overload: Behaviour under overload.
+        keys_required: Whether callers have keys. A configuration whose list of
+            teams is empty then opens no route that is not public, and a key
+            that no team has is rejected under any configuration.
         log_lines_per_s: Maximum rate of log lines about requests.
         max_requests: Maximum number of requests in flight; further requests are
             refused.
@@ -166,6 +169,7 @@
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     overload: Overload = Overload()
+    keys_required: bool = True
     log_lines_per_s: _Positive = 200.0
     max_requests: _Count = 1000
     descriptors: _Count = 4096
--- a/irisshelf/platform/deployment.py
+++ b/irisshelf/platform/deployment.py
@@ -15,6 +15,8 @@
 
 # Rule that callers may ask for more than the servers can process.
 _PRESSURE = "pressure"
+# Rule that requests carry the keys of teams.
+_TENANTS = "tenants"
 # Share of the memory for responses that callers have not read yet. An instance
 # without load takes a tenth of the smallest machine, so that a quarter leaves
 # room for connections and requests in progress.
@@ -54,4 +56,7 @@
             fleet_admission=settings.FleetAdmission.ON,
             start_wait_s=_START_WAIT_S,
         )
+    if deployment.contracts is not None:
+        uses_keys = _TENANTS in deployment.contracts
+        cfg = dataclasses.replace(cfg, keys_required=uses_keys)
     return result.Ok(dataclasses.replace(cfg, overload=overload))
--- a/irisshelf/platform/documents.py
+++ b/irisshelf/platform/documents.py
@@ -79,7 +79,8 @@
 
 class _Tenant(msgspec.Struct, rename="camel"):
     name: str
-    api_keys: list[str] = []
+    # None and an empty list say the same: no key of the tenant is valid.
+    api_keys: list[str] | None = None
     priority: int | None = None
     allowed_regions: list[str] | None = None
 
@@ -97,7 +98,8 @@
     routes: list[msgspec.Raw]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    # None if the operators use no tenants; an empty list has lost its last one.
+    tenants: list[_Tenant] | None = None
 
 
 class _CheckedConfig(_Config):
@@ -150,6 +152,12 @@
         # Names the route in its error.
         _decode(data, _CHECKED_CONFIG)
         raise
+    teams = None
+    keys: dict[str, model.Team] = {}
+    if doc.tenants is not None:
+        teams = tuple(map(_team, doc.tenants))
+        for tenant, team in zip(doc.tenants, teams, strict=True):
+            keys.update(dict.fromkeys(tenant.api_keys or (), team))
     return model.Catalog(
         version=doc.version,
         routes=routes,
@@ -163,7 +171,8 @@
             )
             for item in doc.services
         },
-        teams=_teams(doc.tenants),
+        teams=teams,
+        keys=keys,
         limits=model.CallerLimits(
             head_bytes=doc.limits.max_header_bytes,
             body_bytes=doc.limits.max_body_bytes,
@@ -281,13 +290,9 @@
     )
 
 
-def _teams(tenants: list[_Tenant]) -> dict[str, model.Team]:
-    found = {}
-    for tenant in tenants:
-        team = model.Team(
-            name=tenant.name,
-            priority=tenant.priority,
-            regions=frozenset(tenant.allowed_regions or ()),
-        )
-        found.update(dict.fromkeys(tenant.api_keys, team))
-    return found
+def _team(tenant: _Tenant) -> model.Team:
+    return model.Team(
+        name=tenant.name,
+        priority=tenant.priority,
+        regions=frozenset(tenant.allowed_regions or ()),
+    )
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -118,6 +118,7 @@
         switched: Mechanisms that it uses.
         known_places: All data centres that it knows by settings.
         regions: The region of each data centre, by settings.
+        keys_required: Whether callers have keys, by settings.
 
     Attributes:
         inst: Its state.
@@ -140,6 +141,7 @@
         switched: policy.Policy,
         known_places: Sequence[str] = (),
         regions: Mapping[str, str] | None = None,
+        keys_required: bool = True,
     ):
         self.closed = False
         self.unreachable: set[str] = set()
@@ -159,6 +161,7 @@
                 ),
                 store=store,
                 bounds=bounds,
+                keys_required=keys_required,
                 policy=switched,
             ),
             dialect=http_dialect.HttpDialect(),
--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -131,6 +131,7 @@
         linked: Whether each instance reaches each server over a link of its
             own, which can be cut.
         targets: Latency targets of all routes.
+        keys_required: Whether callers have keys, by settings.
 
     Attributes:
         entries: The instances.
@@ -158,6 +159,7 @@
         servers_age_s: float | None = None,
         linked: bool = False,
         targets: Mapping[str, Any] | None = None,
+        keys_required: bool = True,
     ):
         self._servers_age_s = servers_age_s
         self._places = places
@@ -182,6 +184,7 @@
             switched=switched,
             known_places=known_places,
             regions=regions or {},
+            keys_required=keys_required,
         )
         for data_centre in data_centres:
             self.add_entry(data_centre)
--- a/irisshelf/tests/test_catalog.py
+++ b/irisshelf/tests/test_catalog.py
@@ -202,7 +202,8 @@
         version=1,
         routes=(),
         services={},
-        teams={},
+        teams=(),
+        keys={},
         limits=model.CallerLimits(),
     )
     assert catalog.team("any") is None
--- a/irisshelf/tests/test_catalog_catch_up.py
+++ b/irisshelf/tests/test_catalog_catch_up.py
@@ -223,7 +223,8 @@
         version=version,
         routes=(),
         services={},
-        teams={},
+        teams=(),
+        keys={},
         limits=model.CallerLimits(),
     )
 
