A planned stop starts no request that its exit would cut

Cause: admission started plain requests until 2 s before the kill whatever they take, and the drain ended 0.5 s before it whatever was in progress.

Change: one schedule for the stop, fixed at the signal (gateway/shutdown.py). A request is started if its deadline lies within it, or if at most one in ten recent requests of its route took longer than what is left; otherwise it gets 503 before it is sent. Its deadline is then the end of the schedule, which the server is told. What is in progress at the end is answered: 503 if not sent, 502 otherwise. On related paths: late bodies are judged when complete, half bodies are rejected, an idle connection is closed only if it is idle at that moment, responses in progress announce the close, a reload does not move the end, a signal during the start counts from its arrival.

Not run yet: the whole suite.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -15,6 +15,7 @@
 from irisshelf.coordination import local_membership
 from irisshelf.coordination import membership
 from irisshelf.gateway import dialect
+from irisshelf.gateway import drain
 from irisshelf.gateway import instance
 from irisshelf.gateway import listener
 from irisshelf.gateway import settings
@@ -39,12 +40,6 @@
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_CANNOT_LISTEN = 3
-# How long new callers are served after the stop signal. The load balancer
-# checks readiness every second and stops sending callers after two failures.
-_LAME_DUCK_S = 3.2
-# Reserved within the time to stop, so that the process exits before it is
-# killed.
-_STOP_MARGIN_S = 0.5
 _POLL_INTERVAL_S = 0.05
 # Share of the file descriptors for connections of callers. The rest is for
 # backend servers, other instances, the store and files.
@@ -215,13 +210,14 @@
         )
         self._inst.servers.reach.relays.members = self._peers.members
         self._front = frontend.Frontend(inst=self._inst)
+        self._callers = self._make_listener(
+            cfg.listen.front,
+            self._front.limits,
+            self._front.handle,
+            self._front.slow_callers.buffers,
+        )
         self._listeners = [
-            self._make_listener(
-                cfg.listen.front,
-                self._front.limits,
-                self._front.handle,
-                self._front.slow_callers.buffers,
-            ),
+            self._callers,
             self._make_listener(
                 cfg.listen.ready, _admin_limits, self._handle_ready
             ),
@@ -282,11 +278,12 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(signum, self._begin_stop)
         gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
-        arrived = lifetime_signals.take()
-        if signal.SIGHUP in arrived:
+        arrived_s = lifetime_signals.take()
+        if signal.SIGHUP in arrived_s:
             self._reload("signal")
-        if arrived & {signal.SIGTERM, signal.SIGINT}:
-            self._begin_stop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            if signum in arrived_s:
+                self._begin_stop(arrived_s[signum])
 
     def _start_gossip(self) -> None:
         gossip = fact_gossip.FactGossip(
@@ -335,31 +332,22 @@
             buffers=buffers,
         )
 
-    def _begin_stop(self) -> None:
+    def _begin_stop(self, signalled_s: float | None = None) -> None:
         if not self._inst.stopping:
-            self._inst.stopping_since_s = self._inst.now()
+            self._inst.begin_stop(signalled_s)
             self._log.instance("stopping", in_flight=self._inst.in_flight)
+            self._callers.announce_close()
             gevent.spawn(self._peers.announce_departure)
             self._demand_exchange.retire()
             gevent.spawn(self._relay_endpoint.stop)
 
     def _drain(self) -> None:
-        """Serves until the balancer has noticed, then ends open requests."""
-        since_s = self._inst.stopping_since_s
-        end_s = since_s + self._inst.cfg.bounds.stop_s - _STOP_MARGIN_S
-        callers = self._listeners[0]
-        while self._inst.now() < end_s:
-            gevent.sleep(_POLL_INTERVAL_S)
-            balancer_noticed = self._inst.now() - since_s > _LAME_DUCK_S
-            busy = callers.busy or self._relay_endpoint.open
-            if balancer_noticed and not busy:
-                break
-        callers.stop_accepting()
-        callers.close_idle()
-        while (callers.busy or self._relay_endpoint.open) and (
-            self._inst.now() < end_s
-        ):
-            gevent.sleep(_POLL_INTERVAL_S)
+        drain.Drain(
+            schedule=self._inst.shutdown,
+            callers=self._callers,
+            relay_endpoint=self._relay_endpoint,
+            now=self._inst.now,
+        ).run()
 
     def _watch_settings(self) -> None:
         while True:
--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -21,6 +21,7 @@
 from irisshelf.gateway import dialect as dialect_module
 from irisshelf.gateway import metrics
 from irisshelf.gateway import settings
+from irisshelf.gateway import shutdown
 from irisshelf.gateway.servers import crash_tracker
 from irisshelf.gateway.servers import demand_monitor
 from irisshelf.gateway.servers import eligibility
@@ -158,7 +159,8 @@
         self._server_list_loaded = False
         self._configured_event = event.Event()
         self._last_ready = False
-        self.stopping_since_s: float | None = None
+        # The schedule of the stop; None until it begins.
+        self.shutdown: shutdown.Schedule | None = None
         self.in_flight = 0
         self._suspend_meter = boottime.SuspendMeter()
 
@@ -275,7 +277,18 @@
     @property
     def stopping(self) -> bool:
         """Whether a graceful stop has begun."""
-        return self.stopping_since_s is not None
+        return self.shutdown is not None
+
+    def begin_stop(self, signalled_s: float | None = None) -> None:
+        """Begins a graceful stop; later calls have no effect.
+
+        Args:
+            signalled_s: When the signal arrived, monotonic seconds; now by
+                default.
+        """
+        if self.shutdown is None:
+            began_s = self.now() if signalled_s is None else signalled_s
+            self.shutdown = shutdown.plan(began_s, self.cfg.bounds.stop_s)
 
     @property
     def ready(self) -> bool:
--- a/irisshelf/gateway/listener.py
+++ b/irisshelf/gateway/listener.py
@@ -84,11 +84,21 @@
         """Stops accepting connections; open ones are kept."""
         self._server.close()
 
+    def announce_close(self) -> None:
+        """Makes each connection close after its next response."""
+        for conn in self._conns:
+            conn.announce_close()
+
     def close_idle(self) -> None:
         """Closes idle connections."""
         for conn in list(self._conns):
             conn.close_if_idle()
 
+    def end_requests(self) -> None:
+        """Ends the requests in progress, which respond that they were ended."""
+        for conn in list(self._conns):
+            conn.end_request()
+
     def _serve(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         conn = caller_server.Connection(
             sock=sock,
--- a/irisshelf/gateway/requests/frontend.py
+++ b/irisshelf/gateway/requests/frontend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 import json
 
@@ -15,18 +16,16 @@
 from irisshelf.gateway.requests import request_end
 from irisshelf.gateway.requests import request_handler
 from irisshelf.gateway.requests import slow_callers
+from irisshelf.gateway.requests import stop_admission
 from irisshelf.routing.direct import outage
+from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
 
-# After a signal to stop, new streams are accepted for this long, as they may
-# still end in time: callers open new connections for about two seconds more.
-_ACCEPT_STREAMS_WHILE_STOPPING_S = 2.5
-# No new requests are started when this much of the shutdown time remains.
-_SHUTDOWN_RESERVE_S = 2.0
 _UNKNOWN_ROUTE = 404
 _UNKNOWN_KEY = 401
 _BAD_REQUEST = 400
 _UNAVAILABLE = 503
+_STOPPING = "stopping"
 _RETRY_WHILE_STARTING_S = 0.3
 # Share of a caller's time for which its request waits for the start-up.
 _MAX_START_WAIT_SHARE = 0.5
@@ -45,6 +44,7 @@
     def __init__(self, *, inst: instance_module.Instance):
         self._inst = inst
         self.slow_callers = slow_callers.SlowCallers(inst=inst)
+        self._stop_admission = stop_admission.StopAdmission(now=inst.now)
 
     def limits(self) -> caller_side.Limits:
         """Returns the limits on requests under the configuration in force."""
@@ -88,7 +88,13 @@
             self._reject(conn, "", _BAD_REQUEST, parsed.err_value)
             return
         conn.label_response(parsed.ok_value.request_id)
-        job = self._admit(inbound, parsed.ok_value, conn)
+        try:
+            job = self._admit(inbound, parsed.ok_value, conn)
+        except errors.ShutdownError:
+            self._reject_unavailable(
+                conn, parsed.ok_value, _STOPPING, admission.RETRY_SOON_S
+            )
+            return
         if job is not None:
             self._serve(job, conn)
 
@@ -97,7 +103,7 @@
             inst=self._inst, job=job, caller=conn
         )
         try:
-            ended = self._run(handler)
+            ended = self._run(handler, job)
         except BaseException as exc:
             self._record_end(
                 request_end.summarize(job, handler), request_end.describe(exc)
@@ -113,13 +119,18 @@
             )
         )
 
-    def _run(self, handler: request_handler.RequestHandler) -> str:
+    def _run(
+        self, handler: request_handler.RequestHandler, job: messages.Job
+    ) -> str:
         inst = self._inst
         inst.in_flight += 1
         inst.metrics.in_flight.set(inst.in_flight)
+        durations = self._stop_admission.durations
+        ticket = durations.record_start(job.route.name)
         try:
             return handler.run()
         finally:
+            durations.record_end(job.route.name, ticket)
             inst.in_flight -= 1
             inst.metrics.in_flight.set(inst.in_flight)
 
@@ -169,7 +180,7 @@
             self._reject_unknown(conn, head, _UNKNOWN_KEY, text)
             return None
         job = self._job(inbound, head, catalog.version, route, team)
-        why = self._why_busy(route, inbound.arrived_s)
+        why = self._why_busy(job)
         if why:
             if not inst.stopping:
                 refused = request_demand.RequestDemand(inst=inst, job=job)
@@ -177,7 +188,7 @@
                 refused.record_failed()
             self._reject_unavailable(conn, head, why, admission.RETRY_SOON_S)
             return None
-        return job
+        return self._limited_by_stop(job)
 
     def _await_configured(
         self, inbound: messages.InboundRequest, head: messages.RequestHead
@@ -233,25 +244,30 @@
             ),
         )
 
-    def _why_busy(self, route: model.Route, arrived_s: float) -> str:
-        """Returns why no request is started now; empty if one may be."""
-        if self._is_too_late_to_start(route, arrived_s):
-            return "stopping"
+    def _why_busy(self, job: messages.Job) -> str:
+        """Returns why a request is not started now; empty if it may be."""
+        schedule = self._inst.shutdown
+        if schedule is not None and self._stop_admission.is_too_late(
+            job, schedule
+        ):
+            return _STOPPING
         in_flight = self._inst.in_flight
         if in_flight >= self._inst.cfg.max_requests:
             return f"{in_flight} requests in flight"
         return ""
 
-    def _is_too_late_to_start(
-        self, route: model.Route, arrived_s: float
-    ) -> bool:
-        since_s = self._inst.stopping_since_s
-        if since_s is None:
-            return False
-        elapsed_s = arrived_s - since_s
-        if route.kind is model.RouteKind.STREAMING:
-            return elapsed_s > _ACCEPT_STREAMS_WHILE_STOPPING_S
-        return elapsed_s > self._inst.cfg.bounds.stop_s - _SHUTDOWN_RESERVE_S
+    def _limited_by_stop(self, job: messages.Job) -> messages.Job:
+        """Returns a request that ends no later than this instance stops.
+
+        The server is told that deadline, so that it responds before the request
+        is ended here. The parts of a stream that arrive until then are of use
+        to the caller, so that streams keep theirs.
+        """
+        schedule = self._inst.shutdown
+        if schedule is None or job.route.kind is model.RouteKind.STREAMING:
+            return job
+        deadline_s = min(job.deadline_s, schedule.ends_s)
+        return dataclasses.replace(job, deadline_s=deadline_s)
 
     def _service(self, route: model.Route, head: messages.RequestHead) -> str:
         """Picks one of a route's services by weight.
--- a/irisshelf/gateway/requests/request_handler.py
+++ b/irisshelf/gateway/requests/request_handler.py
@@ -41,6 +41,7 @@
 _EARLY_EVENTS = 4
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
+_STOPPING = "stopping"
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 
@@ -67,6 +68,8 @@
         self._rejected_choice: server_choice.Choice | None = None
         self._binding = stream_binding.StreamBinding(inst=inst, job=job)
         self._prepare(job)
+        # Whether a server may be working on the request.
+        self._sending = False
         self._events_before_send = 0
         self._progress = response_relay.Progress(
             last_event_id=job.head.last_event_id
@@ -90,6 +93,19 @@
         Returns:
             The result, as a label for logs and metrics.
         """
+        try:
+            return self._handle()
+        except errors.ShutdownError:
+            if self._sending:
+                self._sends.outcome = outcome.Outcome.UNKNOWN
+            return self._give_up(_STOPPING)
+        except (errors.CallerDisconnectedError, OSError):
+            self._demand.record_caller_left()
+            raise
+        finally:
+            self._placement.close()
+
+    def _handle(self) -> str:
         refusal = self._binding.resolve()
         if self._binding.service != self._job.service:
             self._prepare(
@@ -101,15 +117,6 @@
         self._demand.record_arrival()
         if refusal is not None:
             return self._reject(refusal)
-        try:
-            return self._run()
-        except (errors.CallerDisconnectedError, OSError):
-            self._demand.record_caller_left()
-            raise
-        finally:
-            self._placement.close()
-
-    def _run(self) -> str:
         while True:
             selected = self._placement.next()
             if selected is None:
@@ -141,6 +148,7 @@
         self._events_before_send = self._progress.events
         self._progress.began = False
         self._inst.servers.record_sent_prompt(server, self._job.head.prompt)
+        self._sending = True
         attempt_module.Attempt(
             inst=self._inst,
             job=self._job,
@@ -190,6 +198,7 @@
         if exc.request_outcome is outcome.Outcome.NOT_RUN:
             self._rejected_choice = choice
         self._sends.record_failure(server, exc)
+        self._sending = False
         stop = self._sends.stop_reason(
             exc, crashed_server=crashed_server, remaining_s=self._remaining_s()
         )
--- a/irisshelf/lifetime_signals.py
+++ b/irisshelf/lifetime_signals.py
@@ -10,8 +10,11 @@
 
 import signal
 
+from irisshelf import boottime
+
 _HELD = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
-_arrived: set[int] = set()
+# When each signal first arrived.
+_arrived_s: dict[int, float] = {}
 
 
 def hold() -> None:
@@ -20,14 +23,17 @@
         signal.signal(signum, _record)
 
 
-def take() -> frozenset[int]:
+def take() -> dict[int, float]:
     """Returns the signals that have arrived since ``hold``, and forgets them.
 
     Called once the program has its own handlers.
+
+    Returns:
+        When each of them first arrived, in seconds of ``boottime.now``.
     """
-    arrived = frozenset(_arrived)
-    _arrived.clear()
-    return arrived
+    arrived_s = dict(_arrived_s)
+    _arrived_s.clear()
+    return arrived_s
 
 
 def block() -> None:
@@ -36,4 +42,4 @@
 
 
 def _record(signum: int, frame: object) -> None:
-    _arrived.add(signum)
+    _arrived_s.setdefault(signum, boottime.now())
--- a/irisshelf/tests/test_gateway_store.py
+++ b/irisshelf/tests/test_gateway_store.py
@@ -218,7 +218,7 @@
         lambda name, **fields: lines.append((name, fields)),
     )
     assert [world.inst.check_readiness() for _ in range(2)] == [True, True]
-    world.inst.stopping_since_s = world.inst.now()
+    world.inst.begin_stop()
     assert not world.inst.check_readiness()
     logged = [(f["ready"], f["why"]) for n, f in lines if n == "readiness"]
     assert logged == [(True, ""), (False, "stopping")]
--- a/irisshelf/tests/test_layers.py
+++ b/irisshelf/tests/test_layers.py
@@ -75,12 +75,12 @@
 
 # From the bottom up; see ``irisshelf.gateway``.
 _GATEWAY = (
-    ("settings", "messages", "dialect", "metrics", "listener"),
+    ("settings", "messages", "dialect", "metrics", "listener", "shutdown"),
     ("servers",),
     ("instance",),
     ("knowledge",),
     ("requests",),
-    ("daemon",),
+    ("drain", "daemon"),
 )
 _LAYER = {name: n for n, names in enumerate(_GATEWAY) for name in names}
 
--- a/irisshelf/transport/errors.py
+++ b/irisshelf/transport/errors.py
@@ -49,5 +49,9 @@
     """The caller is disconnected, as it does not read its response."""
 
 
+class ShutdownError(Exception):
+    """Raised in the greenlet of a request that the instance's stop ends."""
+
+
 class CloseIdleError(Exception):
     """Raised in an idle connection's greenlet when the instance closes it."""
--- a/irisshelf/transport/server.py
+++ b/irisshelf/transport/server.py
@@ -33,6 +33,7 @@
     IDLE = "idle"
     READING = "reading"
     ANSWERING = "answering"
+    CLOSING = "closing"
 
 
 class Connection:
@@ -88,6 +89,8 @@
         # Whether the connection failed while a request was handled.
         self._failed = False
         self._taken_over = False
+        # Whether the handler runs, rather than the delivery that follows it.
+        self._handling = False
         self._greenlet = gevent.getcurrent()
         self._watcher: gevent.Greenlet | None = None
         self._watching = False
@@ -156,10 +159,23 @@
         """Closes the connection after the next response, which announces it."""
         self._close_after = True
 
+    def announce_close(self) -> None:
+        """Closes the connection after the next response that has not begun."""
+        if not self.response_started:
+            self._close_after = True
+
     def close_if_idle(self) -> None:
         """Closes the connection if it is idle."""
-        if self.idle:
-            self._greenlet.kill(errors.CloseIdleError, block=False)
+        _run_in_hub(self._close_if_idle)
+
+    def end_request(self) -> None:
+        """Ends the request in progress, since the instance stops.
+
+        The handler gets ``errors.ShutdownError`` and may still respond. A
+        request that has not been read completely is rejected. A response that
+        the caller is reading goes on.
+        """
+        _run_in_hub(self._end_request)
 
     def answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
@@ -226,7 +242,11 @@
         self._phase = _Phase.ANSWERING
         self._start_watching()
         try:
-            self._handle(request, self)
+            self._handling = True
+            try:
+                self._handle(request, self)
+            finally:
+                self._handling = False
             # Its body may be long, and is not needed any more.
             del request
             self._deliver()
@@ -234,6 +254,18 @@
             self._stop_watching()
         return self._next_cycle()
 
+    def _close_if_idle(self) -> None:
+        if self.idle:
+            self._greenlet.throw(errors.CloseIdleError)
+
+    def _end_request(self) -> None:
+        if self._phase is _Phase.READING:
+            self._greenlet.throw(
+                request_reader.BadRequestError(_UNAVAILABLE, "stopping")
+            )
+        elif self._handling:
+            self._greenlet.throw(errors.ShutdownError)
+
     def _deliver(self) -> None:
         """Waits until all that was written has been handed to the socket.
 
@@ -323,6 +355,8 @@
             return
         self._close_after = True
         headers, body = self._refuse(problem.status, str(problem))
+        if problem.status == _UNAVAILABLE:
+            headers = [*headers, (b"Retry-After", _RETRY_AFTER_S)]
         self.answer(problem.status, headers, body)
         self._deliver()
 
@@ -357,6 +391,8 @@
             watcher.kill(block=True)
 
     def _clean_up(self) -> None:
+        was_idle = self.idle
+        self._phase = _Phase.CLOSING
         undelivered = False
         try:
             if self._buffer is not None:
@@ -373,7 +409,7 @@
             elif self._aborted or self._taken_over:
                 self._sock.close()
             else:
-                closing.close(self._sock, discard_input=not self.idle)
+                closing.close(self._sock, discard_input=not was_idle)
 
     def _would_look_complete(self) -> bool:
         """Returns whether a response that is cut off would look complete.
@@ -387,6 +423,15 @@
         )
 
 
+def _run_in_hub(function: Callable[[], None]) -> None:
+    """Runs a function that throws into a greenlet, if the state allows it.
+
+    No greenlet runs between the check of the state and the throw. A kill would
+    take effect later, when an idle connection may have received a request.
+    """
+    gevent.get_hub().loop.run_callback(function)
+
+
 def _report_to_none(failure: BaseException | None) -> None:
     """Default for ``when_delivered``."""
 
