Responses without end no longer stop an instance

Callers saw: with one server that sends bytes that are no response until its connection is closed, no request was served while it sent, of any service, and memory grew to 1.9 GB.

Cause: client.Connection parses and receives in turn, and a greenlet gives others a turn only when it waits; after the deadline it read on as long as there was input. Bodies and events were gathered without a limit, interim responses and responses to other requests skipped without one.

Such a server counts as broken. A rejection as not run is one whatever becomes of its body. A silent server is not left for another one as long as it has sent something, without a connection to the other one first. Limits of the answers of the store and of other instances.

--- a/irisshelf/gateway/instance.py
+++ b/irisshelf/gateway/instance.py
@@ -31,6 +31,7 @@
 from irisshelf.gateway.servers import suspect_requests
 from irisshelf.observe import decision_log
 from irisshelf.overload import return_rate
+from irisshelf.transport import memory_budget
 
 # With ``keys_strict``, how long a key stays valid after the store last
 # confirmed it, as a share of ``key_withdrawn_ms``. The rest is needed because
@@ -38,6 +39,7 @@
 KEY_AGE_SHARE = 0.76
 # Outages of the store are shorter.
 _LONGEST_OUTAGE_S = 10.0
+_BYTES_PER_MB = 1_000_000
 # A stream that is resumed has begun within the time-out of so many attempts.
 _ATTEMPTS_OF_A_STREAM = 2
 # A long poll for the configuration lasts at most ``catalog_in_force_ms`` and is
@@ -96,6 +98,23 @@
         self.rng = rng
         self.now = now
         self.metrics = metrics.Metrics()
+        # Responses of servers, and bodies of requests, that are kept in memory.
+        self.response_memory = memory_budget.MemoryBudget(
+            limit_bytes=lambda: int(
+                self.cfg.read_limits.responses_mb * _BYTES_PER_MB
+            )
+        )
+        self.request_memory = memory_budget.MemoryBudget(
+            limit_bytes=lambda: int(
+                self.cfg.read_limits.requests_mb * _BYTES_PER_MB
+            )
+        )
+        self.metrics.response_memory.set_function(
+            lambda: self.response_memory.used_bytes
+        )
+        self.metrics.request_memory.set_function(
+            lambda: self.request_memory.used_bytes
+        )
         self.catalog: model.Catalog | None = None
         self.directory = directory.Directory()
         self.freshness = freshness.Freshness()
--- a/irisshelf/gateway/knowledge/peer_discovery.py
+++ b/irisshelf/gateway/knowledge/peer_discovery.py
@@ -31,6 +31,8 @@
 # Round trips between instances take milliseconds; the rest is for a slow peer.
 _RESPONSE_TIMEOUT_S = 0.4
 _CONNECT_TIMEOUT_S = 0.15
+# The longest responses are compressed snapshots of the store's tables.
+_MAX_RESPONSE_BYTES = 16_777_216
 # Leaves room for more than two refreshes before a silent instance is dropped
 # from the membership.
 _MEMBERS_INTERVAL_S = 2.5
@@ -288,16 +290,12 @@
     try:
         conn.send("GET", target, headers, b"", timeout_s=timeout_s)
         status, _ = conn.read_head(timeout_s=deadline_s - boottime.now())
-        return status, _read_all(conn, deadline_s)
+        body = conn.read_body(
+            "response of another instance",
+            max_bytes=_MAX_RESPONSE_BYTES,
+            timeout_s=deadline_s - boottime.now(),
+        )
+        return status, body
     except errors.TransportError:
         conn.close()
         raise
-
-
-def _read_all(conn: client.Connection, deadline_s: float) -> bytes:
-    parts = []
-    while True:
-        part = conn.read_data(timeout_s=deadline_s - boottime.now())
-        if part is None:
-            return b"".join(parts)
-        parts.append(part)
--- a/irisshelf/gateway/messages.py
+++ b/irisshelf/gateway/messages.py
@@ -163,6 +163,7 @@
         signed: Whether the response has the server's signature.
         not_run: Whether the server states that the request did not run.
         encoded: Whether the body was encoded on its way from the server.
+        body_bytes: Size of the body; None if the head does not tell it.
         report: The server's report about itself.
     """
 
@@ -173,6 +174,7 @@
     not_run: bool
     encoded: bool
     report: ServerReport
+    body_bytes: int | None = None
 
     @property
     def success(self) -> bool:
--- a/irisshelf/gateway/metrics.py
+++ b/irisshelf/gateway/metrics.py
@@ -125,6 +125,13 @@
             "relayed_connections",
             "Open connections to servers for other instances.",
         )
+        self.response_memory = self._gauge(
+            "response_memory_bytes",
+            "Memory for responses of servers that are not complete yet.",
+        )
+        self.request_memory = self._gauge(
+            "request_memory_bytes", "Memory for the bodies of requests."
+        )
         self.offered_slots = self._gauge(
             "service_offered_slots",
             "Load that the fleet receives, in slots.",
--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -16,10 +16,12 @@
 from irisshelf.routing.direct import server_choice
 from irisshelf.routing.direct import server_stats
 from irisshelf.transport import client
-from irisshelf.transport import errors
 from irisshelf.transport import server as caller_side
 
 _UNAVAILABLE = 503
+# Responses to other requests that are discarded before the one to this request.
+# A server sends one, if any.
+_MAX_STRAY_RESPONSES = 8
 
 
 class Attempt:
@@ -69,6 +71,8 @@
             fail_over=fail_over,
             deadline_s=job.deadline_s,
         )
+        # The connection is shut down so that the read in progress ends.
+        self._share = inst.response_memory.open(on_end=conn.shutdown)
         self._relay = response_relay.ResponseRelay(
             inst=inst,
             job=job,
@@ -79,6 +83,7 @@
             server=choice.server,
             conn=conn,
             monitored=self._monitored,
+            share=self._share,
             response_timeout_s=response_timeout_s,
         )
 
@@ -124,6 +129,7 @@
                 reported=head.report.load,
             )
         finally:
+            self._share.close()
             stats.record_end(server.server_id, self._inst.now())
             # A connection in the middle of a response is not reusable. Closing
             # it makes the server stop working on the request.
@@ -149,7 +155,7 @@
             self._caller.ignore_disconnect()
         timeout_s = self._response_timeout_s(True)
         until_s = self._inst.now() + timeout_s
-        try:
+        with send_error.transport_failures(self._conn):
             self._conn.send(
                 job.inbound.method,
                 job.inbound.target,
@@ -160,15 +166,15 @@
                 # meanwhile. Whether to abandon it is decided while the response
                 # is awaited.
                 body_timeout_s=self._job.deadline_s - self._inst.now(),
+                max_head_bytes=self._inst.cfg.read_limits.response_head_bytes,
             )
-        except errors.TransportError as exc:
-            raise send_error.transport_failure(exc, self._conn) from exc
         return self._read_matching_head(until_s)
 
     def _read_matching_head(self, until_s: float) -> messages.AnswerHead:
         """Reads response heads until one belongs to this request."""
-        try:
-            while True:
+        limits = self._inst.cfg.read_limits
+        with send_error.transport_failures(self._conn):
+            for _ in range(_MAX_STRAY_RESPONSES + 1):
                 status, raw = self._monitored.read_head(until_s)
                 head = self._inst.dialect.parse_answer(status, raw)
                 self._inst.servers.reports.handle(
@@ -181,28 +187,28 @@
                     self._job.head.request_id,
                     belongs_to=head.request_id,
                 )
-                self._conn.skip_response(timeout_s=until_s - self._inst.now())
-        except errors.TransportError as exc:
-            raise send_error.transport_failure(exc, self._conn) from exc
+                self._conn.skip_response(
+                    timeout_s=until_s - self._inst.now(),
+                    max_bytes=limits.response_body_bytes,
+                )
+        raise send_error.unknown_outcome(
+            server_stats.Outcome.BROKEN,
+            f"more than {_MAX_STRAY_RESPONSES} responses to other requests",
+        )
 
     def _check(self, head: messages.AnswerHead) -> None:
         """Raises send_error.SendError unless the response is a success."""
         if head.success and head.request_id:
             return
         if head.not_run:
-            self._relay.read_body()
-            raise send_error.SendError(
-                server_outcome=self._classify_rejection(head),
-                request_outcome=outcome.Outcome.NOT_RUN,
-                detail=f"rejected with status {head.status}",
-            )
+            raise self._rejection(head)
         if 200 <= head.status < 300:
             raise send_error.unknown_outcome(
                 server_stats.Outcome.BROKEN,
                 f"status {head.status}, but without signature or request id, "
                 "or with an encoded body",
             )
-        body = self._relay.read_body()
+        body = self._relay.read_body(head)
         raise send_error.SendError(
             server_outcome=(
                 server_stats.Outcome.FAILED
@@ -216,6 +222,24 @@
             ),
         )
 
+    def _rejection(self, head: messages.AnswerHead) -> send_error.SendError:
+        """Returns the failure of a send that the server rejected as not run.
+
+        Its head says so, whatever becomes of its body.
+        """
+        server_outcome = self._classify_rejection(head)
+        detail = f"rejected with status {head.status}"
+        try:
+            self._relay.read_body(head)
+        except send_error.SendError as exc:
+            server_outcome = exc.server_outcome
+            detail += f", its body: {exc}"
+        return send_error.SendError(
+            server_outcome=server_outcome,
+            request_outcome=outcome.Outcome.NOT_RUN,
+            detail=detail,
+        )
+
     def _classify_rejection(
         self, head: messages.AnswerHead
     ) -> server_stats.Outcome:
--- a/irisshelf/gateway/requests/monitored_connection.py
+++ b/irisshelf/gateway/requests/monitored_connection.py
@@ -46,6 +46,8 @@
         self._server = server
         self._fail_over = fail_over
         self._deadline_s = deadline_s
+        # Until when reading goes on, as the response may still come.
+        self._extended_s = float("-inf")
 
     def read_head(self, until_s: float) -> tuple[int, client.Headers]:
         """Waits for a response head; see ``client.Connection.read_head``.
@@ -72,6 +74,7 @@
         started_s = self._inst.now()
         suspected = False
         while True:
+            until_s = max(until_s, self._extended_s)
             remaining_s = until_s - self._inst.now()
             try:
                 data = read(min(wait_s, remaining_s))
@@ -79,8 +82,7 @@
                 if remaining_s <= wait_s:
                     if until_s >= self._deadline_s or self._fail_over():
                         raise
-                    waited_s = self._inst.now() - started_s
-                    until_s = min(self._deadline_s, until_s + waited_s)
+                    self._extend(until_s, started_s)
                 self._check_path(started_s)
                 if not suspected and self._is_suspect(started_s):
                     suspected = True
@@ -92,6 +94,15 @@
             self._inst.servers.reach.record_activity(self._server, self._conn)
             return data
 
+    def _extend(self, until_s: float, started_s: float) -> None:
+        """Extends the time limit, by as much as has been waited for."""
+        now = self._inst.now()
+        waited_s = now - started_s
+        self._extended_s = min(
+            self._deadline_s,
+            max(until_s + waited_s, now + _CHECK_INTERVAL_S),
+        )
+
     def _is_suspect(self, started_s: float) -> bool:
         return self._inst.now() - started_s >= CONNECTION_SILENCE_LIMIT_S
 
--- a/irisshelf/gateway/requests/placement.py
+++ b/irisshelf/gateway/requests/placement.py
@@ -133,7 +133,9 @@
         Returns:
             Whether it is abandoned; ``next`` then returns the other server.
         """
-        if not self._may_send_again():
+        # Asked before connecting as well: the connections of a request are
+        # limited.
+        if conn.has_input() or not self._may_send_again():
             return False
         other = self._connect_to_other(current)
         if other is None:
--- a/irisshelf/gateway/requests/response_relay.py
+++ b/irisshelf/gateway/requests/response_relay.py
@@ -8,6 +8,7 @@
 from irisshelf.catalog import directory
 from irisshelf.gateway import instance as instance_module
 from irisshelf.gateway import messages
+from irisshelf.gateway.requests import kept_response
 from irisshelf.gateway.requests import monitored_connection
 from irisshelf.gateway.requests import request_demand
 from irisshelf.gateway.requests import send_error
@@ -15,7 +16,7 @@
 from irisshelf.routing.direct import event_stream
 from irisshelf.routing.direct import server_stats
 from irisshelf.transport import client
-from irisshelf.transport import errors
+from irisshelf.transport import memory_budget
 from irisshelf.transport import server as caller_side
 
 
@@ -49,6 +50,7 @@
         server: The server.
         conn: The connection to it.
         monitored: The same connection, with probes while it is silent.
+        share: Memory that is taken by what is kept of the response.
         response_timeout_s: Returns how long to wait for more data; its argument
             is whether nothing of the response has arrived yet.
     """
@@ -65,6 +67,7 @@
         server: directory.BackendServer,
         conn: client.Connection,
         monitored: monitored_connection.MonitoredConnection,
+        share: memory_budget.Share,
         response_timeout_s: Callable[[bool], float],
     ):
         self._inst = inst
@@ -76,6 +79,7 @@
         self._server = server
         self._conn = conn
         self._monitored = monitored
+        self._share = share
         self._response_timeout_s = response_timeout_s
 
     def relay_complete(self, head: messages.AnswerHead) -> None:
@@ -84,8 +88,9 @@
         Raises:
             send_error.SendError: It is incomplete.
         """
-        body = self.read_body()
+        body = self.read_body(head)
         self._check_end()
+        self._share.keep()
         self._record_first_byte()
         self._caller.answer(head.status, list(head.headers), body)
 
@@ -113,16 +118,29 @@
             send_error.SendError: The response is incomplete.
         """
         splitter = event_stream.Splitter()
-        while True:
-            data = self._read_events()
-            if data is None:
-                break
-            events = self._new_events(splitter.feed(data))
+        kept = kept_response.KeptResponse(
+            what="event",
+            max_bytes=self._inst.cfg.read_limits.event_bytes,
+            field="read_limits.event_bytes",
+            share=self._share,
+        )
+        # Bytes that complete no event do not extend the wait for one.
+        until_s = self._until_s(not self._progress.events)
+        while (data := self._read_data(until_s)) is not None:
+            complete = splitter.feed(data)
+            with send_error.transport_failures():
+                if complete:
+                    kept.restart(splitter.pending_bytes)
+                else:
+                    kept.add(len(data))
+            events = self._new_events(complete)
+            if complete:
+                until_s = self._until_s(not self._progress.events)
             if events:
                 self._binding.bind()
                 self._send_head(head)
                 self._caller.write(b"".join(event.data for event in events))
-        if splitter.pending:
+        if splitter.pending_bytes:
             raise send_error.unknown_outcome(
                 server_stats.Outcome.BROKEN, "response ends within an event"
             )
@@ -136,9 +154,14 @@
             self._record_first_byte()
             self._caller.begin(head.status, list(head.headers))
 
-    def _read_events(self) -> bytes | None:
-        timeout_s = self._response_timeout_s(not self._progress.events)
-        return self._read_data(self._inst.now() + timeout_s)
+    def _until_s(self, first: bool) -> float:
+        """Returns until when to wait for data, within the request's deadline.
+
+        Args:
+            first: Whether nothing of the response has arrived yet.
+        """
+        timeout_s = self._response_timeout_s(first)
+        return min(self._inst.now() + timeout_s, self._job.deadline_s)
 
     def _new_events(
         self, events: list[event_stream.Event]
@@ -162,20 +185,36 @@
         kind = self._job.route.kind.value
         self._inst.metrics.first_byte.labels(kind).observe(elapsed_s)
 
-    def read_body(self) -> bytes:
+    def read_body(self, head: messages.AnswerHead) -> bytes:
         """Reads a whole body.
 
+        Args:
+            head: The head of the response.
+
         Raises:
-            send_error.SendError: It is incomplete.
+            send_error.SendError: It is incomplete or too long.
         """
+        kept = kept_response.KeptResponse(
+            what="response body",
+            max_bytes=self._inst.cfg.read_limits.response_body_bytes,
+            field="read_limits.response_body_bytes",
+            share=self._share,
+        )
+        with send_error.transport_failures():
+            kept.check_size(head.body_bytes or 0)
         parts = []
-        until_s = self._inst.now() + self._response_timeout_s(True)
+        until_s = self._until_s(True)
         while (part := self._read_data(until_s)) is not None:
+            with send_error.transport_failures():
+                kept.add(len(part))
             parts.append(part)
         return b"".join(parts)
 
     def _read_data(self, until_s: float) -> bytes | None:
-        try:
-            return self._monitored.read_data(until_s)
-        except errors.TransportError as exc:
-            raise send_error.transport_failure(exc) from exc
+        with send_error.transport_failures():
+            try:
+                return self._monitored.read_data(until_s)
+            finally:
+                # The connection has been shut down then, which looks like the
+                # end of the response.
+                self._share.check()
--- a/irisshelf/gateway/requests/send_error.py
+++ b/irisshelf/gateway/requests/send_error.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections.abc import Iterator
+
 from irisshelf.gateway import messages
 from irisshelf.routing import outcome
 from irisshelf.routing.direct import server_stats
@@ -61,6 +64,10 @@
         return unknown_outcome(
             server_stats.Outcome.RELAY_LOST, str(exc), stale_connection=True
         )
+    if isinstance(exc, errors.ResponseLimitError):
+        return unknown_outcome(server_stats.Outcome.BROKEN, str(exc))
+    if isinstance(exc, errors.MemoryLimitError):
+        return unknown_outcome(server_stats.Outcome.ENDED, str(exc))
     if isinstance(exc, errors.PeerTimeoutError):
         return unknown_outcome(server_stats.Outcome.SILENT, str(exc))
     stale = conn is not None and conn.idle_s >= _STALE_AFTER_IDLE_S
@@ -72,6 +79,22 @@
     )
 
 
+@contextlib.contextmanager
+def transport_failures(conn: client.Connection | None = None) -> Iterator[None]:
+    """Raises the transport errors of a block as failures of the send.
+
+    Args:
+        conn: As for ``transport_failure``.
+
+    Raises:
+        SendError: The block has raised a transport error.
+    """
+    try:
+        yield
+    except errors.TransportError as exc:
+        raise transport_failure(exc, conn) from exc
+
+
 def unknown_outcome(
     server_outcome: server_stats.Outcome,
     detail: str,
--- a/irisshelf/gateway/settings.py
+++ b/irisshelf/gateway/settings.py
@@ -23,6 +23,8 @@
 # shares would be wrong or each response would fail.
 _Weight = Annotated[float, msgspec.Meta(gt=0, le=1e6)]
 _Megabytes = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+_PositiveMegabytes = Annotated[float, msgspec.Meta(gt=0, le=1e6)]
+_Bytes = Annotated[int, msgspec.Meta(ge=1024, le=2**40)]
 _PORT_COUNT = 65536
 
 
@@ -131,6 +133,32 @@
     start_wait_s: _NotNegative = 0.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReadLimits:
+    """Limits on what is read until it ends, and on the memory that it takes.
+
+    A server whose response exceeds a limit counts as broken, so that the limits
+    lie well above what servers send.
+
+    Attributes:
+        response_head_bytes: Maximum size of a response's head, with the interim
+            responses before it; also of its trailers.
+        response_body_bytes: Maximum size of a response that is relayed once it
+            is complete. Streams have no such limit.
+        event_bytes: Maximum size of one event of a stream.
+        responses_mb: Memory for the responses of servers, or the parts of them,
+            that are kept until they are complete, of all requests together.
+        requests_mb: Memory for the bodies of callers' requests, of all requests
+            together.
+    """
+
+    response_head_bytes: _Bytes = 65_536
+    response_body_bytes: _Bytes = 16_777_216
+    event_bytes: _Bytes = 1_048_576
+    responses_mb: _PositiveMegabytes = 128.0
+    requests_mb: _PositiveMegabytes = 128.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Settings:
     """All settings.
@@ -148,6 +176,7 @@
             only one until another instance contacts it.
         bounds: Limits required by the operators.
         overload: Behaviour under overload.
+        read_limits: Limits on what is read from servers and callers.
         keys_required: Whether callers have keys. A configuration whose list of
             teams is empty then opens no route that is not public, and a key
             that no team has is rejected under any configuration.
@@ -169,6 +198,7 @@
     seeds: tuple[str, ...] = ()
     bounds: Bounds = Bounds()
     overload: Overload = Overload()
+    read_limits: ReadLimits = ReadLimits()
     keys_required: bool = True
     log_lines_per_s: _Positive = 200.0
     max_requests: _Count = 1000
--- a/irisshelf/platform/deployment.py
+++ b/irisshelf/platform/deployment.py
@@ -21,6 +21,9 @@
 # without load takes a tenth of the smallest machine, so that a quarter leaves
 # room for connections and requests in progress.
 _RESPONSE_BUFFER_SHARE = 0.25
+# Shares for responses that are not complete yet and for the bodies of requests.
+_RESPONSES_SHARE = 0.2
+_REQUESTS_SHARE = 0.2
 # All instances that restart at once are ready after 0.5 to 0.9 s.
 _START_WAIT_S = 1.0
 
@@ -56,6 +59,13 @@
             fleet_admission=settings.FleetAdmission.ON,
             start_wait_s=_START_WAIT_S,
         )
+    if deployment.memory_mb:
+        limits = dataclasses.replace(
+            cfg.read_limits,
+            responses_mb=deployment.memory_mb * _RESPONSES_SHARE,
+            requests_mb=deployment.memory_mb * _REQUESTS_SHARE,
+        )
+        cfg = dataclasses.replace(cfg, read_limits=limits)
     if deployment.contracts is not None:
         uses_keys = _TENANTS in deployment.contracts
         cfg = dataclasses.replace(cfg, keys_required=uses_keys)
--- a/irisshelf/platform/http_dialect.py
+++ b/irisshelf/platform/http_dialect.py
@@ -125,6 +125,7 @@
             signed=bool(found.get(_SIGNATURE)),
             not_run=_NOT_RUN in found or status == _MISDIRECTED,
             encoded=b"content-encoding" in found,
+            body_bytes=_count(found.get(b"content-length", "")),
             report=_report(status, headers),
         )
 
--- a/irisshelf/platform/store_feed.py
+++ b/irisshelf/platform/store_feed.py
@@ -42,6 +42,10 @@
 _SURELY_COMPLETE_BYTES = 600_000
 _SURELY_COMPLETE_ROWS = 250
 _LONGEST_ANSWER_S = 8.0
+# Six times the longest answer, and far more than the lists of the largest
+# deployments have in all pages together.
+_MOST_ANSWER_BYTES = 8_388_608
+_MOST_LIST_BYTES = 67_108_864
 _CONNECT_S = 0.4
 # Rises by one each time that the store comes back from a copy; a store that
 # never has says nothing.
@@ -104,6 +108,7 @@
         start: The key that the next page begins at; empty for the first.
         first: The first page, whose position holds for all.
         complete: Whether there are no more pages.
+        size_bytes: Size of all pages so far.
     """
 
     def __init__(self, *, began_s: float):
@@ -112,6 +117,7 @@
         self.start = ""
         self.first: _Read | None = None
         self.complete = False
+        self.size_bytes = 0
 
     def may_add(self, page: _Read) -> bool:
         """Tells whether a page goes on where the others ended."""
@@ -122,6 +128,7 @@
         self.first = self.first or page
         rows = page.answer.rows
         self.rows += rows
+        self.size_bytes += page.size_bytes
         self.complete = not page.answer.more_pages or not rows
         if rows:
             # The least key after the last one.
@@ -164,13 +171,21 @@
                 pages = self._begun[table] = _Pages(began_s=boottime.now())
                 continue
             pages.add(read.ok_value)
+            if pages.size_bytes > _MOST_LIST_BYTES:
+                break
             if pages.complete:
                 del self._begun[table]
                 batch = _batch(table, pages.first, pages.rows, whole=True)
                 return result.Ok(
                     dataclasses.replace(batch, began_s=pages.began_s)
                 )
-        return result.Err(feed.Unavailable(detail="the list has no end"))
+        del self._begun[table]
+        return result.Err(
+            feed.Unavailable(
+                detail=f"the list has no end after {pages.size_bytes} bytes, "
+                f"allowed: {_MOST_LIST_BYTES} and {_MAX_PAGES} pages"
+            )
+        )
 
     def changes(
         self,
@@ -244,20 +259,18 @@
         conn.send("GET", path, headers, b"", timeout_s=timeout_s)
         status, headers = conn.read_head(timeout_s=timeout_s)
         began_s = boottime.now()
-        until_s = began_s + _LONGEST_ANSWER_S
-        parts = []
-        while True:
-            left_s = until_s - boottime.now()
-            part = conn.read_data(timeout_s=min(_ANSWER_S, left_s))
-            if part is None:
-                break
-            parts.append(part)
+        data = conn.read_body(
+            "answer of the store",
+            max_bytes=_MOST_ANSWER_BYTES,
+            timeout_s=_LONGEST_ANSWER_S,
+            part_timeout_s=_ANSWER_S,
+        )
         if not conn.reusable:
             self.reset(table)
         return _Exchange(
             status=status,
             era=_era(headers),
-            data=b"".join(parts),
+            data=data,
             transfer_s=boottime.now() - began_s,
         )
 
--- a/irisshelf/routing/direct/event_stream.py
+++ b/irisshelf/routing/direct/event_stream.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
-_BLANK_LINES = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_BLANK_LINE = re.compile(rb"\n\n|\r\n\r\n|\r\r")
+_LONGEST_BLANK_BYTES = len(b"\r\n\r\n")
 _ID = b"id:"
 # Fifteen digits are exact in any number format; event numbers have fewer.
 _MAX_DIGITS = 15
@@ -39,32 +41,34 @@
     """
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        # No blank line begins before this place.
+        self._searched = 0
 
     @property
     def pending(self) -> bytes:
         """Bytes of an event that is not complete yet."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def pending_bytes(self) -> int:
+        """Number of bytes of an event that is not complete yet."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Appends bytes to the buffer; returns the events they complete."""
         self._buffer += data
         events = []
-        while (end := _end_of_event(self._buffer)) > 0:
-            event, self._buffer = self._buffer[:end], self._buffer[end:]
+        start = 0
+        for blank in _BLANK_LINE.finditer(self._buffer, self._searched):
+            event = bytes(self._buffer[start : blank.end()])
             events.append(Event(data=event, event_id=_event_id(event)))
+            start = blank.end()
+        del self._buffer[:start]
+        self._searched = max(0, len(self._buffer) - _LONGEST_BLANK_BYTES + 1)
         return events
 
 
-def _end_of_event(data: bytes) -> int:
-    ends = [
-        at + len(blank)
-        for blank in _BLANK_LINES
-        if (at := data.find(blank)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _event_id(event: bytes) -> int | None:
     for line in event.splitlines():
         if line.startswith(_ID):
--- a/irisshelf/routing/direct/server_stats.py
+++ b/irisshelf/routing/direct/server_stats.py
@@ -40,8 +40,9 @@
 
     A server that refuses a request is full. One that turns it away has free
     slots as far as is known; it responds so fast that it would attract more
-    than its share of the requests, so this counts as a failure. A lost relay
-    shows nothing about the server.
+    than its share of the requests, so this counts as a failure. A lost relay,
+    and a response that this instance has ended for lack of memory, show nothing
+    about the server.
     """
 
     SUCCESS = "well"
@@ -52,6 +53,7 @@
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     RELAY_LOST = "relay_lost"
+    ENDED = "ended"
 
 
 class ServerStats:
@@ -255,7 +257,7 @@
         """
         server = self._get(name)
         server.awaiting_outcome = False
-        if outcome in (Outcome.REFUSED, Outcome.RELAY_LOST):
+        if outcome in (Outcome.REFUSED, Outcome.RELAY_LOST, Outcome.ENDED):
             return ""
         if outcome is Outcome.UNREACHABLE:
             # Says nothing about how the server handles requests.
--- a/irisshelf/tests/test_planned_stop.py
+++ b/irisshelf/tests/test_planned_stop.py
@@ -203,8 +203,6 @@
     lines = b"".join(b"%s: %s\r\n" % pair for pair in headers)
     head = b"POST " + request.target.encode() + b" HTTP/1.1\r\n" + lines
     sock.sendall(head + b"\r\n" + request.body[:half])
-    if conn.has_input():
-        return world_module.read_answer(conn)
     until_s = time.monotonic() + request.body_s
     while time.monotonic() < until_s and not conn.has_input():
         gevent.sleep(0.02)
@@ -212,17 +210,24 @@
         sock.sendall(request.body[half:])
     except OSError:
         pass  # The answer has come before the rest of the body was sent.
-    # The parser only reads an answer to a request that it has framed.
-    conn._http = client._new_parser()
-    conn._request = [
-        client.h11.Request(
-            method="POST", target=request.target, headers=headers
-        ),
-        client.h11.Data(data=request.body),
-        client.h11.EndOfMessage(),
-    ]
-    conn._encode_request()
-    return world_module.read_answer(conn)
+    return _read_raw(sock)
+
+
+def _read_raw(sock):
+    """Reads an answer that ends with its connection and has a length."""
+    sock.settimeout(10.0)
+    data = b""
+    while part := sock.recv(65536):
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    status_line, *lines = head.decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines)
+    return world_module.Answer(
+        status=int(status_line.split()[1]) if status_line else 0,
+        headers=headers,
+        body=body,
+        whole=len(body) == int(headers.get("content-length", -1)),
+    )
 
 
 def _fault_of(run):
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import select
 from collections.abc import Callable
 
@@ -12,14 +13,24 @@
 from irisshelf import boottime
 from irisshelf.transport import errors
 from irisshelf.transport import polling
+from irisshelf.transport import turns
 
 _READ_BYTES = 65536
 # Larger requests are written by a separate greenlet while the response is read:
 # a server may respond before it has read the body, and not read on meanwhile.
 _BACKGROUND_WRITE_BYTES = 8192
-_MAX_HEAD_BYTES = 65536
+MAX_HEAD_BYTES = 65536
+# Setting of the limit on heads, named in errors.
+_HEAD_FIELD = "read_limits.response_head_bytes"
+# What a header line or an interim response takes beside its text.
+_LINE_BYTES = 32
+# Error status of the parser for a line, head or trailers without an end.
+_TOO_LONG = 431
 # Time limit for reading data that has already arrived.
 _MIN_READ_TIMEOUT_S = 0.001
+# Messages and parts of them that are read after the deadline: when a process
+# resumes after a pause, a response may be waiting.
+_MAX_LATE_EVENTS = 256
 # A network partition produces no FIN or RST. The connection therefore fails
 # when sent data is not acknowledged within this time, or when two keepalive
 # probes on an idle connection are not answered.
@@ -59,7 +70,10 @@
         self._may_reuse = may_reuse
         self._on_close = on_close
         self._sock = sock
-        self._http = h11.Connection(h11.CLIENT)
+        self._max_head_bytes = MAX_HEAD_BYTES
+        self._http = _new_parser(MAX_HEAD_BYTES)
+        self._late_events = 0
+        self._turns = turns.Turns()
         self._request: list[h11.Event] = []
         self._writer: gevent.Greenlet | None = None
         self._write_failed = False
@@ -107,6 +121,7 @@
         *,
         timeout_s: float,
         body_timeout_s: float | None = None,
+        max_head_bytes: int = MAX_HEAD_BYTES,
     ) -> None:
         """Sends a request.
 
@@ -118,13 +133,17 @@
             timeout_s: Time limit for the server to read a short request.
             body_timeout_s: Time limit for it to read a long one, which is sent
                 while the response is awaited; ``timeout_s`` by default.
+            max_head_bytes: Maximum size of the response's head, interim
+                responses included, and of the trailers.
 
         Raises:
             errors.BrokenConnectionError: The connection failed.
             errors.PeerTimeoutError: The server did not read the request in
                 time.
         """
-        self._http = _new_parser()
+        self._max_head_bytes = max_head_bytes
+        self._http = _new_parser(max_head_bytes)
+        self._late_events = 0
         self._request = [
             h11.Request(method=method, target=target, headers=headers),
             h11.EndOfMessage(),
@@ -166,13 +185,23 @@
         Raises:
             errors.BrokenConnectionError: The connection failed or was
                 closed, or the data is not valid HTTP.
-            errors.PeerTimeoutError: No data arrived in time.
+            errors.PeerTimeoutError: No head arrived in time.
+            errors.ResponseLimitError: The head is too long.
         """
         deadline_s = boottime.now() + timeout_s
+        interim_bytes = 0
         while True:
             event = self._next_event(deadline_s)
             if isinstance(event, h11.Response):
                 return event.status_code, tuple(event.headers.raw_items())
+            if isinstance(event, h11.InformationalResponse):
+                interim_bytes += _size(event)
+                if interim_bytes > self._max_head_bytes:
+                    raise errors.ResponseLimitError(
+                        "head with its interim responses",
+                        self._max_head_bytes,
+                        _HEAD_FIELD,
+                    )
             if isinstance(event, h11.ConnectionClosed):
                 raise errors.BrokenConnectionError(
                     "connection closed without a response"
@@ -184,6 +213,8 @@
         Raises:
             errors.BrokenConnectionError: The response is truncated.
             errors.PeerTimeoutError: No data arrived in time.
+            errors.ResponseLimitError: The framing of a chunk or the trailers
+                are too long.
         """
         event = self._next_event(boottime.now() + timeout_s)
         if isinstance(event, h11.Data):
@@ -194,20 +225,63 @@
             f"unexpected {type(event).__name__} in a response body"
         )
 
-    def skip_response(self, *, timeout_s: float) -> None:
+    def read_body(
+        self,
+        what: str,
+        *,
+        max_bytes: int,
+        timeout_s: float,
+        part_timeout_s: float = math.inf,
+    ) -> bytes:
+        """Reads the rest of the body.
+
+        Args:
+            what: What it is, for errors.
+            max_bytes: Its maximum size.
+            timeout_s: Time limit for its end.
+            part_timeout_s: Time limit for each part of it.
+
+        Raises:
+            errors.BrokenConnectionError: The response is truncated.
+            errors.PeerTimeoutError: The body does not end in time.
+            errors.ResponseLimitError: The body is too long.
+        """
+        deadline_s = boottime.now() + timeout_s
+        data = bytearray()
+        while True:
+            left_s = deadline_s - boottime.now()
+            part = self.read_data(timeout_s=min(part_timeout_s, left_s))
+            if part is None:
+                return bytes(data)
+            data += part
+            if len(data) > max_bytes:
+                raise errors.ResponseLimitError(what, max_bytes)
+
+    def skip_response(self, *, timeout_s: float, max_bytes: int) -> None:
         """Discards a response that belongs to an earlier request.
 
         ``read_head`` then waits for the response to the current request.
+
+        Args:
+            timeout_s: Time limit for its end.
+            max_bytes: Maximum size of its body.
+
+        Raises:
+            errors.BrokenConnectionError: The connection failed or was closed.
+            errors.PeerTimeoutError: The body does not end in time.
+            errors.ResponseLimitError: The body is too long.
         """
-        deadline_s = boottime.now() + timeout_s
-        while self.read_data(timeout_s=deadline_s - boottime.now()) is not None:
-            pass
+        self.read_body(
+            "response to an earlier request",
+            max_bytes=max_bytes,
+            timeout_s=timeout_s,
+        )
         extra, closed = self._http.trailing_data
         if closed or self._http.their_state is not h11.DONE:
             raise errors.BrokenConnectionError(
                 "connection closed after the response to an earlier request"
             )
-        self._http = _new_parser()
+        self._http = _new_parser(self._max_head_bytes)
         self._encode_request()
         if extra:
             self._http.receive_data(extra)
@@ -277,20 +351,42 @@
 
     def _next_event(self, deadline_s: float) -> h11.Event:
         while True:
+            self._check_deadline(deadline_s)
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
-                raise errors.BrokenConnectionError(
-                    f"invalid HTTP: {exc}"
-                ) from exc
+                raise self._protocol_error(exc) from exc
             if event is h11.PAUSED:
                 raise errors.BrokenConnectionError(
                     "unexpected data after the end of the response"
                 )
             if event is not h11.NEED_DATA:
+                self._turns.record(turns.PART_COST)
                 return event
             self._feed_parser(deadline_s)
 
+    def _check_deadline(self, deadline_s: float) -> None:
+        """Raises errors.PeerTimeoutError if too much is read after it."""
+        if boottime.now() <= deadline_s:
+            self._late_events = 0
+            return
+        self._late_events += 1
+        if self._late_events > _MAX_LATE_EVENTS:
+            raise errors.PeerTimeoutError(
+                "response does not end within the time limit"
+            )
+
+    def _protocol_error(
+        self, exc: h11.RemoteProtocolError
+    ) -> errors.TransportError:
+        if exc.error_status_hint == _TOO_LONG:
+            return errors.ResponseLimitError(
+                "head, chunk line or trailers",
+                self._max_head_bytes,
+                _HEAD_FIELD,
+            )
+        return errors.BrokenConnectionError(f"invalid HTTP: {exc}")
+
     def _recv_available(self, timeout_s: float) -> bytes:
         """Waits for data, and checks for input once more after a time-out.
 
@@ -326,10 +422,11 @@
                 f"reading failed: {exc}"
             ) from exc
         self._ended = self._ended or not data
+        self._turns.record(len(data))
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
-            raise errors.BrokenConnectionError(f"invalid HTTP: {exc}") from exc
+            raise self._protocol_error(exc) from exc
 
 
 def connect(address: str, *, timeout_s: float) -> Connection:
@@ -380,5 +477,12 @@
         sock.setsockopt(level, name, value)
 
 
-def _new_parser() -> h11.Connection:
-    return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
+def _new_parser(max_head_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
+
+
+def _size(event: h11.InformationalResponse) -> int:
+    """Returns about how many bytes an interim response takes."""
+    return _LINE_BYTES + sum(
+        len(name) + len(value) + _LINE_BYTES for name, value in event.headers
+    )
--- a/irisshelf/transport/errors.py
+++ b/irisshelf/transport/errors.py
@@ -25,6 +25,24 @@
     """The connection was closed or failed, or the data is not valid HTTP."""
 
 
+class ResponseLimitError(TransportError):
+    """A response, or a part of it, is longer than any valid one.
+
+    Args:
+        what: What is too long.
+        limit: The limit, in bytes or parts.
+        field: The setting of the limit; empty if there is none.
+    """
+
+    def __init__(self, what: str, limit: int, field: str = ""):
+        allowed = f"{limit} ({field})" if field else f"{limit}"
+        super().__init__(f"{what} is too long, allowed: {allowed}")
+
+
+class MemoryLimitError(TransportError):
+    """A message was ended, as all messages together take too much memory."""
+
+
 class RelayLostError(BrokenConnectionError):
     """The tunnel to the peer was lost, which shows nothing about the peer."""
 
