Callers whose bytes do not end leave the instance to others

Callers saw: three connections with bodies in chunks of one byte, or with pipelined requests whose responses are not read, kept all other requests from being served; 80 uploads of 4 MB took an instance to 384 MB.

Cause: the loop that reads requests never waits as long as more has arrived, so that no other greenlet runs; what is discarded before a close was read for as long as the caller sent; bodies counted towards no limit.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -214,7 +214,8 @@
             cfg.listen.front,
             self._front.limits,
             self._front.handle,
-            self._front.slow_callers.buffers,
+            buffers=self._front.slow_callers.buffers,
+            bodies=self._inst.request_memory,
         )
         self._listeners = [
             self._callers,
@@ -318,7 +319,7 @@
         return self._members.names(self._inst.now())
 
     def _make_listener(
-        self, address, limits, handle, buffers=None
+        self, address, limits, handle, **memory
     ) -> listener.Listener:
         return listener.Listener(
             address=address,
@@ -329,7 +330,7 @@
             max_connections=max(
                 1, int(_CALLER_DESCRIPTOR_SHARE * self._inst.cfg.descriptors)
             ),
-            buffers=buffers,
+            **memory,
         )
 
     def _begin_stop(self, signalled_s: float | None = None) -> None:
--- a/irisshelf/gateway/listener.py
+++ b/irisshelf/gateway/listener.py
@@ -16,6 +16,7 @@
 from gevent import socket
 
 from irisshelf.observe import decision_log
+from irisshelf.transport import memory_budget
 from irisshelf.transport import response_buffer
 from irisshelf.transport import server as caller_server
 
@@ -34,6 +35,7 @@
         max_connections: Maximum number of open connections; None for no limit.
         buffers: Keeps what callers have not read yet of their responses; None
             if nothing is kept.
+        bodies: Memory of the bodies of requests; None if it is not limited.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         log: decision_log.DecisionLog,
         max_connections: int | None = None,
         buffers: response_buffer.ResponseBuffers | None = None,
+        bodies: memory_budget.MemoryBudget | None = None,
     ):
         host, _, port = address.rpartition(":")
         self._limits = limits
@@ -56,6 +59,7 @@
         self._log = log
         self._max_connections = max_connections
         self._buffers = buffers
+        self._bodies = bodies
         # In the order in which they were opened.
         self._conns: dict[caller_server.Connection, None] = {}
         self._server = server.StreamServer(
@@ -106,6 +110,7 @@
             handle=self._handle,
             refuse=self._refuse,
             buffers=self._buffers,
+            bodies=self._bodies,
         )
         self._conns[conn] = None
         if (
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -177,6 +177,7 @@
             refuse=self._front.refuse,
             log=log,
             buffers=self._front.slow_callers.buffers,
+            bodies=self.inst.request_memory,
         )
         self.listener.start()
         self._log = log
--- a/irisshelf/transport/request_reader.py
+++ b/irisshelf/transport/request_reader.py
@@ -10,8 +10,15 @@
 
 from irisshelf import boottime
 from irisshelf.transport import errors
+from irisshelf.transport import memory_budget
+from irisshelf.transport import turns
 
 READ_BYTES = 65536
+# Chunks of a body beyond these have to hold so many bytes on average: each
+# costs as much processor time as thousands of bytes.
+_FREE_CHUNKS = 16_384
+_MIN_CHUNK_BYTES = 16
+_UNAVAILABLE = 503
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -75,6 +82,7 @@
         parser: The parser of the connection; it also frames its responses.
         send_continue: Asks a caller that waits for it to send the body.
         on_first_byte: Called when a request has begun to arrive.
+        work: Counts the work of reading.
     """
 
     def __init__(
@@ -84,17 +92,22 @@
         parser: h11.Connection,
         send_continue: Callable[[], None],
         on_first_byte: Callable[[], None],
+        work: turns.Turns,
     ):
         self._sock = sock
         self._http = parser
         self._send_continue = send_continue
         self._on_first_byte = on_first_byte
+        self._turns = work
 
-    def read(self, limits: Limits, *, reused: bool) -> Request | None:
+    def read(
+        self, limits: Limits, share: memory_budget.Share, *, reused: bool
+    ) -> Request | None:
         """Reads the next request.
 
         Args:
             limits: Limits on it.
+            share: Memory that its body takes.
             reused: Whether the connection has served a request before.
 
         Returns:
@@ -109,10 +122,10 @@
             return None
         arrived_s = boottime.now()
         headers = tuple(head.headers.raw_items())
-        has_body = _check_framing(headers, limits)
+        has_body = _check_framing(headers, limits, share)
         if self._http.they_are_waiting_for_100_continue:
             self._send_continue()
-        body = self._read_body(limits)
+        body = self._read_body(limits, share)
         return Request(
             method=head.method.decode("ascii"),
             target=head.target.decode("latin-1"),
@@ -148,9 +161,10 @@
                 deadline_s = boottime.now() + limits.head_s
             self._feed(data)
 
-    def _read_body(self, limits: Limits) -> bytes:
+    def _read_body(self, limits: Limits, share: memory_budget.Share) -> bytes:
         parts = []
         size = 0
+        chunks = 0
         while True:
             deadline_s = boottime.now() + limits.idle_s
             try:
@@ -163,7 +177,11 @@
                 size += len(event.data)
                 if size > limits.body_bytes:
                     raise _body_too_large(size, limits)
+                chunks += event.chunk_start
+                _check_chunks(chunks, size)
+                _take_memory(share, len(event.data))
                 parts.append(bytes(event.data))
+                self._turns.record(turns.PART_COST)
             elif event is h11.NEED_DATA:
                 data = self._receive(deadline_s)
                 if data is None:
@@ -184,17 +202,22 @@
             return None
         self._sock.settimeout(remaining_s)
         try:
-            return self._sock.recv(READ_BYTES)
+            data = self._sock.recv(READ_BYTES)
         except TimeoutError:
             return None
+        self._turns.record(len(data))
+        return data
 
 
 def _check_framing(
-    headers: tuple[tuple[bytes, bytes], ...], limits: Limits
+    headers: tuple[tuple[bytes, bytes], ...],
+    limits: Limits,
+    share: memory_budget.Share,
 ) -> bool:
     """Returns whether the headers announce a body.
 
-    Ambiguous framing is rejected, since it allows request smuggling.
+    Ambiguous framing is rejected, since it allows request smuggling. A body for
+    which there is no memory is rejected before it is sent.
     """
     names = [name.lower() for name, _ in headers]
     chunked = b"transfer-encoding" in names
@@ -205,11 +228,31 @@
         )
     if names.count(b"host") > 1:
         raise BadRequestError(400, "more than one Host header")
-    if lengths and int(lengths[0]) > limits.body_bytes:
-        raise _body_too_large(int(lengths[0]), limits)
+    length = int(lengths[0]) if lengths else 0
+    if length > limits.body_bytes:
+        raise _body_too_large(length, limits)
+    if not share.has_room(length):
+        raise BadRequestError(
+            _UNAVAILABLE, f"no memory for a body of {length} bytes"
+        )
     return chunked or bool(lengths)
 
 
+def _check_chunks(chunks: int, size: int) -> None:
+    allowed = _FREE_CHUNKS + size // _MIN_CHUNK_BYTES
+    if chunks > allowed:
+        raise BadRequestError(
+            400, f"body of {size} bytes has {chunks} chunks, allowed: {allowed}"
+        )
+
+
+def _take_memory(share: memory_budget.Share, size: int) -> None:
+    try:
+        share.add(size)
+    except errors.MemoryLimitError as exc:
+        raise BadRequestError(_UNAVAILABLE, str(exc)) from exc
+
+
 def _body_too_large(size: int, limits: Limits) -> BadRequestError:
     return BadRequestError(
         413, f"body has {size} bytes or more, allowed: {limits.body_bytes}"
--- a/irisshelf/transport/server.py
+++ b/irisshelf/transport/server.py
@@ -12,8 +12,10 @@
 
 from irisshelf.transport import closing
 from irisshelf.transport import errors
+from irisshelf.transport import memory_budget
 from irisshelf.transport import request_reader
 from irisshelf.transport import response_buffer
+from irisshelf.transport import turns
 
 # No more data is read from a caller that has sent this much before it received
 # the response to its current request.
@@ -22,6 +24,7 @@
 # response buffers set another one.
 _WRITE_TIMEOUT_S = 10.0
 _UNAVAILABLE = 503
+_UNLIMITED_BYTES = 2**63
 # In seconds. Short, because another instance may have capacity at once.
 _RETRY_AFTER_S = b"0.1"
 
@@ -47,6 +50,7 @@
             status and a text.
         buffers: Keeps what the caller has not read yet; without it, responses
             are written as fast as the caller reads.
+        bodies: Memory of the bodies of all requests; None if it is not limited.
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         handle: Callable[[Request, Connection], None],
         refuse: Callable[[int, str], tuple[list[tuple[bytes, bytes]], bytes]],
         buffers: response_buffer.ResponseBuffers | None = None,
+        bodies: memory_budget.MemoryBudget | None = None,
     ):
         self._sock = sock
         self._limits = limits
@@ -65,11 +70,16 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().head_bytes
         )
+        self._turns = turns.Turns()
+        self._bodies = bodies or memory_budget.MemoryBudget(
+            limit_bytes=lambda: _UNLIMITED_BYTES
+        )
         self._reader = request_reader.RequestReader(
             sock=sock,
             parser=self._http,
             send_continue=self._send_continue,
             on_first_byte=self._on_first_byte,
+            work=self._turns,
         )
         self._buffers = buffers
         self._buffer: response_buffer.ResponseBuffer | None = None
@@ -232,28 +242,41 @@
         self._stop_watching()
 
     def _serve_one(self) -> bool:
-        try:
-            request = self._reader.read(self._limits(), reused=self._reused)
-        except request_reader.BadRequestError as exc:
-            self._send_error(exc)
-            return False
-        if request is None:
-            return False
-        self._phase = _Phase.ANSWERING
-        self._start_watching()
-        try:
-            self._handling = True
+        with self._bodies.open() as share:
+            request = self._read(share)
+            if request is None:
+                return False
+            self._phase = _Phase.ANSWERING
+            self._start_watching()
             try:
-                self._handle(request, self)
+                self._handling = True
+                try:
+                    self._handle(request, self)
+                finally:
+                    self._handling = False
+                # Its body may be long, and is not needed any more.
+                del request
+                share.release()
+                self._deliver()
             finally:
-                self._handling = False
-            # Its body may be long, and is not needed any more.
-            del request
-            self._deliver()
-        finally:
-            self._stop_watching()
+                self._stop_watching()
         return self._next_cycle()
 
+    def _read(self, share: memory_budget.Share) -> Request | None:
+        """Reads the next request; returns None if the connection ends."""
+        pipelined = self._reused and bool(self._http.trailing_data[0])
+        try:
+            request = self._reader.read(
+                self._limits(), share, reused=self._reused
+            )
+            self._turns.record(
+                turns.PIPELINED_COST if pipelined else turns.PART_COST
+            )
+        except request_reader.BadRequestError as exc:
+            self._send_error(exc)
+            return None
+        return request
+
     def _close_if_idle(self) -> None:
         if self.idle:
             self._greenlet.throw(errors.CloseIdleError)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -38,6 +38,7 @@
         data_centres: Names of all data centres, as its settings have them; none
             if they are not told.
         overload: That section of its settings.
+        bounds: Further bounds of its settings.
     """
 
     def __init__(
@@ -52,6 +53,7 @@
         data_centre: str = "a",
         data_centres: tuple[str, ...] = (),
         overload: Mapping[str, object] | None = None,
+        bounds: Mapping[str, object] | None = None,
     ):
         self.number = number
         self.peers = peers
@@ -59,6 +61,7 @@
         self.data_centre = data_centre
         self._data_centres = data_centres
         self._overload = dict(overload or {})
+        self._bounds = dict(bounds or {})
         self.name = f"entry-{number}"
         self.front = f"127.0.0.1:{block.take()}"
         self.ready = f"127.0.0.1:{block.take()}"
@@ -76,6 +79,11 @@
         self._told_to_end = False
         self._write_settings()
 
+    @property
+    def pid(self) -> int:
+        """The process, as long as it runs."""
+        return self._process.pid
+
     def start(self) -> None:
         """Starts the process, and starts it again whenever it ends."""
         self._keeper = gevent.spawn(self._keep)
@@ -180,6 +188,7 @@
                 "evacuated_ms": 2500,
                 "cold_overage": 1.5,
                 "cold_slack": 5.0,
+                **self._bounds,
             },
             "overload": self._overload,
             "log_lines_per_s": lines_per_s,
