Bytes without end between instances leave turns to others

Cause: the loops of tunnels, gossip links and datagrams never wait as long as more arrives, as those for servers. Found by looking along the same path; the answer to a tunnel's handshake in chunks of one byte took 10 s of processor time without a turn for others (the library accepts 1 MB), frames without data extended the wait for data, and answers to pings were kept without a limit.

Change: pauses and a rate in these loops; 16 KB for an answer to a handshake; a time-out of a tunnel holds whatever frames arrive; a tunnel with more than 16 pings is ended.

--- a/irisshelf/gateway/knowledge/datagrams.py
+++ b/irisshelf/gateway/knowledge/datagrams.py
@@ -12,6 +12,7 @@
 from gevent import socket
 
 from irisshelf.observe import decision_log
+from irisshelf.transport import turns
 
 # One Ethernet frame less the headers, so that datagrams are not fragmented.
 MAX_DATAGRAM_BYTES = 1400
@@ -102,6 +103,7 @@
 
     def run(self) -> None:
         """Receives datagrams until the greenlet is killed."""
+        work = turns.Turns()
         while True:
             try:
                 data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
@@ -112,6 +114,7 @@
                 gevent.sleep(_RETRY_DELAY_S)
                 continue
             self.dispatch(data)
+            work.record(len(data) + turns.PART_COST)
 
 
 def check_address(address: str) -> None:
--- a/irisshelf/peers/link.py
+++ b/irisshelf/peers/link.py
@@ -25,6 +25,7 @@
 from irisshelf.coordination import gossip_messages
 from irisshelf.peers import errors
 from irisshelf.peers import tls
+from irisshelf.transport import turns
 
 PATH = "/link"
 CONNECT_S = 1.0
@@ -45,6 +46,7 @@
     def __init__(self, *, sock: socket.socket, proto: protocol.Protocol):
         self._sock = sock
         self._proto = proto
+        self._turns = turns.Turns()
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -75,6 +77,7 @@
             self._take(data)
             if not data:
                 return
+            self._turns.record(len(data) + turns.PART_COST)
 
     def close(self) -> None:
         """Ends the link."""
--- a/irisshelf/transport/tunnel.py
+++ b/irisshelf/transport/tunnel.py
@@ -28,9 +28,12 @@
 from irisshelf.transport import errors
 from irisshelf.transport import polling
 from irisshelf.transport import server as server_transport
+from irisshelf.transport import turns
 
 _READ_BYTES = 16_384
 _MAX_FRAME_BYTES = 65_536
+# An answer to a handshake is a short head, and a word if it is a rejection.
+_MAX_HANDSHAKE_BYTES = 16_384
 # Time limit for the other side to read one piece of data.
 _WRITE_TIMEOUT_S = 10.0
 # The answer to a handshake is awaited in waits of at most this length. A pause
@@ -41,6 +44,8 @@
 # A tunnel without data in either direction for this long has been abandoned;
 # requests take seconds, and idle connections are closed sooner.
 _IDLE_TIMEOUT_S = 60.0
+# Instances send no pings; a tunnel on which more than these arrive is ended.
+_MAX_PINGS = 16
 # Sent as a text frame by an instance that stops: no further request may use
 # the tunnel.
 _STOPPING = "stopping"
@@ -83,6 +88,8 @@
         self._sock = sock
         self._proto = proto
         self._end: int | None = None
+        self._timeout_s: float | None = None
+        self._turns = turns.Turns()
 
     def fileno(self) -> int:
         """Returns the file descriptor, to poll for input."""
@@ -90,6 +97,7 @@
 
     def settimeout(self, timeout_s: float | None) -> None:
         """Sets the time-out of each read and write, in seconds."""
+        self._timeout_s = timeout_s
         self._sock.settimeout(timeout_s)
 
     def sendall(self, data: bytes) -> None:
@@ -116,11 +124,20 @@
             ConnectionResetError: The server's connection broke.
             TimeoutError: No data arrived in time.
         """
+        started_s = boottime.now()
         # Frames may have arrived with the end of the handshake.
         payload = self._take_payload()
         while not payload and self._end is None:
             self._receive(size)
             payload = self._take_payload()
+            waited_s = boottime.now() - started_s
+            if not payload and self._timeout_s is not None:
+                # Frames that hold no data do not extend the time-out.
+                self._sock.settimeout(
+                    max(_MIN_WAIT_S, self._timeout_s - waited_s)
+                )
+                if waited_s > self._timeout_s and self._end is None:
+                    raise TimeoutError("no data in time")
         if payload:
             return payload
         if self._end != End.CLOSED:
@@ -144,7 +161,10 @@
             raise errors.TunnelLostError(str(exc)) from exc
         if not data:
             raise errors.TunnelLostError("closed without a closing frame")
+        self._turns.record(len(data) + turns.PART_COST)
         self._proto.receive_data(data)
+        # Answers to pings, which instances do not send.
+        self._proto.data_to_send()
         if self._proto.parser_exc is not None:
             raise errors.TunnelLostError(str(self._proto.parser_exc))
 
@@ -204,6 +224,7 @@
     proto.send_request(proto.connect())
     _flush(proto, sock)
     remaining_s = timeout_s
+    size = 0
     while proto.state is protocol.State.CONNECTING:
         wait_s = max(_MIN_WAIT_S, min(remaining_s, _MAX_WAIT_S))
         started_s = boottime.now()
@@ -216,6 +237,12 @@
                 raise
             continue
         remaining_s -= min(wait_s, boottime.now() - started_s)
+        size += len(data)
+        if size > _MAX_HANDSHAKE_BYTES:
+            raise errors.ConnectError(
+                f"answer to the handshake is longer than"
+                f" {_MAX_HANDSHAKE_BYTES} bytes"
+            )
         if data:
             proto.receive_data(data)
         else:
@@ -249,9 +276,11 @@
     ):
         self.relayed_bytes = 0
         self.server_broke = False
+        self._pings = 0
         self._sock = sock
         self._early = early
         self._target = target
+        self._turns = turns.Turns()
         self._proto = server.ServerProtocol(max_size=_MAX_FRAME_BYTES)
         # Two greenlets send; a frame must not be cut in two.
         self._sending = lock.BoundedSemaphore()
@@ -298,6 +327,7 @@
         """Passes the other instance's bytes to the server."""
         try:
             while data := self._sock.recv(_READ_BYTES):
+                self._turns.record(len(data) + turns.PART_COST)
                 self._feed(data)
                 if self._proto.parser_exc is not None:
                     return
@@ -309,18 +339,30 @@
         if data:
             self._proto.receive_data(data)
         for event in self._proto.events_received():
-            if (
-                isinstance(event, frames.Frame)
-                and event.opcode is frames.Opcode.BINARY
-            ):
+            if not isinstance(event, frames.Frame):
+                continue
+            if event.opcode is frames.Opcode.BINARY:
                 self.relayed_bytes += len(event.data)
                 self._target.sendall(event.data)
+            elif event.opcode is frames.Opcode.PING:
+                self._count_ping()
+
+    def _count_ping(self) -> None:
+        """Ends a tunnel whose answers to pings would fill the memory.
+
+        Raises:
+            ConnectionAbortedError: There are too many.
+        """
+        self._pings += 1
+        if self._pings > _MAX_PINGS:
+            raise ConnectionAbortedError(f"more than {_MAX_PINGS} pings")
 
     def _relay_down(self) -> None:
         """Passes the server's bytes to the other instance."""
         end = End.BROKEN
         try:
             while data := self._receive():
+                self._turns.record(len(data) + turns.PART_COST)
                 self.relayed_bytes += len(data)
                 self._proto.send_binary(data)
                 self._send()
