Soak: no valid key, requests as long as a stop, peers that send without end

Its injector always left a key, its requests took milliseconds of a deadline of 2 s, and its servers ran in the process of its callers, where a sender waits whenever the reader does not.

New promises: without a key that was valid only public routes are served; an instance stays within 200 MB.

--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -162,6 +162,8 @@
         self.slowdown_percent: int | None = None
         # Limits its concurrency; None: it has no limit.
         self.slots: slots.Slots | None = None
+        # Further work on a plain request, in seconds.
+        self.extra_work_s: Callable[[Run], float] = lambda run: 0.0
         # Work on such a request before the end.
         self.before_end_s = 0.0
         # How long it is away after that.
@@ -408,6 +410,7 @@
     def _answer(self, fault: Fault, run: Run, conn: http.Connection) -> None:
         owner = self._owner
         work_s = owner.work_s * (owner.slowdown_percent or 100) / 100
+        work_s += owner.extra_work_s(run)
         if owner.slots is None:
             gevent.sleep(work_s)
         else:
--- a/irisshelf/tests/test_endless_processes.py
+++ b/irisshelf/tests/test_endless_processes.py
@@ -121,12 +121,6 @@
         conn.close()
         return answer.status, time.monotonic() - began_s
 
-    def peak_bytes(self):
-        """Returns the most memory that the instance has taken."""
-        status = pathlib.Path(f"/proc/{self.entry.pid}/status").read_text()
-        (line,) = (x for x in status.splitlines() if x.startswith("VmHWM"))
-        return int(line.split()[1]) * 1024
-
     def processor_s(self):
         """Returns the processor time that the instance has taken."""
         stat = pathlib.Path(f"/proc/{self.entry.pid}/stat").read_text()
@@ -185,7 +179,7 @@
     assert {s for s, _ in answers["/once/1"]} <= {200, 502, 504}
     longest_s = max(took_s for some in answers.values() for _, took_s in some)
     assert longest_s < _STREAM_MS / 1000 + _HANDLED_S
-    assert play.peak_bytes() < _MEMORY_BYTES
+    assert fleet.peak_bytes(play.entry.pid) < _MEMORY_BYTES
     used_s = play.processor_s() - processor_s
     assert used_s < _PROCESSOR_SHARE * elapsed_s
 
@@ -216,6 +210,6 @@
     elapsed_s = time.monotonic() - began_s
     assert {status for status, _ in answers} == {200}
     assert max(took_s for _, took_s in answers) < _PLAIN_MS / 1000
-    assert play.peak_bytes() < _MEMORY_BYTES
+    assert fleet.peak_bytes(play.entry.pid) < _MEMORY_BYTES
     used_s = play.processor_s() - processor_s
     assert used_s < _CALLERS_SHARE * elapsed_s
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -26,12 +26,35 @@
 
 _KIND = observations.RequestKind
 _PROMISE = checker.Promise
-# All kinds of faults but those of hard load.
-_KINDS = tuple(k for k in plan.Kind if k not in plan.HARD_KINDS)
+# All kinds of faults but those of hard load and of extremes.
+_KINDS = tuple(
+    k for k in plan.Kind if k not in (*plan.HARD_KINDS, *plan.EXTREME_KINDS)
+)
 _BOUNDS = checker.Bounds(key_s=5.0, left_s=2.5)
 _STREAM = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
 
 
+def _extremes_keys(seed):
+    """Returns the lists of keys that an injector writes, one after another."""
+    written = []
+    served = types.SimpleNamespace(
+        put=lambda *row: written.append(row[2]),
+        forget_history=lambda: None,
+    )
+    injector = faults.Injector(seed=seed, served=served, servers=[], links=[])
+    for variant in ("no_keys", "null", "no_teams"):
+        fault = plan.Fault(
+            at_s=0.0,
+            kind=plan.Kind.LAST_KEY,
+            target=0,
+            for_s=0.01,
+            variant=variant,
+        )
+        injector.inject(fault)
+        gevent.sleep(0.05)
+    return injector, [document["tenants"] for document in written]
+
+
 def _asked(**changes):
     asked = observations.Asked(
         request_id="r1",
@@ -310,20 +333,74 @@
             _PROMISE.COLD,
             id="cold-counts-out-of-touch-too",
         ),
+        pytest.param(
+            _asked(key="x"),
+            [_ran()],
+            {"keys": frozenset({"k"})},
+            _PROMISE.HELD,
+            id="key-never-valid",
+        ),
+        pytest.param(
+            _asked(key=""),
+            [_ran()],
+            {"keys": frozenset({"k"})},
+            _PROMISE.HELD,
+            id="no-key",
+        ),
+        pytest.param(
+            _asked(key="", public=True),
+            [_ran()],
+            {"keys": frozenset({"k"})},
+            None,
+            id="public-route",
+        ),
+        pytest.param(
+            _asked(),
+            [_ran()],
+            {"keys": frozenset({"k"}), "peaks_bytes": (1, 10**9)},
+            _PROMISE.MEMORY,
+            id="memory",
+        ),
     ],
 )
 def test_the_checker_finds_what_is_planted(asked, ran, more, broken):
     assert _check(asked, ran, **more) == ({broken} if broken else set())
 
 
+def test_keys_are_withdrawn_to_the_last_one_and_others_issued():
+    """Guards against a soak in which some key is always left."""
+    injector, tenants = _extremes_keys(plan.EXTREMES_FROM)
+    assert tenants[::2] == [
+        [{"name": "blue", "apiKeys": []}],
+        [{"name": "blue", "apiKeys": None}],
+        [],
+    ]
+    for issued in tenants[1::2]:
+        assert set(issued[0]["apiKeys"]) <= injector.issued
+    assert not set(injector.keys) & injector.withdrawn.keys()
+    assert set(injector.keys) | injector.withdrawn.keys() == injector.issued
+
+
 def test_a_seed_always_draws_the_same_faults():
     assert plan.draw(7) == plan.draw(7)
     assert plan.draw(7) != plan.draw(8)
 
 
-@pytest.mark.parametrize("seed", range(0, 40, 4))
+@pytest.mark.parametrize(
+    "seed",
+    [
+        *range(0, 40, 4),
+        *range(plan.EXTREMES_FROM, plan.EXTREMES_FROM + 40, 4),
+    ],
+)
 def test_planned_seeds_have_planned_work_alone(seed):
-    trouble = {plan.Kind.KILL, plan.Kind.PAUSE, plan.Kind.STORE}
+    trouble = {
+        plan.Kind.KILL,
+        plan.Kind.PAUSE,
+        plan.Kind.STORE,
+        plan.Kind.ENDLESS_SERVER,
+        plan.Kind.ENDLESS_CALLER,
+    }
     assert not trouble & {fault.kind for fault in plan.draw(seed)}
 
 
@@ -401,6 +478,20 @@
             3,
             (*plan.HARD_KINDS, plan.Kind.KILL, plan.Kind.TERM, plan.Kind.HUP),
         ),
+        (
+            plan.EXTREMES_FROM,
+            3,
+            (
+                *plan.EXTREME_KINDS,
+                plan.Kind.KILL,
+                plan.Kind.TERM,
+                plan.Kind.HUP,
+                plan.Kind.SERVER_LEAVES,
+                plan.Kind.CONFIGURATION,
+                plan.Kind.WITHDRAW_KEY,
+                plan.Kind.STORE_LINK,
+            ),
+        ),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
@@ -645,6 +736,9 @@
         # others.
         (plan.SIZE_FROM + 2, 9),
         (plan.HARD_FROM + 1, plan.INSTANCES),
+        # A stop under long requests, and one with peers that send without end.
+        (plan.EXTREMES_FROM, plan.INSTANCES),
+        (plan.EXTREMES_FROM + 5, plan.INSTANCES),
     ],
 )
 def test_real_processes_keep_the_promises(tmp_path, seed, instances):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import time
 from collections.abc import Callable
@@ -122,7 +123,7 @@
             "Host": world.HOST,
             "Request-Id": request_id,
             "Deadline-Ms": str(int(_DEADLINE_S * 1000)),
-            "Authorization": f"Bearer {key}",
+            **({"Authorization": f"Bearer {key}"} if key else {}),
             "Prefix-Hash": f"{shared},own:9",
         }
 
@@ -131,6 +132,8 @@
         withdrawn = self._injector.withdrawn
         if withdrawn and self._rng.random() < 0.2:
             return self._rng.choice(list(withdrawn))
+        if not self._injector.keys:
+            return next(reversed(withdrawn))
         return self._injector.keys[0]
 
     def crash(
@@ -225,6 +228,47 @@
             conn.close()
             body, whole = body + asked.body, asked.whole
 
+    def ask_for(
+        self,
+        conn: client.Connection,
+        instance: int,
+        kind: observations.RequestKind,
+        *,
+        target: str,
+        body: bytes,
+        deadline_s: float,
+        key: str | None = None,
+        public: bool = False,
+        fits: bool = True,
+    ) -> None:
+        """Sends one request of another caller and records its answer.
+
+        Args:
+            conn: The connection.
+            instance: The instance that it leads to, by number.
+            kind: Kind of the target's route.
+            target: Path and query.
+            body: The request's body.
+            deadline_s: How long the caller waits.
+            key: The key; one that is or was valid if None.
+            public: Whether the route needs no key.
+            fits: Whether a server can process it within its deadline.
+        """
+        key = self._key() if key is None else key
+        asked = self._begin(kind, instance, key)
+        asked = dataclasses.replace(
+            asked,
+            deadline_s=deadline_s,
+            public=public,
+            calm=asked.calm
+            and fits
+            and (public or key in self._injector.issued),
+        )
+        headers = self._headers(asked.request_id, key)
+        headers["Deadline-Ms"] = str(int(deadline_s * 1000))
+        answer = exchange(conn, "POST", target, body, headers)
+        self.asked.append(_answered(asked, answer))
+
     def _send(
         self,
         conn: client.Connection,
@@ -239,42 +283,64 @@
     ) -> observations.Asked:
         """Sends one attempt and records what came of it."""
         method, target, body = _ROUTES[kind]
-        self._serial += 1
+        asked = self._begin(
+            kind, instance, resumes.key if resumes else self._key()
+        )
         if body and plan.has_versions(self._seed):
             # Else all ends of servers would be blamed on one request.
             body += f" {self._serial}".encode()
-        request_id = f"s{self._seed}-{self._serial}"
-        key = resumes.key if resumes else self._key()
-        headers = self._headers(request_id, key, part)
+        headers = self._headers(asked.request_id, asked.key, part)
         if resumes is not None:
             headers["Resumes"] = resumes.request_id
             headers["Last-Event-Id"] = str(after)
-        calm = self.calm and key not in self._injector.withdrawn
-        sent_s = time.monotonic()
+        asked = dataclasses.replace(
+            asked,
+            # A version may be gone; how many go on is checked apart.
+            calm=asked.calm and not crashing_body and resumes is None,
+            crashing=bool(crashing_body),
+            resumes=resumes.request_id if resumes else "",
+            after_event=after,
+            left=leaves_after is not None,
+        )
         answer = exchange(
             conn, method, target, crashing_body or body, headers, leaves_after
         )
-        asked = observations.Asked(
-            request_id=request_id,
+        self.asked.append(_answered(asked, answer))
+        return self.asked[-1]
+
+    def _begin(
+        self, kind: observations.RequestKind, instance: int, key: str
+    ) -> observations.Asked:
+        """Returns a request that is about to be sent."""
+        self._serial += 1
+        now = time.monotonic()
+        return observations.Asked(
+            request_id=f"s{self._seed}-{self._serial}",
             kind=kind,
             key=key,
             instance=instance,
-            sent_s=sent_s,
+            sent_s=now,
             deadline_s=_DEADLINE_S,
-            ended_s=time.monotonic(),
-            status=answer.status,
-            whole=answer.whole,
-            body=answer.body,
-            signature=answer.headers.get("response-signature", ""),
-            # A version may be gone; how many go on is checked apart.
-            calm=calm and not crashing_body and resumes is None,
-            crashing=bool(crashing_body),
-            resumes=resumes.request_id if resumes else "",
-            after_event=after,
-            left=leaves_after is not None,
+            ended_s=now,
+            status=0,
+            whole=False,
+            body=b"",
+            calm=self.calm and key not in self._injector.withdrawn,
         )
-        self.asked.append(asked)
-        return asked
+
+
+def _answered(
+    asked: observations.Asked, answer: world.Answer
+) -> observations.Asked:
+    """Returns a request with its answer, which has just come."""
+    return dataclasses.replace(
+        asked,
+        ended_s=time.monotonic(),
+        status=answer.status,
+        whole=answer.whole,
+        body=answer.body,
+        signature=answer.headers.get("response-signature", ""),
+    )
 
 
 def exchange(
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -50,6 +50,8 @@
     CRASHES = "what three servers ended under is sent on three times at most"
     ORDER = "no priority is admitted more often than a more urgent one"
     STARVED = "each team and priority is served a quarter as often as all"
+    HELD = "without a key that was valid only public routes are served"
+    MEMORY = "an instance stays within its memory"
     BESIDE = "sound requests that share its other parts begin half as often"
 
 
@@ -61,6 +63,8 @@
     left_s: float
     evacuated_s: float = 2.5
     cold_in_a_second: float = 8.0
+    # The memory of the smallest machines.
+    memory_bytes: int = 200_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -86,6 +90,7 @@
     found += _served_worse(record)
     found += _streams(record)
     found += _shares(record)
+    found += _too_large(record, bounds)
     return found
 
 
@@ -96,6 +101,18 @@
         yield Violation(promise=Promise.STARVED, request_id="", detail=detail)
 
 
+def _too_large(
+    record: observations.Record, bounds: Bounds
+) -> Iterable[Violation]:
+    for number, size in enumerate(record.peaks_bytes):
+        if size > bounds.memory_bytes:
+            yield Violation(
+                promise=Promise.MEMORY,
+                request_id="",
+                detail=f"instance {number} took {size // 1_000_000} MB",
+            )
+
+
 def _streams(record: observations.Record) -> Iterable[Violation]:
     for first_id in stream_checks.mixed(record):
         yield Violation(
@@ -321,6 +338,9 @@
         late_s = asked.sent_s - withdrawn_s
         if late_s > bounds.key_s:
             broken.append((Promise.KEY, f"sent {late_s:.2f} s later"))
+    never_valid = bool(record.keys) and asked.key not in record.keys
+    if never_valid and runs and not asked.public:
+        broken.append((Promise.HELD, f"key {asked.key!r}"))
     undisturbed = not _touches(record.disturbed, asked)
     if undisturbed:
         broken += _left_late(record, bounds, asked, runs)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,8 @@
 from irisshelf.platform.stand_in import server
 from irisshelf.platform.stand_in import store
 from irisshelf.platform.stand_in import world
+from soak import endless_peers
+from soak import extremes
 from soak import fleet
 from soak import observations
 from soak import plan
@@ -22,6 +24,12 @@
 # An instance counts as in touch again so long after a disturbance.
 _IN_TOUCH_S = 3.0
 _NEXT_KEYS = 40
+# Configurations without a valid key, by variant.
+_KEYLESS = {
+    "no_keys": [{"name": "blue", "apiKeys": []}],
+    "null": [{"name": "blue", "apiKeys": None}],
+    "no_teams": [],
+}
 # Instances that are killed at once count as in touch again so long after it,
 # and are killed so often in a series, with such pauses. A herd comes so long
 # after a rollout has begun.
@@ -81,6 +89,7 @@
     Attributes:
         entries: The instances; set once they are made.
         keys: Keys that hold, those that are withdrawn next first.
+        issued: All keys that were ever valid.
         withdrawn: When each withdrawn key was withdrawn, monotonic seconds.
         of_servers: Faults of the servers.
         disturbed: Spans in which an instance was not in touch.
@@ -92,6 +101,7 @@
         lagged: Spans in which the store's list lagged.
         bursts: Spans in which all callers of hard load send more.
         surges: Spans in which one team sends more.
+        endless: Peers that send without end.
     """
 
     def __init__(
@@ -113,9 +123,14 @@
             servers=servers,
             links=links,
         )
+        self.endless = endless_peers.EndlessPeers(served=served)
         self._version = 0
+        # The variant of the configuration, if no key is valid.
+        self._keyless = ""
+        self._next_key = _NEXT_KEYS
         self.entries: list[fleet.Entry] = []
         self.keys = [world.KEY] + [f"key-{n}" for n in range(_NEXT_KEYS)]
+        self.issued = set(self.keys)
         self.withdrawn: dict[str, float] = {}
         self.disturbed: list[observations.Span] = []
         self.stopped: list[observations.Span] = []
@@ -187,6 +202,13 @@
             plan.Kind.SERVER_SLOW: lambda: self.of_servers.slow(fault),
             plan.Kind.BURST: lambda: self._raise_load(self.bursts, fault),
             plan.Kind.SURGE: lambda: self._raise_load(self.surges, fault),
+            plan.Kind.LAST_KEY: lambda: self._withdraw_all(fault),
+            plan.Kind.ENDLESS_SERVER: lambda: gevent.spawn(
+                self.endless.serve, fault
+            ),
+            plan.Kind.ENDLESS_CALLER: lambda: self.endless.call(
+                fault, self._entry(fault).front
+            ),
             plan.Kind.PARTITION: lambda: self._partition(fault),
             plan.Kind.HERD: lambda: gevent.spawn(self._herd, fault),
         }
@@ -371,15 +393,37 @@
         self._configure()
         self.withdrawn[key] = time.monotonic()
 
+    def _withdraw_all(self, fault: plan.Fault) -> None:
+        """No key is valid for a while, and others than before after it."""
+        if not self.keys:
+            return
+        withdrawn, self.keys = self.keys, []
+        self._keyless = fault.variant
+        self._configure()
+        now = time.monotonic()
+        self.withdrawn |= dict.fromkeys(withdrawn, now)
+        gevent.spawn_later(fault.for_s, self._issue_keys)
+
+    def _issue_keys(self) -> None:
+        first, self._next_key = self._next_key, self._next_key + _NEXT_KEYS
+        self._keyless = ""
+        self.keys = [f"key-{n}" for n in range(first, self._next_key)]
+        self.issued |= set(self.keys)
+        self._configure()
+
     def _configure(self) -> None:
         self._version += self._rng.randint(1, 3)
         self._write_configuration()
 
     def _write_configuration(self) -> None:
-        tenants = [{"name": "blue", "apiKeys": self.keys}]
+        tenants = _KEYLESS.get(
+            self._keyless, [{"name": "blue", "apiKeys": self.keys}]
+        )
         document = world.config(self._version, tenants=tenants)
         if plan.is_hard(self._seed):
             teams.add_to(document)
+        if plan.has_extremes(self._seed):
+            extremes.add_to(document)
         if plan.is_further(self._seed):
             for service in document["services"]:
                 service |= {
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,7 @@
 from soak import sleeper
 
 _RESTART_S = 0.3
+_KB = 1024
 _STEP_S = 0.05
 # From the signal to stop until the kill.
 STOP_S = 8
@@ -39,6 +40,9 @@
             if they are not told.
         overload: That section of its settings.
         bounds: Further bounds of its settings.
+
+    Attributes:
+        peak_bytes: The most memory that any of its processes has taken.
     """
 
     def __init__(
@@ -76,6 +80,7 @@
         self._keeper: gevent.Greenlet | None = None
         self.starts = 0
         self.own_exits = 0
+        self.peak_bytes = 0
         self._told_to_end = False
         self._write_settings()
 
@@ -144,6 +149,7 @@
         while True:
             self._run()
             while self._process.poll() is None:
+                self.peak_bytes = max(self.peak_bytes, peak_bytes(self.pid))
                 gevent.sleep(_STEP_S)
             if not self._told_to_end:
                 self.own_exits += 1
@@ -198,6 +204,18 @@
         aside.rename(self._settings)
 
 
+def peak_bytes(pid: int) -> int:
+    """Returns the most memory that a process has taken; 0 if it has ended."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0
+    for line in status.splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * _KB
+    return 0
+
+
 def _kill_if_alive(process: subprocess.Popen | None) -> None:
     if process is not None and process.poll() is None:
         process.kill()
--- a/soak/main.py
+++ b/soak/main.py
@@ -72,7 +72,7 @@
         return [item["seed"] for item in listed]
     if seeds.startswith("fresh:"):
         count = int(seeds.partition(":")[2])
-        return [secrets.randbelow(10**9) for _ in range(count)]
+        return [secrets.randbelow(plan.SEEDS_UNTIL) for _ in range(count)]
     found = []
     for item in seeds.split(","):
         first, _, last = item.partition("-")
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -53,6 +53,7 @@
         team: Its team, in requests of hard load; empty otherwise.
         priority: Its priority, in requests of hard load.
         retries: Whether an earlier attempt was rejected.
+        public: Whether its route needs no key.
     """
 
     request_id: str
@@ -74,6 +75,7 @@
     team: str = ""
     priority: int = 0
     retries: bool = False
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -157,6 +159,9 @@
             before them stays known.
         versions: Spans in which servers served streams at versions.
         padding_bytes: Bytes that each event of a stream is longer by.
+        keys: All keys that were ever valid; empty if others are not used.
+        peaks_bytes: The most memory that each instance has taken; empty if that
+            is not checked.
     """
 
     asked: tuple[Asked, ...]
@@ -175,3 +180,5 @@
     lagged: tuple[Span, ...] = ()
     versions: tuple[VersionSpan, ...] = ()
     padding_bytes: int = 0
+    keys: frozenset[str] = frozenset()
+    peaks_bytes: tuple[int, ...] = ()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,8 +4,12 @@
 
 import dataclasses
 import enum
+import itertools
 import random
 
+from irisshelf.platform.stand_in import endless
+from irisshelf.platform.stand_in import endless_caller
+
 INSTANCES = 3
 # From so many on, one instance follows the store for the others; such runs have
 # further kinds of faults, and most of those of instances hit that one.
@@ -71,6 +75,10 @@
     SERVER_SLOW = "server_slow"
     BURST = "burst"
     SURGE = "surge"
+    # Of seeds with extremes alone.
+    LAST_KEY = "last_key"
+    ENDLESS_SERVER = "endless_server"
+    ENDLESS_CALLER = "endless_caller"
 
 
 WIDE_KINDS = (
@@ -94,6 +102,7 @@
 VERSION_KINDS = (Kind.VERSION, Kind.VERSION, Kind.KILL)
 HERD_KINDS = (Kind.HERD,)
 HARD_KINDS = (Kind.SERVER_SLOW, Kind.BURST, Kind.SURGE)
+EXTREME_KINDS = (Kind.LAST_KEY, Kind.ENDLESS_SERVER, Kind.ENDLESS_CALLER)
 # Seeds from this one on have further kinds; those before draw as they always
 # did.
 FURTHER_FROM = 1000
@@ -112,8 +121,13 @@
 # at once, and more streams are in flight.
 SIZE_FROM = 8000
 # Seeds from this one on have more load than the servers can process, and none
-# of the further kinds above. They lie above all that are drawn as fresh ones.
+# of the further kinds above.
 HARD_FROM = 1_000_000_000
+# Seeds from this one on have no load to speak of, but what lies at the ends of
+# a range: no key is valid, requests last as long as a planned stop, and peers
+# send without end.
+EXTREMES_FROM = 2_000_000_000
+SEEDS_UNTIL = 3_000_000_000
 _UNFRAMED_EVERY = 3
 # Of so many seeds with herds, one has servers of one version all the time; of
 # so many, four have parts that end servers.
@@ -132,6 +146,7 @@
         Kind.VERSION,
         Kind.HERD,
         *HARD_KINDS,
+        *EXTREME_KINDS,
     )
 )
 _HARD_SEED_KINDS = (*(4 * HARD_KINDS), Kind.KILL, Kind.TERM, Kind.HUP)
@@ -163,6 +178,40 @@
     Kind.CONFIGURATION,
     Kind.WITHDRAW_KEY,
 )
+_EXTREME_PLANNED = (
+    *(4 * (Kind.TERM,)),
+    *(2 * (Kind.LAST_KEY,)),
+    Kind.HUP,
+    Kind.SERVER_LEAVES,
+    Kind.CONFIGURATION,
+    Kind.WITHDRAW_KEY,
+)
+_EXTREME_SEED_KINDS = (
+    *_EXTREME_PLANNED,
+    *(5 * (Kind.ENDLESS_SERVER,)),
+    *(3 * (Kind.ENDLESS_CALLER,)),
+    Kind.KILL,
+    Kind.STORE_LINK,
+)
+# Such servers send nothing that a sound one might, so that whatever callers get
+# of it is a broken promise.
+_ENDLESS_FORMS = tuple(
+    form
+    for form in endless.Form
+    if form
+    not in (
+        endless.Form.AFTER_ANSWER,
+        endless.Form.EVENTS,
+        endless.Form.COMMENTS,
+    )
+)
+# Such callers send nothing that may run.
+_CALLER_FORMS = tuple(
+    form
+    for form in endless_caller.Form
+    if form
+    not in (endless_caller.Form.AFTER_REQUEST, endless_caller.Form.PIPELINED)
+)
 _LINK_MODES = ("silent", "silent_up", "silent_down", "reset", "slow")
 _VARIANTS = {
     Kind.STORE: ("busy", "silent", "reset", "slow"),
@@ -170,6 +219,12 @@
     Kind.SERVER_LINK: _LINK_MODES,
     Kind.CALLER_LINK: ("reset", "slow"),
     Kind.STORE_TURNS_AWAY: ("silent", "reset"),
+    Kind.LAST_KEY: ("no_keys", "null", "no_teams"),
+    Kind.ENDLESS_SERVER: tuple(
+        f"{form}/{pace}"
+        for form, pace in itertools.product(_ENDLESS_FORMS, endless.Pace)
+    ),
+    Kind.ENDLESS_CALLER: _CALLER_FORMS,
     Kind.PARTITION: ("hang", "reset", "refuse", "hang_new"),
     # Processing time relative to normal, in percent.
     Kind.SERVER_SLOW: ("150", "250", "400"),
@@ -243,7 +298,12 @@
 
 def is_hard(seed: int) -> bool:
     """Returns whether callers send more than the servers can process."""
-    return seed >= HARD_FROM
+    return HARD_FROM <= seed < EXTREMES_FROM
+
+
+def has_extremes(seed: int) -> bool:
+    """Returns whether keys, times and sizes go to the ends of their ranges."""
+    return seed >= EXTREMES_FROM
 
 
 def overload(seed: int) -> dict[str, object]:
@@ -346,8 +406,10 @@
         kinds = tuple(kind for kind in kinds if kind is not Kind.VERSION)
     if is_hard(seed):
         kinds = _HARD_SEED_KINDS
+    if has_extremes(seed):
+        kinds = _EXTREME_SEED_KINDS
     if is_planned(seed):
-        kinds = _PLANNED
+        kinds = _EXTREME_PLANNED if has_extremes(seed) else _PLANNED
     count = rng.randint(8, 16)
     streaming = streaming_servers(seed)
     faults = [_draw_one(rng, kinds, instances, streaming) for _ in range(count)]
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,11 +17,13 @@
 from soak import callers
 from soak import checker
 from soak import crashing
+from soak import extremes
 from soak import faults
 from soak import fleet
 from soak import hard_load
 from soak import observations
 from soak import plan
+from soak import resting_callers
 from soak import server_faults
 from soak import server_links
 from soak import stream_checks
@@ -108,6 +110,8 @@
             self._injector.of_servers.begin_versions()
         for one in self.servers:
             one.unframed = plan.is_unframed(seed)
+            if plan.has_extremes(seed):
+                one.extra_work_s = extremes.extra_work_s
         self._injector.prepare()
         self._crashing: crashing.CrashingRequest | None = None
         if crashing.is_asked(seed):
@@ -162,6 +166,7 @@
         """Ends all that the run has started."""
         for entry in self.entries:
             entry.close()
+        self._injector.endless.close()
         for link in self.links:
             link.close()
         for one in self.servers:
@@ -184,6 +189,10 @@
         last_s = max(fault.at_s + fault.for_s for fault in self._faults)
         if self._hard_load is not None:
             self._callers.spawn(self._hard_load.run_until, began_s + last_s)
+        if plan.has_extremes(self._seed):
+            resting_callers.RestingCallers(
+                seed=self._seed, entries=self.entries, others=self._callers
+            ).start(began_s + last_s)
         for fault in self._faults:
             gevent.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
             self._injector.inject(fault)
@@ -225,6 +234,12 @@
             unlisted=tuple(self._injector.unlisted),
             lagged=tuple(self._injector.lagged),
             versions=tuple(self._injector.of_servers.versions),
+            keys=self._keys_checked(),
+            peaks_bytes=tuple(
+                entry.peak_bytes
+                for entry in self.entries
+                if plan.has_extremes(self._seed)
+            ),
             padding_bytes=(
                 server_faults.PADDING_BYTES if plan.is_hard(self._seed) else 0
             ),
@@ -265,6 +280,12 @@
             violations=tuple(checker.check(record, _BOUNDS)),
         )
 
+    def _keys_checked(self) -> frozenset[str]:
+        """Returns all keys that were ever valid, if others are tried."""
+        if not plan.has_extremes(self._seed):
+            return frozenset()
+        return frozenset(self._injector.issued)
+
     def _make_servers(
         self, service: str, count: int, *, streaming: bool
     ) -> list[server.Server]:
