Log how a response without length has ended

Cause: no line of the logs told whether a response had a length, whether its end was the end of its connection, or what was found of the server then, so that the hypotheses of the incident could not be told apart.

Change: log line response_ended_by_close (server, relay, events, exited).

--- a/irisshelf/gateway/requests/response_relay.py
+++ b/irisshelf/gateway/requests/response_relay.py
@@ -102,9 +102,20 @@
         Raises:
             send_error.SendError: The server refuses connections.
         """
-        if not self._conn.ended_with_response or self._conn.relay:
+        if not self._conn.unframed:
             return
-        if self._inst.crash_tracker.is_refused(self._server):
+        exited = None
+        if self._conn.ended_with_response and not self._conn.relay:
+            exited = self._inst.crash_tracker.is_refused(self._server)
+        self._inst.log.request(
+            "response_ended_by_close",
+            self._job.head.request_id,
+            server=self._server.server_id,
+            relay=self._conn.relay,
+            exited=exited,
+            events=self._progress.events,
+        )
+        if exited:
             raise send_error.unknown_outcome(
                 server_stats.Outcome.BROKEN,
                 "server exited at the end of a response without length",
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -24,6 +24,10 @@
 _HEAD_FIELD = "read_limits.response_head_bytes"
 # What a header line or an interim response takes beside its text.
 _LINE_BYTES = 32
+# A response without these headers ends with its connection, unless it has no
+# body.
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+_BODYLESS_STATUSES = frozenset({204, 304})
 # Error status of the parser for a line, head or trailers without an end.
 _TOO_LONG = 431
 # Time limit for reading data that has already arrived.
@@ -80,6 +84,7 @@
         self._open = True
         # Whether the server has closed its side.
         self._ended = False
+        self._unframed = False
         self.idle_s = 0.0
         self._unread_limit_ms = _USER_TIMEOUT_MS
 
@@ -91,6 +96,14 @@
         """
         return self._ended and self._http.their_state is h11.DONE
 
+    @property
+    def unframed(self) -> bool:
+        """Whether only the end of the connection ends the response.
+
+        It has neither a length nor chunks then.
+        """
+        return self._unframed
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another exchange."""
@@ -144,6 +157,7 @@
         self._max_head_bytes = max_head_bytes
         self._http = _new_parser(max_head_bytes)
         self._late_events = 0
+        self._unframed = False
         self._request = [
             h11.Request(method=method, target=target, headers=headers),
             h11.EndOfMessage(),
@@ -193,6 +207,7 @@
         while True:
             event = self._next_event(deadline_s)
             if isinstance(event, h11.Response):
+                self._unframed = self._is_unframed(event)
                 return event.status_code, tuple(event.headers.raw_items())
             if isinstance(event, h11.InformationalResponse):
                 interim_bytes += _size(event)
@@ -365,6 +380,15 @@
                 return event
             self._feed_parser(deadline_s)
 
+    def _is_unframed(self, head: h11.Response) -> bool:
+        """Returns whether a response has neither a length nor chunks."""
+        names = {name for name, _ in head.headers}
+        return (
+            not names & _FRAMING_HEADERS
+            and head.status_code not in _BODYLESS_STATUSES
+            and self._request[0].method != b"HEAD"
+        )
+
     def _check_deadline(self, deadline_s: float) -> None:
         """Raises errors.PeerTimeoutError if too much is read after it."""
         if boottime.now() <= deadline_s:
