A response that announces the close does not pass for complete after a crash

Cause: before the end of a response without length counts as its end, the instance asks whether its server has exited. It did so only if the parser's state was DONE. With Connection: close in the head, or HTTP/1.0, that state is MUST_CLOSE, then CLOSED.

Change: a response is unframed if its head says neither length nor chunks, and may have a body. The parser's state is not asked.

--- a/irisshelf/gateway/requests/response_relay.py
+++ b/irisshelf/gateway/requests/response_relay.py
@@ -105,7 +105,7 @@
         if not self._conn.unframed:
             return
         exited = None
-        if self._conn.ended_with_response and not self._conn.relay:
+        if not self._conn.relay:
             exited = self._inst.crash_tracker.is_refused(self._server)
         self._inst.log.request(
             "response_ended_by_close",
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -157,6 +157,10 @@
         # Whether answers have neither a length nor chunks, and end with their
         # connection.
         self.unframed = False
+        # Whether such an answer announces that its connection is closed.
+        self.announces_close = False
+        # Version of HTTP of such an answer.
+        self.http_version = b"1.1"
         # Processing time relative to normal in percent, as it reports it, also
         # when it rejects requests; None: it does not.
         self.slowdown_percent: int | None = None
@@ -302,18 +306,27 @@
     """Writes an answer without length or chunks.
 
     Args:
+        owner: The server.
         sock: The connection.
         conn: The same, as a server reads from it.
     """
 
-    def __init__(self, *, sock: socket.socket, conn: http.Connection):
+    def __init__(
+        self, *, owner: Server, sock: socket.socket, conn: http.Connection
+    ):
+        self._owner = owner
         self._sock = sock
         self._conn = conn
 
     def begin(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Writes the head."""
         lines = b"".join(b"%s: %s\r\n" % pair for pair in headers)
-        self._sock.sendall(b"HTTP/1.1 %d OK\r\n%s\r\n" % (status, lines))
+        if self._owner.announces_close:
+            lines += b"Connection: close\r\n"
+        version = self._owner.http_version
+        self._sock.sendall(
+            b"HTTP/%s %d OK\r\n%s\r\n" % (version, status, lines)
+        )
 
     def write(self, data: bytes) -> None:
         """Writes a part of the body."""
@@ -457,7 +470,7 @@
         if fault is Fault.STRAY_FIRST:
             self._sock.sendall(_raw_answer(b"an-earlier-one", b"not yours"))
         if fault is Fault.UNFRAMED or self._owner.unframed:
-            out = _Unframed(sock=self._sock, conn=conn)
+            out = _Unframed(owner=self._owner, sock=self._sock, conn=conn)
             out.begin(200, self._head(run))
             out.write(body)
             out.end()
@@ -498,7 +511,7 @@
 
     def _writer(self, fault: Fault, conn: http.Connection) -> _Writer:
         if fault is Fault.UNFRAMED or self._owner.unframed:
-            return _Unframed(sock=self._sock, conn=conn)
+            return _Unframed(owner=self._owner, sock=self._sock, conn=conn)
         return conn
 
     def _event(self, number: int, version: str) -> bytes:
--- a/irisshelf/tests/test_unframed_answers.py
+++ b/irisshelf/tests/test_unframed_answers.py
@@ -86,20 +86,96 @@
     assert _numbers(answer) == list(range(1, _EVENTS + 1))
 
 
+def _crash_under(world, body, events):
+    """Makes each server crash under a request, midway in its answer."""
+    for one in (*world.plain, *world.engines):
+        one.ends_under = lambda run: run.body == body and not run.after_event
+        one.ends_at = (
+            server_module.Moment.EVENTS if events else server_module.Moment.HEAD
+        )
+        one.events_before_end = events
+        one.away_s = 60.0
+
+
+# How answers are framed that end with their connection.
+_HEADS = {
+    "plain": {},
+    "close-announced": {"announces_close": True},
+    "http-1.0": {"http_version": b"1.0"},
+}
+
+
+def _frame(world, head):
+    for one in (*world.plain, *world.engines):
+        for name, value in head.items():
+            setattr(one, name, value)
+
+
+def _list_as(world, state):
+    """Changes the entries of all servers, and waits until they are known."""
+    everyone = (*world.plain, *world.engines)
+    for one in everyone:
+        if state == "unlisted":
+            world.store.drop("servers", one.server_id)
+        else:
+            world.store.put("servers", one.server_id, one.entry(state))
+    if state == "ready":
+        return
+    eligible = world.inst.eligible
+
+    def is_known():
+        listed = [world.inst.directory.get(one.server_id) for one in everyone]
+        return all(one is None or eligible.is_leaving(one) for one in listed)
+
+    world.wait(is_known)
+
+
+@pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
+@pytest.mark.parametrize("state", ["ready"])
+@pytest.mark.parametrize("target", ["/query/1", "/digest/1"])
 @pytest.mark.parametrize("events", [0, 2])
 def test_an_end_with_the_server_is_not_the_end_of_the_stream(
-    make_world, events
+    make_world, events, target, state, head
 ):
     """Guards against a stream delivered as whole whose server crashed."""
     world = _world(make_world)
+    _frame(world, head)
+    _crash_under(world, b"x", events)
     for one in world.engines:
-        one.ends_under = lambda run: run.body == b"x" and not run.after_event
-        one.ends_at = server_module.Moment.EVENTS
-        one.events_before_end = events
-        one.away_s = 60.0
-    answer = world.ask("/digest/1", body=b"x")
+        one.before_end_s = 0.3
+    asked = gevent.spawn(world.ask, target, body=b"x")
+    world.wait(lambda: any(one.runs for one in world.engines))
+    _list_as(world, state)
+    answer = asked.get(timeout=10.0)
     numbers = _numbers(answer)
     assert numbers == list(range(1, len(numbers) + 1))
     assert not answer.whole or answer.status != 200 or len(numbers) == _EVENTS
-    noticed = world.inst.metrics.crashes.labels("suspect")
-    world.wait(lambda: noticed._value.get() >= 1)
+    if state == "ready":
+        noticed = world.inst.metrics.crashes.labels("suspect")
+        world.wait(lambda: noticed._value.get() >= 1)
+
+
+@pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
+@pytest.mark.parametrize("target", ["/valve/1", "/alarm/1"])
+def test_an_end_with_the_server_is_not_the_end_of_an_answer(
+    make_world, target, head
+):
+    """Guards against an answer cut short by a crash that passes for whole."""
+    world = _world(make_world)
+    _frame(world, head)
+    _crash_under(world, b"x", 1)
+    answer = world.ask(target, body=b"x")
+    assert answer.whole
+    assert answer.status in (502, 504) or b"answer to" in answer.body
+
+
+@pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
+@pytest.mark.parametrize("target", ["/valve/1", "/alarm/1", "/query/1"])
+def test_answers_of_sound_servers_are_whole(make_world, target, head):
+    """Guards against sound answers that are taken for broken ones."""
+    world = _world(make_world)
+    _frame(world, head)
+    for number in range(_STREAMS):
+        answer = world.ask(target, Request_Id=f"s{number}")
+        assert (answer.status, answer.whole) == (200, True)
+        assert world.runs(f"s{number}") == 1
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -88,14 +88,6 @@
         self.idle_s = 0.0
         self._unread_limit_ms = _USER_TIMEOUT_MS
 
-    @property
-    def ended_with_response(self) -> bool:
-        """Whether only the end of the connection has ended the response.
-
-        It has neither a length nor chunks then.
-        """
-        return self._ended and self._http.their_state is h11.DONE
-
     @property
     def unframed(self) -> bool:
         """Whether only the end of the connection ends the response.
