A response without length does not pass for complete if its server was leaving

Callers saw: streams and responses cut short, delivered as complete, where the server was draining, or its entry gone, before its process ended. Also where the question whether it had exited was answered by a probe that had begun before the crash, by a listening socket that the kernel had not closed yet, or by another server that had got its address.

Cause: the check asked the question that crash records ask (is_refused): whether an end was unplanned. It says no, without a probe, for a server that leaves or is not listed, and shares probes and refusals over time.

Change: refuses_now asks whether a process listens at the address from now on, whatever the list says. A connection counts if it is still open after 5 ms; one that is reset is tried again, up to three times, as servers with too many connections reset new ones.

Callers whose complete response ends with the planned exit of its server get an error, or the stream goes on elsewhere: nothing tells such a response from one cut short.

Found on the way: the cases with changed entries had let the server end before the change was known, and so could not fail; they wait for it now.

--- a/irisshelf/gateway/requests/response_relay.py
+++ b/irisshelf/gateway/requests/response_relay.py
@@ -97,7 +97,8 @@
     def _check_end(self) -> None:
         """Checks a response that only the end of the connection has ended.
 
-        If the server has exited as well, the response is probably incomplete.
+        If the server has exited as well, the response is probably incomplete,
+        whether or not the server was to leave.
 
         Raises:
             send_error.SendError: The server refuses connections.
@@ -106,7 +107,7 @@
             return
         exited = None
         if not self._conn.relay:
-            exited = self._inst.crash_tracker.is_refused(self._server)
+            exited = self._inst.crash_tracker.refuses_now(self._server)
         self._inst.log.request(
             "response_ended_by_close",
             self._job.head.request_id,
--- a/irisshelf/gateway/servers/crash_tracker.py
+++ b/irisshelf/gateway/servers/crash_tracker.py
@@ -186,12 +186,12 @@
         if self.suspects.record_crash(fingerprint, crash, self._now()):
             self._log_crash([(fingerprint, crash)], "", "")
 
-    def is_refused(self, server: directory.BackendServer) -> bool:
-        """Returns whether a listed server refuses connections of this instance.
+    def refuses_now(self, server: directory.BackendServer) -> bool:
+        """Returns whether a server refuses connections from now on.
 
         Connects to it; the connection is kept for the next request.
         """
-        return self._probe.is_refused(server)
+        return self._probe.refuses_now(server)
 
     def has_exited(self, server: directory.BackendServer) -> bool:
         """Returns whether a listed server's process has exited."""
--- a/irisshelf/gateway/servers/exit_probe.py
+++ b/irisshelf/gateway/servers/exit_probe.py
@@ -24,6 +24,11 @@
 # restarts faster. That a server listens is not remembered: it may exit at any
 # moment.
 _REFUSAL_KNOWN_S = 1.0
+# The host of a process that exits may still accept a connection, and reset it.
+# Servers that have too many connections reset new ones as well, so that a
+# further one shows which it is.
+_SETTLE_S = 0.005
+_MAX_CONNECTS = 3
 
 
 class ExitProbe:
@@ -51,6 +56,8 @@
         # By server id: when its host refused a connection.
         self._refused_s: dict[str, float] = {}
         self._probes: dict[str, gevent.Greenlet] = {}
+        # By address: probes that have not begun to connect.
+        self._end_probes: dict[str, gevent.Greenlet] = {}
 
     def is_refused(self, server: directory.BackendServer) -> bool:
         """Returns whether connections to a server's process are refused here.
@@ -72,6 +79,49 @@
             self._probes[name] = gevent.spawn(self._probe, server)
         return self._probes[name].get()
 
+    def refuses_now(self, server: directory.BackendServer) -> bool:
+        """Returns whether connections to a server are refused from now on.
+
+        Also tells of a server that leaves, or whose entry is gone. A probe that
+        has begun before may have reached the process before it exited.
+        """
+        if self._is_replaced(server) or self._is_address_reused(server):
+            return True
+        if server.address not in self._end_probes:
+            self._end_probes[server.address] = gevent.spawn(
+                self._probe_end, server
+            )
+        return self._end_probes[server.address].get()
+
+    def _probe_end(self, server: directory.BackendServer) -> bool:
+        # Those that ask from now on need another probe.
+        del self._end_probes[server.address]
+        for _ in range(_MAX_CONNECTS):
+            self._metrics.connects.labels(server.service).inc()
+            try:
+                conn = client.connect(
+                    server.address, timeout_s=reachability.CONNECT_TIMEOUT_S
+                )
+            except errors.ConnectError as exc:
+                self._servers.reach.record_unreachable(server, exc, "")
+                return not exc.timed_out
+            gevent.sleep(_SETTLE_S)
+            if not conn.is_stale():
+                self._keep(server, conn)
+                return False
+            conn.close()
+        return False
+
+    def _keep(
+        self, server: directory.BackendServer, conn: client.Connection
+    ) -> None:
+        """Keeps a connection for the next request, if there will be one."""
+        if self._listed.get(server.entry_id) is None:
+            conn.close()
+            return
+        self._servers.connection_pool.add_idle(server, conn)
+        self._servers.reach.record_reached(server)
+
     def is_confirmed(self, server: directory.BackendServer) -> bool:
         """Returns whether a server that refuses connections has exited."""
         return self._is_replaced(server) or self._servers.reach.exits.confirm(
@@ -86,6 +136,14 @@
         listed = self._listed.get(server.entry_id)
         return listed is not None and listed.server_id != server.server_id
 
+    def _is_address_reused(self, server: directory.BackendServer) -> bool:
+        """Returns whether another server is listed at a server's address."""
+        if self._listed.get(server.entry_id) is not None:
+            return False
+        return any(
+            one.address == server.address for one in self._listed.servers()
+        )
+
     def _probe(self, server: directory.BackendServer) -> bool:
         try:
             refused = self._connect(server)
--- a/irisshelf/tests/test_unframed_answers.py
+++ b/irisshelf/tests/test_unframed_answers.py
@@ -5,13 +5,18 @@
 streams that such a server had begun none went on elsewhere.
 """
 
+import dataclasses
 import re
 
 import gevent
 import pytest
+from gevent import server as gevent_server
 
 from irisshelf.gateway import settings
+from irisshelf.gateway.servers import exit_probe
 from irisshelf.platform.stand_in import server as server_module
+from irisshelf.platform.stand_in import world as world_module
+from irisshelf.transport import closing
 
 Fault = server_module.Fault
 _EVENTS = 12
@@ -97,6 +102,9 @@
         one.away_s = 60.0
 
 
+# Changed entries are known after a second at most.
+_LISTED_AFTER_S = 1.4
+
 # How answers are framed that end with their connection.
 _HEADS = {
     "plain": {},
@@ -131,21 +139,23 @@
 
 
 @pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
-@pytest.mark.parametrize("state", ["ready"])
+@pytest.mark.parametrize("state", ["ready", "draining", "unlisted"])
 @pytest.mark.parametrize("target", ["/query/1", "/digest/1"])
 @pytest.mark.parametrize("events", [0, 2])
 def test_an_end_with_the_server_is_not_the_end_of_the_stream(
     make_world, events, target, state, head
 ):
     """Guards against a stream delivered as whole whose server crashed."""
-    world = _world(make_world)
+    world = _world(make_world, targets=world_module.PATIENT)
     _frame(world, head)
     _crash_under(world, b"x", events)
-    for one in world.engines:
-        one.before_end_s = 0.3
+    if state != "ready":
+        for one in world.engines:
+            one.before_end_s = _LISTED_AFTER_S
     asked = gevent.spawn(world.ask, target, body=b"x")
     world.wait(lambda: any(one.runs for one in world.engines))
     _list_as(world, state)
+    assert state == "ready" or not asked.ready()
     answer = asked.get(timeout=10.0)
     numbers = _numbers(answer)
     assert numbers == list(range(1, len(numbers) + 1))
@@ -179,3 +189,73 @@
         answer = world.ask(target, Request_Id=f"s{number}")
         assert (answer.status, answer.whole) == (200, True)
         assert world.runs(f"s{number}") == 1
+
+
+def test_a_probe_that_began_before_the_end_says_nothing(
+    make_world, monkeypatch
+):
+    """Guards against a connection that was accepted before the crash."""
+    world = _world(make_world)
+    (server,) = [
+        one
+        for one in world.inst.directory.servers()
+        if one.server_id.startswith("crew-0")
+    ]
+    tracker = world.inst.crash_tracker
+    connect = exit_probe.client.connect
+
+    def connect_slowly(*args, **options):
+        conn = connect(*args, **options)
+        gevent.sleep(0.1)
+        return conn
+
+    monkeypatch.setattr(exit_probe.client, "connect", connect_slowly)
+    early = gevent.spawn(tracker.refuses_now, server)
+    gevent.sleep(0.05)
+    world.plain[0].end()
+    assert tracker.refuses_now(server)
+    early.get(timeout=5.0)
+
+
+@pytest.mark.parametrize("resets", [1, 2])
+def test_a_server_that_resets_further_connections_has_not_exited(
+    make_world, resets
+):
+    """Guards against answers of servers that have too many connections."""
+    world = _world(make_world)
+    accepted = []
+
+    def serve(sock, peer):
+        accepted.append(sock)
+        if len(accepted) <= resets:
+            closing.reset(sock)
+
+    listening = gevent_server.StreamServer(("127.0.0.1", 0), serve)
+    listening.start()
+    (server,) = [
+        one
+        for one in world.inst.directory.servers()
+        if one.server_id.startswith("crew-0")
+    ]
+    address = f"127.0.0.1:{listening.server_port}"
+    server = dataclasses.replace(server, address=address)
+    assert not world.inst.crash_tracker.refuses_now(server)
+    listening.stop(timeout=0)
+
+
+def test_a_server_at_a_reused_address_does_not_count_as_the_old_one(
+    make_world,
+):
+    """Guards against a crashed server that its successor seems to keep up."""
+    world = _world(make_world)
+    tracker = world.inst.crash_tracker
+    (server,) = [
+        one
+        for one in world.inst.directory.servers()
+        if one.server_id.startswith("crew-0")
+    ]
+    departed = dataclasses.replace(
+        server, server_id="crew-9", entry_id="crew-9"
+    )
+    assert not tracker.refuses_now(server)
+    assert tracker.refuses_now(departed)
