Relayed responses without length do not pass for complete after a crash

Cause: the check was left out for relayed responses, since this instance cannot connect to the server itself. The tunnel reports that the server closed its connection, which a crash does as well.

Change: the relays are asked: a new tunnel to the server that stays open shows that it listens. If it is refused, or no relay can tell, the response counts as broken off.

--- a/irisshelf/gateway/requests/response_relay.py
+++ b/irisshelf/gateway/requests/response_relay.py
@@ -105,8 +105,9 @@
         """
         if not self._conn.unframed:
             return
-        exited = None
-        if not self._conn.relay:
+        if self._conn.relay:
+            exited = self._inst.servers.reach.relays.refuses(self._server)
+        else:
             exited = self._inst.crash_tracker.refuses_now(self._server)
         self._inst.log.request(
             "response_ended_by_close",
--- a/irisshelf/gateway/servers/relays.py
+++ b/irisshelf/gateway/servers/relays.py
@@ -41,6 +41,11 @@
 _MAX_ATTEMPTS_S = 0.25
 # Number of relays that must find that a server has exited.
 _ENOUGH_REFUSALS = 2
+# The host of a process that exits may still accept a connection, and reset it;
+# the relay passes that on. Servers that have too many connections reset new
+# ones as well, so that a further one shows which it is.
+_REFUSAL_SETTLE_S = 0.02
+_MAX_REFUSAL_PROBES = 3
 # Servers that are tried through relays in the background at the same time.
 _MAX_CHECKS = 8
 # Whether relays work is checked at these intervals after it was found that they
@@ -167,6 +172,24 @@
             self.paths.record_result(server.server_id, verdict, now)
         return Result(verdict=verdict, conn=conn)
 
+    def refuses(self, server: directory.BackendServer) -> bool:
+        """Returns whether a server seems to have exited, as relays see it.
+
+        That is also assumed if no relay may connect to it, as it leaves, or
+        none can tell. A server that does not respond in time is taken to be
+        busy.
+        """
+        for _ in range(_MAX_REFUSAL_PROBES):
+            found = self.connect(server, timeout_s=OPEN_TIMEOUT_S)
+            if found.conn is None:
+                return found.verdict is not _Verdict.UNREACHABLE
+            gevent.sleep(_REFUSAL_SETTLE_S)
+            if not found.conn.is_stale():
+                self._connection_pool.add_idle(server, found.conn)
+                return False
+            found.conn.close()
+        return False
+
     def may_reach(self, server_id: str) -> bool:
         """Returns whether a server can probably be reached through relays."""
         now = self._now()
--- a/irisshelf/tests/test_unframed_answers.py
+++ b/irisshelf/tests/test_unframed_answers.py
@@ -179,6 +179,57 @@
     assert answer.status in (502, 504) or b"answer to" in answer.body
 
 
+@pytest.fixture
+def far_server(make_world):
+    """A world, and a server that its first instance reaches by the second."""
+    world = make_world(data_centres=("a", "a"), bounds=_BOUNDS)
+    one = server_module.Server(
+        server_id="far", service="far", streaming=True, events=_EVENTS
+    ).start()
+    one.unframed = True
+    one.away_s = 60.0
+    # Nothing listens there.
+    world.store_ports[0].addresses[one.address] = "127.0.0.1:9"
+    document = world_module.config(2)
+    document["routes"].append(
+        world_module.route("/far/", "streaming", "far", maxAttempts=1)
+    )
+    document["services"].append({"name": "far"})
+    world.store.put("op", "config", document)
+    world.store.put("servers", one.server_id, one.entry())
+    world.wait(
+        lambda: all(
+            entry.inst.directory.servers_of("far")
+            and entry.inst.catalog.version == 2
+            for entry in world.entries
+        )
+    )
+    # The first request finds that the server is out of reach.
+    assert world.ask("/far/1").status == 503
+    yield world, one
+    one.close()
+
+
+@pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
+@pytest.mark.parametrize("crashes", [True, False])
+def test_the_same_through_another_instance(far_server, crashes, head):
+    """Guards against relayed answers that are not examined at all."""
+    world, one = far_server
+    for name, value in head.items():
+        setattr(one, name, value)
+    if crashes:
+        one.ends_under = lambda run: True
+        one.ends_at = server_module.Moment.EVENTS
+    answer = world.ask("/far/1")
+    assert len(one.runs) == 1
+    assert answer.status == 200
+    if crashes:
+        assert not answer.whole
+    else:
+        assert answer.whole
+        assert _numbers(answer) == list(range(1, _EVENTS + 1))
+
+
 @pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
 @pytest.mark.parametrize("target", ["/valve/1", "/alarm/1", "/query/1"])
 def test_answers_of_sound_servers_are_whole(make_world, target, head):
