A reset that the sender of a request sees does not end its response

Callers saw: a server answers a long upload at once, with 200 and no length, sends part of its body and resets the connection while the upload is being written; the caller gets that part as a complete response.

Cause: the kernel reports a reset once, to whichever call comes first. The greenlet that writes a long body got it and only noted that writing had failed; the next read found an ordinary end of the input, which ends a response without length.

Change: when the input ends after writing has failed by anything but this process's own time limit, the response is broken off. Responses with a length or chunks are complete once they have arrived, as before.

--- /dev/null
+++ b/irisshelf/tests/test_failed_connections.py
@@ -0,0 +1,118 @@
+"""Connections that fail while a response without length is read.
+
+The kernel reports the failure of a connection once. If that goes unseen, the
+connection seems to have ended, and the part of the response that has arrived
+looks complete.
+"""
+
+import gevent
+import pytest
+from gevent import server
+
+from irisshelf.platform.stand_in import world as world_module
+from irisshelf.transport import client
+from irisshelf.transport import closing
+from irisshelf.transport import errors
+
+_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+    b"Response-Signature: s1\r\nContent-Type: text/plain\r\n"
+)
+# A whole event, for streams.
+_PART = b"id: 1\ndata: a part of the body\n\n"
+# More than the buffers of a connection on loopback hold.
+_UPLOAD = b"x" * 8_000_000
+
+
+def _read_all(conn):
+    conn.read_head(timeout_s=5.0)
+    return conn.read_body("response", max_bytes=1000, timeout_s=5.0)
+
+
+@pytest.fixture
+def serve():
+    """Starts servers whose connections a function serves."""
+    servers = []
+
+    def start(function):
+        servers.append(
+            server.StreamServer(
+                ("127.0.0.1", 0), lambda sock, _: function(sock)
+            )
+        )
+        servers[-1].start()
+        return f"127.0.0.1:{servers[-1].server_port}"
+
+    yield start
+    for one in servers:
+        one.stop(timeout=0)
+
+
+def _reset_midway(after_s):
+    """Returns a server that answers part of a body, then resets."""
+
+    def function(sock):
+        sock.recv(1000)
+        sock.sendall(_HEAD + b"\r\n" + _PART)
+        gevent.sleep(after_s)
+        closing.reset(sock)
+
+    return function
+
+
+@pytest.mark.parametrize("read_after_s", [0.0, 0.2])
+@pytest.mark.parametrize("reset_after_s", [0.0, 0.1])
+def test_a_reset_while_the_request_is_sent_is_no_end(
+    serve, reset_after_s, read_after_s
+):
+    """Guards against a reset that only the sender of the request sees."""
+    conn = client.connect(serve(_reset_midway(reset_after_s)), timeout_s=1.0)
+    headers = [(b"Host", b"a"), (b"Content-Length", b"%d" % len(_UPLOAD))]
+    conn.send("POST", "/", headers, _UPLOAD, timeout_s=5.0)
+    gevent.sleep(read_after_s)
+    with pytest.raises(errors.BrokenConnectionError):
+        _read_all(conn)
+    conn.close()
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_a_complete_response_counts_in_spite_of_a_reset(serve, framing):
+    """Guards against whole responses that an early end of the upload spoils."""
+
+    def function(sock):
+        sock.recv(1000)
+        if framing == "length":
+            body = b"Content-Length: %d\r\n\r\n%s" % (len(_PART), _PART)
+        else:
+            body = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
+            body %= (len(_PART), _PART)
+        sock.sendall(_HEAD + body)
+        gevent.sleep(0.1)
+        closing.reset(sock)
+
+    conn = client.connect(serve(function), timeout_s=1.0)
+    headers = [(b"Host", b"a"), (b"Content-Length", b"%d" % len(_UPLOAD))]
+    conn.send("POST", "/", headers, _UPLOAD, timeout_s=5.0)
+    gevent.sleep(0.2)
+    assert _read_all(conn) == _PART
+    conn.close()
+
+
+@pytest.mark.parametrize("target", ["/valve/1", "/alarm/1", "/query/1"])
+def test_callers_are_not_told_that_such_a_response_is_complete(
+    make_world, serve, target
+):
+    """Guards against part of a response delivered as the whole of it."""
+    world = make_world(targets=world_module.PATIENT)
+    address = serve(_reset_midway(0.1))
+    for one in (*world.plain, *world.engines):
+        world.store.put(
+            "servers", one.server_id, one.entry() | {"address": address}
+        )
+    world.wait(
+        lambda: all(
+            one.address == address for one in world.inst.directory.servers()
+        )
+    )
+    answer = world.ask(target, body=_UPLOAD[:4_000_000], Request_Id="r1")
+    assert answer.status in (502, 504) or not answer.whole
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -80,7 +80,7 @@
         self._turns = turns.Turns()
         self._request: list[h11.Event] = []
         self._writer: gevent.Greenlet | None = None
-        self._write_failed = False
+        self._write_error: OSError | None = None
         self._open = True
         # Whether the server has closed its side.
         self._ended = False
@@ -105,7 +105,7 @@
             and not self._ended
             and self._may_reuse()
             and written
-            and not self._write_failed
+            and self._write_error is None
             and self._http.our_state is h11.DONE
             and self._http.their_state is h11.DONE
             and not self._http.trailing_data[0]
@@ -157,7 +157,7 @@
         if body:
             self._request.insert(1, h11.Data(data=body))
         parts = self._encode_request()
-        self._write_failed = False
+        self._write_error = None
         if sum(map(len, parts)) > _BACKGROUND_WRITE_BYTES:
             if body_timeout_s is None:
                 body_timeout_s = timeout_s
@@ -352,9 +352,9 @@
             for part in parts:
                 self._sock.settimeout(max(0.001, until_s - boottime.now()))
                 self._sock.sendall(part)
-        except OSError:
+        except OSError as exc:
             # Reported by the reading side, which learns how the exchange ended.
-            self._write_failed = True
+            self._write_error = exc
 
     def _next_event(self, deadline_s: float) -> h11.Event:
         while True:
@@ -437,13 +437,33 @@
             raise errors.BrokenConnectionError(
                 f"reading failed: {exc}"
             ) from exc
-        self._ended = self._ended or not data
+        if not data:
+            self._ended = True
+            self._check_write()
         self._turns.record(len(data))
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise self._protocol_error(exc) from exc
 
+    def _check_write(self) -> None:
+        """Checks whether the end of the input is one.
+
+        The kernel reports that a connection was reset to whichever call comes
+        first. After that, reads find the end of the input.
+
+        Raises:
+            errors.BrokenConnectionError: The connection failed while the
+                request was sent.
+            errors.RelayLostError: The same of a tunnel.
+        """
+        exc = self._write_error
+        if exc is None or _is_own_timeout(exc):
+            return
+        if isinstance(exc, errors.TunnelLostError):
+            raise errors.RelayLostError(f"sending failed: {exc}") from exc
+        raise errors.BrokenConnectionError(f"sending failed: {exc}") from exc
+
 
 def connect(address: str, *, timeout_s: float) -> Connection:
     """Connects to a server.
@@ -497,6 +517,14 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
 
 
+def _is_own_timeout(exc: OSError) -> bool:
+    """Returns whether an error is a time limit of this process.
+
+    The kernel's own time-outs end the connection, and have a number.
+    """
+    return isinstance(exc, TimeoutError) and exc.errno is None
+
+
 def _size(event: h11.InformationalResponse) -> int:
     """Returns about how many bytes an interim response takes."""
     return _LINE_BYTES + sum(
