A time-out of the kernel does not end a response

Callers saw: part of a body as a complete response. Conditions: the response has no length, and the server's host is lost, or the server stops reading a long upload.

Cause: after two unanswered keep-alive probes, or data unread for too long, the kernel ends the connection with ETIMEDOUT, which Python raises as TimeoutError. That was taken for the time limit of the read, after which a read is tried once more in case the process had been paused; the second read finds an ordinary end of the input.

Change: the two are told apart by the error number. Of a tunnel, the kernel's time-out means that the tunnel is lost.

--- a/irisshelf/tests/test_failed_connections.py
+++ b/irisshelf/tests/test_failed_connections.py
@@ -5,9 +5,13 @@
 looks complete.
 """
 
+import errno
+import os
+
 import gevent
 import pytest
 from gevent import server
+from gevent import socket
 
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.transport import client
@@ -98,6 +102,72 @@
     conn.close()
 
 
+class _FailingSocket:
+    """A socket whose next read without data reports an error, once."""
+
+    def __init__(self, *, sock, number):
+        self._sock = sock
+        self._number = number
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def recv(self, size):
+        data = self._sock.recv(size)
+        if not data and self._number:
+            number, self._number = self._number, 0
+            raise OSError(number, os.strerror(number))
+        return data
+
+
+@pytest.mark.parametrize(
+    "number",
+    [
+        errno.ETIMEDOUT,
+        errno.ECONNRESET,
+        errno.EHOSTUNREACH,
+        errno.ENETUNREACH,
+        errno.EPIPE,
+    ],
+    ids=errno.errorcode.get,
+)
+def test_an_error_of_the_kernel_is_no_end(number):
+    """Guards against a lost host, whose time-out a second read conceals."""
+    local, remote = socket.socketpair()
+    conn = client.Connection(
+        sock=_FailingSocket(sock=local, number=number), address="peer"
+    )
+    conn.send("GET", "/", [(b"Host", b"a")], b"", timeout_s=1.0)
+    # Closed with unread input, the socket would report an error of its own.
+    remote.recv(1000)
+    remote.sendall(_HEAD + b"\r\n" + _PART)
+    remote.close()
+    with pytest.raises(errors.BrokenConnectionError):
+        _read_all(conn)
+    conn.close()
+
+
+def test_a_server_that_stops_reading_does_not_end_its_response(serve):
+    """Guards against the kernel's limit on unread data, taken for an end."""
+    ended = []
+
+    def function(sock):
+        sock.recv(1000)
+        sock.sendall(_HEAD + b"\r\n" + _PART)
+        while not ended:
+            gevent.sleep(0.05)
+        sock.close()
+
+    conn = client.connect(serve(function), timeout_s=1.0)
+    headers = [(b"Host", b"a"), (b"Content-Length", b"%d" % len(_UPLOAD))]
+    conn.send("POST", "/", headers, _UPLOAD, timeout_s=0.5)
+    conn.read_head(timeout_s=1.0)
+    with pytest.raises(errors.BrokenConnectionError):
+        conn.read_body("response", max_bytes=1000, timeout_s=20.0)
+    ended.append(True)
+    conn.close()
+
+
 @pytest.mark.parametrize("target", ["/valve/1", "/alarm/1", "/query/1"])
 def test_callers_are_not_told_that_such_a_response_is_complete(
     make_world, serve, target
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -407,12 +407,21 @@
         """Waits for data, and checks for input once more after a time-out.
 
         When a process resumes after a pause, its timers have expired and the
-        data that arrived meanwhile has not been read.
+        data that arrived meanwhile has not been read. After the kernel's own
+        time-out nothing follows but the end of the input.
+
+        Raises:
+            errors.BrokenConnectionError: The kernel has given the connection
+                up.
         """
         self._sock.settimeout(timeout_s)
         try:
             return self._sock.recv(_READ_BYTES)
-        except TimeoutError:
+        except TimeoutError as exc:
+            if not polling.is_own_timeout(exc):
+                raise errors.BrokenConnectionError(
+                    f"reading failed: {exc}"
+                ) from exc
             if not self.has_input():
                 raise
             return self._sock.recv(_READ_BYTES)
@@ -458,7 +467,7 @@
             errors.RelayLostError: The same of a tunnel.
         """
         exc = self._write_error
-        if exc is None or _is_own_timeout(exc):
+        if exc is None or polling.is_own_timeout(exc):
             return
         if isinstance(exc, errors.TunnelLostError):
             raise errors.RelayLostError(f"sending failed: {exc}") from exc
@@ -517,14 +526,6 @@
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=max_head_bytes)
 
 
-def _is_own_timeout(exc: OSError) -> bool:
-    """Returns whether an error is a time limit of this process.
-
-    The kernel's own time-outs end the connection, and have a number.
-    """
-    return isinstance(exc, TimeoutError) and exc.errno is None
-
-
 def _size(event: h11.InformationalResponse) -> int:
     """Returns about how many bytes an interim response takes."""
     return _LINE_BYTES + sum(
--- a/irisshelf/transport/polling.py
+++ b/irisshelf/transport/polling.py
@@ -1,4 +1,4 @@
-"""The state of a socket, polled without waiting."""
+"""The state of a socket, polled without waiting, and what its errors mean."""
 
 from __future__ import annotations
 
@@ -26,3 +26,12 @@
     poll = select.poll()
     poll.register(sock, events)
     return bool(poll.poll(0))
+
+
+def is_own_timeout(exc: Exception) -> bool:
+    """Returns whether an error is a time limit that this process has set.
+
+    After a time-out of the kernel's, which has an error number, the connection
+    is of no use.
+    """
+    return isinstance(exc, TimeoutError) and exc.errno is None
--- a/irisshelf/transport/tunnel.py
+++ b/irisshelf/transport/tunnel.py
@@ -111,9 +111,9 @@
             try:
                 self._proto.send_binary(data[start : start + _READ_BYTES])
                 _flush(self._proto, self._sock)
-            except TimeoutError:
-                raise
             except (OSError, exceptions.WebSocketException) as exc:
+                if polling.is_own_timeout(exc):
+                    raise
                 raise errors.TunnelLostError(str(exc)) from exc
 
     def recv(self, size: int) -> bytes:
@@ -155,9 +155,9 @@
     def _receive(self, size: int) -> None:
         try:
             data = self._sock.recv(size)
-        except TimeoutError:
-            raise
         except OSError as exc:
+            if polling.is_own_timeout(exc):
+                raise
             raise errors.TunnelLostError(str(exc)) from exc
         if not data:
             raise errors.TunnelLostError("closed without a closing frame")
