A connection that the instance shuts down does not end its response

Callers saw (by a test): part of a response without length as complete, where the instance aborted the request itself: another incarnation of the server was listed, or the memory of all responses was exhausted.

Cause: a shutdown looks like the end of the input to a greenlet that reads afterwards. One that waits in a read gets an error; one that waits for its caller, or pauses, does not.

Change: Connection.shutdown is remembered, and the end of the input is an error then.

--- a/irisshelf/tests/test_failed_connections.py
+++ b/irisshelf/tests/test_failed_connections.py
@@ -168,6 +168,28 @@
     conn.close()
 
 
+@pytest.mark.parametrize("waits", [True, False], ids=["waits", "is-busy"])
+def test_a_connection_that_is_shut_down_here_is_no_end(serve, waits):
+    """Guards against the abort of a request, taken for its server's end.
+
+    The greenlet that reads may wait for the caller at that moment.
+    """
+
+    def function(sock):
+        sock.recv(1000)
+        sock.sendall(_HEAD + b"\r\n" + _PART)
+        gevent.sleep(5.0)
+
+    conn = client.connect(serve(function), timeout_s=1.0)
+    conn.send("GET", "/", [(b"Host", b"a")], b"", timeout_s=1.0)
+    gevent.spawn_later(0.1, conn.shutdown)
+    if not waits:
+        gevent.sleep(0.2)
+    with pytest.raises(errors.BrokenConnectionError):
+        _read_all(conn)
+    conn.close()
+
+
 @pytest.mark.parametrize("target", ["/valve/1", "/alarm/1", "/query/1"])
 def test_callers_are_not_told_that_such_a_response_is_complete(
     make_world, serve, target
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -84,6 +84,7 @@
         self._open = True
         # Whether the server has closed its side.
         self._ended = False
+        self._shut_down = False
         self._unframed = False
         self.idle_s = 0.0
         self._unread_limit_ms = _USER_TIMEOUT_MS
@@ -300,8 +301,9 @@
     def shutdown(self) -> None:
         """Shuts the connection down while another greenlet may wait on it.
 
-        The waiting greenlet sees it as closed by the server.
+        The waiting greenlet gets ``errors.BrokenConnectionError``.
         """
+        self._shut_down = True
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -448,14 +450,14 @@
             ) from exc
         if not data:
             self._ended = True
-            self._check_write()
+            self._check_input_end()
         self._turns.record(len(data))
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
             raise self._protocol_error(exc) from exc
 
-    def _check_write(self) -> None:
+    def _check_input_end(self) -> None:
         """Checks whether the end of the input is one.
 
         The kernel reports that a connection was reset to whichever call comes
@@ -463,9 +465,11 @@
 
         Raises:
             errors.BrokenConnectionError: The connection failed while the
-                request was sent.
+                request was sent, or was shut down.
             errors.RelayLostError: The same of a tunnel.
         """
+        if self._shut_down:
+            raise errors.BrokenConnectionError("connection was shut down")
         exc = self._write_error
         if exc is None or polling.is_own_timeout(exc):
             return
