The end of a relayed connection is read from a tunnel that has been reset

Callers saw (by a test): 502 for a relayed request, as reading failed with 'transport endpoint is not connected', where the closing frame had told how the server's connection ended.

Cause: the closing frame is followed by a shutdown of the input, so that an idle connection polls as ended. It fails if the relay has already reset the tunnel, as it does while an upload is under way, and the error replaced what the frame said.

Change: a tunnel that is reset needs no shutdown; the error is dropped there.

--- a/irisshelf/tests/test_tunnel.py
+++ b/irisshelf/tests/test_tunnel.py
@@ -151,6 +151,38 @@
         sock.recv(100)
 
 
+@pytest.mark.parametrize("piece", [b"", b"part of a response"])
+@pytest.mark.parametrize("reads_first", [True, False])
+@pytest.mark.parametrize("answers_after_s", [0.0])
+def test_a_reset_during_an_upload_is_no_orderly_end(
+    open_tunnel, piece, reads_first, answers_after_s
+):
+    """Guards against a reset that only the upward direction sees."""
+
+    def reset(sock):
+        sock.recv(1000)
+        gevent.sleep(answers_after_s)
+        sock.sendall(piece)
+        gevent.sleep(0.1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        sock.close()
+
+    def upload():
+        with pytest.raises(errors.TunnelLostError):
+            sock.sendall(b"x" * 30_000_000)
+
+    sock, _, _ = open_tunnel(reset)
+    sock.settimeout(5.0)
+    writer = gevent.spawn(upload)
+    if not reads_first:
+        writer.join()
+    assert _read(sock, len(piece)) == piece
+    with pytest.raises(ConnectionResetError):
+        sock.recv(100)
+    writer.get()
+    sock.close()
+
+
 @pytest.mark.parametrize("reset", [True, False])
 def test_a_lost_relay_is_no_end_of_the_server_s_connection(open_tunnel, reset):
     """Guards against truncated responses, and against blaming the server."""
--- a/irisshelf/transport/tunnel.py
+++ b/irisshelf/transport/tunnel.py
@@ -179,12 +179,19 @@
             self.stopping = True
         elif event.opcode is frames.Opcode.CLOSE:
             self._end = frames.Close.parse(bytes(event.data)).code
-            # An idle connection is polled for input to find that it has ended.
-            self._sock.shutdown(socket.SHUT_RD)
+            self._end_input()
         elif event.opcode is frames.Opcode.BINARY:
             return bytes(event.data)
         return b""
 
+    def _end_input(self) -> None:
+        """Ends the input: idle connections are polled for that."""
+        try:
+            self._sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The other instance has reset the tunnel, which ends it as well.
+            return
+
 
 def connect(address: str, target: str, *, timeout_s: float) -> TunnelSocket:
     """Opens a tunnel.
