A relay that sees a reset while sending does not report an orderly end

Callers saw (by a test): part of a response without length as complete, where the request was relayed and its server reset the connection during an upload.

Cause: as with direct connections, the kernel reports the reset to the first call. The relay's upward direction got it and left, the downward one found the end of the server's data before it was ended, and sent the closing frame of an orderly close.

Change: the relay records that the server's connection broke wherever it sees it, and passes on what has arrived before the closing frame, which says that it broke.

--- a/irisshelf/tests/test_tunnel.py
+++ b/irisshelf/tests/test_tunnel.py
@@ -153,7 +153,7 @@
 
 @pytest.mark.parametrize("piece", [b"", b"part of a response"])
 @pytest.mark.parametrize("reads_first", [True, False])
-@pytest.mark.parametrize("answers_after_s", [0.0])
+@pytest.mark.parametrize("answers_after_s", [0.0, 0.1])
 def test_a_reset_during_an_upload_is_no_orderly_end(
     open_tunnel, piece, reads_first, answers_after_s
 ):
--- a/irisshelf/transport/tunnel.py
+++ b/irisshelf/transport/tunnel.py
@@ -305,6 +305,9 @@
         downward = gevent.spawn(self._relay_down)
         try:
             self._relay_up()
+            if self.server_broke:
+                # What the server has sent before is passed on.
+                downward.join()
         finally:
             # The user of the tunnel has ended it, or the server has.
             downward.kill()
@@ -350,10 +353,22 @@
                 continue
             if event.opcode is frames.Opcode.BINARY:
                 self.relayed_bytes += len(event.data)
-                self._target.sendall(event.data)
+                self._send_to_server(event.data)
             elif event.opcode is frames.Opcode.PING:
                 self._count_ping()
 
+    def _send_to_server(self, data: bytes) -> None:
+        """Sends data to the server.
+
+        The kernel reports a reset once: if it is seen here, the other direction
+        finds an orderly end of the server's data.
+        """
+        try:
+            self._target.sendall(data)
+        except OSError as exc:
+            self.server_broke = not polling.is_own_timeout(exc)
+            raise
+
     def _count_ping(self) -> None:
         """Ends a tunnel whose answers to pings would fill the memory.
 
