An error response that its server's crash cuts short is not relayed as complete

Callers saw (by a test): a status 500 with the server's signature and a part of its body, as complete.

Cause: only successes were checked for a server that exits with its response.

Change: read_complete_body does the check for all bodies that may be relayed. The body of a rejection as not run is discarded, and needs none.

--- a/irisshelf/gateway/requests/attempt.py
+++ b/irisshelf/gateway/requests/attempt.py
@@ -208,7 +208,7 @@
                 f"status {head.status}, but without signature or request id, "
                 "or with an encoded body",
             )
-        body = self._relay.read_body(head)
+        body = self._relay.read_complete_body(head)
         raise send_error.SendError(
             server_outcome=(
                 server_stats.Outcome.FAILED
--- a/irisshelf/gateway/requests/response_relay.py
+++ b/irisshelf/gateway/requests/response_relay.py
@@ -88,8 +88,7 @@
         Raises:
             send_error.SendError: It is incomplete.
         """
-        body = self.read_body(head)
-        self._check_end()
+        body = self.read_complete_body(head)
         self._share.keep()
         self._record_first_byte()
         self._caller.answer(head.status, list(head.headers), body)
@@ -198,8 +197,21 @@
         kind = self._job.route.kind.value
         self._inst.metrics.first_byte.labels(kind).observe(elapsed_s)
 
+    def read_complete_body(self, head: messages.AnswerHead) -> bytes:
+        """Reads a whole body that may be relayed.
+
+        Args:
+            head: The head of the response.
+
+        Raises:
+            send_error.SendError: It is incomplete or too long.
+        """
+        body = self.read_body(head)
+        self._check_end()
+        return body
+
     def read_body(self, head: messages.AnswerHead) -> bytes:
-        """Reads a whole body.
+        """Reads a body, also one that a crash of its server may cut short.
 
         Args:
             head: The head of the response.
--- a/irisshelf/platform/stand_in/server.py
+++ b/irisshelf/platform/stand_in/server.py
@@ -159,6 +159,8 @@
         self.unframed = False
         # Whether such an answer announces that its connection is closed.
         self.announces_close = False
+        # Status of the answer whose middle the server's end comes in.
+        self.status = 200
         # Version of HTTP of such an answer.
         self.http_version = b"1.1"
         # Processing time relative to normal in percent, as it reports it, also
@@ -397,7 +399,7 @@
         gevent.sleep(owner.before_end_s)
         out = self._writer(Fault.NONE, conn)
         if owner.ends_at is not Moment.ARRIVAL:
-            out.begin(200, self._head(run))
+            out.begin(owner.status, self._head(run, status=owner.status))
         if owner.ends_at is Moment.EVENTS:
             first = run.after_event + 1
             for number in range(first, first + owner.events_before_end):
@@ -438,7 +440,7 @@
             self._sock.sendall(b"\x00\x01 this is no answer\r\n\r\n")
             conn.abort()
         elif fault is Fault.FAIL:
-            conn.answer(500, self._head(run, status=500), b"failed")
+            self._fail(run, conn)
         elif fault is Fault.BARE_503:
             conn.answer(503, self._head(run, status=503), b"overloaded")
         elif self._owner._streaming:
@@ -446,6 +448,16 @@
         else:
             self._plain(fault, run, conn)
 
+    def _fail(self, run: Run, conn: http.Connection) -> None:
+        head = self._head(run, status=500)
+        if not self._owner.unframed:
+            conn.answer(500, head, b"failed")
+            return
+        out = self._writer(Fault.NONE, conn)
+        out.begin(500, head)
+        out.write(b"failed")
+        out.end()
+
     def _head(self, run: Run, fault: Fault = Fault.NONE, status: int = 200):
         request_id = run.request_id
         if fault is Fault.OTHER_ID:
--- a/irisshelf/tests/test_unframed_answers.py
+++ b/irisshelf/tests/test_unframed_answers.py
@@ -179,6 +179,26 @@
     assert answer.status in (502, 504) or b"answer to" in answer.body
 
 
+@pytest.mark.parametrize("head", _HEADS.values(), ids=_HEADS)
+@pytest.mark.parametrize("target", ["/valve/1", "/alarm/1", "/query/1"])
+@pytest.mark.parametrize("crashes", [True, False], ids=["crash", "sound"])
+def test_an_error_response_is_relayed_if_it_is_complete(
+    make_world, crashes, target, head
+):
+    """Guards against an error response that its server's crash cuts short."""
+    world = _world(make_world)
+    _frame(world, head)
+    if crashes:
+        _crash_under(world, b"x", 1)
+    for one in (*world.plain, *world.engines):
+        one.status = 500
+        one.always = Fault.FAIL
+    answer = world.ask(target, body=b"x")
+    assert answer.whole
+    assert answer.status == (502 if crashes else 500)
+    assert ("response-signature" in answer.headers) is not crashes
+
+
 @pytest.fixture
 def far_server(make_world):
     """A world, and a server that its first instance reaches by the second."""
