Heads that are not valid HTTP are no responses

Callers saw on other systems: a status 000 as a response, header lines with a blank or a control byte in the name passed on, and bodies that were not the server's. Of these, status 000 and bytes inside a name were rejected here before. Not rejected: a name after a blank. The parser joins such a line to the header before it, so that a Content-Length is lost and the body ends with the connection. Nor control bytes in values, nor HTTP/9.9, which stricter parsers of callers take for no HTTP.

Cause: h11 accepts obsolete line folding, any version number, and control bytes in values.

Change: response_head.HeadChecker looks at the bytes of each head, interim ones included.

--- a/irisshelf/platform/stand_in/world.py
+++ b/irisshelf/platform/stand_in/world.py
@@ -253,6 +253,19 @@
             one.close()
         self.store.close()
 
+    def list_all_at(self, address: str) -> None:
+        """Lists all servers at one address, and waits until that is known."""
+        everyone = [*self.plain, *self.engines]
+        for one in everyone:
+            entry = one.entry() | {"address": address}
+            self.store.put("servers", one.server_id, entry)
+        listed = self.inst.directory.get
+        self.wait(
+            lambda: all(
+                listed(one.server_id).address == address for one in everyone
+            )
+        )
+
     def wait(self, until: Callable[[], bool]) -> None:
         """Waits for something that must come.
 
--- a/irisshelf/tests/conftest.py
+++ b/irisshelf/tests/conftest.py
@@ -3,6 +3,7 @@
 import os
 
 import pytest
+from gevent import server as gevent_server
 
 from irisshelf.platform.stand_in import world as world_module
 from irisshelf.tests import known_red
@@ -65,3 +66,22 @@
     yield make
     for one in made:
         one.close()
+
+
+@pytest.fixture
+def serve():
+    """Starts servers whose connections a function serves; returns addresses."""
+    servers = []
+
+    def start(function):
+        servers.append(
+            gevent_server.StreamServer(
+                ("127.0.0.1", 0), lambda sock, _: function(sock)
+            )
+        )
+        servers[-1].start()
+        return f"127.0.0.1:{servers[-1].server_port}"
+
+    yield start
+    for one in servers:
+        one.stop(timeout=0)
--- a/irisshelf/tests/test_failed_connections.py
+++ b/irisshelf/tests/test_failed_connections.py
@@ -10,7 +10,6 @@
 
 import gevent
 import pytest
-from gevent import server
 from gevent import socket
 
 from irisshelf.platform.stand_in import world as world_module
@@ -33,25 +32,6 @@
     return conn.read_body("response", max_bytes=1000, timeout_s=5.0)
 
 
-@pytest.fixture
-def serve():
-    """Starts servers whose connections a function serves."""
-    servers = []
-
-    def start(function):
-        servers.append(
-            server.StreamServer(
-                ("127.0.0.1", 0), lambda sock, _: function(sock)
-            )
-        )
-        servers[-1].start()
-        return f"127.0.0.1:{servers[-1].server_port}"
-
-    yield start
-    for one in servers:
-        one.stop(timeout=0)
-
-
 def _reset_midway(after_s):
     """Returns a server that answers part of a body, then resets."""
 
@@ -196,15 +176,6 @@
 ):
     """Guards against part of a response delivered as the whole of it."""
     world = make_world(targets=world_module.PATIENT)
-    address = serve(_reset_midway(0.1))
-    for one in (*world.plain, *world.engines):
-        world.store.put(
-            "servers", one.server_id, one.entry() | {"address": address}
-        )
-    world.wait(
-        lambda: all(
-            one.address == address for one in world.inst.directory.servers()
-        )
-    )
+    world.list_all_at(serve(_reset_midway(0.1)))
     answer = world.ask(target, body=_UPLOAD[:4_000_000], Request_Id="r1")
     assert answer.status in (502, 504) or not answer.whole
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -13,6 +13,7 @@
 from irisshelf import boottime
 from irisshelf.transport import errors
 from irisshelf.transport import polling
+from irisshelf.transport import response_head
 from irisshelf.transport import turns
 
 _READ_BYTES = 65536
@@ -76,6 +77,7 @@
         self._sock = sock
         self._max_head_bytes = MAX_HEAD_BYTES
         self._http = _new_parser(MAX_HEAD_BYTES)
+        self._head_checker = response_head.HeadChecker()
         self._late_events = 0
         self._turns = turns.Turns()
         self._request: list[h11.Event] = []
@@ -149,6 +151,7 @@
         """
         self._max_head_bytes = max_head_bytes
         self._http = _new_parser(max_head_bytes)
+        self._head_checker = response_head.HeadChecker()
         self._late_events = 0
         self._unframed = False
         self._request = [
@@ -199,6 +202,8 @@
         interim_bytes = 0
         while True:
             event = self._next_event(deadline_s)
+            if isinstance(event, (h11.Response, h11.InformationalResponse)):
+                self._head_checker.check(event)
             if isinstance(event, h11.Response):
                 self._unframed = self._is_unframed(event)
                 return event.status_code, tuple(event.headers.raw_items())
@@ -290,8 +295,10 @@
                 "connection closed after the response to an earlier request"
             )
         self._http = _new_parser(self._max_head_bytes)
+        self._head_checker = response_head.HeadChecker()
         self._encode_request()
         if extra:
+            self._head_checker.feed(extra)
             self._http.receive_data(extra)
 
     def has_input(self) -> bool:
@@ -452,6 +459,8 @@
             self._ended = True
             self._check_input_end()
         self._turns.record(len(data))
+        if self._http.their_state is h11.SEND_RESPONSE:
+            self._head_checker.feed(data)
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as exc:
