Plain services of the daemon: a crash or a reset does not end a response

Callers of the daemon saw (by tests): part of a response without length as the whole of it, where the server exited with it, or reset the connection during an upload.

Change: BoundedSocket raises the error of sending where the input seems to end; the client of plain services connects to the server before the end of a response without length counts. The connect that both use is client.connect_to_listener, from ExitProbe. Streams of engines have an end of their own.

--- a/irisshelf/backends/bounded_socket.py
+++ b/irisshelf/backends/bounded_socket.py
@@ -58,18 +58,27 @@
     def sendall(self, data: bytes, flags: int = 0) -> None:
         """Sends a part of a request; see ``socket.sendall``."""
         self._begin()
-        super().sendall(data, flags)
+        try:
+            super().sendall(data, flags)
+        except OSError as exc:
+            self._send_error = exc
+            raise
 
     def recv(self, *args: Any) -> bytes:
         """Receives a part of a response; see ``socket.recv``.
 
         Raises:
-            OSError: The response is too long, or its head is.
+            OSError: The response is too long, or its head is, or the input ends
+                after the connection has failed while the request was sent.
             TimeoutError: The response takes too long.
         """
         if boottime.now() > self._until_s:
             raise TimeoutError(f"no end within {self._bounds.max_s} s")
         data = super().recv(*args)
+        if not data and self._send_error is not None:
+            # geventhttpclient reads on after an error in sending. The kernel
+            # reports a reset once, so that the input seems to end.
+            raise self._send_error
         self._turns.record(len(data) + turns.PART_COST)
         self._size += len(data)
         if self._size > self._bounds.max_bytes:
@@ -82,6 +91,7 @@
 
     def _begin(self) -> None:
         self._size = 0
+        self._send_error: OSError | None = None
         self._head_bytes = 0
         self._event_bytes = 0
         # What has arrived of the head; None after its end.
--- a/irisshelf/backends/service.py
+++ b/irisshelf/backends/service.py
@@ -9,6 +9,12 @@
 from irisshelf.backends import messages
 from irisshelf.backends import pool
 from irisshelf.routing import outcome
+from irisshelf.transport import client
+from irisshelf.transport import errors as transport_errors
+
+# A response with one of these has no body, whatever its head says.
+_BODYLESS_STATUSES = frozenset({204, 304})
+_HEAD = "HEAD"
 
 # Headers that apply to a single connection and must not be forwarded
 # (RFC 9110, section 7.6.1).
@@ -38,7 +44,7 @@
     and then it is unknown whether the request ran.
     """
     del clients
-    client = pool.new_client(
+    http_client = pool.new_client(
         call.address,
         connect_s=call.limits.connect_s,
         idle_s=call.limits.idle_s,
@@ -49,13 +55,13 @@
     }
     try:
         received = dispatch.request(
-            call.method, call.path, client, body=call.body, headers=headers
+            call.method, call.path, http_client, body=call.body, headers=headers
         )
         if isinstance(received, result.Err):
             return received
         return _read_response(call, received.ok_value)
     finally:
-        client.close()
+        http_client.close()
 
 
 def _read_response(
@@ -74,6 +80,14 @@
     body = _read_limited(response, call.limits.max_body_bytes)
     if isinstance(body, result.Err):
         return body
+    if _is_unframed(call, response) and _has_exited(call):
+        return result.Err(
+            errors.CallError(
+                outcome=outcome.Outcome.UNKNOWN,
+                cause=outcome.Cause.BROKEN,
+                detail="server exited at the end of a response without length",
+            )
+        )
     headers = tuple(
         (str(name), str(value))
         for name, value in response.items()
@@ -90,6 +104,32 @@
     )
 
 
+def _is_unframed(call: messages.ServiceCall, response) -> bool:
+    """Returns whether only the end of its connection ends a response."""
+    return (
+        response.content_length is None
+        and response.get("Transfer-Encoding") is None
+        and response.status_code not in _BODYLESS_STATUSES
+        and call.method != _HEAD
+    )
+
+
+def _has_exited(call: messages.ServiceCall) -> bool:
+    """Returns whether nothing listens at the server's address any more.
+
+    A response without length that ends then was probably cut short.
+    """
+    try:
+        conn = client.connect_to_listener(
+            call.address, timeout_s=call.limits.connect_s
+        )
+    except transport_errors.ConnectError as exc:
+        return not exc.timed_out
+    if conn is not None:
+        conn.close()
+    return False
+
+
 def _read_limited(
     response, limit: int
 ) -> result.Result[bytes, errors.CallError]:
--- a/irisshelf/gateway/servers/exit_probe.py
+++ b/irisshelf/gateway/servers/exit_probe.py
@@ -24,11 +24,6 @@
 # restarts faster. That a server listens is not remembered: it may exit at any
 # moment.
 _REFUSAL_KNOWN_S = 1.0
-# The host of a process that exits may still accept a connection, and reset it.
-# Servers that have too many connections reset new ones as well, so that a
-# further one shows which it is.
-_SETTLE_S = 0.005
-_MAX_CONNECTS = 3
 
 
 class ExitProbe:
@@ -96,20 +91,16 @@
     def _probe_end(self, server: directory.BackendServer) -> bool:
         # Those that ask from now on need another probe.
         del self._end_probes[server.address]
-        for _ in range(_MAX_CONNECTS):
-            self._metrics.connects.labels(server.service).inc()
-            try:
-                conn = client.connect(
-                    server.address, timeout_s=reachability.CONNECT_TIMEOUT_S
-                )
-            except errors.ConnectError as exc:
-                self._servers.reach.record_unreachable(server, exc, "")
-                return not exc.timed_out
-            gevent.sleep(_SETTLE_S)
-            if not conn.is_stale():
-                self._keep(server, conn)
-                return False
-            conn.close()
+        self._metrics.connects.labels(server.service).inc()
+        try:
+            conn = client.connect_to_listener(
+                server.address, timeout_s=reachability.CONNECT_TIMEOUT_S
+            )
+        except errors.ConnectError as exc:
+            self._servers.reach.record_unreachable(server, exc, "")
+            return not exc.timed_out
+        if conn is not None:
+            self._keep(server, conn)
         return False
 
     def _keep(
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -42,6 +42,11 @@
 _USER_TIMEOUT_MS = 1500
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_PROBES = 2
+# The host of a process that exits may still accept a connection, and reset it.
+# Processes that have too many connections reset new ones as well, so that a
+# further one shows which it is.
+_LISTENER_SETTLE_S = 0.005
+_MAX_LISTENER_CONNECTS = 3
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -497,6 +502,25 @@
     return Connection(sock=sock, address=address)
 
 
+def connect_to_listener(address: str, *, timeout_s: float) -> Connection | None:
+    """Connects to a process that listens, and not only its host.
+
+    Returns:
+        The connection; None if each one was accepted and reset, as by a process
+        that has too many connections.
+
+    Raises:
+        errors.ConnectError: No connection could be established.
+    """
+    for _ in range(_MAX_LISTENER_CONNECTS):
+        conn = connect(address, timeout_s=timeout_s)
+        gevent.sleep(_LISTENER_SETTLE_S)
+        if not conn.is_stale():
+            return conn
+        conn.close()
+    return None
+
+
 def open_socket(address: str, *, timeout_s: float) -> socket.socket:
     """Opens a TCP connection.
 
