Origins of streams are kept in the store, for when all instances are killed

Cause: which release began a stream was kept in the memory of instances alone.

Change: each instance writes the origins of its streams to records in the store, eight in turn, twice a second at most (40 writes a second from all instances), under the condition of the version that it knows, as the store may do a write later. They are read when no instance knows a stream, and at the start. What began in the last half second before the kill is not on record, and is rejected as before. Ruled out: more copies at instances, which are all killed; a record of releases alone, which does not tell two that serve side by side apart.

--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -30,11 +30,13 @@
 from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.gateway.knowledge import return_exchange
 from irisshelf.gateway.knowledge import store_updates
+from irisshelf.gateway.knowledge import stored_origins
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
 from irisshelf.gateway.servers import relays
 from irisshelf.observe import decision_log
 from irisshelf.store import feed
+from irisshelf.store import records
 from irisshelf.transport import server as caller_server
 
 EXIT_OK = 0
@@ -69,6 +71,7 @@
         path: The settings file.
         make_dialect: Creates the dialect of callers and backend servers.
         make_store: Creates the store client for an address.
+        make_records: Creates the client of its records for an address.
         decode_settings: Validates the content of the settings file.
     """
 
@@ -79,6 +82,7 @@
         path: pathlib.Path,
         make_dialect: Callable[[], dialect.Dialect],
         make_store: Callable[[str], feed.Feed],
+        make_records: Callable[[str], records.Records],
         decode_settings: Decoder = settings.decode,
     ):
         self._path = path
@@ -151,6 +155,15 @@
             now=self._inst.now,
         )
         self._inst.origins = self._origins
+        self._stored_origins = stored_origins.StoredOrigins(
+            name=cfg.instance,
+            store=make_records(cfg.store),
+            registry=self._origins,
+            count_members=lambda: len(self._peers.members()) + 1,
+            log=self._log,
+            counts=self._inst.metrics,
+            now=self._inst.now,
+        )
         self._inst.use_returns(
             return_exchange.ReturnExchange(
                 datagrams=self._datagrams,
@@ -240,6 +253,7 @@
         self._inst.crashes_known = not self._inst.cfg.seeds
         gevent.spawn(self._datagrams.run)
         gevent.spawn(self._origins.run)
+        gevent.spawn(self._stored_origins.run)
         if self._inst.cfg.policy.gossip:
             self._start_gossip()
         for each in self._listeners:
@@ -395,6 +409,7 @@
     *,
     make_dialect: Callable[[], dialect.Dialect],
     make_store: Callable[[str], feed.Feed],
+    make_records: Callable[[str], records.Records],
     decode_settings: Decoder = settings.decode,
 ) -> int:
     """Runs an instance from a settings file; returns the exit code."""
@@ -408,6 +423,7 @@
             path=path,
             make_dialect=make_dialect,
             make_store=make_store,
+            make_records=make_records,
             decode_settings=decode_settings,
         ).run()
     except OSError as exc:
--- a/irisshelf/gateway/requests/stream_binding.py
+++ b/irisshelf/gateway/requests/stream_binding.py
@@ -33,6 +33,7 @@
     Attributes:
         OWN: This instance keeps the origin.
         PEER: Another instance does.
+        STORE: The store does.
         ONLY: No other release can have begun it.
         CONTRADICTING: There are several origins.
         UNKNOWN: There is none.
@@ -40,6 +41,7 @@
 
     OWN = "own"
     PEER = "peer"
+    STORE = "store"
     ONLY = "only"
     CONTRADICTING = "contradicting"
     UNKNOWN = "unknown"
@@ -113,7 +115,7 @@
         source = self._find_here()
         if source is Source.UNKNOWN:
             found = self._inst.origins.find(self._key, self._candidates())
-            source = self._judge(found)
+            source = self._find_stored(found) or self._judge(found)
         self._log(source, found, self._inst.now() - began_s)
         if self.release is None:
             return self._reject(found)
@@ -152,6 +154,15 @@
         self.release = origin.release
         return Source.CONTRADICTING if origin.release is None else Source.OWN
 
+    def _find_stored(self, found: origin_registry.Finding) -> Source | None:
+        """Looks in the store for an origin that no instance knows."""
+        if found.known or self._key is None:
+            return None
+        if not self._inst.origins.find_stored(self._key):
+            return None
+        source = self._find_here()
+        return Source.STORE if source is Source.OWN else source
+
     def _judge(self, found: origin_registry.Finding) -> Source:
         if found.known:
             self.release = found.release
--- a/irisshelf/gateway/servers/origin_registry.py
+++ b/irisshelf/gateway/servers/origin_registry.py
@@ -44,6 +44,10 @@
 
     Attributes:
         origins: Those that this instance keeps.
+        on_recorded: Called with the key of a stream that is relayed here and
+            its release, None if there were several.
+        find_stored: Looks for a stream where it outlives all instances; returns
+            whether its origin is known now.
     """
 
     def __init__(
@@ -53,6 +57,8 @@
         now: Callable[[], float],
     ):
         self.origins = stream_origins.StreamOrigins()
+        self.on_recorded: Callable[[bytes, bytes | None], None] = _ignore
+        self.find_stored: Callable[[bytes], bool] = lambda key: False
         self._releases = releases
         self._now = now
 
@@ -70,7 +76,9 @@
             services: The services that might have begun it.
             release: Key of the release that did.
         """
-        self.origins.record(key, release, self._now(), own=True)
+        now = self._now()
+        self.origins.record(key, release, now, own=True)
+        self.on_recorded(key, self.origins.get(key, now).release)
 
     def find(self, key: bytes | None, services: Sequence[str]) -> Finding:
         """Asks other instances for a stream's origin.
@@ -113,3 +121,7 @@
         return frozenset().union(
             *(self._releases.recent(name, now) for name in services)
         )
+
+
+def _ignore(key: bytes, release: bytes | None) -> None:
+    """Default for ``on_recorded``."""
--- a/irisshelf/platform/__main__.py
+++ b/irisshelf/platform/__main__.py
@@ -20,12 +20,16 @@
     from irisshelf.platform import deployment
     from irisshelf.platform import http_dialect
     from irisshelf.platform import store_feed
+    from irisshelf.platform import store_records
 
     try:
         return daemon.run(
             pathlib.Path(os.environ[_SETTINGS_VARIABLE]),
             make_dialect=http_dialect.HttpDialect,
             make_store=lambda address: store_feed.StoreFeed(address=address),
+            make_records=lambda address: store_records.StoreRecords(
+                address=address
+            ),
             decode_settings=deployment.decode,
         )
     finally:
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -26,12 +26,14 @@
 from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.gateway.knowledge import return_exchange
 from irisshelf.gateway.knowledge import store_updates
+from irisshelf.gateway.knowledge import stored_origins
 from irisshelf.gateway.requests import frontend
 from irisshelf.gateway.servers import relay_endpoint
 from irisshelf.gateway.servers import relays
 from irisshelf.observe import decision_log
 from irisshelf.platform import http_dialect
 from irisshelf.platform import store_feed
+from irisshelf.platform import store_records
 from irisshelf.platform.stand_in import server
 from irisshelf.routing.direct import policy
 from irisshelf.store import feed
@@ -227,6 +229,15 @@
             now=boottime.now,
         )
         self.inst.origins = self.origins
+        self.stored_origins = stored_origins.StoredOrigins(
+            name=name,
+            store=store_records.StoreRecords(address=store),
+            registry=self.origins,
+            count_members=lambda: len(self.peers.members()) + 1,
+            log=log,
+            counts=self.inst.metrics,
+            now=boottime.now,
+        )
         self.inst.use_returns(
             return_exchange.ReturnExchange(
                 datagrams=self._datagrams,
@@ -281,6 +292,7 @@
         self._greenlets.append(gevent.spawn(self._datagrams.run))
         self._greenlets.append(gevent.spawn(self._gossip.run))
         self._greenlets.append(gevent.spawn(self.origins.run))
+        self._greenlets.append(gevent.spawn(self.stored_origins.run))
         self._greenlets.append(gevent.spawn(self.releases.catch_up))
         self._greenlets.append(gevent.spawn(self._departure_catch_up.run))
 
--- a/irisshelf/platform/stand_in/store.py
+++ b/irisshelf/platform/stand_in/store.py
@@ -9,6 +9,7 @@
 import json
 import urllib.parse
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 import gevent
@@ -245,11 +246,29 @@
             self._answer(port, conn, 503, {})
         elif path == "/api/rows-get":
             self._answer(port, conn, 200, self._page(fields))
+        elif path == "/api/rows-tx":
+            self._transact(port, conn, json.loads(request.body))
         elif path == "/api/rows-feed":
             self._feed(port, conn, fields, hold_ms)
         else:
             self._answer(port, conn, 404, {})
 
+    def _transact(
+        self, port: Port | None, conn: http.Connection, document: dict[str, Any]
+    ) -> None:
+        """Writes rows if they have the revisions that the writer knows."""
+        if self._mode(port) in (Mode.BUSY, Mode.RESET, Mode.SILENT):
+            self._answer(port, conn, 503, {})
+            return
+        for known in document["expectedRevision"]:
+            row = self._tables.get(_place(known), {}).get(known["tlsKey"])
+            if known["ver"] != (row.ver if row and not row.deleted else 0):
+                self._answer(port, conn, 412, {"rows": []})
+                return
+        for put in document["puts"]:
+            self._write(_place(put), put["tlsKey"], put["value"], deleted=False)
+        self._answer(port, conn, 200, {})
+
     def _feed(
         self,
         port: Port | None,
@@ -282,7 +301,7 @@
 
     def _page(self, fields: dict[str, str]) -> dict[str, Any]:
         tables = self.lagging.tables if self.lagging else self._tables
-        rows = tables.get(fields["table"], {})
+        rows = tables.get(_place(fields), {})
         limit = min(self.page_rows, int(fields.get("limit", _PAGE_ROWS)))
         self.pages.append(fields["table"])
         start = fields.get("from", "")
@@ -327,6 +346,12 @@
             conn.answer(status, headers, data)
 
 
+def _place(named: Mapping[str, str]) -> str:
+    """Returns where the rows of a part of a table are kept."""
+    part = named.get("part", "")
+    return f"{named['table']}/{part}" if part else named["table"]
+
+
 def encode(document: Any) -> bytes:
     """Returns a document as its writer puts it into the store."""
     return json.dumps(document).encode()
