Which releases have served is kept in the store; ages of servers tell nothing

Callers saw (test_rollouts_at_size.py, known failures): after all instances had been killed at once, streams of a release that had been taken back went on at the remaining one: ORDER.

Cause: from the ages of the servers that are listed it was concluded that no other release had served. One that is removed without another in its place leaves no trace in them.

--- a/irisshelf/catalog/releases.py
+++ b/irisshelf/catalog/releases.py
@@ -14,16 +14,11 @@
 import hashlib
 import math
 from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Mapping
 
 from irisshelf.catalog import directory
 
 KEY_BYTES = 6
-# The server that takes the place of another starts first; the other one leaves
-# within this time.
-_REPLACED_WITHIN_S = 15.0
-_MS_PER_S = 1000.0
 
 
 def release_key(server: directory.BackendServer) -> bytes:
@@ -102,7 +97,6 @@
         servers: Collection[directory.BackendServer],
         now: float,
         *,
-        wall_s: float = 0.0,
         is_complete: bool = False,
     ) -> None:
         """Applies the list as it is from now on.
@@ -110,8 +104,6 @@
         Args:
             servers: All that are listed.
             now: Monotonic seconds.
-            wall_s: Unix time in seconds, against which servers report when they
-                started.
             is_complete: Whether no server has ever been removed from the list.
         """
         for service, keys in self._listed.items():
@@ -126,9 +118,6 @@
         }
         if self._began_s is None:
             self._began_s = -math.inf if is_complete else now
-        for name in by_service.keys() - self._since_s.keys():
-            since_s = now - _settled_s(by_service[name], wall_s)
-            self._since_s[name] = min(self._began_s, since_s)
         self._expire(now)
 
     def recent(self, service: str, now: float) -> frozenset[bytes]:
@@ -143,9 +132,10 @@
     def reach_s(self, service: str, now: float) -> float:
         """Returns for how long back no release of a service is missing.
 
-        That is the time since the first list was read, and before it the time
-        in which no server can have taken the place of another one. It is
-        infinite if no server had been removed by then.
+        That is the time since the first list was read, unless others have told
+        of the time before: when the servers that are listed started tells
+        nothing of those that were removed. It is infinite if no server had been
+        removed by then.
 
         Example:
             >>> history = ReleaseHistory(life_s=60.0)
@@ -195,14 +185,3 @@
             for service, releases in self._last_s.items()
         }
         self._last_s = {name: last_s for name, last_s in kept.items() if last_s}
-
-
-def _settled_s(
-    servers: Iterable[directory.BackendServer], wall_s: float
-) -> float:
-    """Returns for how long no server has taken the place of another one."""
-    ages_s = [
-        0.0 if server.born_ms is None else wall_s - server.born_ms / _MS_PER_S
-        for server in servers
-    ]
-    return max(0.0, min(ages_s) - _REPLACED_WITHIN_S)
--- a/irisshelf/gateway/daemon.py
+++ b/irisshelf/gateway/daemon.py
@@ -159,6 +159,8 @@
             name=cfg.instance,
             store=make_records(cfg.store),
             registry=self._origins,
+            history=self._inst.servers.releases,
+            has_recent_list=self._inst.has_recent_list,
             count_members=lambda: len(self._peers.members()) + 1,
             log=self._log,
             counts=self._inst.metrics,
--- a/irisshelf/gateway/knowledge/release_exchange.py
+++ b/irisshelf/gateway/knowledge/release_exchange.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -35,13 +36,66 @@
 ]
 
 
-class _Service(msgspec.Struct, array_like=True):
+class ServiceReleases(msgspec.Struct, array_like=True):
+    """The history of one service, as it is sent.
+
+    Attributes:
+        name: Name of the service.
+        ages_s: By release, for how long it has not been listed.
+        reach_s: For how long back no release is missing.
+    """
+
     name: str
-    # By release, for how long it has not been listed.
     ages_s: dict[_Key, _Seconds]
     reach_s: _Seconds
 
 
+def describe(
+    history: releases_module.ReleaseHistory, now: float
+) -> list[ServiceReleases]:
+    """Returns the history of each service, for ``merge``.
+
+    Args:
+        history: The history.
+        now: Monotonic seconds.
+    """
+    services = []
+    for name in sorted(history.services()):
+        known = history.describe(name, now)
+        services.append(
+            ServiceReleases(
+                name=name,
+                ages_s=dict(known.ages_s),
+                reach_s=min(known.reach_s, _MAX_REACH_S),
+            )
+        )
+    return services
+
+
+def merge(
+    history: releases_module.ReleaseHistory,
+    services: Iterable[ServiceReleases],
+    now: float,
+    *,
+    age_s: float = 0.0,
+) -> None:
+    """Adds what another instance has described.
+
+    Args:
+        history: The history to add to.
+        services: The description.
+        now: Monotonic seconds.
+        age_s: How long ago it was described. Since then, no instance has used a
+            release that is not in another description.
+    """
+    for service in services:
+        described = releases_module.ServiceHistory(
+            ages_s={key: one + age_s for key, one in service.ages_s.items()},
+            reach_s=service.reach_s + age_s,
+        )
+        history.merge(service.name, described, now)
+
+
 class ReleaseExchange:
     """Serves the history of releases to peers, and asks them for theirs.
 
@@ -111,17 +165,7 @@
         """
         if not self._has_recent_list():
             return cbor2.dumps([])
-        now = self._now()
-        services = []
-        for name in sorted(self._releases.services()):
-            known = self._releases.describe(name, now)
-            services.append(
-                _Service(
-                    name=name,
-                    ages_s=dict(known.ages_s),
-                    reach_s=min(known.reach_s, _MAX_REACH_S),
-                )
-            )
+        services = describe(self._releases, self._now())
         return cbor2.dumps(
             msgspec.to_builtins(services, builtin_types=(bytes,))
         )
@@ -129,15 +173,11 @@
     def apply(self, data: bytes) -> None:
         """Applies the result of a peer's ``encode``."""
         try:
-            services = catch_up.decode(data, list[_Service])
+            services = catch_up.decode(data, list[ServiceReleases])
         except ValueError as exc:
             self._log.warning("releases_unreadable", detail=str(exc))
             return
-        for service in services:
-            history = releases_module.ServiceHistory(
-                ages_s=service.ages_s, reach_s=service.reach_s
-            )
-            self._releases.merge(service.name, history, self._now())
+        merge(self._releases, services, self._now())
         self._on_changed()
 
     def _is_complete(self) -> bool:
--- a/irisshelf/gateway/knowledge/stored_origins.py
+++ b/irisshelf/gateway/knowledge/stored_origins.py
@@ -5,10 +5,11 @@
 release began a stream, and every resumption would be rejected until no stream
 can be older than the restart.
 
-Each instance therefore writes the origins of its streams to the store, in a
-few records that it uses in turn, one for each span of time. All records are
-read when nobody else knows a stream. A stream that began within the last
-interval before the kill is not on record.
+Each instance therefore writes the origins of its streams to the store, and
+which releases there have been lately, in a few records that it uses in turn,
+one for each span of time. All records are read when nobody else knows a stream.
+A stream that began within the last interval before the kill is not on record;
+it goes on if only one release can have begun it.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 from irisshelf.catalog import releases as releases_module
 from irisshelf.coordination import stream_origins
 from irisshelf.gateway import metrics
+from irisshelf.gateway.knowledge import release_exchange
 from irisshelf.gateway.servers import origin_registry
 from irisshelf.observe import decision_log
 from irisshelf.store import records as records_module
@@ -56,6 +58,7 @@
     written_s: float
     # Keys of streams and of releases.
     origins: bytes
+    releases: list[release_exchange.ServiceReleases] = []
 
 
 class StoredOrigins:
@@ -66,6 +69,9 @@
         store: The records.
         registry: The origins that this instance knows; those that are read
             are added, and its own written.
+        history: The releases that it knows; likewise.
+        has_recent_list: Returns whether it has recently received the list of
+            servers, so that it knows all releases until then.
         count_members: Returns the number of instances.
         log: The decision log.
         counts: Metrics.
@@ -78,6 +84,8 @@
         name: str,
         store: records_module.Records,
         registry: origin_registry.OriginRegistry,
+        history: releases_module.ReleaseHistory,
+        has_recent_list: Callable[[], bool],
         count_members: Callable[[], int],
         log: decision_log.DecisionLog,
         counts: metrics.Metrics,
@@ -86,6 +94,8 @@
         self._name = name
         self._store = store
         self._origins = registry.origins
+        self._history = history
+        self._has_recent_list = has_recent_list
         registry.on_recorded = self.record
         registry.find_stored = self.find
         self._count_members = count_members
@@ -97,11 +107,16 @@
         # By number, the version of each record of this instance.
         self._versions: dict[int, int] = {}
         self._versions_known = False
+        # Whether they have been read since the list of servers is known. What
+        # they tell of the time until then is not complete before.
+        self._caught_up = False
         # The record that is written now; None until all have been read.
         self._current: int | None = None
         self._current_began_s = now()
-        # Its origins, by stream.
+        # Its origins, by stream, and what it says of releases.
         self._content: dict[bytes, bytes] = {}
+        self._written_releases: frozenset[tuple[str, bytes, bool]] = frozenset()
+        self._written_s = float("-inf")
         self._unwritten = False
         self._read_s = float("-inf")
         self._reading: gevent.Greenlet | None = None
@@ -140,13 +155,19 @@
     def run(self) -> None:
         """Writes origins until the greenlet is killed."""
         while True:
-            gevent.sleep(self._interval_s())
             self.flush()
+            gevent.sleep(
+                self.interval_s if self._caught_up else _MIN_INTERVAL_S
+            )
 
     def flush(self) -> None:
         """Writes the current record if it has changed."""
-        if not self._versions_known and not self._read():
+        if not (self._versions_known and self._caught_up) and not self._read():
             return
+        is_old = self._now() - self._written_s >= self._span_s()
+        if is_old or self._known_releases() != self._written_releases:
+            # What it tells of releases counts from when it was written.
+            self._unwritten = True
         if self._now() - self._current_began_s >= self._span_s():
             if self._unwritten and not self._write():
                 return
@@ -154,7 +175,9 @@
         elif self._unwritten:
             self._write()
 
-    def _interval_s(self) -> float:
+    @property
+    def interval_s(self) -> float:
+        """Interval between writes, in seconds."""
         return max(_MIN_INTERVAL_S, self._count_members() / _WRITES_PER_S)
 
     def _read_interval_s(self) -> float:
@@ -176,9 +199,10 @@
     def _write(self) -> bool:
         """Writes the current record; returns whether that has succeeded."""
         content = dict(self._content)
+        releases = self._known_releases()
         written = self._store.write(
             f"{self._name}{_SEPARATOR}{self._current}",
-            _encode(self._now() + self._offset_s, content),
+            self._encode(content),
             version=self._versions.get(
                 self._current, records_module.NO_VERSION
             ),
@@ -191,16 +215,53 @@
         self._report_success("write")
         self._versions[self._current] = written.ok_value.version
         self._unwritten = self._content != content
+        self._written_releases = releases
+        self._written_s = self._now()
         return True
 
+    def _known_releases(self) -> frozenset[tuple[str, bytes, bool]]:
+        """Returns the recent releases of each service.
+
+        With each is whether all releases are known that may have begun a stream
+        which is resumed now.
+        """
+        now = self._now()
+        return frozenset(
+            (
+                name,
+                release,
+                self._history.reach_s(name, now) >= self._history.horizon_s,
+            )
+            for name in self._history.services()
+            for release in self._history.recent(name, now)
+        )
+
+    def _encode(self, content: Mapping[bytes, bytes]) -> bytes:
+        now = self._now()
+        releases = []
+        if self._has_recent_list():
+            releases = release_exchange.describe(self._history, now)
+        return cbor2.dumps(
+            msgspec.to_builtins(
+                _Content(
+                    written_s=now + self._offset_s,
+                    origins=b"".join(map(b"".join, content.items())),
+                    releases=releases,
+                ),
+                builtin_types=(bytes,),
+            )
+        )
+
     def _read(self) -> bool:
         """Reads all records; returns whether that has succeeded."""
+        is_listed = self._has_recent_list()
         read = self._store.read()
         self._read_s = self._now()
         if isinstance(read, result.Err):
             self._report_failure("read", read.err_value)
             return False
         self._report_success("read")
+        self._caught_up = self._caught_up or is_listed
         snapshot = read.ok_value
         self._offset_s = snapshot.store_s - self._now()
         found = [(one, self._decode(one)) for one in snapshot.records]
@@ -235,16 +296,19 @@
             return _Content(written_s=0.0, origins=b"")
 
     def _merge(self, content: _Content, store_s: float) -> None:
-        """Adds the origins of a record, as old as the record is."""
+        """Adds what a record tells, as old as the record is."""
         now = self._now()
-        at_s = now - max(0.0, store_s - content.written_s)
-        if now - at_s > self._origins.life_s:
+        age_s = max(0.0, store_s - content.written_s)
+        if age_s > self._origins.life_s:
             return
+        release_exchange.merge(
+            self._history, content.releases, now, age_s=age_s
+        )
         for key, encoded in _split(content.origins):
             release = None if encoded == _CONTRADICTING else encoded
             known = self._origins.get(key, now)
             if known is None or known.release not in (None, release):
-                self._origins.record(key, release, at_s, own=False)
+                self._origins.record(key, release, now - age_s, own=False)
 
     def _report_failure(self, call: str, failure: object) -> None:
         """Logs that a kind of call fails, once."""
@@ -260,11 +324,6 @@
             self._log.instance("stored_origins_available", call=call)
 
 
-def _encode(written_s: float, content: Mapping[bytes, bytes]) -> bytes:
-    origins = b"".join(key + release for key, release in content.items())
-    return cbor2.dumps([written_s, origins])
-
-
 def _split(data: bytes) -> Iterator[tuple[bytes, bytes]]:
     """Yields the keys of streams and of their releases."""
     for start in range(0, len(data) - _ORIGIN_BYTES + 1, _ORIGIN_BYTES):
--- a/irisshelf/gateway/servers/servers.py
+++ b/irisshelf/gateway/servers/servers.py
@@ -4,7 +4,6 @@
 
 import functools
 import random
-import time
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -238,7 +237,6 @@
         self.releases.update(
             servers,
             self._now(),
-            wall_s=time.time(),
             is_complete=self.list_is_complete,
         )
         self.on_releases_changed()
--- a/irisshelf/platform/stand_in/entry.py
+++ b/irisshelf/platform/stand_in/entry.py
@@ -233,6 +233,8 @@
             name=name,
             store=store_records.StoreRecords(address=store),
             registry=self.origins,
+            history=self.inst.servers.releases,
+            has_recent_list=self.inst.has_recent_list,
             count_members=lambda: len(self.peers.members()) + 1,
             log=log,
             counts=self.inst.metrics,
--- a/irisshelf/testing/origin_network.py
+++ b/irisshelf/testing/origin_network.py
@@ -23,7 +23,9 @@
 from irisshelf.gateway.knowledge import origin_exchange
 from irisshelf.gateway.knowledge import origin_questions
 from irisshelf.gateway.knowledge import release_exchange
+from irisshelf.gateway.knowledge import stored_origins
 from irisshelf.observe import decision_log
+from irisshelf.testing import memory_records
 
 SERVICE = "lm"
 # Datagrams and questions arrive at once here, and answers before they are
@@ -69,6 +71,7 @@
         cut: Names of instances that nothing reaches.
         is_new: Whether no server has been removed yet.
         born_s: When the servers of a version have started, if they tell it.
+        records: The records in the store.
         instances: By name.
     """
 
@@ -84,6 +87,7 @@
         self.datagrams = 0
         self.cut: set[str] = set()
         self.born_s: dict[str, float] = {}
+        self.records = memory_records.MemoryRecords(now=lambda: self.now)
         self.is_new = False
         self._rng = random.Random(7)
         self._loss = loss
@@ -161,6 +165,7 @@
         exchange: The exchange.
         releases: Tells others its history, and asks for theirs.
         origins: What it keeps.
+        stored: What it keeps in the store; None if nothing.
         problems: Names of the warnings that it has logged.
     """
 
@@ -191,6 +196,8 @@
         with open(os.devnull, "wb") as sink:
             log = decision_log.DecisionLog(instance=name, fd=sink.fileno())
         log.warning = lambda line, **fields: self.problems.append(line)
+        self._log = log
+        self.stored: stored_origins.StoredOrigins | None = None
         self.exchange = origin_exchange.OriginExchange(
             releases=self.history,
             datagrams=self,
@@ -214,6 +221,20 @@
             now=lambda: network.now,
         )
 
+    def use_records(self, count_members: Callable[[], int]) -> None:
+        """Keeps origins and releases in the store as well."""
+        self.stored = stored_origins.StoredOrigins(
+            name=self.name,
+            store=self._network.records,
+            registry=self.exchange,
+            history=self.history,
+            has_recent_list=lambda: self.is_current,
+            count_members=count_members,
+            log=self._log,
+            counts=metrics.Metrics(),
+            now=lambda: self._network.now,
+        )
+
     def list_servers(self, versions: Sequence[str]) -> None:
         """Lists one server of each version from now on."""
         self.versions = tuple(versions)
@@ -225,7 +246,6 @@
         self.history.update(
             servers,
             network.now,
-            wall_s=network.now,
             is_complete=network.is_new,
         )
 
--- a/irisshelf/testing/rollout_fleet.py
+++ b/irisshelf/testing/rollout_fleet.py
@@ -226,9 +226,11 @@
         self._network.cut.discard(name)
         one = self._network.instances[name]
         one.membership.clear()
+        one.use_records(lambda: len(self._data_centres))
         one.history.horizon_s = _HORIZON_S
         self._started_s[name] = self._network.now
         self._see_list(name, self._versions)
+        self._flush(name, self._network.now)
         self._discover(name, self._network.now, -math.inf, 0)
         delay_s = 0.0
         for wait_s, asked in catch_up.ROUNDS:
@@ -237,6 +239,14 @@
             self.at(at_s, self._catch_up, name, self._network.now, asked)
         self.at(self.now_s + delay_s, self._end_catch_up, name)
 
+    def _flush(self, name: str, started_s: float) -> None:
+        """Writes to the store, again and again until the instance is killed."""
+        if name in self._down or self._started_s[name] != started_s:
+            return
+        stored = self._network.instances[name].stored
+        stored.flush()
+        self.at(self.now_s + stored.interval_s, self._flush, name, started_s)
+
     def _see_list(self, name: str, versions: Mapping[str, int]) -> None:
         if name not in self._down:
             one = self._network.instances[name]
