Origins are written at once while several releases serve, else once a second

Change: while several releases may have begun streams, origins are written every 0.15 s (40 writes a second from all instances). While it is one, which the history of releases on record tells, once a second.

--- a/irisshelf/gateway/knowledge/stored_origins.py
+++ b/irisshelf/gateway/knowledge/stored_origins.py
@@ -40,8 +40,13 @@
 _ORIGIN_BYTES = stream_origins.KEY_BYTES + releases_module.KEY_BYTES
 # The store accepts some hundred writes a second from all instances together,
 # and charges each one.
-_MIN_INTERVAL_S = 0.5
+_MIN_INTERVAL_S = 0.15
 _WRITES_PER_S = 40.0
+# While only one release can have begun a stream, its origin is needed only if
+# another one follows.
+_ONE_RELEASE_INTERVAL_S = 1.0
+# After a call that has failed.
+_RETRY_S = 1.0
 # Records are read again to find a stream at these intervals at least, so that
 # callers that resume unknown streams do not load the store.
 _MIN_READ_INTERVAL_S = 0.5
@@ -155,29 +160,45 @@
     def run(self) -> None:
         """Writes origins until the greenlet is killed."""
         while True:
-            self.flush()
-            gevent.sleep(
-                self.interval_s if self._caught_up else _MIN_INTERVAL_S
-            )
+            done = self.flush()
+            gevent.sleep(self.interval_s if done else _RETRY_S)
+
+    def flush(self) -> bool:
+        """Writes the current record if that is due.
 
-    def flush(self) -> None:
-        """Writes the current record if it has changed."""
+        Returns:
+            Whether the store could be used, if it was needed.
+        """
         if not (self._versions_known and self._caught_up) and not self._read():
-            return
-        is_old = self._now() - self._written_s >= self._span_s()
-        if is_old or self._known_releases() != self._written_releases:
-            # What it tells of releases counts from when it was written.
-            self._unwritten = True
-        if self._now() - self._current_began_s >= self._span_s():
-            if self._unwritten and not self._write():
-                return
+            return False
+        now = self._now()
+        if now - self._current_began_s >= self._span_s():
+            # What is written of releases counts from when it was written, so
+            # that this is done even if nothing is new.
+            if not self._write():
+                return False
             self._begin_record((self._current + 1) % _RECORDS)
-        elif self._unwritten:
-            self._write()
+        elif self._is_due(now):
+            return self._write()
+        return True
+
+    def _is_due(self, now: float) -> bool:
+        releases = self._known_releases()
+        if releases != self._written_releases:
+            return True
+        services = {name for name, _, _ in releases}
+        are_all_known = all(is_known for _, _, is_known in releases)
+        waits = bool(
+            releases and are_all_known and len(releases) == len(services)
+        )
+        waited_s = now - self._written_s
+        return self._unwritten and (
+            not waits or waited_s >= _ONE_RELEASE_INTERVAL_S
+        )
 
     @property
     def interval_s(self) -> float:
-        """Interval between writes, in seconds."""
+        """Shortest interval between writes, in seconds."""
         return max(_MIN_INTERVAL_S, self._count_members() / _WRITES_PER_S)
 
     def _read_interval_s(self) -> float:
