Soak: responses that end with their connection, crashes without a reset, all killed

A crash reset all connections, and the link accepted new ones meanwhile; no head announced a close, none was HTTP/1.0; a herd was at most nine instances in ten.

Change: seeds from 3,000,000,000 on: responses without length, of three framings; a crashed server's connections are closed and new ones refused; rollouts, and herds of which half kill all instances.

--- a/irisshelf/platform/stand_in/proxy.py
+++ b/irisshelf/platform/stand_in/proxy.py
@@ -74,13 +74,23 @@
         if mode == "mute":
             self._mute |= self._open
 
-    def set_listening(self, listens: bool) -> None:
-        """Ends all connections and refuses new ones, or takes them again."""
+    def set_listening(self, listens: bool, *, reset: bool = True) -> None:
+        """Ends all connections and refuses new ones, or takes them again.
+
+        Args:
+            listens: Which of the two.
+            reset: Whether connections are reset. The kernel closes those of a
+                process that exits without, if all input has been read.
+        """
         self._listens = listens
         self._update_listener()
-        if not listens:
-            for sock in list(self._open):
-                _reset(sock)
+        if listens:
+            return
+        if not reset:
+            self.close_open()
+            return
+        for sock in list(self._open):
+            _reset(sock)
 
     def cut(self, how: Cut) -> None:
         """Cuts the link until ``heal``."""
--- a/irisshelf/tests/test_soak.py
+++ b/irisshelf/tests/test_soak.py
@@ -492,6 +492,22 @@
                 plan.Kind.STORE_LINK,
             ),
         ),
+        (
+            plan.ENDINGS_FROM,
+            3,
+            (
+                plan.Kind.SERVER_CRASH,
+                plan.Kind.SERVER_LEAVES,
+                plan.Kind.VERSION,
+                plan.Kind.HERD,
+                plan.Kind.KILL,
+                plan.Kind.TERM,
+                plan.Kind.HUP,
+                # Of planned seeds.
+                plan.Kind.CONFIGURATION,
+                plan.Kind.WITHDRAW_KEY,
+            ),
+        ),
     ],
 )
 def test_every_kind_of_fault_is_drawn(first, instances, kinds):
@@ -739,6 +755,8 @@
         # A stop under long requests, and one with peers that send without end.
         (plan.EXTREMES_FROM, plan.INSTANCES),
         (plan.EXTREMES_FROM + 5, plan.INSTANCES),
+        # Responses that end with their connection, crashes, all killed at once.
+        (plan.ENDINGS_FROM + 1, plan.INSTANCES),
     ],
 )
 def test_real_processes_keep_the_promises(tmp_path, seed, instances):
@@ -1130,3 +1148,16 @@
     )
     run = types.SimpleNamespace(headers={"prefix-hash": prefix}, body=b"")
     assert servers[1].ends_under(run) is ends
+
+
+def test_all_instances_are_killed_at_once_in_some_seeds():
+    """Guards against knowledge that is always kept by some instance."""
+    seeds = range(plan.ENDINGS_FROM, plan.ENDINGS_FROM + 20)
+    herds = [
+        fault
+        for seed in seeds
+        for fault in plan.draw(seed)
+        if fault.kind is plan.Kind.HERD
+    ]
+    assert any(fault.share == 1.0 for fault in herds)
+    assert any(fault.share < 1.0 for fault in herds)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -127,7 +127,11 @@
 # a range: no key is valid, requests last as long as a planned stop, and peers
 # send without end.
 EXTREMES_FROM = 2_000_000_000
-SEEDS_UNTIL = 3_000_000_000
+# Seeds from this one on have responses that only the end of their connection
+# ends, as servers crash, leave and change their versions, and all instances are
+# killed at once.
+ENDINGS_FROM = 3_000_000_000
+SEEDS_UNTIL = 4_000_000_000
 _UNFRAMED_EVERY = 3
 # Of so many seeds with herds, one has servers of one version all the time; of
 # so many, four have parts that end servers.
@@ -161,10 +165,21 @@
     *(8 * VERSION_KINDS),
     *(10 * HERD_KINDS),
 )
+_ENDING_SEED_KINDS = (
+    *(6 * (Kind.SERVER_CRASH,)),
+    *(3 * (Kind.SERVER_LEAVES,)),
+    *(3 * VERSION_KINDS),
+    *(2 * HERD_KINDS),
+    Kind.TERM,
+    Kind.HUP,
+)
 # How long a herd takes with what comes before and after it, and the share of
 # the instances that are killed at once.
 _HERD_S = 7.0
 _HERD_SHARE = (0.3, 0.9)
+# How responses are framed that end with their connection, by number of the
+# server: whether the head announces the close, and the version of HTTP.
+FRAMINGS = ((False, b"1.1"), (True, b"1.1"), (False, b"1.0"))
 # Share of a wide run's faults of instances that hit the first of them.
 _FIRST_SHARE = 0.5
 
@@ -303,7 +318,12 @@
 
 def has_extremes(seed: int) -> bool:
     """Returns whether keys, times and sizes go to the ends of their ranges."""
-    return seed >= EXTREMES_FROM
+    return EXTREMES_FROM <= seed < ENDINGS_FROM
+
+
+def has_endings(seed: int) -> bool:
+    """Returns whether only the end of its connection ends any response."""
+    return seed >= ENDINGS_FROM
 
 
 def overload(seed: int) -> dict[str, object]:
@@ -335,11 +355,13 @@
 
 def has_versions(seed: int) -> bool:
     """Returns whether servers run several software versions."""
-    return VERSIONS_FROM <= seed < HARD_FROM
+    return VERSIONS_FROM <= seed < HARD_FROM or has_endings(seed)
 
 
 def has_parts(seed: int) -> bool:
     """Returns whether a part of prompts ends servers, not a whole request."""
+    if has_endings(seed):
+        return False
     if has_herds(seed):
         return seed % _HERD_PARTS_EVERY >= _HERD_PARTS_EVERY - 4
     return PARTS_FROM <= seed < HARD_FROM
@@ -347,7 +369,7 @@
 
 def has_herds(seed: int) -> bool:
     """Returns whether many instances are killed at once."""
-    return SIZE_FROM <= seed < HARD_FROM
+    return SIZE_FROM <= seed < HARD_FROM or has_endings(seed)
 
 
 def has_one_version(seed: int) -> bool:
@@ -375,7 +397,9 @@
 
 def is_unframed(seed: int) -> bool:
     """Returns whether answers of servers have neither a length nor chunks."""
-    return has_parts(seed) and seed % _UNFRAMED_EVERY == 0
+    return has_endings(seed) or (
+        has_parts(seed) and seed % _UNFRAMED_EVERY == 0
+    )
 
 
 def draw(seed: int, instances: int = INSTANCES) -> tuple[Fault, ...]:
@@ -402,6 +426,8 @@
         kinds = (*kinds, *(20 * VERSION_KINDS))
     if has_herds(seed):
         kinds = _SIZE_KINDS
+    if has_endings(seed):
+        kinds = _ENDING_SEED_KINDS
     if has_one_version(seed):
         kinds = tuple(kind for kind in kinds if kind is not Kind.VERSION)
     if is_hard(seed):
@@ -415,6 +441,8 @@
     faults = [_draw_one(rng, kinds, instances, streaming) for _ in range(count)]
     if has_herds(seed) and not is_planned(seed):
         faults.append(_draw_one(rng, HERD_KINDS, instances, streaming))
+    if has_endings(seed):
+        faults = [_hit_all(rng, fault) for fault in faults]
     if rng.random() < 0.5:
         twin = rng.choice(faults)
         again_s = min(FAULTS_UNTIL_S, twin.at_s + rng.uniform(0.05, 1.5))
@@ -422,6 +450,13 @@
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
 
 
+def _hit_all(rng: random.Random, fault: Fault) -> Fault:
+    """Returns a fault of many instances that befalls all of them, or not."""
+    if fault.kind is Kind.HERD and rng.random() < 0.5:
+        return dataclasses.replace(fault, share=1.0)
+    return fault
+
+
 def _draw_one(
     rng: random.Random,
     kinds: tuple[Kind, ...],
--- a/soak/run.py
+++ b/soak/run.py
@@ -108,8 +108,12 @@
             self._injector.of_servers.limit()
         if plan.has_versions(seed):
             self._injector.of_servers.begin_versions()
-        for one in self.servers:
+        for number, one in enumerate(self.servers):
             one.unframed = plan.is_unframed(seed)
+            if plan.has_endings(seed):
+                one.announces_close, one.http_version = plan.FRAMINGS[
+                    number % len(plan.FRAMINGS)
+                ]
             if plan.has_extremes(seed):
                 one.extra_work_s = extremes.extra_work_s
         self._injector.prepare()
--- a/soak/server_faults.py
+++ b/soak/server_faults.py
@@ -143,6 +143,10 @@
     def crash(self, fault: plan.Fault) -> None:
         """A crashed server says nothing to the store; it comes back."""
         link = self._links[fault.target]
+        if plan.has_endings(self._seed):
+            link.set_listening(False, reset=False)
+            gevent.spawn_later(fault.for_s, link.set_listening, True)
+            return
         link.set_mode("reset")
         gevent.spawn_later(fault.for_s, link.set_mode, "pass")
 
--- a/soak/server_links.py
+++ b/soak/server_links.py
@@ -21,11 +21,11 @@
         self._pairs.append(proxy.Proxy(target=self.address))
         return self._pairs[-1]
 
-    def set_listening(self, listens: bool) -> None:
-        """Ends all connections and refuses new ones, or takes them again."""
-        super().set_listening(listens)
+    def set_listening(self, listens: bool, *, reset: bool = True) -> None:
+        """See ``proxy.Proxy.set_listening``."""
+        super().set_listening(listens, reset=reset)
         for pair in self._pairs:
-            pair.set_listening(listens)
+            pair.set_listening(listens, reset=reset)
 
     def close(self) -> None:
         """Stops."""
