A time-out of the kernel right after that of a read does not end a response

The kernel's time-out was recognised in the first read; in the one that follows this process's own time limit it still counted as that limit, after which the wait is extended and the next read finds an end.

Change: the error number is looked at where the errors of both reads are handled.

--- a/irisshelf/tests/test_failed_connections.py
+++ b/irisshelf/tests/test_failed_connections.py
@@ -85,15 +85,20 @@
 class _FailingSocket:
     """A socket whose next read without data reports an error, once."""
 
-    def __init__(self, *, sock, number):
+    def __init__(self, *, sock, number, times_out=False):
         self._sock = sock
         self._number = number
+        # Whether the time limit of the read passes just before.
+        self._times_out = times_out
 
     def __getattr__(self, name):
         return getattr(self._sock, name)
 
     def recv(self, size):
         data = self._sock.recv(size)
+        if not data and self._times_out:
+            self._times_out = False
+            raise TimeoutError("timed out")
         if not data and self._number:
             number, self._number = self._number, 0
             raise OSError(number, os.strerror(number))
@@ -111,11 +116,13 @@
     ],
     ids=errno.errorcode.get,
 )
-def test_an_error_of_the_kernel_is_no_end(number):
+@pytest.mark.parametrize("times_out", [False, True])
+def test_an_error_of_the_kernel_is_no_end(number, times_out):
     """Guards against a lost host, whose time-out a second read conceals."""
     local, remote = socket.socketpair()
     conn = client.Connection(
-        sock=_FailingSocket(sock=local, number=number), address="peer"
+        sock=_FailingSocket(sock=local, number=number, times_out=times_out),
+        address="peer",
     )
     conn.send("GET", "/", [(b"Host", b"a")], b"", timeout_s=1.0)
     # Closed with unread input, the socket would report an error of its own.
--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -423,20 +423,12 @@
         When a process resumes after a pause, its timers have expired and the
         data that arrived meanwhile has not been read. After the kernel's own
         time-out nothing follows but the end of the input.
-
-        Raises:
-            errors.BrokenConnectionError: The kernel has given the connection
-                up.
         """
         self._sock.settimeout(timeout_s)
         try:
             return self._sock.recv(_READ_BYTES)
         except TimeoutError as exc:
-            if not polling.is_own_timeout(exc):
-                raise errors.BrokenConnectionError(
-                    f"reading failed: {exc}"
-                ) from exc
-            if not self.has_input():
+            if not polling.is_own_timeout(exc) or not self.has_input():
                 raise
             return self._sock.recv(_READ_BYTES)
 
@@ -450,13 +442,13 @@
             raise errors.PeerTimeoutError("no response within the time limit")
         try:
             data = self._recv_available(max(remaining_s, _MIN_READ_TIMEOUT_S))
-        except TimeoutError as exc:
-            raise errors.PeerTimeoutError(
-                "no response within the time limit"
-            ) from exc
         except errors.TunnelLostError as exc:
             raise errors.RelayLostError(f"reading failed: {exc}") from exc
         except OSError as exc:
+            if polling.is_own_timeout(exc):
+                raise errors.PeerTimeoutError(
+                    "no response within the time limit"
+                ) from exc
             raise errors.BrokenConnectionError(
                 f"reading failed: {exc}"
             ) from exc
