--- a/irisshelf/transport/client.py
+++ b/irisshelf/transport/client.py
@@ -86,6 +86,8 @@
         self._late_events = 0
         self._turns = turns.Turns()
         self._request: list[h11.Event] = []
+        # Whether the response to the request has no body in any case.
+        self._expects_no_body = False
         self._writer: gevent.Greenlet | None = None
         self._write_error: OSError | None = None
         self._open = True
@@ -159,6 +161,7 @@
         self._head_checker = response_head.HeadChecker()
         self._late_events = 0
         self._unframed = False
+        self._expects_no_body = method == "HEAD"
         self._request = [
             h11.Request(method=method, target=target, headers=headers),
             h11.EndOfMessage(),
@@ -392,7 +395,7 @@
         return (
             not names & _FRAMING_HEADERS
             and head.status_code not in _BODYLESS_STATUSES
-            and self._request[0].method != b"HEAD"
+            and not self._expects_no_body
         )
 
     def _check_deadline(self, deadline_s: float) -> None:
