--- a/irisshelf/gateway/knowledge/stored_origins.py
+++ b/irisshelf/gateway/knowledge/stored_origins.py
@@ -35,7 +35,7 @@
 # within the life of origins.
 _RECORDS = 8
 _NUMBERS = frozenset(map(str, range(_RECORDS)))
-# 45 KB, encoded 60 KB; the store accepts 64 KB.
+# 42 KB, encoded 56 KB; the store accepts 64 KB.
 _MAX_ORIGINS = 3000
 _ORIGIN_BYTES = stream_origins.KEY_BYTES + releases_module.KEY_BYTES
 # The store accepts 300 writes a second of a part from all instances together,
--- a/irisshelf/tests/test_stored_origins.py
+++ b/irisshelf/tests/test_stored_origins.py
@@ -315,7 +315,7 @@
 
 
 def test_releases_are_not_passed_on_without_a_recent_list(store, clock):
-    """Guards against an instance that is cut off and vouches for others."""
+    """Guards against an outdated history from an instance that is cut off."""
     before = _Instance(store, clock)
     before.is_current = False
     _list(before, clock, "v1", is_new=True)
